--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,100 @@
+// Google TypeScript style by gts, and the arrows between packages.
+import {readFileSync} from 'node:fs';
+
+import gts from 'gts/build/src/index.js';
+
+/** Packages each package may import; the arrows go one way. */
+const ARROWS = JSON.parse(
+  readFileSync(new URL('package_arrows.json', import.meta.url), 'utf8'),
+);
+
+/** Libraries that speak to the outside, and the packages that may use them. */
+const NETWORK_LIBRARIES = ['undici'];
+const NETWORK_PACKAGES = new Set([
+  'object-store',
+  'upstream',
+  'cli',
+  'stand-ins',
+  'scenarios',
+]);
+
+function importRules(name, allowed) {
+  const forbidden = Object.keys(ARROWS)
+    .filter(other => other !== name && !allowed.includes(other))
+    .map(other => ({
+      name: `@arbutustide/${other}`,
+      message: `package ${name} may import ${allowed.join(', ') || 'none'}`,
+    }));
+  const libraries = NETWORK_PACKAGES.has(name)
+    ? []
+    : NETWORK_LIBRARIES.map(library => ({
+        name: library,
+        message: 'outside systems stay behind their interfaces',
+      }));
+  return {
+    files: [`packages/arbutustide-${name}/src/**/*.ts`],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          paths: [...forbidden, ...libraries],
+          patterns: [
+            {
+              group: ['@arbutustide/*/*', '**/packages/*'],
+              message: "import another package by its index.ts only",
+            },
+          ],
+        },
+      ],
+    },
+  };
+}
+
+export default [
+  {ignores: ['dist/', 'node_modules/', '**/gen/', '**/*.generated.ts']},
+  ...gts,
+  {
+    rules: {
+      'prettier/prettier': [
+        'error',
+        {
+          bracketSpacing: false,
+          singleQuote: true,
+          trailingComma: 'all',
+          arrowParens: 'avoid',
+          printWidth: 80,
+        },
+      ],
+      'n/no-unpublished-import': 'off',
+      'n/no-extraneous-import': 'off',
+      'n/no-missing-import': 'off',
+      'n/no-process-exit': 'off',
+      'n/no-unsupported-features/node-builtins': 'off',
+      'no-underscore-dangle': 'off',
+    },
+  },
+  {
+    files: ['packages/**/*.ts'],
+    rules: {
+      '@typescript-eslint/no-explicit-any': 'error',
+      '@typescript-eslint/no-unused-vars': [
+        'error',
+        {varsIgnorePattern: '^_', argsIgnorePattern: '^_'},
+      ],
+      '@typescript-eslint/consistent-type-imports': [
+        'error',
+        {fixStyle: 'separate-type-imports'},
+      ],
+      eqeqeq: 'error',
+      'max-lines': ['error', 400],
+      'max-lines-per-function': ['error', 60],
+    },
+  },
+  {
+    files: ['scripts/*.mjs'],
+    languageOptions: {globals: {process: 'readonly'}},
+  },
+  ...Object.entries(ARROWS).map(([name, allowed]) =>
+    importRules(name, allowed),
+  ),
+];
--- /dev/null
+++ b/packages/arbutustide-catalogue/src/entry_rules.ts
@@ -0,0 +1,28 @@
+import type {CatalogueEntry} from './catalogue_schema.js';
+
+import {EntryKind, KeyPolicy} from './entry_kind.js';
+
+/** HTTP methods that are idempotent by definition (RFC 9110). */
+const IDEMPOTENT_METHODS: ReadonlySet<string> = new Set([
+  'GET',
+  'HEAD',
+  'OPTIONS',
+]);
+
+/** Whether a request with this method to the entry may run more than once. */
+export function isIdempotent(entry: CatalogueEntry, method: string): boolean {
+  if (entry.kind !== EntryKind.SERVICE) return entry.idempotent ?? true;
+  if (IDEMPOTENT_METHODS.has(method)) return true;
+  return entry.idempotent ?? false;
+}
+
+/** Whether a request to the entry must carry an `Idempotency-Key`. */
+export function isKeyRequired(entry: CatalogueEntry, method: string): boolean {
+  if (isIdempotent(entry, method)) return false;
+  return (entry.idempotencyKey ?? KeyPolicy.REQUIRED) === KeyPolicy.REQUIRED;
+}
+
+/** Name under which an engine holds one version of an entry. */
+export function itemName(entry: CatalogueEntry): string {
+  return `${entry.name}@${entry.version}`;
+}
--- /dev/null
+++ b/packages/arbutustide-catalogue/src/index.ts
@@ -0,0 +1,40 @@
+/** The catalogue: its schema, acceptance, and the revision in force. */
+export type {RevisionListener} from './catalogue_holder.js';
+export type {
+  CatalogueCaller,
+  CatalogueDocument,
+  CatalogueEntry,
+  RequestClass,
+} from './catalogue_schema.js';
+export type {
+  CatalogueEdit,
+  ContentReader,
+  HeadSnapshot,
+} from './catalogue_store.js';
+export type {
+  CatalogueNeighbours,
+  CataloguePeer,
+  CatalogueSyncOptions,
+} from './catalogue_sync.js';
+export type {CatalogueChange} from './difference.js';
+export type {CatalogueHead, CatalogueManifest} from './stored_catalogue.js';
+export type {WorkerCapacity} from './validate_catalogue.js';
+
+export {CatalogueHolder} from './catalogue_holder.js';
+export {CatalogueRevision} from './catalogue_revision.js';
+export {catalogueSchema} from './catalogue_schema.js';
+export {assembleRevision, CatalogueStore} from './catalogue_store.js';
+export {CatalogueSync} from './catalogue_sync.js';
+export {ChangeKind, differences} from './difference.js';
+export {EntryKind, KeyPolicy} from './entry_kind.js';
+export {isIdempotent, isKeyRequired, itemName} from './entry_rules.js';
+export {
+  contentDigest,
+  contentKey,
+  HEAD_KEY,
+  headSchema,
+  joinDocument,
+  manifestSchema,
+  splitDocument,
+} from './stored_catalogue.js';
+export {checkFit, validateCatalogue} from './validate_catalogue.js';
--- /dev/null
+++ b/packages/arbutustide-catalogue/src/stored_catalogue.ts
@@ -0,0 +1,113 @@
+import type {CatalogueDocument, CatalogueEntry} from './catalogue_schema.js';
+
+import {createHash} from 'node:crypto';
+
+import {z} from 'zod';
+
+import {catalogueSchema} from './catalogue_schema.js';
+
+/** Store key of the one object that decides which catalogue is accepted. */
+export const HEAD_KEY = 'catalogue/head';
+
+/** Entries kept in one chunk; a small edit then rewrites one small object. */
+const ENTRIES_PER_CHUNK = 64;
+
+/** Write ids the head remembers, so that a lost reply can be resolved. */
+export const WRITE_IDS_KEPT = 64;
+
+/** Everything about one revision but its content. Immutable. */
+export const manifestSchema = z.strictObject({
+  revision: z.number().int().min(1),
+  /** Digests of the chunks, in order. */
+  chunks: z.array(z.string()),
+  author: z.string(),
+  /** Time of the edit by the operator's clock, ISO 8601; informative. */
+  time: z.string(),
+  writeId: z.string(),
+  /** Digest of the manifest of the revision before. */
+  previous: z.string().optional(),
+});
+
+/** The head: which manifest is accepted. */
+export const headSchema = z.strictObject({
+  revision: z.number().int().min(1),
+  /** Digest of the manifest. */
+  manifest: z.string(),
+  /** The last write ids, newest last. */
+  writeIds: z.array(z.string()),
+});
+
+export type CatalogueManifest = z.infer<typeof manifestSchema>;
+export type CatalogueHead = z.infer<typeof headSchema>;
+
+const chunkSchema = z.strictObject({
+  classes: catalogueSchema.shape.classes,
+  callers: catalogueSchema.shape.callers,
+  entries: catalogueSchema.shape.entries,
+});
+type CatalogueChunk = z.infer<typeof chunkSchema>;
+
+/** An immutable object addressed by the digest of its content. */
+export interface ContentObject {
+  readonly digest: string;
+  readonly value: unknown;
+}
+
+/** Store key of an object addressed by its digest. */
+export function contentKey(digest: string): string {
+  return `catalogue/content/${digest}`;
+}
+
+/** Wraps a JSON value with the SHA-256 of its encoding. */
+export function contentObject(value: unknown): ContentObject {
+  return {digest: contentDigest(value), value};
+}
+
+/** SHA-256 in hexadecimal of a JSON value with its keys in sorted order. */
+export function contentDigest(value: unknown): string {
+  return createHash('sha256').update(canonicalJson(value)).digest('hex');
+}
+
+function canonicalJson(value: unknown): string {
+  return JSON.stringify(value, (_key, item: unknown) => {
+    if (item === null || typeof item !== 'object' || Array.isArray(item)) {
+      return item;
+    }
+    const sorted = Object.entries(item).sort(([left], [right]) =>
+      left < right ? -1 : 1,
+    );
+    return Object.fromEntries(sorted);
+  });
+}
+
+/** Splits a catalogue into chunks; classes and callers are in the first. */
+export function splitDocument(document: CatalogueDocument): ContentObject[] {
+  const entries = document.entries.toSorted((left, right) =>
+    left.name < right.name ? -1 : 1,
+  );
+  const chunks = [...batches(entries)].map((batch, index) => ({
+    classes: index === 0 ? document.classes : [],
+    callers: index === 0 ? document.callers : [],
+    entries: batch,
+  }));
+  return chunks.map(contentObject);
+}
+
+function* batches(entries: CatalogueEntry[]): Iterable<CatalogueEntry[]> {
+  for (let start = 0; start === 0 || start < entries.length;) {
+    yield entries.slice(start, start + ENTRIES_PER_CHUNK);
+    start += ENTRIES_PER_CHUNK;
+  }
+}
+
+/** Puts a catalogue together from the values of its chunks. */
+export function joinDocument(values: readonly unknown[]): CatalogueDocument {
+  const chunks: CatalogueChunk[] = values.map(value =>
+    chunkSchema.parse(value),
+  );
+  return {
+    classes: chunks.flatMap(chunk => chunk.classes),
+    callers: chunks.flatMap(chunk => chunk.callers),
+    entries: chunks.flatMap(chunk => chunk.entries),
+  };
+}
--- /dev/null
+++ b/packages/arbutustide-claims/src/index.ts
@@ -0,0 +1,14 @@
+/** At-most-once execution of requests that carry an `Idempotency-Key`. */
+export type {Claim, KeptAnswer} from './claim.js';
+export type {ClaimedContent, ClaimIdentity} from './claim_key.js';
+export type {
+  ClaimGrant,
+  ClaimRequest,
+  ClaimStoreOptions,
+  HeldClaim,
+} from './claim_store.js';
+
+export {CLAIM_PREFIX, claimSchema, ClaimState} from './claim.js';
+export {claimKey, requestDigest} from './claim_key.js';
+export {ClaimOutcome, ClaimStore} from './claim_store.js';
+export {sweepClaims} from './claim_sweep.js';
--- /dev/null
+++ b/packages/arbutustide-cli/src/catalogue_file.ts
@@ -0,0 +1,63 @@
+import type {CatalogueDocument, WorkerCapacity} from '@arbutustide/catalogue';
+import type {ObjectStore} from '@arbutustide/object-store';
+
+import {readFileSync} from 'node:fs';
+
+import {
+  catalogueSchema,
+  checkFit,
+  validateCatalogue,
+} from '@arbutustide/catalogue';
+import {LedgerStore} from '@arbutustide/placement';
+import {formatDocument, parseDocument} from '@arbutustide/settings';
+
+import {CommandError} from './command_error.js';
+import {ExitCode} from './exit_code.js';
+
+/** Reads a catalogue file and checks everything that needs no platform. */
+export function readCatalogueFile(file: string): CatalogueDocument {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (error) {
+    const {code} = error as NodeJS.ErrnoException;
+    throw invalid([`${file}: cannot be read: ${code ?? String(error)}`]);
+  }
+  const document = parseDocument(text, file, catalogueSchema);
+  if (!document.ok) throw invalid([document.val.message]);
+  const problems = validateCatalogue(document.val);
+  if (problems.length > 0) {
+    throw invalid(problems.map(problem => `${file}: ${problem}`));
+  }
+  return document.val;
+}
+
+/** Checks that a catalogue fits into the workers the ledger knows. */
+export async function checkCatalogueFits(
+  document: CatalogueDocument,
+  file: string,
+  store: ObjectStore,
+): Promise<void> {
+  const workers = await new LedgerStore(store).readAll();
+  if (!workers.ok) return;
+  const capacities: WorkerCapacity[] = workers.val.map(({record}) => ({
+    upstreamId: record.upstreamId,
+    memoryBytes: record.memoryBytes,
+  }));
+  const problems = checkFit(document, capacities);
+  if (problems.length > 0) {
+    throw invalid(problems.map(problem => `${file}: ${problem}`));
+  }
+}
+
+/** A catalogue as a file to edit, with the revision the edit starts from. */
+export function formatCatalogue(
+  document: CatalogueDocument,
+  revision: number,
+): string {
+  return formatDocument({...document, baseRevision: revision});
+}
+
+function invalid(problems: readonly string[]): CommandError {
+  return new CommandError(ExitCode.INVALID_DOCUMENT, problems.join('\n'));
+}
--- /dev/null
+++ b/packages/arbutustide-cli/src/claim_commands.ts
@@ -0,0 +1,89 @@
+import type {Claim} from '@arbutustide/claims';
+import type {StoredObject} from '@arbutustide/object-store';
+
+import type {PlatformOptions} from './platform_access.js';
+
+import {userInfo} from 'node:os';
+
+import {claimKey, claimSchema, ClaimState} from '@arbutustide/claims';
+
+import {CommandError, storeFailure} from './command_error.js';
+import {ExitCode} from './exit_code.js';
+import {printRows} from './output.js';
+import {openStore} from './platform_access.js';
+
+/** How an operator settles a request that may have run. */
+export enum Resolution {
+  /** It ran; a resend is told so. */
+  RAN = 'ran',
+  /** It did not run; a resend runs. */
+  NOT_RUN = 'not-run',
+}
+
+interface ClaimLookup {
+  readonly claim: Claim;
+  readonly object: StoredObject;
+}
+
+/** `claims show CALLER ENTRY KEY` */
+export async function showClaimCommand(
+  caller: string,
+  entry: string,
+  key: string,
+  options: PlatformOptions,
+): Promise<void> {
+  const {claim, object} = await readClaim(caller, entry, key, options);
+  printRows(
+    [
+      {
+        state: claim.state,
+        requestId: claim.requestId,
+        claimant: claim.claimant,
+        created: new Date(claim.createdAtMilliseconds).toISOString(),
+        answerKept: claim.answer !== undefined,
+        settledBy: claim.settledBy ?? '',
+        version: object.version,
+      },
+    ],
+    options.output,
+  );
+}
+
+/** `claims resolve CALLER ENTRY KEY --as RESOLUTION` */
+export async function resolveClaimCommand(
+  caller: string,
+  entry: string,
+  key: string,
+  options: PlatformOptions & {readonly as: Resolution},
+): Promise<void> {
+  const {claim, object} = await readClaim(caller, entry, key, options);
+  if (claim.state === ClaimState.DONE) {
+    throw new CommandError(
+      ExitCode.CONFLICT,
+      'the request ran and its outcome is recorded; nothing is to be settled',
+    );
+  }
+  const store = openStore(options);
+  const settled = {
+    ...claim,
+    state: ClaimState.DONE,
+    settledBy: userInfo().username,
+  };
+  const written =
+    options.as === Resolution.RAN
+      ? await store.update(object.key, settled, object.version)
+      : await store.delete(object.key, object.version);
+  if (!written.ok) throw storeFailure(written.val);
+  printRows([{key: object.key, resolvedAs: options.as}], options.output);
+}
+
+async function readClaim(
+  caller: string,
+  entry: string,
+  key: string,
+  options: PlatformOptions,
+): Promise<ClaimLookup> {
+  const stored = await openStore(options).get(claimKey({caller, entry, key}));
+  if (!stored.ok) throw storeFailure(stored.val);
+  return {claim: claimSchema.parse(stored.val.value), object: stored.val};
+}
--- /dev/null
+++ b/packages/arbutustide-cli/src/completion.ts
@@ -0,0 +1,25 @@
+import type {Command} from 'commander';
+
+/** A completion script for bash, made from the command line itself. */
+export function completionScript(program: Command): string {
+  const cases = program.commands
+    .filter(command => command.commands.length > 0)
+    .map(command => `    ${command.name()}) words="${names(command)}" ;;`);
+  return [
+    '_arbutustide() {',
+    '  local words',
+    '  case "${COMP_WORDS[1]}" in',
+    ...cases,
+    `    *) words="${names(program)}" ;;`,
+    '  esac',
+    '  [ "$COMP_CWORD" -le 1 ] && ' + `words="${names(program)}"`,
+    '  COMPREPLY=($(compgen -W "$words" -- "${COMP_WORDS[COMP_CWORD]}"))',
+    '}',
+    'complete -o default -F _arbutustide arbutustide',
+    '',
+  ].join('\n');
+}
+
+function names(command: Command): string {
+  return command.commands.map(sub => sub.name()).join(' ');
+}
--- /dev/null
+++ b/packages/arbutustide-cli/src/index.ts
@@ -0,0 +1,3 @@
+/** The arbutustide binary. */
+export {ExitCode} from './exit_code.js';
+export {createProgram} from './program.js';
--- /dev/null
+++ b/packages/arbutustide-cli/src/main.ts
@@ -0,0 +1,32 @@
+import {CommandError} from './command_error.js';
+import {ExitCode} from './exit_code.js';
+import {createProgram} from './program.js';
+
+/** Commands that go on after they were started. */
+const LASTING_COMMANDS: ReadonlySet<string> = new Set(['node']);
+
+async function main(): Promise<void> {
+  let exitCode = ExitCode.SUCCESS;
+  try {
+    await createProgram().parseAsync();
+    if (LASTING_COMMANDS.has(process.argv[2] ?? '')) return;
+  } catch (error) {
+    exitCode = report(error);
+  }
+  process.stdout.write('', () => process.exit(exitCode));
+}
+
+function report(error: unknown): ExitCode {
+  if (error instanceof CommandError) {
+    process.stderr.write(`arbutustide: ${error.message}\n`);
+    return error.exitCode;
+  }
+  const {code, exitCode} = error as {code?: string; exitCode?: number};
+  if (code?.startsWith('commander.')) {
+    return exitCode === 0 ? ExitCode.SUCCESS : ExitCode.USAGE;
+  }
+  process.stderr.write(`arbutustide: ${String(error)}\n`);
+  return ExitCode.INTERNAL;
+}
+
+void main();
--- /dev/null
+++ b/packages/arbutustide-cli/src/node_commands.ts
@@ -0,0 +1,36 @@
+import {startNode} from '@arbutustide/node';
+import {formatSettings, loadSettings} from '@arbutustide/settings';
+
+import {CommandError} from './command_error.js';
+import {ExitCode} from './exit_code.js';
+
+/** `settings check FILE`: prints the effective settings. */
+export function checkSettingsCommand(file: string): void {
+  const settings = loadSettings(file);
+  if (!settings.ok) {
+    throw new CommandError(ExitCode.INVALID_DOCUMENT, settings.val.message);
+  }
+  process.stdout.write(`${formatSettings(settings.val)}\n`);
+}
+
+/** `node --settings FILE`: runs until it is told to stop. */
+export async function nodeCommand(options: {
+  readonly settings: string;
+}): Promise<void> {
+  const settings = loadSettings(options.settings);
+  if (!settings.ok) {
+    throw new CommandError(ExitCode.INVALID_DOCUMENT, settings.val.message);
+  }
+  const node = await startNode(settings.val);
+  let isStopping = false;
+  const stop = (signal: string) => {
+    if (isStopping) {
+      node.logger.warn({signal}, 'stopped at once by a second signal');
+      process.exit(ExitCode.INTERNAL);
+    }
+    isStopping = true;
+    void node.stop().then(() => process.exit(ExitCode.SUCCESS));
+  };
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
+}
--- /dev/null
+++ b/packages/arbutustide-cli/src/output.ts
@@ -0,0 +1,42 @@
+/** In which form a command prints its result. */
+export enum OutputFormat {
+  TABLE = 'table',
+  JSON = 'json',
+}
+
+/** One row of a table; its keys are the column titles. */
+export type OutputRow = Readonly<Record<string, string | number | boolean>>;
+
+type Printer = (rows: readonly OutputRow[]) => string;
+
+const PRINTERS: Readonly<Record<OutputFormat, Printer>> = {
+  [OutputFormat.JSON]: rows => JSON.stringify(rows, undefined, 2),
+  [OutputFormat.TABLE]: formatTable,
+};
+
+/** Prints rows to standard output. */
+export function printRows(
+  rows: readonly OutputRow[],
+  format: OutputFormat,
+): void {
+  process.stdout.write(`${PRINTERS[format](rows)}\n`);
+}
+
+function formatTable(rows: readonly OutputRow[]): string {
+  if (rows.length === 0) return '(none)';
+  const titles = Object.keys(rows[0]);
+  const lines = [titles, ...rows.map(row => titles.map(key => cell(row[key])))];
+  const widths = titles.map((_title, column) =>
+    Math.max(...lines.map(line => line[column].length)),
+  );
+  return lines
+    .map(line =>
+      line.map((text, column) => text.padEnd(widths[column])).join('  '),
+    )
+    .map(line => line.trimEnd())
+    .join('\n');
+}
+
+function cell(value: string | number | boolean | undefined): string {
+  return value === undefined ? '' : String(value);
+}
--- /dev/null
+++ b/packages/arbutustide-cli/src/version.ts
@@ -0,0 +1,2 @@
+/** Version of the binary. */
+export const VERSION = '0.1.0';
--- /dev/null
+++ b/packages/arbutustide-errors/src/__tests__/unit/answer_table.test.ts
@@ -0,0 +1,43 @@
+import {expect} from 'chai';
+
+import {
+  ANSWER_TABLE,
+  ErrorKind,
+  Ran,
+  refusalAnswer,
+  RefusalError,
+  RetryAdvice,
+} from '../../index.js';
+
+const KINDS = Object.values(ErrorKind);
+
+describe('answer table', () => {
+  for (const kind of KINDS) {
+    it(`answers ${kind} with a status, whether it ran, and advice`, () => {
+      const refusal = new RefusalError(kind, 'why');
+      const answer = refusalAnswer(refusal, 'request-1');
+      expect(answer.status).to.equal(ANSWER_TABLE[kind].status);
+      expect(answer.status).to.be.within(400, 599);
+      expect(answer.body.error.code).to.equal(kind);
+      expect(answer.body.error.request_id).to.equal('request-1');
+      expect(Object.values(Ran)).to.include(answer.body.error.ran);
+      expect(Object.values(RetryAdvice)).to.include(answer.body.error.retry);
+    });
+
+    it(`tells when to come back exactly where ${kind} advises it`, () => {
+      const {advice, retryAfterMilliseconds} = ANSWER_TABLE[kind];
+      if (advice !== RetryAdvice.RETRY_LATER) return;
+      expect(retryAfterMilliseconds).to.be.greaterThan(0);
+      const answer = refusalAnswer(new RefusalError(kind, 'why'), '');
+      expect(Number(answer.headers['retry-after'])).to.be.at.least(1);
+    });
+  }
+
+  it('never advises a plain retry of what may have run', () => {
+    for (const kind of KINDS) {
+      const {ran, advice} = ANSWER_TABLE[kind];
+      if (ran === Ran.NO) continue;
+      expect(advice, kind).to.not.equal(RetryAdvice.RETRY_LATER);
+    }
+  });
+});
--- /dev/null
+++ b/packages/arbutustide-membership/src/connect_server.ts
@@ -0,0 +1,57 @@
+import type {Http2Server, ServerHttp2Session} from 'node:http2';
+import type {AddressInfo} from 'node:net';
+
+import type {PeerHandler} from './peer_transport.js';
+
+import {once} from 'node:events';
+import {createServer} from 'node:http2';
+
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+
+import {MembershipService} from './gen/arbutustide/membership/v1/membership_pb.js';
+
+/** Serves peers over Connect on HTTP/2. */
+export class ConnectPeerServer {
+  private readonly server: Http2Server;
+  private readonly sessions = new Set<ServerHttp2Session>();
+
+  /** @param handler read at each call, since it may be made later. */
+  constructor(handler: () => PeerHandler) {
+    const handle = connectNodeAdapter({
+      routes: router => {
+        router.service(MembershipService, {
+          exchange: request => handler().exchange(request),
+          fetchHead: () => ({headJson: handler().headJson()}),
+          fetchContent: ({digest}) => ({
+            contentJson: handler().contentJson(digest),
+          }),
+        });
+      },
+    });
+    this.server = createServer(handle);
+    this.server.on('session', session => {
+      this.sessions.add(session);
+      session.on('close', () => this.sessions.delete(session));
+    });
+  }
+
+  /**
+   * Listens on an address.
+   *
+   * @param port zero to take any free port.
+   * @return the port in use.
+   */
+  async listen(address: string, port: number): Promise<number> {
+    this.server.listen(port, address);
+    await once(this.server, 'listening');
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Stops listening and ends the peers' connections. */
+  async close(): Promise<void> {
+    const closed = once(this.server, 'close');
+    this.server.close();
+    for (const session of this.sessions) session.destroy();
+    await closed;
+  }
+}
--- /dev/null
+++ b/packages/arbutustide-membership/src/connect_transport.ts
@@ -0,0 +1,90 @@
+import type {Client} from '@connectrpc/connect';
+import type {Result} from 'ts-results';
+
+import type {
+  ExchangeRequest,
+  ExchangeResponse,
+} from './gen/arbutustide/membership/v1/membership_pb.js';
+import type {PeerTransport} from './peer_transport.js';
+
+import {ConnectError, createClient} from '@connectrpc/connect';
+import {createConnectTransport} from '@connectrpc/connect-node';
+import {Err, Ok} from 'ts-results';
+
+import {MembershipService} from './gen/arbutustide/membership/v1/membership_pb.js';
+import {PeerError} from './peer_transport.js';
+
+/** A quiet connection is proved alive before it is used again. */
+const PING_INTERVAL_MILLISECONDS = 5_000;
+const IDLE_CONNECTION_MILLISECONDS = 60_000;
+
+type PeerClient = Client<typeof MembershipService>;
+
+/** Calls peers over Connect on HTTP/2, one connection a peer. */
+export class ConnectPeerTransport implements PeerTransport {
+  private readonly clients = new Map<string, PeerClient>();
+
+  constructor(private readonly timeoutMilliseconds: number) {}
+
+  exchange(
+    peerUrl: string,
+    request: ExchangeRequest,
+  ): Promise<Result<ExchangeResponse, PeerError>> {
+    return this.call(peerUrl, client =>
+      client.exchange(request, this.callOptions()),
+    );
+  }
+
+  async fetchHead(peerUrl: string): Promise<Result<string, PeerError>> {
+    const answer = await this.call(peerUrl, client =>
+      client.fetchHead({}, this.callOptions()),
+    );
+    return answer.map(({headJson}) => headJson);
+  }
+
+  async fetchContent(
+    peerUrl: string,
+    digest: string,
+  ): Promise<Result<string, PeerError>> {
+    const answer = await this.call(peerUrl, client =>
+      client.fetchContent({digest}, this.callOptions()),
+    );
+    return answer.map(({contentJson}) => contentJson);
+  }
+
+  /** Forgets the connection of a peer that is gone. */
+  forget(peerUrl: string): void {
+    this.clients.delete(peerUrl);
+  }
+
+  private async call<T>(
+    peerUrl: string,
+    run: (client: PeerClient) => Promise<T>,
+  ): Promise<Result<T, PeerError>> {
+    try {
+      return Ok(await run(this.client(peerUrl)));
+    } catch (error) {
+      const message = ConnectError.from(error).message;
+      return Err(new PeerError(peerUrl, `${peerUrl}: ${message}`));
+    }
+  }
+
+  private callOptions(): {readonly timeoutMs: number} {
+    return {timeoutMs: this.timeoutMilliseconds};
+  }
+
+  private client(peerUrl: string): PeerClient {
+    const known = this.clients.get(peerUrl);
+    if (known) return known;
+    const transport = createConnectTransport({
+      baseUrl: peerUrl,
+      httpVersion: '2',
+      pingIntervalMs: PING_INTERVAL_MILLISECONDS,
+      pingTimeoutMs: this.timeoutMilliseconds,
+      idleConnectionTimeoutMs: IDLE_CONNECTION_MILLISECONDS,
+    });
+    const client = createClient(MembershipService, transport);
+    this.clients.set(peerUrl, client);
+    return client;
+  }
+}
--- /dev/null
+++ b/packages/arbutustide-membership/src/gossip.ts
@@ -0,0 +1,195 @@
+import type {
+  ExchangeRequest,
+  ExchangeResponse,
+} from './gen/arbutustide/membership/v1/membership_pb.js';
+import type {MemberTable, SequenceVector} from './member_table.js';
+import type {PeerTransport} from './peer_transport.js';
+
+import {delay} from '@arbutustide/errors';
+import {create} from '@bufbuild/protobuf';
+
+import {
+  ExchangeRequestSchema,
+  ExchangeResponseSchema,
+} from './gen/arbutustide/membership/v1/membership_pb.js';
+import {memberStatus} from './member_record.js';
+import {toVector} from './member_table.js';
+import {rendezvousPick} from './rendezvous.js';
+
+/** A node to exchange records with. */
+export interface PeerAddress {
+  readonly url: string;
+  readonly failureDomain: string;
+}
+
+/** How often and with how many peers records are exchanged. */
+export interface GossipOptions {
+  readonly ownUrl: string;
+  readonly ownFailureDomain: string;
+  readonly intervalMilliseconds: number;
+  readonly heartbeatMilliseconds: number;
+  readonly maximumPeers: number;
+  /** Uniform in [0, 1); spreads the exchanges over the interval. */
+  readonly random: () => number;
+}
+
+/** The task that exchanges records with one peer. */
+interface PeerTask {
+  readonly stop: AbortController;
+}
+
+const EMPTY_VECTOR: SequenceVector = new Map();
+
+/** Exchanges records with a bounded number of peers, one task a peer. */
+export class Gossip {
+  private readonly tasks = new Map<string, PeerTask>();
+  private readonly stopped = new AbortController();
+  private listed: readonly PeerAddress[] = [];
+
+  constructor(
+    private readonly table: MemberTable,
+    private readonly transport: PeerTransport,
+    private readonly options: GossipOptions,
+  ) {}
+
+  /** Starts the heartbeat and the tasks of the peers known. */
+  start(): void {
+    void this.runHeartbeat();
+  }
+
+  /** Ends all tasks. */
+  stop(): void {
+    this.stopped.abort();
+    for (const task of this.tasks.values()) task.stop.abort();
+  }
+
+  /** Takes the platform's latest list of entry hosts. */
+  setListed(peers: readonly PeerAddress[]): void {
+    this.listed = peers;
+    this.choosePeers();
+  }
+
+  /** Answers a peer's exchange. */
+  answer(request: ExchangeRequest): ExchangeResponse {
+    this.table.merge(request.deltas);
+    return create(ExchangeResponseSchema, {
+      sender: this.table.own.identity,
+      vector: this.table.vector(),
+      deltas: this.table.deltasSince(toVector(request.vector)),
+    });
+  }
+
+  /** Exchanges with every peer once, so that a change is known at once. */
+  async spreadNow(): Promise<void> {
+    const urls = [...this.tasks.keys()];
+    await Promise.all(urls.map(url => this.exchange(url, EMPTY_VECTOR)));
+  }
+
+  private async runHeartbeat(): Promise<void> {
+    const {signal} = this.stopped;
+    while (!signal.aborted) {
+      this.table.own.beat();
+      this.table.sweep();
+      this.choosePeers();
+      await delay(this.options.heartbeatMilliseconds, signal);
+    }
+  }
+
+  /** Keeps one task for each chosen peer and ends the others. */
+  private choosePeers(): void {
+    if (this.stopped.signal.aborted) return;
+    const chosen = new Set(this.chosenUrls());
+    for (const [url, task] of this.tasks) {
+      if (chosen.has(url)) continue;
+      task.stop.abort();
+      this.tasks.delete(url);
+    }
+    for (const url of chosen) {
+      if (this.tasks.has(url)) continue;
+      const task: PeerTask = {stop: new AbortController()};
+      this.tasks.set(url, task);
+      void this.runPeer(url, task.stop.signal);
+    }
+  }
+
+  /**
+   * Half of the peers are taken from the own failure domain and half from the
+   * others, by rendezvous hashing with the own address, which makes the graph
+   * of exchanges a random one.
+   */
+  private chosenUrls(): string[] {
+    const {ownUrl, ownFailureDomain, maximumPeers} = this.options;
+    const known = [...this.knownPeers().values()];
+    const near = known.filter(peer => peer.failureDomain === ownFailureDomain);
+    const far = known.filter(peer => peer.failureDomain !== ownFailureDomain);
+    const half = Math.ceil(maximumPeers / 2);
+    const nearCount = Math.max(half, maximumPeers - far.length);
+    const nearPicked = rendezvousPick(ownUrl, near, peerName, nearCount);
+    const farCount = maximumPeers - nearPicked.length;
+    const farPicked = rendezvousPick(ownUrl, far, peerName, farCount);
+    return [...nearPicked, ...farPicked].map(({url}) => url);
+  }
+
+  /** Peers by the platform's list and by the records, without this node. */
+  private knownPeers(): Map<string, PeerAddress> {
+    const peers = new Map(this.listed.map(peer => [peer.url, peer]));
+    for (const record of this.table.others()) {
+      const status = memberStatus(record);
+      if (!status) continue;
+      const {peerUrl: url, failureDomain} = status;
+      peers.set(url, {url, failureDomain});
+    }
+    peers.delete(this.options.ownUrl);
+    return peers;
+  }
+
+  private async runPeer(url: string, signal: AbortSignal): Promise<void> {
+    let peerVector = EMPTY_VECTOR;
+    await delay(this.jitteredInterval() / 2, signal);
+    while (!signal.aborted) {
+      peerVector = await this.exchange(url, peerVector);
+      await delay(this.jitteredInterval(), signal);
+    }
+  }
+
+  /**
+   * One exchange.
+   *
+   * @param peerVector what the peer is known to have; empty when unknown.
+   * @return what the peer has now, or empty after a failure, since another
+   *     process may have taken the address.
+   */
+  private async exchange(
+    url: string,
+    peerVector: SequenceVector,
+  ): Promise<SequenceVector> {
+    const isPeerKnown = peerVector.size > 0;
+    const request = create(ExchangeRequestSchema, {
+      sender: this.table.own.identity,
+      vector: this.table.vector(),
+      deltas: isPeerKnown
+        ? this.table.deltasSince(peerVector)
+        : this.ownDelta(),
+    });
+    const answer = await this.transport.exchange(url, request);
+    if (!answer.ok) return EMPTY_VECTOR;
+    this.table.merge(answer.val.deltas);
+    return toVector(answer.val.vector);
+  }
+
+  /** To a peer of which nothing is known only the own record is sent. */
+  private ownDelta() {
+    const others = [...this.table.others()];
+    const known = new Map(others.map(item => [item.identity, item.sequence]));
+    return this.table.deltasSince(known);
+  }
+
+  private jitteredInterval(): number {
+    const {intervalMilliseconds, random} = this.options;
+    return intervalMilliseconds * (0.75 + random() / 2);
+  }
+}
+
+function peerName(peer: PeerAddress): string {
+  return peer.url;
+}
--- /dev/null
+++ b/packages/arbutustide-membership/src/index.ts
@@ -0,0 +1,36 @@
+/** What nodes know of each other, and how they exchange it. */
+export type {
+  ClusterNode,
+  DemandSummary,
+  ReceivedObservation,
+} from './cluster_view.js';
+export type {
+  ExchangeRequest,
+  ExchangeResponse,
+  NodeStatus,
+  UpstreamObservation,
+} from './gen/arbutustide/membership/v1/membership_pb.js';
+export type {GossipOptions, PeerAddress} from './gossip.js';
+export type {MemberRecord} from './member_record.js';
+export type {FieldValue} from './own_record.js';
+export type {PeerHandler, PeerTransport} from './peer_transport.js';
+
+export {ClusterView} from './cluster_view.js';
+export {ConnectPeerServer} from './connect_server.js';
+export {ConnectPeerTransport} from './connect_transport.js';
+export {
+  EntryDemandSchema,
+  ExchangeRequestSchema,
+  ExchangeResponseSchema,
+  NodeState,
+  NodeStatusSchema,
+  SuspicionSchema,
+  UpstreamLoadSchema,
+  UpstreamObservationSchema,
+} from './gen/arbutustide/membership/v1/membership_pb.js';
+export {Gossip} from './gossip.js';
+export {memberStatus, STATUS_KEY} from './member_record.js';
+export {MemberTable, toVector} from './member_table.js';
+export {OwnRecord} from './own_record.js';
+export {PeerError} from './peer_transport.js';
+export {rendezvousPick} from './rendezvous.js';
--- /dev/null
+++ b/packages/arbutustide-membership/src/member_table.ts
@@ -0,0 +1,158 @@
+import type {
+  Field,
+  RecordDelta,
+  VectorEntry,
+} from './gen/arbutustide/membership/v1/membership_pb.js';
+import type {MemberRecord} from './member_record.js';
+import type {OwnRecord} from './own_record.js';
+
+import {create} from '@bufbuild/protobuf';
+
+import {
+  RecordDeltaSchema,
+  VectorEntrySchema,
+} from './gen/arbutustide/membership/v1/membership_pb.js';
+
+/** The highest sequence known of each record, by identity. */
+export type SequenceVector = ReadonlyMap<string, number>;
+
+/** What became of a dropped record, so that a late delta cannot revive it. */
+interface DroppedRecord {
+  readonly sequence: number;
+  readonly atMilliseconds: number;
+}
+
+/**
+ * The records of all nodes this node knows. Each record has a single writer;
+ * merging keeps the highest sequence of each field, so the order, repetition
+ * and loss of exchanges do not matter.
+ */
+export class MemberTable {
+  private readonly records = new Map<string, MemberRecord>();
+  private readonly dropped = new Map<string, DroppedRecord>();
+
+  /**
+   * @param expiryMilliseconds a record whose sequence did not grow for this
+   *     long, over any path, is dropped.
+   */
+  constructor(
+    readonly own: OwnRecord,
+    private readonly expiryMilliseconds: number,
+  ) {}
+
+  /** Records of the other nodes. */
+  others(): Iterable<MemberRecord> {
+    return this.records.values();
+  }
+
+  /** The record of one other node. */
+  record(identity: string): MemberRecord | undefined {
+    return this.records.get(identity);
+  }
+
+  /** The highest sequence known of each record, this node's included. */
+  vector(): VectorEntry[] {
+    const entries = [vectorEntry(this.own.identity, this.own.sequence)];
+    for (const {identity, sequence} of this.records.values()) {
+      entries.push(vectorEntry(identity, sequence));
+    }
+    return entries;
+  }
+
+  /** The fields and heartbeats that a holder of the vector lacks. */
+  deltasSince(known: SequenceVector): RecordDelta[] {
+    const deltas: RecordDelta[] = [];
+    const {identity, sequence} = this.own;
+    const own = deltaSince(identity, sequence, this.own.fields(), known);
+    if (own) deltas.push(own);
+    for (const record of this.records.values()) {
+      const delta = deltaSince(
+        record.identity,
+        record.sequence,
+        record.fields.values(),
+        known,
+      );
+      if (delta) deltas.push(delta);
+    }
+    return deltas;
+  }
+
+  /** Takes in what a peer sent. */
+  merge(deltas: readonly RecordDelta[]): void {
+    const now = performance.now();
+    for (const delta of deltas) this.mergeOne(delta, now);
+  }
+
+  /** Drops records that have not been heard of for the expiry time. */
+  sweep(): void {
+    const now = performance.now();
+    for (const record of this.records.values()) {
+      if (now - record.heardAtMilliseconds < this.expiryMilliseconds) continue;
+      this.records.delete(record.identity);
+      this.dropped.set(record.identity, {
+        sequence: record.sequence,
+        atMilliseconds: now,
+      });
+    }
+    this.forgetDropped(now);
+  }
+
+  private mergeOne(delta: RecordDelta, now: number): void {
+    if (delta.identity === this.own.identity) return;
+    const dropped = this.dropped.get(delta.identity);
+    if (dropped && delta.sequence <= dropped.sequence) return;
+    let record = this.records.get(delta.identity);
+    if (record === undefined) {
+      record = newRecord(delta.identity, now);
+      this.records.set(delta.identity, record);
+    }
+    if (delta.sequence <= record.sequence) return;
+    record.sequence = delta.sequence;
+    record.heardAtMilliseconds = now;
+    for (const field of delta.fields) mergeField(record, field);
+  }
+
+  /** After twice the expiry time every other node has dropped it too. */
+  private forgetDropped(now: number): void {
+    const horizon = now - 2 * this.expiryMilliseconds;
+    for (const [identity, {atMilliseconds}] of this.dropped) {
+      if (atMilliseconds < horizon) this.dropped.delete(identity);
+    }
+  }
+}
+
+/** Turns the entries of a message into a vector. */
+export function toVector(entries: readonly VectorEntry[]): SequenceVector {
+  return new Map(entries.map(({identity, sequence}) => [identity, sequence]));
+}
+
+function vectorEntry(identity: string, sequence: number): VectorEntry {
+  return create(VectorEntrySchema, {identity, sequence});
+}
+
+function newRecord(identity: string, now: number): MemberRecord {
+  return {
+    identity,
+    sequence: 0,
+    heardAtMilliseconds: now,
+    fields: new Map(),
+  };
+}
+
+function mergeField(record: MemberRecord, field: Field): void {
+  const current = record.fields.get(field.key);
+  if (current && current.sequence >= field.sequence) return;
+  record.fields.set(field.key, field);
+}
+
+function deltaSince(
+  identity: string,
+  sequence: number,
+  fields: Iterable<Field>,
+  known: SequenceVector,
+): RecordDelta | undefined {
+  const since = known.get(identity) ?? 0;
+  if (sequence <= since) return undefined;
+  const lacking = [...fields].filter(field => field.sequence > since);
+  return create(RecordDeltaSchema, {identity, sequence, fields: lacking});
+}
--- /dev/null
+++ b/packages/arbutustide-node/src/caller_server.ts
@@ -0,0 +1,316 @@
+import type {Request, Response} from '@tinyhttp/app';
+import type {RefusalError as Refusal} from '@arbutustide/errors';
+import type {CallerRequest} from '@arbutustide/routing';
+import type {Server} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import type {Result} from 'ts-results';
+
+import type {IdentifiedRequest} from './caller_routes.js';
+import type {NodeCore} from './node_core.js';
+import type {NodeDependencies} from './node_dependencies.js';
+
+import {once} from 'node:events';
+import {createServer, STATUS_CODES} from 'node:http';
+
+import {isIdempotent} from '@arbutustide/catalogue';
+import {
+  ErrorKind,
+  InvariantError,
+  refusalAnswer,
+  RefusalError,
+} from '@arbutustide/errors';
+import {App} from '@tinyhttp/app';
+import {Err, Ok} from 'ts-results';
+
+import {AnswerWriter, writeRefusal} from './answer_writer.js';
+import {readCompletion, readServiceCall} from './caller_routes.js';
+import {listModels} from './model_list.js';
+import {identifyCaller, requestIdOf} from './request_identity.js';
+
+/** How often connections are checked for slow headers. */
+const CONNECTION_CHECK_MILLISECONDS = 500;
+const SERVICES_PREFIX = '/services/';
+
+/** Errors of the HTTP parser and how each is answered. */
+const PARSER_ERROR_KINDS: Readonly<Record<string, ErrorKind>> = {
+  HPE_HEADER_OVERFLOW: ErrorKind.HEADERS_TOO_LARGE,
+  ERR_HTTP_REQUEST_TIMEOUT: ErrorKind.REQUEST_TIMEOUT,
+};
+
+type RequestReader = (
+  request: IdentifiedRequest,
+) => Promise<Result<CallerRequest, Refusal>>;
+
+/** Serves callers over HTTP. */
+export class CallerServer {
+  private readonly server: Server;
+  private activeRequests = 0;
+
+  constructor(
+    private readonly core: NodeCore,
+    private readonly dependencies: NodeDependencies,
+  ) {
+    const {callers} = dependencies.settings;
+    const app = this.createApp();
+    this.server = createServer(
+      {
+        maxHeaderSize: callers.headerLimitBytes,
+        headersTimeout: callers.headerTimeoutMilliseconds,
+        requestTimeout: 0,
+        connectionsCheckingInterval: CONNECTION_CHECK_MILLISECONDS,
+      },
+      (request, response) => {
+        app.handler(request as Request, response as Response);
+      },
+    );
+    this.server.on('clientError', answerParserError);
+  }
+
+  /** Requests between their head and the end of their answer. */
+  get inFlight(): number {
+    return this.activeRequests;
+  }
+
+  /**
+   * Listens on an address.
+   *
+   * @param port zero to take any free port.
+   * @return the port in use.
+   */
+  async listen(address: string, port: number): Promise<number> {
+    this.server.listen(port, address);
+    await once(this.server, 'listening');
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Takes no more connections and waits for the requests in flight. */
+  async close(): Promise<void> {
+    if (!this.server.listening) return;
+    const closed = once(this.server, 'close');
+    this.server.close();
+    await closed;
+  }
+
+  private createApp(): App {
+    const app = new App({
+      applyExtensions: (_request, _response, next) => next(),
+      settings: {xPoweredBy: false},
+      noMatchHandler: (request, response) =>
+        this.refuse(
+          request,
+          response,
+          new RefusalError(
+            ErrorKind.UNKNOWN_ROUTE,
+            `${request.method} ${request.path} is not served here`,
+          ),
+        ),
+      onError: (error, request, response) =>
+        this.answerFailure(error, request, response),
+    });
+    app.get('/healthz', (_request, response) => {
+      response.end('alive\n');
+    });
+    app.get('/readyz', (_request, response) => {
+      response.statusCode = this.core.isReady ? 200 : 503;
+      response.end(this.core.isReady ? 'ready\n' : 'not ready\n');
+    });
+    app.get('/v1/models', (request, response) =>
+      this.answerModels(request, response),
+    );
+    app.get('/v1/models/:model', (request, response) =>
+      this.answerModels(request, response, request.params['model']),
+    );
+    app.post('/v1/chat/completions', (request, response) =>
+      this.serve(request, response, readCompletion),
+    );
+    app.post('/v1/completions', (request, response) =>
+      this.serve(request, response, readCompletion),
+    );
+    app.all(`${SERVICES_PREFIX}:entry/*`, (request, response) =>
+      this.serveService(request, response),
+    );
+    app.all(`${SERVICES_PREFIX}:entry`, (request, response) =>
+      this.serveService(request, response),
+    );
+    return app;
+  }
+
+  private serveService(request: Request, response: Response): Promise<void> {
+    const rest = (request.originalUrl ?? request.url ?? '').slice(
+      SERVICES_PREFIX.length,
+    );
+    const entryName = request.params['entry'];
+    const path = rest.slice(entryName.length);
+    return this.serve(request, response, identified =>
+      readServiceCall(
+        identified,
+        entryName,
+        path.startsWith('/') ? path : `/${path}`,
+      ),
+    );
+  }
+
+  /** Reads, dispatches and answers one request. */
+  private async serve(
+    request: Request,
+    response: Response,
+    read: RequestReader,
+  ): Promise<void> {
+    this.activeRequests += 1;
+    this.dependencies.metrics.inFlight.inc();
+    try {
+      await this.serveCounted(request, response, read);
+    } finally {
+      this.activeRequests -= 1;
+      this.dependencies.metrics.inFlight.dec();
+    }
+  }
+
+  private async serveCounted(
+    request: Request,
+    response: Response,
+    read: RequestReader,
+  ): Promise<void> {
+    const identified = this.identify(request, response);
+    if (!identified.ok) return this.refuse(request, response, identified.val);
+    const callerRequest = await read(identified.val);
+    if (!callerRequest.ok) {
+      return this.refuse(request, response, callerRequest.val);
+    }
+    const answer = await this.core.dispatcher.dispatch(callerRequest.val);
+    if (!answer.ok) return this.refuse(request, response, answer.val);
+    const {entry, method, caller, requestClass} = callerRequest.val;
+    const writer = new AnswerWriter(
+      response,
+      callerRequest.val,
+      this.dependencies.metrics,
+      identified.val.arrivedAtMilliseconds,
+      !isIdempotent(entry, method),
+    );
+    const end = await writer.write(answer.val);
+    this.dependencies.metrics.answers.inc({
+      tenant: caller,
+      class: requestClass.name,
+      end,
+    });
+    this.dependencies.logger.debug(
+      {
+        requestId: callerRequest.val.requestId,
+        entry: entry.name,
+        upstream: answer.val.upstreamId,
+        status: answer.val.status,
+        end,
+      },
+      'answered',
+    );
+  }
+
+  private identify(
+    request: Request,
+    response: Response,
+  ): Result<IdentifiedRequest, Refusal> {
+    const arrivedAtMilliseconds = performance.now();
+    const catalogue = this.core.holder.current;
+    if (!catalogue) {
+      return Err(
+        new RefusalError(ErrorKind.NOT_READY, 'no catalogue is in force yet'),
+      );
+    }
+    const caller = identifyCaller(request, catalogue);
+    if (!caller.ok) return caller;
+    if (this.core.isLeaving) response.setHeader('connection', 'close');
+    return Ok({
+      message: request,
+      requestId: requestIdOf(request),
+      caller: caller.val,
+      catalogue,
+      settings: this.dependencies.settings,
+      arrivedAtMilliseconds,
+      signal: goneSignal(response),
+    });
+  }
+
+  private answerModels(
+    request: Request,
+    response: Response,
+    model?: string,
+  ): void {
+    const identified = this.identify(request, response);
+    if (!identified.ok) return this.refuse(request, response, identified.val);
+    const {catalogue, caller} = identified.val;
+    const models = listModels(catalogue, caller);
+    response.setHeader('content-type', 'application/json');
+    if (model === undefined) {
+      response.end(JSON.stringify({object: 'list', data: models}));
+      return;
+    }
+    const listed = models.find(({id}) => id === model);
+    if (listed) {
+      response.end(JSON.stringify(listed));
+      return;
+    }
+    const message = `there is no model "${model}"`;
+    this.refuse(
+      request,
+      response,
+      new RefusalError(ErrorKind.UNKNOWN_ENTRY, message),
+    );
+  }
+
+  private refuse(request: Request, response: Response, refusal: Refusal): void {
+    const requestId = requestIdOf(request);
+    this.dependencies.logger.info(
+      {requestId, kind: refusal.kind, ran: refusal.ran, why: refusal.message},
+      'refused',
+    );
+    if (!request.complete) response.setHeader('connection', 'close');
+    const {metrics} = this.dependencies;
+    writeRefusal(response, refusal, requestId, metrics);
+  }
+
+  /** A broken invariant is our own fault; the caller is told so. */
+  private answerFailure(
+    error: unknown,
+    request: Request,
+    response: Response,
+  ): void {
+    const kind =
+      error instanceof InvariantError ? 'invariant broken' : 'unexpected error';
+    this.dependencies.logger.error({err: error}, kind);
+    this.refuse(
+      request,
+      response,
+      new RefusalError(ErrorKind.INTERNAL, 'an internal error; see the log'),
+    );
+  }
+}
+
+/** A signal that is aborted when the caller goes before its answer ended. */
+function goneSignal(response: Response): AbortSignal {
+  const controller = new AbortController();
+  response.once('close', () => {
+    if (!response.writableFinished) controller.abort();
+  });
+  return controller.signal;
+}
+
+/** Answers what is not HTTP, or not within the header limits. */
+function answerParserError(error: Error & {code?: string}, socket: Socket) {
+  if (!socket.writable || error.code === 'ECONNRESET') {
+    socket.destroy();
+    return;
+  }
+  const kind = PARSER_ERROR_KINDS[error.code ?? ''] ?? ErrorKind.BAD_REQUEST;
+  const refusal = new RefusalError(kind, 'the request is not valid HTTP here');
+  const {status, headers, body} = refusalAnswer(refusal, '');
+  const text = JSON.stringify(body);
+  const lines = [
+    `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`,
+    ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`),
+    `content-length: ${Buffer.byteLength(text)}`,
+    'connection: close',
+    '',
+    text,
+  ];
+  socket.end(lines.join('\r\n'));
+}
--- /dev/null
+++ b/packages/arbutustide-node/src/control_server.ts
@@ -0,0 +1,68 @@
+import type {Request, Response} from '@tinyhttp/app';
+import type {Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+import type {NodeCore} from './node_core.js';
+import type {NodeDependencies} from './node_dependencies.js';
+
+import {once} from 'node:events';
+import {createServer} from 'node:http';
+
+import {ErrorKind, RefusalError} from '@arbutustide/errors';
+import {App} from '@tinyhttp/app';
+
+import {writeRefusal} from './answer_writer.js';
+import {explainEntry} from './explain_entry.js';
+
+/** Serves operators: metrics, and why a request would go where. */
+export class ControlServer {
+  private readonly server: Server;
+
+  constructor(core: NodeCore, dependencies: NodeDependencies) {
+    const {metrics, settings} = dependencies;
+    const app = new App({
+      applyExtensions: (_request, _response, next) => next(),
+      settings: {xPoweredBy: false},
+    });
+    app.get('/metrics', async (_request, response) => {
+      response.setHeader('content-type', metrics.registry.contentType);
+      response.end(await metrics.registry.metrics());
+    });
+    app.get('/explain/:entry', (request, response) => {
+      const name = request.params['entry'];
+      const entry = core.holder.current?.entry(name);
+      if (!entry) {
+        const refusal = new RefusalError(
+          ErrorKind.UNKNOWN_ENTRY,
+          `there is no entry "${name}"`,
+        );
+        return writeRefusal(response, refusal, '', metrics);
+      }
+      response.setHeader('content-type', 'application/json');
+      response.end(JSON.stringify(explainEntry(entry, core, settings)));
+    });
+    this.server = createServer((request, response) => {
+      app.handler(request as Request, response as Response);
+    });
+  }
+
+  /**
+   * Listens on an address.
+   *
+   * @param port zero to take any free port.
+   * @return the port in use.
+   */
+  async listen(address: string, port: number): Promise<number> {
+    this.server.listen(port, address);
+    await once(this.server, 'listening');
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Stops listening and ends what is open. */
+  async close(): Promise<void> {
+    const closed = once(this.server, 'close');
+    this.server.close();
+    this.server.closeAllConnections();
+    await closed;
+  }
+}
--- /dev/null
+++ b/packages/arbutustide-node/src/host_watcher.ts
@@ -0,0 +1,52 @@
+import type {Gossip} from '@arbutustide/membership';
+import type {UpstreamDirectory} from '@arbutustide/routing';
+import type {NodeLogger} from '@arbutustide/telemetry';
+import type {HostList, PlatformHost} from '@arbutustide/upstream';
+
+import {delay} from '@arbutustide/errors';
+import {HostKind} from '@arbutustide/upstream';
+
+/** Follows the platform's host list. */
+export class HostWatcher {
+  private latest: readonly PlatformHost[] = [];
+
+  constructor(
+    private readonly hostList: HostList,
+    private readonly directory: UpstreamDirectory,
+    private readonly gossip: Gossip,
+    private readonly logger: NodeLogger,
+    private readonly intervalMilliseconds: number,
+  ) {}
+
+  /** Hosts of one kind, by the latest list. */
+  hostsOf(kind: HostKind): PlatformHost[] {
+    return this.latest.filter(host => host.kind === kind);
+  }
+
+  /** Asks for the list regularly until the signal is aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.refresh();
+      await delay(this.intervalMilliseconds, signal);
+    }
+  }
+
+  /** Asks for the list once; a failed or empty one changes nothing. */
+  async refresh(): Promise<void> {
+    const hosts = await this.hostList.hosts();
+    if (!hosts.ok) {
+      this.logger.warn({reason: hosts.val.message}, 'no host list');
+      return;
+    }
+    if (hosts.val.length === 0) {
+      this.logger.warn('the host list is empty and was not taken');
+      return;
+    }
+    this.latest = hosts.val;
+    this.directory.applyHosts(hosts.val);
+    const peers = this.hostsOf(HostKind.ENTRY);
+    this.gossip.setListed(
+      peers.map(({url, failureDomain}) => ({url, failureDomain})),
+    );
+  }
+}
--- /dev/null
+++ b/packages/arbutustide-node/src/index.ts
@@ -0,0 +1,9 @@
+/** The daemon that runs on every entry host. */
+export type {EntryExplanation, ReplicaExplanation} from './explain_entry.js';
+export type {NodePorts, RunningNode} from './node_daemon.js';
+export type {NodeDependencies, NodeIdentity} from './node_dependencies.js';
+
+export {CallerServer} from './caller_server.js';
+export {NodeCore} from './node_core.js';
+export {startNode} from './node_daemon.js';
+export {createNodeCore} from './wiring.js';
--- /dev/null
+++ b/packages/arbutustide-node/src/node_daemon.ts
@@ -0,0 +1,110 @@
+import type {Settings} from '@arbutustide/settings';
+import type {NodeLogger} from '@arbutustide/telemetry';
+
+import type {NodeDependencies} from './node_dependencies.js';
+
+import {randomUUID} from 'node:crypto';
+
+import {delay} from '@arbutustide/errors';
+import {ConnectPeerServer, ConnectPeerTransport} from '@arbutustide/membership';
+import {HttpObjectStore, StoreCallCounter} from '@arbutustide/object-store';
+import {createLogger, NodeMetrics} from '@arbutustide/telemetry';
+import {HttpHostList} from '@arbutustide/upstream';
+
+import {CallerServer} from './caller_server.js';
+import {ControlServer} from './control_server.js';
+import {HttpUpstreamConnector} from './upstream_connections.js';
+import {createNodeCore} from './wiring.js';
+
+/** Characters of a start id; enough that no two starts draw the same. */
+const START_ID_LENGTH = 12;
+
+/** Ports a running node listens on. */
+export interface NodePorts {
+  readonly callerPort: number;
+  readonly peerPort: number;
+  readonly controlPort: number;
+}
+
+/** A running node. */
+export interface RunningNode {
+  readonly ports: NodePorts;
+  readonly logger: NodeLogger;
+  /** Graceful shutdown: cuts off no request in flight. */
+  stop(): Promise<void>;
+}
+
+/** Starts a node with real connections to everything around it. */
+export async function startNode(settings: Settings): Promise<RunningNode> {
+  const {node, shutdown} = settings;
+  const logger = createLogger(node.name, settings.log.level);
+  const peers = new ConnectPeerServer(() => core);
+  const peerPort = await peers.listen(node.address, node.peerPort);
+  const dependencies = createDependencies(settings, peerPort, logger);
+  const core = createNodeCore(dependencies);
+  const callers = new CallerServer(core, dependencies);
+  const control = new ControlServer(core, dependencies);
+  const controlPort = await control.listen(node.address, node.controlPort);
+  await core.start();
+  const callerPort = await callers.listen(node.address, node.callerPort);
+  const ports = {callerPort, peerPort, controlPort};
+  logger.info({ports, identity: dependencies.identity.identity}, 'started');
+  return {
+    ports,
+    logger,
+    async stop() {
+      logger.info({inFlight: callers.inFlight}, 'leaving');
+      await core.announceLeaving();
+      await delay(shutdown.listenMilliseconds);
+      await callers.close();
+      await core.stop();
+      await control.close();
+      await peers.close();
+      logger.info('stopped');
+    },
+  };
+}
+
+function createDependencies(
+  settings: Settings,
+  peerPort: number,
+  logger: NodeLogger,
+): NodeDependencies {
+  const {node, platform, routing, gossip} = settings;
+  const metrics = new NodeMetrics();
+  metrics.collectRuntime();
+  const tokenVariable = platform.tokenVariable ?? '';
+  const peerUrl = peerUrlOf(node.address, peerPort);
+  const startId = randomUUID().replaceAll('-', '').slice(0, START_ID_LENGTH);
+  return {
+    settings,
+    logger,
+    metrics,
+    random: Math.random,
+    identity: {identity: `${node.address}:${peerPort}#${startId}`, peerUrl},
+    transport: new ConnectPeerTransport(gossip.callTimeoutMilliseconds),
+    store: new HttpObjectStore({
+      url: platform.objectStoreUrl,
+      timeoutMilliseconds: platform.callTimeoutMilliseconds,
+      watchMilliseconds: platform.watchMilliseconds,
+      token: process.env[tokenVariable],
+      counter: new StoreCallCounter(method => metrics.storeCalls.inc({method})),
+    }),
+    hostList: new HttpHostList({
+      url: platform.hostListUrl,
+      maximumConnections: 1,
+      connectTimeoutMilliseconds: routing.connectTimeoutMilliseconds,
+      callTimeoutMilliseconds: platform.callTimeoutMilliseconds,
+    }),
+    connector: new HttpUpstreamConnector({
+      maximumConnections: routing.connectionsPerUpstream,
+      connectTimeoutMilliseconds: routing.connectTimeoutMilliseconds,
+      callTimeoutMilliseconds: routing.reportTimeoutMilliseconds,
+    }),
+  };
+}
+
+function peerUrlOf(address: string, port: number): string {
+  const host = address.includes(':') ? `[${address}]` : address;
+  return `http://${host}:${port}`;
+}
--- /dev/null
+++ b/packages/arbutustide-node/src/own_status.ts
@@ -0,0 +1,131 @@
+import type {MemberTable} from '@arbutustide/membership';
+import type {
+  Admission,
+  EntryLoad,
+  RequestSuspects,
+  UpstreamDirectory,
+} from '@arbutustide/routing';
+
+import {
+  EntryDemandSchema,
+  NodeState,
+  NodeStatusSchema,
+  STATUS_KEY,
+  SuspicionSchema,
+  UpstreamLoadSchema,
+} from '@arbutustide/membership';
+import {create} from '@bufbuild/protobuf';
+
+/** Parts of the status that stay the same while the process runs. */
+export interface StatusIdentity {
+  readonly name: string;
+  readonly peerUrl: string;
+  readonly region: string;
+  readonly failureDomain: string;
+}
+
+/** What is told of one entry, and when its arrivals were last counted. */
+interface ArrivalCount {
+  arrivals: number;
+  atMilliseconds: number;
+}
+
+/** Writes what this node does into its own record. */
+export class OwnStatus {
+  private nodeState = NodeState.STARTING;
+  private readonly arrivalCounts = new Map<string, ArrivalCount>();
+  private publishedKeys = new Set<string>();
+
+  constructor(
+    private readonly table: MemberTable,
+    private readonly identity: StatusIdentity,
+    private readonly directory: UpstreamDirectory,
+    private readonly admission: Admission,
+    private readonly suspects: RequestSuspects,
+    private readonly catalogueRevision: () => number,
+  ) {
+    this.publishStatus();
+  }
+
+  get state(): NodeState {
+    return this.nodeState;
+  }
+
+  /** Changes the state and writes it at once. */
+  setState(state: NodeState): void {
+    this.nodeState = state;
+    this.publishStatus();
+  }
+
+  /** Writes everything that has changed. */
+  publish(): void {
+    this.publishStatus();
+    const keys = new Set<string>();
+    for (const key of this.publishLoads()) keys.add(key);
+    for (const key of this.publishDemands()) keys.add(key);
+    for (const key of this.publishSuspicions()) keys.add(key);
+    for (const key of this.publishedKeys) {
+      if (!keys.has(key)) this.table.own.remove(key);
+    }
+    this.publishedKeys = keys;
+  }
+
+  private publishStatus(): void {
+    const value = create(NodeStatusSchema, {
+      ...this.identity,
+      state: this.nodeState,
+      catalogueRevision: this.catalogueRevision(),
+    });
+    this.table.own.set(STATUS_KEY, {case: 'status', value});
+  }
+
+  private *publishLoads(): Generator<string> {
+    for (const {id, ownInFlight} of this.directory.all()) {
+      if (ownInFlight === 0) continue;
+      const key = `load/${id}`;
+      const value = create(UpstreamLoadSchema, {
+        upstreamId: id,
+        inFlight: ownInFlight,
+      });
+      this.table.own.set(key, {case: 'load', value});
+      yield key;
+    }
+  }
+
+  private *publishDemands(): Generator<string> {
+    for (const load of this.admission.loads()) {
+      const arrivalsMilli = this.arrivalsMilli(load);
+      const {entryName, inFlight, queued} = load;
+      if (inFlight + queued + arrivalsMilli === 0) continue;
+      const key = `demand/${entryName}`;
+      const value = create(EntryDemandSchema, {
+        entry: entryName,
+        inFlight,
+        queued,
+        arrivalsMilli,
+      });
+      this.table.own.set(key, {case: 'demand', value});
+      yield key;
+    }
+  }
+
+  private *publishSuspicions(): Generator<string> {
+    for (const {fingerprint, crashes} of this.suspects.current()) {
+      const key = `suspicion/${fingerprint}`;
+      const value = create(SuspicionSchema, {fingerprint, crashes});
+      this.table.own.set(key, {case: 'suspicion', value});
+      yield key;
+    }
+  }
+
+  /** Arrivals a second since the last call, in thousandths. */
+  private arrivalsMilli({entryName, arrivals}: EntryLoad): number {
+    const now = performance.now();
+    const before = this.arrivalCounts.get(entryName);
+    this.arrivalCounts.set(entryName, {arrivals, atMilliseconds: now});
+    const elapsed = now - (before?.atMilliseconds ?? now);
+    if (elapsed <= 0) return 0;
+    const added = arrivals - (before?.arrivals ?? 0);
+    return Math.round((added * 1_000_000) / elapsed);
+  }
+}
--- /dev/null
+++ b/packages/arbutustide-node/src/request_body.ts
@@ -0,0 +1,69 @@
+import type {IncomingMessage} from 'node:http';
+import type {Result} from 'ts-results';
+
+import {ErrorKind, RefusalError} from '@arbutustide/errors';
+import {Err, Ok} from 'ts-results';
+
+/** Bounds of a request body. */
+export interface BodyLimits {
+  readonly bodyLimitBytes: number;
+  readonly bodyTimeoutMilliseconds: number;
+}
+
+/**
+ * Reads a request body within its bounds. The connection stays open when a
+ * bound is passed, so that the caller can be told.
+ */
+export function readBody(
+  message: IncomingMessage,
+  limits: BodyLimits,
+): Promise<Result<Buffer, RefusalError>> {
+  const declared = Number(message.headers['content-length'] ?? 0);
+  if (declared > limits.bodyLimitBytes) {
+    return Promise.resolve(Err(tooLarge(limits)));
+  }
+  return new Promise(resolve => {
+    const pieces: Buffer[] = [];
+    let length = 0;
+    const finish = (result: Result<Buffer, RefusalError>) => {
+      clearTimeout(timer);
+      message.removeAllListeners('data');
+      resolve(result);
+    };
+    const timer = setTimeout(
+      () => finish(Err(tooSlow(limits))),
+      limits.bodyTimeoutMilliseconds,
+    );
+    message.on('data', (piece: Buffer) => {
+      length += piece.length;
+      pieces.push(piece);
+      if (length > limits.bodyLimitBytes) finish(Err(tooLarge(limits)));
+    });
+    message.once('end', () =>
+      finish(Ok(pieces.length === 1 ? pieces[0] : Buffer.concat(pieces))),
+    );
+    message.once('error', () => finish(Err(gone())));
+    message.once('aborted', () => finish(Err(gone())));
+  });
+}
+
+function tooLarge({bodyLimitBytes}: BodyLimits): RefusalError {
+  return new RefusalError(
+    ErrorKind.BODY_TOO_LARGE,
+    `the body is longer than ${bodyLimitBytes} bytes`,
+  );
+}
+
+function tooSlow({bodyTimeoutMilliseconds}: BodyLimits): RefusalError {
+  return new RefusalError(
+    ErrorKind.REQUEST_TIMEOUT,
+    `the body took longer than ${bodyTimeoutMilliseconds} ms`,
+  );
+}
+
+function gone(): RefusalError {
+  return new RefusalError(
+    ErrorKind.BAD_REQUEST,
+    'the connection ended before the body did',
+  );
+}
--- /dev/null
+++ b/packages/arbutustide-node/src/tokens.ts
@@ -0,0 +1,38 @@
+import type {CatalogueHolder, CatalogueSync} from '@arbutustide/catalogue';
+import type {ClaimStore} from '@arbutustide/claims';
+import type {ClusterView, Gossip, MemberTable} from '@arbutustide/membership';
+import type {Planner, PlannerLease} from '@arbutustide/placement';
+import type {
+  Admission,
+  Dispatcher,
+  RequestSuspects,
+  UpstreamDirectory,
+} from '@arbutustide/routing';
+import type {InjectionToken} from 'tsyringe';
+
+import type {HostWatcher} from './host_watcher.js';
+import type {OwnStatus} from './own_status.js';
+import type {ReportPoller} from './report_poller.js';
+
+/** Tokens of the parts of a node; `wiring.ts` says how each is made. */
+export const ADMISSION: InjectionToken<Admission> = Symbol('Admission');
+export const CATALOGUE_HOLDER: InjectionToken<CatalogueHolder> =
+  Symbol('CatalogueHolder');
+export const CATALOGUE_SYNC: InjectionToken<CatalogueSync> =
+  Symbol('CatalogueSync');
+export const CLAIM_STORE: InjectionToken<ClaimStore> = Symbol('ClaimStore');
+export const CLUSTER_VIEW: InjectionToken<ClusterView> = Symbol('ClusterView');
+export const DISPATCHER: InjectionToken<Dispatcher> = Symbol('Dispatcher');
+export const GOSSIP: InjectionToken<Gossip> = Symbol('Gossip');
+export const HOST_WATCHER: InjectionToken<HostWatcher> = Symbol('HostWatcher');
+export const MEMBER_TABLE: InjectionToken<MemberTable> = Symbol('MemberTable');
+export const OWN_STATUS: InjectionToken<OwnStatus> = Symbol('OwnStatus');
+export const PLANNER: InjectionToken<Planner> = Symbol('Planner');
+export const PLANNER_LEASE: InjectionToken<PlannerLease> =
+  Symbol('PlannerLease');
+export const REPORT_POLLER: InjectionToken<ReportPoller> =
+  Symbol('ReportPoller');
+export const REQUEST_SUSPECTS: InjectionToken<RequestSuspects> =
+  Symbol('RequestSuspects');
+export const UPSTREAM_DIRECTORY: InjectionToken<UpstreamDirectory> =
+  Symbol('UpstreamDirectory');
--- /dev/null
+++ b/packages/arbutustide-object-store/src/write_confirmed.ts
@@ -0,0 +1,44 @@
+import type {Result} from 'ts-results';
+
+import type {ObjectStore, StoredObject} from './object_store.js';
+
+import {Err} from 'ts-results';
+
+import {StoreError, StoreErrorKind} from './store_error.js';
+
+/**
+ * Writes an object and, when the reply is lost, reads it back to learn whether
+ * this very write took effect.
+ *
+ * @param version the version to replace, or undefined to create.
+ * @param isOwnWrite tells whether a value read back is the one written here;
+ *     the value must carry an id that no other writer uses.
+ * @return the object as written, or `CONFLICT` when another write won, or
+ *     `OUTCOME_UNKNOWN` when the read back could not decide.
+ */
+export async function writeConfirmed(
+  store: ObjectStore,
+  key: string,
+  value: unknown,
+  version: number | undefined,
+  isOwnWrite: (value: unknown) => boolean,
+): Promise<Result<StoredObject, StoreError>> {
+  const written =
+    version === undefined
+      ? await store.create(key, value)
+      : await store.update(key, value, version);
+  if (written.ok) return written;
+  if (written.val.kind === StoreErrorKind.UNAVAILABLE) return written;
+  const current = await store.get(key);
+  if (current.ok && isOwnWrite(current.val.value)) return current;
+  if (written.val.kind === StoreErrorKind.CONFLICT) return written;
+  if (current.ok && current.val.version !== version) {
+    return Err(
+      new StoreError(
+        StoreErrorKind.CONFLICT,
+        `${key} was written by another: version ${current.val.version}`,
+      ),
+    );
+  }
+  return written;
+}
--- /dev/null
+++ b/packages/arbutustide-placement/src/demand_tracker.ts
@@ -0,0 +1,58 @@
+/** Requests at once for one entry, averaged over two windows. */
+interface EntryDemand {
+  short: number;
+  long: number;
+}
+
+/** Demand for one entry at this moment, over all nodes. */
+export interface DemandSample {
+  readonly entry: string;
+  /** Requests in flight and queued. */
+  readonly concurrency: number;
+}
+
+/**
+ * Averages demand over a short and a long window. The higher one counts: a rise
+ * is answered soon, and a fall only after it has lasted.
+ */
+export class DemandTracker {
+  private readonly demands = new Map<string, EntryDemand>();
+  private sampledAtMilliseconds: number | undefined;
+
+  constructor(
+    private readonly shortWindowMilliseconds: number,
+    private readonly longWindowMilliseconds: number,
+  ) {}
+
+  /** Takes one sample of every entry. */
+  sample(samples: readonly DemandSample[]): void {
+    const now = performance.now();
+    const elapsed = now - (this.sampledAtMilliseconds ?? now);
+    this.sampledAtMilliseconds = now;
+    for (const {entry, concurrency} of samples) {
+      const demand = this.demands.get(entry) ?? {short: 0, long: 0};
+      demand.short = this.blend(
+        demand.short,
+        concurrency,
+        elapsed / this.shortWindowMilliseconds,
+      );
+      demand.long = this.blend(
+        demand.long,
+        concurrency,
+        elapsed / this.longWindowMilliseconds,
+      );
+      this.demands.set(entry, demand);
+    }
+  }
+
+  /** Requests at once the entry is to be ready for. */
+  expected(entry: string): number {
+    const demand = this.demands.get(entry);
+    return demand ? Math.max(demand.short, demand.long) : 0;
+  }
+
+  private blend(mean: number, sample: number, windows: number): number {
+    const weight = 1 - Math.exp(-windows);
+    return mean + weight * (sample - mean);
+  }
+}
--- /dev/null
+++ b/packages/arbutustide-placement/src/ledger_store.ts
@@ -0,0 +1,72 @@
+import type {ObjectStore, StoreError} from '@arbutustide/object-store';
+import type {Result} from 'ts-results';
+
+import type {WorkerRecord} from './worker_record.js';
+
+import {randomUUID} from 'node:crypto';
+
+import {StoreErrorKind, writeConfirmed} from '@arbutustide/object-store';
+import {Err, Ok} from 'ts-results';
+
+import {WORKER_PREFIX, workerKey, workerRecordSchema} from './worker_record.js';
+
+/** A worker's record with its version in the store. */
+export interface StoredWorker {
+  readonly record: WorkerRecord;
+  /** Undefined for a record not yet written. */
+  readonly version: number | undefined;
+}
+
+/** The workers' records in the platform's object API. */
+export class LedgerStore {
+  constructor(private readonly store: ObjectStore) {}
+
+  /** All records. */
+  async readAll(): Promise<Result<StoredWorker[], StoreError>> {
+    const listed = await this.store.list(WORKER_PREFIX);
+    return listed.map(objects =>
+      objects.map(({value, version}) => ({
+        record: workerRecordSchema.parse(value),
+        version,
+      })),
+    );
+  }
+
+  /** One record; undefined when there is none. */
+  async read(
+    upstreamId: string,
+  ): Promise<Result<StoredWorker | undefined, StoreError>> {
+    const stored = await this.store.get(workerKey(upstreamId));
+    if (stored.ok) {
+      const {value, version} = stored.val;
+      return Ok({record: workerRecordSchema.parse(value), version});
+    }
+    if (stored.val.kind !== StoreErrorKind.NOT_FOUND) return Err(stored.val);
+    return Ok(undefined);
+  }
+
+  /** Replaces a record, on condition that nobody else has. */
+  async write(
+    record: WorkerRecord,
+    version: number | undefined,
+  ): Promise<Result<StoredWorker, StoreError>> {
+    const written = {...record, writeId: randomUUID()};
+    const stored = await writeConfirmed(
+      this.store,
+      workerKey(record.upstreamId),
+      written,
+      version,
+      value => workerRecordSchema.parse(value).writeId === written.writeId,
+    );
+    return stored.map(object => ({record: written, version: object.version}));
+  }
+
+  /** Deletes the record of a worker that is gone. */
+  async remove(worker: StoredWorker): Promise<void> {
+    if (worker.version === undefined) return;
+    await this.store.delete(
+      workerKey(worker.record.upstreamId),
+      worker.version,
+    );
+  }
+}
--- /dev/null
+++ b/packages/arbutustide-placement/src/move_log.ts
@@ -0,0 +1,60 @@
+import type {ObjectStore} from '@arbutustide/object-store';
+
+import type {PlannedOrder} from './plan_types.js';
+
+import {OrderKind} from '@arbutustide/upstream';
+import {z} from 'zod';
+
+import {PlanReason} from './plan_types.js';
+
+/** Moves the log keeps. */
+const MOVES_KEPT = 200;
+
+const moveSchema = z.strictObject({
+  /** ISO 8601, by the planner's clock; informative. */
+  time: z.string(),
+  upstreamId: z.string(),
+  kind: z.enum(OrderKind),
+  item: z.string(),
+  reason: z.enum(PlanReason),
+  epoch: z.number().int(),
+});
+
+const moveLogSchema = z.strictObject({moves: z.array(moveSchema)});
+
+/** An order the planner gave, as operators see it. */
+export type Move = z.infer<typeof moveSchema>;
+
+/** Store key of the planner's moves in a region. */
+export function moveLogKey(region: string): string {
+  return `planner/moves/${region}`;
+}
+
+/** Reads the moves as stored, oldest first. */
+export function parseMoves(value: unknown): Move[] {
+  return moveLogSchema.parse(value).moves;
+}
+
+/** Appends orders to the moves operators can list; losing some is allowed. */
+export async function appendMoves(
+  store: ObjectStore,
+  region: string,
+  orders: readonly PlannedOrder[],
+  epoch: number,
+): Promise<void> {
+  const key = moveLogKey(region);
+  const stored = await store.get(key);
+  const earlier = stored.ok ? parseMoves(stored.val.value) : [];
+  const time = new Date().toISOString();
+  const added = orders.map(({upstreamId, kind, item, reason}) => ({
+    time,
+    upstreamId,
+    kind,
+    item,
+    reason,
+    epoch,
+  }));
+  const value = {moves: [...earlier, ...added].slice(-MOVES_KEPT)};
+  if (stored.ok) await store.update(key, value, stored.val.version);
+  else await store.create(key, value);
+}
--- /dev/null
+++ b/packages/arbutustide-placement/src/plan_state.ts
@@ -0,0 +1,106 @@
+import type {CatalogueEntry, CatalogueRevision} from '@arbutustide/catalogue';
+
+import type {PlanInput, PlannableWorker} from './plan_types.js';
+
+import {itemName} from '@arbutustide/catalogue';
+import {OrderKind} from '@arbutustide/upstream';
+
+import {hasIntent, isHeld} from './ledger.js';
+
+/** A model with where it is and where it is coming. */
+export interface ModelState {
+  readonly entry: CatalogueEntry;
+  readonly item: string;
+  /** Memory of a replica with its adapters, in bytes. */
+  readonly footprintBytes: number;
+  /** Workers that hold the catalogue's version. */
+  readonly holders: WorkerState[];
+  /** Workers to which the catalogue's version is being loaded. */
+  readonly arriving: WorkerState[];
+  /** Workers that hold another version. */
+  readonly otherVersions: WorkerState[];
+  readonly expectedDemand: number;
+}
+
+/** A worker with its memory after the orders planned so far. */
+export interface WorkerState {
+  readonly worker: PlannableWorker;
+  freeBytes: number;
+  /** Part of the free memory kept for adapters of models that are there. */
+  reservedBytes: number;
+}
+
+/** Finds where a model is and where it is coming. */
+export function modelState(
+  entry: CatalogueEntry,
+  workers: readonly WorkerState[],
+  input: PlanInput,
+): ModelState {
+  const item = itemName(entry);
+  const prefix = `${entry.name}@`;
+  const adapters = input.catalogue.adaptersOf(entry.name);
+  const holders: WorkerState[] = [];
+  const arriving: WorkerState[] = [];
+  const otherVersions: WorkerState[] = [];
+  for (const state of workers) {
+    const {record} = state.worker;
+    if (isHeld(record, item)) holders.push(state);
+    else if (hasIntent(record, OrderKind.LOAD, item)) arriving.push(state);
+    const isOther = record.items.some(
+      held =>
+        held.item !== item &&
+        held.item.startsWith(prefix) &&
+        isHeld(record, held.item),
+    );
+    if (isOther) otherVersions.push(state);
+  }
+  return {
+    entry,
+    item,
+    footprintBytes:
+      entry.memoryBytes +
+      adapters.reduce((sum, adapter) => sum + adapter.memoryBytes, 0),
+    holders,
+    arriving,
+    otherVersions,
+    expectedDemand: input.expectedDemand(entry.name),
+  };
+}
+
+/** Keeps room for adapters that are still to follow their model. */
+export function reserveAdapters(
+  model: ModelState,
+  catalogue: CatalogueRevision,
+): void {
+  const adapters = catalogue.adaptersOf(model.entry.name);
+  const states = new Set([
+    ...model.holders,
+    ...model.arriving,
+    ...model.otherVersions,
+  ]);
+  for (const state of states) {
+    const {record} = state.worker;
+    for (const adapter of adapters) {
+      const item = itemName(adapter);
+      if (isHeld(record, item)) continue;
+      if (hasIntent(record, OrderKind.LOAD, item)) continue;
+      state.reservedBytes += adapter.memoryBytes;
+    }
+  }
+}
+
+/** Memory for new items beyond what is reserved, in bytes. */
+export function availableBytes(state: WorkerState): number {
+  return state.freeBytes - state.reservedBytes;
+}
+
+/** Replicas of the current version, those arriving included. */
+export function replicaCount(model: ModelState): number {
+  return model.holders.length + model.arriving.length;
+}
+
+/** Failure domains that have or will have a replica. */
+export function domainsOf(model: ModelState): Set<string> {
+  const states = [...model.holders, ...model.arriving];
+  return new Set(states.map(({worker}) => worker.record.failureDomain));
+}
--- /dev/null
+++ b/packages/arbutustide-placement/src/planner_lease.ts
@@ -0,0 +1,152 @@
+import type {ObjectStore, StoredObject} from '@arbutustide/object-store';
+
+import {randomUUID} from 'node:crypto';
+
+import {StoreErrorKind, writeConfirmed} from '@arbutustide/object-store';
+import {z} from 'zod';
+
+const leaseSchema = z.strictObject({
+  /** Identity of the holding process; empty when given up. */
+  holder: z.string(),
+  /** Grows with every change of holder; the fencing number of its orders. */
+  epoch: z.number().int(),
+  /** Drawn for each write. */
+  writeId: z.string(),
+});
+
+type Lease = z.infer<typeof leaseSchema>;
+
+/** Store key of the planner's lease of a region. */
+export function leaseKey(region: string): string {
+  return `planner/lease/${region}`;
+}
+
+/** Reads a lease as stored, for operators. */
+export function parseLease(value: unknown): Lease {
+  return leaseSchema.parse(value);
+}
+
+/**
+ * The planner's lease of one region. Durations are measured by each side's own
+ * monotonic clock: a challenger waits until it has seen the record unchanged
+ * for a whole lease, and the holder counts from before it sent its renewal.
+ */
+export class PlannerLease {
+  private seenVersion = -1;
+  private seenSinceMilliseconds = 0;
+  private heldVersion: number | undefined;
+  private heldEpoch = 0;
+  private validUntilMilliseconds = 0;
+
+  constructor(
+    private readonly store: ObjectStore,
+    private readonly region: string,
+    private readonly identity: string,
+    private readonly leaseMilliseconds: number,
+  ) {}
+
+  /** Whether this process holds the lease at this moment. */
+  get isHeld(): boolean {
+    return performance.now() < this.validUntilMilliseconds;
+  }
+
+  /** Epoch of the lease held, or last held. */
+  get epoch(): number {
+    return this.heldEpoch;
+  }
+
+  /** Renews the lease, or tries to gain it; call several times a lease. */
+  async maintain(): Promise<void> {
+    const sentAt = performance.now();
+    if (this.heldVersion !== undefined && this.isHeld) {
+      await this.renew(this.heldVersion, sentAt);
+      return;
+    }
+    this.heldVersion = undefined;
+    const stored = await this.store.get(leaseKey(this.region));
+    if (!stored.ok) {
+      if (stored.val.kind === StoreErrorKind.NOT_FOUND) {
+        await this.write(1, undefined, sentAt);
+      }
+      return;
+    }
+    await this.challenge(stored.val);
+  }
+
+  /** Gives the lease up so that another node can take it at once. */
+  async release(): Promise<void> {
+    if (this.heldVersion === undefined) return;
+    const version = this.heldVersion;
+    this.drop();
+    await this.store.update(
+      leaseKey(this.region),
+      {holder: '', epoch: this.heldEpoch, writeId: randomUUID()},
+      version,
+    );
+  }
+
+  private async challenge(stored: StoredObject): Promise<void> {
+    const lease = leaseSchema.parse(stored.value);
+    const now = performance.now();
+    if (stored.version !== this.seenVersion) {
+      this.seenVersion = stored.version;
+      this.seenSinceMilliseconds = now;
+    }
+    const unchangedFor = now - this.seenSinceMilliseconds;
+    const isFree = lease.holder === '';
+    if (!isFree && unchangedFor < this.leaseMilliseconds) return;
+    await this.write(lease.epoch + 1, stored.version, now);
+  }
+
+  /**
+   * Renews the lease. An earlier renewal whose reply was lost may have landed;
+   * its version is taken over, but the time it gave is not counted, since the
+   * lease lasts only from before the renewal that is known to have landed.
+   */
+  private async renew(version: number, sentAt: number): Promise<void> {
+    const kind = await this.write(this.heldEpoch, version, sentAt);
+    if (kind !== StoreErrorKind.CONFLICT) return;
+    const stored = await this.store.get(leaseKey(this.region));
+    const lease = stored.ok ? leaseSchema.parse(stored.val.value) : undefined;
+    const isOwn =
+      lease?.holder === this.identity && lease.epoch === this.heldEpoch;
+    if (!stored.ok || !isOwn) {
+      this.drop();
+      return;
+    }
+    const again = performance.now();
+    await this.write(this.heldEpoch, stored.val.version, again);
+  }
+
+  /** Returns why the write failed, or undefined when the lease is held. */
+  private async write(
+    epoch: number,
+    version: number | undefined,
+    sentAt: number,
+  ): Promise<StoreErrorKind | undefined> {
+    const lease: Lease = {
+      holder: this.identity,
+      epoch,
+      writeId: randomUUID(),
+    };
+    const written = await writeConfirmed(
+      this.store,
+      leaseKey(this.region),
+      lease,
+      version,
+      value => leaseSchema.parse(value).writeId === lease.writeId,
+    );
+    if (written.ok) {
+      this.heldVersion = written.val.version;
+      this.heldEpoch = epoch;
+      this.validUntilMilliseconds = sentAt + this.leaseMilliseconds;
+      return undefined;
+    }
+    return written.val.kind;
+  }
+
+  private drop(): void {
+    this.heldVersion = undefined;
+    this.validUntilMilliseconds = 0;
+  }
+}
--- /dev/null
+++ b/packages/arbutustide-placement/src/worker_record.ts
@@ -0,0 +1,50 @@
+import {OrderKind} from '@arbutustide/upstream';
+import {z} from 'zod';
+
+const itemSchema = z.strictObject({
+  /** As `name@version`. */
+  item: z.string(),
+  memoryBytes: z.number().int(),
+});
+
+const intentSchema = z.strictObject({
+  orderId: z.string(),
+  kind: z.enum(OrderKind),
+  item: z.string(),
+  memoryBytes: z.number().int(),
+  baseItem: z.string().optional(),
+  /** Epoch of the lease under which the order is sent. */
+  fence: z.number().int(),
+});
+
+/**
+ * The ledger of one worker's accelerator memory. An item is sharded evenly over
+ * the worker's accelerators, so the worker's sum stands for each accelerator.
+ */
+export const workerRecordSchema = z.strictObject({
+  upstreamId: z.string(),
+  failureDomain: z.string(),
+  engineStart: z.string(),
+  memoryBytes: z.number().int(),
+  acceleratorCount: z.number().int(),
+  /** What the engine's latest report showed. */
+  items: z.array(itemSchema),
+  /** Orders that may still take effect, written before they are sent. */
+  intents: z.array(intentSchema),
+  /** Highest epoch of an order that the engine answered as done. */
+  acknowledgedFence: z.number().int(),
+  /** Drawn for each write, to recognise it after a lost reply. */
+  writeId: z.string(),
+});
+
+export type LedgerItem = z.infer<typeof itemSchema>;
+export type OrderIntent = z.infer<typeof intentSchema>;
+export type WorkerRecord = z.infer<typeof workerRecordSchema>;
+
+/** Prefix of all worker records in the store. */
+export const WORKER_PREFIX = 'workers/';
+
+/** Store key of a worker's record. */
+export function workerKey(upstreamId: string): string {
+  return `${WORKER_PREFIX}${upstreamId}`;
+}
--- /dev/null
+++ b/packages/arbutustide-routing/src/dispatch_refusals.ts
@@ -0,0 +1,65 @@
+import type {FailedAttempt} from './attempt_runner.js';
+import type {RequestProgress} from './request_progress.js';
+
+import {ErrorKind, RefusalError} from '@arbutustide/errors';
+import {AttemptFailure} from '@arbutustide/upstream';
+
+import {ranSoFar} from './request_progress.js';
+
+const KIND_BY_FAILURE: Readonly<Record<AttemptFailure, ErrorKind>> = {
+  [AttemptFailure.NOT_CONNECTED]: ErrorKind.UPSTREAM_UNREACHABLE,
+  [AttemptFailure.CLOSED]: ErrorKind.UPSTREAM_BROKEN,
+  [AttemptFailure.SILENT]: ErrorKind.UPSTREAM_TIMED_OUT,
+  [AttemptFailure.CANCELLED]: ErrorKind.CALLER_GONE,
+  [AttemptFailure.PROTOCOL]: ErrorKind.ANSWER_INCOMPLETE,
+};
+
+/** The refusal after the last attempt allowed has failed. */
+export function failureRefusal(
+  progress: RequestProgress,
+  failed: FailedAttempt,
+): RefusalError {
+  if (failed.isCrash) return crashRefusal(progress);
+  const kind = failed.isRefused
+    ? ErrorKind.UPSTREAM_UNREACHABLE
+    : KIND_BY_FAILURE[failed.error.failure];
+  return new RefusalError(kind, failed.error.message, {
+    ran: ranSoFar(progress),
+  });
+}
+
+/** The refusal of a request in flight at a crash. */
+export function crashRefusal(progress: RequestProgress): RefusalError {
+  return new RefusalError(
+    ErrorKind.UPSTREAM_CRASHED,
+    'an upstream went down while it ran this request',
+    {ran: ranSoFar(progress)},
+  );
+}
+
+/** The refusal while no upstream can take the request. */
+export function noReplicaRefusal(progress: RequestProgress): RefusalError {
+  const {name} = progress.request.entry;
+  return new RefusalError(
+    ErrorKind.NO_REPLICA,
+    `no upstream that takes new work holds ${name} at present`,
+    {ran: ranSoFar(progress)},
+  );
+}
+
+/** The refusal once the deadline has passed. */
+export function deadlineRefusal(progress: RequestProgress): RefusalError {
+  return new RefusalError(
+    ErrorKind.DEADLINE_UNREACHABLE,
+    'the deadline has passed',
+    {ran: ranSoFar(progress)},
+  );
+}
+
+/** The refusal of a request that took upstreams down. */
+export function quarantineRefusal(): RefusalError {
+  return new RefusalError(
+    ErrorKind.REQUEST_QUARANTINED,
+    'this request was not run: upstreams went down each time it ran before',
+  );
+}
--- /dev/null
+++ b/packages/arbutustide-routing/src/dispatcher.ts
@@ -0,0 +1,370 @@
+import type {ClaimStore, HeldClaim} from '@arbutustide/claims';
+import type {Result} from 'ts-results';
+
+import type {Admission} from './admission.js';
+import type {Permit} from './admission_gate.js';
+import type {
+  AttemptRunner,
+  FailedAttempt,
+  OpenAttempt,
+} from './attempt_runner.js';
+import type {CallerAnswer, CallerRequest} from './caller_request.js';
+import type {ChoiceContext} from './choose_replica.js';
+import type {RequestProgress} from './request_progress.js';
+import type {RequestSuspects} from './request_suspects.js';
+import type {RetryBudget} from './retry_budget.js';
+import type {Replica, UpstreamDirectory} from './upstream_directory.js';
+
+import {createHash} from 'node:crypto';
+
+import {isIdempotent} from '@arbutustide/catalogue';
+import {ClaimOutcome, requestDigest} from '@arbutustide/claims';
+import {delay, ErrorKind, Ran, RefusalError} from '@arbutustide/errors';
+import {Err, Ok} from 'ts-results';
+
+import {AnswerRelay} from './answer_relay.js';
+import {AnswerEnd} from './caller_request.js';
+import {watchCaller} from './caller_watch.js';
+import {chooseReplicas} from './choose_replica.js';
+import {
+  crashRefusal,
+  deadlineRefusal,
+  failureRefusal,
+  noReplicaRefusal,
+  quarantineRefusal,
+} from './dispatch_refusals.js';
+import {ranSoFar} from './request_progress.js';
+
+/** How often a suspect looks for an upstream without another suspect. */
+const SUSPECT_WAIT_MILLISECONDS = 25;
+
+/** Parts of a choice that stay the same for one node. */
+export type ChoiceSettings = Omit<
+  ChoiceContext,
+  'serviceMilliseconds' | 'prefixDigest'
+>;
+
+/** Bounds of the attempts at one request. */
+export interface DispatcherOptions {
+  readonly choice: ChoiceSettings;
+  readonly maximumAttempts: number;
+  readonly retryBackoffMilliseconds: number;
+  readonly budgetOf: (className: string) => RetryBudget;
+  /** Called for each retry, for metrics. */
+  readonly onRetry: (entryName: string) => void;
+}
+
+type DispatchResult = Promise<Result<CallerAnswer, RefusalError>>;
+
+/** Takes a request from admission to its whole answer. */
+export class Dispatcher {
+  /** Work that outlives its request: outcomes still being recorded. */
+  private readonly pending = new Set<Promise<void>>();
+
+  constructor(
+    private readonly directory: UpstreamDirectory,
+    private readonly admission: Admission,
+    private readonly runner: AttemptRunner,
+    private readonly suspects: RequestSuspects,
+    private readonly claims: ClaimStore,
+    private readonly options: DispatcherOptions,
+  ) {}
+
+  /** Answers a caller's request, or refuses it truthfully. */
+  async dispatch(request: CallerRequest): DispatchResult {
+    const fingerprint = requestFingerprint(request);
+    if (this.suspects.isQuarantined(fingerprint)) {
+      return Err(quarantineRefusal());
+    }
+    const arrivedAt = performance.now();
+    const permit = await this.admission.enter(request.entry, {
+      priority: request.requestClass.priority,
+      deadlineAtMilliseconds: request.deadlineAtMilliseconds,
+      signal: request.signal,
+    });
+    if (!permit.ok) return permit;
+    const queuedMilliseconds = performance.now() - arrivedAt;
+    const answer = await this.runClaimed(request, fingerprint, permit.val);
+    if (!answer.ok) {
+      permit.val.release();
+      return answer;
+    }
+    return Ok({...answer.val, queuedMilliseconds});
+  }
+
+  /** Waits until every outcome is recorded. */
+  async idle(): Promise<void> {
+    while (this.pending.size > 0) await Promise.all(this.pending);
+  }
+
+  /** Claims the request if it carries a key, and runs it. */
+  private async runClaimed(
+    request: CallerRequest,
+    fingerprint: string,
+    permit: Permit,
+  ): DispatchResult {
+    const {idempotencyKey} = request;
+    if (idempotencyKey === undefined) {
+      return this.run(request, fingerprint, permit, undefined);
+    }
+    const grant = await this.claims.claim({
+      identity: {
+        caller: request.caller,
+        entry: request.entry.name,
+        key: idempotencyKey,
+      },
+      requestDigest: requestDigest(request),
+      requestId: request.requestId,
+    });
+    if (!grant.ok) return grant;
+    if (grant.val.outcome === ClaimOutcome.REPLAY) {
+      permit.release();
+      return Ok(keptAnswer(grant.val.answer));
+    }
+    const {held} = grant.val;
+    const answer = await this.run(request, fingerprint, permit, held);
+    if (!answer.ok) this.settleRefused(held, answer.val);
+    return answer;
+  }
+
+  /** Runs the request and prepares its answer for the caller. */
+  private async run(
+    request: CallerRequest,
+    fingerprint: string,
+    permit: Permit,
+    held: HeldClaim | undefined,
+  ): DispatchResult {
+    const progress: RequestProgress = {
+      request,
+      fingerprint,
+      isRepeatable: isIdempotent(request.entry, request.method),
+      cancel: new AbortController(),
+      attempts: 0,
+      mayHaveRun: false,
+      lastFailure: undefined,
+    };
+    const watch = watchCaller(progress);
+    const startedAt = performance.now();
+    const opened = await this.attemptUntilOpen(progress);
+    if (!opened.ok) {
+      watch.stop();
+      return opened;
+    }
+    if (opened.val.events) watch.stopDeadline();
+    const relay = new AnswerRelay(opened.val, {
+      keepsCopy: held !== undefined,
+      onEnd: (end, copy) => {
+        watch.stop();
+        opened.val.finish();
+        permit.release();
+        this.recordEnd(progress, end, performance.now() - startedAt);
+        if (held) this.settleEnded(held, opened.val, end, copy);
+      },
+      cancel: progress.cancel,
+    });
+    return Ok({
+      status: opened.val.status,
+      contentType: opened.val.contentType,
+      upstreamId: opened.val.replica.upstream.id,
+      queuedMilliseconds: 0,
+      lengthBytes: relay.lengthBytes,
+      pieces: relay.pieces(),
+    });
+  }
+
+  /** Tries replicas until one answers or no further try is allowed. */
+  private async attemptUntilOpen(
+    progress: RequestProgress,
+  ): Promise<Result<OpenAttempt, RefusalError>> {
+    for (;;) {
+      const replica = await this.nextReplica(progress);
+      if (!replica.ok) return replica;
+      if (performance.now() >= progress.request.deadlineAtMilliseconds) {
+        return Err(deadlineRefusal(progress));
+      }
+      const outcome = await this.attempt(progress, replica.val);
+      if (outcome.ok) return outcome;
+      this.recordFailure(progress, outcome.val);
+      const refusal = this.refuseRetry(progress, outcome.val);
+      if (refusal) return Err(refusal);
+      this.options.onRetry(progress.request.entry.name);
+      await this.backOff(progress);
+    }
+  }
+
+  private async attempt(progress: RequestProgress, replica: Replica) {
+    const {request, fingerprint, cancel} = progress;
+    progress.attempts += 1;
+    if (!this.suspects.isSuspect(fingerprint)) {
+      return this.runner.open(replica, request, cancel.signal);
+    }
+    const {upstream} = replica;
+    upstream.suspectsInFlight += 1;
+    const outcome = await this.runner.open(replica, request, cancel.signal);
+    upstream.suspectsInFlight -= 1;
+    return outcome;
+  }
+
+  /** The next replica to try; a suspect waits for one without suspects. */
+  private async nextReplica(
+    progress: RequestProgress,
+  ): Promise<Result<Replica, RefusalError>> {
+    const {request, fingerprint} = progress;
+    for (;;) {
+      const ready = this.directory.readyReplicas(request.entry);
+      if (ready.length === 0) return Err(noReplicaRefusal(progress));
+      if (!this.suspects.isSuspect(fingerprint)) {
+        return Ok(this.choose(ready, progress));
+      }
+      if (this.suspects.isQuarantined(fingerprint)) {
+        return Err(crashRefusal(progress));
+      }
+      if (ready.length < Math.min(2, request.entry.minimumReplicas)) {
+        return Err(crashRefusal(progress));
+      }
+      const free = ready.filter(
+        ({upstream}) => upstream.suspectsInFlight === 0,
+      );
+      if (free.length > 0) return Ok(this.choose(free, progress));
+      const isOver = performance.now() >= request.deadlineAtMilliseconds;
+      if (isOver || progress.cancel.signal.aborted) {
+        return Err(deadlineRefusal(progress));
+      }
+      await delay(SUSPECT_WAIT_MILLISECONDS, progress.cancel.signal);
+    }
+  }
+
+  private choose(
+    ready: readonly Replica[],
+    progress: RequestProgress,
+  ): Replica {
+    const {request, lastFailure} = progress;
+    const others = ready.filter(
+      ({upstream}) => upstream !== lastFailure?.replica.upstream,
+    );
+    const choices = chooseReplicas(others.length > 0 ? others : ready, {
+      ...this.options.choice,
+      serviceMilliseconds: this.admission.serviceMilliseconds(request.entry),
+      prefixDigest: request.prefixDigest,
+    });
+    return choices.next().value ?? ready[0];
+  }
+
+  private recordFailure(
+    progress: RequestProgress,
+    failed: FailedAttempt,
+  ): void {
+    progress.lastFailure = failed;
+    if (failed.error.mayHaveRun && !failed.isRefused)
+      progress.mayHaveRun = true;
+    if (failed.isCrash) this.suspects.recordCrash(progress.fingerprint);
+  }
+
+  /** Why a failed attempt must not be followed by another, if so. */
+  private refuseRetry(
+    progress: RequestProgress,
+    failed: FailedAttempt,
+  ): RefusalError | undefined {
+    const {request, isRepeatable} = progress;
+    const isOver = performance.now() >= request.deadlineAtMilliseconds;
+    if (isOver || progress.cancel.signal.aborted) {
+      return failureRefusal(progress, failed);
+    }
+    if (progress.mayHaveRun && !isRepeatable) {
+      return failureRefusal(progress, failed);
+    }
+    if (progress.attempts >= this.options.maximumAttempts) {
+      return failureRefusal(progress, failed);
+    }
+    if (!failed.error.mayHaveRun) return undefined;
+    if (this.options.budgetOf(request.requestClass.name).tryTake()) {
+      return undefined;
+    }
+    return new RefusalError(
+      ErrorKind.RETRY_BUDGET_SPENT,
+      `an attempt failed and no retry is left: ${failed.error.message}`,
+      {ran: ranSoFar(progress)},
+    );
+  }
+
+  private async backOff(progress: RequestProgress): Promise<void> {
+    const {retryBackoffMilliseconds, choice} = this.options;
+    const longest = retryBackoffMilliseconds * 2 ** (progress.attempts - 1);
+    await delay(longest * choice.random(), progress.cancel.signal);
+  }
+
+  private recordEnd(
+    progress: RequestProgress,
+    end: AnswerEnd,
+    milliseconds: number,
+  ): void {
+    const {request, fingerprint} = progress;
+    if (end !== AnswerEnd.WHOLE) return;
+    this.admission.recordServiceTime(request.entry, milliseconds);
+    this.options.budgetOf(request.requestClass.name).recordSuccess();
+    this.suspects.recordSuccess(fingerprint);
+  }
+
+  private settleRefused(held: HeldClaim, refusal: RefusalError): void {
+    this.track(
+      refusal.ran === Ran.NO
+        ? this.claims.release(held)
+        : this.claims.settleUnknown(held),
+    );
+  }
+
+  private settleEnded(
+    held: HeldClaim,
+    attempt: OpenAttempt,
+    end: AnswerEnd,
+    copy: Buffer | undefined,
+  ): void {
+    if (end === AnswerEnd.BROKEN) {
+      this.track(this.claims.settleUnknown(held));
+      return;
+    }
+    const {status, contentType} = attempt;
+    const answer = copy && {
+      status,
+      contentType,
+      bodyBase64: copy.toString('base64'),
+    };
+    this.track(this.claims.settleDone(held, answer));
+  }
+
+  private track(work: Promise<void>): void {
+    const tracked = work.finally(() => this.pending.delete(tracked));
+    this.pending.add(tracked);
+  }
+}
+
+/** Identifies requests that would do the same to an upstream. */
+function requestFingerprint(request: CallerRequest): string {
+  const hash = createHash('sha1').update(request.entry.name);
+  hash.update('\0').update(request.path).update('\0');
+  if (request.body) hash.update(request.body);
+  return hash.digest('hex');
+}
+
+function keptAnswer(kept: {
+  readonly status: number;
+  readonly contentType: string;
+  readonly bodyBase64: string;
+}): CallerAnswer {
+  const body = Buffer.from(kept.bodyBase64, 'base64');
+  return {
+    status: kept.status,
+    contentType: kept.contentType,
+    upstreamId: undefined,
+    queuedMilliseconds: 0,
+    lengthBytes: body.length,
+    pieces: singlePiece(body),
+  };
+}
+
+async function* singlePiece(
+  body: Buffer,
+): AsyncGenerator<Uint8Array, AnswerEnd, undefined> {
+  yield body;
+  return AnswerEnd.WHOLE;
+}
--- /dev/null
+++ b/packages/arbutustide-routing/src/event_splitter.ts
@@ -0,0 +1,46 @@
+const EVENT_END = Buffer.from('\n\n');
+const ID_FIELD = 'id: ';
+const DONE_DATA = 'data: [DONE]';
+
+/** One whole server-sent event. */
+export interface StreamEvent {
+  /** The event as received, its blank line included. */
+  readonly bytes: Buffer;
+  readonly id: string | undefined;
+  /** Whether it is the marker that ends a whole stream. */
+  readonly isDone: boolean;
+}
+
+/** Cuts a byte stream into whole server-sent events. */
+export class EventSplitter {
+  private rest: Buffer = Buffer.alloc(0);
+
+  /** Whether bytes of an unfinished event are left. */
+  get hasRest(): boolean {
+    return this.rest.length > 0;
+  }
+
+  /** Takes a piece and yields the events that are whole now. */
+  *push(piece: Uint8Array): Generator<StreamEvent> {
+    const buffer = Buffer.from(piece.buffer, piece.byteOffset, piece.length);
+    this.rest =
+      this.rest.length === 0 ? buffer : Buffer.concat([this.rest, buffer]);
+    let end = this.rest.indexOf(EVENT_END);
+    while (end >= 0) {
+      const bytes = this.rest.subarray(0, end + EVENT_END.length);
+      this.rest = this.rest.subarray(end + EVENT_END.length);
+      yield parseEvent(bytes);
+      end = this.rest.indexOf(EVENT_END);
+    }
+  }
+}
+
+function parseEvent(bytes: Buffer): StreamEvent {
+  const lines = bytes.toString('utf8').split('\n');
+  const idLine = lines.find(line => line.startsWith(ID_FIELD));
+  return {
+    bytes,
+    id: idLine?.slice(ID_FIELD.length),
+    isDone: lines.some(line => line.trimEnd() === DONE_DATA),
+  };
+}
--- /dev/null
+++ b/packages/arbutustide-routing/src/upstream_directory.ts
@@ -0,0 +1,187 @@
+import type {CatalogueEntry} from '@arbutustide/catalogue';
+import type {PlatformHost} from '@arbutustide/upstream';
+
+import type {Upstream, UpstreamObservation} from './upstream.js';
+
+import {EntryKind, itemName} from '@arbutustide/catalogue';
+import {HostKind, HostState} from '@arbutustide/upstream';
+
+/** How long an upstream that refused a connection is avoided. */
+const AVOIDED_MILLISECONDS = 2_000;
+
+/** A replica of an entry: where it is, and under which name. */
+export interface Replica {
+  readonly upstream: Upstream;
+  /** Item as `name@version`; undefined at a plain service. */
+  readonly item: string | undefined;
+}
+
+/** All upstreams this node knows, and what they hold. */
+export class UpstreamDirectory {
+  private readonly upstreams = new Map<string, Upstream>();
+  /** Replicas of each entry name in any version. */
+  private readonly replicasByEntry = new Map<string, Replica[]>();
+  private readonly servicesByGroup = new Map<string, Replica[]>();
+
+  /** Takes the platform's latest list. A host not named is leaving. */
+  applyHosts(hosts: readonly PlatformHost[]): void {
+    const listed = hosts.filter(host => host.kind !== HostKind.ENTRY);
+    const listedIds = new Set(listed.map(host => host.id));
+    for (const upstream of this.upstreams.values()) {
+      if (listedIds.has(upstream.id)) continue;
+      upstream.isListed = false;
+      if (upstream.ownInFlight === 0) this.upstreams.delete(upstream.id);
+    }
+    for (const host of listed) this.applyHost(host);
+    this.rebuildIndexes();
+  }
+
+  /** Takes what a report said, from this node or a peer. */
+  applyObservation(observation: UpstreamObservation): void {
+    const upstream = this.upstreams.get(observation.upstreamId);
+    if (!upstream) return;
+    const previous = upstream.observation;
+    if (previous && previous.atMilliseconds >= observation.atMilliseconds) {
+      if (observation.isLeaving && previous.start === observation.start) {
+        upstream.isLeaving = true;
+      }
+      return;
+    }
+    if (previous && previous.start !== observation.start) {
+      upstream.isLeaving = false;
+    }
+    if (observation.isLeaving) upstream.isLeaving = true;
+    upstream.observation = observation;
+    upstream.avoidedUntilMilliseconds = 0;
+    if (!hasSameItems(previous, observation)) this.rebuildIndexes();
+  }
+
+  /** Records an upstream's own word that it takes no new work. */
+  markLeaving(upstreamId: string): void {
+    const upstream = this.upstreams.get(upstreamId);
+    if (upstream) upstream.isLeaving = true;
+  }
+
+  /** Avoids an upstream for a while, or until its next report. */
+  markUnreachable(upstreamId: string): void {
+    const upstream = this.upstreams.get(upstreamId);
+    if (!upstream) return;
+    upstream.avoidedUntilMilliseconds =
+      performance.now() + AVOIDED_MILLISECONDS;
+  }
+
+  /** Forgets that an upstream holds an item, after it said so. */
+  markNotResident(upstreamId: string, item: string): void {
+    const upstream = this.upstreams.get(upstreamId);
+    const observation = upstream?.observation;
+    if (!upstream || !observation) return;
+    upstream.observation = {
+      ...observation,
+      residentItems: observation.residentItems.filter(held => held !== item),
+    };
+    this.rebuildIndexes();
+  }
+
+  /** One upstream by its id. */
+  get(upstreamId: string): Upstream | undefined {
+    return this.upstreams.get(upstreamId);
+  }
+
+  /** All upstreams. */
+  all(): Iterable<Upstream> {
+    return this.upstreams.values();
+  }
+
+  /**
+   * Replicas of an entry that take new work. Those of the catalogue's version
+   * are returned if there are any, otherwise those of another version, so that
+   * the entry stays reachable while its version changes.
+   */
+  readyReplicas(entry: CatalogueEntry): Replica[] {
+    const open = this.replicas(entry).filter(({upstream}) => isOpen(upstream));
+    const current = open.filter(
+      ({item}) => item === undefined || item === itemName(entry),
+    );
+    const usable = current.length > 0 ? current : open;
+    const now = performance.now();
+    const reachable = usable.filter(
+      ({upstream}) => upstream.avoidedUntilMilliseconds <= now,
+    );
+    return reachable.length > 0 ? reachable : usable;
+  }
+
+  private replicas(entry: CatalogueEntry): readonly Replica[] {
+    if (entry.kind === EntryKind.SERVICE) {
+      return this.servicesByGroup.get(entry.hostGroup ?? '') ?? [];
+    }
+    return this.replicasByEntry.get(entry.name) ?? [];
+  }
+
+  private applyHost(host: PlatformHost): void {
+    let upstream = this.upstreams.get(host.id);
+    if (upstream?.url !== host.url) {
+      upstream = newUpstream(host);
+      this.upstreams.set(host.id, upstream);
+    }
+    upstream.isListed = true;
+    if (host.state === HostState.LEAVING) upstream.isLeaving = true;
+  }
+
+  private rebuildIndexes(): void {
+    this.replicasByEntry.clear();
+    this.servicesByGroup.clear();
+    for (const upstream of this.upstreams.values()) {
+      if (upstream.kind === HostKind.SERVICE) {
+        append(this.servicesByGroup, upstream.group ?? '', {
+          upstream,
+          item: undefined,
+        });
+      }
+      for (const item of upstream.observation?.residentItems ?? []) {
+        const entryName = item.slice(0, item.lastIndexOf('@'));
+        append(this.replicasByEntry, entryName, {upstream, item});
+      }
+    }
+  }
+}
+
+function isOpen(upstream: Upstream): boolean {
+  return upstream.isListed && !upstream.isLeaving;
+}
+
+function newUpstream(host: PlatformHost): Upstream {
+  return {
+    id: host.id,
+    kind: host.kind,
+    url: host.url,
+    region: host.region,
+    failureDomain: host.failureDomain,
+    group: host.group,
+    checksFencing: host.checksFencing,
+    isListed: true,
+    isLeaving: false,
+    observation: undefined,
+    ownInFlight: 0,
+    suspectsInFlight: 0,
+    avoidedUntilMilliseconds: 0,
+  };
+}
+
+function hasSameItems(
+  previous: UpstreamObservation | undefined,
+  next: UpstreamObservation,
+): boolean {
+  const before = previous?.residentItems ?? [];
+  if (before.length !== next.residentItems.length) return false;
+  return next.residentItems.every((item, index) => item === before[index]);
+}
+
+function append(
+  index: Map<string, Replica[]>,
+  key: string,
+  replica: Replica,
+): void {
+  const replicas = index.get(key);
+  if (replicas) replicas.push(replica);
+  else index.set(key, [replica]);
+}
--- /dev/null
+++ b/packages/arbutustide-routing/src/upstream_target.ts
@@ -0,0 +1,75 @@
+import type {
+  AttemptError,
+  AttemptRequest,
+  AttemptResult,
+} from '@arbutustide/upstream';
+import type {Result} from 'ts-results';
+
+import type {Upstream} from './upstream.js';
+import type {UpstreamConnector} from './upstream_connector.js';
+
+import {AttemptState, HostKind} from '@arbutustide/upstream';
+import {Ok} from 'ts-results';
+
+/** What an attempt needs of an upstream, whatever its kind. */
+export interface UpstreamTarget {
+  attempt(request: AttemptRequest): AttemptResult;
+  /** Continues a broken stream; undefined where the kind cannot. */
+  readonly resume:
+    | ((request: AttemptRequest, lastEventId: string) => AttemptResult)
+    | undefined;
+  /** Start id, read over a new connection. */
+  readStart(): Promise<Result<string, AttemptError>>;
+  /** What the upstream knows of an attempt, over a new connection. */
+  attemptState(attemptId: string): Promise<Result<AttemptState, AttemptError>>;
+  renewConnections(): void;
+  /** Statuses by which the upstream says that it did not run the request. */
+  readonly notRunStatuses: ReadonlySet<number>;
+}
+
+type TargetFactory = (
+  upstream: Upstream,
+  connector: UpstreamConnector,
+) => UpstreamTarget;
+
+const ENGINE_NOT_RUN_STATUSES: ReadonlySet<number> = new Set([404, 429, 503]);
+const NO_STATUSES: ReadonlySet<number> = new Set();
+
+const TARGET_FACTORIES: Readonly<
+  Record<HostKind.ENGINE | HostKind.SERVICE, TargetFactory>
+> = {
+  [HostKind.ENGINE]: (upstream, connector) => {
+    const engine = connector.engine(upstream);
+    return {
+      attempt: request => engine.attempt(request),
+      resume: (request, lastEventId) => engine.resume(request, lastEventId),
+      readStart: async () =>
+        (await engine.report()).map(({engineStart}) => engineStart),
+      attemptState: attemptId => engine.attemptState(attemptId),
+      renewConnections: () => engine.renewConnections(),
+      notRunStatuses: ENGINE_NOT_RUN_STATUSES,
+    };
+  },
+  [HostKind.SERVICE]: (upstream, connector) => {
+    const service = connector.service(upstream);
+    return {
+      attempt: request => service.attempt(request),
+      resume: undefined,
+      readStart: async () =>
+        (await service.report()).map(({serviceStart}) => serviceStart),
+      attemptState: async () => Ok(AttemptState.RUNNING),
+      renewConnections: () => service.renewConnections(),
+      notRunStatuses: NO_STATUSES,
+    };
+  },
+};
+
+/** The target for an upstream of any kind. */
+export function upstreamTarget(
+  upstream: Upstream,
+  connector: UpstreamConnector,
+): UpstreamTarget {
+  const kind =
+    upstream.kind === HostKind.SERVICE ? HostKind.SERVICE : HostKind.ENGINE;
+  return TARGET_FACTORIES[kind](upstream, connector);
+}
--- /dev/null
+++ b/packages/arbutustide-scenarios/src/processes/process_cluster.ts
@@ -0,0 +1,302 @@
+import type {Settings} from '@arbutustide/settings';
+import type {PlatformHost} from '@arbutustide/upstream';
+
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+
+import {delay} from '@arbutustide/errors';
+import {formatDocument} from '@arbutustide/settings';
+import {HostKind, HostState} from '@arbutustide/upstream';
+import {fetch} from 'undici';
+
+import {ProgramProcess} from './child_process_handle.js';
+
+const STAND_INS = 'dist/stand_ins.cjs';
+const BINARY = 'dist/arbutustide.cjs';
+const POLL_MILLISECONDS = 50;
+
+/** A stand-in with its address. */
+export interface RunningStandIn {
+  readonly process: ProgramProcess;
+  readonly url: string;
+}
+
+/** A node with its addresses. */
+export interface RunningNodeProcess {
+  readonly name: string;
+  readonly process: ProgramProcess;
+  readonly callerUrl: string;
+  readonly peerUrl: string;
+  readonly controlUrl: string;
+  readonly failureDomain: string;
+}
+
+/** Sections of a node's settings that a test changes. */
+export type SettingsOverrides = {
+  readonly [Section in keyof Settings]?: Partial<Settings[Section]>;
+};
+
+interface StartedLine {
+  readonly msg: string;
+  readonly ports: {
+    readonly callerPort: number;
+    readonly peerPort: number;
+    readonly controlPort: number;
+  };
+}
+
+/** Stand-ins and nodes as separate processes on this machine. */
+export class ProcessCluster {
+  readonly nodes = new Map<string, RunningNodeProcess>();
+  readonly engines = new Map<string, RunningStandIn>();
+  readonly services = new Map<string, RunningStandIn>();
+  private readonly directory = mkdtempSync(join(tmpdir(), 'arbutustide-'));
+  private readonly processes: ProgramProcess[] = [];
+  private objectApi!: RunningStandIn;
+  private hostList!: RunningStandIn;
+  private weightStore!: RunningStandIn;
+
+  /** @param overrides settings that every node gets. */
+  constructor(private readonly overrides: SettingsOverrides = {}) {}
+
+  get objectApiUrl(): string {
+    return this.objectApi.url;
+  }
+
+  get hostListUrl(): string {
+    return this.hostList.url;
+  }
+
+  /** Starts the platform's parts. */
+  async startPlatform(hostListLagMilliseconds = 200): Promise<void> {
+    [this.objectApi, this.hostList, this.weightStore] = await Promise.all([
+      this.startStandIn('object-api', []),
+      this.startStandIn('host-list', [
+        '--lag-milliseconds',
+        String(hostListLagMilliseconds),
+      ]),
+      this.startStandIn('weight-store', [
+        '--loads-per-second',
+        '50',
+        '--load-milliseconds',
+        '20',
+      ]),
+    ]);
+  }
+
+  /** Starts an engine and lists it. */
+  async startEngine(
+    id: string,
+    failureDomain: string,
+    parameters: readonly string[] = [],
+  ): Promise<RunningStandIn> {
+    const engine = await this.startStandIn('engine', [
+      '--weight-store',
+      this.weightStore.url,
+      ...parameters,
+    ]);
+    this.engines.set(id, engine);
+    await this.list({
+      id,
+      kind: HostKind.ENGINE,
+      url: engine.url,
+      region: 'island',
+      failureDomain,
+      state: HostState.LIVE,
+      checksFencing: !parameters.includes('--ignore-fencing'),
+    });
+    return engine;
+  }
+
+  /** Starts a plain service and lists it. */
+  async startService(
+    id: string,
+    group: string,
+    failureDomain: string,
+    parameters: readonly string[] = [],
+  ): Promise<RunningStandIn> {
+    const service = await this.startStandIn('service', parameters);
+    this.services.set(id, service);
+    await this.list({
+      id,
+      kind: HostKind.SERVICE,
+      url: service.url,
+      region: 'island',
+      failureDomain,
+      state: HostState.LIVE,
+      group,
+      checksFencing: false,
+    });
+    return service;
+  }
+
+  /** Starts a node and lists it. */
+  async startNode(
+    name: string,
+    failureDomain: string,
+  ): Promise<RunningNodeProcess> {
+    const file = join(this.directory, `${name}.toml`);
+    writeFileSync(file, this.nodeSettings(name, failureDomain));
+    const process = this.start(name, BINARY, ['node', '--settings', file]);
+    const line = await process.waitForLine(text => isStarted(text));
+    const {ports} = JSON.parse(line) as StartedLine;
+    const node: RunningNodeProcess = {
+      name,
+      process,
+      callerUrl: `http://127.0.0.1:${ports.callerPort}`,
+      peerUrl: `http://127.0.0.1:${ports.peerPort}`,
+      controlUrl: `http://127.0.0.1:${ports.controlPort}`,
+      failureDomain,
+    };
+    this.nodes.set(name, node);
+    await this.list({
+      id: name,
+      kind: HostKind.ENTRY,
+      url: node.peerUrl,
+      region: 'island',
+      failureDomain,
+      state: HostState.LIVE,
+      checksFencing: false,
+    });
+    return node;
+  }
+
+  /** Changes or adds a host of the platform's list. */
+  async list(host: PlatformHost): Promise<void> {
+    await this.order(`${this.hostListUrl}/stand-in/hosts`, 'PUT', host);
+  }
+
+  /** Removes a host from the platform's list. */
+  async unlist(id: string): Promise<void> {
+    const url = `${this.hostListUrl}/stand-in/hosts/${encodeURIComponent(id)}`;
+    await this.order(url, 'DELETE');
+  }
+
+  /** Runs an operators' command and returns its output and exit code. */
+  async command(
+    ...parameters: readonly string[]
+  ): Promise<{readonly output: string; readonly exitCode: number | null}> {
+    const command = new ProgramProcess('command', process.execPath, [
+      BINARY,
+      ...parameters,
+      '--object-store',
+      this.objectApiUrl,
+      '--host-list',
+      this.hostListUrl,
+    ]);
+    const exitCode = await command.waitForExit();
+    return {output: command.lines.join('\n'), exitCode};
+  }
+
+  /** Applies a catalogue and waits until it is in force in every node. */
+  async apply(toml: string): Promise<void> {
+    const file = join(this.directory, 'catalogue.toml');
+    writeFileSync(file, toml);
+    const applied = await this.command('catalogue', 'apply', file, '--wait');
+    if (applied.exitCode === 0) return;
+    throw new Error(`apply ended with ${applied.exitCode}: ${applied.output}`);
+  }
+
+  /** What a stand-in recorded. */
+  async records(standIn: RunningStandIn): Promise<unknown> {
+    const response = await fetch(`${standIn.url}/stand-in/records`);
+    return response.json();
+  }
+
+  /** Tells a stand-in or the object API to misbehave. */
+  async fault(url: string, rule: object): Promise<void> {
+    await this.order(`${url}/stand-in/faults`, 'POST', rule);
+  }
+
+  /** Ends misbehaviour. */
+  async clearFaults(url: string): Promise<void> {
+    await this.order(`${url}/stand-in/faults`, 'DELETE');
+  }
+
+  /** Waits until a condition holds; fails after a while. */
+  async until(
+    what: string,
+    holds: () => Promise<boolean>,
+    milliseconds = 20_000,
+  ): Promise<void> {
+    const end = performance.now() + milliseconds;
+    while (!(await holds())) {
+      if (performance.now() > end) throw new Error(`not in time: ${what}`);
+      await delay(POLL_MILLISECONDS);
+    }
+  }
+
+  /** Ends every process and removes the settings files. */
+  async stop(): Promise<void> {
+    for (const started of this.processes) {
+      started.signal('SIGCONT');
+      started.signal('SIGKILL');
+    }
+    await Promise.all(this.processes.map(started => started.waitForExit()));
+    rmSync(this.directory, {recursive: true});
+  }
+
+  private async startStandIn(
+    kind: string,
+    parameters: readonly string[],
+  ): Promise<RunningStandIn> {
+    const process = this.start(kind, STAND_INS, [kind, ...parameters]);
+    const line = await process.waitForLine(text => text.startsWith('{"port"'));
+    const {port} = JSON.parse(line) as {port: number};
+    return {process, url: `http://127.0.0.1:${port}`};
+  }
+
+  private start(
+    name: string,
+    program: string,
+    parameters: readonly string[],
+  ): ProgramProcess {
+    const started = new ProgramProcess(name, process.execPath, [
+      program,
+      ...parameters,
+    ]);
+    this.processes.push(started);
+    return started;
+  }
+
+  private nodeSettings(name: string, failureDomain: string): string {
+    const settings = {
+      ...this.overrides,
+      node: {
+        name,
+        region: 'island',
+        failureDomain,
+        address: '127.0.0.1',
+        callerPort: 0,
+        peerPort: 0,
+        controlPort: 0,
+      },
+      platform: {
+        objectStoreUrl: this.objectApiUrl,
+        hostListUrl: this.hostListUrl,
+        hostListIntervalMilliseconds: 250,
+        ...this.overrides.platform,
+      },
+    };
+    return formatDocument(settings);
+  }
+
+  private async order(
+    url: string,
+    method: string,
+    body?: object,
+  ): Promise<void> {
+    const response = await fetch(url, {
+      method,
+      headers: {'content-type': 'application/json'},
+      ...(body && {body: JSON.stringify(body)}),
+    });
+    await response.arrayBuffer();
+  }
+}
+
+function isStarted(line: string): boolean {
+  if (!line.startsWith('{')) return false;
+  return (JSON.parse(line) as StartedLine).msg === 'started';
+}
--- /dev/null
+++ b/packages/arbutustide-settings/src/index.ts
@@ -0,0 +1,12 @@
+/** Settings of a node, and checked TOML documents in general. */
+export type {Settings} from './settings_schema.js';
+
+export {DocumentError} from './document_error.js';
+export {
+  formatDocument,
+  formatSettings,
+  loadSettings,
+  parseSettings,
+} from './load_settings.js';
+export {parseDocument} from './parse_document.js';
+export {settingsSchema} from './settings_schema.js';
--- /dev/null
+++ b/packages/arbutustide-settings/src/load_settings.ts
@@ -0,0 +1,43 @@
+import type {Result} from 'ts-results';
+
+import type {Settings} from './settings_schema.js';
+
+import {readFileSync} from 'node:fs';
+
+import {stringify} from 'smol-toml';
+import {Err} from 'ts-results';
+
+import {DocumentError} from './document_error.js';
+import {camelToSnake, renameKeys} from './key_case.js';
+import {parseDocument} from './parse_document.js';
+import {settingsSchema} from './settings_schema.js';
+
+/** Reads and checks a settings file. */
+export function loadSettings(file: string): Result<Settings, DocumentError> {
+  let text: string;
+  try {
+    text = readFileSync(file, 'utf8');
+  } catch (error) {
+    const reason = (error as NodeJS.ErrnoException).code ?? String(error);
+    return Err(new DocumentError(file, [`cannot be read: ${reason}`]));
+  }
+  return parseSettings(text, file);
+}
+
+/** Checks the text of a settings file. */
+export function parseSettings(
+  text: string,
+  file: string,
+): Result<Settings, DocumentError> {
+  return parseDocument(text, file, settingsSchema);
+}
+
+/** The effective settings, defaults included, as TOML. */
+export function formatSettings(settings: Settings): string {
+  return formatDocument(settings);
+}
+
+/** Writes a camelCase value as a TOML document with snake_case keys. */
+export function formatDocument(value: object): string {
+  return stringify(renameKeys(value, camelToSnake) as object);
+}
--- /dev/null
+++ b/packages/arbutustide-settings/src/parse_document.ts
@@ -0,0 +1,109 @@
+import type {Result} from 'ts-results';
+
+import {closest} from 'fastest-levenshtein';
+import {parse, TomlError} from 'smol-toml';
+import {Err, Ok} from 'ts-results';
+import {z} from 'zod';
+
+import {DocumentError} from './document_error.js';
+import {camelToSnake, renameKeys, snakeToCamel} from './key_case.js';
+
+/**
+ * Reads a TOML document and checks it against a schema whose keys are
+ * camelCase; the document's keys are snake_case.
+ *
+ * @param file name shown in errors.
+ */
+export function parseDocument<T>(
+  text: string,
+  file: string,
+  schema: z.ZodType<T>,
+): Result<T, DocumentError> {
+  let raw: unknown;
+  try {
+    raw = renameKeys(parse(text), snakeToCamel);
+  } catch (error) {
+    if (!(error instanceof TomlError)) throw error;
+    const place = `line ${error.line}, column ${error.column}`;
+    const reason = error.message.split('\n')[0];
+    return Err(new DocumentError(file, [`${place}: ${reason}`]));
+  }
+  const checked = schema.safeParse(raw);
+  if (checked.success) return Ok(checked.data);
+  const problems = checked.error.issues.flatMap(issue =>
+    describeIssue(issue, raw, schema),
+  );
+  return Err(new DocumentError(file, problems));
+}
+
+function describeIssue(
+  issue: z.core.$ZodIssue,
+  raw: unknown,
+  schema: z.ZodType,
+): string[] {
+  if (issue.code === 'unrecognized_keys') {
+    return issue.keys.map(key => describeUnknownKey(issue.path, key, schema));
+  }
+  const value = JSON.stringify(valueAt(raw, issue.path)) ?? 'nothing';
+  return [`${keyPath(issue.path)} = ${value}: ${issue.message}`];
+}
+
+function describeUnknownKey(
+  path: readonly PropertyKey[],
+  key: string,
+  schema: z.ZodType,
+): string {
+  const known = knownKeys(schema, path).map(camelToSnake);
+  const nearest =
+    known.length > 0
+      ? `; the nearest known key is ${closest(camelToSnake(key), known)}`
+      : '';
+  return `${keyPath([...path, key])}: unknown key${nearest}`;
+}
+
+/** Follows a path through objects, arrays and wrappers of the schema. */
+function knownKeys(schema: z.ZodType, path: readonly PropertyKey[]): string[] {
+  let current: unknown = schema;
+  for (const step of path) {
+    const inner = unwrap(current);
+    if (inner instanceof z.ZodObject) {
+      current = (inner.shape as Record<PropertyKey, unknown>)[step];
+    } else if (inner instanceof z.ZodArray) {
+      current = inner.element;
+    } else {
+      return [];
+    }
+  }
+  const inner = unwrap(current);
+  return inner instanceof z.ZodObject ? Object.keys(inner.shape) : [];
+}
+
+function unwrap(schema: unknown): unknown {
+  let current = schema;
+  while (
+    current instanceof z.ZodOptional ||
+    current instanceof z.ZodDefault ||
+    current instanceof z.ZodPrefault
+  ) {
+    current = current.unwrap();
+  }
+  return current;
+}
+
+function valueAt(raw: unknown, path: readonly PropertyKey[]): unknown {
+  let current = raw;
+  for (const step of path) {
+    if (current === null || typeof current !== 'object') return undefined;
+    current = (current as Record<PropertyKey, unknown>)[step];
+  }
+  return current;
+}
+
+function keyPath(path: readonly PropertyKey[]): string {
+  return path
+    .map(step =>
+      typeof step === 'number' ? `[${step}]` : camelToSnake(String(step)),
+    )
+    .join('.')
+    .replaceAll('.[', '[');
+}
--- /dev/null
+++ b/packages/arbutustide-settings/src/settings_schema.ts
@@ -0,0 +1,124 @@
+import {z} from 'zod';
+
+const port = z.number().int().min(0).max(65_535);
+const milliseconds = z.number().int().min(1).max(86_400_000);
+const bytes = z.number().int().min(1);
+const count = z.number().int().min(1);
+
+const nodeSchema = z.strictObject({
+  /** Name shown to operators; unique among the entry hosts. */
+  name: z.string().min(1),
+  region: z.string().min(1),
+  failureDomain: z.string().min(1),
+  /** IP address to listen on and to be reached at by peers. */
+  address: z.union([z.ipv4(), z.ipv6()]),
+  callerPort: port,
+  peerPort: port,
+  /** Metrics and explanations, for operators only. */
+  controlPort: port,
+});
+
+const platformSchema = z.strictObject({
+  objectStoreUrl: z.url(),
+  hostListUrl: z.url(),
+  /** Environment variable that holds the object API's bearer token. */
+  tokenVariable: z.string().min(1).optional(),
+  callTimeoutMilliseconds: milliseconds.default(2_000),
+  watchMilliseconds: milliseconds.default(20_000),
+  hostListIntervalMilliseconds: milliseconds.default(2_000),
+});
+
+const logSchema = z.strictObject({
+  level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
+});
+
+const callersSchema = z.strictObject({
+  bodyLimitBytes: bytes.default(8_388_608),
+  headerLimitBytes: bytes.default(16_384),
+  headerTimeoutMilliseconds: milliseconds.default(10_000),
+  bodyTimeoutMilliseconds: milliseconds.default(30_000),
+});
+
+const gossipSchema = z.strictObject({
+  intervalMilliseconds: milliseconds.default(500),
+  heartbeatMilliseconds: milliseconds.default(2_000),
+  /** A record that did not change for this long is dropped. */
+  expiryMilliseconds: milliseconds.default(10_000),
+  callTimeoutMilliseconds: milliseconds.default(1_500),
+  maximumPeers: count.default(8),
+  /** Watchers of the object API in each failure domain. */
+  watchersPerFailureDomain: count.default(2),
+});
+
+const routingSchema = z.strictObject({
+  reportIntervalMilliseconds: milliseconds.default(1_000),
+  reportTimeoutMilliseconds: milliseconds.default(1_000),
+  /** Nodes that poll the reports of one upstream for all others. */
+  pollersPerUpstream: count.default(2),
+  /** Longest time between two published observations of an upstream. */
+  observationRefreshMilliseconds: milliseconds.default(5_000),
+  sampleSize: count.max(8).default(3),
+  crossDomainMilliseconds: z.number().min(0).default(5),
+  /** Time saved where the prompt's prefix is cached. */
+  prefixMilliseconds: z.number().min(0).default(100),
+  /** Time a request is taken to need before any was seen, in milliseconds. */
+  initialServiceMilliseconds: milliseconds.default(500),
+  /** Adapter requests in flight over all nodes before latency grows. */
+  adapterConcurrency: count.default(64),
+  connectionsPerUpstream: count.default(256),
+  connectTimeoutMilliseconds: milliseconds.default(1_000),
+  /** Requests an upstream runs at once before it queues. */
+  upstreamConcurrency: count.default(32),
+  retryShare: z.number().min(0).max(1).default(0.1),
+  retryBackoffMilliseconds: milliseconds.default(50),
+  maximumAttempts: count.max(10).default(3),
+  quarantineMilliseconds: milliseconds.default(600_000),
+});
+
+const plannerSchema = z.strictObject({
+  enabled: z.boolean().default(true),
+  leaseMilliseconds: milliseconds.default(6_000),
+  intervalMilliseconds: milliseconds.default(1_000),
+  orderTimeoutMilliseconds: milliseconds.default(120_000),
+  /** By then an order has taken effect or never will. */
+  longestOrderDelayMilliseconds: milliseconds.default(180_000),
+});
+
+const placementSchema = z.strictObject({
+  /** Requests at once a move must serve beyond what it gives up. */
+  moveCost: z.number().min(0).default(1),
+  minimumStayMilliseconds: milliseconds.default(60_000),
+  shortWindowMilliseconds: milliseconds.default(10_000),
+  longWindowMilliseconds: milliseconds.default(120_000),
+  /** Requests in flight one replica serves within its class's targets. */
+  replicaConcurrency: count.default(16),
+  weightLoadsPerSecond: z.number().positive().default(2),
+  weightLoadsAtOnce: count.default(8),
+});
+
+const claimsSchema = z.strictObject({
+  retentionMilliseconds: milliseconds.default(86_400_000),
+  answerLimitBytes: bytes.default(65_536),
+});
+
+const shutdownSchema = z.strictObject({
+  /** How long new work is still taken after a stop was asked for. */
+  listenMilliseconds: milliseconds.default(5_000),
+});
+
+/** The settings of one node; see docs/OPERATIONS.md for each key. */
+export const settingsSchema = z.strictObject({
+  node: nodeSchema,
+  platform: platformSchema,
+  log: logSchema.prefault({}),
+  callers: callersSchema.prefault({}),
+  gossip: gossipSchema.prefault({}),
+  routing: routingSchema.prefault({}),
+  planner: plannerSchema.prefault({}),
+  placement: placementSchema.prefault({}),
+  claims: claimsSchema.prefault({}),
+  shutdown: shutdownSchema.prefault({}),
+});
+
+/** Checked settings; durations in milliseconds, sizes in bytes. */
+export type Settings = z.infer<typeof settingsSchema>;
--- /dev/null
+++ b/packages/arbutustide-stand-ins/src/engine_server.ts
@@ -0,0 +1,185 @@
+import type {Request, Response} from '@tinyhttp/app';
+import type {EngineOrder} from '@arbutustide/upstream';
+
+import type {EngineModel} from './engine_model.js';
+import type {Generation} from './generation.js';
+
+import {ATTEMPT_HEADER, LEAVING_HEADER} from '@arbutustide/upstream';
+
+import {GenerationEnd} from './generation.js';
+import {readJson, sendJson, StandInServer} from './stand_in_server.js';
+
+const DEFAULT_TOKEN_COUNT = 16;
+const LEAVING_STATUS = 503;
+
+/** The part of a completion request an engine reads. */
+interface CompletionRequest {
+  readonly model: string;
+  readonly stream?: boolean;
+  readonly max_tokens?: number;
+  readonly prompt?: string;
+  readonly messages?: unknown;
+}
+
+/** A model engine as a program. */
+export function createEngineServer(engine: EngineModel): StandInServer {
+  const server = new StandInServer(() => engineRecords(engine));
+  const {app} = server;
+  const complete = (request: Request, response: Response) =>
+    answerCompletion(engine, request, response);
+  app.post('/v1/chat/completions', complete);
+  app.post('/v1/completions', complete);
+  app.get('/v1/attempts/:id', (request, response) => {
+    const state = engine.attemptState(request.params['id']);
+    sendJson(response, 200, {state});
+  });
+  app.get('/v1/attempts/:id/stream', async (request, response) => {
+    const generation = engine.generation(request.params['id']);
+    if (!generation) return sendJson(response, 404, {});
+    const lastEventId = request.headers['last-event-id'];
+    const fromIndex = lastEventId ? Number(lastEventId) + 1 : 0;
+    await sendStream(generation, fromIndex, response);
+  });
+  app.post('/orders', async (request, response) => {
+    const order = (await readJson(request)) as EngineOrder;
+    sendJson(response, 200, await engine.order(order));
+  });
+  app.get('/report', (_request, response) =>
+    sendJson(response, 200, engine.report()),
+  );
+  app.get('/cache-events', (request, response) => {
+    const url = new URL(request.originalUrl ?? '/', 'http://stand-in');
+    const after = Number(url.searchParams.get('after'));
+    sendJson(response, 200, {events: engine.cacheEvents(after)});
+  });
+  app.post('/stand-in/leave', (_request, response) => {
+    engine.isLeaving = true;
+    sendJson(response, 200, {});
+  });
+  return server;
+}
+
+function engineRecords(engine: EngineModel) {
+  return {
+    engineStart: engine.start,
+    runs: engine.runs.map(run => ({
+      requestId: run.requestId,
+      attemptId: run.attemptId,
+      item: run.item,
+      prompt: run.prompt,
+      end: run.generation.end,
+    })),
+    orders: engine.orders,
+    overcommits: engine.overcommits,
+    cacheHits: engine.cacheHits,
+  };
+}
+
+async function answerCompletion(
+  engine: EngineModel,
+  request: Request,
+  response: Response,
+): Promise<void> {
+  const body = (await readJson(request)) as CompletionRequest;
+  response.setHeader(ATTEMPT_HEADER, attemptIdOf(request));
+  if (engine.isLeaving) {
+    response.setHeader(LEAVING_HEADER, '1');
+    sendJson(response, LEAVING_STATUS, {reason: 'leaving'});
+    return;
+  }
+  if (!engine.holds(body.model)) {
+    sendJson(response, 404, {reason: `${body.model} is not resident`});
+    return;
+  }
+  const generation = engine.begin({
+    attemptId: attemptIdOf(request),
+    requestId: String(request.headers['x-request-id'] ?? ''),
+    item: body.model,
+    prompt: body.prompt ?? JSON.stringify(body.messages ?? ''),
+    tokenCount: body.max_tokens ?? DEFAULT_TOKEN_COUNT,
+    priority: Number(request.headers['x-priority'] ?? 0),
+  });
+  if (body.stream) await sendStream(generation, 0, response);
+  else await sendWhole(generation, response);
+}
+
+function attemptIdOf(request: Request): string {
+  return String(request.headers[ATTEMPT_HEADER] ?? '');
+}
+
+async function sendWhole(
+  generation: Generation,
+  response: Response,
+): Promise<void> {
+  const gone = goneSignal(response);
+  const tokens: string[] = [];
+  for await (const token of generation.read(0, gone)) tokens.push(token);
+  if (generation.end !== GenerationEnd.WHOLE) {
+    response.destroy();
+    return;
+  }
+  const {item, attemptId} = generation.request;
+  const text = tokens.join('');
+  sendJson(response, 200, {
+    id: attemptId,
+    object: 'chat.completion',
+    created: 0,
+    model: item,
+    choices: [
+      {
+        index: 0,
+        message: {role: 'assistant', content: text},
+        text,
+        finish_reason: 'stop',
+      },
+    ],
+    usage: {
+      prompt_tokens: 1,
+      completion_tokens: tokens.length,
+      total_tokens: tokens.length + 1,
+    },
+  });
+}
+
+async function sendStream(
+  generation: Generation,
+  fromIndex: number,
+  response: Response,
+): Promise<void> {
+  const {attemptId, item} = generation.request;
+  const gone = goneSignal(response);
+  response.setHeader(ATTEMPT_HEADER, attemptId);
+  response.writeHead(200, {'content-type': 'text/event-stream'});
+  response.flushHeaders();
+  let index = fromIndex;
+  for await (const token of generation.read(fromIndex, gone)) {
+    const chunk = {
+      id: attemptId,
+      object: 'chat.completion.chunk',
+      created: 0,
+      model: item,
+      choices: [{index: 0, delta: {content: token}, text: token}],
+    };
+    response.write(`id: ${index}\ndata: ${JSON.stringify(chunk)}\n\n`);
+    index += 1;
+  }
+  if (generation.end !== GenerationEnd.WHOLE) {
+    response.destroy();
+    return;
+  }
+  const last = {
+    id: attemptId,
+    object: 'chat.completion.chunk',
+    created: 0,
+    model: item,
+    choices: [{index: 0, delta: {}, text: '', finish_reason: 'stop'}],
+  };
+  response.write(`id: ${index}\ndata: ${JSON.stringify(last)}\n\n`);
+  response.end(`id: ${index + 1}\ndata: [DONE]\n\n`);
+}
+
+function goneSignal(response: Response): AbortSignal {
+  const gone = new AbortController();
+  response.once('close', () => gone.abort());
+  return gone.signal;
+}
--- /dev/null
+++ b/packages/arbutustide-telemetry/src/metrics.ts
@@ -0,0 +1,92 @@
+import {
+  collectDefaultMetrics,
+  Counter,
+  Gauge,
+  Histogram,
+  Registry,
+} from 'prom-client';
+
+/** Upper bounds in seconds, around the targets of 0.064 s and 0.81 s. */
+const LATENCY_BUCKETS_SECONDS = [
+  0.001, 0.004, 0.016, 0.032, 0.064, 0.125, 0.25, 0.5, 0.81, 1.5, 3, 6, 12, 30,
+  60, 120,
+];
+
+const CLASS_LABELS = ['tenant', 'class'] as const;
+
+/** The metrics of one node, in a registry of their own. */
+export class NodeMetrics {
+  readonly registry = new Registry();
+
+  readonly firstTokenSeconds = this.classHistogram(
+    'arbutustide_first_token_seconds',
+    'Time from a request to the first piece of its answer.',
+  );
+  readonly betweenTokensSeconds = this.classHistogram(
+    'arbutustide_between_tokens_seconds',
+    'Time between two pieces of a streamed answer.',
+  );
+  readonly requestSeconds = this.classHistogram(
+    'arbutustide_request_seconds',
+    'Time from a request to the end of its whole answer.',
+  );
+  readonly queuedSeconds = this.classHistogram(
+    'arbutustide_queued_seconds',
+    'Time a request waited for a place.',
+  );
+  readonly answers = new Counter({
+    name: 'arbutustide_answers_total',
+    help: 'Answers by tenant, class and how they ended.',
+    labelNames: [...CLASS_LABELS, 'end'] as const,
+    registers: [this.registry],
+  });
+  readonly refusals = new Counter({
+    name: 'arbutustide_refusals_total',
+    help: 'Refusals by kind and by whether the request ran.',
+    labelNames: ['kind', 'ran'] as const,
+    registers: [this.registry],
+  });
+  readonly retries = new Counter({
+    name: 'arbutustide_retries_total',
+    help: 'Attempts after the first, by entry.',
+    labelNames: ['entry'] as const,
+    registers: [this.registry],
+  });
+  readonly storeCalls = new Counter({
+    name: 'arbutustide_store_calls_total',
+    help: 'Calls to the object API by method; the platform charges each.',
+    labelNames: ['method'] as const,
+    registers: [this.registry],
+  });
+  readonly orders = new Counter({
+    name: 'arbutustide_orders_total',
+    help: 'Orders of the planner by kind and reason.',
+    labelNames: ['kind', 'reason'] as const,
+    registers: [this.registry],
+  });
+  readonly catalogueRevision = new Gauge({
+    name: 'arbutustide_catalogue_revision',
+    help: 'Revision of the catalogue in force.',
+    registers: [this.registry],
+  });
+  readonly inFlight = new Gauge({
+    name: 'arbutustide_requests_in_flight',
+    help: 'Requests between their head and the end of their answer.',
+    registers: [this.registry],
+  });
+
+  /** Adds the figures of the runtime itself, for a process that serves. */
+  collectRuntime(): void {
+    collectDefaultMetrics({register: this.registry});
+  }
+
+  private classHistogram(name: string, help: string) {
+    return new Histogram({
+      name,
+      help,
+      labelNames: CLASS_LABELS,
+      buckets: LATENCY_BUCKETS_SECONDS,
+      registers: [this.registry],
+    });
+  }
+}
--- /dev/null
+++ b/packages/arbutustide-upstream/src/http_connection.ts
@@ -0,0 +1,209 @@
+import type {Result} from 'ts-results';
+import type {Dispatcher} from 'undici';
+
+import type {AnswerBody, AttemptRequest, UpstreamAnswer} from './attempt.js';
+
+import {Err, Ok} from 'ts-results';
+import {Pool} from 'undici';
+import type {z} from 'zod';
+
+import {AttemptError, AttemptFailure} from './attempt_error.js';
+
+/** Header that pairs an answer with its attempt. */
+export const ATTEMPT_HEADER = 'x-attempt-id';
+/** Header by which an upstream says that it is leaving. */
+export const LEAVING_HEADER = 'x-upstream-leaving';
+
+/** How long an idle connection may be kept for reuse. */
+const KEEP_ALIVE_MILLISECONDS = 4_000;
+
+const FAILURE_BY_CODE: Readonly<Record<string, AttemptFailure>> = {
+  ECONNREFUSED: AttemptFailure.NOT_CONNECTED,
+  EHOSTUNREACH: AttemptFailure.NOT_CONNECTED,
+  ENETUNREACH: AttemptFailure.NOT_CONNECTED,
+  UND_ERR_CONNECT_TIMEOUT: AttemptFailure.NOT_CONNECTED,
+  UND_ERR_HEADERS_TIMEOUT: AttemptFailure.SILENT,
+  UND_ERR_BODY_TIMEOUT: AttemptFailure.SILENT,
+  UND_ERR_ABORTED: AttemptFailure.CANCELLED,
+  ABORT_ERR: AttemptFailure.CANCELLED,
+};
+
+/** How connections to one upstream are made. */
+export interface HttpConnectionOptions {
+  readonly url: string;
+  readonly maximumConnections: number;
+  readonly connectTimeoutMilliseconds: number;
+  /** Bounds reports, orders' connections and other short calls. */
+  readonly callTimeoutMilliseconds: number;
+}
+
+/** A short call whose answer is JSON. */
+export interface JsonCall<T> {
+  readonly method: Dispatcher.HttpMethod;
+  readonly path: string;
+  readonly schema: z.ZodType<T>;
+  readonly body?: unknown;
+  readonly timeoutMilliseconds?: number;
+}
+
+/** The connections to one upstream. */
+export class HttpConnection {
+  private pool: Pool;
+
+  constructor(private readonly options: HttpConnectionOptions) {
+    this.pool = this.createPool();
+  }
+
+  /**
+   * Replaces the pool: requests in flight end on the old connections, new ones
+   * get fresh connections.
+   */
+  renew(): void {
+    const old = this.pool;
+    this.pool = this.createPool();
+    void old.close();
+  }
+
+  /** Ends all connections at once. */
+  close(): Promise<void> {
+    return this.pool.destroy();
+  }
+
+  /** Sends an attempt and waits for the head of its answer. */
+  async attempt(
+    request: AttemptRequest,
+    headers: Readonly<Record<string, string>>,
+  ): Promise<Result<UpstreamAnswer, AttemptError>> {
+    try {
+      const response = await this.pool.request({
+        method: request.method as Dispatcher.HttpMethod,
+        path: request.path,
+        headers: attemptHeaders(request, headers),
+        body: request.body ?? null,
+        signal: request.signal,
+        headersTimeout: request.progressMilliseconds,
+        bodyTimeout: request.progressMilliseconds,
+      });
+      return checkAnswer(request, response);
+    } catch (error) {
+      return Err(toAttemptError(error));
+    }
+  }
+
+  /** Makes a short call on a connection of its own and reads JSON. */
+  async call<T>(call: JsonCall<T>): Promise<Result<T, AttemptError>> {
+    const timeout =
+      call.timeoutMilliseconds ?? this.options.callTimeoutMilliseconds;
+    const pool = this.createPool(1);
+    try {
+      const response = await pool.request({
+        method: call.method,
+        path: call.path,
+        headers: {'content-type': 'application/json'},
+        body: call.body === undefined ? null : JSON.stringify(call.body),
+        headersTimeout: timeout,
+        bodyTimeout: timeout,
+        signal: AbortSignal.timeout(timeout),
+      });
+      const value = await response.body.json();
+      const parsed = call.schema.safeParse(value);
+      if (parsed.success) return Ok(parsed.data);
+      return Err(
+        new AttemptError(
+          AttemptFailure.PROTOCOL,
+          `${call.method} ${call.path}: status ${response.statusCode}, ` +
+            parsed.error.issues.map(issue => issue.message).join('; '),
+        ),
+      );
+    } catch (error) {
+      return Err(toAttemptError(error));
+    } finally {
+      void pool.destroy();
+    }
+  }
+
+  private createPool(connections = this.options.maximumConnections): Pool {
+    return new Pool(this.options.url, {
+      connections,
+      pipelining: 1,
+      keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
+      keepAliveMaxTimeout: KEEP_ALIVE_MILLISECONDS,
+      connect: {timeout: this.options.connectTimeoutMilliseconds},
+    });
+  }
+}
+
+function attemptHeaders(
+  request: AttemptRequest,
+  extra: Readonly<Record<string, string>>,
+): Record<string, string> {
+  const headers: Record<string, string> = {
+    [ATTEMPT_HEADER]: request.attemptId,
+    'x-request-id': request.requestId,
+    'x-priority': String(request.priority),
+    ...extra,
+  };
+  if (request.contentType) headers['content-type'] = request.contentType;
+  return headers;
+}
+
+function checkAnswer(
+  request: AttemptRequest,
+  response: Dispatcher.ResponseData,
+): Result<UpstreamAnswer, AttemptError> {
+  const body = new HttpAnswerBody(response.body);
+  const echoed = response.headers[ATTEMPT_HEADER];
+  if (echoed !== undefined && echoed !== request.attemptId) {
+    body.cancel();
+    return Err(
+      new AttemptError(
+        AttemptFailure.PROTOCOL,
+        `the answer belongs to attempt ${String(echoed)}`,
+      ),
+    );
+  }
+  return Ok({
+    status: response.statusCode,
+    contentType: String(
+      response.headers['content-type'] ?? 'application/octet-stream',
+    ),
+    isLeaving: response.headers[LEAVING_HEADER] !== undefined,
+    body,
+  });
+}
+
+/** Reads the body of an undici response; its length is checked by undici. */
+class HttpAnswerBody implements AnswerBody {
+  private readonly pieces: AsyncIterator<Uint8Array>;
+
+  constructor(private readonly body: Dispatcher.ResponseData['body']) {
+    body.on('error', () => {});
+    this.pieces = body[Symbol.asyncIterator]();
+  }
+
+  async read(): Promise<Result<Uint8Array | undefined, AttemptError>> {
+    try {
+      const piece = await this.pieces.next();
+      return Ok(piece.done ? undefined : piece.value);
+    } catch (error) {
+      return Err(toAttemptError(error));
+    }
+  }
+
+  cancel(): void {
+    this.body.destroy();
+  }
+}
+
+function toAttemptError(error: unknown): AttemptError {
+  if (error instanceof AttemptError) return error;
+  const {code, name} = error as {code?: string; name?: string};
+  const isTimeout = name === 'TimeoutError';
+  const isAbort = name === 'AbortError';
+  const failure = isTimeout
+    ? AttemptFailure.SILENT
+    : isAbort
+      ? AttemptFailure.CANCELLED
+      : (FAILURE_BY_CODE[code ?? ''] ?? AttemptFailure.CLOSED);
+  return new AttemptError(failure, `${code ?? name}: ${String(error)}`);
+}
--- /dev/null
+++ b/packages/arbutustide-upstream/src/http_engine.ts
@@ -0,0 +1,128 @@
+import type {Result} from 'ts-results';
+
+import type {AttemptRequest, AttemptResult} from './attempt.js';
+import type {AttemptError} from './attempt_error.js';
+import type {
+  CacheEvent,
+  Engine,
+  EngineOrder,
+  EngineReport,
+  OrderAnswer,
+} from './engine.js';
+import type {HttpConnectionOptions} from './http_connection.js';
+
+import {z} from 'zod';
+
+import {AttemptState, OrderOutcome} from './engine.js';
+import {HttpConnection} from './http_connection.js';
+
+const reportSchema = z.object({
+  engineStart: z.string(),
+  memoryBytes: z.number(),
+  acceleratorCount: z.number(),
+  resident: z.array(
+    z.object({
+      item: z.string(),
+      memoryBytes: z.number(),
+      isDraining: z.boolean(),
+    }),
+  ),
+  inFlight: z.number(),
+  queued: z.number(),
+  isLeaving: z.boolean(),
+});
+
+const orderAnswerSchema = z.object({
+  orderId: z.string(),
+  outcome: z.enum(OrderOutcome),
+  engineStart: z.string(),
+  reason: z.string().optional(),
+});
+
+const cacheEventsSchema = z.object({
+  events: z.array(
+    z.object({
+      sequence: z.number(),
+      isStored: z.boolean(),
+      item: z.string(),
+      prefixDigest: z.string(),
+    }),
+  ),
+});
+
+const attemptStateSchema = z.object({state: z.enum(AttemptState)});
+
+/** An engine over HTTP; the protocol is in docs/INTERFACES.md. */
+export class HttpEngine implements Engine {
+  private readonly connection: HttpConnection;
+
+  constructor(options: HttpConnectionOptions) {
+    this.connection = new HttpConnection(options);
+  }
+
+  attempt(request: AttemptRequest): AttemptResult {
+    return this.connection.attempt(request, {});
+  }
+
+  resume(request: AttemptRequest, lastEventId: string): AttemptResult {
+    const resumed: AttemptRequest = {
+      ...request,
+      method: 'GET',
+      path: `/v1/attempts/${request.attemptId}/stream`,
+      body: undefined,
+      contentType: undefined,
+    };
+    return this.connection.attempt(resumed, {'last-event-id': lastEventId});
+  }
+
+  async attemptState(
+    attemptId: string,
+  ): Promise<Result<AttemptState, AttemptError>> {
+    const answer = await this.connection.call({
+      method: 'GET',
+      path: `/v1/attempts/${attemptId}`,
+      schema: attemptStateSchema,
+    });
+    return answer.map(({state}) => state);
+  }
+
+  order(
+    order: EngineOrder,
+    timeoutMilliseconds: number,
+  ): Promise<Result<OrderAnswer, AttemptError>> {
+    return this.connection.call({
+      method: 'POST',
+      path: '/orders',
+      schema: orderAnswerSchema,
+      body: order,
+      timeoutMilliseconds,
+    });
+  }
+
+  report(): Promise<Result<EngineReport, AttemptError>> {
+    return this.connection.call({
+      method: 'GET',
+      path: '/report',
+      schema: reportSchema,
+    });
+  }
+
+  async cacheEvents(
+    afterSequence: number,
+  ): Promise<Result<readonly CacheEvent[], AttemptError>> {
+    const answer = await this.connection.call({
+      method: 'GET',
+      path: `/cache-events?after=${afterSequence}`,
+      schema: cacheEventsSchema,
+    });
+    return answer.map(({events}) => events);
+  }
+
+  renewConnections(): void {
+    this.connection.renew();
+  }
+
+  close(): Promise<void> {
+    return this.connection.close();
+  }
+}
--- /dev/null
+++ b/packages/arbutustide-upstream/src/http_host_list.ts
@@ -0,0 +1,48 @@
+import type {Result} from 'ts-results';
+
+import type {AttemptError} from './attempt_error.js';
+import type {HttpConnectionOptions} from './http_connection.js';
+import type {HostList, PlatformHost} from './platform_host.js';
+
+import {z} from 'zod';
+
+import {HttpConnection} from './http_connection.js';
+import {HostKind, HostState} from './platform_host.js';
+
+const hostsSchema = z.object({
+  hosts: z.array(
+    z.object({
+      id: z.string(),
+      kind: z.enum(HostKind),
+      url: z.string(),
+      region: z.string(),
+      failureDomain: z.string(),
+      state: z.enum(HostState),
+      group: z.string().optional(),
+      checksFencing: z.boolean().default(false),
+    }),
+  ),
+});
+
+/** The platform's host list over HTTP. */
+export class HttpHostList implements HostList {
+  private readonly connection: HttpConnection;
+
+  constructor(options: HttpConnectionOptions) {
+    this.connection = new HttpConnection(options);
+  }
+
+  async hosts(): Promise<Result<readonly PlatformHost[], AttemptError>> {
+    const answer = await this.connection.call({
+      method: 'GET',
+      path: '/hosts',
+      schema: hostsSchema,
+    });
+    return answer.map(({hosts}) => hosts);
+  }
+
+  /** Closes the connections to the host list. */
+  close(): Promise<void> {
+    return this.connection.close();
+  }
+}
--- /dev/null
+++ b/packages/arbutustide-upstream/src/index.ts
@@ -0,0 +1,26 @@
+/** Engines, plain services and the host list behind narrow interfaces. */
+export type {
+  AnswerBody,
+  AttemptRequest,
+  AttemptResult,
+  UpstreamAnswer,
+} from './attempt.js';
+export type {
+  CacheEvent,
+  Engine,
+  EngineOrder,
+  EngineReport,
+  OrderAnswer,
+  ResidentItem,
+} from './engine.js';
+export type {HttpConnectionOptions} from './http_connection.js';
+export type {PlainService, ServiceReport} from './plain_service.js';
+export type {HostList, PlatformHost} from './platform_host.js';
+
+export {AttemptError, AttemptFailure} from './attempt_error.js';
+export {AttemptState, OrderKind, OrderOutcome} from './engine.js';
+export {ATTEMPT_HEADER, LEAVING_HEADER} from './http_connection.js';
+export {HttpEngine} from './http_engine.js';
+export {HttpHostList} from './http_host_list.js';
+export {HttpPlainService} from './http_plain_service.js';
+export {HostKind, HostState} from './platform_host.js';
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,56 @@
+// Bundles the programs into dist/ and makes the single executable.
+import {execFileSync} from 'node:child_process';
+import {chmodSync, copyFileSync, mkdirSync, writeFileSync} from 'node:fs';
+
+import {build} from 'esbuild';
+
+const BUNDLES = {
+  arbutustide: 'packages/arbutustide-cli/src/main.ts',
+  stand_ins: 'packages/arbutustide-stand-ins/src/main.ts',
+  demo: 'packages/arbutustide-scenarios/src/demo_main.ts',
+  bench: 'packages/arbutustide-scenarios/src/bench_main.ts',
+  soak: 'packages/arbutustide-scenarios/src/soak_main.ts',
+};
+const BINARY = 'dist/arbutustide';
+const SEA_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
+
+mkdirSync('dist', {recursive: true});
+await build({
+  entryPoints: BUNDLES,
+  outdir: 'dist',
+  outExtension: {'.js': '.cjs'},
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  mainFields: ['module', 'main'],
+  external: ['dtrace-provider', 'mv', 'source-map-support'],
+  legalComments: 'none',
+  logLevel: 'warning',
+});
+if (!process.argv.includes('--bundles-only')) makeBinary();
+
+function makeBinary() {
+  writeFileSync(
+    'dist/sea.json',
+    JSON.stringify({
+      main: 'dist/arbutustide.cjs',
+      output: 'dist/sea.blob',
+      disableExperimentalSEAWarning: true,
+    }),
+  );
+  execFileSync(process.execPath, [
+    '--experimental-sea-config',
+    'dist/sea.json',
+  ]);
+  copyFileSync(process.execPath, BINARY);
+  chmodSync(BINARY, 0o755);
+  execFileSync('node_modules/.bin/postject', [
+    BINARY,
+    'NODE_SEA_BLOB',
+    'dist/sea.blob',
+    '--sentinel-fuse',
+    SEA_FUSE,
+  ]);
+  process.stdout.write(`${BINARY}\n`);
+}
--- /dev/null
+++ b/scripts/run_tests.mjs
@@ -0,0 +1,60 @@
+// Runs every check and ends with one line that counts them.
+import {spawnSync} from 'node:child_process';
+import {existsSync, readFileSync} from 'node:fs';
+
+const KNOWN_RED_FILE = 'KNOWN-RED.txt';
+
+/** Titles of tests that are red for a known fault, one entry each. */
+function knownRedTitles() {
+  if (!existsSync(KNOWN_RED_FILE)) return [];
+  return readFileSync(KNOWN_RED_FILE, 'utf8')
+    .split('\n')
+    .filter(line => line.startsWith('test: '))
+    .map(line => line.slice('test: '.length).trim());
+}
+
+function runCheck(name, command, ...parameters) {
+  const {status} = spawnSync(command, parameters, {stdio: 'inherit'});
+  return {name, isPassed: status === 0};
+}
+
+function runMocha() {
+  const {stdout} = spawnSync(
+    'node_modules/.bin/mocha',
+    ['--reporter', 'json', ...process.argv.slice(2)],
+    {
+      encoding: 'utf8',
+      maxBuffer: 64 * 1024 * 1024,
+      stdio: ['ignore', 'pipe', 'inherit'],
+    },
+  );
+  const report = JSON.parse(stdout.slice(stdout.indexOf('{\n  "stats"')));
+  return {
+    passes: report.passes.map(test => test.fullTitle),
+    failures: report.failures.map(test => ({
+      title: test.fullTitle,
+      message: test.err.stack ?? test.err.message,
+    })),
+  };
+}
+
+const checks = [
+  runCheck('types', 'node_modules/.bin/tsc', '-p', 'tsconfig.json'),
+  runCheck('lint', 'node_modules/.bin/eslint', 'packages', 'scripts'),
+];
+const tests = runMocha();
+const knownRed = knownRedTitles();
+const isKnown = ({title}) => knownRed.includes(title);
+for (const {title, message} of tests.failures) {
+  process.stdout.write(`FAILED ${title}\n${message}\n\n`);
+}
+for (const failure of tests.failures.filter(isKnown)) {
+  process.stdout.write(`known red: ${failure.title}\n`);
+}
+const failedChecks = checks.filter(({isPassed}) => !isPassed);
+for (const {name} of failedChecks) process.stdout.write(`FAILED ${name}\n`);
+const newFailures = tests.failures.filter(failure => !isKnown(failure));
+const passed = tests.passes.length + checks.length - failedChecks.length;
+const failed = newFailures.length + failedChecks.length;
+process.stdout.write(`${passed} passed, ${failed} failed\n`);
+process.exit(failed === 0 && passed > checks.length ? 0 : 1);
