--- a/packages/arbutustide-catalogue/src/catalogue_revision.ts
+++ b/packages/arbutustide-catalogue/src/catalogue_revision.ts
@@ -5,6 +5,8 @@
   RequestClass,
 } from './catalogue_schema.js';
 
+import {itemName} from './entry_rules.js';
+
 import type {EntryKind} from './entry_kind.js';
 
 /** One accepted catalogue, indexed for look-ups. Immutable. */
@@ -38,6 +40,11 @@
     return this.entriesByName.get(name);
   }
 
+  /** Name under which engines hold the current version of an entry. */
+  itemName(entry: CatalogueEntry): string {
+    return itemName(entry, this.entry(entry.base ?? ''));
+  }
+
   /** The class of this name; validation guarantees that entries' exist. */
   requestClass(name: string): RequestClass | undefined {
     return this.classesByName.get(name);
--- a/packages/arbutustide-catalogue/src/entry_rules.ts
+++ b/packages/arbutustide-catalogue/src/entry_rules.ts
@@ -22,7 +22,19 @@
   return (entry.idempotencyKey ?? KeyPolicy.REQUIRED) === KeyPolicy.REQUIRED;
 }
 
-/** Name under which an engine holds one version of an entry. */
-export function itemName(entry: CatalogueEntry): string {
-  return `${entry.name}@${entry.version}`;
+/**
+ * Name under which an engine holds one version of an entry. An adapter is held
+ * for one version of its base model.
+ */
+export function itemName(
+  entry: CatalogueEntry,
+  base: CatalogueEntry | undefined,
+): string {
+  const own = `${entry.name}@${entry.version}`;
+  return base === undefined ? own : `${own}-${base.version}`;
+}
+
+/** Name of the entry an item belongs to. */
+export function entryNameOf(item: string): string {
+  return item.slice(0, item.lastIndexOf('@'));
 }
--- a/packages/arbutustide-catalogue/src/index.ts
+++ b/packages/arbutustide-catalogue/src/index.ts
@@ -27,7 +27,7 @@
 export {CatalogueSync} from './catalogue_sync.js';
 export {ChangeKind, differences} from './difference.js';
 export {EntryKind, KeyPolicy} from './entry_kind.js';
-export {isIdempotent, isKeyRequired, itemName} from './entry_rules.js';
+export {entryNameOf, isIdempotent, isKeyRequired} from './entry_rules.js';
 export {
   contentDigest,
   contentKey,
--- a/packages/arbutustide-cli/src/status_commands.ts
+++ b/packages/arbutustide-cli/src/status_commands.ts
@@ -5,7 +5,7 @@
 import type {OutputRow} from './output.js';
 import type {PlatformOptions} from './platform_access.js';
 
-import {CatalogueStore, EntryKind, itemName} from '@arbutustide/catalogue';
+import {CatalogueStore, EntryKind} from '@arbutustide/catalogue';
 import {NodeState} from '@arbutustide/membership';
 import {
   committedBytes,
@@ -78,7 +78,8 @@
     await explainAtNode(entryName, options.node, options);
     return;
   }
-  const entry = await readEntry(entryName, options);
+  const found = await readEntry(entryName, options);
+  const {entry} = found;
   if (entry.kind === EntryKind.SERVICE) {
     const hosts = await readHosts(options);
     const rows = hosts
@@ -90,7 +91,7 @@
     return;
   }
   const workers = await readWorkers(options);
-  const rows = workers.flatMap(worker => replicaRows(worker, entry));
+  const rows = workers.flatMap(worker => replicaRows(worker, found));
   printRows(rows, options.output);
 }
 
@@ -111,10 +112,16 @@
   printRows(rows, options.output);
 }
 
+/** An entry with the item by which engines hold its current version. */
+interface FoundEntry {
+  readonly entry: CatalogueEntry;
+  readonly currentItem: string;
+}
+
 async function readEntry(
   entryName: string,
   options: PlatformOptions,
-): Promise<CatalogueEntry> {
+): Promise<FoundEntry> {
   const catalogueStore = new CatalogueStore(openStore(options));
   const snapshot = await catalogueStore.readHead();
   if (!snapshot.ok) throw storeFailure(snapshot.val);
@@ -122,7 +129,7 @@
   if (!revision.ok) throw storeFailure(revision.val);
   const entry = revision.val.entry(entryName);
   if (!entry) throw noEntry(entryName);
-  return entry;
+  return {entry, currentItem: revision.val.itemName(entry)};
 }
 
 async function readWorkers(options: PlatformOptions): Promise<StoredWorker[]> {
@@ -143,7 +150,7 @@
   };
 }
 
-function replicaRows({record}: StoredWorker, entry: CatalogueEntry) {
+function replicaRows({record}: StoredWorker, {entry, currentItem}: FoundEntry) {
   const prefix = `${entry.name}@`;
   const resident = record.items
     .filter(({item}) => item.startsWith(prefix))
@@ -155,7 +162,7 @@
     worker: record.upstreamId,
     failureDomain: record.failureDomain,
     item,
-    current: item === itemName(entry),
+    current: item === currentItem,
     state,
   }));
 }
--- a/packages/arbutustide-node/src/caller_routes.ts
+++ b/packages/arbutustide-node/src/caller_routes.ts
@@ -137,6 +137,7 @@
     requestId: request.requestId,
     caller: caller.name,
     entry,
+    item: catalogue.itemName(entry),
     requestClass,
     method,
     idempotencyKey,
--- a/packages/arbutustide-node/src/explain_entry.ts
+++ b/packages/arbutustide-node/src/explain_entry.ts
@@ -30,8 +30,9 @@
   settings: Settings,
 ): EntryExplanation {
   const {routing, node} = settings;
+  const item = core.holder.current?.itemName(entry) ?? '';
   const peerLoad = (upstreamId: string) => core.view.peerLoad(upstreamId);
-  const replicas = core.directory.readyReplicas(entry).map(replica => ({
+  const replicas = core.directory.readyReplicas(entry, item).map(replica => ({
     upstream: replica.upstream.id,
     item: replica.item,
     failureDomain: replica.upstream.failureDomain,
--- a/packages/arbutustide-node/src/wiring.ts
+++ b/packages/arbutustide-node/src/wiring.ts
@@ -231,8 +231,10 @@
     upstreamConcurrency: routing.upstreamConcurrency,
     adapterConcurrency: routing.adapterConcurrency,
     initialServiceMilliseconds: routing.initialServiceMilliseconds,
-    replicaCount: (entry: CatalogueEntry) =>
-      directory.readyReplicas(entry).length,
+    replicaCount: (entry: CatalogueEntry) => {
+      const item = holder.current?.itemName(entry) ?? '';
+      return directory.readyReplicas(entry, item).length;
+    },
     peerDemand: {
       entry: peerRequests,
       adapters: () =>
--- a/packages/arbutustide-placement/src/placement_plan.ts
+++ b/packages/arbutustide-placement/src/placement_plan.ts
@@ -3,7 +3,7 @@
 import type {ModelState, WorkerState} from './plan_state.js';
 import type {PlannableWorker, PlannedOrder, PlanInput} from './plan_types.js';
 
-import {EntryKind, itemName} from '@arbutustide/catalogue';
+import {EntryKind, entryNameOf} from '@arbutustide/catalogue';
 import {OrderKind} from '@arbutustide/upstream';
 
 import {freeBytes, hasIntent, isHeld} from './ledger.js';
@@ -58,8 +58,7 @@
   private *unloadRemoved(): Generator<PlannedOrder> {
     for (const {worker} of this.workers) {
       for (const {item} of worker.record.items) {
-        const name = item.slice(0, item.lastIndexOf('@'));
-        if (this.input.catalogue.entry(name)) continue;
+        if (this.input.catalogue.entry(entryNameOf(item))) continue;
         yield* this.unload(worker, item, PlanReason.REMOVED);
       }
     }
@@ -88,24 +87,37 @@
   private *replaceVersions(): Generator<PlannedOrder> {
     for (const model of this.models) {
       if (model.otherVersions.length === 0) continue;
-      const wanted = model.entry.minimumReplicas;
-      if (replicaCount(model) < wanted) {
-        const added = [...this.addReplica(model, PlanReason.VERSION)];
-        yield* added;
-        const remaining = model.otherVersions.length + model.holders.length;
-        const isStuck = added.length === 0 && model.arriving.length === 0;
-        if (isStuck && remaining > 1) {
-          yield* this.unloadOtherVersions(
-            model.otherVersions.slice(0, 1),
-            model,
-          );
-        }
-      } else if (model.holders.length >= wanted) {
+      if (replicaCount(model) < model.entry.minimumReplicas) {
+        yield* this.loadNewVersion(model);
+      } else if (this.isComplete(model)) {
         yield* this.unloadOtherVersions(model.otherVersions, model);
       }
     }
   }
 
+  private *loadNewVersion(model: ModelState): Generator<PlannedOrder> {
+    const added = [...this.addReplica(model, PlanReason.VERSION)];
+    yield* added;
+    const remaining = model.otherVersions.length + model.holders.length;
+    const isWaiting = added.length > 0 || model.arriving.length > 0;
+    if (isWaiting || remaining < 2 || this.isRoomComing(model)) return;
+    yield* this.unloadOtherVersions(model.otherVersions.slice(0, 1), model);
+  }
+
+  /** Whether the current version and its adapters have their replicas. */
+  private isComplete(model: ModelState): boolean {
+    const wanted = model.entry.minimumReplicas;
+    if (model.holders.length < wanted) return false;
+    const adapters = this.input.catalogue.adaptersOf(model.entry.name);
+    return adapters.every(adapter => {
+      const item = this.input.catalogue.itemName(adapter);
+      const holders = model.holders.filter(({worker}) =>
+        isHeld(worker.record, item),
+      );
+      return holders.length >= wanted;
+    });
+  }
+
   private *unloadOtherVersions(
     states: readonly WorkerState[],
     model: ModelState,
@@ -119,14 +131,17 @@
     }
   }
 
-  /** Loads every adapter wherever its model is. */
+  /** Loads every adapter wherever its model is, and unloads it elsewhere. */
   private *loadAdapters(): Generator<PlannedOrder> {
     for (const model of this.models) {
       const adapters = this.input.catalogue.adaptersOf(model.entry.name);
       for (const adapter of adapters) {
-        for (const state of [...model.holders, ...model.otherVersions]) {
+        for (const state of model.holders) {
           yield* this.loadAdapter(adapter, state, model);
         }
+        for (const {worker} of this.workers) {
+          yield* this.unloadOldAdapters(adapter, worker, model);
+        }
       }
     }
   }
@@ -137,27 +152,34 @@
     model: ModelState,
   ): Generator<PlannedOrder> {
     const {record} = state.worker;
-    const item = itemName(adapter);
-    if (isHeld(record, item)) {
-      yield* this.unloadOldAdapters(adapter, state.worker);
-      return;
-    }
+    const item = this.input.catalogue.itemName(adapter);
+    if (isHeld(record, item)) return;
     if (hasIntent(record, OrderKind.LOAD, item)) return;
-    const baseItem = record.items.find(({item: held}) =>
-      held.startsWith(`${model.entry.name}@`),
-    )?.item;
     if (state.freeBytes < adapter.memoryBytes) return;
     state.reservedBytes -= adapter.memoryBytes;
-    yield* this.load(state, adapter, PlanReason.ADAPTER, baseItem);
+    yield* this.load(state, adapter, PlanReason.ADAPTER, model.item);
   }
 
+  /**
+   * Unloads an adapter's old items once its model is current everywhere, and
+   * any item of it on a worker that no longer holds the model.
+   */
   private *unloadOldAdapters(
     adapter: CatalogueEntry,
     worker: PlannableWorker,
+    model: ModelState,
   ): Generator<PlannedOrder> {
-    const current = itemName(adapter);
-    for (const {item} of worker.record.items) {
-      if (item === current || !item.startsWith(`${adapter.name}@`)) continue;
+    const {items} = worker.record;
+    const current = this.input.catalogue.itemName(adapter);
+    const hasModel = items.some(
+      ({item}) => entryNameOf(item) === model.entry.name,
+    );
+    const isReplaced =
+      model.otherVersions.length === 0 && this.isComplete(model);
+    for (const {item} of items) {
+      if (entryNameOf(item) !== adapter.name) continue;
+      const isOld = item !== current && isReplaced;
+      if (!isOld && hasModel) continue;
       yield* this.unload(worker, item, PlanReason.VERSION);
     }
   }
@@ -194,6 +216,7 @@
   }
 
   private *makeRoomForDemand(model: ModelState): Generator<PlannedOrder> {
+    if (this.isRoomComing(model)) return;
     const gain = Math.min(this.unserved(model), this.input.replicaConcurrency);
     for (const state of this.workersWithout(model)) {
       const victims = this.victims(state, model, victim =>
@@ -239,6 +262,7 @@
       yield* this.loadModel(state, model, reason);
       return;
     }
+    if (this.isRoomComing(model)) return;
     for (const candidate of this.workersWithout(model)) {
       const victims = this.victims(candidate, model, victim => {
         const kept = protectedReplicas ?? victim.entry.minimumReplicas;
@@ -280,13 +304,28 @@
     for (const victim of victims) {
       const adapters = this.input.catalogue.adaptersOf(victim.entry.name);
       for (const adapter of adapters) {
-        yield* this.unload(state.worker, itemName(adapter), PlanReason.ROOM);
+        yield* this.unload(
+          state.worker,
+          this.input.catalogue.itemName(adapter),
+          PlanReason.ROOM,
+        );
       }
       yield* this.unload(state.worker, victim.item, PlanReason.ROOM);
       victim.holders.splice(victim.holders.indexOf(state), 1);
     }
   }
 
+  /** Whether unloads under way make room for a model on some worker. */
+  private isRoomComing(model: ModelState): boolean {
+    return this.workersWithout(model).some(state => {
+      const {intents} = state.worker.record;
+      const leaving = intents.filter(({kind}) => kind === OrderKind.UNLOAD);
+      const coming = leaving.reduce((sum, item) => sum + item.memoryBytes, 0);
+      if (coming === 0) return false;
+      return availableBytes(state) + coming >= model.footprintBytes;
+    });
+  }
+
   /** The worker with most room for a model, a new failure domain first. */
   private roomiest(model: ModelState): WorkerState | undefined {
     const domains = domainsOf(model);
@@ -330,7 +369,7 @@
     yield {
       upstreamId: state.worker.record.upstreamId,
       kind: OrderKind.LOAD,
-      item: itemName(entry),
+      item: this.input.catalogue.itemName(entry),
       memoryBytes: entry.memoryBytes,
       baseItem,
       reason,
--- a/packages/arbutustide-placement/src/plan_state.ts
+++ b/packages/arbutustide-placement/src/plan_state.ts
@@ -2,7 +2,6 @@
 
 import type {PlanInput, PlannableWorker} from './plan_types.js';
 
-import {itemName} from '@arbutustide/catalogue';
 import {OrderKind} from '@arbutustide/upstream';
 
 import {hasIntent, isHeld} from './ledger.js';
@@ -36,7 +35,7 @@
   workers: readonly WorkerState[],
   input: PlanInput,
 ): ModelState {
-  const item = itemName(entry);
+  const item = input.catalogue.itemName(entry);
   const prefix = `${entry.name}@`;
   const adapters = input.catalogue.adaptersOf(entry.name);
   const holders: WorkerState[] = [];
@@ -73,15 +72,10 @@
   catalogue: CatalogueRevision,
 ): void {
   const adapters = catalogue.adaptersOf(model.entry.name);
-  const states = new Set([
-    ...model.holders,
-    ...model.arriving,
-    ...model.otherVersions,
-  ]);
-  for (const state of states) {
+  for (const state of [...model.holders, ...model.arriving]) {
     const {record} = state.worker;
     for (const adapter of adapters) {
-      const item = itemName(adapter);
+      const item = catalogue.itemName(adapter);
       if (isHeld(record, item)) continue;
       if (hasIntent(record, OrderKind.LOAD, item)) continue;
       state.reservedBytes += adapter.memoryBytes;
--- a/packages/arbutustide-routing/src/caller_request.ts
+++ b/packages/arbutustide-routing/src/caller_request.ts
@@ -6,6 +6,8 @@
   /** Name of the caller; also the tenant in metrics. */
   readonly caller: string;
   readonly entry: CatalogueEntry;
+  /** The entry's item in the catalogue's version, as engines name it. */
+  readonly item: string;
   readonly requestClass: RequestClass;
   readonly method: string;
   /** Path and query at the upstream. */
--- a/packages/arbutustide-routing/src/dispatcher.ts
+++ b/packages/arbutustide-routing/src/dispatcher.ts
@@ -211,7 +211,10 @@
   ): Promise<Result<Replica, RefusalError>> {
     const {request, fingerprint} = progress;
     for (;;) {
-      const ready = this.directory.readyReplicas(request.entry);
+      const ready = this.directory.readyReplicas(
+        request.entry,
+        request.item,
+      );
       if (ready.length === 0) return Err(noReplicaRefusal(progress));
       if (!this.suspects.isSuspect(fingerprint)) {
         return Ok(this.choose(ready, progress));
--- a/packages/arbutustide-routing/src/upstream_directory.ts
+++ b/packages/arbutustide-routing/src/upstream_directory.ts
@@ -3,7 +3,7 @@
 
 import type {Upstream, UpstreamObservation} from './upstream.js';
 
-import {EntryKind, itemName} from '@arbutustide/catalogue';
+import {EntryKind, entryNameOf} from '@arbutustide/catalogue';
 import {HostKind, HostState} from '@arbutustide/upstream';
 
 /** How long an upstream that refused a connection is avoided. */
@@ -96,11 +96,13 @@
    * Replicas of an entry that take new work. Those of the catalogue's version
    * are returned if there are any, otherwise those of another version, so that
    * the entry stays reachable while its version changes.
+   *
+   * @param currentItem the entry's item in the catalogue's version.
    */
-  readyReplicas(entry: CatalogueEntry): Replica[] {
+  readyReplicas(entry: CatalogueEntry, currentItem: string): Replica[] {
     const open = this.replicas(entry).filter(({upstream}) => isOpen(upstream));
     const current = open.filter(
-      ({item}) => item === undefined || item === itemName(entry),
+      ({item}) => item === undefined || item === currentItem,
     );
     const usable = current.length > 0 ? current : open;
     const now = performance.now();
@@ -138,8 +140,7 @@
         });
       }
       for (const item of upstream.observation?.residentItems ?? []) {
-        const entryName = item.slice(0, item.lastIndexOf('@'));
-        append(this.replicasByEntry, entryName, {upstream, item});
+        append(this.replicasByEntry, entryNameOf(item), {upstream, item});
       }
     }
   }
--- /dev/null
+++ b/packages/arbutustide-scenarios/src/faults_main.ts
@@ -0,0 +1,117 @@
+import type {Cell, CellResult} from './matrix/run_cell.js';
+
+import {once} from 'node:events';
+import {availableParallelism} from 'node:os';
+import {
+  isMainThread,
+  parentPort,
+  Worker,
+  workerData,
+} from 'node:worker_threads';
+
+import {Command} from 'commander';
+
+import {faultPairs, singleFaults} from './matrix/matrix.js';
+import {cellName, runCell} from './matrix/run_cell.js';
+
+const DEFAULT_SEED = '1';
+const DEFAULT_PAIRS = '150';
+
+interface FaultsOptions {
+  readonly seed: string;
+  readonly pairs?: string | boolean;
+  readonly only?: string;
+}
+
+interface WorkerJob {
+  readonly cells: readonly Cell[];
+  readonly seed: number;
+}
+
+async function main(): Promise<void> {
+  const program = new Command('faults')
+    .description('Runs every fault at every step and judges each cell.')
+    .option('--seed <number>', 'repeats a run', DEFAULT_SEED)
+    .option('--pairs [count]', 'two faults together, drawn by the seed')
+    .option('--only <text>', 'cells whose name contains this')
+    .parse();
+  const options = program.opts<FaultsOptions>();
+  const seed = Number(options.seed);
+  const {possible, impossible} = singleFaults();
+  const pairs = Number(options.pairs === true ? DEFAULT_PAIRS : options.pairs);
+  const all = options.pairs ? faultPairs(pairs, seed) : possible;
+  const cells = all.filter(cell => cellName(cell).includes(options.only ?? ''));
+  const results = await runInWorkers(cells, seed);
+  process.exitCode = report(results, seed);
+  if (options.pairs) return;
+  for (const {cell, reason} of impossible) {
+    print(`not possible ${cellName(cell)}: ${reason}`);
+  }
+  print(`cells not possible: ${impossible.length}`);
+}
+
+async function runInWorkers(
+  cells: readonly Cell[],
+  seed: number,
+): Promise<CellResult[]> {
+  const workers = Math.max(1, availableParallelism() - 1);
+  const shares = Array.from({length: workers}, (_empty, index) =>
+    cells.filter((_cell, position) => position % workers === index),
+  );
+  const results = await Promise.all(shares.map(share => runShare(share, seed)));
+  return results.flat();
+}
+
+async function runShare(
+  cells: readonly Cell[],
+  seed: number,
+): Promise<CellResult[]> {
+  const results: CellResult[] = [];
+  const job: WorkerJob = {cells, seed};
+  const worker = new Worker(__filename, {workerData: job});
+  worker.on('message', (result: CellResult) => results.push(result));
+  await once(worker, 'exit');
+  return results;
+}
+
+async function work({cells, seed}: WorkerJob): Promise<void> {
+  for (const cell of cells) {
+    parentPort?.postMessage(await runCell(cell, seed));
+  }
+}
+
+function report(results: readonly CellResult[], seed: number): number {
+  const failed = results.filter(isFailed);
+  for (const {cell, fired, violations} of failed) {
+    print(`FAILED ${cellName(cell)} (seed ${seed})`);
+    if (fired === 0) print('  its step was not reached');
+    for (const {invariant, evidence} of violations) {
+      print(`  ${invariant}: ${evidence}`);
+    }
+  }
+  const passed = results.length - failed.length;
+  const partly = results.filter(
+    ({cell, fired}) => fired > 0 && fired < cell.faults.length,
+  );
+  if (partly.length > 0) {
+    print(
+      `cells whose first fault kept the second from its step: ${partly.length}`,
+    );
+  }
+  print(`seed: ${seed}`);
+  print(`cells run: ${results.length}`);
+  print(`cells passed: ${passed}`);
+  return failed.length === 0 ? 0 : 1;
+}
+
+/** A cell proves something only if a fault of it happened. */
+function isFailed({fired, violations}: CellResult): boolean {
+  return fired === 0 || violations.length > 0;
+}
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+if (isMainThread) void main();
+else void work(workerData as WorkerJob);
--- /dev/null
+++ b/packages/arbutustide-scenarios/src/language/run_scenario.ts
@@ -0,0 +1,267 @@
+import type {CallerOutcome} from '../world/simulated_caller.js';
+import type {World} from '../world/world.js';
+import type {Scenario, Statement, StatementKinds} from './statements.js';
+
+import {CLAIM_PREFIX, claimSchema} from '@arbutustide/claims';
+import {invariant} from '@arbutustide/errors';
+import {CRASH_MARKER} from '@arbutustide/stand-ins';
+
+import {judge} from '../world/invariants.js';
+import {SimulatedProcess} from '../world/simulated_process.js';
+import {
+  createStandardWorld,
+  healAndProbe,
+  standardCatalogue,
+  warmUp,
+} from '../world/standard_world.js';
+import {NodeAction, RanExpectation, UpstreamAction} from './statements.js';
+
+const GIGABYTE = 1_000_000_000;
+
+/** A statement of a scenario that does not hold. */
+export class ScenarioFailure extends Error {
+  constructor(scenario: Scenario, statement: Statement, reason: string) {
+    super(`"${scenario.title}", line ${statement.line}: ${reason}`);
+    this.name = 'ScenarioFailure';
+  }
+}
+
+/** Runs a scenario to its end; throws at the first statement that fails. */
+export async function runScenario(scenario: Scenario): Promise<void> {
+  const run = new ScenarioRun();
+  try {
+    for (const statement of scenario.statements) {
+      await run.execute(scenario, statement);
+    }
+  } finally {
+    run.close();
+  }
+}
+
+type Handler<Kind extends keyof StatementKinds> = (
+  statement: StatementKinds[Kind],
+) => Promise<void> | void;
+
+type Handlers = {readonly [Kind in keyof StatementKinds]: Handler<Kind>};
+
+class ScenarioRun {
+  private currentWorld: World | undefined;
+  private readonly tries = new Map<string, CallerOutcome[]>();
+
+  private readonly handlers: Handlers = {
+    world: async ({seed}) => {
+      this.currentWorld = createStandardWorld(seed);
+      await warmUp(this.currentWorld);
+    },
+    engine: ({id, domain, gigabytes, checksFencing}) =>
+      this.world.addEngine(id, domain, {
+        memoryBytes: gigabytes * GIGABYTE,
+        checksFencing,
+      }),
+    pass: ({milliseconds}) => this.world.advance(milliseconds),
+    node: ({node, action}) => this.actOnNode(node, action),
+    upstream: ({upstream, action}) => this.actOnUpstream(upstream, action),
+    armed: ({step, fault}) => this.world.network.arm(step, fault),
+    store: ({state, milliseconds}) => {
+      const {network} = this.world;
+      if (state === 'down') network.storeDown(milliseconds);
+      else network.storeSlow(milliseconds);
+    },
+    cut: ({left, right}) => {
+      this.world.network.cut(left, right);
+      this.world.network.cut(right, left);
+    },
+    cutOneWay: ({from, to}) => this.world.network.cut(from, to),
+    heal: () => this.world.network.heal(),
+    ask: ({label, tokens, entry, node, isStream}) =>
+      this.send(label, node, {
+        entry,
+        content: label,
+        tokenCount: tokens,
+        isStream,
+      }),
+    record: ({label, node, hasOtherBody}) =>
+      this.send(label, node, {
+        entry: 'release',
+        content: hasOtherBody ? `${label}, changed` : label,
+        tokenCount: 0,
+        isStream: false,
+        idempotencyKey: label,
+      }),
+    crashing: ({label, entry, node}) =>
+      this.send(label, node, {
+        entry,
+        content: `${CRASH_MARKER} ${label}`,
+        tokenCount: 8,
+        isStream: false,
+      }),
+    apply: ({version}) => {
+      void this.world.apply(catalogueWithVersion(version));
+    },
+    race: ({versions}) => {
+      const base = this.world.acceptedRevision();
+      for (const version of versions) {
+        const operator = new SimulatedProcess(`operator-${version}`);
+        void this.world.apply(catalogueWithVersion(version), operator, base);
+      }
+    },
+    ran: ({label, ran}) => this.expectRan(label, ran),
+    ended: ({label, end, refusal}) => {
+      const outcome = this.lastTry(label);
+      const actual = `${outcome.end ?? 'unfinished'} ${outcome.refusal?.kind ?? ''}`;
+      expectThat(
+        outcome.end === end && outcome.refusal?.kind === refusal,
+        `${label} ended ${actual.trim()}`,
+      );
+    },
+    revision: ({revision}) => {
+      for (const {name, core} of this.world.liveNodes()) {
+        expectThat(
+          core.holder.revision === revision,
+          `${name} is at revision ${core.holder.revision}`,
+        );
+      }
+    },
+    conflict: () => {
+      const [first, second] = this.world.edits.slice(-2);
+      expectThat(
+        first?.isAccepted !== second?.isAccepted,
+        `the edits ended ${first?.isAccepted} and ${second?.isAccepted}`,
+      );
+    },
+    probe: () => healAndProbe(this.world),
+    judge: () => {
+      const violations = judge(this.world).map(
+        ({invariant: broken, evidence}) => `${broken}: ${evidence}`,
+      );
+      expectThat(violations.length === 0, violations.join('\n'));
+    },
+    replicas: ({entry, count}) => {
+      const holders = [...this.world.engines.values()].filter(
+        ({model, isUp}) =>
+          isUp &&
+          model
+            .report()
+            .resident.some(({item}) => item.startsWith(`${entry}@`)),
+      );
+      expectThat(holders.length >= count, `${entry} has ${holders.length}`);
+    },
+    noClaim: ({label}) => {
+      const stored = this.world.table.list(CLAIM_PREFIX);
+      const ids = this.triesOf(label).map(({request}) => request.requestId);
+      const claims = stored.unwrap().map(({value}) => claimSchema.parse(value));
+      expectThat(
+        !claims.some(({requestId}) => ids.includes(requestId)),
+        `${label} has a claim`,
+      );
+    },
+  };
+
+  /** Runs one statement. */
+  async execute(scenario: Scenario, statement: Statement): Promise<void> {
+    const handler = this.handlers[statement.kind] as Handler<
+      typeof statement.kind
+    >;
+    try {
+      await handler(statement as never);
+    } catch (error) {
+      throw new ScenarioFailure(
+        scenario,
+        statement,
+        error instanceof Error ? error.message : String(error),
+      );
+    }
+  }
+
+  /** Gives the real clock back. */
+  close(): void {
+    this.currentWorld?.close();
+  }
+
+  private get world(): World {
+    invariant(
+      this.currentWorld !== undefined,
+      'a scenario begins with "given the standard world"',
+    );
+    return this.currentWorld;
+  }
+
+  private send(
+    label: string,
+    node: string,
+    content: Omit<CallerOutcome['request'], 'requestId'>,
+  ): void {
+    const tries = this.tries.get(label) ?? [];
+    this.tries.set(label, tries);
+    const requestId = `${label}.${tries.length + 1}`;
+    tries.push(this.world.send(this.nodeName(node), {...content, requestId}));
+  }
+
+  private nodeName(name: string): string {
+    if (name !== 'planner') return name;
+    const planner = this.world.planner();
+    invariant(planner !== undefined, "no node holds the planner's lease");
+    return planner.name;
+  }
+
+  private actOnNode(name: string, action: NodeAction): void {
+    const node = this.world.node(this.nodeName(name));
+    const actions: Readonly<Record<NodeAction, () => void>> = {
+      [NodeAction.KILL]: () => node.process.kill(),
+      [NodeAction.FREEZE]: () => node.process.freeze(),
+      [NodeAction.THAW]: () => node.process.thaw(),
+      [NodeAction.STOP]: () => this.world.stopNode(node.name),
+      [NodeAction.START]: () => {
+        this.world.startNode(node.name, node.failureDomain);
+      },
+    };
+    actions[action]();
+  }
+
+  private actOnUpstream(upstream: string, action: UpstreamAction): void {
+    const actions: Readonly<Record<UpstreamAction, () => void>> = {
+      [UpstreamAction.CRASH]: () => this.world.crash(upstream),
+      [UpstreamAction.LEAVE]: () => this.world.leave(upstream),
+      [UpstreamAction.LIST]: () => this.world.listAsLeaving(upstream),
+    };
+    actions[action]();
+  }
+
+  private expectRan(label: string, ran: RanExpectation): void {
+    const ids = this.triesOf(label).map(({request}) => request.requestId);
+    const upstreams = [
+      ...[...this.world.services.values()].map(({model}) => model.calls),
+      ...[...this.world.engines.values()].map(({model}) => model.runs),
+    ];
+    const runs = upstreams
+      .flat()
+      .filter(({requestId}) => ids.includes(requestId)).length;
+    const allowed: Readonly<Record<RanExpectation, boolean>> = {
+      [RanExpectation.ONCE]: runs === 1,
+      [RanExpectation.AT_MOST_ONCE]: runs <= 1,
+      [RanExpectation.AT_MOST_TWICE]: runs <= 2,
+      [RanExpectation.NOT]: runs === 0,
+    };
+    expectThat(allowed[ran], `${label} ran ${runs} times`);
+  }
+
+  private triesOf(label: string): readonly CallerOutcome[] {
+    const tries = this.tries.get(label);
+    invariant(tries !== undefined, `nobody sent ${label}`);
+    return tries;
+  }
+
+  private lastTry(label: string): CallerOutcome {
+    const last = this.triesOf(label).at(-1);
+    invariant(last !== undefined, `nobody sent ${label}`);
+    return last;
+  }
+}
+
+function catalogueWithVersion(version: string): string {
+  return standardCatalogue({version, hasPowderAdapter: true});
+}
+
+function expectThat(holds: boolean, reason: string): void {
+  if (!holds) throw new Error(reason);
+}
--- /dev/null
+++ b/packages/arbutustide-scenarios/src/language/statements.ts
@@ -0,0 +1,100 @@
+import type {ErrorKind} from '@arbutustide/errors';
+
+import type {Fault, Step} from '../world/fault.js';
+import type {CallerEnd} from '../world/simulated_caller.js';
+
+/** Statements of the scenario language, as the parser returns them. */
+export interface StatementKinds {
+  readonly world: {readonly seed: number};
+  readonly engine: {
+    readonly id: string;
+    readonly domain: string;
+    readonly gigabytes: number;
+    readonly checksFencing: boolean;
+  };
+  readonly pass: {readonly milliseconds: number};
+  readonly node: {readonly node: string; readonly action: NodeAction};
+  readonly upstream: {
+    readonly upstream: string;
+    readonly action: UpstreamAction;
+  };
+  readonly armed: {readonly step: Step; readonly fault: Fault};
+  readonly store: {
+    readonly state: 'down' | 'slow';
+    readonly milliseconds: number;
+  };
+  readonly cut: {readonly left: string; readonly right: string};
+  readonly cutOneWay: {readonly from: string; readonly to: string};
+  readonly heal: object;
+  readonly ask: {
+    readonly label: string;
+    readonly tokens: number;
+    readonly entry: string;
+    readonly node: string;
+    readonly isStream: boolean;
+  };
+  readonly record: {
+    readonly label: string;
+    readonly node: string;
+    readonly hasOtherBody: boolean;
+  };
+  readonly crashing: {
+    readonly label: string;
+    readonly entry: string;
+    readonly node: string;
+  };
+  readonly apply: {readonly version: string};
+  readonly race: {readonly versions: readonly [string, string]};
+  readonly ran: {readonly label: string; readonly ran: RanExpectation};
+  readonly ended: {
+    readonly label: string;
+    readonly end: CallerEnd;
+    readonly refusal?: ErrorKind;
+  };
+  readonly revision: {readonly revision: number};
+  readonly conflict: object;
+  readonly probe: object;
+  readonly judge: object;
+  readonly replicas: {readonly entry: string; readonly count: number};
+  readonly noClaim: {readonly label: string};
+}
+
+/** What happens to a node. */
+export enum NodeAction {
+  KILL = 'is killed',
+  FREEZE = 'is frozen',
+  THAW = 'goes on',
+  STOP = 'is asked to stop',
+  START = 'starts again',
+}
+
+/** What happens to an upstream. */
+export enum UpstreamAction {
+  CRASH = 'crashes',
+  LEAVE = 'says that it leaves',
+  LIST = 'is listed as leaving',
+}
+
+/** How often a request is expected to have run. */
+export enum RanExpectation {
+  ONCE = 'ran once',
+  AT_MOST_ONCE = 'ran at most once',
+  AT_MOST_TWICE = 'ran at most twice',
+  NOT = 'did not run',
+}
+
+export type StatementKind = keyof StatementKinds;
+
+/** One statement with its kind and the line it stands on. */
+export type Statement = {
+  readonly [Kind in StatementKind]: StatementKinds[Kind] & {
+    readonly kind: Kind;
+    readonly line: number;
+  };
+}[StatementKind];
+
+/** A parsed scenario. */
+export interface Scenario {
+  readonly title: string;
+  readonly statements: readonly Statement[];
+}
--- /dev/null
+++ b/packages/arbutustide-scenarios/src/matrix/not_possible.ts
@@ -0,0 +1,53 @@
+import {Fault, Step} from '../world/fault.js';
+
+/** Steps that are pieces of one connection's byte stream. */
+const STREAM_STEPS = [Step.FIRST_BYTE, Step.MIDDLE, Step.END];
+/** Steps whose other end is the object API. */
+const STORE_STEPS = [
+  Step.CLAIM,
+  Step.OUTCOME,
+  Step.WRITE_CONTENT,
+  Step.WRITE_HEAD,
+  Step.READ_HEAD,
+  Step.LEASE,
+  Step.INTENT,
+  Step.SETTLE,
+];
+
+interface Exclusion {
+  readonly steps: readonly Step[];
+  readonly faults: readonly Fault[];
+  readonly reason: string;
+}
+
+const EXCLUSIONS: readonly Exclusion[] = [
+  {
+    steps: STREAM_STEPS,
+    faults: [Fault.LOST_REPLY, Fault.LATE, Fault.DUPLICATE],
+    reason:
+      'bytes of one connection are neither lost, repeated nor overtaken; ' +
+      'the connection goes silent or ends, which cut and crash cover',
+  },
+  {
+    steps: [Step.SEND],
+    faults: [Fault.DUPLICATE],
+    reason: 'the transport delivers the bytes of one connection once',
+  },
+  {
+    steps: STORE_STEPS,
+    faults: [Fault.CRASH],
+    reason: "the object API is the platform's; store_down is its outage",
+  },
+  {
+    steps: [Step.HOST_LIST],
+    faults: [Fault.CRASH],
+    reason: "the host list is the platform's; cut is its outage",
+  },
+];
+
+/** Why a cell cannot be, or undefined when it can. */
+export function whyNotPossible(step: Step, fault: Fault): string | undefined {
+  return EXCLUSIONS.find(
+    ({steps, faults}) => steps.includes(step) && faults.includes(fault),
+  )?.reason;
+}
--- /dev/null
+++ b/packages/arbutustide-scenarios/src/matrix/run_cell.ts
@@ -0,0 +1,107 @@
+import type {Violation} from '../world/invariants.js';
+import type {World} from '../world/world.js';
+
+import type {Fault, Step} from '../world/fault.js';
+import {judge} from '../world/invariants.js';
+import {PersistentCaller} from '../world/persistent_caller.js';
+import {
+  createStandardWorld,
+  healAndProbe,
+  standardCatalogue,
+  warmUp,
+} from '../world/standard_world.js';
+
+const NODE_NAMES = ['node-1', 'node-2', 'node-3'] as const;
+const FAULT_TIME_MILLISECONDS = 22_000;
+const CALLERS_APART_MILLISECONDS = 400;
+const CALLERS = 6;
+
+/** One fault, or two together, each at its step. */
+export interface Cell {
+  readonly faults: readonly PlacedFault[];
+}
+
+/** A fault and the step at which it happens. */
+export interface PlacedFault {
+  readonly step: Step;
+  readonly fault: Fault;
+}
+
+/** What became of a cell. */
+export interface CellResult {
+  readonly cell: Cell;
+  /** Faults whose step was reached. */
+  readonly fired: number;
+  readonly violations: readonly Violation[];
+}
+
+/** Name of a cell in reports. */
+export function cellName({faults}: Cell): string {
+  return faults.map(({step, fault}) => `${step}/${fault}`).join(' + ');
+}
+
+/**
+ * Runs all paths of the system once while the faults of a cell happen: streams
+ * and releases by persistent callers, a changed catalogue with a new version
+ * and a new adapter, an upstream that leaves and a node that stops.
+ */
+export async function runCell(cell: Cell, seed: number): Promise<CellResult> {
+  const world = createStandardWorld(seed);
+  try {
+    await warmUp(world);
+    for (const {step, fault} of cell.faults) world.network.arm(step, fault);
+    await runAllPaths(world);
+    await healAndProbe(world);
+    return {
+      cell,
+      fired: world.network.fired.length,
+      violations: judge(world),
+    };
+  } finally {
+    world.close();
+  }
+}
+
+async function runAllPaths(world: World): Promise<void> {
+  startCallers(world);
+  await world.advance(1_000);
+  const changed = standardCatalogue({version: '2', hasPowderAdapter: true});
+  void world.apply(changed);
+  await world.advance(FAULT_TIME_MILLISECONDS / 2);
+  world.leave('release-1');
+  startLongStreams(world);
+  await world.advance(500);
+  world.stopNode('node-1');
+  await world.advance(FAULT_TIME_MILLISECONDS / 2);
+}
+
+function startCallers(world: World): void {
+  for (let index = 0; index < CALLERS; index += 1) {
+    const order = NODE_NAMES.map(
+      (_name, shift) => NODE_NAMES[(index + shift) % NODE_NAMES.length],
+    );
+    const isRelease = index % 2 === 0;
+    const requestId = `${isRelease ? 'release' : 'stream'}-${index}`;
+    const caller = new PersistentCaller(world, order, {
+      requestId,
+      entry: isRelease ? 'release' : 'certificate-marine',
+      content: requestId,
+      tokenCount: 10,
+      isStream: !isRelease,
+      idempotencyKey: isRelease ? requestId : undefined,
+    });
+    setTimeout(() => caller.start(), index * CALLERS_APART_MILLISECONDS);
+  }
+}
+
+function startLongStreams(world: World): void {
+  for (const [index, name] of NODE_NAMES.entries()) {
+    world.send(name, {
+      requestId: `long-${index}`,
+      entry: 'certificate-writer',
+      content: `long-${index}`,
+      tokenCount: 80,
+      isStream: true,
+    });
+  }
+}
--- /dev/null
+++ b/packages/arbutustide-scenarios/src/world/simulated_transport.ts
@@ -0,0 +1,78 @@
+import type {
+  ExchangeRequest,
+  ExchangeResponse,
+  PeerHandler,
+  PeerTransport,
+} from '@arbutustide/membership';
+import type {Result} from 'ts-results';
+
+import type {Network} from './network.js';
+import type {SimulatedProcess} from './simulated_process.js';
+
+import {PeerError} from '@arbutustide/membership';
+import {Err} from 'ts-results';
+
+import {Step} from './fault.js';
+import {ProcessState} from './simulated_process.js';
+
+const CALL_MILLISECONDS = 1_500;
+
+/** A node as its peers reach it. */
+export interface PeerEndpoint {
+  readonly process: SimulatedProcess;
+  readonly handler: PeerHandler;
+}
+
+/** Calls from one process to its peers. */
+export class SimulatedTransport implements PeerTransport {
+  /** @param find the endpoint at an address, if any process has it. */
+  constructor(
+    private readonly find: (peerUrl: string) => PeerEndpoint | undefined,
+    private readonly network: Network,
+    private readonly process: SimulatedProcess,
+  ) {}
+
+  exchange(
+    peerUrl: string,
+    request: ExchangeRequest,
+  ): Promise<Result<ExchangeResponse, PeerError>> {
+    return this.call(peerUrl, Step.GOSSIP, handler =>
+      handler.exchange(request),
+    );
+  }
+
+  fetchHead(peerUrl: string): Promise<Result<string, PeerError>> {
+    return this.call(peerUrl, undefined, handler => handler.headJson());
+  }
+
+  fetchContent(
+    peerUrl: string,
+    digest: string,
+  ): Promise<Result<string, PeerError>> {
+    return this.call(peerUrl, Step.SPREAD, handler =>
+      handler.contentJson(digest),
+    );
+  }
+
+  private async call<T>(
+    peerUrl: string,
+    step: Step | undefined,
+    handle: (handler: PeerHandler) => T,
+  ): Promise<Result<T, PeerError>> {
+    const endpoint = this.find(peerUrl);
+    if (!endpoint) return Err(new PeerError(peerUrl, 'nothing listens there'));
+    const {process, handler} = endpoint;
+    const answer = await this.network.call({
+      from: this.process,
+      to: process.name,
+      step,
+      timeoutMilliseconds: CALL_MILLISECONDS,
+      isUp: () => process.state !== ProcessState.DEAD,
+      effect: () =>
+        new Promise<T>(resolve => {
+          process.whenRunning(() => resolve(handle(handler)));
+        }),
+    });
+    return answer.mapErr(failure => new PeerError(peerUrl, failure));
+  }
+}
--- /dev/null
+++ b/packages/arbutustide-scenarios/src/world/simulated_upstreams.ts
@@ -0,0 +1,353 @@
+import type {
+  AnswerBody,
+  AttemptRequest,
+  AttemptResult,
+  CacheEvent,
+  Engine,
+  EngineOrder,
+  EngineReport,
+  HostList,
+  OrderAnswer,
+  PlainService,
+  PlatformHost,
+  ServiceReport,
+  UpstreamAnswer,
+  AttemptState,
+} from '@arbutustide/upstream';
+import type {
+  EngineModel,
+  Generation,
+  HostTable,
+  ServiceModel,
+} from '@arbutustide/stand-ins';
+import type {Result} from 'ts-results';
+
+import type {Call, Network} from './network.js';
+import type {SimulatedProcess} from './simulated_process.js';
+
+import {GenerationEnd} from '@arbutustide/stand-ins';
+import {AttemptError, AttemptFailure} from '@arbutustide/upstream';
+import {Err, Ok} from 'ts-results';
+
+import {Step} from './fault.js';
+import {CallFailure} from './network.js';
+
+const CALL_MILLISECONDS = 1_000;
+const JSON_TYPE = 'application/json';
+const STREAM_TYPE = 'text/event-stream';
+
+/** An upstream's host: its model, and whether it accepts connections. */
+export interface SimulatedHost<Model> {
+  readonly id: string;
+  readonly model: Model;
+  isUp: boolean;
+}
+
+const FAILURES: Readonly<Record<CallFailure, AttemptFailure>> = {
+  [CallFailure.NOT_CONNECTED]: AttemptFailure.NOT_CONNECTED,
+  [CallFailure.NO_REPLY]: AttemptFailure.SILENT,
+  [CallFailure.CLOSED]: AttemptFailure.CLOSED,
+};
+
+/** What the two kinds of upstream have in common as one process sees them. */
+class SimulatedUpstream<Model> {
+  constructor(
+    protected readonly host: SimulatedHost<Model>,
+    protected readonly network: Network,
+    protected readonly process: SimulatedProcess,
+  ) {}
+
+  renewConnections(): void {}
+
+  async close(): Promise<void> {}
+
+  protected async call<T>(
+    step: Step | undefined,
+    timeoutMilliseconds: number,
+    effect: Call<T>['effect'],
+  ): Promise<Result<T, AttemptError>> {
+    const answer = await this.network.call({
+      from: this.process,
+      to: this.host.id,
+      step,
+      timeoutMilliseconds,
+      isUp: () => this.host.isUp,
+      effect,
+    });
+    return answer.mapErr(toAttemptError);
+  }
+
+  /** The answer to an attempt, or the reason why it was given up. */
+  protected async orCancelled(
+    request: AttemptRequest,
+    answer: AttemptResult,
+  ): AttemptResult {
+    const {signal} = request;
+    if (signal.aborted) return Err(cancelled(signal));
+    return new Promise(resolve => {
+      const onAbort = () => resolve(Err(cancelled(signal)));
+      signal.addEventListener('abort', onAbort, {once: true});
+      void answer.then(result => {
+        signal.removeEventListener('abort', onAbort);
+        resolve(result);
+      });
+    });
+  }
+}
+
+/** The part of a completion request an engine reads. */
+interface CompletionRequest {
+  readonly model: string;
+  readonly prompt: string;
+  readonly max_tokens: number;
+  readonly stream?: boolean;
+}
+
+/** An engine as one process reaches it. */
+export class SimulatedEngine
+  extends SimulatedUpstream<EngineModel>
+  implements Engine
+{
+  attempt(request: AttemptRequest): AttemptResult {
+    const answer = this.call(Step.SEND, request.progressMilliseconds, () =>
+      this.begin(request),
+    );
+    return this.orCancelled(request, this.flatten(answer));
+  }
+
+  resume(request: AttemptRequest, lastEventId: string): AttemptResult {
+    const answer = this.call(undefined, CALL_MILLISECONDS, () => {
+      const generation = this.host.model.generation(request.attemptId);
+      if (!generation) return Ok(jsonAnswer(404, {}));
+      const fromIndex = lastEventId === '' ? 0 : Number(lastEventId) + 1;
+      return Ok(this.streamAnswer(request, generation, fromIndex));
+    });
+    return this.orCancelled(request, this.flatten(answer));
+  }
+
+  attemptState(attemptId: string): Promise<Result<AttemptState, AttemptError>> {
+    return this.call(undefined, CALL_MILLISECONDS, () =>
+      this.host.model.attemptState(attemptId),
+    );
+  }
+
+  order(
+    order: EngineOrder,
+    timeoutMilliseconds: number,
+  ): Promise<Result<OrderAnswer, AttemptError>> {
+    return this.call(Step.ORDER, timeoutMilliseconds, () =>
+      this.host.model.order(order),
+    );
+  }
+
+  report(): Promise<Result<EngineReport, AttemptError>> {
+    return this.call(Step.REPORT, CALL_MILLISECONDS, () =>
+      this.host.model.report(),
+    );
+  }
+
+  cacheEvents(
+    afterSequence: number,
+  ): Promise<Result<readonly CacheEvent[], AttemptError>> {
+    return this.call(undefined, CALL_MILLISECONDS, () =>
+      this.host.model.cacheEvents(afterSequence),
+    );
+  }
+
+  private async begin(
+    request: AttemptRequest,
+  ): Promise<Result<UpstreamAnswer, AttemptError>> {
+    const body = JSON.parse(
+      Buffer.from(request.body ?? []).toString('utf8'),
+    ) as CompletionRequest;
+    const {model} = this.host;
+    if (model.isLeaving) return Ok(jsonAnswer(503, {}, true));
+    if (!model.holds(body.model)) return Ok(jsonAnswer(404, {}));
+    const generation = model.begin({
+      attemptId: request.attemptId,
+      requestId: request.requestId,
+      item: body.model,
+      prompt: body.prompt,
+      tokenCount: body.max_tokens,
+      priority: request.priority,
+    });
+    if (body.stream) return Ok(this.streamAnswer(request, generation, 0));
+    const tokens: string[] = [];
+    const gone = this.goneSignal(request);
+    for await (const token of generation.read(0, gone)) tokens.push(token);
+    if (generation.end !== GenerationEnd.WHOLE) return Err(closed());
+    const text = tokens.join('');
+    return Ok(jsonAnswer(200, {choices: [{index: 0, text}]}));
+  }
+
+  private streamAnswer(
+    request: AttemptRequest,
+    generation: Generation,
+    fromIndex: number,
+  ): UpstreamAnswer {
+    const gone = this.goneSignal(request);
+    const events = streamEvents(generation, fromIndex, gone);
+    return {
+      status: 200,
+      contentType: STREAM_TYPE,
+      isLeaving: false,
+      body: new SimulatedBody(events, (step, effect) =>
+        this.call(step, request.progressMilliseconds, effect),
+      ),
+    };
+  }
+
+  /** The engine sees its reader go when the process dies or cancels. */
+  private goneSignal(request: AttemptRequest): AbortSignal {
+    const gone = new AbortController();
+    this.process.onDeath(() => gone.abort());
+    request.signal.addEventListener('abort', () => gone.abort());
+    return gone.signal;
+  }
+
+  private async flatten(
+    answer: Promise<Result<Result<UpstreamAnswer, AttemptError>, AttemptError>>,
+  ): AttemptResult {
+    const outer = await answer;
+    return outer.ok ? outer.val : outer;
+  }
+}
+
+type ReadCall = (
+  step: Step | undefined,
+  effect: () => Promise<IteratorResult<string, GenerationEnd>>,
+) => Promise<Result<IteratorResult<string, GenerationEnd>, AttemptError>>;
+
+/** A streamed body whose every piece crosses the network. */
+class SimulatedBody implements AnswerBody {
+  private piecesRead = 0;
+
+  constructor(
+    private readonly events: AsyncGenerator<string, GenerationEnd>,
+    private readonly call: ReadCall,
+  ) {}
+
+  async read(): Promise<Result<Uint8Array | undefined, AttemptError>> {
+    const step = READ_STEPS[this.piecesRead];
+    this.piecesRead += 1;
+    const next = await this.call(step, () => this.events.next());
+    if (!next.ok) return next;
+    if (!next.val.done) return Ok(Buffer.from(next.val.value));
+    if (next.val.value === GenerationEnd.WHOLE) return Ok(undefined);
+    return Err(closed());
+  }
+
+  cancel(): void {
+    void this.events.return(GenerationEnd.CANCELLED);
+  }
+}
+
+/** Steps of a stream by the number of pieces read before. */
+const READ_STEPS: readonly (Step | undefined)[] = [
+  Step.FIRST_BYTE,
+  undefined,
+  undefined,
+  Step.MIDDLE,
+  undefined,
+  undefined,
+  Step.END,
+];
+
+async function* streamEvents(
+  generation: Generation,
+  fromIndex: number,
+  gone: AbortSignal,
+): AsyncGenerator<string, GenerationEnd> {
+  let index = fromIndex;
+  for await (const token of generation.read(fromIndex, gone)) {
+    const chunk = {choices: [{index: 0, text: token}]};
+    yield `id: ${index}\ndata: ${JSON.stringify(chunk)}\n\n`;
+    index += 1;
+  }
+  if (generation.end === GenerationEnd.WHOLE) {
+    yield `id: ${index}\ndata: [DONE]\n\n`;
+  }
+  return generation.end;
+}
+
+/** A plain service as one process reaches it. */
+export class SimulatedService
+  extends SimulatedUpstream<ServiceModel>
+  implements PlainService
+{
+  attempt(request: AttemptRequest): AttemptResult {
+    const answer = this.call(Step.SEND, request.progressMilliseconds, () =>
+      this.host.model.run({
+        requestId: request.requestId,
+        attemptId: request.attemptId,
+        method: request.method,
+        path: request.path,
+        body: Buffer.from(request.body ?? []).toString('utf8'),
+      }),
+    );
+    return this.orCancelled(request, this.toAnswer(answer));
+  }
+
+  async report(): Promise<Result<ServiceReport, AttemptError>> {
+    return this.call(Step.REPORT, CALL_MILLISECONDS, () =>
+      this.host.model.report(),
+    );
+  }
+
+  private async toAnswer(
+    answer: Promise<Result<object | undefined, AttemptError>>,
+  ): AttemptResult {
+    const result = await answer;
+    if (!result.ok) return result;
+    if (!result.val) return Err(closed());
+    return Ok(jsonAnswer(200, result.val, this.host.model.isLeaving));
+  }
+}
+
+/** The host list as one process reaches it. */
+export class SimulatedHostList implements HostList {
+  constructor(
+    private readonly table: HostTable,
+    private readonly network: Network,
+    private readonly process: SimulatedProcess,
+  ) {}
+
+  async hosts(): Promise<Result<readonly PlatformHost[], AttemptError>> {
+    const answer = await this.network.call({
+      from: this.process,
+      to: 'host-list',
+      step: Step.HOST_LIST,
+      timeoutMilliseconds: CALL_MILLISECONDS,
+      isUp: () => true,
+      effect: () => this.table.hosts(),
+    });
+    return answer.mapErr(toAttemptError);
+  }
+}
+
+function jsonAnswer(
+  status: number,
+  value: object,
+  isLeaving = false,
+): UpstreamAnswer {
+  const pieces = [Buffer.from(JSON.stringify(value))];
+  return {
+    status,
+    contentType: JSON_TYPE,
+    isLeaving,
+    body: {read: async () => Ok(pieces.shift()), cancel: () => {}},
+  };
+}
+
+function toAttemptError(failure: CallFailure): AttemptError {
+  return new AttemptError(FAILURES[failure], failure);
+}
+
+function closed(): AttemptError {
+  return new AttemptError(AttemptFailure.CLOSED, 'the connection was closed');
+}
+
+function cancelled(signal: AbortSignal): AttemptError {
+  if (signal.reason instanceof AttemptError) return signal.reason;
+  return new AttemptError(AttemptFailure.CANCELLED, 'given up');
+}
--- /dev/null
+++ b/packages/arbutustide-scenarios/src/world/standard_world.ts
@@ -0,0 +1,132 @@
+import {CallerEnd} from './simulated_caller.js';
+import {PROBE_PREFIX} from './invariants.js';
+import {World} from './world.js';
+
+const GIGABYTE = 1_000_000_000;
+const FAILURE_DOMAINS = ['north', 'harbour', 'hill'] as const;
+const SETTLE_MILLISECONDS = 20_000;
+const PROBE_MILLISECONDS = 20_000;
+/** Time within which an accepted revision is in force everywhere. */
+const IN_FORCE_MILLISECONDS = 16_000;
+
+/** Variable parts of the catalogue of the standard world. */
+export interface StandardCatalogue {
+  /** Version of the certificate writer's weights. */
+  readonly version: string;
+  /** Whether the powder adapter is listed. */
+  readonly hasPowderAdapter: boolean;
+}
+
+/** A catalogue that nearly fills the standard world's engines. */
+export function standardCatalogue(variant: StandardCatalogue): string {
+  const powder = `
+[[entries]]
+name = "certificate-powder"
+kind = "adapter"
+base = "certificate-writer"
+owner = "quality"
+class = "interactive"
+memory_bytes = ${GIGABYTE}
+`;
+  return `
+[[classes]]
+name = "interactive"
+deadline_milliseconds = 15000
+first_token_milliseconds = 810
+progress_milliseconds = 3000
+priority = 1
+
+[[entries]]
+name = "certificate-writer"
+kind = "model"
+owner = "quality"
+class = "interactive"
+version = "${variant.version}"
+memory_bytes = ${30 * GIGABYTE}
+minimum_replicas = 2
+
+[[entries]]
+name = "findings-summary"
+kind = "model"
+owner = "laboratory"
+class = "interactive"
+memory_bytes = ${25 * GIGABYTE}
+
+[[entries]]
+name = "certificate-marine"
+kind = "adapter"
+base = "certificate-writer"
+owner = "quality"
+class = "interactive"
+memory_bytes = ${GIGABYTE}
+${variant.hasPowderAdapter ? powder : ''}
+[[entries]]
+name = "release"
+kind = "service"
+owner = "dispatch"
+class = "interactive"
+host_group = "release"
+`;
+}
+
+/**
+ * Three failure domains with an engine each, two nodes in one of them and one
+ * in each of the others, and a service on two hosts.
+ */
+export function createStandardWorld(seed: number): World {
+  const world = new World(seed);
+  for (const [index, domain] of FAILURE_DOMAINS.entries()) {
+    world.addEngine(`engine-${index + 1}`, domain, {
+      memoryBytes: 64 * GIGABYTE,
+      checksFencing: index !== 2,
+      tokenMilliseconds: 60,
+    });
+    world.startNode(`node-${index + 1}`, domain);
+  }
+  world.startNode('node-4', FAILURE_DOMAINS[0]);
+  world.addService('release-1', 'release', 'north');
+  world.addService('release-2', 'release', 'hill');
+  return world;
+}
+
+/** Accepts the first catalogue and waits until every model is loaded. */
+export async function warmUp(world: World): Promise<void> {
+  const first = standardCatalogue({version: '1', hasPowderAdapter: false});
+  void world.apply(first);
+  await world.until('the first catalogue is in force', () =>
+    world.liveNodes().every(({core}) => core.isReady),
+  );
+  await world.advance(SETTLE_MILLISECONDS);
+}
+
+/**
+ * Ends all faults and waits for as long as an accepted revision may take.
+ * Then asks every live node for every entry.
+ */
+export async function healAndProbe(world: World): Promise<void> {
+  world.heal();
+  await world.advance(IN_FORCE_MILLISECONDS + SETTLE_MILLISECONDS);
+  const live = world.liveNodes().filter(({isListening}) => isListening);
+  for (const {name, core} of live) {
+    for (const entry of core.holder.current?.document.entries ?? []) {
+      const isService = entry.hostGroup !== undefined;
+      const requestId = `${PROBE_PREFIX}${name}-${entry.name}`;
+      world.send(name, {
+        requestId,
+        entry: entry.name,
+        content: requestId,
+        tokenCount: 4,
+        isStream: entry.kind === 'adapter',
+        idempotencyKey: isService ? requestId : undefined,
+      });
+    }
+  }
+  await world.advance(PROBE_MILLISECONDS);
+  // A request whose caller lost its node has no answer to wait for.
+  for (const outcome of world.outcomes) {
+    const isLost = world.formerNodes.some(
+      ({name}) => name === outcome.nodeName,
+    );
+    if (!outcome.end && isLost) outcome.end = CallerEnd.CONNECTION_LOST;
+  }
+}
--- a/packages/arbutustide-stand-ins/src/engine_model.ts
+++ b/packages/arbutustide-stand-ins/src/engine_model.ts
@@ -49,6 +49,8 @@
   readonly item: string;
   readonly prompt: string;
   readonly generation: Generation;
+  /** When it began, by the monotonic clock. */
+  readonly atMilliseconds: number;
 }
 
 /** Memory held beyond the engine's capacity, as the engine saw it. */
@@ -122,6 +124,8 @@
   /** Items whose weights are being loaded; they hold memory as well. */
   private readonly loading = new Map<string, ResidentItem>();
   private readonly draining = new Map<string, ResidentItem>();
+  /** Item of the model each adapter was loaded for. */
+  private readonly baseItems = new Map<string, string>();
   private highestFence = 0;
   private running = new Set<Generation>();
   private waiting: WaitingRun[] = [];
@@ -151,9 +155,11 @@
     return [...items.values()].reduce((sum, item) => sum + item.memoryBytes, 0);
   }
 
-  /** Whether a request to the item can be run. */
+  /** Whether a request to the item can be run; an adapter needs its base. */
   holds(item: string): boolean {
-    return this.resident.has(item);
+    const baseItem = this.baseItems.get(item);
+    const hasBase = baseItem === undefined || this.resident.has(baseItem);
+    return this.resident.has(item) && hasBase;
   }
 
   /** Runs a request; a marked one takes the engine down instead. */
@@ -161,7 +167,15 @@
     const generation = new Generation(request);
     this.generations.set(request.attemptId, generation);
     const {requestId, attemptId, item, prompt} = request;
-    this.runs.push({requestId, attemptId, item, prompt, generation});
+    const atMilliseconds = performance.now();
+    this.runs.push({
+      requestId,
+      attemptId,
+      item,
+      prompt,
+      generation,
+      atMilliseconds,
+    });
     if (prompt.includes(CRASH_MARKER)) {
       this.running.add(generation);
       this.crash();
@@ -251,6 +265,7 @@
     if (baseItem !== undefined && !this.resident.has(baseItem)) {
       return OrderOutcome.REFUSED;
     }
+    if (baseItem !== undefined) this.baseItems.set(item, baseItem);
     const start = this.engineStart;
     this.loading.set(item, {item, memoryBytes, isDraining: false});
     this.checkMemory(order.orderId);
--- a/packages/arbutustide-stand-ins/src/index.ts
+++ b/packages/arbutustide-stand-ins/src/index.ts
@@ -9,7 +9,11 @@
 export type {FaultRule} from './fault_plan.js';
 export type {GenerationRequest} from './generation.js';
 export type {RecordedWrite} from './object_table.js';
-export type {RecordedCall, ServiceAnswer} from './service_model.js';
+export type {
+  RecordedCall,
+  ServiceAnswer,
+  ServiceCall,
+} from './service_model.js';
 export type {WeightLimits} from './weight_limiter.js';
 
 export {
--- a/packages/arbutustide-stand-ins/src/service_model.ts
+++ b/packages/arbutustide-stand-ins/src/service_model.ts
@@ -4,8 +4,8 @@
 
 import {delay} from '@arbutustide/errors';
 
-/** A call as the service ran it. */
-export interface RecordedCall {
+/** A call to a plain service. */
+export interface ServiceCall {
   readonly requestId: string;
   readonly attemptId: string;
   readonly method: string;
@@ -13,6 +13,12 @@
   readonly body: string;
 }
 
+/** A call as the service ran it. */
+export interface RecordedCall extends ServiceCall {
+  /** When it began, by the monotonic clock. */
+  readonly atMilliseconds: number;
+}
+
 /** What a plain service stand-in is like. */
 export interface ServiceOptions {
   readonly callMilliseconds: number;
@@ -35,9 +41,9 @@
   constructor(private readonly options: ServiceOptions) {}
 
   /** Runs a call; undefined when the service went down in the middle. */
-  async run(call: RecordedCall): Promise<ServiceAnswer | undefined> {
+  async run(call: ServiceCall): Promise<ServiceAnswer | undefined> {
     const start = this.serviceStart;
-    this.calls.push(call);
+    this.calls.push({...call, atMilliseconds: performance.now()});
     const run = this.calls.length;
     this.inFlight += 1;
     await delay(this.options.callMilliseconds);
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -9,11 +9,27 @@
   stand_ins: 'packages/arbutustide-stand-ins/src/main.ts',
   demo: 'packages/arbutustide-scenarios/src/demo_main.ts',
   bench: 'packages/arbutustide-scenarios/src/bench_main.ts',
+  faults: 'packages/arbutustide-scenarios/src/faults_main.ts',
   soak: 'packages/arbutustide-scenarios/src/soak_main.ts',
 };
 const BINARY = 'dist/arbutustide';
 const SEA_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
+/** Optional parts of bunyan that the programs do without. */
+const ABSENT_MODULES = /^(dtrace-provider|mv|source-map-support)$/;
+const absentModules = {
+  name: 'absent-modules',
+  setup(bundle) {
+    bundle.onResolve({filter: ABSENT_MODULES}, ({path}) => ({
+      path,
+      namespace: 'absent',
+    }));
+    bundle.onLoad({filter: /.*/, namespace: 'absent'}, ({path}) => ({
+      contents: `throw new Error('${path} is not bundled');`,
+    }));
+  },
+};
+
 mkdirSync('dist', {recursive: true});
 await build({
   entryPoints: BUNDLES,
@@ -24,7 +40,7 @@
   target: 'node20',
   format: 'cjs',
   mainFields: ['module', 'main'],
-  external: ['dtrace-provider', 'mv', 'source-map-support'],
+  plugins: [absentModules],
   legalComments: 'none',
   logLevel: 'warning',
 });
