Retry an innocent request after a crash once a second replica is there

Cause: a request in flight at a crash is a suspect, and a suspect was refused while only one replica was ready. With two replicas every request in flight at any crash was refused. Ruled out: running suspects on the last replica, which lets one request take a model off the system (scenario crashing_request would lose both replicas). Now: a suspect waits, within its deadline, until a second replica is ready and free of other suspects.

--- a/packages/arbutustide-routing/src/dispatcher.ts
+++ b/packages/arbutustide-routing/src/dispatcher.ts
@@ -205,36 +205,42 @@
     return outcome;
   }
 
-  /** The next replica to try; a suspect waits for one without suspects. */
+  /** The next replica to try. */
   private async nextReplica(
     progress: RequestProgress,
   ): Promise<Result<Replica, RefusalError>> {
     const {request, fingerprint} = progress;
-    for (;;) {
-      const ready = this.directory.readyReplicas(
-        request.entry,
-        request.item,
-      );
-      if (ready.length === 0) return Err(noReplicaRefusal(progress));
-      if (!this.suspects.isSuspect(fingerprint)) {
-        return Ok(this.choose(ready, progress));
-      }
-      if (this.suspects.isQuarantined(fingerprint)) {
-        return Err(crashRefusal(progress));
-      }
-      if (ready.length < Math.min(2, request.entry.minimumReplicas)) {
-        return Err(crashRefusal(progress));
-      }
+    if (this.suspects.isSuspect(fingerprint)) {
+      return this.nextReplicaForSuspect(progress);
+    }
+    const ready = this.directory.readyReplicas(request.entry, request.item);
+    if (ready.length === 0) return Err(noReplicaRefusal(progress));
+    return Ok(this.choose(ready, progress));
+  }
+
+  /**
+   * A suspect waits for a replica without another suspect, and until it would
+   * not take the entry's last replica down.
+   */
+  private async nextReplicaForSuspect(
+    progress: RequestProgress,
+  ): Promise<Result<Replica, RefusalError>> {
+    const {request, fingerprint, cancel} = progress;
+    const {entry, item, deadlineAtMilliseconds} = request;
+    const needed = Math.min(2, entry.minimumReplicas);
+    while (performance.now() < deadlineAtMilliseconds) {
+      if (this.suspects.isQuarantined(fingerprint)) break;
+      if (cancel.signal.aborted) break;
+      const ready = this.directory.readyReplicas(entry, item);
       const free = ready.filter(
         ({upstream}) => upstream.suspectsInFlight === 0,
       );
-      if (free.length > 0) return Ok(this.choose(free, progress));
-      const isOver = performance.now() >= request.deadlineAtMilliseconds;
-      if (isOver || progress.cancel.signal.aborted) {
-        return Err(deadlineRefusal(progress));
+      if (ready.length >= needed && free.length > 0) {
+        return Ok(this.choose(free, progress));
       }
-      await delay(SUSPECT_WAIT_MILLISECONDS, progress.cancel.signal);
+      await delay(SUSPECT_WAIT_MILLISECONDS, cancel.signal);
     }
+    return Err(crashRefusal(progress));
   }
 
   private choose(
