Strengthen the matrix until each mutation turns a cell red

Cause: mutations of the ledger and of the revision rule stayed green. Traces: late orders found room to spare because one late order was re-sent at once and loaded in time; no read of the catalogue was ever out of date; a planner that never changes hands went unnoticed because the old version still answered. Now: all orders of a step are late for 5.5 s, a second edit follows while orders of the first are under way, reads can be stale, and the judge counts replicas of the accepted version.

--- /dev/null
+++ b/packages/arbutustide-scenarios/src/__tests__/unit/fault_matrix.test.ts
@@ -0,0 +1,49 @@
+import type {PlacedFault} from '../../matrix/run_cell.js';
+
+import {expect} from 'chai';
+
+import {singleFaults} from '../../matrix/matrix.js';
+import {cellName, runCell} from '../../matrix/run_cell.js';
+import {Fault, Step} from '../../world/fault.js';
+
+const SEED = 1;
+
+/** One or more cells for each path; `npm run faults` runs all of them. */
+const SAMPLE: readonly PlacedFault[] = [
+  {step: Step.CLAIM, fault: Fault.LOST_REPLY},
+  {step: Step.CLAIM, fault: Fault.KILL_AFTER},
+  {step: Step.SEND, fault: Fault.KILL_AFTER},
+  {step: Step.SEND, fault: Fault.LATE},
+  {step: Step.SEND, fault: Fault.CRASH},
+  {step: Step.FIRST_BYTE, fault: Fault.CUT},
+  {step: Step.END, fault: Fault.CRASH},
+  {step: Step.OUTCOME, fault: Fault.STORE_DOWN},
+  {step: Step.WRITE_HEAD, fault: Fault.LOST_REPLY},
+  {step: Step.WRITE_HEAD, fault: Fault.KILL},
+  {step: Step.WATCH, fault: Fault.STALE_READ},
+  {step: Step.SPREAD, fault: Fault.CUT},
+  {step: Step.LEASE, fault: Fault.LEASE_LAPSE},
+  {step: Step.INTENT, fault: Fault.KILL_AFTER},
+  {step: Step.ORDER, fault: Fault.LATE},
+  {step: Step.ORDER, fault: Fault.FREEZE},
+  {step: Step.SETTLE, fault: Fault.STORE_SLOW},
+  {step: Step.GOSSIP, fault: Fault.ONE_WAY_CUT},
+];
+
+describe('fault matrix', () => {
+  for (const placed of SAMPLE) {
+    const cell = {faults: [placed]};
+    it(`holds in ${cellName(cell)}`, async () => {
+      const result = await runCell(cell, SEED);
+      expect(result.fired, 'faults that happened').to.equal(1);
+      expect(result.violations).to.deep.equal([]);
+    });
+  }
+
+  it('has every fault at every step, or a reason why it cannot be', () => {
+    const {possible, impossible} = singleFaults();
+    const all = Object.values(Step).length * Object.values(Fault).length;
+    expect(possible.length + impossible.length).to.equal(all);
+    for (const {reason} of impossible) expect(reason).to.not.equal('');
+  });
+});
--- a/packages/arbutustide-scenarios/src/matrix/not_possible.ts
+++ b/packages/arbutustide-scenarios/src/matrix/not_possible.ts
@@ -9,11 +9,15 @@
   Step.WRITE_CONTENT,
   Step.WRITE_HEAD,
   Step.READ_HEAD,
+  Step.WATCH,
   Step.LEASE,
   Step.INTENT,
   Step.SETTLE,
 ];
 
+/** Steps that read the object API. */
+const READ_STEPS = [Step.READ_HEAD, Step.WATCH];
+
 interface Exclusion {
   readonly steps: readonly Step[];
   readonly faults: readonly Fault[];
@@ -38,6 +42,11 @@
     faults: [Fault.CRASH],
     reason: "the object API is the platform's; store_down is its outage",
   },
+  {
+    steps: Object.values(Step).filter(step => !READ_STEPS.includes(step)),
+    faults: [Fault.STALE_READ],
+    reason: 'only a read of the object API can be out of date',
+  },
   {
     steps: [Step.HOST_LIST],
     faults: [Fault.CRASH],
--- a/packages/arbutustide-scenarios/src/matrix/run_cell.ts
+++ b/packages/arbutustide-scenarios/src/matrix/run_cell.ts
@@ -15,6 +15,8 @@
 const FAULT_TIME_MILLISECONDS = 22_000;
 const CALLERS_APART_MILLISECONDS = 400;
 const CALLERS = 6;
+/** The second edit comes while orders of the first are under way. */
+const EDITS_APART_MILLISECONDS = 4_000;
 
 /** One fault, or two together, each at its step. */
 export interface Cell {
@@ -42,8 +44,8 @@
 
 /**
  * Runs all paths of the system once while the faults of a cell happen: streams
- * and releases by persistent callers, a changed catalogue with a new version
- * and a new adapter, an upstream that leaves and a node that stops.
+ * and releases by persistent callers, two changes of the catalogue with new
+ * versions and adapters, an upstream that leaves and a node that stops.
  */
 export async function runCell(cell: Cell, seed: number): Promise<CellResult> {
   const world = createStandardWorld(seed);
@@ -67,6 +69,12 @@
   await world.advance(1_000);
   const changed = standardCatalogue({version: '2', hasPowderAdapter: true});
   void world.apply(changed);
+  await world.advance(EDITS_APART_MILLISECONDS);
+  const changedAgain = standardCatalogue({
+    version: '3',
+    hasPowderAdapter: false,
+  });
+  void world.apply(changedAgain);
   await world.advance(FAULT_TIME_MILLISECONDS / 2);
   world.leave('release-1');
   startLongStreams(world);
--- a/packages/arbutustide-scenarios/src/world/fault.ts
+++ b/packages/arbutustide-scenarios/src/world/fault.ts
@@ -14,7 +14,10 @@
   ONE_WAY_CUT = 'one_way_cut',
   /** The call has its effect, but its reply is lost. */
   LOST_REPLY = 'lost_reply',
-  /** The call arrives long after its sender gave up. */
+  /**
+   * The call, and those of its kind in the next seconds, arrive long after
+   * their sender gave up.
+   */
   LATE = 'late',
   /** The call has its effect twice. */
   DUPLICATE = 'duplicate',
@@ -26,6 +29,8 @@
   STORE_SLOW = 'store_slow',
   /** The planner is frozen until its lease has lapsed. */
   LEASE_LAPSE = 'lease_lapse',
+  /** The object API answers with what it held before. */
+  STALE_READ = 'stale_read',
 }
 
 /** A step of a path through the system, seen at its border. */
@@ -39,6 +44,7 @@
   WRITE_CONTENT = 'write_content',
   WRITE_HEAD = 'write_head',
   READ_HEAD = 'read_head',
+  WATCH = 'watch',
   SPREAD = 'spread',
   LEASE = 'lease',
   INTENT = 'intent',
--- a/packages/arbutustide-scenarios/src/world/invariants.ts
+++ b/packages/arbutustide-scenarios/src/world/invariants.ts
@@ -1,6 +1,7 @@
 import type {CallerOutcome} from './simulated_caller.js';
 import type {World} from './world.js';
 
+import {EntryKind} from '@arbutustide/catalogue';
 import {Ran} from '@arbutustide/errors';
 import {
   committedBytes,
@@ -26,6 +27,7 @@
   REVISION = 'revision',
   REACHABLE = 'reachable',
   FINAL_ANSWER = 'final_answer',
+  REPLICAS = 'replicas',
 }
 
 /** One broken invariant and the records that show it. */
@@ -125,6 +127,19 @@
       yield `${requestId} ended ${outcome.end ?? 'never'}: ${why}`;
     }
   },
+  *[Invariant.REPLICAS](world) {
+    const [node] = world.liveNodes();
+    const catalogue = node?.core.holder.current;
+    for (const entry of catalogue?.document.entries ?? []) {
+      if (entry.kind === EntryKind.SERVICE) continue;
+      const item = catalogue?.itemName(entry) ?? '';
+      const holders = [...world.engines.values()].filter(({model}) =>
+        model.holds(item),
+      );
+      if (holders.length >= entry.minimumReplicas) continue;
+      yield `${item} is in ${holders.length} engines`;
+    }
+  },
   *[Invariant.FINAL_ANSWER](world) {
     for (const {end, request} of world.outcomes) {
       if (end === undefined) yield `${request.requestId} has no answer`;
--- a/packages/arbutustide-scenarios/src/world/network.ts
+++ b/packages/arbutustide-scenarios/src/world/network.ts
@@ -14,6 +14,8 @@
 export const FAULT_MILLISECONDS = 8_000;
 /** A late call arrives so long after it was sent. */
 const LATE_MILLISECONDS = 6_000;
+/** For so long all calls of a step are late. */
+const LATE_SPAN_MILLISECONDS = 5_500;
 const SLOW_STORE_MILLISECONDS = 1_500;
 
 /** Name of the object API in links. */
@@ -39,14 +41,16 @@
   readonly isUp: () => boolean;
   /** Runs outside the calling process. */
   readonly effect: () => Promise<T> | T;
+  /** What an out-of-date answer would be, for a read. */
+  readonly staleEffect?: () => T;
 }
 
 /** A fault that waits for its step. */
 interface ArmedFault {
   readonly step: Step;
   readonly fault: Fault;
-  /** Occurrences of the step that still pass unharmed. */
-  skip: number;
+  /** Until when it happens again, by the monotonic clock. */
+  until: number | undefined;
 }
 
 /** What the network asks of the world around it. */
@@ -70,8 +74,8 @@
   constructor(private readonly surroundings: NetworkSurroundings) {}
 
   /** Lets a fault happen when a step is reached. */
-  arm(step: Step, fault: Fault, skip = 0): void {
-    this.armed.push({step, fault, skip});
+  arm(step: Step, fault: Fault): void {
+    this.armed.push({step, fault, until: undefined});
   }
 
   /** Cuts a link in one direction. */
@@ -105,15 +109,16 @@
 
   /** Takes the fault armed for a step, if it is its turn. */
   reach(step: Step | undefined): Fault | undefined {
-    const index = this.armed.findIndex(armed => armed.step === step);
+    const now = performance.now();
+    const index = this.armed.findIndex(
+      armed => armed.step === step && (armed.until ?? Infinity) > now,
+    );
     if (index < 0) return undefined;
     const armed = this.armed[index];
-    if (armed.skip > 0) {
-      armed.skip -= 1;
-      return undefined;
-    }
-    this.armed.splice(index, 1);
-    this.fired.push(armed);
+    if (armed.until === undefined) this.fired.push(armed);
+    if (armed.fault === Fault.LATE)
+      armed.until ??= now + LATE_SPAN_MILLISECONDS;
+    else this.armed.splice(index, 1);
     return armed.fault;
   }
 
@@ -251,6 +256,9 @@
     network.storeSlow(FAULT_MILLISECONDS);
     return network.carry(call);
   },
+  async [Fault.STALE_READ](network, call) {
+    return network.carry({...call, effect: call.staleEffect ?? call.effect});
+  },
   async [Fault.LEASE_LAPSE](network, call) {
     network.freezePlanner();
     return network.carry(call);
--- a/packages/arbutustide-scenarios/src/world/simulated_store.ts
+++ b/packages/arbutustide-scenarios/src/world/simulated_store.ts
@@ -14,7 +14,7 @@
 import {CLAIM_PREFIX} from '@arbutustide/claims';
 import {StoreError, StoreErrorKind} from '@arbutustide/object-store';
 import {WORKER_PREFIX, workerRecordSchema} from '@arbutustide/placement';
-import {Err} from 'ts-results';
+import {Err, Ok} from 'ts-results';
 
 import {Step} from './fault.js';
 import {CallFailure, STORE} from './network.js';
@@ -34,7 +34,11 @@
 
   get(key: string): StoreResult<StoredObject> {
     const step = key === HEAD_KEY ? Step.READ_HEAD : undefined;
-    return this.read(() => this.table.get(key), step);
+    return this.read(
+      () => this.table.get(key),
+      step,
+      () => this.staleObject(key),
+    );
   }
 
   list(prefix: string): StoreResult<readonly StoredObject[]> {
@@ -74,11 +78,17 @@
     const answer = await this.network.call({
       from: this.process,
       to: STORE,
-      step: undefined,
+      step: prefix === HEAD_KEY ? Step.WATCH : undefined,
       timeoutMilliseconds: WATCH_MILLISECONDS + TIMEOUT_MILLISECONDS,
       isUp: () => true,
       effect: () =>
         this.table.watch(prefix, afterVersion, WATCH_MILLISECONDS, signal),
+      staleEffect: () =>
+        this.staleObject(prefix).map(object => ({
+          changes: [object],
+          deletedKeys: [],
+          version: afterVersion,
+        })),
     });
     return answer.ok ? answer.val : Err(readError(answer.val));
   }
@@ -86,8 +96,9 @@
   private async read<T>(
     run: TableCall<T>,
     step: Step | undefined,
+    runStale?: TableCall<T>,
   ): StoreResult<T> {
-    const answer = await this.call(run, step);
+    const answer = await this.call(run, step, runStale);
     return answer.ok ? answer.val : Err(readError(answer.val));
   }
 
@@ -99,7 +110,18 @@
     return answer.ok ? answer.val : Err(writeError(answer.val));
   }
 
-  private call<T>(run: TableCall<T>, step: Step | undefined) {
+  /** What an object held before its last write. */
+  private staleObject(key: string): Result<StoredObject, StoreError> {
+    const writes = this.table.writes.filter(write => write.key === key);
+    const before = writes.at(-2);
+    return before ? Ok(before) : this.table.get(key);
+  }
+
+  private call<T>(
+    run: TableCall<T>,
+    step: Step | undefined,
+    runStale?: TableCall<T>,
+  ) {
     return this.network.call({
       from: this.process,
       to: STORE,
@@ -107,6 +129,7 @@
       timeoutMilliseconds: TIMEOUT_MILLISECONDS,
       isUp: () => true,
       effect: run,
+      ...(runStale && {staleEffect: runStale}),
     });
   }
 
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -4,6 +4,8 @@
 
 import {build} from 'esbuild';
 
+import {BUNDLE_OPTIONS} from './bundle_options.mjs';
+
 const BUNDLES = {
   arbutustide: 'packages/arbutustide-cli/src/main.ts',
   stand_ins: 'packages/arbutustide-stand-ins/src/main.ts',
@@ -15,34 +17,12 @@
 const BINARY = 'dist/arbutustide';
 const SEA_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 
-/** Optional parts of bunyan that the programs do without. */
-const ABSENT_MODULES = /^(dtrace-provider|mv|source-map-support)$/;
-const absentModules = {
-  name: 'absent-modules',
-  setup(bundle) {
-    bundle.onResolve({filter: ABSENT_MODULES}, ({path}) => ({
-      path,
-      namespace: 'absent',
-    }));
-    bundle.onLoad({filter: /.*/, namespace: 'absent'}, ({path}) => ({
-      contents: `throw new Error('${path} is not bundled');`,
-    }));
-  },
-};
-
 mkdirSync('dist', {recursive: true});
 await build({
+  ...BUNDLE_OPTIONS,
   entryPoints: BUNDLES,
   outdir: 'dist',
   outExtension: {'.js': '.cjs'},
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  mainFields: ['module', 'main'],
-  plugins: [absentModules],
-  legalComments: 'none',
-  logLevel: 'warning',
 });
 if (!process.argv.includes('--bundles-only')) makeBinary();
 
