Prove process scenarios with real signals; a broken stream hangs

13 scenarios over separate processes with SIGKILL, SIGSTOP, SIGCONT, SIGTERM and cut sockets, and the openai package and bad requests against a node.

Red on purpose: 'SIGKILL of an engine in a stream: its end is visibly broken'. Trace: the node writes the error event and then waits for the socket's drain event before it cuts the connection; the event never comes, because the buffer was below its high-water mark, so the caller waits for ever.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -90,6 +90,10 @@
       'max-lines-per-function': ['error', 60],
     },
   },
+  {
+    files: ['packages/*/src/__tests__/**/*.ts'],
+    rules: {'max-lines-per-function': 'off'},
+  },
   {
     files: ['scripts/*.mjs'],
     languageOptions: {globals: {process: 'readonly'}},
--- /dev/null
+++ b/packages/arbutustide-scenarios/src/__tests__/integration/callers.test.ts
@@ -0,0 +1,226 @@
+import type {ProcessCluster} from '../../processes/process_cluster.js';
+
+import {once} from 'node:events';
+import {connect} from 'node:net';
+
+import {expect} from 'chai';
+import OpenAI from 'openai';
+import {fetch} from 'undici';
+
+import {DEMO_CATALOGUE} from '../../demo_catalogue.js';
+import {complete} from '../../processes/caller_client.js';
+import {nodeIn, startDemoCluster} from '../../processes/demo_cluster.js';
+
+const BODY_LIMIT_BYTES = 4_096;
+const HEADER_TIMEOUT_MILLISECONDS = 1_500;
+
+/** What a refusal's body holds. */
+interface RefusalBody {
+  readonly error: {
+    readonly code: string;
+    readonly message: string;
+    readonly ran: string;
+  };
+}
+
+describe('callers over HTTP', () => {
+  let cluster: ProcessCluster;
+  let url: string;
+
+  before(async () => {
+    cluster = await startDemoCluster({
+      overrides: {
+        callers: {
+          bodyLimitBytes: BODY_LIMIT_BYTES,
+          headerTimeoutMilliseconds: HEADER_TIMEOUT_MILLISECONDS,
+        },
+      },
+    });
+    url = nodeIn(cluster, 'north').callerUrl;
+  });
+
+  after(() => cluster.stop());
+
+  async function post(
+    body: string,
+    headers: Readonly<Record<string, string>> = {},
+  ): Promise<{readonly status: number; readonly refusal: RefusalBody}> {
+    const response = await fetch(`${url}/v1/completions`, {
+      method: 'POST',
+      headers: {'content-type': 'application/json', ...headers},
+      body,
+    });
+    const refusal = (await response.json()) as RefusalBody;
+    return {status: response.status, refusal};
+  }
+
+  /** Sends bytes as they are and returns all that comes back. */
+  async function sendRaw(text: string): Promise<string> {
+    const {hostname, port} = new URL(url);
+    const socket = connect(Number(port), hostname);
+    const pieces: Buffer[] = [];
+    socket.on('data', piece => pieces.push(piece));
+    socket.on('error', () => {});
+    socket.write(text);
+    await once(socket, 'close');
+    return Buffer.concat(pieces).toString('utf8');
+  }
+
+  describe('the openai package', () => {
+    const client = () =>
+      new OpenAI({baseURL: `${url}/v1`, apiKey: 'unused', maxRetries: 0});
+    const question = [{role: 'user' as const, content: 'Summarise batch 9.'}];
+
+    it('gets a whole answer', async () => {
+      const answer = await client().chat.completions.create({
+        model: 'certificate-writer',
+        messages: question,
+        max_tokens: 4,
+      });
+      expect(answer.choices[0]?.message.content).to.match(/^\[\w+\] t1 t2 t3$/);
+    });
+
+    it('gets a stream', async () => {
+      const stream = await client().chat.completions.create({
+        model: 'certificate-marine',
+        messages: question,
+        max_tokens: 4,
+        stream: true,
+      });
+      let text = '';
+      for await (const chunk of stream) {
+        text += chunk.choices[0]?.delta.content ?? '';
+      }
+      expect(text).to.match(/^\[\w+\] t1 t2 t3$/);
+    });
+
+    it('lists models', async () => {
+      const names: string[] = [];
+      for await (const {id} of client().models.list()) names.push(id);
+      expect(names).to.include.members([
+        'certificate-writer',
+        'findings-french',
+      ]);
+      expect(names).to.not.include('release');
+    });
+
+    it('understands an error', async () => {
+      let caught: unknown;
+      await client()
+        .chat.completions.create({model: 'no-such', messages: question})
+        .catch(error => (caught = error));
+      expect(caught).to.be.instanceOf(OpenAI.NotFoundError);
+      expect((caught as {code: string}).code).to.equal('unknown_entry');
+    });
+  });
+
+  describe('a bad request gets its own clear error', () => {
+    it('for an unknown model', async () => {
+      const {status, refusal} = await post('{"model":"no-such"}');
+      expect(status).to.equal(404);
+      expect(refusal.error.code).to.equal('unknown_entry');
+      expect(refusal.error.ran).to.equal('no');
+    });
+
+    it('for bad JSON', async () => {
+      const {status, refusal} = await post('{"model":');
+      expect(status).to.equal(400);
+      expect(refusal.error.message).to.contain('not JSON');
+    });
+
+    it('for a wrong content type', async () => {
+      const {status, refusal} = await post('x', {'content-type': 'text/plain'});
+      expect(status).to.equal(415);
+      expect(refusal.error.message).to.contain('text/plain');
+    });
+
+    it('for a body over the limit', async () => {
+      const long = JSON.stringify({model: 'x'.repeat(BODY_LIMIT_BYTES)});
+      const {status, refusal} = await post(long);
+      expect(status).to.equal(413);
+      expect(refusal.error.message).to.contain(String(BODY_LIMIT_BYTES));
+    });
+
+    it('for a body over the limit whose length is not declared', async () => {
+      const chunk = 'a'.repeat(BODY_LIMIT_BYTES);
+      const size = BODY_LIMIT_BYTES.toString(16);
+      const answer = await sendRaw(
+        'POST /v1/completions HTTP/1.1\r\nhost: x\r\n' +
+          'content-type: application/json\r\n' +
+          'transfer-encoding: chunked\r\n\r\n' +
+          `${size}\r\n${chunk}\r\n${size}\r\n${chunk}\r\n0\r\n\r\n`,
+      );
+      expect(answer).to.match(/^HTTP\/1.1 413 /);
+    });
+
+    it('for a header too long', async () => {
+      const answer = await sendRaw(
+        `GET /v1/models HTTP/1.1\r\nhost: x\r\nx-long: ${'a'.repeat(20_000)}\r\n\r\n`,
+      );
+      expect(answer).to.match(/^HTTP\/1.1 431 /);
+      expect(answer).to.contain('headers_too_large');
+    });
+
+    it('for a slow header', async () => {
+      const answer = await sendRaw('GET /v1/models HTTP/1.1\r\nhost: x\r\n');
+      expect(answer).to.match(/^HTTP\/1.1 408 /);
+      expect(answer).to.contain('request_timeout');
+    });
+
+    it('for a release without a key', async () => {
+      const response = await fetch(`${url}/services/release/batches`, {
+        method: 'POST',
+        body: '{}',
+      });
+      const refusal = (await response.json()) as RefusalBody;
+      expect(response.status).to.equal(400);
+      expect(refusal.error.code).to.equal('idempotency_key_required');
+    });
+
+    it('for a path that is not served', async () => {
+      const response = await fetch(`${url}/v2/unknown`);
+      const refusal = (await response.json()) as RefusalBody;
+      expect(response.status).to.equal(404);
+      expect(refusal.error.code).to.equal('unknown_route');
+    });
+
+    it('and the node serves on', async () => {
+      const node = nodeIn(cluster, 'north');
+      const answer = await complete(node, {
+        model: 'certificate-writer',
+        prompt: 'still there?',
+      });
+      expect(answer.status).to.equal(200);
+    });
+  });
+
+  it('echoes a request id and refuses what cannot meet its deadline', async () => {
+    const {status, refusal} = await post(
+      '{"model":"certificate-writer","prompt":"x"}',
+      {'x-deadline-milliseconds': '1', 'x-request-id': 'mine-1'},
+    );
+    expect(status).to.be.oneOf([503, 504]);
+    expect(refusal.error).to.have.property('request_id', 'mine-1');
+  });
+
+  it('answers for an entry added by apply on every node', async () => {
+    const added = `${DEMO_CATALOGUE}
+[[entries]]
+name = "certificate-wood"
+kind = "adapter"
+base = "certificate-writer"
+owner = "quality"
+class = "interactive"
+memory_bytes = 200000000
+`;
+    await cluster.apply(`base_revision = 1\n${added}`);
+    await cluster.until('the added adapter answers on every node', async () => {
+      const answers = await Promise.all(
+        [...cluster.nodes.values()].map(node =>
+          complete(node, {model: 'certificate-wood', prompt: 'x'}),
+        ),
+      );
+      return answers.every(({status}) => status === 200);
+    });
+  });
+});
--- /dev/null
+++ b/packages/arbutustide-scenarios/src/__tests__/integration/processes.test.ts
@@ -0,0 +1,322 @@
+import type {
+  ProcessCluster,
+  RunningNodeProcess,
+} from '../../processes/process_cluster.js';
+
+import {delay} from '@arbutustide/errors';
+import {expectedText} from '@arbutustide/stand-ins';
+import {HostKind, HostState} from '@arbutustide/upstream';
+import {expect} from 'chai';
+
+import {DEMO_CATALOGUE} from '../../demo_catalogue.js';
+import {
+  complete,
+  completionText,
+  recordRelease,
+} from '../../processes/caller_client.js';
+import {
+  answersEverywhere,
+  nodeIn,
+  startDemoCluster,
+} from '../../processes/demo_cluster.js';
+
+const LEASE_MILLISECONDS = 2_000;
+const EXPIRY_MILLISECONDS = 4_000;
+const MODEL = 'certificate-writer';
+
+interface ServiceRecords {
+  readonly calls: readonly {readonly body: string}[];
+}
+
+interface EngineRecords {
+  readonly overcommits: readonly object[];
+  readonly runs: readonly {readonly end: string; readonly prompt: string}[];
+}
+
+describe('separate processes under failure', function () {
+  this.timeout(90_000);
+  let cluster: ProcessCluster;
+
+  before(async () => {
+    cluster = await startDemoCluster({
+      overrides: {
+        gossip: {
+          heartbeatMilliseconds: 500,
+          expiryMilliseconds: EXPIRY_MILLISECONDS,
+        },
+        planner: {
+          leaseMilliseconds: LEASE_MILLISECONDS,
+          intervalMilliseconds: 300,
+          longestOrderDelayMilliseconds: 8_000,
+        },
+        platform: {callTimeoutMilliseconds: 800},
+      },
+      engineParameters: ['--token-milliseconds', '20'],
+      serviceParameters: ['--call-milliseconds', '700'],
+    });
+  });
+
+  after(() => cluster.stop());
+
+  afterEach(async () => {
+    for (const {url} of cluster.services.values())
+      await cluster.clearFaults(url);
+    await cluster.clearFaults(cluster.objectApiUrl);
+    await cluster.until('all is well again', () => answersEverywhere(cluster));
+  });
+
+  function engineIn(domain: string) {
+    const engine = cluster.engines.get(`engine-${domain}`);
+    if (!engine) throw new Error(`there is no engine in ${domain}`);
+    return engine;
+  }
+
+  /** Starts a stream and waits until an engine runs it. */
+  async function startStream(node: RunningNodeProcess, prompt: string) {
+    const body = {model: MODEL, prompt, max_tokens: 100, stream: true};
+    const answer = complete(node, body);
+    let engineId = '';
+    await cluster.until('the stream runs', async () => {
+      for (const [id, engine] of cluster.engines) {
+        if (!engine.process.isRunning) continue;
+        const {runs} = (await cluster.records(engine)) as EngineRecords;
+        const isThere = runs.some(
+          run => run.prompt === prompt && run.end === 'running',
+        );
+        if (isThere) engineId = id;
+      }
+      return engineId !== '';
+    });
+    return {answer, engineId};
+  }
+
+  async function runsOfKey(key: string): Promise<number> {
+    let count = 0;
+    for (const service of cluster.services.values()) {
+      const {calls} = (await cluster.records(service)) as ServiceRecords;
+      count += calls.filter(({body}) => body.includes(`"${key}"`)).length;
+    }
+    return count;
+  }
+
+  it('SIGKILL of a node while a release runs: it runs once, resends are told', async () => {
+    const node = nodeIn(cluster, 'hill');
+    const first = recordRelease(node, 'killed-node');
+    await cluster.until('the release runs', async () => {
+      return (await runsOfKey('killed-node')) === 1;
+    });
+    node.process.signal('SIGKILL');
+    expect((await first).status).to.equal(0);
+    const other = nodeIn(cluster, 'north');
+    await cluster.until('the claimant is known to be gone', async () => {
+      const resend = await recordRelease(other, 'killed-node');
+      expect(resend.ran).to.equal('maybe');
+      return resend.body.includes('request_may_have_run');
+    });
+    expect(await runsOfKey('killed-node')).to.equal(1);
+    await cluster.startNode('node-hill', 'hill');
+  });
+
+  it('SIGSTOP and SIGCONT of a node: it goes on with the accepted catalogue', async () => {
+    const node = nodeIn(cluster, 'hill');
+    node.process.signal('SIGSTOP');
+    await delay(EXPIRY_MILLISECONDS + 1_000);
+    node.process.signal('SIGCONT');
+    await cluster.until('the node answers', async () => {
+      const answer = await complete(node, {model: MODEL, prompt: 'x'});
+      return answer.status === 200;
+    });
+    const status = await cluster.command('status', '--output', 'json');
+    expect(status.output).to.contain('node-hill');
+  });
+
+  it('SIGKILL of an engine in a stream: its end is visibly broken', async () => {
+    const node = nodeIn(cluster, 'north');
+    const {answer, engineId} = await startStream(node, 'killed engine');
+    cluster.engines.get(engineId)?.process.signal('SIGKILL');
+    expect((await answer).isWhole).to.equal(false);
+    const again = await complete(node, {model: MODEL, prompt: 'again'});
+    expect(again.status).to.equal(200);
+    await cluster.startEngine(engineId, engineId.replace('engine-', ''));
+  });
+
+  it('cut sockets in a stream: it is continued to its whole answer', async () => {
+    const node = nodeIn(cluster, 'north');
+    const {answer, engineId} = await startStream(node, 'cut sockets');
+    const engine = cluster.engines.get(engineId);
+    if (engine) await cluster.cutConnections(engine);
+    const {body, isWhole} = await answer;
+    expect(isWhole).to.equal(true);
+    expect(completionText(body)).to.equal(expectedText('cut sockets', 100));
+  });
+
+  it('SIGSTOP of an engine: a whole answer comes from another', async () => {
+    const engine = engineIn('north');
+    engine.process.signal('SIGSTOP');
+    const answers = await Promise.all(
+      ['1', '2', '3', '4'].map(prompt =>
+        complete(nodeIn(cluster, 'north'), {model: MODEL, prompt}),
+      ),
+    );
+    engine.process.signal('SIGCONT');
+    expect(answers.map(({status}) => status)).to.deep.equal([
+      200, 200, 200, 200,
+    ]);
+  });
+
+  it('SIGTERM of a node under load: streams end whole and it exits with 0', async () => {
+    const node = nodeIn(cluster, 'hill');
+    const {answer} = await startStream(node, 'planned stop');
+    const release = recordRelease(node, 'planned-stop');
+    await cluster.until('the release runs', async () => {
+      return (await runsOfKey('planned-stop')) === 1;
+    });
+    node.process.signal('SIGTERM');
+    await delay(300);
+    const late = await complete(node, {model: MODEL, prompt: 'late'});
+    expect(late.status).to.equal(200);
+    expect((await release).status).to.equal(200);
+    const {body, isWhole} = await answer;
+    expect(isWhole).to.equal(true);
+    expect(completionText(body)).to.equal(expectedText('planned stop', 100));
+    expect(await node.process.waitForExit()).to.equal(0);
+    await cluster.startNode('node-hill', 'hill');
+  });
+
+  it('SIGSTOP of the object API: releases are refused as not run, models answer', async () => {
+    cluster.objectApiProcess.signal('SIGSTOP');
+    const node = nodeIn(cluster, 'north');
+    const refused = await recordRelease(node, 'frozen-store');
+    const answered = await complete(node, {model: MODEL, prompt: 'x'});
+    cluster.objectApiProcess.signal('SIGCONT');
+    expect(refused.status).to.equal(503);
+    expect(refused.ran).to.equal('no');
+    expect(answered.status).to.equal(200);
+    expect(await runsOfKey('frozen-store')).to.equal(0);
+    await cluster.until('the same key is served', async () => {
+      return (await recordRelease(node, 'frozen-store')).status === 200;
+    });
+    expect(await runsOfKey('frozen-store')).to.equal(1);
+  });
+
+  it('a claim whose reply is lost: the release runs once', async () => {
+    await cluster.fault(cluster.objectApiUrl, {
+      kind: 'lose_reply',
+      operation: 'PUT /objects/claims',
+      calls: 1,
+    });
+    const node = nodeIn(cluster, 'north');
+    const answer = await recordRelease(node, 'lost-reply');
+    expect(answer.status).to.equal(200);
+    expect(await runsOfKey('lost-reply')).to.equal(1);
+  });
+
+  it('SIGKILL of a service in a release: refused as may have run, never run again', async () => {
+    const node = nodeIn(cluster, 'harbour');
+    const first = recordRelease(node, 'killed-service');
+    let ranAt = '';
+    await cluster.until('the release runs', async () => {
+      for (const [id, service] of cluster.services) {
+        const {calls} = (await cluster.records(service)) as ServiceRecords;
+        if (calls.some(({body}) => body.includes('killed-service'))) ranAt = id;
+      }
+      return ranAt !== '';
+    });
+    cluster.services.get(ranAt)?.process.signal('SIGKILL');
+    const refused = await first;
+    expect(refused.status).to.equal(502);
+    expect(refused.ran).to.equal('maybe');
+    const domain = ranAt === 'release-1' ? 'north' : 'hill';
+    await cluster.startService(ranAt, 'release', domain, [
+      '--call-milliseconds',
+      '700',
+    ]);
+    const resend = await recordRelease(
+      nodeIn(cluster, 'north'),
+      'killed-service',
+    );
+    expect(resend.ran).to.equal('maybe');
+    expect(await runsOfKey('killed-service')).to.equal(0);
+  });
+
+  it('SIGSTOP of the planner past its lease: another plans, nothing is over-committed', async () => {
+    const status = await cluster.command('status', '--output', 'json');
+    const rows = JSON.parse(status.output) as {what: string; state: string}[];
+    const holder = rows.find(({what}) => what === 'planner')?.state ?? '';
+    const planner = [...cluster.nodes.values()].find(({peerUrl}) =>
+      holder.startsWith(peerUrl.replace('http://', '')),
+    );
+    if (!planner) throw new Error(`no node is ${holder}`);
+    planner.process.signal('SIGSTOP');
+    const changed = DEMO_CATALOGUE.replace(
+      'class = "batch"\nmemory_bytes = 16000000000',
+      'class = "batch"\nversion = "2"\nmemory_bytes = 16000000000',
+    );
+    const file = cluster.writeFile('v2.toml', changed);
+    const applied = await cluster.command(
+      ...['catalogue', 'apply', file, '--base', '1'],
+    );
+    expect(applied.exitCode, applied.output).to.equal(0);
+    await cluster.until('another planner loads the new version', async () => {
+      const moves = await cluster.command('explain', 'findings-summary');
+      return moves.output.includes('findings-summary@2');
+    });
+    planner.process.signal('SIGCONT');
+    await delay(LEASE_MILLISECONDS);
+    for (const engine of cluster.engines.values()) {
+      const {overcommits} = (await cluster.records(engine)) as EngineRecords;
+      expect(overcommits).to.deep.equal([]);
+    }
+  });
+
+  it('two operators at once: one is accepted, the other told of the conflict', async () => {
+    const got = await cluster.command('catalogue', 'get');
+    const files = ['one', 'two'].map(owner =>
+      cluster.writeFile(
+        `${owner}.toml`,
+        got.output.replaceAll('"laboratory"', `"${owner}"`),
+      ),
+    );
+    const results = await Promise.all(
+      files.map(file => cluster.command('catalogue', 'apply', file)),
+    );
+    const codes = results.map(({exitCode}) => exitCode).sort();
+    expect(codes).to.deep.equal([0, 4]);
+    const loser = results.find(({exitCode}) => exitCode === 4);
+    expect(loser?.output).to.contain('owner: "laboratory" ->');
+  });
+
+  it('a node started while the object API is frozen takes the catalogue from a peer', async () => {
+    cluster.objectApiProcess.signal('SIGSTOP');
+    const node = await cluster.startNode('node-late', 'harbour');
+    await cluster.until('the node answers', async () => {
+      const answer = await complete(node, {model: MODEL, prompt: 'x'});
+      return answer.status === 200;
+    });
+    cluster.objectApiProcess.signal('SIGCONT');
+    node.process.signal('SIGTERM');
+    await node.process.waitForExit();
+    await cluster.unlist('node-late');
+  });
+
+  it('a service host the list calls leaving gets no new work', async () => {
+    const service = cluster.services.get('release-1');
+    if (!service) throw new Error('there is no release-1');
+    await cluster.list({
+      id: 'release-1',
+      kind: HostKind.SERVICE,
+      url: service.url,
+      region: 'island',
+      failureDomain: 'north',
+      state: HostState.LEAVING,
+      group: 'release',
+      checksFencing: false,
+    });
+    await delay(2_000);
+    for (const node of cluster.nodes.values()) {
+      if (!node.process.isRunning) continue;
+      const answer = await recordRelease(node, `leaving-${node.name}`);
+      expect(answer.upstream).to.equal('release-2');
+    }
+  });
+});
--- a/packages/arbutustide-scenarios/src/demo_main.ts
+++ b/packages/arbutustide-scenarios/src/demo_main.ts
@@ -1,19 +1,23 @@
-import type {RunningNodeProcess} from './processes/process_cluster.js';
+import type {
+  ProcessCluster,
+  RunningNodeProcess,
+} from './processes/process_cluster.js';
 
 import {randomUUID} from 'node:crypto';
 
-import {fetch} from 'undici';
-
-import {DEMO_CATALOGUE} from './demo_catalogue.js';
-import {ProcessCluster} from './processes/process_cluster.js';
-
-const FAILURE_DOMAINS = ['north', 'harbour', 'hill'] as const;
+import {
+  complete,
+  completionText,
+  recordRelease,
+} from './processes/caller_client.js';
+import {nodeIn, startDemoCluster} from './processes/demo_cluster.js';
 
 async function main(): Promise<void> {
-  const cluster = new ProcessCluster({shutdown: {listenMilliseconds: 1_000}});
   const isOnce = process.argv.includes('--once');
+  const cluster = await startDemoCluster({say});
   try {
-    await runDemo(cluster);
+    await showStream(nodeIn(cluster, 'north'));
+    await showRelease(nodeIn(cluster, 'harbour'));
     if (isOnce) return;
     printLinesToTry(cluster);
     await new Promise(resolve => process.once('SIGINT', resolve));
@@ -22,95 +26,31 @@
   }
 }
 
-async function runDemo(cluster: ProcessCluster): Promise<void> {
-  say('starting the stand-ins: object API, host list, weight store');
-  await cluster.startPlatform();
-  say('starting three engines and two hosts of the release service');
-  for (const domain of FAILURE_DOMAINS) {
-    await cluster.startEngine(`engine-${domain}`, domain);
-  }
-  await cluster.startService('release-1', 'release', 'north');
-  await cluster.startService('release-2', 'release', 'hill');
-  say('starting three nodes in three failure domains');
-  for (const domain of FAILURE_DOMAINS) {
-    await cluster.startNode(`node-${domain}`, domain);
-  }
-  say('applying a catalogue: 2 models, 3 adapters, 1 service');
-  await cluster.apply(DEMO_CATALOGUE);
-  const [first, second] = cluster.nodes.values();
-  await cluster.until('every model and adapter answers', () =>
-    answersEverywhere(cluster),
-  );
-  await showStream(first);
-  await showRelease(second);
-}
-
-async function answersEverywhere(cluster: ProcessCluster): Promise<boolean> {
-  const entries = [
-    'certificate-writer',
-    'findings-summary',
-    'certificate-marine',
-    'certificate-powder',
-    'findings-french',
-  ];
-  for (const node of cluster.nodes.values()) {
-    for (const model of entries) {
-      const response = await complete(node, {
-        model,
-        prompt: 'x',
-        max_tokens: 1,
-      });
-      await response.arrayBuffer();
-      if (response.status !== 200) return false;
-    }
-  }
-  return true;
-}
-
 async function showStream(node: RunningNodeProcess): Promise<void> {
-  const response = await complete(node, {
+  const {body, upstream} = await complete(node, {
     model: 'certificate-marine',
     prompt: 'Draft a certificate of analysis for batch 4711.',
     max_tokens: 8,
     stream: true,
   });
-  const text = await response.text();
-  const tokens = text
-    .split('\n')
-    .filter(line => line.startsWith('data: {'))
-    .map(line => JSON.parse(line.slice('data: '.length)).choices[0].text)
-    .join('');
-  const upstream = response.headers.get('x-upstream');
-  say(`streamed through ${node.name}, ran at ${upstream}: ${tokens}`);
-  if (!text.includes('data: [DONE]'))
+  const text = completionText(body);
+  say(`streamed through ${node.name}, ran at ${upstream}: ${text}`);
+  if (!body.includes('data: [DONE]'))
     throw new Error('the stream is not whole');
 }
 
 async function showRelease(node: RunningNodeProcess): Promise<void> {
   const key = randomUUID();
   for (const attempt of ['first', 'second']) {
-    const response = await fetch(`${node.callerUrl}/services/release/batches`, {
-      method: 'POST',
-      headers: {'content-type': 'application/json', 'idempotency-key': key},
-      body: JSON.stringify({batch: 4711}),
-    });
-    const upstream = response.headers.get('x-upstream') ?? 'kept answer';
+    const {status, body, upstream} = await recordRelease(node, key);
     say(
       `${attempt} try of a release through ${node.name}: ` +
-        `${response.status} by ${upstream}: ${await response.text()}`,
+        `${status} by ${upstream ?? 'the answer kept'}: ${body}`,
     );
-    if (response.status !== 200) throw new Error('the release failed');
+    if (status !== 200) throw new Error('the release failed');
   }
 }
 
-function complete(node: RunningNodeProcess, body: object) {
-  return fetch(`${node.callerUrl}/v1/completions`, {
-    method: 'POST',
-    headers: {'content-type': 'application/json'},
-    body: JSON.stringify(body),
-  });
-}
-
 function printLinesToTry(cluster: ProcessCluster): void {
   const [node] = cluster.nodes.values();
   say('running; stop with Ctrl-C. Lines to try:');
--- /dev/null
+++ b/packages/arbutustide-scenarios/src/processes/caller_client.ts
@@ -0,0 +1,72 @@
+import type {RunningNodeProcess} from './process_cluster.js';
+
+import {fetch} from 'undici';
+
+/** An answer as a caller got it. */
+export interface ReceivedAnswer {
+  /** Zero when the connection ended without an answer. */
+  readonly status: number;
+  readonly body: string;
+  /** Whether the body ended as its framing says. */
+  readonly isWhole: boolean;
+  readonly ran: string | null;
+  readonly upstream: string | null;
+}
+
+/** Sends a completion and reads its answer to the end. */
+export function complete(
+  node: RunningNodeProcess,
+  body: object,
+): Promise<ReceivedAnswer> {
+  return exchange(`${node.callerUrl}/v1/completions`, JSON.stringify(body));
+}
+
+/** Records a release under a key. */
+export function recordRelease(
+  node: RunningNodeProcess,
+  key: string,
+): Promise<ReceivedAnswer> {
+  const url = `${node.callerUrl}/services/release/batches`;
+  return exchange(url, JSON.stringify({batch: key}), key);
+}
+
+async function exchange(
+  url: string,
+  body: string,
+  key?: string,
+): Promise<ReceivedAnswer> {
+  const headers: Record<string, string> = {'content-type': 'application/json'};
+  if (key !== undefined) headers['idempotency-key'] = key;
+  try {
+    const response = await fetch(url, {method: 'POST', headers, body});
+    const head = {
+      status: response.status,
+      ran: response.headers.get('x-request-ran'),
+      upstream: response.headers.get('x-upstream'),
+    };
+    try {
+      return {...head, body: await response.text(), isWhole: true};
+    } catch {
+      return {...head, body: '', isWhole: false};
+    }
+  } catch {
+    return {status: 0, body: '', isWhole: false, ran: null, upstream: null};
+  }
+}
+
+/** Text of a completion, streamed or whole. */
+export function completionText(body: string): string {
+  if (!body.startsWith('id:')) {
+    return (JSON.parse(body) as CompletionChunk).choices[0].text;
+  }
+  return body
+    .split('\n')
+    .filter(line => line.startsWith('data: {'))
+    .map(line => JSON.parse(line.slice('data: '.length)) as CompletionChunk)
+    .map(chunk => chunk.choices[0].text)
+    .join('');
+}
+
+interface CompletionChunk {
+  readonly choices: readonly {readonly text: string}[];
+}
--- a/packages/arbutustide-scenarios/src/processes/process_cluster.ts
+++ b/packages/arbutustide-scenarios/src/processes/process_cluster.ts
@@ -64,6 +64,10 @@
     return this.objectApi.url;
   }
 
+  get objectApiProcess(): ProgramProcess {
+    return this.objectApi.process;
+  }
+
   get hostListUrl(): string {
     return this.hostList.url;
   }
@@ -136,8 +140,8 @@
     name: string,
     failureDomain: string,
   ): Promise<RunningNodeProcess> {
-    const file = join(this.directory, `${name}.toml`);
-    writeFileSync(file, this.nodeSettings(name, failureDomain));
+    const settings = this.nodeSettings(name, failureDomain);
+    const file = this.writeFile(`${name}.toml`, settings);
     const process = this.start(name, BINARY, ['node', '--settings', file]);
     const line = await process.waitForLine(text => isStarted(text));
     const {ports} = JSON.parse(line) as StartedLine;
@@ -189,10 +193,16 @@
     return {output: command.lines.join('\n'), exitCode};
   }
 
+  /** Writes a file that a command can read. */
+  writeFile(name: string, text: string): string {
+    const file = join(this.directory, name);
+    writeFileSync(file, text);
+    return file;
+  }
+
   /** Applies a catalogue and waits until it is in force in every node. */
   async apply(toml: string): Promise<void> {
-    const file = join(this.directory, 'catalogue.toml');
-    writeFileSync(file, toml);
+    const file = this.writeFile('catalogue.toml', toml);
     const applied = await this.command('catalogue', 'apply', file, '--wait');
     if (applied.exitCode === 0) return;
     throw new Error(`apply ended with ${applied.exitCode}: ${applied.output}`);
@@ -209,6 +219,12 @@
     await this.order(`${url}/stand-in/faults`, 'POST', rule);
   }
 
+  /** Cuts all open connections of a stand-in. */
+  async cutConnections(standIn: RunningStandIn): Promise<void> {
+    const url = `${standIn.url}/stand-in/cut`;
+    await this.order(url, 'POST').catch(() => {});
+  }
+
   /** Ends misbehaviour. */
   async clearFaults(url: string): Promise<void> {
     await this.order(`${url}/stand-in/faults`, 'DELETE');
--- a/packages/arbutustide-stand-ins/src/stand_in_server.ts
+++ b/packages/arbutustide-stand-ins/src/stand_in_server.ts
@@ -65,6 +65,7 @@
       this.faults.clear();
       sendJson(response, 200, {});
     });
+    this.app.post(`${ORDERS_PREFIX}cut`, () => this.cutConnections());
     this.server = createServer((request, response) => {
       void this.handle(request as Request, response as Response);
     });
