Cut a broken answer's connection once what was written is flushed

Cause: the connection was cut on the socket's drain event, which is emitted only after the buffer was over its high-water mark, so a broken stream stayed open. Ruled out: the resume (it failed at once with ECONNREFUSED) and the caller (the event before was read). Now destroySoon, which waits for the flush. A claim is tried twice instead of three times, so that a keyed call is refused sooner while the object API is silent.

--- a/packages/arbutustide-claims/src/claim_store.ts
+++ b/packages/arbutustide-claims/src/claim_store.ts
@@ -14,7 +14,7 @@
 import {claimKey} from './claim_key.js';
 
 /** Tries of a claim whose reply was lost, within the caller's patience. */
-const CLAIM_TRIES = 3;
+const CLAIM_TRIES = 2;
 const OUTCOME_TRIES = 6;
 const OUTCOME_BACKOFF_MILLISECONDS = 250;
 
--- a/packages/arbutustide-node/src/answer_writer.ts
+++ b/packages/arbutustide-node/src/answer_writer.ts
@@ -129,9 +129,6 @@
   }
 
   private cut(): void {
-    const {socket} = this.response;
-    if (!socket || socket.destroyed) return;
-    if (socket.writableLength === 0) socket.destroy();
-    else socket.once('drain', () => socket.destroy());
+    this.response.socket?.destroySoon();
   }
 }
