--- /dev/null
+++ b/packages/arbutustide-catalogue/src/__tests__/unit/catalogue.test.ts
@@ -0,0 +1,95 @@
+import type {CatalogueDocument} from '../../index.js';
+
+import {expect} from 'chai';
+import fc from 'fast-check';
+
+import {
+  CatalogueHolder,
+  CatalogueRevision,
+  catalogueSchema,
+  checkFit,
+  differences,
+  joinDocument,
+  splitDocument,
+  validateCatalogue,
+} from '../../index.js';
+
+const RUNS = 1_000;
+const SEED = 20_261_203;
+
+const CLASS = {
+  name: 'interactive',
+  deadlineMilliseconds: 1_000,
+  firstTokenMilliseconds: 100,
+  progressMilliseconds: 500,
+  priority: 1,
+};
+const COMMON = {owner: 'quality', class: 'interactive'};
+
+function documentOf(entries: readonly object[]): CatalogueDocument {
+  return catalogueSchema.parse({classes: [CLASS], entries});
+}
+
+function model(name: string, memoryBytes = 10): object {
+  return {...COMMON, name, kind: 'model', memoryBytes};
+}
+
+const documents = fc
+  .uniqueArray(fc.stringMatching(/^[a-z][a-z0-9-]{0,8}$/), {maxLength: 200})
+  .map(names => documentOf(names.map(name => model(name))));
+
+describe('catalogue', () => {
+  it('is the same after it was split into chunks and joined', () => {
+    fc.assert(
+      fc.property(documents, document => {
+        const values = splitDocument(document).map(({value}) => value);
+        const changes = [...differences(document, joinDocument(values))];
+        expect(changes).to.deep.equal([]);
+      }),
+      {numRuns: RUNS, seed: SEED},
+    );
+  });
+
+  it('never goes back to a lower revision, in whatever order they come', () => {
+    const offers = fc.array(fc.integer({min: 1, max: 20}), {maxLength: 40});
+    fc.assert(
+      fc.property(offers, revisions => {
+        const holder = new CatalogueHolder();
+        const seen: number[] = [];
+        holder.onRevision(({revision}) => seen.push(revision));
+        for (const revision of revisions) {
+          const head = {revision, manifest: '', writeIds: []};
+          holder.offer(head, new CatalogueRevision(revision, documentOf([])));
+        }
+        const sorted = [...new Set(seen)].sort((left, right) => left - right);
+        expect(seen).to.deep.equal(sorted);
+        expect(holder.revision).to.equal(Math.max(0, ...revisions));
+      }),
+      {numRuns: RUNS, seed: SEED},
+    );
+  });
+
+  it('tells what is wrong between entries', () => {
+    const problems = validateCatalogue(
+      documentOf([
+        model('writer'),
+        model('writer'),
+        {...COMMON, name: 'orphan', kind: 'adapter', base: 'nothing'},
+        {...COMMON, name: 'release', kind: 'service', class: 'unknown'},
+      ]),
+    );
+    expect(problems).to.have.length(4);
+    expect(problems[0]).to.contain('"writer" stands twice');
+    expect(problems[1]).to.contain('allowed: interactive');
+    expect(problems[2]).to.contain('the name of a model entry');
+    expect(problems[3]).to.contain('a service names its hosts');
+  });
+
+  it('refuses what cannot fit into the workers together', () => {
+    const workers = [{upstreamId: 'a', memoryBytes: 25}];
+    const fitting = documentOf([model('one'), model('two')]);
+    const tooMuch = documentOf([model('one'), model('two'), model('three')]);
+    expect(checkFit(fitting, workers)).to.deep.equal([]);
+    expect(checkFit(tooMuch, workers)[0]).to.contain('need 30 bytes');
+  });
+});
--- /dev/null
+++ b/packages/arbutustide-claims/src/__tests__/unit/claim_store.test.ts
@@ -0,0 +1,109 @@
+import type {ObjectStore, StoredObject} from '@arbutustide/object-store';
+
+import {StoreError, StoreErrorKind} from '@arbutustide/object-store';
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {Err, Ok} from 'ts-results';
+
+import {ClaimOutcome, ClaimStore} from '../../index.js';
+
+const RUNS = 1_000;
+const SEED = 20_261_203;
+
+/** How one write ends. */
+enum WriteFate {
+  DONE,
+  REPLY_LOST,
+  REFUSED,
+}
+
+/** An object API that follows a list of fates. */
+class FatefulStore implements ObjectStore {
+  private readonly objects = new Map<string, StoredObject>();
+  private version = 0;
+
+  constructor(private readonly fates: WriteFate[]) {}
+
+  async get(key: string) {
+    const object = this.objects.get(key);
+    return object
+      ? Ok(object)
+      : Err(new StoreError(StoreErrorKind.NOT_FOUND, key));
+  }
+
+  async list() {
+    return Ok([...this.objects.values()]);
+  }
+
+  async create(key: string, value: unknown) {
+    return this.write(key, value, undefined);
+  }
+
+  async update(key: string, value: unknown, version: number) {
+    return this.write(key, value, version);
+  }
+
+  async delete(key: string, version: number) {
+    if (this.objects.get(key)?.version !== version) {
+      return Err(new StoreError(StoreErrorKind.CONFLICT, key));
+    }
+    this.objects.delete(key);
+    return Ok(undefined);
+  }
+
+  async watch(): Promise<never> {
+    throw new Error('not used here');
+  }
+
+  private write(key: string, value: unknown, version: number | undefined) {
+    const fate = this.fates.shift() ?? WriteFate.DONE;
+    if (fate === WriteFate.REFUSED) {
+      return Err(new StoreError(StoreErrorKind.UNAVAILABLE, key));
+    }
+    if (this.objects.get(key)?.version !== version) {
+      return Err(new StoreError(StoreErrorKind.CONFLICT, key));
+    }
+    this.version += 1;
+    const object = {key, version: this.version, value};
+    this.objects.set(key, object);
+    return fate === WriteFate.REPLY_LOST
+      ? Err(new StoreError(StoreErrorKind.OUTCOME_UNKNOWN, key))
+      : Ok(object);
+  }
+}
+
+const fates = fc.array(
+  fc.constantFrom(WriteFate.DONE, WriteFate.REPLY_LOST, WriteFate.REFUSED),
+  {maxLength: 12},
+);
+
+describe('claims', () => {
+  it('let one of many resends hold a key, whatever becomes of writes', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fates,
+        fc.integer({min: 1, max: 6}),
+        async (list, count) => {
+          const store = new FatefulStore([...list]);
+          let held = 0;
+          for (let index = 0; index < count; index += 1) {
+            const claims = new ClaimStore(store, {
+              claimant: `node-${index}`,
+              answerLimitBytes: 1_000,
+              isAlive: () => false,
+            });
+            const grant = await claims.claim({
+              identity: {caller: 'c', entry: 'release', key: 'k'},
+              requestDigest: 'digest',
+              requestId: `r-${index}`,
+            });
+            const isHeld = grant.ok && grant.val.outcome === ClaimOutcome.HELD;
+            if (isHeld) held += 1;
+          }
+          expect(held).to.be.at.most(1);
+        },
+      ),
+      {numRuns: RUNS, seed: SEED},
+    );
+  });
+});
--- a/packages/arbutustide-placement/src/placement_plan.ts
+++ b/packages/arbutustide-placement/src/placement_plan.ts
@@ -1,6 +1,6 @@
 import type {CatalogueEntry} from '@arbutustide/catalogue';
 
-import type {ModelState, WorkerState} from './plan_state.js';
+import type {ModelState, WorkersByEntry, WorkerState} from './plan_state.js';
 import type {PlannableWorker, PlannedOrder, PlanInput} from './plan_types.js';
 
 import {EntryKind, entryNameOf} from '@arbutustide/catalogue';
@@ -10,6 +10,7 @@
 import {
   availableBytes,
   domainsOf,
+  indexWorkers,
   modelState,
   replicaCount,
   reserveAdapters,
@@ -28,6 +29,7 @@
 
 class PlacementPass {
   private readonly workers: readonly WorkerState[];
+  private readonly workersByEntry: WorkersByEntry;
   private readonly models: readonly ModelState[];
   private loadAllowance: number;
 
@@ -37,9 +39,10 @@
       freeBytes: freeBytes(worker.record),
       reservedBytes: 0,
     }));
+    this.workersByEntry = indexWorkers(this.workers);
     this.models = input.catalogue
       .entriesOf(EntryKind.MODEL)
-      .map(entry => modelState(entry, this.workers, input));
+      .map(entry => modelState(entry, this.workersByEntry, input));
     for (const model of this.models) reserveAdapters(model, input.catalogue);
     this.loadAllowance = input.loadAllowance;
   }
@@ -139,7 +142,7 @@
         for (const state of model.holders) {
           yield* this.loadAdapter(adapter, state, model);
         }
-        for (const {worker} of this.workers) {
+        for (const {worker} of this.workersByEntry.get(adapter.name) ?? []) {
           yield* this.unloadOldAdapters(adapter, worker, model);
         }
       }
--- a/packages/arbutustide-placement/src/plan_state.ts
+++ b/packages/arbutustide-placement/src/plan_state.ts
@@ -2,6 +2,7 @@
 
 import type {PlanInput, PlannableWorker} from './plan_types.js';
 
+import {entryNameOf} from '@arbutustide/catalogue';
 import {OrderKind} from '@arbutustide/upstream';
 
 import {hasIntent, isHeld} from './ledger.js';
@@ -29,26 +30,43 @@
   reservedBytes: number;
 }
 
+/** Workers with an item, or an order for an item, of each entry. */
+export type WorkersByEntry = ReadonlyMap<string, ReadonlySet<WorkerState>>;
+
+/** Indexes workers by the entries whose items they hold or await. */
+export function indexWorkers(workers: readonly WorkerState[]): WorkersByEntry {
+  const index = new Map<string, Set<WorkerState>>();
+  for (const state of workers) {
+    const {items, intents} = state.worker.record;
+    for (const {item} of [...items, ...intents]) {
+      const name = entryNameOf(item);
+      const known = index.get(name);
+      if (known) known.add(state);
+      else index.set(name, new Set([state]));
+    }
+  }
+  return index;
+}
+
 /** Finds where a model is and where it is coming. */
 export function modelState(
   entry: CatalogueEntry,
-  workers: readonly WorkerState[],
+  workers: WorkersByEntry,
   input: PlanInput,
 ): ModelState {
   const item = input.catalogue.itemName(entry);
-  const prefix = `${entry.name}@`;
   const adapters = input.catalogue.adaptersOf(entry.name);
   const holders: WorkerState[] = [];
   const arriving: WorkerState[] = [];
   const otherVersions: WorkerState[] = [];
-  for (const state of workers) {
+  for (const state of workers.get(entry.name) ?? []) {
     const {record} = state.worker;
     if (isHeld(record, item)) holders.push(state);
     else if (hasIntent(record, OrderKind.LOAD, item)) arriving.push(state);
     const isOther = record.items.some(
       held =>
         held.item !== item &&
-        held.item.startsWith(prefix) &&
+        entryNameOf(held.item) === entry.name &&
         isHeld(record, held.item),
     );
     if (isOther) otherVersions.push(state);
--- a/packages/arbutustide-scenarios/src/bench/gossip_bench.ts
+++ b/packages/arbutustide-scenarios/src/bench/gossip_bench.ts
@@ -192,9 +192,10 @@
   let rounds = 0;
   while (informed.size < peers.length) {
     rounds += 1;
+    const before = new Set(informed);
     for (const [index, chosen] of peers.entries()) {
       for (const peer of chosen) {
-        if (!informed.has(index) && !informed.has(peer)) continue;
+        if (!before.has(index) && !before.has(peer)) continue;
         informed.add(index);
         informed.add(peer);
       }
--- /dev/null
+++ b/packages/arbutustide-settings/src/__tests__/unit/parse_settings.test.ts
@@ -0,0 +1,50 @@
+import {expect} from 'chai';
+
+import {formatSettings, parseSettings} from '../../index.js';
+
+const SMALLEST = `
+[node]
+name = "entry-1"
+region = "island"
+failure_domain = "north"
+address = "127.0.0.1"
+caller_port = 0
+peer_port = 0
+control_port = 0
+
+[platform]
+object_store_url = "http://127.0.0.1:1"
+host_list_url = "http://127.0.0.1:2"
+`;
+
+function problemsOf(text: string): string {
+  const settings = parseSettings(text, 'entry.toml');
+  return settings.ok ? '' : settings.val.message;
+}
+
+describe('parseSettings', () => {
+  it('fills in defaults', () => {
+    const settings = parseSettings(SMALLEST, 'entry.toml').unwrap();
+    expect(settings.gossip.maximumPeers).to.equal(8);
+    expect(formatSettings(settings)).to.contain('maximum_peers = 8');
+  });
+
+  it('names the file, the unknown key and the nearest known one', () => {
+    const text = `${SMALLEST}\n[gossip]\nmaximum_peer = 4\n`;
+    expect(problemsOf(text)).to.equal(
+      'entry.toml: gossip.maximum_peer: unknown key; ' +
+        'the nearest known key is maximum_peers',
+    );
+  });
+
+  it('names the key, the value and what is allowed', () => {
+    const text = `${SMALLEST}\n[routing]\nsample_size = 99\n`;
+    const problems = problemsOf(text);
+    expect(problems).to.contain('entry.toml: routing.sample_size = 99');
+    expect(problems).to.contain('8');
+  });
+
+  it('names the line of a syntax error', () => {
+    expect(problemsOf('[node\n')).to.match(/^entry.toml: line 1, column \d+/);
+  });
+});
