--- a/packages/arbutustide-settings/src/settings_schema.ts
+++ b/packages/arbutustide-settings/src/settings_schema.ts
@@ -40,12 +40,12 @@
 });
 
 const gossipSchema = z.strictObject({
-  intervalMilliseconds: milliseconds.default(500),
+  intervalMilliseconds: milliseconds.default(750),
   heartbeatMilliseconds: milliseconds.default(2_000),
   /** A record that did not change for this long is dropped. */
   expiryMilliseconds: milliseconds.default(10_000),
   callTimeoutMilliseconds: milliseconds.default(1_500),
-  maximumPeers: count.default(8),
+  maximumPeers: count.default(3),
   /** Watchers of the object API in each failure domain. */
   watchersPerFailureDomain: count.default(2),
 });
