Suspect a request whose stream broke because its upstream went down

Cause: a crash was judged only while an attempt opened. Now a broken stream is judged as well, over a new connection, and an answer its caller abandoned is told apart from a broken one. Ruled out: clearing broken streams' suspicions, which clears the culprit.

--- a/packages/arbutustide-membership/src/cluster_view.ts
+++ b/packages/arbutustide-membership/src/cluster_view.ts
@@ -46,6 +46,7 @@
   readonly observations: ReceivedObservation[];
   /** Crashes by request fingerprint. */
   readonly suspicions: Map<string, number>;
+  readonly runningSuspects: Set<string>;
 }
 
 type FieldCase = NonNullable<Field['value']['case']>;
@@ -74,7 +75,8 @@
   },
   suspicion: (field, _writer, into) => {
     if (field.value.case !== 'suspicion') return;
-    const {fingerprint, crashes} = field.value.value;
+    const {fingerprint, crashes, running} = field.value.value;
+    if (running) into.runningSuspects.add(fingerprint);
     const known = into.suspicions.get(fingerprint) ?? 0;
     into.suspicions.set(fingerprint, known + crashes);
   },
@@ -126,10 +128,10 @@
     return this.current().suspicions.get(fingerprint) ?? 0;
   }
 
-  /** Whether the other nodes suspect a request other than this one. */
-  peersSuspectOthers(fingerprint: string): boolean {
-    const {suspicions} = this.current();
-    return suspicions.size > (suspicions.has(fingerprint) ? 1 : 0);
+  /** Whether other nodes run a suspect other than this one. */
+  peersRunOtherSuspects(fingerprint: string): boolean {
+    const {runningSuspects} = this.current();
+    return runningSuspects.size > (runningSuspects.has(fingerprint) ? 1 : 0);
   }
 
   /** Whether a process is still heard of. */
@@ -163,6 +165,7 @@
     demands: new Map(),
     observations: [],
     suspicions: new Map(),
+    runningSuspects: new Set(),
   };
   for (const record of table.others()) {
     const status = memberStatus(record);
--- a/packages/arbutustide-node/src/answer_writer.ts
+++ b/packages/arbutustide-node/src/answer_writer.ts
@@ -69,8 +69,8 @@
       if (piece.done) return this.end(piece.value);
       this.measurePiece();
       if (this.isGone && !this.drainsWhenGone) {
-        await pieces.return(AnswerEnd.BROKEN);
-        return AnswerEnd.BROKEN;
+        await pieces.return(AnswerEnd.ABANDONED);
+        return AnswerEnd.ABANDONED;
       }
       await this.writePiece(piece.value);
     }
--- a/packages/arbutustide-node/src/own_status.ts
+++ b/packages/arbutustide-node/src/own_status.ts
@@ -110,9 +110,14 @@
   }
 
   private *publishSuspicions(): Generator<string> {
-    for (const {fingerprint, crashes} of this.suspects.current()) {
+    for (const suspicion of this.suspects.current()) {
+      const {fingerprint, crashes, isRunning} = suspicion;
       const key = `suspicion/${fingerprint}`;
-      const value = create(SuspicionSchema, {fingerprint, crashes});
+      const value = create(SuspicionSchema, {
+        fingerprint,
+        crashes,
+        running: isRunning,
+      });
       this.table.own.set(key, {case: 'suspicion', value});
       yield key;
     }
--- a/packages/arbutustide-node/src/wiring.ts
+++ b/packages/arbutustide-node/src/wiring.ts
@@ -190,7 +190,7 @@
     const view = parts.resolve(CLUSTER_VIEW);
     return new RequestSuspects(routing.quarantineMilliseconds, {
       crashes: fingerprint => view.peerCrashes(fingerprint),
-      suspectsOthers: fingerprint => view.peersSuspectOthers(fingerprint),
+      runsOthers: fingerprint => view.peersRunOtherSuspects(fingerprint),
     });
   });
   register(ADMISSION, parts => createAdmission(parts, dependencies));
--- a/packages/arbutustide-routing/src/answer_relay.ts
+++ b/packages/arbutustide-routing/src/answer_relay.ts
@@ -42,13 +42,13 @@
 
   /** The pieces of the answer; returns how it ended. */
   async *pieces(): AnswerPieces {
-    let end = AnswerEnd.BROKEN;
+    let end = AnswerEnd.ABANDONED;
     try {
       for (const piece of this.attempt.pieces) yield this.kept(piece);
       end = yield* this.remaining();
       return end;
     } finally {
-      if (end === AnswerEnd.BROKEN) this.giveUp();
+      if (end !== AnswerEnd.WHOLE) this.giveUp();
       this.options.onEnd(end, this.wholeCopy(end));
     }
   }
--- a/packages/arbutustide-routing/src/attempt_runner.ts
+++ b/packages/arbutustide-routing/src/attempt_runner.ts
@@ -50,6 +50,8 @@
   readonly replica: Replica;
   /** Ends the attempt's accounting; repeated calls do nothing. */
   readonly finish: () => void;
+  /** Whether the upstream went down since the attempt began. */
+  readonly didCrash: () => Promise<boolean>;
 }
 
 /** An attempt that gave no answer. */
@@ -106,7 +108,12 @@
       giveUp,
     );
     if (opened.ok && !target.notRunStatuses.has(opened.val.status)) {
-      return Ok({replica, ...opened.val, finish});
+      return Ok({
+        replica,
+        ...opened.val,
+        finish,
+        didCrash: () => didCrash(target, startBefore),
+      });
     }
     finish();
     if (opened.ok) return Err(this.refused(replica, opened.val));
--- a/packages/arbutustide-routing/src/caller_request.ts
+++ b/packages/arbutustide-routing/src/caller_request.ts
@@ -33,7 +33,10 @@
 /** How the body of an answer ended. */
 export enum AnswerEnd {
   WHOLE = 'whole',
+  /** The upstream ended before the answer did. */
   BROKEN = 'broken',
+  /** The caller stopped reading. */
+  ABANDONED = 'abandoned',
 }
 
 /** Pieces of a body; the generator returns how it ended. */
--- a/packages/arbutustide-routing/src/dispatcher.ts
+++ b/packages/arbutustide-routing/src/dispatcher.ts
@@ -15,8 +15,6 @@
 import type {RetryBudget} from './retry_budget.js';
 import type {Replica, UpstreamDirectory} from './upstream_directory.js';
 
-import {createHash} from 'node:crypto';
-
 import {isIdempotent} from '@arbutustide/catalogue';
 import {ClaimOutcome, requestDigest} from '@arbutustide/claims';
 import {
@@ -39,6 +37,8 @@
   noReplicaRefusal,
   quarantineRefusal,
 } from './dispatch_refusals.js';
+import {keptAnswer} from './kept_answer.js';
+import {requestFingerprint} from './request_fingerprint.js';
 import {ranSoFar} from './request_progress.js';
 
 /** How often a suspect looks for an upstream without another suspect. */
@@ -163,7 +163,12 @@
         watch.stop();
         opened.val.finish();
         permit.release();
-        this.recordEnd(progress, end, performance.now() - startedAt);
+        this.recordEnd(
+          progress,
+          opened.val,
+          end,
+          performance.now() - startedAt,
+        );
         if (held) this.settleEnded(held, opened.val, end, copy);
       },
       cancel: progress.cancel,
@@ -206,8 +211,10 @@
     }
     const {upstream} = replica;
     upstream.suspectsInFlight += 1;
+    this.suspects.setRunning(fingerprint, true);
     const outcome = await this.runner.open(replica, request, cancel);
     upstream.suspectsInFlight -= 1;
+    this.suspects.setRunning(fingerprint, false);
     return outcome;
   }
 
@@ -308,12 +315,25 @@
     await delay(longest * choice.random(), progress.cancel.signal);
   }
 
+  /** A request whose stream broke because its upstream went down is a suspect. */
+  private async judgeBroken(
+    {fingerprint}: RequestProgress,
+    {replica, didCrash}: OpenAttempt,
+  ): Promise<void> {
+    if (!(await didCrash())) return;
+    this.directory.markUnreachable(replica.upstream.id);
+    this.suspects.recordCrash(fingerprint);
+  }
+
   private recordEnd(
     progress: RequestProgress,
+    attempt: OpenAttempt,
     end: AnswerEnd,
     milliseconds: number,
   ): void {
     const {request, fingerprint} = progress;
+    if (end === AnswerEnd.BROKEN)
+      this.track(this.judgeBroken(progress, attempt));
     if (end !== AnswerEnd.WHOLE) return;
     this.admission.recordServiceTime(request.entry, milliseconds);
     this.options.budgetOf(request.requestClass.name).recordSuccess();
@@ -334,7 +354,7 @@
     end: AnswerEnd,
     copy: Buffer | undefined,
   ): void {
-    if (end === AnswerEnd.BROKEN) {
+    if (end !== AnswerEnd.WHOLE) {
       this.track(this.claims.settleUnknown(held));
       return;
     }
@@ -352,34 +372,3 @@
     this.pending.add(tracked);
   }
 }
-
-/** Identifies requests that would do the same to an upstream. */
-function requestFingerprint(request: CallerRequest): string {
-  const hash = createHash('sha1').update(request.entry.name);
-  hash.update('\0').update(request.path).update('\0');
-  if (request.body) hash.update(request.body);
-  return hash.digest('hex');
-}
-
-function keptAnswer(kept: {
-  readonly status: number;
-  readonly contentType: string;
-  readonly bodyBase64: string;
-}): CallerAnswer {
-  const body = Buffer.from(kept.bodyBase64, 'base64');
-  return {
-    status: kept.status,
-    contentType: kept.contentType,
-    upstreamId: undefined,
-    queuedMilliseconds: 0,
-    lengthBytes: body.length,
-    pieces: singlePiece(body),
-  };
-}
-
-async function* singlePiece(
-  body: Buffer,
-): AsyncGenerator<Uint8Array, AnswerEnd, undefined> {
-  yield body;
-  return AnswerEnd.WHOLE;
-}
--- a/packages/arbutustide-routing/src/request_suspects.ts
+++ b/packages/arbutustide-routing/src/request_suspects.ts
@@ -1,14 +1,14 @@
-/** Crashes that convict a request when it was the only suspect. */
+/** Crashes that convict a request while no other node runs a suspect. */
 const CRASHES_TO_CONVICT = 2;
-/** Crashes that convict it while others are suspected as well. */
+/** Crashes that convict it while other nodes run suspects as well. */
 const CRASHES_TO_CONVICT_AMONG_OTHERS = 3;
 
 /** Crashes the other nodes counted. */
 export interface PeerSuspicions {
   /** Crashes with this request in flight, summed over the other nodes. */
   crashes(fingerprint: string): number;
-  /** Whether the other nodes suspect any other request. */
-  suspectsOthers(fingerprint: string): boolean;
+  /** Whether another node runs a suspect other than this request. */
+  runsOthers(fingerprint: string): boolean;
 }
 
 /** A suspicion of this node, to be told to the others. */
@@ -16,6 +16,8 @@
   readonly fingerprint: string;
   readonly crashes: number;
   readonly expiresAtMilliseconds: number;
+  /** Whether this node runs it at this moment. */
+  readonly isRunning: boolean;
 }
 
 /**
@@ -41,7 +43,7 @@
     const crashes = this.totalCrashes(fingerprint);
     if (crashes < CRASHES_TO_CONVICT) return false;
     if (crashes >= CRASHES_TO_CONVICT_AMONG_OTHERS) return true;
-    return !this.suspectsOthers(fingerprint);
+    return !this.peers.runsOthers(fingerprint);
   }
 
   /** Records that an upstream crashed with the request in flight. */
@@ -51,9 +53,17 @@
       fingerprint,
       crashes,
       expiresAtMilliseconds: performance.now() + this.memoryMilliseconds,
+      isRunning: false,
     });
   }
 
+  /** Records that a suspect begins or ends to run on this node. */
+  setRunning(fingerprint: string, isRunning: boolean): void {
+    const suspicion = this.own(fingerprint);
+    if (!suspicion) return;
+    this.suspicions.set(fingerprint, {...suspicion, isRunning});
+  }
+
   /** Clears a suspect that ran to its end. */
   recordSuccess(fingerprint: string): void {
     this.suspicions.delete(fingerprint);
@@ -72,13 +82,6 @@
     return own + this.peers.crashes(fingerprint);
   }
 
-  private suspectsOthers(fingerprint: string): boolean {
-    for (const other of this.current()) {
-      if (other.fingerprint !== fingerprint) return true;
-    }
-    return this.peers.suspectsOthers(fingerprint);
-  }
-
   private own(fingerprint: string): Suspicion | undefined {
     const suspicion = this.suspicions.get(fingerprint);
     if (!suspicion) return undefined;
