Tell of a wrong catalogue in a test; end the demonstration's processes on SIGTERM

Cause: the demonstration ended its processes on Ctrl-C only, and left them running when it was sent SIGTERM (seen: processes of dist/ left behind). A wrong catalogue is refused with exit code 3, its key and the nearest known one, and no revision is written.

--- a/packages/arbutustide-scenarios/src/__tests__/integration/callers.test.ts
+++ b/packages/arbutustide-scenarios/src/__tests__/integration/callers.test.ts
@@ -203,6 +203,22 @@
     expect(refusal.error).to.have.property('request_id', 'mine-1');
   });
 
+  it('tells an operator what is wrong in a catalogue, and takes nothing', async () => {
+    const wrong = DEMO_CATALOGUE.replace(
+      'base = "findings-summary"',
+      'bse = 1',
+    );
+    const file = cluster.writeFile('wrong.toml', wrong);
+    const {output, exitCode} = await cluster.command(
+      ...['catalogue', 'apply', file, '--base', '1'],
+    );
+    expect(exitCode).to.equal(3);
+    expect(output).to.contain('entries[4].bse: unknown key');
+    expect(output).to.contain('the nearest known key is base');
+    const history = await cluster.command('catalogue', 'history');
+    expect(history.output.split('\n')).to.have.length(2);
+  });
+
   it('answers for an entry added by apply on every node', async () => {
     const added = `${DEMO_CATALOGUE}
 [[entries]]
--- a/packages/arbutustide-scenarios/src/demo_main.ts
+++ b/packages/arbutustide-scenarios/src/demo_main.ts
@@ -20,12 +20,20 @@
     await showRelease(nodeIn(cluster, 'harbour'));
     if (isOnce) return;
     printLinesToTry(cluster);
-    await new Promise(resolve => process.once('SIGINT', resolve));
+    await toldToStop();
   } finally {
     await cluster.stop();
   }
 }
 
+/** Waits for Ctrl-C or a signal to end. */
+function toldToStop(): Promise<void> {
+  return new Promise(resolve => {
+    process.once('SIGINT', () => resolve());
+    process.once('SIGTERM', () => resolve());
+  });
+}
+
 async function showStream(node: RunningNodeProcess): Promise<void> {
   const {body, upstream} = await complete(node, {
     model: 'certificate-marine',
