Read a completion's text in one place

The text of a streamed or whole completion was read by two pieces of code, one for the paused clock and one for processes. Ruled out: leaving them apart, since a change of the chunks' shape would have to be made twice.

--- a/packages/arbutustide-scenarios/src/__tests__/integration/processes.test.ts
+++ b/packages/arbutustide-scenarios/src/__tests__/integration/processes.test.ts
@@ -8,10 +8,10 @@
 import {HostKind, HostState} from '@arbutustide/upstream';
 import {expect} from 'chai';
 
+import {completionText} from '../../completion_text.js';
 import {DEMO_CATALOGUE} from '../../demo_catalogue.js';
 import {
   complete,
-  completionText,
   recordRelease,
   startStream,
 } from '../../processes/caller_client.js';
--- a/packages/arbutustide-scenarios/src/demo_main.ts
+++ b/packages/arbutustide-scenarios/src/demo_main.ts
@@ -5,11 +5,8 @@
 
 import {randomUUID} from 'node:crypto';
 
-import {
-  complete,
-  completionText,
-  recordRelease,
-} from './processes/caller_client.js';
+import {completionText} from './completion_text.js';
+import {complete, recordRelease} from './processes/caller_client.js';
 import {nodeIn, startDemoCluster} from './processes/demo_cluster.js';
 
 async function main(): Promise<void> {
--- a/packages/arbutustide-scenarios/src/processes/caller_client.ts
+++ b/packages/arbutustide-scenarios/src/processes/caller_client.ts
@@ -84,20 +84,3 @@
     return {status: 0, body: '', isWhole: false, ran: null, upstream: null};
   }
 }
-
-/** Text of a completion, streamed or whole. */
-export function completionText(body: string): string {
-  if (!body.startsWith('id:')) {
-    return (JSON.parse(body) as CompletionChunk).choices[0].text;
-  }
-  return body
-    .split('\n')
-    .filter(line => line.startsWith('data: {'))
-    .map(line => JSON.parse(line.slice('data: '.length)) as CompletionChunk)
-    .map(chunk => chunk.choices[0].text)
-    .join('');
-}
-
-interface CompletionChunk {
-  readonly choices: readonly {readonly text: string}[];
-}
--- a/packages/arbutustide-scenarios/src/soak/soak_load.ts
+++ b/packages/arbutustide-scenarios/src/soak/soak_load.ts
@@ -8,11 +8,8 @@
 import {delay} from '@arbutustide/errors';
 import {expectedText} from '@arbutustide/stand-ins';
 
-import {
-  complete,
-  completionText,
-  recordRelease,
-} from '../processes/caller_client.js';
+import {completionText} from '../completion_text.js';
+import {complete, recordRelease} from '../processes/caller_client.js';
 import {DEMO_MODELS} from '../processes/demo_cluster.js';
 
 const TOKENS = 12;
--- a/packages/arbutustide-scenarios/src/world/invariants.ts
+++ b/packages/arbutustide-scenarios/src/world/invariants.ts
@@ -10,7 +10,8 @@
 } from '@arbutustide/placement';
 import {expectedText} from '@arbutustide/stand-ins';
 
-import {CallerEnd, receivedText} from './simulated_caller.js';
+import {completionText} from '../completion_text.js';
+import {CallerEnd} from './simulated_caller.js';
 
 /** How long after it said so an upstream may still get new work. */
 const LEAVING_MILLISECONDS = 5_000;
@@ -164,7 +165,7 @@
       return (JSON.parse(body) as {body: string}).body === request.content;
     }
     const expected = expectedText(request.content, request.tokenCount);
-    return receivedText(outcome) === expected;
+    return completionText(body) === expected;
   } catch {
     return false;
   }
--- a/packages/arbutustide-scenarios/src/world/simulated_caller.ts
+++ b/packages/arbutustide-scenarios/src/world/simulated_caller.ts
@@ -145,20 +145,3 @@
     presence: new Cancellation(),
   };
 }
-
-/** Text of an answer as received: of a stream, or of a whole answer. */
-export function receivedText({request, body}: CallerOutcome): string {
-  if (!request.isStream) {
-    return (JSON.parse(body) as TextChunk).choices[0].text;
-  }
-  return body
-    .split('\n')
-    .filter(line => line.startsWith('data: {'))
-    .map(line => JSON.parse(line.slice('data: '.length)) as TextChunk)
-    .map(chunk => chunk.choices[0].text)
-    .join('');
-}
-
-interface TextChunk {
-  readonly choices: readonly {readonly text: string}[];
-}
