Tell an item's entry in one way when old versions are unloaded

The placement plan cut an item's entry name by a prefix of its own, beside entryNameOf, which the rest of the plan uses. Behaviour as before.

--- a/packages/arbutustide-placement/src/placement_plan.ts
+++ b/packages/arbutustide-placement/src/placement_plan.ts
@@ -125,10 +125,10 @@
     states: readonly WorkerState[],
     model: ModelState,
   ): Generator<PlannedOrder> {
-    const prefix = `${model.entry.name}@`;
     for (const {worker} of states) {
       for (const {item} of worker.record.items) {
-        if (item === model.item || !item.startsWith(prefix)) continue;
+        if (item === model.item) continue;
+        if (entryNameOf(item) !== model.entry.name) continue;
         yield* this.unload(worker, item, PlanReason.VERSION);
       }
     }
--- a/packages/arbutustide-routing/src/dispatcher.ts
+++ b/packages/arbutustide-routing/src/dispatcher.ts
@@ -332,8 +332,9 @@
     milliseconds: number,
   ): void {
     const {request, fingerprint} = progress;
-    if (end === AnswerEnd.BROKEN)
+    if (end === AnswerEnd.BROKEN) {
       this.track(this.judgeBroken(progress, attempt));
+    }
     if (end !== AnswerEnd.WHOLE) return;
     this.admission.recordServiceTime(request.entry, milliseconds);
     this.options.budgetOf(request.requestClass.name).recordSuccess();
