--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -16,8 +16,14 @@
   'cli',
   'stand-ins',
   'scenarios',
+  'platform',
 ]);
 
+/** The folder of a package's sources. */
+function sourcesOf(name) {
+  return name === 'platform' ? 'platform' : `packages/arbutustide-${name}`;
+}
+
 function importRules(name, allowed) {
   const forbidden = Object.keys(ARROWS)
     .filter(other => other !== name && !allowed.includes(other))
@@ -32,7 +38,7 @@
         message: 'outside systems stay behind their interfaces',
       }));
   return {
-    files: [`packages/arbutustide-${name}/src/**/*.ts`],
+    files: [`${sourcesOf(name)}/src/**/*.ts`],
     rules: {
       'no-restricted-imports': [
         'error',
@@ -51,7 +57,7 @@
 }
 
 export default [
-  {ignores: ['dist/', 'node_modules/', '**/gen/', '**/*.generated.ts']},
+  {ignores: ['dist/', 'target/', 'node_modules/', '**/gen/', '**/*.generated.ts']},
   ...gts,
   {
     rules: {
@@ -74,7 +80,7 @@
     },
   },
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     rules: {
       '@typescript-eslint/no-explicit-any': 'error',
       '@typescript-eslint/no-unused-vars': [
@@ -91,7 +97,10 @@
     },
   },
   {
-    files: ['packages/*/src/__tests__/**/*.ts'],
+    files: [
+      'packages/*/src/__tests__/**/*.ts',
+      'platform/src/__tests__/**/*.ts',
+    ],
     rules: {'max-lines-per-function': 'off'},
   },
   {
--- a/packages/arbutustide-claims/src/__tests__/unit/claim_store.test.ts
+++ b/packages/arbutustide-claims/src/__tests__/unit/claim_store.test.ts
@@ -32,7 +32,7 @@
   }
 
   async list() {
-    return Ok([...this.objects.values()]);
+    return Ok({objects: [...this.objects.values()], version: 0});
   }
 
   async create(key: string, value: unknown) {
--- a/packages/arbutustide-claims/src/claim_sweep.ts
+++ b/packages/arbutustide-claims/src/claim_sweep.ts
@@ -19,7 +19,7 @@
   if (!listed.ok) return 0;
   const horizon = Date.now() - retentionMilliseconds;
   let deletedCount = 0;
-  for (const {key, value, version} of listed.val) {
+  for (const {key, value, version} of listed.val.objects) {
     if (deletedCount >= DELETIONS_PER_SWEEP) break;
     const claim = claimSchema.safeParse(value);
     if (!claim.success) continue;
--- a/packages/arbutustide-cli/src/exit_code.ts
+++ b/packages/arbutustide-cli/src/exit_code.ts
@@ -16,6 +16,7 @@
 const EXIT_CODE_BY_STORE_ERROR: Readonly<Record<StoreErrorKind, ExitCode>> = {
   [StoreErrorKind.NOT_FOUND]: ExitCode.NOT_FOUND,
   [StoreErrorKind.CONFLICT]: ExitCode.CONFLICT,
+  [StoreErrorKind.HISTORY_GONE]: ExitCode.UNAVAILABLE,
   [StoreErrorKind.UNAVAILABLE]: ExitCode.UNAVAILABLE,
   [StoreErrorKind.OUTCOME_UNKNOWN]: ExitCode.OUTCOME_UNKNOWN,
 };
--- a/packages/arbutustide-cli/src/main.ts
+++ b/packages/arbutustide-cli/src/main.ts
@@ -3,7 +3,10 @@
 import {createProgram} from './program.js';
 
 /** Commands that go on after they were started. */
-const LASTING_COMMANDS: ReadonlySet<string> = new Set(['node']);
+const LASTING_COMMANDS: ReadonlySet<string> = new Set([
+  'node',
+  'platform-node',
+]);
 
 async function main(): Promise<void> {
   let exitCode = ExitCode.SUCCESS;
--- a/packages/arbutustide-cli/src/node_commands.ts
+++ b/packages/arbutustide-cli/src/node_commands.ts
@@ -1,4 +1,5 @@
 import {startNode} from '@arbutustide/node';
+import {startPlatformNode} from '@arbutustide/platform';
 import {formatSettings, loadSettings} from '@arbutustide/settings';
 
 import {CommandError} from './command_error.js';
@@ -34,3 +35,15 @@
   process.on('SIGTERM', stop);
   process.on('SIGINT', stop);
 }
+
+/** `platform-node`: runs with the settings file the environment names. */
+export async function platformNodeCommand(): Promise<void> {
+  const node = await startPlatformNode();
+  let isStopping = false;
+  process.on('SIGTERM', () => {
+    if (isStopping) return;
+    isStopping = true;
+    void node.stop().then(() => process.exit(ExitCode.SUCCESS));
+  });
+  process.on('SIGHUP', () => node.reload());
+}
--- a/packages/arbutustide-cli/src/program.ts
+++ b/packages/arbutustide-cli/src/program.ts
@@ -14,7 +14,11 @@
   showClaimCommand,
 } from './claim_commands.js';
 import {completionScript} from './completion.js';
-import {checkSettingsCommand, nodeCommand} from './node_commands.js';
+import {
+  checkSettingsCommand,
+  nodeCommand,
+  platformNodeCommand,
+} from './node_commands.js';
 import {OutputFormat} from './output.js';
 import {
   explainCommand,
@@ -35,6 +39,10 @@
     .description('run a node on this entry host')
     .requiredOption('--settings <file>', 'settings in TOML')
     .action(nodeCommand);
+  program
+    .command('platform-node')
+    .description("run a node on the users' platform")
+    .action(platformNodeCommand);
   program.addCommand(settingsCommands());
   program.addCommand(catalogueCommands());
   program.addCommand(claimsCommands());
--- a/packages/arbutustide-membership/src/cluster_view.ts
+++ b/packages/arbutustide-membership/src/cluster_view.ts
@@ -1,5 +1,6 @@
 import type {
   Field,
+  UpstreamHoldings,
   UpstreamObservation,
 } from './gen/arbutustide/membership/v1/membership_pb.js';
 import type {MemberTable} from './member_table.js';
@@ -19,6 +20,8 @@
   readonly failureDomain: string;
   readonly state: NodeState;
   readonly catalogueRevision: number;
+  /** Epoch of the planner's lease while the node holds it; otherwise zero. */
+  readonly plannerEpoch: number;
 }
 
 /** Requests to one entry, summed over nodes. */
@@ -47,6 +50,9 @@
   /** Crashes by request fingerprint. */
   readonly suspicions: Map<string, number>;
   readonly runningSuspects: Set<string>;
+  /** Holdings told by the planner of the highest epoch, by upstream. */
+  readonly holdings: Map<string, UpstreamHoldings>;
+  holdingsEpoch: number;
 }
 
 type FieldCase = NonNullable<Field['value']['case']>;
@@ -80,6 +86,14 @@
     const known = into.suspicions.get(fingerprint) ?? 0;
     into.suspicions.set(fingerprint, known + crashes);
   },
+  holdings: (field, _writer, into) => {
+    if (field.value.case !== 'holdings') return;
+    const {epoch, upstreamId} = field.value.value;
+    if (epoch < into.holdingsEpoch) return;
+    if (epoch > into.holdingsEpoch) into.holdings.clear();
+    into.holdingsEpoch = epoch;
+    into.holdings.set(upstreamId, field.value.value);
+  },
 };
 
 /** Sums over the records of the other nodes; recomputed when grown old. */
@@ -100,6 +114,15 @@
     return this.nodes().filter(node => node.state === NodeState.READY);
   }
 
+  /** The node that holds the planner's lease, as far as is heard. */
+  planner(): ClusterNode | undefined {
+    let planner: ClusterNode | undefined;
+    for (const node of this.nodes()) {
+      if (node.plannerEpoch > (planner?.plannerEpoch ?? 0)) planner = node;
+    }
+    return planner;
+  }
+
   /** Number of nodes that serve callers, this one included when it does. */
   readyNodeCount(): number {
     const own = this.table.own.get(STATUS_KEY);
@@ -123,6 +146,11 @@
     return this.current().observations;
   }
 
+  /** What the planner, if it is another node, tells of the upstreams. */
+  holdings(): ReadonlyMap<string, UpstreamHoldings> {
+    return this.current().holdings;
+  }
+
   /** Crashes the other nodes counted with a request in flight. */
   peerCrashes(fingerprint: string): number {
     return this.current().suspicions.get(fingerprint) ?? 0;
@@ -166,6 +194,8 @@
     observations: [],
     suspicions: new Map(),
     runningSuspects: new Set(),
+    holdings: new Map(),
+    holdingsEpoch: 0,
   };
   for (const record of table.others()) {
     const status = memberStatus(record);
--- a/packages/arbutustide-membership/src/connect_server.ts
+++ b/packages/arbutustide-membership/src/connect_server.ts
@@ -25,6 +25,10 @@
           fetchContent: ({digest}) => ({
             contentJson: handler().contentJson(digest),
           }),
+          requestHolding: async request => {
+            const holding = await handler().requestHolding(request);
+            return holding ? {promised: true, ...holding} : {promised: false};
+          },
         });
       },
     });
--- a/packages/arbutustide-membership/src/connect_transport.ts
+++ b/packages/arbutustide-membership/src/connect_transport.ts
@@ -4,8 +4,9 @@
 import type {
   ExchangeRequest,
   ExchangeResponse,
+  HoldingRequest,
 } from './gen/arbutustide/membership/v1/membership_pb.js';
-import type {PeerTransport} from './peer_transport.js';
+import type {PeerTransport, PromisedHolding} from './peer_transport.js';
 
 import {ConnectError, createClient} from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
@@ -52,6 +53,16 @@
     return answer.map(({contentJson}) => contentJson);
   }
 
+  async requestHolding(
+    peerUrl: string,
+    request: HoldingRequest,
+  ): Promise<Result<PromisedHolding | undefined, PeerError>> {
+    const answer = await this.call(peerUrl, client =>
+      client.requestHolding(request, this.callOptions()),
+    );
+    return answer.map(holding => (holding.promised ? holding : undefined));
+  }
+
   /** Forgets the connection of a peer that is gone. */
   forget(peerUrl: string): void {
     this.clients.delete(peerUrl);
--- a/packages/arbutustide-membership/src/index.ts
+++ b/packages/arbutustide-membership/src/index.ts
@@ -7,13 +7,19 @@
 export type {
   ExchangeRequest,
   ExchangeResponse,
+  HoldingRequest,
   NodeStatus,
+  UpstreamHoldings,
   UpstreamObservation,
 } from './gen/arbutustide/membership/v1/membership_pb.js';
 export type {GossipOptions, PeerAddress} from './gossip.js';
 export type {MemberRecord} from './member_record.js';
 export type {FieldValue} from './own_record.js';
-export type {PeerHandler, PeerTransport} from './peer_transport.js';
+export type {
+  PeerHandler,
+  PeerTransport,
+  PromisedHolding,
+} from './peer_transport.js';
 
 export {ClusterView} from './cluster_view.js';
 export {ConnectPeerServer} from './connect_server.js';
@@ -22,9 +28,11 @@
   EntryDemandSchema,
   ExchangeRequestSchema,
   ExchangeResponseSchema,
+  HoldingRequestSchema,
   NodeState,
   NodeStatusSchema,
   SuspicionSchema,
+  UpstreamHoldingsSchema,
   UpstreamLoadSchema,
   UpstreamObservationSchema,
 } from './gen/arbutustide/membership/v1/membership_pb.js';
--- a/packages/arbutustide-membership/src/peer_transport.ts
+++ b/packages/arbutustide-membership/src/peer_transport.ts
@@ -3,6 +3,7 @@
 import type {
   ExchangeRequest,
   ExchangeResponse,
+  HoldingRequest,
 } from './gen/arbutustide/membership/v1/membership_pb.js';
 
 /** A call to a peer that failed. */
@@ -16,6 +17,13 @@
   }
 }
 
+/** Where a model or adapter will be held, and when. */
+export interface PromisedHolding {
+  /** Empty while the upstream has not been chosen. */
+  readonly upstreamId: string;
+  readonly readyInMilliseconds: number;
+}
+
 /** Calls to other nodes. */
 export interface PeerTransport {
   exchange(
@@ -29,6 +37,11 @@
     peerUrl: string,
     digest: string,
   ): Promise<Result<string, PeerError>>;
+  /** Asks the planner for a holding; undefined when there will be none. */
+  requestHolding(
+    peerUrl: string,
+    request: HoldingRequest,
+  ): Promise<Result<PromisedHolding | undefined, PeerError>>;
 }
 
 /** What this node answers to its peers. */
@@ -36,4 +49,6 @@
   exchange(request: ExchangeRequest): ExchangeResponse;
   headJson(): string;
   contentJson(digest: string): string;
+  /** Undefined unless this node plans and some upstream will hold it. */
+  requestHolding(request: HoldingRequest): Promise<PromisedHolding | undefined>;
 }
--- /dev/null
+++ b/packages/arbutustide-node/src/fleet/fleet_surroundings.ts
@@ -0,0 +1,128 @@
+import type {ClusterView, MemberTable} from '@arbutustide/membership';
+import type {
+  EngineService,
+  FleetSurroundings,
+  ListedEngine,
+  PlannerDecision,
+} from '@arbutustide/placement';
+import type {
+  DemandCounter,
+  EngineDescription,
+  FleetDirectory,
+  FleetUpstream,
+  ServingConfiguration,
+} from '@arbutustide/routing';
+
+import {UpstreamHoldingsSchema} from '@arbutustide/membership';
+import {adapterEntry, modelEntry} from '@arbutustide/routing';
+import {create} from '@bufbuild/protobuf';
+
+/** What the planner sees of its node and of the other nodes. */
+export class NodeFleetSurroundings implements FleetSurroundings {
+  private servicesOf: ServingConfiguration | undefined;
+  private engineServices: EngineService[] = [];
+
+  constructor(
+    private readonly directory: FleetDirectory,
+    private readonly counter: DemandCounter,
+    private readonly table: MemberTable,
+    private readonly view: ClusterView,
+    private readonly configuration: () => ServingConfiguration | undefined,
+    readonly record: (decision: PlannerDecision) => void,
+  ) {}
+
+  *engines(): Generator<ListedEngine> {
+    const services = new Set(this.services().map(({name}) => name));
+    for (const upstream of this.directory.all()) {
+      if (services.has(upstream.description.service)) {
+        yield listedEngine(upstream);
+      }
+    }
+  }
+
+  services(): EngineService[] {
+    const configuration = this.configuration();
+    if (configuration === this.servicesOf) return this.engineServices;
+    this.servicesOf = configuration;
+    this.engineServices = [...(configuration?.services.values() ?? [])].flatMap(
+      ({name, engine}) => (engine ? [engineService(name, engine)] : []),
+    );
+    return this.engineServices;
+  }
+
+  demand(service: string, model: string): number {
+    const {inFlight, queued} = this.demandOf(modelEntry(service, model));
+    return inFlight + queued;
+  }
+
+  waiting(service: string, model: string): number {
+    return this.demandOf(modelEntry(service, model)).queued;
+  }
+
+  isAdapterInUse(service: string, model: string, adapter: string): boolean {
+    const demand = this.demandOf(adapterEntry(service, model, adapter));
+    return demand.inFlight + demand.queued > 0;
+  }
+
+  publish(
+    {id, startedAt}: ListedEngine,
+    held: readonly string[] | undefined,
+    epoch: number,
+  ): void {
+    const key = `holdings/${id}`;
+    this.directory.get(id)?.takePlanned(held);
+    if (!held) {
+      this.table.own.remove(key);
+      return;
+    }
+    const value = create(UpstreamHoldingsSchema, {
+      upstreamId: id,
+      upstreamStartedAt: BigInt(startedAt),
+      epoch,
+      held: [...held],
+    });
+    this.table.own.set(key, {case: 'holdings', value});
+  }
+
+  private demandOf(entry: string) {
+    const own = this.counter.load(entry);
+    const peers = this.view.peerDemand(entry);
+    return {
+      inFlight: (own?.inFlight ?? 0) + peers.inFlight,
+      queued: (own?.queued ?? 0) + peers.queued,
+    };
+  }
+}
+
+function listedEngine(upstream: FleetUpstream): ListedEngine {
+  const {description} = upstream;
+  return {
+    id: upstream.id,
+    address: description.address,
+    service: description.service,
+    startedAt: description.startedAt,
+    isReady: upstream.isReady,
+    inFlight: upstream.estimatedInFlight,
+    modelsInMemory: new Set(description.modelsInMemory),
+    modelsOnDisk: new Set(description.modelsOnDisk),
+  };
+}
+
+function engineService(name: string, engine: EngineDescription): EngineService {
+  const {models} = engine;
+  return {
+    name,
+    weightMegabytes: engine.weightMegabytes,
+    adapterPlaces: engine.adapterPlaces,
+    storeLoadsPerSecond: engine.storeLoadsPerSecond,
+    modelMegabytes: model => models.get(model)?.sizeMegabytes,
+    adapterMegabytes: model => models.get(model)?.adapterMegabytes ?? 0,
+    models: [...models.values()].map(model => ({
+      name: model.name,
+      megabytes: model.sizeMegabytes,
+      storeLoadMilliseconds: model.storeLoadMilliseconds,
+      diskLoadMilliseconds: model.diskLoadMilliseconds,
+      memoryLoadMilliseconds: model.memoryLoadMilliseconds,
+    })),
+  };
+}
--- /dev/null
+++ b/packages/arbutustide-node/src/fleet/fleet_tuning.ts
@@ -0,0 +1,54 @@
+import type {FleetPlannerSettings} from '@arbutustide/placement';
+
+/**
+ * Share of the slots by which an upstream of the own failure domain may be
+ * busier before another is preferred. Weighs the delay and the price of the
+ * bytes of a way to another domain against queueing.
+ */
+export const CROSS_DOMAIN_SHARE = 0.1;
+/** An upstream is given work up to this multiple of its slots. */
+export const FULL_SHARE = 1.5;
+/** Least time an answer takes once a request has a place. */
+export const LEAST_SERVICE_MILLISECONDS = 20;
+/** Time one request takes before any was measured. */
+export const INITIAL_SERVICE_MILLISECONDS = 500;
+/** Time between two looks at waiting requests that nothing else woke. */
+export const QUEUE_CHECK_MILLISECONDS = 100;
+
+/** Time between two exchanges with one peer; each costs bytes and time. */
+export const GOSSIP_INTERVAL_MILLISECONDS = 700;
+export const GOSSIP_HEARTBEAT_MILLISECONDS = 700;
+/** A node not heard of for this long is taken for gone. */
+export const GOSSIP_EXPIRY_MILLISECONDS = 3_500;
+/** Peers a node exchanges with; the rest hears through them. */
+export const GOSSIP_PEERS = 2;
+/** Removals are passed on for this many expiry times. */
+export const REMOVAL_EXPIRIES = 2;
+/** How often the own record is written and the others' are applied. */
+export const PUBLISH_MILLISECONDS = 250;
+
+/** Part of a lease after which its holder renews it. */
+export const RENEWAL_SHARE = 1 / 3;
+/** How long a request is remembered that was in flight at a crash. */
+export const SUSPECT_MILLISECONDS = 120_000;
+
+/** How the planner works; what differs between deployments is left out. */
+export const PLANNER_TUNING: Omit<
+  FleetPlannerSettings,
+  'holder' | 'leaseMilliseconds' | 'suspensionMilliseconds'
+> = {
+  intervalMilliseconds: 150,
+  reportAgeMilliseconds: 1_000,
+  busyReportAgeMilliseconds: 250,
+  closeMilliseconds: 1_000,
+  adapterLoadMilliseconds: 12,
+  adapterIdleMilliseconds: 300,
+  shortWindowMilliseconds: 2_000,
+  longWindowMilliseconds: 8_000,
+  assumedDemand: 2,
+  storeLoadsAtOnce: 3,
+  replicaDemand: 14,
+  spareDemand: 3,
+  hysteresis: 1.5,
+  moveCost: 0.3,
+};
--- a/packages/arbutustide-node/src/node_core.ts
+++ b/packages/arbutustide-node/src/node_core.ts
@@ -140,6 +140,11 @@
     return content === undefined ? '' : JSON.stringify(content);
   }
 
+  /** Nodes that serve a catalogue place models without being asked. */
+  async requestHolding(): Promise<undefined> {
+    return undefined;
+  }
+
   private takeRevision(revision: number): void {
     const {metrics, logger} = this.dependencies;
     metrics.catalogueRevision.set(revision);
--- a/packages/arbutustide-node/src/own_status.ts
+++ b/packages/arbutustide-node/src/own_status.ts
@@ -1,10 +1,5 @@
 import type {MemberTable} from '@arbutustide/membership';
-import type {
-  Admission,
-  EntryLoad,
-  RequestSuspects,
-  UpstreamDirectory,
-} from '@arbutustide/routing';
+import type {EntryLoad, RequestSuspects} from '@arbutustide/routing';
 
 import {
   EntryDemandSchema,
@@ -24,6 +19,16 @@
   readonly failureDomain: string;
 }
 
+/** Requests of this node at each upstream. */
+export interface LoadSource {
+  all(): Iterable<{readonly id: string; readonly ownInFlight: number}>;
+}
+
+/** Requests of this node to each entry. */
+export interface DemandSource {
+  loads(): Iterable<EntryLoad>;
+}
+
 /** What is told of one entry, and when its arrivals were last counted. */
 interface ArrivalCount {
   arrivals: number;
@@ -39,10 +44,11 @@
   constructor(
     private readonly table: MemberTable,
     private readonly identity: StatusIdentity,
-    private readonly directory: UpstreamDirectory,
-    private readonly admission: Admission,
+    private readonly directory: LoadSource,
+    private readonly admission: DemandSource,
     private readonly suspects: RequestSuspects,
     private readonly catalogueRevision: () => number,
+    private readonly plannerEpoch: () => number = () => 0,
   ) {
     this.publishStatus();
   }
@@ -75,6 +81,7 @@
       ...this.identity,
       state: this.nodeState,
       catalogueRevision: this.catalogueRevision(),
+      plannerEpoch: this.plannerEpoch(),
     });
     this.table.own.set(STATUS_KEY, {case: 'status', value});
   }
--- a/packages/arbutustide-object-store/src/index.ts
+++ b/packages/arbutustide-object-store/src/index.ts
@@ -1,13 +1,18 @@
 /** The platform's object API behind one interface. */
 export type {HttpObjectStoreOptions} from './http_object_store.js';
+export type {PrefixListener, PrefixWatcherOptions} from './prefix_watcher.js';
 export type {
   ObjectStore,
+  StoredList,
   StoredObject,
   StoreResult,
   WatchBatch,
 } from './object_store.js';
+export type {StoreCall, StoreHttpClientOptions} from './store_http_client.js';
 
 export {HttpObjectStore} from './http_object_store.js';
+export {PrefixWatcher} from './prefix_watcher.js';
 export {StoreCallCounter} from './store_call_counter.js';
 export {StoreError, StoreErrorKind} from './store_error.js';
+export {StoreHttpClient} from './store_http_client.js';
 export {writeConfirmed} from './write_confirmed.js';
--- a/packages/arbutustide-object-store/src/object_store.ts
+++ b/packages/arbutustide-object-store/src/object_store.ts
@@ -11,6 +11,13 @@
   readonly value: unknown;
 }
 
+/** All objects under a prefix at one moment. */
+export interface StoredList {
+  readonly objects: readonly StoredObject[];
+  /** Version to watch from, so that no later change is missed. */
+  readonly version: number;
+}
+
 /** A change seen by a watch. */
 export interface WatchBatch {
   readonly changes: readonly StoredObject[];
@@ -27,7 +34,7 @@
  */
 export interface ObjectStore {
   get(key: string): StoreResult<StoredObject>;
-  list(prefix: string): StoreResult<readonly StoredObject[]>;
+  list(prefix: string): StoreResult<StoredList>;
   /** Fails with `CONFLICT` when the object exists. */
   create(key: string, value: unknown): StoreResult<StoredObject>;
   /** Fails with `CONFLICT` unless the object has exactly this version. */
@@ -38,7 +45,10 @@
   ): StoreResult<StoredObject>;
   /** Fails with `CONFLICT` unless the object has exactly this version. */
   delete(key: string, version: number): StoreResult<void>;
-  /** Waits until something under the prefix is newer than the version. */
+  /**
+   * Waits until something under the prefix is newer than the version. Fails
+   * with `HISTORY_GONE` when the store no longer knows what came after it.
+   */
   watch(
     prefix: string,
     afterVersion: number,
--- a/packages/arbutustide-object-store/src/store_error.ts
+++ b/packages/arbutustide-object-store/src/store_error.ts
@@ -2,6 +2,8 @@
 export enum StoreErrorKind {
   NOT_FOUND = 'not_found',
   CONFLICT = 'conflict',
+  /** The changes since the version asked for are no longer known. */
+  HISTORY_GONE = 'history_gone',
   /** The call had no effect. */
   UNAVAILABLE = 'unavailable',
   /** The call may have had its effect, or may yet have it. */
--- /dev/null
+++ b/packages/arbutustide-object-store/src/store_http_client.ts
@@ -0,0 +1,118 @@
+import type {Result} from 'ts-results';
+import type {Dispatcher} from 'undici';
+import type {z} from 'zod';
+
+import {Err, Ok} from 'ts-results';
+import {Pool} from 'undici';
+
+import {StoreCallCounter} from './store_call_counter.js';
+import {StoreError, StoreErrorKind} from './store_error.js';
+
+/** Connections to one store; each waiting watch takes one. */
+const MAXIMUM_CONNECTIONS = 64;
+
+/** Error codes that prove that no byte of the call was sent. */
+const NEVER_CONNECTED_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+const KIND_BY_STATUS: Readonly<Record<number, StoreErrorKind>> = {
+  404: StoreErrorKind.NOT_FOUND,
+  409: StoreErrorKind.CONFLICT,
+  410: StoreErrorKind.HISTORY_GONE,
+  412: StoreErrorKind.CONFLICT,
+  429: StoreErrorKind.UNAVAILABLE,
+  503: StoreErrorKind.UNAVAILABLE,
+};
+
+/** How to reach a store over HTTP. */
+export interface StoreHttpClientOptions {
+  readonly url: string;
+  readonly timeoutMilliseconds: number;
+  readonly token?: string;
+  readonly counter?: StoreCallCounter;
+}
+
+/** One call with a JSON body and a JSON answer. */
+export interface StoreCall<T> {
+  readonly method: Dispatcher.HttpMethod;
+  readonly path: string;
+  readonly name: string;
+  readonly schema: z.ZodType<T>;
+  readonly headers?: Record<string, string>;
+  readonly body?: unknown;
+  readonly timeoutMilliseconds?: number;
+  readonly signal?: AbortSignal;
+}
+
+/** Calls to a store over HTTP, with failures sorted by what they prove. */
+export class StoreHttpClient {
+  private readonly pool: Pool;
+  private readonly counter: StoreCallCounter;
+
+  constructor(private readonly options: StoreHttpClientOptions) {
+    this.pool = new Pool(options.url, {
+      pipelining: 1,
+      connections: MAXIMUM_CONNECTIONS,
+    });
+    this.counter = options.counter ?? new StoreCallCounter();
+  }
+
+  /** Closes the connections to the store. */
+  close(): Promise<void> {
+    return this.pool.destroy();
+  }
+
+  /** Makes one call; never throws. */
+  async call<T>(call: StoreCall<T>): Promise<Result<T, StoreError>> {
+    this.counter.record(call.name);
+    const timeout =
+      call.timeoutMilliseconds ?? this.options.timeoutMilliseconds;
+    const deadline = AbortSignal.timeout(timeout);
+    const headers: Record<string, string> = {...call.headers};
+    if (this.options.token) {
+      headers['authorization'] = `Bearer ${this.options.token}`;
+    }
+    if (call.body !== undefined) headers['content-type'] = 'application/json';
+    try {
+      const response = await this.pool.request({
+        method: call.method,
+        path: call.path,
+        headers,
+        body: call.body === undefined ? null : JSON.stringify(call.body),
+        signal: call.signal
+          ? AbortSignal.any([deadline, call.signal])
+          : deadline,
+      });
+      const text = await response.body.text();
+      if (response.statusCode >= 300) {
+        return Err(statusError(call, response.statusCode, text));
+      }
+      return Ok(call.schema.parse(text === '' ? undefined : JSON.parse(text)));
+    } catch (error) {
+      return Err(transportError(call, error));
+    }
+  }
+}
+
+function statusError<T>(
+  call: StoreCall<T>,
+  status: number,
+  text: string,
+): StoreError {
+  const kind = KIND_BY_STATUS[status] ?? StoreErrorKind.OUTCOME_UNKNOWN;
+  const detail = text.slice(0, 200);
+  return new StoreError(kind, `${call.name} ${call.path}: ${status} ${detail}`);
+}
+
+function transportError<T>(call: StoreCall<T>, error: unknown): StoreError {
+  const code = (error as {code?: string}).code ?? '';
+  const kind =
+    call.method === 'GET' || NEVER_CONNECTED_CODES.has(code)
+      ? StoreErrorKind.UNAVAILABLE
+      : StoreErrorKind.OUTCOME_UNKNOWN;
+  return new StoreError(kind, `${call.name} ${call.path}: ${String(error)}`);
+}
--- a/packages/arbutustide-placement/src/demand_tracker.ts
+++ b/packages/arbutustide-placement/src/demand_tracker.ts
@@ -2,8 +2,13 @@
 interface EntryDemand {
   short: number;
   long: number;
+  /** The highest recent demand, which fades over many long windows. */
+  peak: number;
 }
 
+/** Long windows over which a remembered demand fades. */
+const MEMORY_WINDOWS = 10;
+
 /** Demand for one entry at this moment, over all nodes. */
 export interface DemandSample {
   readonly entry: string;
@@ -30,7 +35,7 @@
     const elapsed = now - (this.sampledAtMilliseconds ?? now);
     this.sampledAtMilliseconds = now;
     for (const {entry, concurrency} of samples) {
-      const demand = this.demands.get(entry) ?? {short: 0, long: 0};
+      const demand = this.demands.get(entry) ?? {short: 0, long: 0, peak: 0};
       demand.short = this.blend(
         demand.short,
         concurrency,
@@ -41,16 +46,37 @@
         concurrency,
         elapsed / this.longWindowMilliseconds,
       );
+      const faded = this.blend(
+        demand.peak,
+        0,
+        elapsed / (MEMORY_WINDOWS * this.longWindowMilliseconds),
+      );
+      demand.peak = Math.max(faded, demand.long);
       this.demands.set(entry, demand);
     }
   }
 
+  /** Assumes a demand of which no sample has been taken yet. */
+  assume(entry: string, concurrency: number): void {
+    if (this.demands.has(entry)) return;
+    this.demands.set(entry, {
+      short: 0,
+      long: concurrency,
+      peak: concurrency,
+    });
+  }
+
   /** Requests at once the entry is to be ready for. */
   expected(entry: string): number {
     const demand = this.demands.get(entry);
     return demand ? Math.max(demand.short, demand.long) : 0;
   }
 
+  /** The highest demand that is remembered, in requests at once. */
+  remembered(entry: string): number {
+    return this.demands.get(entry)?.peak ?? 0;
+  }
+
   private blend(mean: number, sample: number, windows: number): number {
     const weight = 1 - Math.exp(-windows);
     return mean + weight * (sample - mean);
--- /dev/null
+++ b/packages/arbutustide-placement/src/fleet/engine_book.ts
@@ -0,0 +1,241 @@
+import type {
+  AdapterName,
+  EngineAddress,
+  EngineState,
+  HoldingOrder,
+} from './engine_orders.js';
+
+import {OrderKind} from '@arbutustide/upstream';
+
+import {HoldingOrderAnswer} from './engine_orders.js';
+
+/** Room of one engine, and the sizes of what it may hold. */
+export interface EngineRoom {
+  readonly weightMegabytes: number;
+  readonly adapterPlaces: number;
+  /** Size of a model's weights; undefined for one not in the catalogue. */
+  readonly modelMegabytes: (model: string) => number | undefined;
+  /** Size of one adapter of a model. */
+  readonly adapterMegabytes: (model: string) => number;
+}
+
+/** Adapters that may be on their way to one engine; its own limit. */
+const ADAPTERS_IN_TRANSIT = 4;
+
+/** Engines that run another process than the one reported are not ordered. */
+interface AcceptedOrder {
+  readonly order: HoldingOrder;
+  readonly atMilliseconds: number;
+}
+
+/**
+ * What is known of one engine's holdings at an order sequence, and whether an
+ * order fits. An engine takes at most one order at each sequence, so an order
+ * that fits the holdings at the sequence it expects can never overfill the
+ * engine, however late it arrives.
+ */
+export class EngineBook {
+  private sequence: number | undefined;
+  private models = new Map<string, Set<string>>();
+  private coming: readonly AdapterName[] = [];
+  private busy = false;
+  private reportedAtMilliseconds = -Infinity;
+  private isStale = true;
+  /** Orders accepted after the last report that was taken. */
+  private accepted: AcceptedOrder[] = [];
+
+  constructor(
+    readonly engine: EngineAddress,
+    private readonly room: () => EngineRoom,
+  ) {}
+
+  /** Time since the last report that was taken, in milliseconds. */
+  get reportAgeMilliseconds(): number {
+    return performance.now() - this.reportedAtMilliseconds;
+  }
+
+  /** Whether the engine's holdings are known well enough to give an order. */
+  get isKnown(): boolean {
+    return this.sequence !== undefined && !this.isStale;
+  }
+
+  /** Whether any report was taken. */
+  get hasReport(): boolean {
+    return this.sequence !== undefined;
+  }
+
+  /** Whether a model is being loaded or unloaded. */
+  get isBusy(): boolean {
+    return this.busy || this.accepted.some(({order}) => isModelOrder(order));
+  }
+
+  /** Models held, those being unloaded included. */
+  get heldModels(): readonly string[] {
+    return [...this.models.keys()];
+  }
+
+  /** The model being loaded by an order accepted since the last report. */
+  get loadingModel(): string | undefined {
+    return this.accepted.find(({order}) => isLoadOf(order))?.order.model;
+  }
+
+  /** Models and adapters that take requests, as `MODEL` or `MODEL/ADAPTER`. */
+  *usable(adapterLoadMilliseconds: number): Generator<string> {
+    const unloading = this.accepted.find(({order}) => isUnloadOf(order));
+    const now = performance.now();
+    for (const [model, adapters] of this.models) {
+      if (model === unloading?.order.model) continue;
+      yield model;
+      for (const adapter of adapters) yield `${model}/${adapter}`;
+    }
+    for (const {order, atMilliseconds} of this.accepted) {
+      const {kind, model, adapter} = order;
+      if (adapter === undefined || kind !== OrderKind.LOAD) continue;
+      if (now - atMilliseconds < adapterLoadMilliseconds) continue;
+      if (!this.models.get(model)?.has(adapter)) yield `${model}/${adapter}`;
+    }
+  }
+
+  holdsModel(model: string): boolean {
+    return this.models.has(model);
+  }
+
+  /** Whether the adapter is held or on its way. */
+  hasAdapter({model, adapter}: AdapterName): boolean {
+    return this.adapters().some(
+      name => name.model === model && name.adapter === adapter,
+    );
+  }
+
+  /** Adapters held or on their way. */
+  adapters(): readonly AdapterName[] {
+    const names = new Map<string, AdapterName>();
+    const add = (name: AdapterName) =>
+      names.set(`${name.model}/${name.adapter}`, name);
+    for (const [model, adapters] of this.models) {
+      for (const adapter of adapters) add({model, adapter});
+    }
+    this.coming.forEach(add);
+    for (const {order} of this.accepted) {
+      const {kind, model, adapter} = order;
+      if (adapter !== undefined && kind === OrderKind.LOAD) {
+        add({model, adapter});
+      }
+    }
+    return [...names.values()];
+  }
+
+  /** Takes a report, unless orders were accepted since it was made. */
+  takeReport(state: EngineState): void {
+    if (this.sequence !== undefined && state.sequence < this.sequence) return;
+    const isNews = state.sequence !== this.sequence;
+    this.sequence = state.sequence;
+    this.models = new Map(
+      state.models.map(({name, adapters}) => [name, new Set(adapters)]),
+    );
+    this.coming = state.comingAdapters;
+    this.busy = state.isBusy;
+    this.reportedAtMilliseconds = performance.now();
+    this.isStale = false;
+    this.accepted = isNews
+      ? []
+      : this.accepted.filter(({order}) => !this.isSettled(order));
+  }
+
+  /** Room for weights that neither is used nor may come to be. */
+  get freeMegabytes(): number {
+    const {weightMegabytes, modelMegabytes, adapterMegabytes} = this.room();
+    const models = new Set(this.models.keys());
+    if (this.loadingModel !== undefined) models.add(this.loadingModel);
+    let used = 0;
+    for (const model of models) used += modelMegabytes(model) ?? Infinity;
+    for (const {model} of this.adapters()) used += adapterMegabytes(model);
+    return weightMegabytes - used;
+  }
+
+  /** Why a model cannot be loaded now; undefined when it can. */
+  whyNotLoad(model: string): string | undefined {
+    if (!this.isKnown) return 'its holdings are not known';
+    if (this.isBusy) return 'it carries out another order';
+    if (this.models.has(model)) return 'it holds the model';
+    const megabytes = this.room().modelMegabytes(model);
+    if (megabytes === undefined) return 'the model is not in the catalogue';
+    return megabytes <= this.freeMegabytes ? undefined : 'it has no room';
+  }
+
+  /** Why an adapter cannot be loaded now; undefined when it can. */
+  whyNotLoadAdapter(name: AdapterName): string | undefined {
+    const {adapterPlaces, adapterMegabytes} = this.room();
+    if (!this.isKnown) return 'its holdings are not known';
+    if (this.isBusy) return 'it carries out another order';
+    if (!this.models.has(name.model)) return 'it does not hold the model';
+    if (this.hasAdapter(name)) return 'it holds the adapter';
+    if (this.adapters().length >= adapterPlaces) return 'no place is free';
+    if (this.inTransit >= ADAPTERS_IN_TRANSIT) return 'others are on their way';
+    return adapterMegabytes(name.model) <= this.freeMegabytes
+      ? undefined
+      : 'it has no room';
+  }
+
+  /** An order at the sequence the holdings are known for. */
+  nextOrder(
+    kind: OrderKind,
+    model: string,
+    adapter: string | undefined,
+    by: {readonly holder: string; readonly fence: number},
+  ): HoldingOrder {
+    return {kind, model, adapter, expectedSequence: this.sequence ?? 0, ...by};
+  }
+
+  /**
+   * Takes the answer to an order; undefined when none came. Only a plain
+   * acceptance tells the next sequence; after all else a report must.
+   */
+  takeAnswer(
+    order: HoldingOrder,
+    answer: HoldingOrderAnswer | undefined,
+  ): void {
+    if (answer === HoldingOrderAnswer.ACCEPTED) {
+      this.sequence = order.expectedSequence + 1;
+      this.accepted.push({order, atMilliseconds: performance.now()});
+      return;
+    }
+    this.isStale = true;
+    const isGone =
+      answer === HoldingOrderAnswer.ALREADY_SO &&
+      order.kind === OrderKind.UNLOAD &&
+      order.adapter !== undefined;
+    if (!isGone || order.adapter === undefined) return;
+    this.models.get(order.model)?.delete(order.adapter);
+  }
+
+  private get inTransit(): number {
+    const ordered = this.accepted.filter(
+      ({order}) => order.adapter !== undefined && isLoadOrder(order),
+    );
+    return Math.max(ordered.length, this.coming.length);
+  }
+
+  /** Whether a report at the same sequence shows the order as carried out. */
+  private isSettled({kind, model, adapter}: HoldingOrder): boolean {
+    if (adapter === undefined) return !this.busy;
+    if (kind === OrderKind.UNLOAD) return true;
+    return this.models.get(model)?.has(adapter) ?? true;
+  }
+}
+
+function isLoadOrder({kind}: HoldingOrder): boolean {
+  return kind === OrderKind.LOAD;
+}
+
+function isModelOrder({adapter}: HoldingOrder): boolean {
+  return adapter === undefined;
+}
+
+function isLoadOf(order: HoldingOrder): boolean {
+  return isModelOrder(order) && isLoadOrder(order);
+}
+
+function isUnloadOf(order: HoldingOrder): boolean {
+  return isModelOrder(order) && !isLoadOrder(order);
+}
--- /dev/null
+++ b/packages/arbutustide-placement/src/fleet/engine_registry.ts
@@ -0,0 +1,176 @@
+import type {EngineOrders} from './engine_orders.js';
+import type {
+  EngineService,
+  FleetSurroundings,
+  ListedEngine,
+} from './fleet_surroundings.js';
+import type {PlannedEngine} from './model_plan.js';
+
+import {EngineBook} from './engine_book.js';
+import {PlannerStep} from './fleet_surroundings.js';
+
+/** A model that is to make room, since when the nodes are told. */
+export interface Closing {
+  readonly model: string;
+  readonly sinceMilliseconds: number;
+}
+
+/** One engine with what is known of it and what is going on there. */
+export interface EngineEntry {
+  listed: ListedEngine;
+  readonly book: EngineBook;
+  closing: Closing | undefined;
+  isReportFailing: boolean;
+  /** Orders to one engine go one after another. */
+  turn: Promise<unknown>;
+}
+
+/** How old reports may be. */
+export interface EngineRegistrySettings {
+  /** Oldest report on which orders for models are based. */
+  readonly reportAgeMilliseconds: number;
+  /** The same while an engine is carrying out an order. */
+  readonly busyReportAgeMilliseconds: number;
+  /** Time an adapter takes to load where nothing hinders it. */
+  readonly adapterLoadMilliseconds: number;
+}
+
+/** A service whose configuration is gone; nothing fits its engines. */
+const NO_SERVICE: Omit<EngineService, 'name'> = {
+  weightMegabytes: 0,
+  adapterPlaces: 0,
+  modelMegabytes: () => undefined,
+  adapterMegabytes: () => 0,
+  storeLoadsPerSecond: 0,
+  models: [],
+};
+
+/** The engines under the planner, kept up to date by list and reports. */
+export class EngineRegistry {
+  private readonly entries = new Map<string, EngineEntry>();
+
+  constructor(
+    private readonly orders: EngineOrders,
+    private readonly surroundings: FleetSurroundings,
+    private readonly settings: EngineRegistrySettings,
+  ) {}
+
+  get(id: string): EngineEntry | undefined {
+    return this.entries.get(id);
+  }
+
+  all(): Iterable<EngineEntry> {
+    return this.entries.values();
+  }
+
+  ofService(service: string): EngineEntry[] {
+    return [...this.entries.values()].filter(
+      ({listed}) => listed.service === service,
+    );
+  }
+
+  service(name: string): EngineService {
+    for (const service of this.surroundings.services()) {
+      if (service.name === name) return service;
+    }
+    return {name, ...NO_SERVICE};
+  }
+
+  /** Forgets all engines, and takes back what the nodes were told. */
+  clear(epoch: number): void {
+    for (const {listed} of this.entries.values()) {
+      this.surroundings.publish(listed, undefined, epoch);
+    }
+    this.entries.clear();
+  }
+
+  /** Takes the platform's list; a process that is gone is forgotten. */
+  follow(epoch: number): void {
+    const listed = new Map<string, ListedEngine>();
+    for (const engine of this.surroundings.engines()) {
+      listed.set(engine.id, engine);
+    }
+    for (const [id, entry] of this.entries) {
+      const now = listed.get(id);
+      const isSame =
+        now?.startedAt === entry.listed.startedAt &&
+        now.address === entry.listed.address;
+      if (isSame) continue;
+      this.surroundings.publish(entry.listed, undefined, epoch);
+      this.entries.delete(id);
+    }
+    for (const engine of listed.values()) {
+      const known = this.entries.get(engine.id);
+      if (known) known.listed = engine;
+      else this.entries.set(engine.id, this.newEntry(engine));
+    }
+  }
+
+  /** Reads all reports that are too old to plan with. */
+  async refreshAll(): Promise<void> {
+    await Promise.all(
+      [...this.entries.values()].map(entry => this.refresh(entry)),
+    );
+  }
+
+  /** Reads an engine's report if the last one is too old to plan with. */
+  async refresh(entry: EngineEntry): Promise<void> {
+    const {book, listed} = entry;
+    const {reportAgeMilliseconds, busyReportAgeMilliseconds} = this.settings;
+    const allowed = book.isBusy
+      ? busyReportAgeMilliseconds
+      : reportAgeMilliseconds;
+    if (book.isKnown && book.reportAgeMilliseconds < allowed) return;
+    const state = await this.orders.report(listed);
+    if (state.ok) book.takeReport(state.val);
+    if (state.ok !== entry.isReportFailing) return;
+    entry.isReportFailing = !state.ok;
+    this.surroundings.record({
+      step: state.ok ? PlannerStep.REPORT_REGAINED : PlannerStep.REPORT_FAILED,
+      upstream: listed.id,
+      ...(!state.ok && {reason: state.val.message}),
+    });
+  }
+
+  /** An engine as the model plan sees it. */
+  planned({book, listed, closing}: EngineEntry): PlannedEngine {
+    const {reportAgeMilliseconds} = this.settings;
+    return {
+      id: listed.id,
+      freeMegabytes: book.freeMegabytes,
+      models: book.heldModels.filter(model => model !== closing?.model),
+      loading: book.loadingModel,
+      canTakeOrder:
+        listed.isReady &&
+        book.isKnown &&
+        !book.isBusy &&
+        closing === undefined &&
+        book.reportAgeMilliseconds < 2 * reportAgeMilliseconds,
+      modelsInMemory: listed.modelsInMemory,
+      modelsOnDisk: listed.modelsOnDisk,
+    };
+  }
+
+  /** Tells the nodes what each engine holds. */
+  publishAll(epoch: number): void {
+    for (const {book, listed, closing} of this.entries.values()) {
+      if (!book.hasReport) continue;
+      const held = [...book.usable(this.settings.adapterLoadMilliseconds)];
+      const open = held.filter(
+        name =>
+          name !== closing?.model && !name.startsWith(`${closing?.model}/`),
+      );
+      this.surroundings.publish(listed, open, epoch);
+    }
+  }
+
+  private newEntry(listed: ListedEngine): EngineEntry {
+    return {
+      listed,
+      book: new EngineBook(listed, () => this.service(listed.service)),
+      closing: undefined,
+      isReportFailing: false,
+      turn: Promise.resolve(),
+    };
+  }
+}
--- /dev/null
+++ b/packages/arbutustide-placement/src/fleet/fleet_planner.ts
@@ -0,0 +1,400 @@
+import type {PlannerLease} from '../planner_lease.js';
+import type {AdapterPlan} from './adapter_plan.js';
+import type {EngineEntry, EngineRegistrySettings} from './engine_registry.js';
+import type {AdapterName, EngineOrders, HoldingOrder} from './engine_orders.js';
+import type {
+  CataloguedModel,
+  EngineService,
+  FleetSurroundings,
+  ListedEngine,
+} from './fleet_surroundings.js';
+import type {ModelMove, ModelPlanSettings, PlannedModel} from './model_plan.js';
+
+import {delay} from '@arbutustide/errors';
+import {OrderKind} from '@arbutustide/upstream';
+
+import {DemandTracker} from '../demand_tracker.js';
+import {LoadAllowance} from '../load_allowance.js';
+import {planAdapter} from './adapter_plan.js';
+import {HoldingOrderAnswer} from './engine_orders.js';
+import {EngineRegistry} from './engine_registry.js';
+import {PlannerStep} from './fleet_surroundings.js';
+import {planModels} from './model_plan.js';
+import {SuspensionGuard} from './suspension_guard.js';
+
+/** What the planner may do, and how fast. */
+export interface FleetPlannerSettings
+  extends ModelPlanSettings, EngineRegistrySettings {
+  /** Name under which orders are given. */
+  readonly holder: string;
+  readonly leaseMilliseconds: number;
+  /** Time between two passes. */
+  readonly intervalMilliseconds: number;
+  /** Drift between the clocks that means this process stood still. */
+  readonly suspensionMilliseconds: number;
+  /** Time after which nodes have heard that a model takes no new requests. */
+  readonly closeMilliseconds: number;
+  /** Least idle time of an adapter that makes place for another. */
+  readonly adapterIdleMilliseconds: number;
+  /** Demand is averaged over the shorter window as it rises. */
+  readonly shortWindowMilliseconds: number;
+  readonly longWindowMilliseconds: number;
+  /** Requests at once assumed for each engine that holds a model at first. */
+  readonly assumedDemand: number;
+  /** Loads at once from the weight store that keep their full speed. */
+  readonly storeLoadsAtOnce: number;
+}
+
+/** Part of the weight store's rate that is used; late orders take the rest. */
+const STORE_RATE_SHARE = 0.95;
+/** Time until a place for an adapter is looked for again, in milliseconds. */
+const PLACE_RETRY_MILLISECONDS = 150;
+
+/** Where a model or adapter will be held, and when. */
+export interface ExpectedHolding {
+  /** Empty while the engine has not been chosen. */
+  readonly upstreamId: string;
+  readonly readyInMilliseconds: number;
+}
+
+/**
+ * Decides what each engine holds and orders it, while this node has the lease.
+ * A node that has just gained it waits a whole lease first, so that the orders
+ * of the holder before it lie behind.
+ */
+export class FleetPlanner {
+  private readonly registry: EngineRegistry;
+  private readonly allowances = new Map<string, LoadAllowance>();
+  private readonly demand: DemandTracker;
+  private readonly adapterAskedAt = new Map<string, number>();
+  private readonly guard: SuspensionGuard;
+  private heldEpoch: number | undefined;
+  private ordersFromMilliseconds = Infinity;
+
+  constructor(
+    private readonly lease: PlannerLease,
+    private readonly orders: EngineOrders,
+    private readonly surroundings: FleetSurroundings,
+    private readonly settings: FleetPlannerSettings,
+  ) {
+    this.registry = new EngineRegistry(orders, surroundings, settings);
+    this.demand = new DemandTracker(
+      settings.shortWindowMilliseconds,
+      settings.longWindowMilliseconds,
+    );
+    this.guard = new SuspensionGuard(settings.suspensionMilliseconds);
+  }
+
+  /** Whether this node may give orders at this moment. */
+  get mayOrder(): boolean {
+    if (this.guard.check()) this.lease.distrust();
+    return (
+      this.lease.isHeld &&
+      this.heldEpoch === this.lease.epoch &&
+      performance.now() >= this.ordersFromMilliseconds
+    );
+  }
+
+  /** Plans until the signal is aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.followLease();
+      if (this.heldEpoch !== undefined) await this.pass(this.heldEpoch);
+      await delay(this.settings.intervalMilliseconds, signal);
+    }
+  }
+
+  /**
+   * Has a model or adapter held by some engine.
+   *
+   * @return where and when, or undefined when it cannot be had.
+   */
+  async request(
+    service: string,
+    model: string,
+    adapter: string | undefined,
+  ): Promise<ExpectedHolding | undefined> {
+    if (!this.mayOrder) return undefined;
+    if (adapter === undefined) return this.expectedModel(service, model);
+    return this.loadAdapter(service, {model, adapter});
+  }
+
+  private followLease(): void {
+    const epoch = this.lease.isHeld ? this.lease.epoch : undefined;
+    if (epoch === this.heldEpoch) return;
+    const {record} = this.surroundings;
+    if (epoch === undefined) {
+      record({step: PlannerStep.LEASE_LOST, epoch: this.heldEpoch ?? 0});
+      this.registry.clear(this.heldEpoch ?? 0);
+    } else {
+      record({step: PlannerStep.LEASE_GAINED, epoch});
+      const wait = this.lease.hadNoHolder ? 0 : this.settings.leaseMilliseconds;
+      this.ordersFromMilliseconds = performance.now() + wait;
+      this.allowances.clear();
+    }
+    this.heldEpoch = epoch;
+  }
+
+  private async pass(epoch: number): Promise<void> {
+    this.registry.follow(epoch);
+    await this.registry.refreshAll();
+    for (const service of this.surroundings.services()) {
+      this.sampleDemand(service);
+      if (this.mayOrder) this.planService(service);
+    }
+    this.registry.publishAll(epoch);
+  }
+
+  /** Demand before any traffic is read off what the engines hold at first. */
+  private sampleDemand({name, models}: EngineService): void {
+    const entries = this.registry.ofService(name);
+    const samples = models.map(model => ({
+      entry: `${name}/${model.name}`,
+      concurrency: this.surroundings.demand(name, model.name),
+    }));
+    if (!entries.every(({book}) => book.hasReport)) return;
+    for (const [index, {entry}] of samples.entries()) {
+      const holders = entries.filter(({book}) =>
+        book.holdsModel(models[index].name),
+      );
+      const assumed = holders.length * this.settings.assumedDemand;
+      this.demand.assume(entry, assumed);
+    }
+    if (samples.some(({concurrency}) => concurrency > 0)) {
+      this.demand.sample(samples);
+    }
+  }
+
+  private planService(service: EngineService): void {
+    this.finishClosings(service);
+    const entries = this.registry.ofService(service.name);
+    const models = service.models.map(model =>
+      this.plannedModel(service.name, model),
+    );
+    const engines = entries.map(entry => this.registry.planned(entry));
+    for (const move of planModels(models, engines, this.settings)) {
+      const entry = this.registry.get(move.engineId);
+      if (!entry) continue;
+      const [evicted] = move.evicted;
+      if (evicted !== undefined) {
+        entry.closing = {model: evicted, sinceMilliseconds: performance.now()};
+      } else {
+        this.loadModel(service, entry, move);
+      }
+    }
+  }
+
+  private plannedModel(
+    service: string,
+    {name, megabytes}: CataloguedModel,
+  ): PlannedModel {
+    const entry = `${service}/${name}`;
+    return {
+      name,
+      megabytes,
+      demand: this.demand.expected(entry),
+      rememberedDemand: this.demand.remembered(entry),
+      waiting: this.surroundings.waiting(service, name),
+    };
+  }
+
+  /** Unloads models of which all nodes know by now that they are closing. */
+  private finishClosings(service: EngineService): void {
+    for (const entry of this.registry.ofService(service.name)) {
+      const {closing, book} = entry;
+      if (!closing) continue;
+      if (!book.holdsModel(closing.model)) {
+        entry.closing = undefined;
+        continue;
+      }
+      const age = performance.now() - closing.sinceMilliseconds;
+      if (age < this.settings.closeMilliseconds) continue;
+      if (book.isBusy || !book.isKnown) continue;
+      void this.give(entry, OrderKind.UNLOAD, closing.model, undefined);
+    }
+  }
+
+  private loadModel(
+    service: EngineService,
+    entry: EngineEntry,
+    {model, gain}: ModelMove,
+  ): void {
+    const {book, listed} = entry;
+    if (book.whyNotLoad(model) !== undefined) return;
+    const isOwnCopy =
+      listed.modelsInMemory.has(model) || listed.modelsOnDisk.has(model);
+    if (!isOwnCopy) {
+      const allowance = this.allowanceOf(service);
+      if (allowance.available(this.loadsUnderway(service)) < 1) return;
+      allowance.take(1);
+    }
+    void this.give(entry, OrderKind.LOAD, model, undefined, gain);
+  }
+
+  private loadsUnderway({name}: EngineService): number {
+    return this.registry
+      .ofService(name)
+      .filter(({book}) => book.loadingModel !== undefined).length;
+  }
+
+  private allowanceOf(service: EngineService): LoadAllowance {
+    const known = this.allowances.get(service.name);
+    if (known) return known;
+    const allowance = new LoadAllowance(
+      service.storeLoadsPerSecond * STORE_RATE_SHARE,
+      this.settings.storeLoadsAtOnce,
+      this.lease.hadNoHolder ? undefined : 0,
+    );
+    this.allowances.set(service.name, allowance);
+    return allowance;
+  }
+
+  /** When a model that is held or on its way will be usable. */
+  private expectedModel(
+    serviceName: string,
+    model: string,
+  ): ExpectedHolding | undefined {
+    const service = this.registry.service(serviceName);
+    const described = service.models.find(({name}) => name === model);
+    if (!described) return undefined;
+    const entries = this.registry.ofService(serviceName);
+    const holder = entries.find(({book}) => book.holdsModel(model));
+    if (holder) return expected(holder, 0);
+    const loader = entries.find(({book}) => book.loadingModel === model);
+    if (loader) {
+      return expected(loader, loadMilliseconds(described, loader.listed));
+    }
+    return expected(undefined, described.storeLoadMilliseconds);
+  }
+
+  private async loadAdapter(
+    service: string,
+    wanted: AdapterName,
+  ): Promise<ExpectedHolding | undefined> {
+    this.adapterAskedAt.set(useKey(service, wanted), performance.now());
+    const entries = this.registry.ofService(service);
+    const {adapterLoadMilliseconds} = this.settings;
+    const holder = entries.find(
+      ({book, listed}) => listed.isReady && book.hasAdapter(wanted),
+    );
+    if (holder) return expected(holder, adapterLoadMilliseconds);
+    if (!entries.some(({book}) => book.holdsModel(wanted.model))) {
+      return this.expectedModel(service, wanted.model);
+    }
+    const plan = this.planAdapter(service, wanted, entries);
+    const entry = plan && this.registry.get(plan.book.engine.id);
+    if (!plan || !entry) {
+      this.surroundings.record({step: PlannerStep.NO_PLACE, ...wanted});
+      return expected(undefined, PLACE_RETRY_MILLISECONDS);
+    }
+    const {evicted} = plan;
+    if (evicted) {
+      await this.give(entry, OrderKind.UNLOAD, evicted.model, evicted.adapter);
+      await this.registry.refresh(entry);
+    }
+    await this.give(entry, OrderKind.LOAD, wanted.model, wanted.adapter);
+    return entry.book.hasAdapter(wanted)
+      ? expected(entry, adapterLoadMilliseconds)
+      : expected(undefined, PLACE_RETRY_MILLISECONDS);
+  }
+
+  private planAdapter(
+    service: string,
+    wanted: AdapterName,
+    entries: readonly EngineEntry[],
+  ): AdapterPlan | undefined {
+    const candidates = entries.map(({book, listed, closing}) => ({
+      book,
+      isReady: listed.isReady && closing?.model !== wanted.model,
+      inFlight: listed.inFlight,
+    }));
+    return planAdapter(wanted, candidates, {
+      idleMilliseconds: name => this.idleMilliseconds(service, name),
+      evictableAfterMilliseconds: this.settings.adapterIdleMilliseconds,
+    });
+  }
+
+  private idleMilliseconds(service: string, name: AdapterName): number {
+    const {model, adapter} = name;
+    const key = useKey(service, name);
+    const now = performance.now();
+    if (this.surroundings.isAdapterInUse(service, model, adapter)) {
+      this.adapterAskedAt.set(key, now);
+    }
+    return now - (this.adapterAskedAt.get(key) ?? -Infinity);
+  }
+
+  /** Gives one order, after those given to the engine before. */
+  private give(
+    entry: EngineEntry,
+    kind: OrderKind,
+    model: string,
+    adapter: string | undefined,
+    gain?: number,
+  ): Promise<void> {
+    const turn = entry.turn.then(() =>
+      this.giveNow(entry, kind, model, adapter, gain),
+    );
+    entry.turn = turn;
+    return turn;
+  }
+
+  private async giveNow(
+    {book, listed}: EngineEntry,
+    kind: OrderKind,
+    model: string,
+    adapter: string | undefined,
+    gain: number | undefined,
+  ): Promise<void> {
+    if (!this.mayOrder || !book.isKnown) return;
+    if (kind === OrderKind.LOAD && whyNot(book, model, adapter)) return;
+    const order: HoldingOrder = book.nextOrder(kind, model, adapter, {
+      holder: this.settings.holder,
+      fence: this.lease.epoch,
+    });
+    const answer = await this.orders.order(listed, order);
+    book.takeAnswer(order, answer.ok ? answer.val : undefined);
+    this.surroundings.record({
+      step: PlannerStep.ORDERED,
+      upstream: listed.id,
+      order,
+      answer: answer.ok ? answer.val : 'none',
+      reportAgeMilliseconds: Math.round(book.reportAgeMilliseconds),
+      ...(!answer.ok && {reason: answer.val.message}),
+      ...(gain !== undefined && {gain}),
+    });
+    if (answer.ok && answer.val === HoldingOrderAnswer.FENCED) {
+      this.lease.distrust();
+    }
+  }
+}
+
+function expected(
+  entry: EngineEntry | undefined,
+  readyInMilliseconds: number,
+): ExpectedHolding {
+  return {upstreamId: entry?.listed.id ?? '', readyInMilliseconds};
+}
+
+function whyNot(
+  book: EngineEntry['book'],
+  model: string,
+  adapter: string | undefined,
+): string | undefined {
+  return adapter === undefined
+    ? book.whyNotLoad(model)
+    : book.whyNotLoadAdapter({model, adapter});
+}
+
+function useKey(service: string, {model, adapter}: AdapterName): string {
+  return `${service}/${model}/${adapter}`;
+}
+
+function loadMilliseconds(
+  model: CataloguedModel,
+  {modelsInMemory, modelsOnDisk}: ListedEngine,
+): number {
+  if (modelsInMemory.has(model.name)) return model.memoryLoadMilliseconds;
+  if (modelsOnDisk.has(model.name)) return model.diskLoadMilliseconds;
+  return model.storeLoadMilliseconds;
+}
--- /dev/null
+++ b/packages/arbutustide-placement/src/fleet/model_plan.ts
@@ -0,0 +1,213 @@
+/** A model with what is asked of it. */
+export interface PlannedModel {
+  readonly name: string;
+  readonly megabytes: number;
+  /** Requests at once, expected over all nodes. */
+  readonly demand: number;
+  /** The highest demand that is remembered; it fades slowly. */
+  readonly rememberedDemand: number;
+  /** Requests that wait for it at this moment. */
+  readonly waiting: number;
+}
+
+/** An engine with what it holds. */
+export interface PlannedEngine {
+  readonly id: string;
+  readonly freeMegabytes: number;
+  /** Models held and not about to be unloaded. */
+  readonly models: readonly string[];
+  /** A model being loaded, which counts as held. */
+  readonly loading: string | undefined;
+  /** Whether it can take an order now. */
+  readonly canTakeOrder: boolean;
+  readonly modelsInMemory: ReadonlySet<string>;
+  readonly modelsOnDisk: ReadonlySet<string>;
+}
+
+/** One change of what an engine holds. */
+export interface ModelMove {
+  readonly engineId: string;
+  readonly model: string;
+  /** Models that must make room first. */
+  readonly evicted: readonly string[];
+  readonly gain: number;
+}
+
+/** Weights of the plan. */
+export interface ModelPlanSettings {
+  /** Requests at once that one replica serves within their objectives. */
+  readonly replicaDemand: number;
+  /** Remembered demand from which a model is kept on two engines. */
+  readonly spareDemand: number;
+  /** Factor by which a gain must exceed the loss of what makes room. */
+  readonly hysteresis: number;
+  /** Least gain that is worth a move. */
+  readonly moveCost: number;
+}
+
+interface Holding {
+  replicas: number;
+  readonly model: PlannedModel;
+}
+
+/** Worth of one engine that holds a model at all; the unit of gains. */
+const COVERAGE_GAIN = 1;
+/** Worth of covering a model that requests wait for, besides their number. */
+const WAITING_GAIN = 2;
+/** Worth of a replica in reserve, in case an engine is lost. */
+const SPARE_GAIN = 0.8;
+/** What an unneeded replica is worth for each request at once. */
+const SURPLUS_GAIN = 0.01;
+const SPARE_REPLICAS = 2;
+
+/**
+ * Chooses the next moves of models between engines. It answers demand that
+ * moves between models: each model is held somewhere while there is room, one
+ * that was in demand is kept on two engines, and more replicas are made only
+ * where the demand exceeds what those there are serve well. Each move costs
+ * the engine seconds in which it takes no other order.
+ */
+export function* planModels(
+  models: readonly PlannedModel[],
+  engines: readonly PlannedEngine[],
+  settings: ModelPlanSettings,
+): Generator<ModelMove> {
+  const holdings = countReplicas(models, engines);
+  const free = new Set(engines.filter(({canTakeOrder}) => canTakeOrder));
+  const byGain = [...holdings.values()].sort(
+    (left, right) =>
+      additionGain(right, settings) - additionGain(left, settings),
+  );
+  for (const holding of byGain) {
+    const gain = additionGain(holding, settings);
+    if (gain <= settings.moveCost) return;
+    const move = bestMove(holding, gain, free, holdings, settings);
+    if (!move) continue;
+    for (const engine of free) {
+      if (engine.id === move.engineId) free.delete(engine);
+    }
+    holding.replicas += 1;
+    for (const name of move.evicted) {
+      const evicted = holdings.get(name);
+      if (evicted) evicted.replicas -= 1;
+    }
+    yield move;
+  }
+}
+
+/** What one more replica is worth. */
+function additionGain(
+  {replicas, model}: Holding,
+  {replicaDemand, spareDemand}: ModelPlanSettings,
+): number {
+  const {demand, rememberedDemand, waiting} = model;
+  if (replicas === 0) {
+    const urgency = waiting > 0 ? WAITING_GAIN + waiting : 0;
+    return COVERAGE_GAIN + urgency + demand;
+  }
+  const overload = Math.max(0, demand / (replicas * replicaDemand) - 1);
+  const isSpareDue =
+    replicas < SPARE_REPLICAS && rememberedDemand >= spareDemand;
+  const spare = isSpareDue ? SPARE_GAIN : 0;
+  const surplus = (SURPLUS_GAIN * demand) / (replicas + 1);
+  return spare + overload + surplus;
+}
+
+/** What is lost with one replica less, in the same measure. */
+function removalLoss(
+  {replicas, model}: Holding,
+  settings: ModelPlanSettings,
+): number {
+  return additionGain({replicas: replicas - 1, model}, settings);
+}
+
+function countReplicas(
+  models: readonly PlannedModel[],
+  engines: readonly PlannedEngine[],
+): Map<string, Holding> {
+  const holdings = new Map<string, Holding>(
+    models.map(model => [model.name, {replicas: 0, model}]),
+  );
+  for (const engine of engines) {
+    for (const name of heldBy(engine)) {
+      const holding = holdings.get(name);
+      if (holding) holding.replicas += 1;
+    }
+  }
+  return holdings;
+}
+
+function heldBy({models, loading}: PlannedEngine): Set<string> {
+  return new Set(loading === undefined ? models : [...models, loading]);
+}
+
+function bestMove(
+  {model}: Holding,
+  gain: number,
+  engines: Iterable<PlannedEngine>,
+  holdings: ReadonlyMap<string, Holding>,
+  settings: ModelPlanSettings,
+): ModelMove | undefined {
+  let best: ModelMove | undefined;
+  let bestCost = gain / settings.hysteresis;
+  for (const engine of engines) {
+    if (heldBy(engine).has(model.name)) continue;
+    const eviction = cheapestEviction(model, engine, holdings, settings);
+    if (!eviction) continue;
+    const cost = eviction.loss + loadCost(model.name, engine);
+    if (cost >= bestCost) continue;
+    bestCost = cost;
+    best = {
+      engineId: engine.id,
+      model: model.name,
+      evicted: eviction.names,
+      gain: gain - cost,
+    };
+  }
+  return best;
+}
+
+/** Loads from an engine's own copies are five to ten times as fast. */
+const LOAD_COSTS = {memory: 0, disk: 0.01, store: 0.05} as const;
+
+function loadCost(
+  model: string,
+  {modelsInMemory, modelsOnDisk}: PlannedEngine,
+): number {
+  if (modelsInMemory.has(model)) return LOAD_COSTS.memory;
+  return modelsOnDisk.has(model) ? LOAD_COSTS.disk : LOAD_COSTS.store;
+}
+
+interface Eviction {
+  readonly names: readonly string[];
+  readonly loss: number;
+}
+
+/** The models whose removal makes room at the least loss. */
+function cheapestEviction(
+  {megabytes}: PlannedModel,
+  {freeMegabytes, models}: PlannedEngine,
+  holdings: ReadonlyMap<string, Holding>,
+  settings: ModelPlanSettings,
+): Eviction | undefined {
+  const removable = models
+    .map(name => {
+      const holding = holdings.get(name);
+      return {
+        name,
+        megabytes: holding?.model.megabytes ?? 0,
+        loss: holding ? removalLoss(holding, settings) : 0,
+      };
+    })
+    .sort((left, right) => left.loss - right.loss);
+  const names: string[] = [];
+  let room = freeMegabytes;
+  let loss = 0;
+  for (const candidate of removable) {
+    if (room >= megabytes) break;
+    names.push(candidate.name);
+    room += candidate.megabytes;
+    loss += candidate.loss;
+  }
+  return room >= megabytes ? {names, loss} : undefined;
+}
--- a/packages/arbutustide-placement/src/index.ts
+++ b/packages/arbutustide-placement/src/index.ts
@@ -7,7 +7,40 @@
 export type {PlannerOptions, PlannerSurroundings} from './planner.js';
 export type {LedgerItem, OrderIntent, WorkerRecord} from './worker_record.js';
 
+export type {
+  AdapterName,
+  EngineAddress,
+  EngineModel,
+  EngineOrders,
+  EngineState,
+  HoldingOrder,
+} from './fleet/engine_orders.js';
+export type {
+  ExpectedHolding,
+  FleetPlannerSettings,
+} from './fleet/fleet_planner.js';
+export type {
+  CataloguedModel,
+  EngineService,
+  FleetSurroundings,
+  ListedEngine,
+  PlannerDecision,
+} from './fleet/fleet_surroundings.js';
+export type {
+  ModelMove,
+  ModelPlanSettings,
+  PlannedEngine,
+  PlannedModel,
+} from './fleet/model_plan.js';
+
 export {DemandTracker} from './demand_tracker.js';
+export {planAdapter} from './fleet/adapter_plan.js';
+export {EngineBook} from './fleet/engine_book.js';
+export {HoldingOrderAnswer} from './fleet/engine_orders.js';
+export {FleetPlanner} from './fleet/fleet_planner.js';
+export {PlannerStep} from './fleet/fleet_surroundings.js';
+export {planModels} from './fleet/model_plan.js';
+export {SuspensionGuard} from './fleet/suspension_guard.js';
 export {
   committedBytes,
   freeBytes,
--- a/packages/arbutustide-placement/src/ledger_store.ts
+++ b/packages/arbutustide-placement/src/ledger_store.ts
@@ -24,7 +24,7 @@
   /** All records. */
   async readAll(): Promise<Result<StoredWorker[], StoreError>> {
     const listed = await this.store.list(WORKER_PREFIX);
-    return listed.map(objects =>
+    return listed.map(({objects}) =>
       objects.map(({value, version}) => ({
         record: workerRecordSchema.parse(value),
         version,
--- a/packages/arbutustide-placement/src/load_allowance.ts
+++ b/packages/arbutustide-placement/src/load_allowance.ts
@@ -6,11 +6,16 @@
   private tokens: number;
   private refilledAtMilliseconds = performance.now();
 
+  /**
+   * @param initialLoads loads allowed at once at the start; fewer where others
+   *     may have started some just before.
+   */
   constructor(
     private readonly loadsPerSecond: number,
     private readonly loadsAtOnce: number,
+    initialLoads = loadsAtOnce,
   ) {
-    this.tokens = loadsAtOnce;
+    this.tokens = initialLoads;
   }
 
   /**
--- a/packages/arbutustide-placement/src/planner_lease.ts
+++ b/packages/arbutustide-placement/src/planner_lease.ts
@@ -37,6 +37,8 @@
   private heldVersion: number | undefined;
   private heldEpoch = 0;
   private validUntilMilliseconds = 0;
+  private isFirstHolder = false;
+  private seenHolder = '';
 
   constructor(
     private readonly store: ObjectStore,
@@ -55,18 +57,34 @@
     return this.heldEpoch;
   }
 
+  /** Whether no process can have held the lease before this one. */
+  get hadNoHolder(): boolean {
+    return this.isFirstHolder;
+  }
+
+  /** Does not count on the lease until it has been renewed. */
+  distrust(): void {
+    this.validUntilMilliseconds = 0;
+  }
+
+  /** Identity of the holder last read; empty when none is known. */
+  get lastHolder(): string {
+    return this.seenHolder;
+  }
+
   /** Renews the lease, or tries to gain it; call several times a lease. */
   async maintain(): Promise<void> {
     const sentAt = performance.now();
-    if (this.heldVersion !== undefined && this.isHeld) {
+    if (this.heldVersion !== undefined) {
+      // Nobody else has held it while the version is the one written here.
       await this.renew(this.heldVersion, sentAt);
       return;
     }
-    this.heldVersion = undefined;
     const stored = await this.store.get(leaseKey(this.region));
     if (!stored.ok) {
       if (stored.val.kind === StoreErrorKind.NOT_FOUND) {
         await this.write(1, undefined, sentAt);
+        this.isFirstHolder = this.isHeld;
       }
       return;
     }
@@ -88,6 +106,7 @@
   private async challenge(stored: StoredObject): Promise<void> {
     const lease = leaseSchema.parse(stored.value);
     const now = performance.now();
+    this.seenHolder = lease.holder;
     if (stored.version !== this.seenVersion) {
       this.seenVersion = stored.version;
       this.seenSinceMilliseconds = now;
--- /dev/null
+++ b/packages/arbutustide-routing/src/fleet/demand_counter.ts
@@ -0,0 +1,86 @@
+import type {EntryLoad} from '../admission.js';
+import type {RoutedRequest} from './routed_request.js';
+
+interface Count {
+  inFlight: number;
+  queued: number;
+  arrivals: number;
+}
+
+/** Entries without requests are forgotten beyond this many. */
+const IDLE_ENTRIES = 256;
+
+/** Name under which nodes tell each other of the demand for a model. */
+export function modelEntry(service: string, model: string): string {
+  return `${service}/${model}`;
+}
+
+/** Name under which nodes tell each other of the demand for an adapter. */
+export function adapterEntry(
+  service: string,
+  model: string,
+  adapter: string,
+): string {
+  return `${service}/${model}/${adapter}`;
+}
+
+/** Counts this node's requests by model and by adapter. */
+export class DemandCounter {
+  private readonly counts = new Map<string, Count>();
+
+  /** Counts a request that has arrived and waits. */
+  arrived(request: RoutedRequest): void {
+    for (const count of this.countsOf(request)) {
+      count.arrivals += 1;
+      count.queued += 1;
+    }
+  }
+
+  /** Counts a request that has been given a place. */
+  placed(request: RoutedRequest): void {
+    for (const count of this.countsOf(request)) {
+      count.queued -= 1;
+      count.inFlight += 1;
+    }
+  }
+
+  /** Counts a request that has ended, or whose attempt has. */
+  ended(request: RoutedRequest, wasPlaced: boolean): void {
+    for (const count of this.countsOf(request)) {
+      if (wasPlaced) count.inFlight -= 1;
+      else count.queued -= 1;
+    }
+  }
+
+  /** The demand for each entry that has any. */
+  *loads(): Generator<EntryLoad> {
+    for (const [entryName, count] of this.counts) {
+      const isIdle = count.inFlight === 0 && count.queued === 0;
+      if (isIdle && this.counts.size > IDLE_ENTRIES) {
+        this.counts.delete(entryName);
+      }
+      yield {entryName, ...count};
+    }
+  }
+
+  /** The demand for one entry. */
+  load(entryName: string): Readonly<Count> | undefined {
+    return this.counts.get(entryName);
+  }
+
+  private *countsOf({service, modelRequest}: RoutedRequest): Generator<Count> {
+    if (!modelRequest) return;
+    const {model, adapter} = modelRequest;
+    yield this.count(modelEntry(service, model));
+    if (adapter === undefined) return;
+    yield this.count(adapterEntry(service, model, adapter));
+  }
+
+  private count(entryName: string): Count {
+    const known = this.counts.get(entryName);
+    if (known) return known;
+    const count = {inFlight: 0, queued: 0, arrivals: 0};
+    this.counts.set(entryName, count);
+    return count;
+  }
+}
--- /dev/null
+++ b/packages/arbutustide-routing/src/fleet/fleet_dispatcher.ts
@@ -0,0 +1,284 @@
+import type {Result} from 'ts-results';
+
+import type {Attempt} from './fleet_attempt.js';
+import type {FleetAnswer} from './fleet_answer.js';
+import type {FleetConnector} from './fleet_connector.js';
+import type {RequestDecision} from './fleet_decision.js';
+import type {FleetProgress} from './fleet_progress.js';
+import type {FleetUpstream} from './fleet_upstream.js';
+import type {Place, PlaceQueue} from './place_queue.js';
+import type {ModelName} from './route.js';
+import type {RoutedRequest} from './routed_request.js';
+
+import {Cancellation, ErrorKind, RefusalError} from '@arbutustide/errors';
+import {AttemptFailure} from '@arbutustide/upstream';
+import {Err, Ok} from 'ts-results';
+
+import {AnswerEnd} from '../caller_request.js';
+import {AttemptOutcome, mayHaveRun, mayTryAgain} from './attempt_verdict.js';
+import {runAttempt} from './fleet_attempt.js';
+import {DecisionStep} from './fleet_decision.js';
+import {ranUntilNow, remainingMilliseconds} from './fleet_progress.js';
+import {FleetStream} from './fleet_stream.js';
+
+/** What the dispatcher asks of its surroundings. */
+export interface FleetDispatcherOptions {
+  /** Counts a request against its service's retry budget. */
+  readonly recordRequest: (service: string) => void;
+  readonly tryTakeRetry: (service: string) => boolean;
+  /** Told when an upstream lacks a model that it was believed to hold. */
+  readonly onMissing: (upstream: FleetUpstream, model: ModelName) => void;
+  readonly onDecision: (decision: RequestDecision) => void;
+}
+
+type DispatchResult = Promise<Result<FleetAnswer, RefusalError>>;
+type AttemptResult = Promise<Result<Attempt, RefusalError>>;
+
+/** Why a request's work was ended from this side. */
+enum CancelReason {
+  CALLER_GONE = 'the caller went away',
+  DEADLINE = 'the deadline has passed',
+}
+
+/** After this time nodes have heard which upstream takes the request. */
+const NOT_TAKEN_RETRY_MILLISECONDS = 300;
+
+const REFUSAL_KIND_BY_FAILURE: Readonly<Record<AttemptFailure, ErrorKind>> = {
+  [AttemptFailure.NOT_CONNECTED]: ErrorKind.UPSTREAM_UNREACHABLE,
+  [AttemptFailure.CLOSED]: ErrorKind.UPSTREAM_BROKEN,
+  [AttemptFailure.SILENT]: ErrorKind.UPSTREAM_TIMED_OUT,
+  [AttemptFailure.CANCELLED]: ErrorKind.UPSTREAM_TIMED_OUT,
+  [AttemptFailure.PROTOCOL]: ErrorKind.ANSWER_INCOMPLETE,
+};
+
+/** Takes a routed request to its whole answer, or to a truthful refusal. */
+export class FleetDispatcher {
+  constructor(
+    private readonly queue: PlaceQueue,
+    private readonly connector: FleetConnector,
+    private readonly options: FleetDispatcherOptions,
+  ) {}
+
+  /** Answers a caller's request, or refuses it. */
+  async dispatch(request: RoutedRequest): DispatchResult {
+    this.options.recordRequest(request.service);
+    const progress: FleetProgress = {
+      request,
+      cancel: new Cancellation(),
+      tried: new Set(),
+      attempts: 0,
+      mayHaveRun: false,
+    };
+    const stopWatch = watch(progress);
+    const attempt = await this.tryUntilAnswered(progress, undefined);
+    const isOver = !attempt.ok || attempt.val.body !== undefined;
+    if (isOver) stopWatch();
+    if (!attempt.ok) {
+      this.recordRefusal(progress, attempt.val);
+      return attempt;
+    }
+    return Ok(this.answer(progress, attempt.val, stopWatch));
+  }
+
+  /**
+   * Sends the request to one upstream after another until one has answered or
+   * no further attempt is allowed.
+   */
+  private async tryUntilAnswered(
+    progress: FleetProgress,
+    resumeAfter: number | undefined,
+  ): AttemptResult {
+    let lastFailure: Attempt | undefined;
+    for (;;) {
+      const place = await this.queue.enter(progress);
+      if (!place.ok) return lastFailure?.body ? Ok(lastFailure) : place;
+      this.recordPlace(progress, place.val);
+      const attempt = await this.attempt(progress, place.val, resumeAfter);
+      if (attempt.outcome === AttemptOutcome.ANSWERED) return Ok(attempt);
+      if (attempt.outcome === AttemptOutcome.FAILED) lastFailure = attempt;
+      const terms = {
+        tryTakeRetry: () => this.options.tryTakeRetry(progress.request.service),
+      };
+      if (mayTryAgain(progress, attempt.outcome, terms)) continue;
+      if (lastFailure?.body) return Ok(lastFailure);
+      return Err(refusalOf(progress, attempt));
+    }
+  }
+
+  private async attempt(
+    progress: FleetProgress,
+    place: Place,
+    resumeAfter: number | undefined,
+  ): Promise<Attempt> {
+    const {upstream} = place;
+    progress.tried.add(upstream);
+    progress.attempts += 1;
+    const attempt = await runAttempt(
+      this.connector,
+      progress,
+      place,
+      resumeAfter,
+    );
+    const isOpen = attempt.body === undefined && attempt.error === undefined;
+    if (!isOpen) place.release();
+    if (mayHaveRun(attempt.outcome)) progress.mayHaveRun = true;
+    this.learn(progress, attempt);
+    this.recordAttempt(progress, attempt);
+    return attempt;
+  }
+
+  /** What an attempt tells of its upstream. */
+  private learn(progress: FleetProgress, attempt: Attempt): void {
+    const {upstream} = attempt.place;
+    const {modelRequest} = progress.request;
+    if (attempt.error) {
+      if (attempt.error.failure !== AttemptFailure.CANCELLED) {
+        upstream.recordFailure();
+      }
+      return;
+    }
+    upstream.recordSuccess();
+    if (attempt.head?.isOtherInstance && modelRequest) {
+      this.options.onMissing(upstream, modelRequest);
+    }
+  }
+
+  private answer(
+    progress: FleetProgress,
+    attempt: Attempt,
+    stopWatch: () => void,
+  ): FleetAnswer {
+    const {head, place, body} = attempt;
+    const common = {
+      status: head?.status ?? 0,
+      headers: head?.headers ?? [],
+      upstreamId: place.upstream.id,
+    };
+    if (body !== undefined || !head) {
+      this.recordEnd(progress, AnswerEnd.WHOLE);
+      return {...common, body: body ?? Buffer.alloc(0)};
+    }
+    const stream = new FleetStream(progress, {
+      resume: after => this.tryUntilAnswered(progress, after),
+      tryTakeRetry: () => this.options.tryTakeRetry(progress.request.service),
+      onResume: (reason, next) => this.recordResume(progress, reason, next),
+      onEnd: end => {
+        stopWatch();
+        this.recordEnd(progress, end);
+      },
+    });
+    return {...common, body: stream.pieces(attempt)};
+  }
+
+  private recordPlace(progress: FleetProgress, place: Place): void {
+    const {upstream, waitedMilliseconds} = place;
+    this.record(progress, {
+      step: DecisionStep.PLACED,
+      upstream: upstream.id,
+      load: upstream.estimatedInFlight,
+      waitedMilliseconds: Math.round(waitedMilliseconds),
+    });
+  }
+
+  private recordAttempt(progress: FleetProgress, attempt: Attempt): void {
+    if (attempt.outcome === AttemptOutcome.ANSWERED) return;
+    this.record(progress, {
+      step: DecisionStep.ATTEMPT_ENDED,
+      upstream: attempt.place.upstream.id,
+      outcome: attempt.outcome,
+      attempts: progress.attempts,
+      ...(attempt.head && {status: attempt.head.status}),
+      ...(attempt.error && {reason: attempt.error.message}),
+    });
+  }
+
+  private recordResume(
+    progress: FleetProgress,
+    reason: string,
+    next: Attempt | undefined,
+  ): void {
+    this.record(progress, {
+      step: DecisionStep.STREAM_RESUMED,
+      reason,
+      attempts: progress.attempts,
+      ...(next && {upstream: next.place.upstream.id}),
+    });
+  }
+
+  private recordRefusal(progress: FleetProgress, refusal: RefusalError): void {
+    this.record(progress, {
+      step: DecisionStep.REFUSED,
+      kind: refusal.kind,
+      ran: refusal.ran,
+      retryAfterMilliseconds: refusal.retryAfterMilliseconds,
+      reason: refusal.message,
+      elapsedMilliseconds: elapsed(progress),
+    });
+  }
+
+  private recordEnd(progress: FleetProgress, end: AnswerEnd): void {
+    this.record(progress, {
+      step: DecisionStep.ENDED,
+      end,
+      attempts: progress.attempts,
+      elapsedMilliseconds: elapsed(progress),
+    });
+  }
+
+  private record(
+    {request}: FleetProgress,
+    decision: Omit<RequestDecision, 'requestId' | 'route' | 'service'>,
+  ): void {
+    const {requestId, route, service, modelRequest} = request;
+    this.options.onDecision({
+      requestId,
+      route: route.name,
+      service,
+      ...(modelRequest && {model: modelRequest.model}),
+      ...decision,
+    });
+  }
+}
+
+/**
+ * Cancels the request's work when the caller goes or the deadline passes.
+ *
+ * @return ends the watch.
+ */
+function watch(progress: FleetProgress): () => void {
+  const {request, cancel} = progress;
+  const timer = setTimeout(
+    () => cancel.cancel(CancelReason.DEADLINE),
+    Math.max(0, remainingMilliseconds(progress)),
+  );
+  const forget = request.presence.onCancel(() =>
+    cancel.cancel(CancelReason.CALLER_GONE),
+  );
+  return () => {
+    clearTimeout(timer);
+    forget();
+  };
+}
+
+function refusalOf(progress: FleetProgress, attempt: Attempt): RefusalError {
+  const {request} = progress;
+  const ran = ranUntilNow(progress);
+  if (request.presence.isCancelled) {
+    return new RefusalError(ErrorKind.CALLER_GONE, 'the caller went away', {
+      ran,
+    });
+  }
+  if (attempt.error) {
+    const kind = REFUSAL_KIND_BY_FAILURE[attempt.error.failure];
+    return new RefusalError(kind, attempt.error.message, {ran});
+  }
+  return new RefusalError(
+    ErrorKind.UPSTREAM_UNREACHABLE,
+    `${request.service} did not take the request: ${attempt.outcome}`,
+    {ran, retryAfterMilliseconds: NOT_TAKEN_RETRY_MILLISECONDS},
+  );
+}
+
+function elapsed({request}: FleetProgress): number {
+  return Math.round(performance.now() - request.arrivedAtMilliseconds);
+}
--- /dev/null
+++ b/packages/arbutustide-routing/src/fleet/fleet_stream.ts
@@ -0,0 +1,99 @@
+import type {RefusalError} from '@arbutustide/errors';
+import type {Result} from 'ts-results';
+
+import type {Attempt} from './fleet_attempt.js';
+import type {FleetProgress} from './fleet_progress.js';
+
+import {AnswerEnd} from '../caller_request.js';
+import {AttemptOutcome} from './attempt_verdict.js';
+import {OrderedEvents} from './ordered_events.js';
+import {isRepeatable} from './route.js';
+
+/** What a stream asks of the dispatcher. */
+export interface FleetStreamOptions {
+  /** Finds another upstream that goes on after the event. */
+  readonly resume: (
+    after: number | undefined,
+  ) => Promise<Result<Attempt, RefusalError>>;
+  /** Takes one retry from the fleet's budget, if there is one. */
+  readonly tryTakeRetry: () => boolean;
+  readonly onResume: (reason: string, next: Attempt | undefined) => void;
+  readonly onEnd: (end: AnswerEnd) => void;
+}
+
+/** Why one attempt's part of a stream ended before the stream did. */
+interface PartBreak {
+  readonly reason: string;
+}
+
+/** Passes a stream's events on, over all the upstreams that make them. */
+export class FleetStream {
+  private readonly events: OrderedEvents;
+
+  constructor(
+    private readonly progress: FleetProgress,
+    private readonly options: FleetStreamOptions,
+  ) {
+    this.events = new OrderedEvents(progress.request.lastEventId);
+  }
+
+  /** Pieces of whole events; returns how the stream ended. */
+  async *pieces(
+    first: Attempt,
+  ): AsyncGenerator<Uint8Array, AnswerEnd, undefined> {
+    let end = AnswerEnd.ABANDONED;
+    let attempt: Attempt | undefined = first;
+    try {
+      while (attempt) {
+        const broken: PartBreak | undefined = yield* this.part(attempt);
+        end = broken ? AnswerEnd.BROKEN : AnswerEnd.WHOLE;
+        attempt = broken && (await this.next(broken));
+      }
+      return end;
+    } finally {
+      this.options.onEnd(end);
+    }
+  }
+
+  /** The events one attempt makes; returns why it broke, if it did. */
+  private async *part(
+    attempt: Attempt,
+  ): AsyncGenerator<Uint8Array, PartBreak | undefined, undefined> {
+    this.events.beginAttempt();
+    try {
+      for await (const piece of attempt.head?.body ?? []) {
+        const {bytes, problem} = this.events.push(piece);
+        if (bytes) yield bytes;
+        if (problem) return {reason: `event out of order: ${problem}`};
+      }
+      return this.events.hasRest
+        ? {reason: 'the stream ended within an event'}
+        : undefined;
+    } catch (error) {
+      attempt.place.upstream.recordFailure();
+      return {reason: String(error)};
+    } finally {
+      attempt.place.release();
+    }
+  }
+
+  /** The attempt that goes on with the stream, if there may be one. */
+  private async next(broken: PartBreak): Promise<Attempt | undefined> {
+    const {request, cancel, attempts} = this.progress;
+    const {route} = request;
+    const isAllowed =
+      isRepeatable(route) &&
+      !cancel.isCancelled &&
+      attempts < route.maximumAttempts &&
+      this.options.tryTakeRetry();
+    if (!isAllowed) return undefined;
+    const next = await this.options.resume(this.events.lastNumber);
+    const attempt = next.ok ? next.val : undefined;
+    const isStream =
+      attempt?.outcome === AttemptOutcome.ANSWERED &&
+      attempt.body === undefined;
+    const resumed = isStream ? attempt : undefined;
+    this.options.onResume(broken.reason, resumed);
+    return resumed;
+  }
+}
--- /dev/null
+++ b/packages/arbutustide-routing/src/fleet/place_queue.ts
@@ -0,0 +1,258 @@
+import type {Result} from 'ts-results';
+
+import type {FleetChoice} from './fleet_choice.js';
+import type {FleetProgress} from './fleet_progress.js';
+import type {FleetUpstream} from './fleet_upstream.js';
+import type {RoutedRequest} from './routed_request.js';
+
+import {ErrorKind, RefusalError} from '@arbutustide/errors';
+import {Err, Ok} from 'ts-results';
+
+import {NoChoice} from './fleet_choice.js';
+import {ranUntilNow, patienceLeftMilliseconds} from './fleet_progress.js';
+
+/** Told of each request's way through the queue. */
+export interface QueueObserver {
+  arrived(request: RoutedRequest): void;
+  placed(request: RoutedRequest): void;
+  ended(request: RoutedRequest, wasPlaced: boolean): void;
+}
+
+/** What the queue asks of its surroundings. */
+export interface PlaceQueueOptions {
+  /** Chooses among the upstreams at this moment. */
+  readonly choose: (progress: FleetProgress) => FleetChoice;
+  /**
+   * Predicted time until a place is free, in milliseconds; undefined when no
+   * place will come.
+   */
+  readonly predictWait: (
+    progress: FleetProgress,
+    reason: NoChoice,
+    ahead: number,
+  ) => number | undefined;
+  /** Time one request needs at least once it has a place. */
+  readonly serviceMilliseconds: (progress: FleetProgress) => number;
+  /** Called when no upstream holds what the request needs. */
+  readonly onNotHeld: (progress: FleetProgress) => void;
+  readonly observer: QueueObserver;
+}
+
+/** The right to have one request at an upstream. */
+export interface Place {
+  readonly upstream: FleetUpstream;
+  /** Time waited for it, in milliseconds. */
+  readonly waitedMilliseconds: number;
+  /** Gives it back; repeated calls do nothing. */
+  release(): void;
+}
+
+type PlaceResult = Result<Place, RefusalError>;
+
+interface Waiter {
+  readonly progress: FleetProgress;
+  readonly sinceMilliseconds: number;
+  readonly decide: (result: PlaceResult) => void;
+}
+
+/** Time to come back where nothing is known that would end the wait. */
+const UNKNOWN_WAIT_MILLISECONDS = 1_000;
+
+/**
+ * Requests that wait for a place at an upstream, by priority and deadline. It
+ * answers bursts and lost upstreams: the queue is kept here, where a request
+ * can still be refused truthfully, and not at the upstreams.
+ */
+export class PlaceQueue {
+  private readonly waiters: Waiter[] = [];
+  private isPassDue = false;
+
+  constructor(private readonly options: PlaceQueueOptions) {}
+
+  get length(): number {
+    return this.waiters.length;
+  }
+
+  /** Waits for a place, or tells at once why there will be none in time. */
+  async enter(progress: FleetProgress): Promise<PlaceResult> {
+    const {choose, observer, onNotHeld} = this.options;
+    observer.arrived(progress.request);
+    const choice = choose(progress);
+    if (!isReason(choice)) {
+      return Ok(this.take(progress, choice, performance.now()));
+    }
+    if (choice === NoChoice.NOT_HELD) onNotHeld(progress);
+    const refused = this.refuseIfLate(
+      progress,
+      choice,
+      this.position(progress),
+    );
+    const result = refused ? Err(refused) : await this.wait(progress, choice);
+    if (!result.ok) observer.ended(progress.request, false);
+    return result;
+  }
+
+  /** Looks for places anew, once after all changes of this turn. */
+  wake(): void {
+    if (this.isPassDue || this.waiters.length === 0) return;
+    this.isPassDue = true;
+    setImmediate(() => {
+      this.isPassDue = false;
+      this.pass();
+    });
+  }
+
+  /** Requests waiting for the same model or service. */
+  *waitingRequests(): Generator<FleetProgress> {
+    for (const {progress} of this.waiters) yield progress;
+  }
+
+  private pass(): void {
+    const waiting = new Map<string, number>();
+    for (const waiter of [...this.waiters]) {
+      const {progress, sinceMilliseconds} = waiter;
+      const wanted = wantedBy(progress.request);
+      const ahead = waiting.get(wanted) ?? 0;
+      const isFirst = ahead === 0 || progress.tried.size > 0;
+      const choice = isFirst ? this.options.choose(progress) : NoChoice.FULL;
+      if (!isReason(choice)) {
+        this.remove(waiter);
+        waiter.decide(Ok(this.take(progress, choice, sinceMilliseconds)));
+        continue;
+      }
+      if (choice === NoChoice.NOT_HELD) this.options.onNotHeld(progress);
+      waiting.set(wanted, ahead + 1);
+      const refused = isFirst && this.refuseIfLate(progress, choice, ahead);
+      if (!refused) continue;
+      this.remove(waiter);
+      waiter.decide(Err(refused));
+      waiting.set(wanted, ahead);
+    }
+  }
+
+  /** The refusal of a request for which a place would come too late. */
+  private refuseIfLate(
+    progress: FleetProgress,
+    reason: NoChoice,
+    ahead: number,
+  ): RefusalError | undefined {
+    const wait = this.options.predictWait(progress, reason, ahead);
+    const needed = this.options.serviceMilliseconds(progress);
+    const total = (wait ?? Infinity) + needed;
+    if (total <= patienceLeftMilliseconds(progress)) return undefined;
+    return refusal(progress, reason, wait);
+  }
+
+  private wait(
+    progress: FleetProgress,
+    reason: NoChoice,
+  ): Promise<PlaceResult> {
+    return new Promise(resolve => {
+      let forget = () => {};
+      const waiter: Waiter = {
+        progress,
+        sinceMilliseconds: performance.now(),
+        decide: result => {
+          clearTimeout(timer);
+          forget();
+          resolve(result);
+        },
+      };
+      const giveUp = () => {
+        if (!this.remove(waiter)) return;
+        waiter.decide(Err(refusal(progress, reason, undefined)));
+      };
+      const needed = this.options.serviceMilliseconds(progress);
+      const timer = setTimeout(
+        giveUp,
+        Math.max(0, patienceLeftMilliseconds(progress) - needed),
+      );
+      this.waiters.splice(this.position(progress), 0, waiter);
+      forget = progress.cancel.onCancel(giveUp);
+    });
+  }
+
+  private take(
+    {request}: FleetProgress,
+    upstream: FleetUpstream,
+    sinceMilliseconds: number,
+  ): Place {
+    const {observer} = this.options;
+    upstream.ownInFlight += 1;
+    observer.placed(request);
+    let isHeld = true;
+    return {
+      upstream,
+      waitedMilliseconds: performance.now() - sinceMilliseconds,
+      release: () => {
+        if (!isHeld) return;
+        isHeld = false;
+        upstream.ownInFlight -= 1;
+        observer.ended(request, true);
+        this.wake();
+      },
+    };
+  }
+
+  private remove(waiter: Waiter): boolean {
+    const index = this.waiters.indexOf(waiter);
+    if (index < 0) return false;
+    this.waiters.splice(index, 1);
+    return true;
+  }
+
+  /** Number of waiters that go before the request. */
+  private position(progress: FleetProgress): number {
+    let low = 0;
+    let high = this.waiters.length;
+    while (low < high) {
+      const middle = (low + high) >>> 1;
+      if (comesBefore(progress, this.waiters[middle].progress)) high = middle;
+      else low = middle + 1;
+    }
+    return low;
+  }
+}
+
+function isReason(choice: FleetChoice): choice is NoChoice {
+  return typeof choice === 'string';
+}
+
+/** What a request waits for; requests that wait for the same are alike. */
+function wantedBy({service, modelRequest}: RoutedRequest): string {
+  if (!modelRequest) return service;
+  const {model, adapter = ''} = modelRequest;
+  return `${service}/${model}/${adapter}`;
+}
+
+function comesBefore(left: FleetProgress, right: FleetProgress): boolean {
+  const {route: leftRoute} = left.request;
+  const {route: rightRoute} = right.request;
+  if (leftRoute.priority !== rightRoute.priority) {
+    return leftRoute.priority < rightRoute.priority;
+  }
+  return (
+    left.request.deadlineAtMilliseconds < right.request.deadlineAtMilliseconds
+  );
+}
+
+const KIND_BY_REASON: Readonly<Record<NoChoice, ErrorKind>> = {
+  [NoChoice.NOT_HELD]: ErrorKind.NO_REPLICA,
+  [NoChoice.FULL]: ErrorKind.DEADLINE_UNREACHABLE,
+};
+
+function refusal(
+  progress: FleetProgress,
+  reason: NoChoice,
+  wait: number | undefined,
+): RefusalError {
+  const {request} = progress;
+  return new RefusalError(
+    KIND_BY_REASON[reason],
+    `no place at ${request.service} in time: ${reason}`,
+    {
+      ran: ranUntilNow(progress),
+      retryAfterMilliseconds: wait || UNKNOWN_WAIT_MILLISECONDS,
+    },
+  );
+}
--- a/packages/arbutustide-scenarios/src/language/run_scenario.ts
+++ b/packages/arbutustide-scenarios/src/language/run_scenario.ts
@@ -149,7 +149,9 @@
     noClaim: ({label}) => {
       const stored = this.world.table.list(CLAIM_PREFIX);
       const ids = this.triesOf(label).map(({request}) => request.requestId);
-      const claims = stored.unwrap().map(({value}) => claimSchema.parse(value));
+      const claims = stored
+        .unwrap()
+        .objects.map(({value}) => claimSchema.parse(value));
       expectThat(
         !claims.some(({requestId}) => ids.includes(requestId)),
         `${label} has a claim`,
--- a/packages/arbutustide-scenarios/src/world/simulated_store.ts
+++ b/packages/arbutustide-scenarios/src/world/simulated_store.ts
@@ -1,5 +1,6 @@
 import type {
   ObjectStore,
+  StoredList,
   StoredObject,
   StoreResult,
   WatchBatch,
@@ -41,7 +42,7 @@
     );
   }
 
-  list(prefix: string): StoreResult<readonly StoredObject[]> {
+  list(prefix: string): StoreResult<StoredList> {
     return this.read(() => this.table.list(prefix), undefined);
   }
 
--- a/packages/arbutustide-scenarios/src/world/simulated_transport.ts
+++ b/packages/arbutustide-scenarios/src/world/simulated_transport.ts
@@ -1,8 +1,10 @@
 import type {
   ExchangeRequest,
   ExchangeResponse,
+  HoldingRequest,
   PeerHandler,
   PeerTransport,
+  PromisedHolding,
 } from '@arbutustide/membership';
 import type {Result} from 'ts-results';
 
@@ -54,10 +56,19 @@
     );
   }
 
+  async requestHolding(
+    peerUrl: string,
+    request: HoldingRequest,
+  ): Promise<Result<PromisedHolding | undefined, PeerError>> {
+    return this.call(peerUrl, undefined, handler =>
+      handler.requestHolding(request),
+    );
+  }
+
   private async call<T>(
     peerUrl: string,
     step: Step | undefined,
-    handle: (handler: PeerHandler) => T,
+    handle: (handler: PeerHandler) => T | Promise<T>,
   ): Promise<Result<T, PeerError>> {
     const endpoint = this.find(peerUrl);
     if (!endpoint) return Err(new PeerError(peerUrl, 'nothing listens there'));
--- a/packages/arbutustide-stand-ins/src/object_api_server.ts
+++ b/packages/arbutustide-stand-ins/src/object_api_server.ts
@@ -10,6 +10,7 @@
 const STATUS_BY_KIND: Readonly<Record<StoreErrorKind, number>> = {
   [StoreErrorKind.NOT_FOUND]: 404,
   [StoreErrorKind.CONFLICT]: 409,
+  [StoreErrorKind.HISTORY_GONE]: 410,
   [StoreErrorKind.UNAVAILABLE]: 503,
   [StoreErrorKind.OUTCOME_UNKNOWN]: 500,
 };
@@ -22,11 +23,7 @@
   const {app} = server;
   app.get('/objects', (request, response) => {
     const prefix = queryOf(request).get('prefix') ?? '';
-    const listed = table.list(prefix);
-    answer(
-      response,
-      listed.map(objects => ({objects})),
-    );
+    answer(response, table.list(prefix));
   });
   app.get('/objects/:key', (request, response) =>
     answer(response, table.get(keyOf(request))),
--- a/packages/arbutustide-stand-ins/src/object_table.ts
+++ b/packages/arbutustide-stand-ins/src/object_table.ts
@@ -1,4 +1,8 @@
-import type {StoredObject, WatchBatch} from '@arbutustide/object-store';
+import type {
+  StoredList,
+  StoredObject,
+  WatchBatch,
+} from '@arbutustide/object-store';
 import type {Result} from 'ts-results';
 
 import {delay} from '@arbutustide/errors';
@@ -32,11 +36,11 @@
   }
 
   /** Reads all objects under a prefix. */
-  list(prefix: string): TableResult<readonly StoredObject[]> {
-    const found = [...this.objects.values()].filter(object =>
+  list(prefix: string): TableResult<StoredList> {
+    const objects = [...this.objects.values()].filter(object =>
       object.key.startsWith(prefix),
     );
-    return Ok(found);
+    return Ok({objects, version: this.lastVersion});
   }
 
   /** Creates an object. */
--- a/packages/arbutustide-upstream/src/http_connection.ts
+++ b/packages/arbutustide-upstream/src/http_connection.ts
@@ -226,7 +226,8 @@
   );
 }
 
-function toAttemptError(error: unknown): AttemptError {
+/** Sorts what a library threw by what it proves about the attempt. */
+export function toAttemptError(error: unknown): AttemptError {
   if (error instanceof AttemptError) return error;
   const {code, name} = error as {code?: string; name?: string};
   const isTimeout = name === 'TimeoutError';
--- a/packages/arbutustide-upstream/src/index.ts
+++ b/packages/arbutustide-upstream/src/index.ts
@@ -19,7 +19,11 @@
 
 export {AttemptError, AttemptFailure} from './attempt_error.js';
 export {AttemptState, OrderKind, OrderOutcome} from './engine.js';
-export {ATTEMPT_HEADER, LEAVING_HEADER} from './http_connection.js';
+export {
+  ATTEMPT_HEADER,
+  LEAVING_HEADER,
+  toAttemptError,
+} from './http_connection.js';
 export {HttpEngine} from './http_engine.js';
 export {HttpHostList} from './http_host_list.js';
 export {HttpPlainService} from './http_plain_service.js';
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -2,7 +2,10 @@
 import {spawnSync} from 'node:child_process';
 import {existsSync, readFileSync} from 'node:fs';
 
-const TEST_FILES = 'packages/*/src/__tests__/**/*.test.ts';
+const TEST_FILES = [
+  'packages/*/src/__tests__/**/*.test.ts',
+  'platform/src/__tests__/**/*.test.ts',
+];
 const KNOWN_RED_FILE = 'KNOWN-RED.txt';
 
 /** Titles of tests that are red for a known fault, one entry each. */
@@ -22,7 +25,7 @@
 function runMocha() {
   const {stdout} = spawnSync(
     'node_modules/.bin/mocha',
-    ['--reporter', 'json', TEST_FILES, ...process.argv.slice(2)],
+    ['--reporter', 'json', ...TEST_FILES, ...process.argv.slice(2)],
     {
       encoding: 'utf8',
       maxBuffer: 64 * 1024 * 1024,
@@ -41,7 +44,13 @@
 
 const checks = [
   runCheck('types', 'node_modules/.bin/tsc', '-p', 'tsconfig.json'),
-  runCheck('lint', 'node_modules/.bin/eslint', 'packages', 'scripts'),
+  runCheck(
+    'lint',
+    'node_modules/.bin/eslint',
+    'packages',
+    'platform',
+    'scripts',
+  ),
 ];
 const tests = runMocha();
 const knownRed = knownRedTitles();
