--- a/packages/arbutustide-errors/src/answer_table.ts
+++ b/packages/arbutustide-errors/src/answer_table.ts
@@ -45,7 +45,7 @@
   [ErrorKind.UPSTREAM_UNREACHABLE]: later(503, 1_000),
   [ErrorKind.RETRY_BUDGET_SPENT]: later(503, 2_000),
   [ErrorKind.REQUEST_QUARANTINED]: {
-    status: 422,
+    status: 503,
     ran: Ran.NO,
     advice: DO_NOT_RETRY,
   },
--- a/packages/arbutustide-node/src/fleet/configuration_watcher.ts
+++ b/packages/arbutustide-node/src/fleet/configuration_watcher.ts
@@ -18,6 +18,7 @@
  */
 export class ConfigurationWatcher {
   private table: RouteTable | undefined;
+  private source: StoredObject | undefined;
   private readonly listeners = new Set<ConfigurationListener>();
   private readonly watcher: PrefixWatcher;
 
@@ -51,6 +52,11 @@
     return this.table;
   }
 
+  /** The object the configuration in force was read from. */
+  get stored(): StoredObject | undefined {
+    return this.source;
+  }
+
   /** Calls back with each configuration, at once if there is one. */
   onConfiguration(listener: ConfigurationListener): void {
     this.listeners.add(listener);
@@ -62,7 +68,9 @@
     return this.watcher.run(signal);
   }
 
-  private take({key, version: revision, value}: StoredObject): void {
+  /** Puts a configuration in force unless a newer one is. */
+  take(object: StoredObject): void {
+    const {key, version: revision, value} = object;
     const {logger, configuration} = this.dependencies;
     const decoded = configuration.decode(value);
     if (!decoded.ok) {
@@ -76,6 +84,7 @@
     const current = this.table?.configuration.version ?? -Infinity;
     if (version <= current) return;
     this.table = new RouteTable(decoded.val);
+    this.source = object;
     logger.info(
       {version, revision, previous: current, routes: routes.length},
       'configuration in force',
--- a/packages/arbutustide-node/src/fleet/fleet_core.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_core.ts
@@ -18,6 +18,7 @@
 import {delay} from '@arbutustide/errors';
 import {NodeState} from '@arbutustide/membership';
 
+import {formatBeliefs, PeerBootstrap} from './peer_bootstrap.js';
 import {drawIdentity, peerUrlOfIdentity} from './fleet_identity.js';
 import {FleetToken} from './fleet_tokens.js';
 import {
@@ -79,6 +80,7 @@
     this.tasks = [
       parts.resolve(FleetToken.CONFIGURATION).run(signal),
       parts.resolve(FleetToken.UPSTREAMS).run(signal),
+      this.createBootstrap().run(signal),
       this.publishRegularly(signal),
       this.checkQueueRegularly(signal),
     ];
@@ -109,8 +111,12 @@
     return this.parts.resolve(FleetToken.GOSSIP).answer(request);
   }
 
+  /** What a peer needs that starts while the store is away. */
   headJson(): string {
-    return '';
+    const {stored} = this.parts.resolve(FleetToken.CONFIGURATION);
+    const upstreams = this.parts.resolve(FleetToken.UPSTREAMS);
+    if (!stored && !upstreams.hasList) return '';
+    return formatBeliefs(stored, upstreams.stored, upstreams.ageMilliseconds);
   }
 
   contentJson(): string {
@@ -137,8 +143,33 @@
     this.status.setState(NodeState.READY);
   }
 
+  private createBootstrap(): PeerBootstrap {
+    const {parts} = this;
+    return new PeerBootstrap(
+      this.dependencies.transport,
+      () => [...this.peerUrls()],
+      parts.resolve(FleetToken.CONFIGURATION),
+      parts.resolve(FleetToken.UPSTREAMS),
+      this.logger,
+    );
+  }
+
   /** Peers named by the settings, and the holder of the planner's lease. */
   private listPeers(): void {
+    const peers = [...this.listedUrls()].map(url => ({url, failureDomain: ''}));
+    this.parts.resolve(FleetToken.GOSSIP).setListed(peers);
+  }
+
+  /** All peers known, those first that the settings name. */
+  private peerUrls(): Set<string> {
+    const urls = this.listedUrls();
+    const view = this.parts.resolve(FleetToken.CLUSTER_VIEW);
+    for (const {peerUrl} of view.nodes()) urls.add(peerUrl);
+    urls.delete(this.identity.peerUrl);
+    return urls;
+  }
+
+  private listedUrls(): Set<string> {
     const {settings} = this.dependencies;
     const urls = new Set(
       settings.seedAddresses.map(
@@ -149,8 +180,7 @@
     const holderUrl = peerUrlOfIdentity(lastHolder);
     if (holderUrl) urls.add(holderUrl);
     urls.delete(this.identity.peerUrl);
-    const peers = [...urls].map(url => ({url, failureDomain: ''}));
-    this.parts.resolve(FleetToken.GOSSIP).setListed(peers);
+    return urls;
   }
 
   /** Writes what this node does, and applies what the planner tells. */
--- a/packages/arbutustide-node/src/fleet/fleet_tuning.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_tuning.ts
@@ -29,8 +29,10 @@
 
 /** Part of a lease after which its holder renews it. */
 export const RENEWAL_SHARE = 1 / 3;
-/** How long a request is remembered that was in flight at a crash. */
-export const SUSPECT_MILLISECONDS = 120_000;
+/** How long a request is remembered whose connection broke. */
+export const SUSPECT_MILLISECONDS = 30_000;
+/** Broken connections after which a request is no longer sent. */
+export const CRASHES_TO_CONVICT = 3;
 
 /** How the planner works; what differs between deployments is left out. */
 export const PLANNER_TUNING: Omit<
--- a/packages/arbutustide-node/src/fleet/fleet_wiring.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_wiring.ts
@@ -102,10 +102,14 @@
   );
   register(FleetToken.SUSPECTS, parts => {
     const view = parts.resolve(FleetToken.CLUSTER_VIEW);
-    return new RequestSuspects(tuning.SUSPECT_MILLISECONDS, {
-      crashes: fingerprint => view.peerCrashes(fingerprint),
-      runsOthers: fingerprint => view.peersRunOtherSuspects(fingerprint),
-    });
+    return new RequestSuspects(
+      tuning.SUSPECT_MILLISECONDS,
+      {
+        crashes: fingerprint => view.peerCrashes(fingerprint),
+        runsOthers: () => false,
+      },
+      tuning.CRASHES_TO_CONVICT,
+    );
   });
   register(FleetToken.OWN_STATUS, parts => {
     const lease = parts.resolve(FleetToken.LEASE);
@@ -141,6 +145,7 @@
       tryTakeRetry: service => budgets.of(service).tryTake(),
       onMissing: (upstream, model) => upstream.learnHolding(model, false),
       onDecision: decision => logger.info(decision, 'request'),
+      suspects: parts.resolve(FleetToken.SUSPECTS),
     });
   });
 }
--- a/packages/arbutustide-node/src/fleet/upstream_watcher.ts
+++ b/packages/arbutustide-node/src/fleet/upstream_watcher.ts
@@ -12,9 +12,18 @@
 /** Bounds the calls that upstreams' changes cost; they may wait this long. */
 const REST_MILLISECONDS = 250;
 
+/** Entries that lapsed in an outage are back by then if they live. */
+const LAPSE_MILLISECONDS = 2_000;
+
 /** Keeps the directory equal to the platform's list of upstreams. */
 export class UpstreamWatcher {
   private readonly watcher: PrefixWatcher;
+  private lapsedUntilMilliseconds = -Infinity;
+  private isListed = false;
+  /** Usable entries as the store gave them, by upstream. */
+  private readonly entries = new Map<string, StoredObject>();
+  /** Removals that wait for entries that may only have lapsed. */
+  private readonly removals = new Map<string, NodeJS.Timeout>();
 
   constructor(
     private readonly dependencies: FleetDependencies,
@@ -35,18 +44,41 @@
         onDelete: key => this.remove(key, 'deleted'),
         onLost: error =>
           logger.warn({reason: error.message}, 'upstreams cannot be read'),
-        onRegained: silentMilliseconds =>
-          logger.info({silentMilliseconds}, 'upstreams are read again'),
+        onRegained: silentMilliseconds => {
+          logger.info({silentMilliseconds}, 'upstreams are read again');
+          this.lapsedUntilMilliseconds = performance.now() + LAPSE_MILLISECONDS;
+        },
       },
     );
   }
 
+  /** Whether the upstreams were read, here or by a peer. */
+  get hasList(): boolean {
+    return this.isListed;
+  }
+
+  /** Entries as the store gave them. */
+  get stored(): StoredObject[] {
+    return [...this.entries.values()];
+  }
+
+  /** Time since the store last answered, in milliseconds. */
+  get ageMilliseconds(): number {
+    return this.watcher.silentMilliseconds;
+  }
+
+  /** Takes the entries a peer has, while the store gave none. */
+  takeFromPeer(objects: readonly StoredObject[]): void {
+    if (!this.isListed) this.takeList(objects);
+  }
+
   /** Watches until the signal is aborted. */
   run(signal: AbortSignal): Promise<void> {
     return this.watcher.run(signal);
   }
 
   private takeList(objects: readonly StoredObject[]): void {
+    this.isListed = true;
     const descriptions: UpstreamDescription[] = [];
     for (const object of objects) {
       const description = this.decode(object);
@@ -68,7 +100,10 @@
   private decode(object: StoredObject): UpstreamDescription | undefined {
     const {upstreams, logger} = this.dependencies;
     const decoded = upstreams.decode(object);
-    if (decoded.ok) return decoded.val;
+    if (decoded.ok) {
+      this.entries.set(decoded.val.id, object);
+      return decoded.val;
+    }
     logger.warn(
       {key: object.key, reason: decoded.val.message},
       'entry of an upstream is not usable',
@@ -77,6 +112,7 @@
   }
 
   private put(description: UpstreamDescription): void {
+    this.keep(description.id);
     const known = this.directory.get(description.id)?.description;
     this.directory.put(description);
     const isNew =
@@ -101,9 +137,31 @@
     this.forget(this.dependencies.upstreams.idOf(key), reason);
   }
 
+  /**
+   * Removes an upstream; where the store was just away, only after the time in
+   * which the entries of living upstreams come back.
+   */
   private forget(id: string, reason: string): void {
     if (!this.directory.get(id)) return;
+    const wait = this.lapsedUntilMilliseconds - performance.now();
+    if (wait <= 0) {
+      this.drop(id, reason);
+    } else if (!this.removals.has(id)) {
+      const timer = setTimeout(() => this.drop(id, `${reason}, lapsed`), wait);
+      this.removals.set(id, timer);
+    }
+  }
+
+  private drop(id: string, reason: string): void {
+    this.keep(id);
+    this.entries.delete(id);
     this.directory.remove(id);
     this.dependencies.logger.info({upstream: id, reason}, 'upstream removed');
   }
+
+  /** Takes back a removal that waits. */
+  private keep(id: string): void {
+    clearTimeout(this.removals.get(id));
+    this.removals.delete(id);
+  }
 }
--- /dev/null
+++ b/packages/arbutustide-placement/src/__tests__/unit/engine_book.test.ts
@@ -0,0 +1,241 @@
+import type {EngineState, HoldingOrder} from '../../fleet/engine_orders.js';
+import type {EngineRoom} from '../../fleet/engine_book.js';
+
+import {OrderKind} from '@arbutustide/upstream';
+import {expect} from 'chai';
+import fc from 'fast-check';
+
+import {EngineBook} from '../../fleet/engine_book.js';
+import {HoldingOrderAnswer} from '../../fleet/engine_orders.js';
+
+const MODEL_MEGABYTES = 70;
+const ADAPTER_MEGABYTES = 5;
+const ROOM: EngineRoom = {
+  weightMegabytes: 220,
+  adapterPlaces: 2,
+  modelMegabytes: model => (model === 'unknown' ? undefined : MODEL_MEGABYTES),
+  adapterMegabytes: () => ADAPTER_MEGABYTES,
+};
+const ENGINE = {id: 'engine', address: '10.0.0.1:80'};
+
+/** An engine as the platform describes it, without its requests. */
+class ModelledEngine {
+  sequence = 0;
+  highestFence = 0;
+  readonly models = new Map<string, Set<string>>();
+  private current: HoldingOrder | undefined;
+
+  order(order: HoldingOrder): HoldingOrderAnswer {
+    if (order.fence < this.highestFence) return HoldingOrderAnswer.FENCED;
+    this.highestFence = order.fence;
+    if (order.expectedSequence !== this.sequence) {
+      return HoldingOrderAnswer.CONFLICT;
+    }
+    if (order.adapter === undefined && this.current) {
+      return HoldingOrderAnswer.CONFLICT;
+    }
+    this.sequence += 1;
+    if (order.adapter === undefined) this.current = order;
+    else this.apply(order);
+    return HoldingOrderAnswer.ACCEPTED;
+  }
+
+  /** Ends the order that is being carried out. */
+  finish(): void {
+    if (this.current) this.apply(this.current);
+    this.current = undefined;
+  }
+
+  /** Weights held and being loaded. */
+  get committedMegabytes(): number {
+    let sum = this.current?.kind === OrderKind.LOAD ? MODEL_MEGABYTES : 0;
+    for (const adapters of this.models.values()) {
+      sum += MODEL_MEGABYTES + adapters.size * ADAPTER_MEGABYTES;
+    }
+    return sum;
+  }
+
+  get adapterCount(): number {
+    return [...this.models.values()].reduce((sum, {size}) => sum + size, 0);
+  }
+
+  report(): EngineState {
+    return {
+      sequence: this.sequence,
+      models: [...this.models].map(([name, adapters]) => ({
+        name,
+        adapters: [...adapters],
+      })),
+      comingAdapters: [],
+      isBusy: this.current !== undefined,
+      running: 0,
+      waiting: 0,
+    };
+  }
+
+  private apply({kind, model, adapter}: HoldingOrder): void {
+    if (adapter === undefined) {
+      if (kind === OrderKind.LOAD) this.models.set(model, new Set());
+      else this.models.delete(model);
+      return;
+    }
+    if (kind === OrderKind.LOAD) this.models.get(model)?.add(adapter);
+    else this.models.get(model)?.delete(adapter);
+  }
+}
+
+/** Steps of a random play with two holders, one after the other. */
+enum Step {
+  REPORT = 'report',
+  LAGGING_REPORT = 'lagging_report',
+  FINISH = 'finish',
+  LOAD = 'load',
+  UNLOAD = 'unload',
+  LOAD_ADAPTER = 'load_adapter',
+  LOST_LOAD = 'lost_load',
+  DELIVER_LATE = 'deliver_late',
+  CHANGE_HOLDER = 'change_holder',
+}
+
+interface Play {
+  readonly engine: ModelledEngine;
+  book: EngineBook;
+  fence: number;
+  lagging: EngineState;
+  readonly late: HoldingOrder[];
+}
+
+function give(play: Play, kind: OrderKind, model: string, adapter?: string) {
+  const order = play.book.nextOrder(kind, model, adapter, {
+    holder: 'node',
+    fence: play.fence,
+  });
+  return order;
+}
+
+const STEPS: Readonly<Record<Step, (play: Play, model: string) => void>> = {
+  [Step.REPORT]: play => play.book.takeReport(play.engine.report()),
+  [Step.LAGGING_REPORT]: play => {
+    play.book.takeReport(play.lagging);
+    play.lagging = play.engine.report();
+  },
+  [Step.FINISH]: play => play.engine.finish(),
+  [Step.LOAD]: (play, model) => {
+    if (play.book.whyNotLoad(model) !== undefined) return;
+    const order = give(play, OrderKind.LOAD, model);
+    play.book.takeAnswer(order, play.engine.order(order));
+  },
+  [Step.UNLOAD]: (play, model) => {
+    if (!play.book.isKnown || play.book.isBusy) return;
+    if (!play.book.holdsModel(model)) return;
+    const order = give(play, OrderKind.UNLOAD, model);
+    play.book.takeAnswer(order, play.engine.order(order));
+  },
+  [Step.LOAD_ADAPTER]: (play, model) => {
+    const name = {model, adapter: `a${play.engine.sequence % 4}`};
+    if (play.book.whyNotLoadAdapter(name) !== undefined) return;
+    const order = give(play, OrderKind.LOAD, model, name.adapter);
+    play.book.takeAnswer(order, play.engine.order(order));
+  },
+  [Step.LOST_LOAD]: (play, model) => {
+    if (play.book.whyNotLoad(model) !== undefined) return;
+    const order = give(play, OrderKind.LOAD, model);
+    play.late.push(order);
+    play.book.takeAnswer(order, undefined);
+  },
+  [Step.DELIVER_LATE]: play => {
+    const order = play.late.shift();
+    if (order) play.engine.order(order);
+  },
+  [Step.CHANGE_HOLDER]: play => {
+    play.fence += 1;
+    play.book = new EngineBook(ENGINE, () => ROOM);
+  },
+};
+
+describe('order book of an engine', () => {
+  it('never overfills an engine, whatever is late or lost', () => {
+    const step = fc.record({
+      step: fc.constantFrom(...Object.values(Step)),
+      model: fc.constantFrom('one', 'two', 'three', 'four', 'five'),
+    });
+    fc.assert(
+      fc.property(fc.array(step, {maxLength: 60}), steps => {
+        const engine = new ModelledEngine();
+        const play: Play = {
+          engine,
+          book: new EngineBook(ENGINE, () => ROOM),
+          fence: 1,
+          lagging: engine.report(),
+          late: [],
+        };
+        for (const {step: name, model} of steps) {
+          STEPS[name](play, model);
+          expect(engine.committedMegabytes).to.be.at.most(ROOM.weightMegabytes);
+          expect(engine.adapterCount).to.be.at.most(ROOM.adapterPlaces);
+        }
+      }),
+      {numRuns: 2_000, seed: 20261204},
+    );
+  });
+
+  function known(models: readonly string[]): EngineBook {
+    const book = new EngineBook(ENGINE, () => ROOM);
+    book.takeReport({
+      sequence: 3,
+      models: models.map(name => ({name, adapters: []})),
+      comingAdapters: [],
+      isBusy: false,
+      running: 0,
+      waiting: 0,
+    });
+    return book;
+  }
+
+  it('gives no order before a report', () => {
+    const book = new EngineBook(ENGINE, () => ROOM);
+    expect(book.whyNotLoad('one')).to.be.a('string');
+  });
+
+  it('refuses what is not in the catalogue or does not fit', () => {
+    expect(known([]).whyNotLoad('unknown')).to.be.a('string');
+    expect(known(['one', 'two', 'three']).whyNotLoad('four')).to.be.a('string');
+    expect(known(['one', 'two']).whyNotLoad('three')).to.equal(undefined);
+  });
+
+  it('goes on from a plain acceptance, and else waits for a report', () => {
+    const book = known(['one']);
+    const order = book.nextOrder(OrderKind.LOAD, 'one', 'a1', {
+      holder: 'node',
+      fence: 1,
+    });
+    book.takeAnswer(order, HoldingOrderAnswer.ACCEPTED);
+    expect(book.isKnown).to.equal(true);
+    const next = book.nextOrder(OrderKind.LOAD, 'one', 'a2', {
+      holder: 'node',
+      fence: 1,
+    });
+    expect(next.expectedSequence).to.equal(4);
+    book.takeAnswer(next, undefined);
+    expect(book.isKnown).to.equal(false);
+  });
+
+  it('passes over a report made before the last order', () => {
+    const book = known(['one']);
+    const order = book.nextOrder(OrderKind.LOAD, 'two', undefined, {
+      holder: 'node',
+      fence: 1,
+    });
+    book.takeAnswer(order, HoldingOrderAnswer.ACCEPTED);
+    book.takeReport({
+      sequence: 3,
+      models: [],
+      comingAdapters: [],
+      isBusy: false,
+      running: 0,
+      waiting: 0,
+    });
+    expect(book.isBusy).to.equal(true);
+    expect(book.holdsModel('one')).to.equal(true);
+  });
+});
--- /dev/null
+++ b/packages/arbutustide-placement/src/__tests__/unit/fleet_plans.test.ts
@@ -0,0 +1,190 @@
+import type {EngineBook} from '../../fleet/engine_book.js';
+import type {
+  ModelPlanSettings,
+  PlannedEngine,
+  PlannedModel,
+} from '../../fleet/model_plan.js';
+
+import {install} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+
+import {planAdapter} from '../../fleet/adapter_plan.js';
+import {planModels} from '../../fleet/model_plan.js';
+import {SuspensionGuard} from '../../fleet/suspension_guard.js';
+
+const SETTINGS: ModelPlanSettings = {
+  replicaDemand: 10,
+  spareDemand: 3,
+  hysteresis: 1.5,
+  moveCost: 0.3,
+};
+
+function model(name: string, changes: Partial<PlannedModel> = {}) {
+  return {
+    name,
+    megabytes: 70,
+    demand: 0,
+    rememberedDemand: 0,
+    waiting: 0,
+    ...changes,
+  };
+}
+
+function engine(
+  id: string,
+  models: readonly string[],
+  changes: Partial<PlannedEngine> = {},
+): PlannedEngine {
+  return {
+    id,
+    freeMegabytes: 220 - models.length * 70,
+    models,
+    loading: undefined,
+    canTakeOrder: true,
+    modelsInMemory: new Set(),
+    modelsOnDisk: new Set(),
+    ...changes,
+  };
+}
+
+describe('plan of models', () => {
+  it('holds every model somewhere while there is room', () => {
+    const models = ['a', 'b', 'c', 'd'].map(name => model(name));
+    const engines = [engine('1', ['a']), engine('2', ['b'])];
+    const moves = [...planModels(models, engines, SETTINGS)];
+    expect(moves.map(move => move.model)).to.eql(['c', 'd']);
+    expect(moves.every(({evicted}) => evicted.length === 0)).to.equal(true);
+  });
+
+  it('makes room from replicas that nothing needs', () => {
+    const models = [model('a'), model('b'), model('c'), model('new')];
+    const engines = [
+      engine('1', ['a', 'b', 'c']),
+      engine('2', ['a', 'b', 'c']),
+    ];
+    const [move] = planModels(models, engines, SETTINGS);
+    expect(move.model).to.equal('new');
+    expect(move.evicted).to.have.length(1);
+  });
+
+  it('keeps a spare of what was in demand, and does not trade it', () => {
+    const models = [
+      model('hot', {demand: 8, rememberedDemand: 8}),
+      model('was-hot', {rememberedDemand: 8}),
+      ...['c', 'd'].map(name => model(name)),
+    ];
+    const engines = [
+      engine('1', ['hot', 'was-hot', 'c']),
+      engine('2', ['hot', 'was-hot', 'd']),
+    ];
+    expect([...planModels(models, engines, SETTINGS)]).to.eql([]);
+  });
+
+  it('replicates a model whose holders have too much to do', () => {
+    const models = [model('hot', {demand: 40, rememberedDemand: 40})];
+    const engines = [engine('1', ['hot']), engine('2', [])];
+    const [move] = planModels(models, engines, SETTINGS);
+    expect(move).to.include({engineId: '2', model: 'hot'});
+  });
+
+  it('gives way to requests that wait for a model nobody holds', () => {
+    const models = [
+      ...['a', 'b', 'c'].map(name => model(name)),
+      model('asked', {waiting: 2, demand: 1}),
+    ];
+    const [move] = planModels(models, [engine('1', ['a', 'b', 'c'])], SETTINGS);
+    expect(move.model).to.equal('asked');
+  });
+
+  it('does not trade one idle model for another', () => {
+    const models = ['a', 'b', 'c', 'd'].map(name => model(name));
+    const moves = planModels(models, [engine('1', ['a', 'b', 'c'])], SETTINGS);
+    expect([...moves]).to.eql([]);
+  });
+
+  it('prefers the engine that has its own copy', () => {
+    const engines = [
+      engine('1', []),
+      engine('2', [], {modelsOnDisk: new Set(['a'])}),
+    ];
+    const [move] = planModels([model('a')], engines, SETTINGS);
+    expect(move.engineId).to.equal('2');
+  });
+});
+
+describe('plan of adapters', () => {
+  function book(
+    id: string,
+    adapters: readonly string[],
+    whyNot: string | undefined,
+  ): EngineBook {
+    const names = adapters.map(adapter => ({model: 'm', adapter}));
+    return {
+      engine: {id, address: ''},
+      isKnown: true,
+      isBusy: false,
+      holdsModel: (name: string) => name === 'm',
+      whyNotLoadAdapter: () => whyNot,
+      adapters: () => names,
+    } as unknown as EngineBook;
+  }
+
+  const wanted = {model: 'm', adapter: 'new'};
+  const use = {
+    idleMilliseconds: ({adapter}: {adapter: string}) =>
+      adapter === 'old' ? 5_000 : 10,
+    evictableAfterMilliseconds: 300,
+  };
+
+  it('takes a free place where there is least to do', () => {
+    const plan = planAdapter(
+      wanted,
+      [
+        {book: book('1', ['x'], undefined), isReady: true, inFlight: 9},
+        {book: book('2', ['x'], undefined), isReady: true, inFlight: 2},
+        {book: book('3', [], undefined), isReady: false, inFlight: 0},
+      ],
+      use,
+    );
+    expect(plan?.book.engine.id).to.equal('2');
+  });
+
+  it('lets the adapter make place that was not asked for the longest', () => {
+    const full = 'no place is free';
+    const plan = planAdapter(
+      wanted,
+      [
+        {book: book('1', ['used'], full), isReady: true, inFlight: 0},
+        {book: book('2', ['used', 'old'], full), isReady: true, inFlight: 9},
+      ],
+      use,
+    );
+    expect(plan?.evicted).to.eql({model: 'm', adapter: 'old'});
+  });
+
+  it('finds no place where all are in use', () => {
+    const plan = planAdapter(
+      wanted,
+      [{book: book('1', ['used'], 'full'), isReady: true, inFlight: 0}],
+      use,
+    );
+    expect(plan).to.equal(undefined);
+  });
+});
+
+describe('suspension guard', () => {
+  let clock: ReturnType<typeof install>;
+  beforeEach(() => {
+    clock = install();
+  });
+  afterEach(() => clock.uninstall());
+
+  it('notices time that only the time of day counts', () => {
+    const guard = new SuspensionGuard(300);
+    clock.tick(5_000);
+    expect(guard.check()).to.equal(false);
+    clock.setSystemTime(Date.now() + 4_000);
+    expect(guard.check()).to.equal(true);
+    expect(guard.check()).to.equal(false);
+  });
+});
--- /dev/null
+++ b/packages/arbutustide-routing/src/__tests__/unit/fleet_decisions.test.ts
@@ -0,0 +1,263 @@
+import type {UpstreamHead} from '../../fleet/fleet_connector.js';
+import type {FleetProgress} from '../../fleet/fleet_progress.js';
+
+import {Cancellation} from '@arbutustide/errors';
+import {AttemptError, AttemptFailure} from '@arbutustide/upstream';
+import {install} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+
+import {
+  AttemptOutcome,
+  mayTryAgain,
+  outcomeOfError,
+  outcomeOfHead,
+} from '../../fleet/attempt_verdict.js';
+import {chooseUpstream, NoChoice} from '../../fleet/fleet_choice.js';
+import {FleetRetryBudget} from '../../fleet/fleet_retry_budget.js';
+import {UpstreamState} from '../../fleet/fleet_upstream.js';
+import {EventOrderProblem, OrderedEvents} from '../../fleet/ordered_events.js';
+import {RequestKind} from '../../fleet/route.js';
+import {pickTarget, RouteTable} from '../../fleet/route_table.js';
+import {testRequest, testRoute, testUpstream} from './fleet_world.js';
+
+const CHOICE = {
+  ownFailureDomain: 'near',
+  crossDomainShare: 0.1,
+  fullShare: 1.5,
+  random: () => 0,
+};
+
+function progressOf(
+  kind: RequestKind,
+  changes: Partial<FleetProgress> = {},
+): FleetProgress {
+  return {
+    request: testRequest({route: testRoute({kind})}),
+    cancel: new Cancellation(),
+    fingerprint: 'fingerprint',
+    tried: new Set(),
+    attempts: 1,
+    mayHaveRun: false,
+    ...changes,
+  };
+}
+
+function headOf(changes: Partial<UpstreamHead>): UpstreamHead {
+  return {
+    status: 200,
+    headers: [],
+    isNotRun: false,
+    isOtherInstance: false,
+    isSigned: true,
+    isEventStream: false,
+    load: undefined,
+    body: (async function* () {})(),
+    ...changes,
+  };
+}
+
+describe('route table', () => {
+  const routes = [
+    testRoute({name: 'short', pathPrefix: '/a/'}),
+    testRoute({name: 'long', pathPrefix: '/a/b/'}),
+    testRoute({name: 'elsewhere', host: 'other.example', pathPrefix: '/a/b/'}),
+  ];
+  const table = new RouteTable({
+    version: 1,
+    routes,
+    services: new Map(),
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerTimeoutMilliseconds: 1,
+      idleTimeoutMilliseconds: 1,
+    },
+  });
+
+  it('takes the longest prefix of the host', () => {
+    expect(table.find('host.example', '/a/b/c')?.name).to.equal('long');
+    expect(table.find('HOST.example:80', '/a/c')?.name).to.equal('short');
+    expect(table.find('other.example', '/a/b/c')?.name).to.equal('elsewhere');
+  });
+
+  it('finds nothing for another host or path', () => {
+    expect(table.find('host.example', '/b/')).to.equal(undefined);
+    expect(table.find('third.example', '/a/')).to.equal(undefined);
+  });
+
+  it('splits requests by weight, the same request always alike', () => {
+    const split = testRoute({
+      targets: [
+        {service: 'much', weight: 90},
+        {service: 'little', weight: 10},
+      ],
+    });
+    const picks = Array.from({length: 2_000}, (_item, index) =>
+      pickTarget(split, `request-${index}`),
+    );
+    const little = picks.filter(({service}) => service === 'little').length;
+    expect(little).to.be.within(140, 260);
+    expect(pickTarget(split, 'request-7')).to.equal(picks[7]);
+  });
+});
+
+describe('choice of an upstream', () => {
+  it('never takes one that leaves, lacks the model or was tried', () => {
+    const leaving = testUpstream('leaving', ['model'], {
+      state: UpstreamState.LEAVING,
+    });
+    const lacking = testUpstream('lacking', ['other']);
+    const tried = testUpstream('tried', ['model']);
+    const choice = chooseUpstream(
+      [leaving, lacking, tried],
+      {model: 'model', adapter: undefined},
+      new Set([tried]),
+      CHOICE,
+    );
+    expect(choice).to.equal(NoChoice.NOT_HELD);
+  });
+
+  it('prefers the own failure domain while it is not much busier', () => {
+    const near = testUpstream('near');
+    const far = testUpstream('far', [], {failureDomain: 'far'});
+    expect(chooseUpstream([far, near], undefined, new Set(), CHOICE)).to.equal(
+      near,
+    );
+    near.ownInFlight = 1;
+    expect(chooseUpstream([far, near], undefined, new Set(), CHOICE)).to.equal(
+      far,
+    );
+  });
+
+  it('says when all that hold the model are full', () => {
+    const full = testUpstream('full', ['model']);
+    full.peersInFlight = 6;
+    const wanted = {model: 'model', adapter: undefined};
+    expect(chooseUpstream([full], wanted, new Set(), CHOICE)).to.equal(
+      NoChoice.FULL,
+    );
+  });
+});
+
+describe('verdict on an attempt', () => {
+  const terms = {tryTakeRetry: () => true};
+
+  it('reads from the head what became of the request', () => {
+    expect(outcomeOfHead(headOf({}))).to.equal(AttemptOutcome.ANSWERED);
+    expect(outcomeOfHead(headOf({status: 500}))).to.equal(
+      AttemptOutcome.FAILED,
+    );
+    expect(outcomeOfHead(headOf({isSigned: false}))).to.equal(
+      AttemptOutcome.UNKNOWN,
+    );
+    const refused = headOf({status: 503, isSigned: false, isNotRun: true});
+    expect(outcomeOfHead(refused)).to.equal(AttemptOutcome.NOT_RUN);
+  });
+
+  it('never repeats what may run once and may have run', () => {
+    const progress = progressOf(RequestKind.NON_IDEMPOTENT, {
+      mayHaveRun: true,
+    });
+    for (const outcome of Object.values(AttemptOutcome)) {
+      expect(mayTryAgain(progress, outcome, terms), outcome).to.equal(false);
+    }
+  });
+
+  it('sends again what provably has not run', () => {
+    const progress = progressOf(RequestKind.NON_IDEMPOTENT);
+    expect(mayTryAgain(progress, AttemptOutcome.NOT_RUN, terms)).to.equal(true);
+  });
+
+  it('keeps to the route and to the budget', () => {
+    const spent = progressOf(RequestKind.IDEMPOTENT, {attempts: 2});
+    expect(mayTryAgain(spent, AttemptOutcome.UNKNOWN, terms)).to.equal(false);
+    const first = progressOf(RequestKind.IDEMPOTENT);
+    const none = {tryTakeRetry: () => false};
+    expect(mayTryAgain(first, AttemptOutcome.UNKNOWN, none)).to.equal(false);
+  });
+
+  it('tells a connection that never was from a request that was sent', () => {
+    const never = new AttemptError(AttemptFailure.NOT_CONNECTED, '');
+    const sent = new AttemptError(AttemptFailure.CLOSED, '');
+    expect(outcomeOfError(never)).to.equal(AttemptOutcome.NOT_CONNECTED);
+    expect(outcomeOfError(sent)).to.equal(AttemptOutcome.UNKNOWN);
+  });
+});
+
+describe('ordered events', () => {
+  const event = (id: number) => Buffer.from(`id: ${id}\ndata: x\n\n`);
+
+  it('passes on whole events only, however they are cut', () => {
+    const events = new OrderedEvents(undefined);
+    const bytes = Buffer.concat([event(1), event(2)]);
+    let passed = '';
+    for (const byte of bytes) {
+      passed += events.push(Uint8Array.of(byte)).bytes?.toString() ?? '';
+    }
+    expect(passed).to.equal(bytes.toString());
+    expect(events.lastNumber).to.equal(2);
+  });
+
+  it('drops what the caller has, and finds a gap', () => {
+    const events = new OrderedEvents(undefined);
+    events.push(event(1));
+    events.beginAttempt();
+    const again = events.push(Buffer.concat([event(1), event(2)]));
+    expect(again.bytes?.toString()).to.equal(event(2).toString());
+    expect(events.push(event(4)).problem).to.equal(EventOrderProblem.GAP);
+  });
+
+  it('forgets the half event of an attempt that broke', () => {
+    const events = new OrderedEvents(undefined);
+    events.push(Buffer.concat([event(1), Buffer.from('id: 2\nda')]));
+    expect(events.hasRest).to.equal(true);
+    events.beginAttempt();
+    expect(events.push(event(2)).bytes?.toString()).to.equal(
+      event(2).toString(),
+    );
+  });
+});
+
+describe('retry budget of the fleet', () => {
+  let clock: ReturnType<typeof install>;
+  beforeEach(() => {
+    clock = install({toFake: ['performance', 'Date']});
+  });
+  afterEach(() => clock.uninstall());
+
+  function taken(budget: FleetRetryBudget, tries: number): number {
+    let count = 0;
+    for (let index = 0; index < tries; index += 1) {
+      if (budget.tryTake()) count += 1;
+    }
+    return count;
+  }
+
+  it('keeps the sum over all nodes within the allowance', () => {
+    const nodeCount = 6;
+    let sum = 0;
+    for (let node = 0; node < nodeCount; node += 1) {
+      const budget = new FleetRetryBudget({
+        ratio: 0.2,
+        allowance: 52,
+        windowMilliseconds: 10_000,
+        nodeCount: () => nodeCount,
+      });
+      sum += taken(budget, 100);
+    }
+    expect(sum).to.be.within(1, 52);
+  });
+
+  it('gives back what was spent a window ago', () => {
+    const budget = new FleetRetryBudget({
+      ratio: 0.2,
+      allowance: 10,
+      windowMilliseconds: 10_000,
+      nodeCount: () => 1,
+    });
+    const first = taken(budget, 100);
+    expect(taken(budget, 100)).to.equal(0);
+    clock.tick(11_000);
+    expect(taken(budget, 100)).to.equal(first);
+  });
+});
--- /dev/null
+++ b/packages/arbutustide-routing/src/__tests__/unit/fleet_world.ts
@@ -0,0 +1,96 @@
+import type {UpstreamDescription} from '../../fleet/fleet_upstream.js';
+import type {ModelRequest, RoutedRequest} from '../../fleet/routed_request.js';
+import type {Route} from '../../fleet/route.js';
+
+import {Cancellation} from '@arbutustide/errors';
+
+import {FleetUpstream, UpstreamState} from '../../fleet/fleet_upstream.js';
+import {RequestKind} from '../../fleet/route.js';
+
+/** A route with everything that a test does not care about filled in. */
+export function testRoute(changes: Partial<Route> = {}): Route {
+  return {
+    name: 'route',
+    host: 'host.example',
+    pathPrefix: '/',
+    kind: RequestKind.IDEMPOTENT,
+    targets: [{service: 'service', weight: 1}],
+    timeoutMilliseconds: 5_000,
+    objectiveMilliseconds: 300,
+    patienceMilliseconds: 2_000,
+    priority: 1,
+    maximumAttempts: 2,
+    isResumable: false,
+    ...changes,
+  };
+}
+
+/** A request that has just arrived. */
+export function testRequest(
+  changes: Partial<RoutedRequest> = {},
+): RoutedRequest {
+  const now = performance.now();
+  return {
+    requestId: 'request',
+    route: testRoute(),
+    service: 'service',
+    method: 'POST',
+    target: '/path',
+    headers: [],
+    body: Buffer.from('body'),
+    modelRequest: undefined,
+    lastEventId: undefined,
+    arrivedAtMilliseconds: now,
+    deadlineAtMilliseconds: now + 5_000,
+    presence: new Cancellation(),
+    ...changes,
+  };
+}
+
+/** What a request asks of an engine. */
+export function testModelRequest(
+  model: string,
+  adapter?: string,
+): ModelRequest {
+  return {
+    model,
+    adapter,
+    promptTokens: 100,
+    maximumOutputTokens: 100,
+    promptParts: [],
+  };
+}
+
+/** A description with everything that a test does not care about filled in. */
+export function testDescription(
+  changes: Partial<UpstreamDescription> = {},
+): UpstreamDescription {
+  return {
+    id: 'upstream-1',
+    service: 'service',
+    address: '10.0.0.1:80',
+    failureDomain: 'near',
+    state: UpstreamState.READY,
+    slots: 4,
+    startedAt: 1,
+    models: [],
+    modelsInMemory: [],
+    modelsOnDisk: [],
+    ...changes,
+  };
+}
+
+/** An upstream that holds the given models. */
+export function testUpstream(
+  id: string,
+  models: readonly string[] = [],
+  changes: Partial<UpstreamDescription> = {},
+): FleetUpstream {
+  return new FleetUpstream(
+    testDescription({
+      id,
+      models: models.map(name => ({name, version: 1, adapters: []})),
+      ...changes,
+    }),
+  );
+}
--- a/packages/arbutustide-routing/src/fleet/fleet_dispatcher.ts
+++ b/packages/arbutustide-routing/src/fleet/fleet_dispatcher.ts
@@ -6,6 +6,7 @@
 import type {RequestDecision} from './fleet_decision.js';
 import type {FleetProgress} from './fleet_progress.js';
 import type {FleetUpstream} from './fleet_upstream.js';
+import type {RequestSuspects} from '../request_suspects.js';
 import type {Place, PlaceQueue} from './place_queue.js';
 import type {ModelName} from './route.js';
 import type {RoutedRequest} from './routed_request.js';
@@ -15,11 +16,13 @@
 import {Err, Ok} from 'ts-results';
 
 import {AnswerEnd} from '../caller_request.js';
+import {quarantineRefusal} from '../dispatch_refusals.js';
 import {AttemptOutcome, mayHaveRun, mayTryAgain} from './attempt_verdict.js';
 import {runAttempt} from './fleet_attempt.js';
 import {DecisionStep} from './fleet_decision.js';
 import {ranUntilNow, remainingMilliseconds} from './fleet_progress.js';
 import {FleetStream} from './fleet_stream.js';
+import {routedFingerprint} from './routed_request.js';
 
 /** What the dispatcher asks of its surroundings. */
 export interface FleetDispatcherOptions {
@@ -29,6 +32,7 @@
   /** Told when an upstream lacks a model that it was believed to hold. */
   readonly onMissing: (upstream: FleetUpstream, model: ModelName) => void;
   readonly onDecision: (decision: RequestDecision) => void;
+  readonly suspects: RequestSuspects;
 }
 
 type DispatchResult = Promise<Result<FleetAnswer, RefusalError>>;
@@ -61,14 +65,21 @@
 
   /** Answers a caller's request, or refuses it. */
   async dispatch(request: RoutedRequest): DispatchResult {
-    this.options.recordRequest(request.service);
+    const {recordRequest, suspects} = this.options;
+    recordRequest(request.service);
     const progress: FleetProgress = {
       request,
       cancel: new Cancellation(),
       tried: new Set(),
       attempts: 0,
       mayHaveRun: false,
+      fingerprint: routedFingerprint(request),
     };
+    if (suspects.isQuarantined(progress.fingerprint)) {
+      const refusal = quarantineRefusal();
+      this.recordRefusal(progress, refusal);
+      return Err(refusal);
+    }
     const stopWatch = watch(progress);
     const attempt = await this.tryUntilAnswered(progress, undefined);
     const isOver = !attempt.ok || attempt.val.body !== undefined;
@@ -135,6 +146,9 @@
       if (attempt.error.failure !== AttemptFailure.CANCELLED) {
         upstream.recordFailure();
       }
+      if (attempt.error.failure === AttemptFailure.CLOSED) {
+        this.options.suspects.recordCrash(progress.fingerprint);
+      }
       return;
     }
     upstream.recordSuccess();
@@ -161,6 +175,7 @@
     const stream = new FleetStream(progress, {
       resume: after => this.tryUntilAnswered(progress, after),
       tryTakeRetry: () => this.options.tryTakeRetry(progress.request.service),
+      onBreak: () => this.options.suspects.recordCrash(progress.fingerprint),
       onResume: (reason, next) => this.recordResume(progress, reason, next),
       onEnd: end => {
         stopWatch();
--- a/packages/arbutustide-routing/src/fleet/fleet_progress.ts
+++ b/packages/arbutustide-routing/src/fleet/fleet_progress.ts
@@ -8,6 +8,8 @@
 /** How far one request has come. */
 export interface FleetProgress {
   readonly request: RoutedRequest;
+  /** Same for requests that would do the same to an upstream. */
+  readonly fingerprint: string;
   /** Cancelled when the caller is gone or the deadline has passed. */
   readonly cancel: Cancellation;
   /** Upstreams the request was sent to. */
--- a/packages/arbutustide-routing/src/fleet/fleet_stream.ts
+++ b/packages/arbutustide-routing/src/fleet/fleet_stream.ts
@@ -17,6 +17,8 @@
   ) => Promise<Result<Attempt, RefusalError>>;
   /** Takes one retry from the fleet's budget, if there is one. */
   readonly tryTakeRetry: () => boolean;
+  /** Told when an upstream broke the stream off. */
+  readonly onBreak: () => void;
   readonly onResume: (reason: string, next: Attempt | undefined) => void;
   readonly onEnd: (end: AnswerEnd) => void;
 }
@@ -70,7 +72,10 @@
         ? {reason: 'the stream ended within an event'}
         : undefined;
     } catch (error) {
-      attempt.place.upstream.recordFailure();
+      if (!this.progress.cancel.isCancelled) {
+        attempt.place.upstream.recordFailure();
+        this.options.onBreak();
+      }
       return {reason: String(error)};
     } finally {
       attempt.place.release();
--- a/packages/arbutustide-routing/src/request_suspects.ts
+++ b/packages/arbutustide-routing/src/request_suspects.ts
@@ -28,9 +28,14 @@
 export class RequestSuspects {
   private readonly suspicions = new Map<string, Suspicion>();
 
+  /**
+   * @param crashesToConvict crashes that convict a request while no other node
+   *     runs a suspect; more where a broken connection alone counts as one.
+   */
   constructor(
     private readonly memoryMilliseconds: number,
     private readonly peers: PeerSuspicions,
+    private readonly crashesToConvict = CRASHES_TO_CONVICT,
   ) {}
 
   /** Whether the request was in flight at a crash. */
@@ -41,7 +46,7 @@
   /** Whether the request must not run any more. */
   isQuarantined(fingerprint: string): boolean {
     const crashes = this.totalCrashes(fingerprint);
-    if (crashes < CRASHES_TO_CONVICT) return false;
+    if (crashes < this.crashesToConvict) return false;
     if (crashes >= CRASHES_TO_CONVICT_AMONG_OTHERS) return true;
     return !this.peers.runsOthers(fingerprint);
   }
--- /dev/null
+++ b/packages/arbutustide-telemetry/src/__tests__/unit/bounded_line_writer.test.ts
@@ -0,0 +1,63 @@
+import type {ByteSink} from '../../bounded_line_writer.js';
+
+import {expect} from 'chai';
+
+import {BoundedLineWriter} from '../../bounded_line_writer.js';
+
+/** A sink whose reader reads only when told to. */
+class StallingSink {
+  text = '';
+  private pending: (() => void)[] = [];
+
+  readonly write: ByteSink = (bytes, done) => {
+    this.pending.push(() => {
+      this.text += bytes.toString();
+      done(null, bytes.length);
+    });
+  };
+
+  read(): void {
+    for (const take of this.pending.splice(0)) take();
+  }
+}
+
+describe('bounded line writer', () => {
+  it('writes lines in order, those that waited together', () => {
+    const sink = new StallingSink();
+    const writer = new BoundedLineWriter(sink.write, 1_000);
+    for (const line of ['one\n', 'two\n', 'three\n']) writer.write(line);
+    sink.read();
+    sink.read();
+    expect(sink.text).to.equal('one\ntwo\nthree\n');
+    expect(writer.counts).to.eql({written: 3, dropped: 0});
+  });
+
+  it('returns at once and drops lines while the reader stalls', () => {
+    const sink = new StallingSink();
+    const writer = new BoundedLineWriter(sink.write, 20);
+    for (let line = 0; line < 100; line += 1) writer.write('0123456789\n');
+    expect(writer.counts.dropped).to.equal(98);
+    sink.read();
+    sink.read();
+    expect(sink.text).to.include('"log lines dropped","lines":98');
+  });
+
+  it('finishes a line that the sink took in parts', () => {
+    let text = '';
+    const writer = new BoundedLineWriter((bytes, done) => {
+      text += bytes.subarray(0, 2).toString();
+      done(null, Math.min(2, bytes.length));
+    }, 1_000);
+    writer.write('abcdef\n');
+    expect(text).to.equal('abcdef\n');
+  });
+
+  it('counts the lines of a write that failed', () => {
+    const writer = new BoundedLineWriter(
+      (_bytes, done) => done(new Error('closed'), 0),
+      1_000,
+    );
+    writer.write('lost\n');
+    expect(writer.counts).to.eql({written: 0, dropped: 1});
+  });
+});
--- a/packages/arbutustide-telemetry/src/logger.ts
+++ b/packages/arbutustide-telemetry/src/logger.ts
@@ -1,5 +1,10 @@
 import Logger from 'bunyan';
 
+import {BoundedLineWriter, standardOutputSink} from './bounded_line_writer.js';
+
+/** Lines that may wait for a slow reader; some seconds of a busy node. */
+const WAITING_LIMIT_BYTES = 1_048_576;
+
 /** Structured logger; one JSON object a line on standard output. */
 export type NodeLogger = Logger;
 
@@ -11,7 +16,12 @@
  * to it.
  */
 export function createLogger(name: string, level: LogLevel): NodeLogger {
-  return Logger.createLogger({name, level});
+  const writer = new BoundedLineWriter(standardOutputSink, WAITING_LIMIT_BYTES);
+  return Logger.createLogger({
+    name,
+    level,
+    streams: [{type: 'stream', level, stream: writer as never}],
+  });
 }
 
 /** A logger that writes nothing, for tests. */
