Plan models by the requests they help, and settle a new planner sooner

Change: an eviction names its successor, which counts as being loaded; engines get work for their slots; gains count requests; two standby nodes read the lease; a new holder waits only until the last possible order of the one before lies a lease behind, which it knows from how long the lease was unchanged.

--- a/packages/arbutustide-node/src/fleet/fleet_core.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_core.ts
@@ -1,4 +1,5 @@
 import type {
+  ClusterNode,
   ExchangeRequest,
   ExchangeResponse,
   HoldingRequest,
@@ -25,6 +26,7 @@
   PUBLISH_MILLISECONDS,
   QUEUE_CHECK_MILLISECONDS,
   RENEWAL_SHARE,
+  STANDBY_NODES,
 } from './fleet_tuning.js';
 import {createFleetContainer} from './fleet_wiring.js';
 
@@ -209,14 +211,27 @@
     while (await delay(QUEUE_CHECK_MILLISECONDS, signal)) queue.wake();
   }
 
+  /** Whether this node is among the first that are to replace the planner. */
+  private isStandby(planner: ClusterNode): boolean {
+    const view = this.parts.resolve(FleetToken.CLUSTER_VIEW);
+    const others = view
+      .readyNodes()
+      .map(({identity}) => identity)
+      .filter(identity => identity !== planner.identity)
+      .sort();
+    const position = others.indexOf(this.identity.identity);
+    return position >= 0 && position < STANDBY_NODES;
+  }
+
   /** Renews the lease, or tries to gain it while no planner is heard of. */
   private async keepLease(signal: AbortSignal): Promise<void> {
     const lease = this.parts.resolve(FleetToken.LEASE);
     const view = this.parts.resolve(FleetToken.CLUSTER_VIEW);
     const {leaseMilliseconds} = this.dependencies.settings;
     while (!signal.aborted) {
-      const isPlannedElsewhere = !lease.isHeld && view.planner() !== undefined;
-      if (!isPlannedElsewhere && this.routes) {
+      const planner = lease.isHeld ? undefined : view.planner();
+      const isNeeded = planner === undefined || this.isStandby(planner);
+      if (isNeeded && this.routes) {
         await lease.maintain();
         this.listPeers();
       }
--- a/packages/arbutustide-node/src/fleet/fleet_surroundings.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_surroundings.ts
@@ -115,6 +115,7 @@
     weightMegabytes: engine.weightMegabytes,
     adapterPlaces: engine.adapterPlaces,
     storeLoadsPerSecond: engine.storeLoadsPerSecond,
+    slots: engine.slots,
     modelMegabytes: model => models.get(model)?.sizeMegabytes,
     adapterMegabytes: model => models.get(model)?.adapterMegabytes ?? 0,
     models: [...models.values()].map(model => ({
--- a/packages/arbutustide-node/src/fleet/fleet_tuning.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_tuning.ts
@@ -6,8 +6,10 @@
  * bytes of a way to another domain against queueing.
  */
 export const CROSS_DOMAIN_SHARE = 0.1;
-/** An upstream is given work up to this multiple of its slots. */
-export const FULL_SHARE = 1.5;
+/** An engine is given work for its slots; more would wait where it cannot be refused. */
+export const ENGINE_FULL_SHARE = 1;
+/** A plain service's work is short, so that a short queue there costs little. */
+export const SERVICE_FULL_SHARE = 3;
 /** Least time an answer takes once a request has a place. */
 export const LEAST_SERVICE_MILLISECONDS = 20;
 /** Time one request takes before any was measured. */
@@ -27,6 +29,8 @@
 /** How often the own record is written and the others' are applied. */
 export const PUBLISH_MILLISECONDS = 250;
 
+/** Nodes that read the lease though a planner is heard of, to replace it soon. */
+export const STANDBY_NODES = 2;
 /** Part of a lease after which its holder renews it. */
 export const RENEWAL_SHARE = 1 / 3;
 /** How long a request is remembered whose connection broke. */
@@ -37,7 +41,7 @@
 /** How the planner works; what differs between deployments is left out. */
 export const PLANNER_TUNING: Omit<
   FleetPlannerSettings,
-  'holder' | 'leaseMilliseconds' | 'suspensionMilliseconds'
+  'holder' | 'suspensionMilliseconds'
 > = {
   intervalMilliseconds: 150,
   reportAgeMilliseconds: 1_000,
@@ -49,7 +53,7 @@
   longWindowMilliseconds: 8_000,
   assumedDemand: 2,
   storeLoadsAtOnce: 3,
-  replicaDemand: 14,
+  replicaShare: 0.25,
   spareDemand: 3,
   hysteresis: 1.5,
   moveCost: 0.3,
--- a/packages/arbutustide-node/src/fleet/fleet_wiring.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_wiring.ts
@@ -159,7 +159,6 @@
   const choiceSettings = {
     ownFailureDomain: settings.failureDomain,
     crossDomainShare: tuning.CROSS_DOMAIN_SHARE,
-    fullShare: tuning.FULL_SHARE,
     random,
   };
   return new PlaceQueue({
@@ -168,7 +167,12 @@
         directory.ofService(request.service),
         request.modelRequest,
         tried,
-        choiceSettings,
+        {
+          ...choiceSettings,
+          fullShare: request.modelRequest
+            ? tuning.ENGINE_FULL_SHARE
+            : tuning.SERVICE_FULL_SHARE,
+        },
       ),
     predictWait: ({request: {service, modelRequest}}, reason) => {
       if (reason === NoChoice.FULL) return tuning.LEAST_SERVICE_MILLISECONDS;
@@ -213,7 +217,6 @@
       {
         ...tuning.PLANNER_TUNING,
         holder: settings.nodeName,
-        leaseMilliseconds: settings.leaseMilliseconds,
         suspensionMilliseconds: settings.settleMilliseconds,
       },
     );
--- a/packages/arbutustide-placement/src/__tests__/unit/fleet_plans.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/fleet_plans.test.ts
@@ -1,8 +1,8 @@
 import type {EngineBook} from '../../fleet/engine_book.js';
 import type {
-  ModelPlanSettings,
   PlannedEngine,
   PlannedModel,
+  SizedSettings,
 } from '../../fleet/model_plan.js';
 
 import {install} from '@sinonjs/fake-timers';
@@ -12,8 +12,9 @@
 import {planModels} from '../../fleet/model_plan.js';
 import {SuspensionGuard} from '../../fleet/suspension_guard.js';
 
-const SETTINGS: ModelPlanSettings = {
-  replicaDemand: 10,
+const SETTINGS: SizedSettings = {
+  replicaShare: 0.25,
+  slots: 40,
   spareDemand: 3,
   hysteresis: 1.5,
   moveCost: 0.3,
--- a/packages/arbutustide-placement/src/fleet/engine_registry.ts
+++ b/packages/arbutustide-placement/src/fleet/engine_registry.ts
@@ -12,6 +12,8 @@
 /** A model that is to make room, since when the nodes are told. */
 export interface Closing {
   readonly model: string;
+  /** The model it makes room for. */
+  readonly successor: string;
   readonly sinceMilliseconds: number;
 }
 
@@ -42,6 +44,7 @@
   modelMegabytes: () => undefined,
   adapterMegabytes: () => 0,
   storeLoadsPerSecond: 0,
+  slots: 1,
   models: [],
 };
 
@@ -139,7 +142,7 @@
       id: listed.id,
       freeMegabytes: book.freeMegabytes,
       models: book.heldModels.filter(model => model !== closing?.model),
-      loading: book.loadingModel,
+      loading: book.loadingModel ?? closing?.successor,
       canTakeOrder:
         listed.isReady &&
         book.isKnown &&
--- a/packages/arbutustide-placement/src/fleet/fleet_planner.ts
+++ b/packages/arbutustide-placement/src/fleet/fleet_planner.ts
@@ -1,7 +1,7 @@
 import type {PlannerLease} from '../planner_lease.js';
 import type {AdapterPlan} from './adapter_plan.js';
 import type {EngineEntry, EngineRegistrySettings} from './engine_registry.js';
-import type {AdapterName, EngineOrders, HoldingOrder} from './engine_orders.js';
+import type {AdapterName, EngineOrders} from './engine_orders.js';
 import type {
   CataloguedModel,
   EngineService,
@@ -16,10 +16,10 @@
 import {DemandTracker} from '../demand_tracker.js';
 import {LoadAllowance} from '../load_allowance.js';
 import {planAdapter} from './adapter_plan.js';
-import {HoldingOrderAnswer} from './engine_orders.js';
 import {EngineRegistry} from './engine_registry.js';
 import {PlannerStep} from './fleet_surroundings.js';
 import {planModels} from './model_plan.js';
+import {OrderGiver} from './order_giver.js';
 import {SuspensionGuard} from './suspension_guard.js';
 
 /** What the planner may do, and how fast. */
@@ -27,7 +27,6 @@
   extends ModelPlanSettings, EngineRegistrySettings {
   /** Name under which orders are given. */
   readonly holder: string;
-  readonly leaseMilliseconds: number;
   /** Time between two passes. */
   readonly intervalMilliseconds: number;
   /** Drift between the clocks that means this process stood still. */
@@ -59,11 +58,12 @@
 
 /**
  * Decides what each engine holds and orders it, while this node has the lease.
- * A node that has just gained it waits a whole lease first, so that the orders
- * of the holder before it lie behind.
+ * A node that has just gained it waits first until the orders of the holder
+ * before it lie a whole lease behind.
  */
 export class FleetPlanner {
   private readonly registry: EngineRegistry;
+  private readonly giver: OrderGiver;
   private readonly allowances = new Map<string, LoadAllowance>();
   private readonly demand: DemandTracker;
   private readonly adapterAskedAt = new Map<string, number>();
@@ -73,7 +73,7 @@
 
   constructor(
     private readonly lease: PlannerLease,
-    private readonly orders: EngineOrders,
+    orders: EngineOrders,
     private readonly surroundings: FleetSurroundings,
     private readonly settings: FleetPlannerSettings,
   ) {
@@ -83,6 +83,11 @@
       settings.longWindowMilliseconds,
     );
     this.guard = new SuspensionGuard(settings.suspensionMilliseconds);
+    this.giver = new OrderGiver(lease, orders, {
+      holder: settings.holder,
+      mayOrder: () => this.mayOrder,
+      record: decision => surroundings.record(decision),
+    });
   }
 
   /** Whether this node may give orders at this moment. */
@@ -128,8 +133,8 @@
       this.registry.clear(this.heldEpoch ?? 0);
     } else {
       record({step: PlannerStep.LEASE_GAINED, epoch});
-      const wait = this.lease.hadNoHolder ? 0 : this.settings.leaseMilliseconds;
-      this.ordersFromMilliseconds = performance.now() + wait;
+      this.ordersFromMilliseconds =
+        performance.now() + this.lease.settleMilliseconds;
       this.allowances.clear();
     }
     this.heldEpoch = epoch;
@@ -171,13 +176,18 @@
     const models = service.models.map(model =>
       this.plannedModel(service.name, model),
     );
+    const settings = {...this.settings, slots: service.slots};
     const engines = entries.map(entry => this.registry.planned(entry));
-    for (const move of planModels(models, engines, this.settings)) {
+    for (const move of planModels(models, engines, settings)) {
       const entry = this.registry.get(move.engineId);
       if (!entry) continue;
       const [evicted] = move.evicted;
       if (evicted !== undefined) {
-        entry.closing = {model: evicted, sinceMilliseconds: performance.now()};
+        entry.closing = {
+          model: evicted,
+          successor: move.model,
+          sinceMilliseconds: performance.now(),
+        };
       } else {
         this.loadModel(service, entry, move);
       }
@@ -204,20 +214,32 @@
       const {closing, book} = entry;
       if (!closing) continue;
       if (!book.holdsModel(closing.model)) {
-        entry.closing = undefined;
+        this.finishClosing(service, entry, closing.successor);
         continue;
       }
       const age = performance.now() - closing.sinceMilliseconds;
       if (age < this.settings.closeMilliseconds) continue;
       if (book.isBusy || !book.isKnown) continue;
-      void this.give(entry, OrderKind.UNLOAD, closing.model, undefined);
+      void this.giver.give(entry, OrderKind.UNLOAD, closing.model, undefined);
     }
   }
 
+  /** Loads what room was made for; the plan decides anew if it must wait. */
+  private finishClosing(
+    service: EngineService,
+    entry: EngineEntry,
+    successor: string,
+  ): void {
+    const {book} = entry;
+    if (book.isBusy || !book.isKnown) return;
+    entry.closing = undefined;
+    this.loadModel(service, entry, {model: successor, gain: 0});
+  }
+
   private loadModel(
     service: EngineService,
     entry: EngineEntry,
-    {model, gain}: ModelMove,
+    {model, gain}: Pick<ModelMove, 'model' | 'gain'>,
   ): void {
     const {book, listed} = entry;
     if (book.whyNotLoad(model) !== undefined) return;
@@ -228,7 +250,7 @@
       if (allowance.available(this.loadsUnderway(service)) < 1) return;
       allowance.take(1);
     }
-    void this.give(entry, OrderKind.LOAD, model, undefined, gain);
+    void this.giver.give(entry, OrderKind.LOAD, model, undefined, gain);
   }
 
   private loadsUnderway({name}: EngineService): number {
@@ -289,10 +311,15 @@
     }
     const {evicted} = plan;
     if (evicted) {
-      await this.give(entry, OrderKind.UNLOAD, evicted.model, evicted.adapter);
+      await this.giver.give(
+        entry,
+        OrderKind.UNLOAD,
+        evicted.model,
+        evicted.adapter,
+      );
       await this.registry.refresh(entry);
     }
-    await this.give(entry, OrderKind.LOAD, wanted.model, wanted.adapter);
+    await this.giver.give(entry, OrderKind.LOAD, wanted.model, wanted.adapter);
     return entry.book.hasAdapter(wanted)
       ? expected(entry, adapterLoadMilliseconds)
       : expected(undefined, PLACE_RETRY_MILLISECONDS);
@@ -323,50 +350,6 @@
     }
     return now - (this.adapterAskedAt.get(key) ?? -Infinity);
   }
-
-  /** Gives one order, after those given to the engine before. */
-  private give(
-    entry: EngineEntry,
-    kind: OrderKind,
-    model: string,
-    adapter: string | undefined,
-    gain?: number,
-  ): Promise<void> {
-    const turn = entry.turn.then(() =>
-      this.giveNow(entry, kind, model, adapter, gain),
-    );
-    entry.turn = turn;
-    return turn;
-  }
-
-  private async giveNow(
-    {book, listed}: EngineEntry,
-    kind: OrderKind,
-    model: string,
-    adapter: string | undefined,
-    gain: number | undefined,
-  ): Promise<void> {
-    if (!this.mayOrder || !book.isKnown) return;
-    if (kind === OrderKind.LOAD && whyNot(book, model, adapter)) return;
-    const order: HoldingOrder = book.nextOrder(kind, model, adapter, {
-      holder: this.settings.holder,
-      fence: this.lease.epoch,
-    });
-    const answer = await this.orders.order(listed, order);
-    book.takeAnswer(order, answer.ok ? answer.val : undefined);
-    this.surroundings.record({
-      step: PlannerStep.ORDERED,
-      upstream: listed.id,
-      order,
-      answer: answer.ok ? answer.val : 'none',
-      reportAgeMilliseconds: Math.round(book.reportAgeMilliseconds),
-      ...(!answer.ok && {reason: answer.val.message}),
-      ...(gain !== undefined && {gain}),
-    });
-    if (answer.ok && answer.val === HoldingOrderAnswer.FENCED) {
-      this.lease.distrust();
-    }
-  }
 }
 
 function expected(
@@ -376,16 +359,6 @@
   return {upstreamId: entry?.listed.id ?? '', readyInMilliseconds};
 }
 
-function whyNot(
-  book: EngineEntry['book'],
-  model: string,
-  adapter: string | undefined,
-): string | undefined {
-  return adapter === undefined
-    ? book.whyNotLoad(model)
-    : book.whyNotLoadAdapter({model, adapter});
-}
-
 function useKey(service: string, {model, adapter}: AdapterName): string {
   return `${service}/${model}/${adapter}`;
 }
--- a/packages/arbutustide-placement/src/fleet/fleet_surroundings.ts
+++ b/packages/arbutustide-placement/src/fleet/fleet_surroundings.ts
@@ -27,6 +27,8 @@
 export interface EngineService extends EngineRoom {
   readonly name: string;
   readonly storeLoadsPerSecond: number;
+  /** Requests that one engine runs at once. */
+  readonly slots: number;
   readonly models: readonly CataloguedModel[];
 }
 
--- a/packages/arbutustide-placement/src/fleet/model_plan.ts
+++ b/packages/arbutustide-placement/src/fleet/model_plan.ts
@@ -35,8 +35,11 @@
 
 /** Weights of the plan. */
 export interface ModelPlanSettings {
-  /** Requests at once that one replica serves within their objectives. */
-  readonly replicaDemand: number;
+  /**
+   * Part of an engine's slots that one model's requests may take before
+   * another replica is due.
+   */
+  readonly replicaShare: number;
   /** Remembered demand from which a model is kept on two engines. */
   readonly spareDemand: number;
   /** Factor by which a gain must exceed the loss of what makes room. */
@@ -45,15 +48,18 @@
   readonly moveCost: number;
 }
 
+/** The weights with the slots of the engines planned for. */
+export interface SizedSettings extends ModelPlanSettings {
+  readonly slots: number;
+}
+
 interface Holding {
   replicas: number;
   readonly model: PlannedModel;
 }
 
-/** Worth of one engine that holds a model at all; the unit of gains. */
+/** Worth of one engine that holds a model at all; gains count requests. */
 const COVERAGE_GAIN = 1;
-/** Worth of covering a model that requests wait for, besides their number. */
-const WAITING_GAIN = 2;
 /** Worth of a replica in reserve, in case an engine is lost. */
 const SPARE_GAIN = 0.8;
 /** What an unneeded replica is worth for each request at once. */
@@ -70,7 +76,7 @@
 export function* planModels(
   models: readonly PlannedModel[],
   engines: readonly PlannedEngine[],
-  settings: ModelPlanSettings,
+  settings: SizedSettings,
 ): Generator<ModelMove> {
   const holdings = countReplicas(models, engines);
   const free = new Set(engines.filter(({canTakeOrder}) => canTakeOrder));
@@ -95,28 +101,26 @@
   }
 }
 
-/** What one more replica is worth. */
+/** Requests at once that one more replica serves better. */
 function additionGain(
   {replicas, model}: Holding,
-  {replicaDemand, spareDemand}: ModelPlanSettings,
+  {replicaShare, slots, spareDemand}: SizedSettings,
 ): number {
   const {demand, rememberedDemand, waiting} = model;
-  if (replicas === 0) {
-    const urgency = waiting > 0 ? WAITING_GAIN + waiting : 0;
-    return COVERAGE_GAIN + urgency + demand;
-  }
-  const overload = Math.max(0, demand / (replicas * replicaDemand) - 1);
+  const replicaDemand = replicaShare * slots;
+  const excess = Math.max(0, demand - replicas * replicaDemand);
+  const relief = Math.min(excess, replicaDemand);
+  if (replicas === 0) return COVERAGE_GAIN + waiting + relief;
   const isSpareDue =
     replicas < SPARE_REPLICAS && rememberedDemand >= spareDemand;
   const spare = isSpareDue ? SPARE_GAIN : 0;
-  const surplus = (SURPLUS_GAIN * demand) / (replicas + 1);
-  return spare + overload + surplus;
+  return spare + relief + (SURPLUS_GAIN * demand) / (replicas + 1);
 }
 
 /** What is lost with one replica less, in the same measure. */
 function removalLoss(
   {replicas, model}: Holding,
-  settings: ModelPlanSettings,
+  settings: SizedSettings,
 ): number {
   return additionGain({replicas: replicas - 1, model}, settings);
 }
@@ -146,7 +150,7 @@
   gain: number,
   engines: Iterable<PlannedEngine>,
   holdings: ReadonlyMap<string, Holding>,
-  settings: ModelPlanSettings,
+  settings: SizedSettings,
 ): ModelMove | undefined {
   let best: ModelMove | undefined;
   let bestCost = gain / settings.hysteresis;
@@ -188,7 +192,7 @@
   {megabytes}: PlannedModel,
   {freeMegabytes, models}: PlannedEngine,
   holdings: ReadonlyMap<string, Holding>,
-  settings: ModelPlanSettings,
+  settings: SizedSettings,
 ): Eviction | undefined {
   const removable = models
     .map(name => {
--- a/packages/arbutustide-placement/src/planner_lease.ts
+++ b/packages/arbutustide-placement/src/planner_lease.ts
@@ -39,6 +39,7 @@
   private validUntilMilliseconds = 0;
   private isFirstHolder = false;
   private seenHolder = '';
+  private settleTime = 0;
 
   constructor(
     private readonly store: ObjectStore,
@@ -62,6 +63,14 @@
     return this.isFirstHolder;
   }
 
+  /**
+   * Time after the gain until the previous holder, which may have acted until
+   * the end of its lease, lies a whole lease behind; in milliseconds.
+   */
+  get settleMilliseconds(): number {
+    return this.settleTime;
+  }
+
   /** Does not count on the lease until it has been renewed. */
   distrust(): void {
     this.validUntilMilliseconds = 0;
@@ -114,7 +123,10 @@
     const unchangedFor = now - this.seenSinceMilliseconds;
     const isFree = lease.holder === '';
     if (!isFree && unchangedFor < this.leaseMilliseconds) return;
+    const leases = isFree ? 1 : 2;
     await this.write(lease.epoch + 1, stored.version, now);
+    const settled = leases * this.leaseMilliseconds - unchangedFor;
+    this.settleTime = Math.max(0, settled);
   }
 
   /**
--- a/packages/arbutustide-routing/src/fleet/fleet_decision.ts
+++ b/packages/arbutustide-routing/src/fleet/fleet_decision.ts
@@ -30,5 +30,7 @@
   readonly retryAfterMilliseconds?: number;
   readonly end?: string;
   readonly elapsedMilliseconds?: number;
+  readonly firstEventMilliseconds?: number;
+  readonly longestPauseMilliseconds?: number;
   readonly reason?: string;
 }
--- a/packages/arbutustide-routing/src/fleet/fleet_dispatcher.ts
+++ b/packages/arbutustide-routing/src/fleet/fleet_dispatcher.ts
@@ -5,6 +5,7 @@
 import type {FleetConnector} from './fleet_connector.js';
 import type {RequestDecision} from './fleet_decision.js';
 import type {FleetProgress} from './fleet_progress.js';
+import type {StreamPace} from './fleet_stream.js';
 import type {FleetUpstream} from './fleet_upstream.js';
 import type {RequestSuspects} from '../request_suspects.js';
 import type {Place, PlaceQueue} from './place_queue.js';
@@ -169,7 +170,7 @@
       upstreamId: place.upstream.id,
     };
     if (body !== undefined || !head) {
-      this.recordEnd(progress, AnswerEnd.WHOLE);
+      this.recordEnd(progress, AnswerEnd.WHOLE, place.upstream);
       return {...common, body: body ?? Buffer.alloc(0)};
     }
     const stream = new FleetStream(progress, {
@@ -177,9 +178,9 @@
       tryTakeRetry: () => this.options.tryTakeRetry(progress.request.service),
       onBreak: () => this.options.suspects.recordCrash(progress.fingerprint),
       onResume: (reason, next) => this.recordResume(progress, reason, next),
-      onEnd: end => {
+      onEnd: (end, pace) => {
         stopWatch();
-        this.recordEnd(progress, end);
+        this.recordEnd(progress, end, place.upstream, pace);
       },
     });
     return {...common, body: stream.pieces(attempt)};
@@ -231,10 +232,23 @@
     });
   }
 
-  private recordEnd(progress: FleetProgress, end: AnswerEnd): void {
+  private recordEnd(
+    progress: FleetProgress,
+    end: AnswerEnd,
+    upstream: FleetUpstream,
+    pace?: StreamPace,
+  ): void {
+    const firstEvent = pace?.firstEventMilliseconds;
     this.record(progress, {
       step: DecisionStep.ENDED,
       end,
+      upstream: upstream.id,
+      ...(firstEvent !== undefined && {
+        firstEventMilliseconds: Math.round(firstEvent),
+      }),
+      ...(pace && {
+        longestPauseMilliseconds: Math.round(pace.longestPauseMilliseconds),
+      }),
       attempts: progress.attempts,
       elapsedMilliseconds: elapsed(progress),
     });
--- a/packages/arbutustide-routing/src/fleet/fleet_stream.ts
+++ b/packages/arbutustide-routing/src/fleet/fleet_stream.ts
@@ -20,7 +20,14 @@
   /** Told when an upstream broke the stream off. */
   readonly onBreak: () => void;
   readonly onResume: (reason: string, next: Attempt | undefined) => void;
-  readonly onEnd: (end: AnswerEnd) => void;
+  readonly onEnd: (end: AnswerEnd, pace: StreamPace) => void;
+}
+
+/** How a stream's events came, in milliseconds. */
+export interface StreamPace {
+  /** From the request's arrival to its first event; undefined without one. */
+  readonly firstEventMilliseconds: number | undefined;
+  readonly longestPauseMilliseconds: number;
 }
 
 /** Why one attempt's part of a stream ended before the stream did. */
@@ -31,6 +38,9 @@
 /** Passes a stream's events on, over all the upstreams that make them. */
 export class FleetStream {
   private readonly events: OrderedEvents;
+  private firstEventAt: number | undefined;
+  private lastEventAt = 0;
+  private longestPause = 0;
 
   constructor(
     private readonly progress: FleetProgress,
@@ -53,7 +63,7 @@
       }
       return end;
     } finally {
-      this.options.onEnd(end);
+      this.options.onEnd(end, this.pace());
     }
   }
 
@@ -65,7 +75,10 @@
     try {
       for await (const piece of attempt.head?.body ?? []) {
         const {bytes, problem} = this.events.push(piece);
-        if (bytes) yield bytes;
+        if (bytes) {
+          this.notePiece();
+          yield bytes;
+        }
         if (problem) return {reason: `event out of order: ${problem}`};
       }
       return this.events.hasRest
@@ -82,6 +95,23 @@
     }
   }
 
+  private notePiece(): void {
+    const now = performance.now();
+    if (this.firstEventAt === undefined) this.firstEventAt = now;
+    else
+      this.longestPause = Math.max(this.longestPause, now - this.lastEventAt);
+    this.lastEventAt = now;
+  }
+
+  private pace(): StreamPace {
+    const {arrivedAtMilliseconds} = this.progress.request;
+    return {
+      firstEventMilliseconds:
+        this.firstEventAt && this.firstEventAt - arrivedAtMilliseconds,
+      longestPauseMilliseconds: this.longestPause,
+    };
+  }
+
   /** The attempt that goes on with the stream, if there may be one. */
   private async next(broken: PartBreak): Promise<Attempt | undefined> {
     const {request, cancel, attempts} = this.progress;
