--- a/packages/arbutustide-placement/src/fleet/fleet_planner.ts
+++ b/packages/arbutustide-placement/src/fleet/fleet_planner.ts
@@ -173,6 +173,11 @@
   private planService(service: EngineService): void {
     this.finishClosings(service);
     const entries = this.registry.ofService(service.name);
+    // Holdings that are not known yet would be taken for none.
+    const isKnown = entries.every(
+      ({book, isReportFailing}) => book.hasReport || isReportFailing,
+    );
+    if (!isKnown) return;
     const models = service.models.map(model =>
       this.plannedModel(service.name, model),
     );
--- a/packages/arbutustide-routing/src/__tests__/unit/fleet_decisions.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/fleet_decisions.test.ts
@@ -13,12 +13,18 @@
   outcomeOfHead,
 } from '../../fleet/attempt_verdict.js';
 import {chooseUpstream, NoChoice} from '../../fleet/fleet_choice.js';
+import {DemandCounter, modelEntry} from '../../fleet/demand_counter.js';
 import {FleetRetryBudget} from '../../fleet/fleet_retry_budget.js';
 import {UpstreamState} from '../../fleet/fleet_upstream.js';
 import {EventOrderProblem, OrderedEvents} from '../../fleet/ordered_events.js';
 import {RequestKind} from '../../fleet/route.js';
 import {pickTarget, RouteTable} from '../../fleet/route_table.js';
-import {testRequest, testRoute, testUpstream} from './fleet_world.js';
+import {
+  testModelRequest,
+  testRequest,
+  testRoute,
+  testUpstream,
+} from './fleet_world.js';
 
 const CHOICE = {
   ownFailureDomain: 'near',
@@ -261,3 +267,35 @@
     expect(taken(budget, 100)).to.equal(first);
   });
 });
+
+describe('demand counter', () => {
+  let clock: ReturnType<typeof install>;
+  beforeEach(() => {
+    clock = install({toFake: ['performance', 'Date']});
+  });
+  afterEach(() => clock.uninstall());
+
+  it('counts requests that were refused for want of the model', () => {
+    const counter = new DemandCounter();
+    const request = testRequest({modelRequest: testModelRequest('model')});
+    for (let index = 0; index < 10; index += 1) {
+      counter.arrived(request);
+      counter.ended(request, false);
+    }
+    const entry = modelEntry('service', 'model');
+    expect(counter.load(entry)).to.include({inFlight: 0, queued: 10});
+    clock.tick(10_000);
+    expect(counter.load(entry)?.queued).to.equal(0);
+  });
+
+  it('counts a request once as it waits, runs and ends', () => {
+    const counter = new DemandCounter();
+    const request = testRequest({modelRequest: testModelRequest('m', 'a')});
+    counter.arrived(request);
+    expect(counter.load('service/m/a')).to.include({queued: 1, inFlight: 0});
+    counter.placed(request);
+    expect(counter.load('service/m')).to.include({queued: 0, inFlight: 1});
+    counter.ended(request, true);
+    expect(counter.load('service/m')).to.include({queued: 0, inFlight: 0});
+  });
+});
--- a/packages/arbutustide-routing/src/fleet/demand_counter.ts
+++ b/packages/arbutustide-routing/src/fleet/demand_counter.ts
@@ -5,8 +5,22 @@
   inFlight: number;
   queued: number;
   arrivals: number;
+  /** Requests refused of late; fades, and was right at the time beside it. */
+  missed: number;
+  missedAtMilliseconds: number;
 }
 
+/** Requests of this node to one entry. */
+export interface EntryDemand {
+  readonly inFlight: number;
+  /** Waiting, or refused so lately that their callers will be back. */
+  readonly queued: number;
+  readonly arrivals: number;
+}
+
+/** Time in which a refused request fades from the demand. */
+const MISSED_FADE_MILLISECONDS = 2_000;
+
 /** Entries without requests are forgotten beyond this many. */
 const IDLE_ENTRIES = 256;
 
@@ -47,8 +61,13 @@
   /** Counts a request that has ended, or whose attempt has. */
   ended(request: RoutedRequest, wasPlaced: boolean): void {
     for (const count of this.countsOf(request)) {
-      if (wasPlaced) count.inFlight -= 1;
-      else count.queued -= 1;
+      if (wasPlaced) {
+        count.inFlight -= 1;
+        continue;
+      }
+      count.queued -= 1;
+      count.missed = missedNow(count) + 1;
+      count.missedAtMilliseconds = performance.now();
     }
   }
 
@@ -59,13 +78,14 @@
       if (isIdle && this.counts.size > IDLE_ENTRIES) {
         this.counts.delete(entryName);
       }
-      yield {entryName, ...count};
+      yield {entryName, ...demandOf(count)};
     }
   }
 
   /** The demand for one entry. */
-  load(entryName: string): Readonly<Count> | undefined {
-    return this.counts.get(entryName);
+  load(entryName: string): EntryDemand | undefined {
+    const count = this.counts.get(entryName);
+    return count && demandOf(count);
   }
 
   private *countsOf({service, modelRequest}: RoutedRequest): Generator<Count> {
@@ -79,8 +99,24 @@
   private count(entryName: string): Count {
     const known = this.counts.get(entryName);
     if (known) return known;
-    const count = {inFlight: 0, queued: 0, arrivals: 0};
+    const count: Count = {
+      inFlight: 0,
+      queued: 0,
+      arrivals: 0,
+      missed: 0,
+      missedAtMilliseconds: 0,
+    };
     this.counts.set(entryName, count);
     return count;
   }
 }
+
+function missedNow({missed, missedAtMilliseconds}: Count): number {
+  const age = performance.now() - missedAtMilliseconds;
+  return missed * Math.exp(-age / MISSED_FADE_MILLISECONDS);
+}
+
+function demandOf(count: Count): EntryDemand {
+  const {inFlight, queued, arrivals} = count;
+  return {inFlight, queued: queued + Math.round(missedNow(count)), arrivals};
+}
