--- a/packages/arbutustide-node/src/fleet/fleet_surroundings.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_surroundings.ts
@@ -100,6 +100,7 @@
     id: upstream.id,
     address: description.address,
     service: description.service,
+    failureDomain: description.failureDomain,
     startedAt: description.startedAt,
     isReady: upstream.isReady,
     inFlight: upstream.estimatedInFlight,
--- a/packages/arbutustide-node/src/fleet/fleet_tuning.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_tuning.ts
@@ -5,7 +5,7 @@
  * busier before another is preferred. Weighs the delay and the price of the
  * bytes of a way to another domain against queueing.
  */
-export const CROSS_DOMAIN_SHARE = 0.1;
+export const CROSS_DOMAIN_SHARE = 0.2;
 /** An engine is given work for its slots; more would wait where it cannot be refused. */
 export const ENGINE_FULL_SHARE = 1;
 /** A plain service's work is short, so that a short queue there costs little. */
--- a/packages/arbutustide-placement/src/__tests__/unit/fleet_plans.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/fleet_plans.test.ts
@@ -38,6 +38,7 @@
 ): PlannedEngine {
   return {
     id,
+    failureDomain: 'domain',
     freeMegabytes: 220 - models.length * 70,
     models,
     loading: undefined,
@@ -103,6 +104,17 @@
     expect([...moves]).to.eql([]);
   });
 
+  it('spreads the replicas of a model over failure domains', () => {
+    const models = [model('hot', {demand: 40, rememberedDemand: 40})];
+    const engines = [
+      engine('1', ['hot'], {failureDomain: 'a'}),
+      engine('2', [], {failureDomain: 'a'}),
+      engine('3', [], {failureDomain: 'b'}),
+    ];
+    const [move] = planModels(models, engines, SETTINGS);
+    expect(move.engineId).to.equal('3');
+  });
+
   it('prefers the engine that has its own copy', () => {
     const engines = [
       engine('1', []),
--- a/packages/arbutustide-placement/src/fleet/engine_registry.ts
+++ b/packages/arbutustide-placement/src/fleet/engine_registry.ts
@@ -140,6 +140,7 @@
     const {reportAgeMilliseconds} = this.settings;
     return {
       id: listed.id,
+      failureDomain: listed.failureDomain,
       freeMegabytes: book.freeMegabytes,
       models: book.heldModels.filter(model => model !== closing?.model),
       loading: book.loadingModel ?? closing?.successor,
--- a/packages/arbutustide-placement/src/fleet/fleet_surroundings.ts
+++ b/packages/arbutustide-placement/src/fleet/fleet_surroundings.ts
@@ -4,6 +4,7 @@
 /** An engine as the platform lists it. */
 export interface ListedEngine extends EngineAddress {
   readonly service: string;
+  readonly failureDomain: string;
   /** Unix time of its start, in milliseconds. */
   readonly startedAt: number;
   /** Whether it takes new work. */
--- a/packages/arbutustide-placement/src/fleet/model_plan.ts
+++ b/packages/arbutustide-placement/src/fleet/model_plan.ts
@@ -13,6 +13,7 @@
 /** An engine with what it holds. */
 export interface PlannedEngine {
   readonly id: string;
+  readonly failureDomain: string;
   readonly freeMegabytes: number;
   /** Models held and not about to be unloaded. */
   readonly models: readonly string[];
@@ -80,6 +81,7 @@
 ): Generator<ModelMove> {
   const holdings = countReplicas(models, engines);
   const free = new Set(engines.filter(({canTakeOrder}) => canTakeOrder));
+  const domains = domainsByModel(engines);
   const byGain = [...holdings.values()].sort(
     (left, right) =>
       additionGain(right, settings) - additionGain(left, settings),
@@ -87,7 +89,8 @@
   for (const holding of byGain) {
     const gain = additionGain(holding, settings);
     if (gain <= settings.moveCost) return;
-    const move = bestMove(holding, gain, free, holdings, settings);
+    const covered = domains.get(holding.model.name) ?? new Set();
+    const move = bestMove(holding, gain, free, covered, holdings, settings);
     if (!move) continue;
     for (const engine of free) {
       if (engine.id === move.engineId) free.delete(engine);
@@ -141,6 +144,21 @@
   return holdings;
 }
 
+/** Failure domains in which each model is held. */
+function domainsByModel(
+  engines: readonly PlannedEngine[],
+): Map<string, Set<string>> {
+  const domains = new Map<string, Set<string>>();
+  for (const engine of engines) {
+    for (const name of heldBy(engine)) {
+      const known = domains.get(name) ?? new Set();
+      known.add(engine.failureDomain);
+      domains.set(name, known);
+    }
+  }
+  return domains;
+}
+
 function heldBy({models, loading}: PlannedEngine): Set<string> {
   return new Set(loading === undefined ? models : [...models, loading]);
 }
@@ -149,6 +167,7 @@
   {model}: Holding,
   gain: number,
   engines: Iterable<PlannedEngine>,
+  coveredDomains: ReadonlySet<string>,
   holdings: ReadonlyMap<string, Holding>,
   settings: SizedSettings,
 ): ModelMove | undefined {
@@ -158,7 +177,11 @@
     if (heldBy(engine).has(model.name)) continue;
     const eviction = cheapestEviction(model, engine, holdings, settings);
     if (!eviction) continue;
-    const cost = eviction.loss + loadCost(model.name, engine);
+    const isCovered = coveredDomains.has(engine.failureDomain);
+    const cost =
+      eviction.loss +
+      loadCost(model.name, engine) +
+      (isCovered ? SAME_DOMAIN_COST : 0);
     if (cost >= bestCost) continue;
     bestCost = cost;
     best = {
@@ -171,6 +194,8 @@
   return best;
 }
 
+/** Replicas in several domains are lost less easily and nearer to callers. */
+const SAME_DOMAIN_COST = 0.1;
 /** Loads from an engine's own copies are five to ten times as fast. */
 const LOAD_COSTS = {memory: 0, disk: 0.01, store: 0.05} as const;
 
