--- a/packages/arbutustide-errors/src/__tests__/unit/answer_table.test.ts
+++ b/packages/arbutustide-errors/src/__tests__/unit/answer_table.test.ts
@@ -9,6 +9,8 @@
   RetryAdvice,
 } from '../../index.js';
 
+/** Statuses by which a server says that it did not run a request. */
+const PROMISING_STATUSES = [408, 421, 429, 503];
 const KINDS = Object.values(ErrorKind);
 
 describe('answer table', () => {
@@ -33,6 +35,17 @@
     });
   }
 
+  it('promises by the status only what is known not to have run', () => {
+    for (const kind of KINDS) {
+      for (const ran of [Ran.MAYBE, Ran.YES]) {
+        const refusal = new RefusalError(kind, 'why', {ran});
+        const {status, headers} = refusalAnswer(refusal, '');
+        expect(PROMISING_STATUSES, kind).to.not.include(status);
+        if (status === 502) expect(headers).to.not.have.property('retry-after');
+      }
+    }
+  });
+
   it('never advises a plain retry of what may have run', () => {
     for (const kind of KINDS) {
       const {ran, advice} = ANSWER_TABLE[kind];
--- a/packages/arbutustide-errors/src/refusal_answer.ts
+++ b/packages/arbutustide-errors/src/refusal_answer.ts
@@ -1,6 +1,7 @@
 import type {RefusalError} from './refusal_error.js';
 
 import {ANSWER_TABLE} from './answer_table.js';
+import {Ran} from './error_kind.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -24,28 +25,41 @@
   readonly body: RefusalBody;
 }
 
+/** Statuses that tell a caller that the request was not run. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const BAD_GATEWAY_STATUS = 502;
+
+/** The status of a refusal, which never says "not run" of what may have run. */
+function statusOf({kind, ran}: RefusalError): number {
+  const {status} = ANSWER_TABLE[kind];
+  const isUntrue = ran !== Ran.NO && NOT_RUN_STATUSES.has(status);
+  return isUntrue ? BAD_GATEWAY_STATUS : status;
+}
+
 /** Turns a refusal into the HTTP answer its kind has in the table. */
 export function refusalAnswer(
   refusal: RefusalError,
   requestId: string,
 ): RefusalAnswer {
   const row = ANSWER_TABLE[refusal.kind];
+  const status = statusOf(refusal);
   const headers: Record<string, string> = {
     'content-type': 'application/json',
     'x-request-id': requestId,
     'x-request-ran': refusal.ran,
   };
-  if (refusal.retryAfterMilliseconds !== undefined) {
+  const isPromised = status === row.status;
+  if (isPromised && refusal.retryAfterMilliseconds !== undefined) {
     const seconds = refusal.retryAfterMilliseconds / MILLISECONDS_PER_SECOND;
     headers['retry-after'] = String(Math.max(1, Math.ceil(seconds)));
   }
   return {
-    status: row.status,
+    status,
     headers,
     body: {
       error: {
         message: refusal.message,
-        type: row.status < 500 ? 'invalid_request_error' : 'server_error',
+        type: status < 500 ? 'invalid_request_error' : 'server_error',
         code: refusal.kind,
         param: null,
         request_id: requestId,
--- a/packages/arbutustide-node/src/fleet/fleet_dependencies.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_dependencies.ts
@@ -6,7 +6,7 @@
   ServingConfiguration,
   UpstreamDescription,
 } from '@arbutustide/routing';
-import type {NodeLogger} from '@arbutustide/telemetry';
+import type {NodeLogger, NodeMetrics} from '@arbutustide/telemetry';
 import type {Result} from 'ts-results';
 
 import type {FleetSettings} from './fleet_settings.js';
@@ -28,6 +28,7 @@
 export interface FleetDependencies {
   readonly settings: FleetSettings;
   readonly logger: NodeLogger;
+  readonly metrics: NodeMetrics;
   readonly store: ObjectStore;
   readonly connector: FleetConnector;
   readonly orders: EngineOrders;
--- /dev/null
+++ b/packages/arbutustide-node/src/fleet/fleet_metrics.ts
@@ -0,0 +1,77 @@
+import type {PlannerDecision} from '@arbutustide/placement';
+import type {RequestDecision} from '@arbutustide/routing';
+import type {NodeMetrics} from '@arbutustide/telemetry';
+
+import {PlannerStep} from '@arbutustide/placement';
+import {DecisionStep} from '@arbutustide/routing';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+/** Requests on routes carry no tenant. */
+const NO_TENANT = '';
+
+type RequestRecorder = (
+  decision: RequestDecision,
+  metrics: NodeMetrics,
+) => void;
+
+const REQUEST_RECORDERS: Readonly<Record<DecisionStep, RequestRecorder>> = {
+  [DecisionStep.PLACED]: (decision, metrics) => {
+    const {waitedMilliseconds = 0} = decision;
+    metrics.queuedSeconds.observe(
+      labels(decision),
+      seconds(waitedMilliseconds),
+    );
+  },
+  [DecisionStep.ATTEMPT_ENDED]: ({service}, metrics) =>
+    metrics.retries.inc({entry: service}),
+  [DecisionStep.STREAM_RESUMED]: ({service}, metrics) =>
+    metrics.retries.inc({entry: service}),
+  [DecisionStep.REFUSED]: ({kind = '', ran = ''}, metrics) =>
+    metrics.refusals.inc({kind, ran}),
+  [DecisionStep.ENDED]: (decision, metrics) => {
+    const {end = '', elapsedMilliseconds = 0} = decision;
+    const {firstEventMilliseconds, longestPauseMilliseconds} = decision;
+    metrics.answers.inc({...labels(decision), end});
+    metrics.requestSeconds.observe(
+      labels(decision),
+      seconds(elapsedMilliseconds),
+    );
+    if (firstEventMilliseconds !== undefined) {
+      metrics.firstTokenSeconds.observe(
+        labels(decision),
+        seconds(firstEventMilliseconds),
+      );
+    }
+    if (longestPauseMilliseconds !== undefined) {
+      metrics.betweenTokensSeconds.observe(
+        labels(decision),
+        seconds(longestPauseMilliseconds),
+      );
+    }
+  },
+};
+
+/** Counts a decision about a request. */
+export function measureRequest(
+  decision: RequestDecision,
+  metrics: NodeMetrics,
+): void {
+  REQUEST_RECORDERS[decision.step](decision, metrics);
+}
+
+/** Counts a decision of the planner. */
+export function measurePlanner(
+  {step, order, answer}: PlannerDecision,
+  metrics: NodeMetrics,
+): void {
+  if (step !== PlannerStep.ORDERED || !order) return;
+  metrics.orders.inc({kind: order.kind, reason: answer ?? ''});
+}
+
+function labels({route}: RequestDecision) {
+  return {tenant: NO_TENANT, class: route};
+}
+
+function seconds(milliseconds: number): number {
+  return milliseconds / MILLISECONDS_PER_SECOND;
+}
--- a/packages/arbutustide-node/src/fleet/fleet_tuning.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_tuning.ts
@@ -31,6 +31,8 @@
 
 /** Nodes that read the lease though a planner is heard of, to replace it soon. */
 export const STANDBY_NODES = 2;
+/** Entry hosts of the deployments of today, for a node that hears of no other. */
+export const LEAST_NODES = 8;
 /** Part of a lease after which its holder renews it. */
 export const RENEWAL_SHARE = 1 / 3;
 /** How long a request is remembered whose connection broke. */
--- a/packages/arbutustide-node/src/fleet/fleet_wiring.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_wiring.ts
@@ -25,6 +25,7 @@
 import {OwnStatus} from '../own_status.js';
 import {ConfigurationWatcher} from './configuration_watcher.js';
 import {FleetBudgets} from './fleet_budgets.js';
+import {measurePlanner, measureRequest} from './fleet_metrics.js';
 import {NodeFleetSurroundings} from './fleet_surroundings.js';
 import {FleetToken} from './fleet_tokens.js';
 import * as tuning from './fleet_tuning.js';
@@ -132,10 +133,14 @@
   register: Register,
   dependencies: FleetDependencies,
 ): void {
-  const {settings, connector, logger} = dependencies;
+  const {settings, connector, logger, metrics} = dependencies;
   register(FleetToken.BUDGETS, parts => {
     const view = parts.resolve(FleetToken.CLUSTER_VIEW);
-    return new FleetBudgets(settings.retry, () => view.nodes().length);
+    return new FleetBudgets(
+      settings.retry,
+      () => view.nodes().length,
+      tuning.LEAST_NODES,
+    );
   });
   register(FleetToken.QUEUE, parts => createQueue(parts, dependencies));
   register(FleetToken.DISPATCHER, parts => {
@@ -144,7 +149,10 @@
       recordRequest: service => budgets.of(service).recordRequest(),
       tryTakeRetry: service => budgets.of(service).tryTake(),
       onMissing: (upstream, model) => upstream.learnHolding(model, false),
-      onDecision: decision => logger.info(decision, 'request'),
+      onDecision: decision => {
+        logger.info(decision, 'request');
+        measureRequest(decision, metrics);
+      },
       suspects: parts.resolve(FleetToken.SUSPECTS),
     });
   });
@@ -188,9 +196,10 @@
 
 function registerPlacement(
   register: Register,
-  {settings, store, orders, transport, logger}: FleetDependencies,
+  dependencies: FleetDependencies,
   {identity}: Identity,
 ): void {
+  const {settings, store, orders, transport, logger, metrics} = dependencies;
   register(
     FleetToken.LEASE,
     () =>
@@ -208,7 +217,10 @@
       parts.resolve(FleetToken.MEMBER_TABLE),
       parts.resolve(FleetToken.CLUSTER_VIEW),
       () => parts.resolve(FleetToken.CONFIGURATION).routes?.configuration,
-      decision => logger.info(decision, 'planner'),
+      decision => {
+        logger.info(decision, 'planner');
+        measurePlanner(decision, metrics);
+      },
     );
     return new FleetPlanner(
       parts.resolve(FleetToken.LEASE),
--- a/packages/arbutustide-routing/src/fleet/fleet_dispatcher.ts
+++ b/packages/arbutustide-routing/src/fleet/fleet_dispatcher.ts
@@ -134,6 +134,9 @@
     const isOpen = attempt.body === undefined && attempt.error === undefined;
     if (!isOpen) place.release();
     if (mayHaveRun(attempt.outcome)) progress.mayHaveRun = true;
+    // What was never sent does not count against the route's attempts.
+    if (attempt.outcome === AttemptOutcome.NOT_CONNECTED)
+      progress.attempts -= 1;
     this.learn(progress, attempt);
     this.recordAttempt(progress, attempt);
     return attempt;
