Keep room for late orders to an engine that started again under its id

Cause: a reborn engine counts orders anew, and an order to the process before, unanswered and late, may meet its expected sequence and overfill it.

Change: the book of the new process inherits unanswered loads and keeps room for them until none can arrive (15 s; the platform's orders come 12 s late at most). A holder that did not give the order does not know of it: open.

--- a/packages/arbutustide-placement/src/__tests__/unit/engine_book.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/engine_book.test.ts
@@ -40,6 +40,14 @@
     return HoldingOrderAnswer.ACCEPTED;
   }
 
+  /** Loses all it holds and knows, also its sequence and fences. */
+  restart(): void {
+    this.sequence = 0;
+    this.highestFence = 0;
+    this.models.clear();
+    this.current = undefined;
+  }
+
   /** Ends the order that is being carried out. */
   finish(): void {
     if (this.current) this.apply(this.current);
@@ -95,6 +103,8 @@
   LOST_LOAD = 'lost_load',
   DELIVER_LATE = 'deliver_late',
   CHANGE_HOLDER = 'change_holder',
+  /** The engine starts again under the id that it had. */
+  REBIRTH = 'rebirth',
 }
 
 interface Play {
@@ -147,7 +157,15 @@
     const order = play.late.shift();
     if (order) play.engine.order(order);
   },
+  [Step.REBIRTH]: play => {
+    play.engine.restart();
+    play.book = play.book.successor(ENGINE);
+    play.lagging = play.engine.report();
+  },
   [Step.CHANGE_HOLDER]: play => {
+    // Another holder does not know of orders that are still on their way to an
+    // engine that started again; fences and time keep them from it.
+    if (play.late.length > 0) return;
     play.fence += 1;
     play.book = new EngineBook(ENGINE, () => ROOM);
   },
@@ -179,6 +197,31 @@
     );
   });
 
+  it('leaves room for a late order to an engine that started again', () => {
+    const engine = new ModelledEngine();
+    const play: Play = {
+      engine,
+      book: new EngineBook(ENGINE, () => ROOM),
+      fence: 1,
+      lagging: engine.report(),
+      late: [],
+    };
+    const run = (step: Step, model = 'one') => {
+      STEPS[step](play, model);
+      STEPS[Step.FINISH](play, model);
+      STEPS[Step.REPORT](play, model);
+    };
+    run(Step.REPORT);
+    run(Step.LOAD, 'one');
+    run(Step.LOAD, 'two');
+    run(Step.UNLOAD, 'two');
+    run(Step.LOST_LOAD, 'five');
+    run(Step.REBIRTH);
+    for (const model of ['one', 'two', 'three']) run(Step.LOAD, model);
+    run(Step.DELIVER_LATE);
+    expect(engine.committedMegabytes).to.be.at.most(ROOM.weightMegabytes);
+  });
+
   function known(models: readonly string[]): EngineBook {
     const book = new EngineBook(ENGINE, () => ROOM);
     book.takeReport({
--- a/packages/arbutustide-placement/src/fleet/engine_book.ts
+++ b/packages/arbutustide-placement/src/fleet/engine_book.ts
@@ -22,7 +22,10 @@
 /** Adapters that may be on their way to one engine; its own limit. */
 const ADAPTERS_IN_TRANSIT = 4;
 
-/** Engines that run another process than the one reported are not ordered. */
+/** By then an order that got no answer has been carried out or never will be. */
+const LATEST_ORDER_MILLISECONDS = 15_000;
+
+/** An order that the engine has accepted. */
 interface AcceptedOrder {
   readonly order: HoldingOrder;
   readonly atMilliseconds: number;
@@ -43,12 +46,26 @@
   private isStale = true;
   /** Orders accepted after the last report that was taken. */
   private accepted: AcceptedOrder[] = [];
+  /** Loads that got no answer, of this process or of the one before. */
+  private unanswered: AcceptedOrder[] = [];
+  private inherited: AcceptedOrder[] = [];
 
   constructor(
     readonly engine: EngineAddress,
     private readonly room: () => EngineRoom,
   ) {}
 
+  /**
+   * The book of the process that took the engine's id over. Its sequence starts
+   * anew, so a late order to the process before may be taken by this one; room
+   * is kept for such orders until none can arrive.
+   */
+  successor(engine: EngineAddress): EngineBook {
+    const book = new EngineBook(engine, this.room);
+    book.inherited = [...this.inherited, ...this.unanswered];
+    return book;
+  }
+
   /** Time since the last report that was taken, in milliseconds. */
   get reportAgeMilliseconds(): number {
     return performance.now() - this.reportedAtMilliseconds;
@@ -150,6 +167,12 @@
     let used = 0;
     for (const model of models) used += modelMegabytes(model) ?? Infinity;
     for (const {model} of this.adapters()) used += adapterMegabytes(model);
+    for (const {order} of this.lateOrders()) {
+      used +=
+        order.adapter === undefined
+          ? (modelMegabytes(order.model) ?? Infinity)
+          : adapterMegabytes(order.model);
+    }
     return weightMegabytes - used;
   }
 
@@ -170,7 +193,8 @@
     if (this.isBusy) return 'it carries out another order';
     if (!this.models.has(name.model)) return 'it does not hold the model';
     if (this.hasAdapter(name)) return 'it holds the adapter';
-    if (this.adapters().length >= adapterPlaces) return 'no place is free';
+    const taken = this.adapters().length + this.lateOrders().length;
+    if (taken >= adapterPlaces) return 'no place is free';
     if (this.inTransit >= ADAPTERS_IN_TRANSIT) return 'others are on their way';
     return adapterMegabytes(name.model) <= this.freeMegabytes
       ? undefined
@@ -201,6 +225,9 @@
       return;
     }
     this.isStale = true;
+    if (answer === undefined && isLoadOrder(order)) {
+      this.unanswered.push({order, atMilliseconds: performance.now()});
+    }
     const isGone =
       answer === HoldingOrderAnswer.ALREADY_SO &&
       order.kind === OrderKind.UNLOAD &&
@@ -209,6 +236,15 @@
     this.models.get(order.model)?.delete(order.adapter);
   }
 
+  /** Orders to the process before that may still arrive. */
+  private lateOrders(): readonly AcceptedOrder[] {
+    const earliest = performance.now() - LATEST_ORDER_MILLISECONDS;
+    this.inherited = this.inherited.filter(
+      ({atMilliseconds}) => atMilliseconds > earliest,
+    );
+    return this.inherited;
+  }
+
   private get inTransit(): number {
     const ordered = this.accepted.filter(
       ({order}) => order.adapter !== undefined && isLoadOrder(order),
--- a/packages/arbutustide-placement/src/fleet/engine_registry.ts
+++ b/packages/arbutustide-placement/src/fleet/engine_registry.ts
@@ -101,11 +101,12 @@
       if (isSame) continue;
       this.surroundings.publish(entry.listed, undefined, epoch);
       this.entries.delete(id);
+      if (now) this.entries.set(id, this.newEntry(now, entry));
     }
     for (const engine of listed.values()) {
       const known = this.entries.get(engine.id);
       if (known) known.listed = engine;
-      else this.entries.set(engine.id, this.newEntry(engine));
+      else this.entries.set(engine.id, this.newEntry(engine, undefined));
     }
   }
 
@@ -168,10 +169,16 @@
     }
   }
 
-  private newEntry(listed: ListedEngine): EngineEntry {
+  private newEntry(
+    listed: ListedEngine,
+    before: EngineEntry | undefined,
+  ): EngineEntry {
+    const book =
+      before?.book.successor(listed) ??
+      new EngineBook(listed, () => this.service(listed.service));
     return {
       listed,
-      book: new EngineBook(listed, () => this.service(listed.service)),
+      book,
       closing: undefined,
       isReportFailing: false,
       turn: Promise.resolve(),
