--- a/packages/arbutustide-routing/src/__tests__/unit/fleet_dispatcher.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/fleet_dispatcher.test.ts
@@ -101,6 +101,7 @@
     const settings = {
       ownFailureDomain: 'near',
       crossDomainShare: 0.1,
+      promptTokensInObjective: 10_000,
       fullShare: 1,
       random: () => 0,
     };
--- a/packages/arbutustide-routing/src/fleet/fleet_choice.ts
+++ b/packages/arbutustide-routing/src/fleet/fleet_choice.ts
@@ -9,6 +9,8 @@
    * a share of its slots, before one of another domain is preferred.
    */
   readonly crossDomainShare: number;
+  /** Prompt tokens an engine reads within a first event's objective. */
+  readonly promptTokensInObjective: number;
   /** In-flight requests, as a share of the slots, beyond which none is sent. */
   readonly fullShare: number;
   /** Uniform in [0, 1); breaks ties. */
@@ -28,7 +30,8 @@
 
 /**
  * Chooses the least loaded upstream that can serve a request, the own failure
- * domain first while it is not much more loaded.
+ * domain first while it is not much more loaded. It answers bursts: what keeps
+ * a first event waiting is requests in flight and prompts yet to be read.
  *
  * @param excluded upstreams already tried for this request.
  */
@@ -58,11 +61,14 @@
 }
 
 function choiceCost(
-  {description, ownInFlight}: FleetUpstream,
+  {description, ownInFlight, ownUnreadTokens}: FleetUpstream,
   load: number,
-  {ownFailureDomain, crossDomainShare, random}: FleetChoiceSettings,
+  settings: FleetChoiceSettings,
 ): number {
+  const {ownFailureDomain, crossDomainShare, random} = settings;
   const isNear = description.failureDomain === ownFailureDomain;
   const spread = (ownInFlight + random()) / description.slots;
-  return load + (isNear ? 0 : crossDomainShare) + spread;
+  // Prompts are read one after another, before any of their first events.
+  const reading = ownUnreadTokens / settings.promptTokensInObjective;
+  return load + reading + (isNear ? 0 : crossDomainShare) + spread;
 }
