--- a/packages/arbutustide-node/src/fleet/fleet_tuning.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_tuning.ts
@@ -6,8 +6,6 @@
  * bytes of a way to another domain against queueing.
  */
 export const CROSS_DOMAIN_SHARE = 0.2;
-/** Engines of today read 29 to 38 tokens a millisecond; objectives are 300 ms. */
-export const PROMPT_TOKENS_IN_OBJECTIVE = 10_000;
 /** An engine is given work for its slots; more would wait where it cannot be refused. */
 export const ENGINE_FULL_SHARE = 1;
 /** A plain service's work is short, so that a short queue there costs little. */
@@ -29,7 +27,7 @@
 /** Removals are passed on for this many expiry times. */
 export const REMOVAL_EXPIRIES = 2;
 /** How often the own record is written and the others' are applied. */
-export const PUBLISH_MILLISECONDS = 400;
+export const PUBLISH_MILLISECONDS = 250;
 
 /** Nodes that read the lease though a planner is heard of, to replace it soon. */
 export const STANDBY_NODES = 2;
--- a/packages/arbutustide-node/src/fleet/fleet_wiring.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_wiring.ts
@@ -167,7 +167,6 @@
   const choiceSettings = {
     ownFailureDomain: settings.failureDomain,
     crossDomainShare: tuning.CROSS_DOMAIN_SHARE,
-    promptTokensInObjective: tuning.PROMPT_TOKENS_IN_OBJECTIVE,
     random,
   };
   return new PlaceQueue({
--- a/packages/arbutustide-routing/src/fleet/fleet_choice.ts
+++ b/packages/arbutustide-routing/src/fleet/fleet_choice.ts
@@ -9,8 +9,6 @@
    * a share of its slots, before one of another domain is preferred.
    */
   readonly crossDomainShare: number;
-  /** Prompt tokens an engine reads within a first event's objective. */
-  readonly promptTokensInObjective: number;
   /** In-flight requests, as a share of the slots, beyond which none is sent. */
   readonly fullShare: number;
   /** Uniform in [0, 1); breaks ties. */
@@ -30,8 +28,7 @@
 
 /**
  * Chooses the least loaded upstream that can serve a request, the own failure
- * domain first while it is not much more loaded. It answers bursts: what keeps
- * a first event waiting is requests in flight and prompts yet to be read.
+ * domain first while it is not much more loaded.
  *
  * @param excluded upstreams already tried for this request.
  */
@@ -61,14 +58,11 @@
 }
 
 function choiceCost(
-  {description, ownInFlight, ownUnreadTokens}: FleetUpstream,
+  {description, ownInFlight}: FleetUpstream,
   load: number,
-  settings: FleetChoiceSettings,
+  {ownFailureDomain, crossDomainShare, random}: FleetChoiceSettings,
 ): number {
-  const {ownFailureDomain, crossDomainShare, random} = settings;
   const isNear = description.failureDomain === ownFailureDomain;
   const spread = (ownInFlight + random()) / description.slots;
-  // Prompts are read one after another, before any of their first events.
-  const reading = ownUnreadTokens / settings.promptTokensInObjective;
-  return load + reading + (isNear ? 0 : crossDomainShare) + spread;
+  return load + (isNear ? 0 : crossDomainShare) + spread;
 }
--- a/packages/arbutustide-routing/src/fleet/fleet_stream.ts
+++ b/packages/arbutustide-routing/src/fleet/fleet_stream.ts
@@ -76,7 +76,6 @@
       for await (const piece of attempt.head?.body ?? []) {
         const {bytes, problem} = this.events.push(piece);
         if (bytes) {
-          attempt.place.promptRead();
           this.notePiece();
           yield bytes;
         }
--- a/packages/arbutustide-routing/src/fleet/fleet_upstream.ts
+++ b/packages/arbutustide-routing/src/fleet/fleet_upstream.ts
@@ -58,8 +58,6 @@
 export class FleetUpstream {
   /** Requests of this node now at the upstream. */
   ownInFlight = 0;
-  /** Prompt tokens of this node's requests that have no first event yet. */
-  ownUnreadTokens = 0;
   /** Requests of the other nodes, as they last told. */
   peersInFlight = 0;
   private told: UpstreamLoad | undefined;
--- a/packages/arbutustide-routing/src/fleet/place_queue.ts
+++ b/packages/arbutustide-routing/src/fleet/place_queue.ts
@@ -43,8 +43,6 @@
   readonly upstream: FleetUpstream;
   /** Time waited for it, in milliseconds. */
   readonly waitedMilliseconds: number;
-  /** Tells that the prompt was read, as the first event shows. */
-  promptRead(): void;
   /** Gives it back; repeated calls do nothing. */
   release(): void;
 }
@@ -180,25 +178,15 @@
     sinceMilliseconds: number,
   ): Place {
     const {observer} = this.options;
-    const promptTokens = request.modelRequest?.promptTokens ?? 0;
     upstream.ownInFlight += 1;
-    upstream.ownUnreadTokens += promptTokens;
     observer.placed(request);
     let isHeld = true;
-    let isRead = false;
-    const promptRead = () => {
-      if (isRead) return;
-      isRead = true;
-      upstream.ownUnreadTokens -= promptTokens;
-    };
     return {
       upstream,
       waitedMilliseconds: performance.now() - sinceMilliseconds,
-      promptRead,
       release: () => {
         if (!isHeld) return;
         isHeld = false;
-        promptRead();
         upstream.ownInFlight -= 1;
         observer.ended(request, true);
         this.wake();
