--- a/packages/arbutustide-node/src/fleet/fleet_tuning.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_tuning.ts
@@ -45,18 +45,31 @@
   FleetPlannerSettings,
   'holder' | 'suspensionMilliseconds'
 > = {
+  // An order takes 20 ms; a request that waits for one waits half of this.
   intervalMilliseconds: 150,
+  // Reports are priced; holdings change by our own orders, which are known.
   reportAgeMilliseconds: 1_000,
+  // Reports lag by 200 ms, so that asking more often shows nothing new.
   busyReportAgeMilliseconds: 250,
+  // Records reach all nodes within two exchanges.
   closeMilliseconds: 1_000,
+  // Adapters take 5 to 10 ms where few are on their way.
   adapterLoadMilliseconds: 12,
+  // Longer than the time between two records, so that use has been heard of.
   adapterIdleMilliseconds: 300,
+  // Demand moves to other models within 4 to 6 s.
   shortWindowMilliseconds: 2_000,
   longWindowMilliseconds: 8_000,
+  // Requests at once of an engine that shares a model in demand.
   assumedDemand: 2,
+  // Below the loads at once that keep their full speed, with room for late ones.
   storeLoadsAtOnce: 3,
+  // Requests at once beyond which first events came late on the heaviest days.
   replicaShare: 0.25,
+  // Less than the demand for one of the models in demand on a calm day.
   spareDemand: 3,
+  // Demand is measured within some tens of per cent.
   hysteresis: 1.5,
+  // A move costs the engine seconds without another order.
   moveCost: 0.3,
 };
--- a/packages/arbutustide-node/src/fleet/planner_link.ts
+++ b/packages/arbutustide-node/src/fleet/planner_link.ts
@@ -27,7 +27,8 @@
     {model, adapter}: ModelName,
   ): Promise<HoldingResult> {
     const own = this.planner();
-    if (own.mayOrder) return Ok(await own.request(service, model, adapter));
+    if (own.checkMayOrder())
+      return Ok(await own.request(service, model, adapter));
     const node = this.view.planner();
     if (!node) return Err(new PeerError('', 'no planner is known'));
     return this.transport.requestHolding(
--- a/packages/arbutustide-placement/src/fleet/fleet_planner.ts
+++ b/packages/arbutustide-placement/src/fleet/fleet_planner.ts
@@ -65,7 +65,8 @@
   private readonly registry: EngineRegistry;
   private readonly giver: OrderGiver;
   private readonly allowances = new Map<string, LoadAllowance>();
-  private readonly demand: DemandTracker;
+  /** Demand for the models of each service. */
+  private readonly demands = new Map<string, DemandTracker>();
   private readonly adapterAskedAt = new Map<string, number>();
   private readonly guard: SuspensionGuard;
   private heldEpoch: number | undefined;
@@ -78,20 +79,19 @@
     private readonly settings: FleetPlannerSettings,
   ) {
     this.registry = new EngineRegistry(orders, surroundings, settings);
-    this.demand = new DemandTracker(
-      settings.shortWindowMilliseconds,
-      settings.longWindowMilliseconds,
-    );
     this.guard = new SuspensionGuard(settings.suspensionMilliseconds);
     this.giver = new OrderGiver(lease, orders, {
       holder: settings.holder,
-      mayOrder: () => this.mayOrder,
+      mayOrder: () => this.checkMayOrder(),
       record: decision => surroundings.record(decision),
     });
   }
 
-  /** Whether this node may give orders at this moment. */
-  get mayOrder(): boolean {
+  /**
+   * Whether this node may give orders at this moment. A process that stood
+   * still must renew its lease first.
+   */
+  checkMayOrder(): boolean {
     if (this.guard.check()) this.lease.distrust();
     return (
       this.lease.isHeld &&
@@ -119,7 +119,7 @@
     model: string,
     adapter: string | undefined,
   ): Promise<ExpectedHolding | undefined> {
-    if (!this.mayOrder) return undefined;
+    if (!this.checkMayOrder()) return undefined;
     if (adapter === undefined) return this.expectedModel(service, model);
     return this.loadAdapter(service, {model, adapter});
   }
@@ -145,13 +145,14 @@
     await this.registry.refreshAll();
     for (const service of this.surroundings.services()) {
       this.sampleDemand(service);
-      if (this.mayOrder) this.planService(service);
+      if (this.checkMayOrder()) this.planService(service);
     }
     this.registry.publishAll(epoch);
   }
 
   /** Demand before any traffic is read off what the engines hold at first. */
   private sampleDemand({name, models}: EngineService): void {
+    const demand = this.demandOf(name);
     const entries = this.registry.ofService(name);
     const samples = models.map(model => ({
       entry: `${name}/${model.name}`,
@@ -163,13 +164,24 @@
         book.holdsModel(models[index].name),
       );
       const assumed = holders.length * this.settings.assumedDemand;
-      this.demand.assume(entry, assumed);
+      demand.assume(entry, assumed);
     }
     if (samples.some(({concurrency}) => concurrency > 0)) {
-      this.demand.sample(samples);
+      demand.sample(samples);
     }
   }
 
+  private demandOf(service: string): DemandTracker {
+    const known = this.demands.get(service);
+    if (known) return known;
+    const demand = new DemandTracker(
+      this.settings.shortWindowMilliseconds,
+      this.settings.longWindowMilliseconds,
+    );
+    this.demands.set(service, demand);
+    return demand;
+  }
+
   private planService(service: EngineService): void {
     this.finishClosings(service);
     const entries = this.registry.ofService(service.name);
@@ -182,7 +194,10 @@
       this.plannedModel(service.name, model),
     );
     const settings = {...this.settings, slots: service.slots};
-    const engines = entries.map(entry => this.registry.planned(entry));
+    // What a leaving engine holds must be held elsewhere before it is gone.
+    const engines = entries
+      .filter(({listed}) => listed.isReady)
+      .map(entry => this.registry.planned(entry));
     for (const move of planModels(models, engines, settings)) {
       const entry = this.registry.get(move.engineId);
       if (!entry) continue;
@@ -204,11 +219,12 @@
     {name, megabytes}: CataloguedModel,
   ): PlannedModel {
     const entry = `${service}/${name}`;
+    const demand = this.demandOf(service);
     return {
       name,
       megabytes,
-      demand: this.demand.expected(entry),
-      rememberedDemand: this.demand.remembered(entry),
+      demand: demand.expected(entry),
+      rememberedDemand: demand.remembered(entry),
       waiting: this.surroundings.waiting(service, name),
     };
   }
@@ -284,7 +300,9 @@
     const service = this.registry.service(serviceName);
     const described = service.models.find(({name}) => name === model);
     if (!described) return undefined;
-    const entries = this.registry.ofService(serviceName);
+    const entries = this.registry
+      .ofService(serviceName)
+      .filter(({listed}) => listed.isReady);
     const holder = entries.find(({book}) => book.holdsModel(model));
     if (holder) return expected(holder, 0);
     const loader = entries.find(({book}) => book.loadingModel === model);
--- a/packages/arbutustide-placement/src/planner_lease.ts
+++ b/packages/arbutustide-placement/src/planner_lease.ts
@@ -123,6 +123,7 @@
     const unchangedFor = now - this.seenSinceMilliseconds;
     const isFree = lease.holder === '';
     if (!isFree && unchangedFor < this.leaseMilliseconds) return;
+    this.isFirstHolder = false;
     const leases = isFree ? 1 : 2;
     await this.write(lease.epoch + 1, stored.version, now);
     const settled = leases * this.leaseMilliseconds - unchangedFor;
--- a/packages/arbutustide-routing/src/fleet/fleet_attempt.ts
+++ b/packages/arbutustide-routing/src/fleet/fleet_attempt.ts
@@ -11,11 +11,6 @@
 } from './attempt_verdict.js';
 import {remainingMilliseconds} from './fleet_progress.js';
 
-/** The beginning of a streamed body, read up to its first whole event. */
-export interface OpenBody {
-  readonly pieces: AsyncIterator<Uint8Array>;
-}
-
 /** One attempt with what came of it. */
 export interface Attempt {
   readonly place: Place;
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -1,6 +1,8 @@
 // Runs every check and ends with one line that counts them.
 import {spawnSync} from 'node:child_process';
-import {existsSync, readFileSync} from 'node:fs';
+import {existsSync, mkdtempSync, readFileSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
 
 const TEST_FILES = [
   'packages/*/src/__tests__/**/*.test.ts',
@@ -23,16 +25,23 @@
 }
 
 function runMocha() {
-  const {stdout} = spawnSync(
+  // A file of its own: nodes under test write their logs to standard output.
+  const directory = mkdtempSync(join(tmpdir(), 'arbutustide-tests-'));
+  const output = join(directory, 'report.json');
+  spawnSync(
     'node_modules/.bin/mocha',
-    ['--reporter', 'json', ...TEST_FILES, ...process.argv.slice(2)],
-    {
-      encoding: 'utf8',
-      maxBuffer: 64 * 1024 * 1024,
-      stdio: ['ignore', 'pipe', 'inherit'],
-    },
+    [
+      '--reporter',
+      'json',
+      '--reporter-option',
+      `output=${output}`,
+      ...TEST_FILES,
+      ...process.argv.slice(2),
+    ],
+    {stdio: ['ignore', 'ignore', 'inherit']},
   );
-  const report = JSON.parse(stdout.slice(stdout.indexOf('{\n  "stats"')));
+  const report = JSON.parse(readFileSync(output, 'utf8'));
+  rmSync(directory, {recursive: true});
   return {
     passes: report.passes.map(test => test.fullTitle),
     failures: report.failures.map(test => ({
