--- a/packages/arbutustide-node/src/fleet/fleet_core.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_core.ts
@@ -19,7 +19,7 @@
 import {delay} from '@arbutustide/errors';
 import {NodeState} from '@arbutustide/membership';
 
-import {formatBeliefs, PeerBootstrap} from './peer_bootstrap.js';
+import {formatSnapshot, PeerBootstrap} from './peer_bootstrap.js';
 import {drawIdentity, peerUrlOfIdentity} from './fleet_identity.js';
 import {FleetToken} from './fleet_tokens.js';
 import {
@@ -118,7 +118,7 @@
     const {stored} = this.parts.resolve(FleetToken.CONFIGURATION);
     const upstreams = this.parts.resolve(FleetToken.UPSTREAMS);
     if (!stored && !upstreams.hasList) return '';
-    return formatBeliefs(stored, upstreams.stored, upstreams.ageMilliseconds);
+    return formatSnapshot(stored, upstreams.stored, upstreams.ageMilliseconds);
   }
 
   contentJson(): string {
--- a/packages/arbutustide-node/src/fleet/fleet_settings.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_settings.ts
@@ -29,8 +29,8 @@
   /** Time from a stop being asked for to the end of the process. */
   readonly stopMilliseconds: number;
   readonly leaseMilliseconds: number;
-  /** Time after a suspension in which a process must not trust its lease. */
-  readonly settleMilliseconds: number;
+  /** Drift between the clocks that does not mean the process was suspended. */
+  readonly suspensionToleranceMilliseconds: number;
   readonly retry: RetrySettings;
   readonly loads: LoadSettings;
 }
--- a/packages/arbutustide-node/src/fleet/fleet_wiring.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_wiring.ts
@@ -51,14 +51,14 @@
     container.register(token, {useFactory: instanceCachingFactory(create)});
   };
   container.register(FleetToken.DEPENDENCIES, {useValue: dependencies});
-  registerBeliefs(register, dependencies);
+  registerWatchers(register, dependencies);
   registerMembership(register, dependencies, identity);
   registerRouting(register, dependencies);
   registerPlacement(register, dependencies, identity);
   return container;
 }
 
-function registerBeliefs(
+function registerWatchers(
   register: Register,
   dependencies: FleetDependencies,
 ): void {
@@ -229,7 +229,7 @@
       {
         ...tuning.PLANNER_TUNING,
         holder: settings.nodeName,
-        suspensionMilliseconds: settings.settleMilliseconds,
+        suspensionMilliseconds: settings.suspensionToleranceMilliseconds,
       },
     );
   });
--- a/packages/arbutustide-node/src/fleet/peer_bootstrap.ts
+++ b/packages/arbutustide-node/src/fleet/peer_bootstrap.ts
@@ -20,27 +20,27 @@
 });
 
 /** What a node hands to a peer that starts while the store is away. */
-const beliefsSchema = z.object({
+const snapshotSchema = z.object({
   /** Time since the store last confirmed the upstreams, in milliseconds. */
   ageMilliseconds: z.number(),
   configuration: objectSchema.optional(),
   upstreams: z.array(objectSchema),
 });
 
-type Beliefs = z.infer<typeof beliefsSchema>;
+type Snapshot = z.infer<typeof snapshotSchema>;
 
-/** Writes what this node believes, for a peer that starts. */
-export function formatBeliefs(
+/** Writes what this node has read from the store, for a peer that starts. */
+export function formatSnapshot(
   configuration: StoredObject | undefined,
   upstreams: readonly StoredObject[],
   ageMilliseconds: number,
 ): string {
-  const beliefs: Beliefs = {
+  const snapshot: Snapshot = {
     ageMilliseconds: Math.round(ageMilliseconds),
     configuration,
     upstreams: [...upstreams],
   };
-  return JSON.stringify(beliefs);
+  return JSON.stringify(snapshot);
 }
 
 /** Takes configuration and upstreams from a peer while the store is away. */
@@ -72,24 +72,24 @@
   private async askPeer(url: string): Promise<void> {
     const answer = await this.transport.fetchHead(url);
     if (!answer.ok || answer.val === '') return;
-    const beliefs = parseBeliefs(answer.val);
-    if (!beliefs) {
-      this.logger.warn({peer: url}, "a peer's beliefs cannot be read");
+    const snapshot = parseSnapshot(answer.val);
+    if (!snapshot) {
+      this.logger.warn({peer: url}, "a peer's snapshot cannot be read");
       return;
     }
-    const {configuration, upstreams, ageMilliseconds} = beliefs;
+    const {configuration, upstreams, ageMilliseconds} = snapshot;
     this.logger.info(
       {peer: url, ageMilliseconds, upstreams: upstreams.length},
-      'beliefs taken from a peer',
+      'snapshot taken from a peer',
     );
     if (configuration) this.configuration.take(configuration);
     this.upstreams.takeFromPeer(upstreams);
   }
 }
 
-function parseBeliefs(text: string): Beliefs | undefined {
+function parseSnapshot(text: string): Snapshot | undefined {
   try {
-    return beliefsSchema.safeParse(JSON.parse(text)).data;
+    return snapshotSchema.safeParse(JSON.parse(text)).data;
   } catch {
     return undefined;
   }
--- a/packages/arbutustide-node/src/fleet/upstream_watcher.ts
+++ b/packages/arbutustide-node/src/fleet/upstream_watcher.ts
@@ -86,7 +86,7 @@
     }
     const listed = new Set(descriptions.map(({id}) => id));
     for (const {id} of [...this.directory.all()]) {
-      if (!listed.has(id)) this.forget(id, 'not listed');
+      if (!listed.has(id)) this.scheduleRemoval(id, 'not listed');
     }
     for (const description of descriptions) this.put(description);
   }
@@ -112,7 +112,7 @@
   }
 
   private put(description: UpstreamDescription): void {
-    this.keep(description.id);
+    this.cancelRemoval(description.id);
     const known = this.directory.get(description.id)?.description;
     this.directory.put(description);
     const isNew =
@@ -134,33 +134,36 @@
   }
 
   private remove(key: string, reason: string): void {
-    this.forget(this.dependencies.upstreams.idOf(key), reason);
+    this.scheduleRemoval(this.dependencies.upstreams.idOf(key), reason);
   }
 
   /**
    * Removes an upstream; where the store was just away, only after the time in
    * which the entries of living upstreams come back.
    */
-  private forget(id: string, reason: string): void {
+  private scheduleRemoval(id: string, reason: string): void {
     if (!this.directory.get(id)) return;
     const wait = this.lapsedUntilMilliseconds - performance.now();
     if (wait <= 0) {
-      this.drop(id, reason);
+      this.removeNow(id, reason);
     } else if (!this.removals.has(id)) {
-      const timer = setTimeout(() => this.drop(id, `${reason}, lapsed`), wait);
+      const timer = setTimeout(
+        () => this.removeNow(id, `${reason}, lapsed`),
+        wait,
+      );
       this.removals.set(id, timer);
     }
   }
 
-  private drop(id: string, reason: string): void {
-    this.keep(id);
+  private removeNow(id: string, reason: string): void {
+    this.cancelRemoval(id);
     this.entries.delete(id);
     this.directory.remove(id);
     this.dependencies.logger.info({upstream: id, reason}, 'upstream removed');
   }
 
   /** Takes back a removal that waits. */
-  private keep(id: string): void {
+  private cancelRemoval(id: string): void {
     clearTimeout(this.removals.get(id));
     this.removals.delete(id);
   }
--- a/packages/arbutustide-placement/src/fleet/fleet_planner.ts
+++ b/packages/arbutustide-placement/src/fleet/fleet_planner.ts
@@ -19,7 +19,7 @@
 import {EngineRegistry} from './engine_registry.js';
 import {PlannerStep} from './fleet_surroundings.js';
 import {planModels} from './model_plan.js';
-import {OrderGiver} from './order_giver.js';
+import {OrderSender} from './order_sender.js';
 import {SuspensionGuard} from './suspension_guard.js';
 
 /** What the planner may do, and how fast. */
@@ -63,7 +63,7 @@
  */
 export class FleetPlanner {
   private readonly registry: EngineRegistry;
-  private readonly giver: OrderGiver;
+  private readonly sender: OrderSender;
   private readonly allowances = new Map<string, LoadAllowance>();
   /** Demand for the models of each service. */
   private readonly demands = new Map<string, DemandTracker>();
@@ -80,7 +80,7 @@
   ) {
     this.registry = new EngineRegistry(orders, surroundings, settings);
     this.guard = new SuspensionGuard(settings.suspensionMilliseconds);
-    this.giver = new OrderGiver(lease, orders, {
+    this.sender = new OrderSender(lease, orders, {
       holder: settings.holder,
       mayOrder: () => this.checkMayOrder(),
       record: decision => surroundings.record(decision),
@@ -241,7 +241,7 @@
       const age = performance.now() - closing.sinceMilliseconds;
       if (age < this.settings.closeMilliseconds) continue;
       if (book.isBusy || !book.isKnown) continue;
-      void this.giver.give(entry, OrderKind.UNLOAD, closing.model, undefined);
+      void this.sender.send(entry, OrderKind.UNLOAD, closing.model, undefined);
     }
   }
 
@@ -271,7 +271,7 @@
       if (allowance.available(this.loadsUnderway(service)) < 1) return;
       allowance.take(1);
     }
-    void this.giver.give(entry, OrderKind.LOAD, model, undefined, gain);
+    void this.sender.send(entry, OrderKind.LOAD, model, undefined, gain);
   }
 
   private loadsUnderway({name}: EngineService): number {
@@ -334,7 +334,7 @@
     }
     const {evicted} = plan;
     if (evicted) {
-      await this.giver.give(
+      await this.sender.send(
         entry,
         OrderKind.UNLOAD,
         evicted.model,
@@ -342,7 +342,7 @@
       );
       await this.registry.refresh(entry);
     }
-    await this.giver.give(entry, OrderKind.LOAD, wanted.model, wanted.adapter);
+    await this.sender.send(entry, OrderKind.LOAD, wanted.model, wanted.adapter);
     return entry.book.hasAdapter(wanted)
       ? expected(entry, adapterLoadMilliseconds)
       : expected(undefined, PLACE_RETRY_MILLISECONDS);
--- a/packages/arbutustide-placement/src/fleet/order_giver.ts
+++ b/packages/arbutustide-placement/src/fleet/order_sender.ts
@@ -8,25 +8,25 @@
 import {HoldingOrderAnswer} from './engine_orders.js';
 import {PlannerStep} from './fleet_surroundings.js';
 
-/** What giving orders depends on. */
-export interface OrderGiverOptions {
-  /** Name under which orders are given. */
+/** What sending orders depends on. */
+export interface OrderSenderOptions {
+  /** Name of this node in its orders. */
   readonly holder: string;
   /** Asked right before each order. */
   readonly mayOrder: () => boolean;
   readonly record: (decision: PlannerDecision) => void;
 }
 
-/** Gives orders to engines, each only while this node may. */
-export class OrderGiver {
+/** Sends orders to engines, each only while this node holds the lease. */
+export class OrderSender {
   constructor(
     private readonly lease: PlannerLease,
     private readonly orders: EngineOrders,
-    private readonly options: OrderGiverOptions,
+    private readonly options: OrderSenderOptions,
   ) {}
 
-  /** Gives one order, after those given to the engine before. */
-  give(
+  /** Sends one order, after those sent to the engine before. */
+  send(
     entry: EngineEntry,
     kind: OrderKind,
     model: string,
@@ -34,13 +34,13 @@
     gain?: number,
   ): Promise<void> {
     const turn = entry.turn.then(() =>
-      this.giveNow(entry, kind, model, adapter, gain),
+      this.sendNow(entry, kind, model, adapter, gain),
     );
     entry.turn = turn;
     return turn;
   }
 
-  private async giveNow(
+  private async sendNow(
     {book, listed}: EngineEntry,
     kind: OrderKind,
     model: string,
