Remove members that nothing calls

Cause: on the last reading, the length and the listing of the queue for places, replacing a whole directory, and iterating the engine registry had no caller.

Conclusion: no behaviour changes.

--- a/packages/arbutustide-placement/src/fleet/engine_registry.ts
+++ b/packages/arbutustide-placement/src/fleet/engine_registry.ts
@@ -62,10 +62,6 @@
     return this.entries.get(id);
   }
 
-  all(): Iterable<EngineEntry> {
-    return this.entries.values();
-  }
-
   ofService(service: string): EngineEntry[] {
     return [...this.entries.values()].filter(
       ({listed}) => listed.service === service,
--- a/packages/arbutustide-routing/src/fleet/fleet_directory.ts
+++ b/packages/arbutustide-routing/src/fleet/fleet_directory.ts
@@ -47,15 +47,6 @@
     this.changed();
   }
 
-  /** Replaces the whole list; what is not listed is removed. */
-  replaceAll(descriptions: readonly UpstreamDescription[]): void {
-    const listed = new Set(descriptions.map(({id}) => id));
-    for (const id of [...this.byId.keys()]) {
-      if (!listed.has(id)) this.remove(id);
-    }
-    for (const description of descriptions) this.put(description);
-  }
-
   /** Tells listeners that something in an upstream has changed. */
   changed(): void {
     for (const listener of this.listeners) listener();
--- a/packages/arbutustide-routing/src/fleet/place_queue.ts
+++ b/packages/arbutustide-routing/src/fleet/place_queue.ts
@@ -69,10 +69,6 @@
 
   constructor(private readonly options: PlaceQueueOptions) {}
 
-  get length(): number {
-    return this.waiters.length;
-  }
-
   /** Waits for a place, or tells at once why there will be none in time. */
   async enter(progress: FleetProgress): Promise<PlaceResult> {
     const {choose, observer, onNotHeld} = this.options;
@@ -102,11 +98,6 @@
     });
   }
 
-  /** Requests waiting for the same model or service. */
-  *waitingRequests(): Generator<FleetProgress> {
-    for (const {progress} of this.waiters) yield progress;
-  }
-
   private pass(): void {
     const waiting = new Map<string, number>();
     for (const waiter of [...this.waiters]) {
