Let the last planner go on while the store is away; pass the lease at once from one that ended

Ruled out: a lease an engine (the weight store's limit holds over all engines); a shorter lease (the bound is the users').

Change: PlannerTenure. Where engines check fencing tokens, the last holder goes on until it hears of a successor, is refused, stood still or lost touch with most nodes. A challenger counts only time in which it read the lease, waits a whole lease after the gain, but not where the holder before gave the lease up, tells that it stopped, or certainly ended (nothing listens at its address, or another process does). A lease that another writer spoilt no longer ends the process.

The plan keeps what was much in demand, counts load times and the engines' load, and forgets a fallen demand sooner. Arrivals left the records; nothing read them.

--- a/packages/arbutustide-membership/src/cluster_view.ts
+++ b/packages/arbutustide-membership/src/cluster_view.ts
@@ -28,7 +28,6 @@
 export interface DemandSummary {
   inFlight: number;
   queued: number;
-  arrivalsPerSecond: number;
 }
 
 /** What a node read from an upstream's report. */
@@ -67,11 +66,10 @@
   },
   demand: (field, _writer, into) => {
     if (field.value.case !== 'demand') return;
-    const {entry, inFlight, queued, arrivalsMilli} = field.value.value;
+    const {entry, inFlight, queued} = field.value.value;
     const sum = into.demands.get(entry) ?? emptyDemand();
     sum.inFlight += inFlight;
     sum.queued += queued;
-    sum.arrivalsPerSecond += arrivalsMilli / 1_000;
     into.demands.set(entry, sum);
   },
   observation: (field, writer, into) => {
@@ -123,6 +121,19 @@
     return planner;
   }
 
+  /** Highest epoch of a planner's lease that another node holds; or zero. */
+  otherPlannerEpoch(): number {
+    const epochs = this.current().nodes.map(({plannerEpoch}) => plannerEpoch);
+    return Math.max(0, ...epochs);
+  }
+
+  /** Whether a node that is heard of tells that it holds no planner's lease. */
+  hasSteppedDown(identity: string): boolean {
+    return this.current().nodes.some(
+      node => node.identity === identity && node.plannerEpoch === 0,
+    );
+  }
+
   /** Number of nodes that serve callers, this one included when it does. */
   readyNodeCount(): number {
     const own = this.table.own.get(STATUS_KEY);
@@ -210,5 +221,5 @@
 }
 
 function emptyDemand(): DemandSummary {
-  return {inFlight: 0, queued: 0, arrivalsPerSecond: 0};
+  return {inFlight: 0, queued: 0};
 }
--- a/packages/arbutustide-membership/src/connect_transport.ts
+++ b/packages/arbutustide-membership/src/connect_transport.ts
@@ -18,6 +18,7 @@
 /** A quiet connection is proved alive before it is used again. */
 const PING_INTERVAL_MILLISECONDS = 5_000;
 const IDLE_CONNECTION_MILLISECONDS = 60_000;
+const CONNECTION_REFUSED = 'ECONNREFUSED';
 
 type PeerClient = Client<typeof MembershipService>;
 
@@ -75,8 +76,12 @@
     try {
       return Ok(await run(this.client(peerUrl)));
     } catch (error) {
-      const message = ConnectError.from(error).message;
-      return Err(new PeerError(peerUrl, `${peerUrl}: ${message}`));
+      const {message, cause} = ConnectError.from(error);
+      const isRefused =
+        cause instanceof Error &&
+        'code' in cause &&
+        cause.code === CONNECTION_REFUSED;
+      return Err(new PeerError(peerUrl, `${peerUrl}: ${message}`, isRefused));
     }
   }
 
--- a/packages/arbutustide-membership/src/peer_transport.ts
+++ b/packages/arbutustide-membership/src/peer_transport.ts
@@ -8,9 +8,11 @@
 
 /** A call to a peer that failed. */
 export class PeerError extends Error {
+  /** @param isRefused whether no process listens at the peer's address. */
   constructor(
     readonly peerUrl: string,
     message: string,
+    readonly isRefused = false,
   ) {
     super(message);
     this.name = 'PeerError';
--- /dev/null
+++ b/packages/arbutustide-node/src/__tests__/integration/holder_check.test.ts
@@ -0,0 +1,109 @@
+import type {PeerHandler} from '@arbutustide/membership';
+import type {Server} from 'node:net';
+
+import {once} from 'node:events';
+import {createServer} from 'node:net';
+
+import {
+  ConnectPeerServer,
+  ConnectPeerTransport,
+  Gossip,
+  MemberTable,
+  OwnRecord,
+} from '@arbutustide/membership';
+import {expect} from 'chai';
+
+import {HolderCheck} from '../../fleet/holder_check.js';
+
+const HOST = '127.0.0.1';
+const CALL_MILLISECONDS = 300;
+const EXPIRY_MILLISECONDS = 3_500;
+
+function createTable(identity: string): MemberTable {
+  return new MemberTable(
+    new OwnRecord(identity, EXPIRY_MILLISECONDS),
+    EXPIRY_MILLISECONDS,
+  );
+}
+
+/** Answers exchanges as the process of an identity. */
+function createHandler(identity: string): PeerHandler {
+  const gossip = new Gossip(
+    createTable(identity),
+    new ConnectPeerTransport(CALL_MILLISECONDS),
+    {
+      ownUrl: '',
+      ownFailureDomain: '',
+      intervalMilliseconds: EXPIRY_MILLISECONDS,
+      heartbeatMilliseconds: EXPIRY_MILLISECONDS,
+      maximumPeers: 0,
+      random: Math.random,
+    },
+  );
+  return {
+    exchange: request => gossip.answer(request),
+    headJson: () => '',
+    contentJson: () => '',
+    requestHolding: async () => undefined,
+  };
+}
+
+async function freePort(): Promise<number> {
+  const server = createServer();
+  const port = await listen(server);
+  server.close();
+  await once(server, 'close');
+  return port;
+}
+
+async function listen(server: Server): Promise<number> {
+  server.listen(0, HOST);
+  await once(server, 'listening');
+  const address = server.address();
+  return typeof address === 'object' && address ? address.port : 0;
+}
+
+describe('check of the lease holder', () => {
+  let check: HolderCheck;
+  let table: MemberTable;
+
+  beforeEach(() => {
+    table = createTable('127.0.0.1:1#checker');
+    check = new HolderCheck(table, new ConnectPeerTransport(CALL_MILLISECONDS));
+  });
+
+  it('takes a refused connection for the end of the process', async () => {
+    const port = await freePort();
+    expect(await check.hasEnded(`${HOST}:${port}#first`)).to.equal(true);
+  });
+
+  it('tells the process from another at the same address', async () => {
+    const port = await freePort();
+    const server = new ConnectPeerServer(() =>
+      createHandler(`${HOST}:${port}#second`),
+    );
+    await server.listen(HOST, port);
+    expect(await check.hasEnded(`${HOST}:${port}#first`)).to.equal(true);
+    expect(await check.hasEnded(`${HOST}:${port}#second`)).to.equal(false);
+    await server.close();
+  });
+
+  it('concludes nothing from silence', async () => {
+    const silent = createServer(socket => socket.on('error', () => {}));
+    const port = await listen(silent);
+    expect(await check.hasEnded(`${HOST}:${port}#first`)).to.equal(false);
+    silent.close();
+  });
+
+  it('concludes nothing from an identity without an address', async () => {
+    expect(await check.hasEnded('unreadable')).to.equal(false);
+  });
+
+  it('asks nobody about a process that was just heard of', async () => {
+    const identity = `${HOST}:${await freePort()}#first`;
+    const other = createTable(identity);
+    other.own.beat();
+    table.merge(other.deltasSince(new Map()));
+    expect(await check.hasEnded(identity)).to.equal(false);
+  });
+});
--- a/packages/arbutustide-node/src/fleet/fleet_core.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_core.ts
@@ -189,13 +189,13 @@
   private async publishRegularly(signal: AbortSignal): Promise<void> {
     const view = this.parts.resolve(FleetToken.CLUSTER_VIEW);
     const directory = this.parts.resolve(FleetToken.DIRECTORY);
-    const lease = this.parts.resolve(FleetToken.LEASE);
+    const tenure = this.parts.resolve(FleetToken.TENURE);
     while (!signal.aborted) {
       this.status.publish();
       const holdings = view.holdings();
       for (const upstream of directory.all()) {
         upstream.peersInFlight = view.peerLoad(upstream.id);
-        if (lease.isHeld) continue;
+        if (tenure.checkActive()) continue;
         const planned = holdings.get(upstream.id);
         const isSameProcess =
           planned?.upstreamStartedAt === BigInt(upstream.description.startedAt);
@@ -226,10 +226,11 @@
   /** Renews the lease, or tries to gain it while no planner is heard of. */
   private async keepLease(signal: AbortSignal): Promise<void> {
     const lease = this.parts.resolve(FleetToken.LEASE);
+    const tenure = this.parts.resolve(FleetToken.TENURE);
     const view = this.parts.resolve(FleetToken.CLUSTER_VIEW);
     const {leaseMilliseconds} = this.dependencies.settings;
     while (!signal.aborted) {
-      const planner = lease.isHeld ? undefined : view.planner();
+      const planner = tenure.checkActive() ? undefined : view.planner();
       const isNeeded = planner === undefined || this.isStandby(planner);
       if (isNeeded && this.routes) {
         await lease.maintain();
--- a/packages/arbutustide-node/src/fleet/fleet_settings.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_settings.ts
@@ -29,6 +29,8 @@
   /** Time from a stop being asked for to the end of the process. */
   readonly stopMilliseconds: number;
   readonly leaseMilliseconds: number;
+  /** Whether engines refuse orders whose fencing token is an old one. */
+  readonly areFencesChecked: boolean;
   /** Drift between the clocks that does not mean the process was suspended. */
   readonly suspensionToleranceMilliseconds: number;
   readonly retry: RetrySettings;
--- a/packages/arbutustide-node/src/fleet/fleet_tokens.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_tokens.ts
@@ -1,5 +1,9 @@
 import type {ClusterView, Gossip, MemberTable} from '@arbutustide/membership';
-import type {FleetPlanner, PlannerLease} from '@arbutustide/placement';
+import type {
+  FleetPlanner,
+  PlannerLease,
+  PlannerTenure,
+} from '@arbutustide/placement';
 import type {
   DemandCounter,
   FleetDirectory,
@@ -32,6 +36,7 @@
   OWN_STATUS: 'fleet.ownStatus' as InjectionToken<OwnStatus>,
   SUSPECTS: 'fleet.suspects' as InjectionToken<RequestSuspects>,
   LEASE: 'fleet.lease' as InjectionToken<PlannerLease>,
+  TENURE: 'fleet.tenure' as InjectionToken<PlannerTenure>,
   PLANNER: 'fleet.planner' as InjectionToken<FleetPlanner>,
   REQUESTER: 'fleet.requester' as InjectionToken<HoldingRequester>,
 } as const;
--- a/packages/arbutustide-node/src/fleet/fleet_tuning.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_tuning.ts
@@ -58,12 +58,12 @@
   // Longer than the time between two records, so that use has been heard of.
   adapterIdleMilliseconds: 300,
   // Demand moves to other models within 4 to 6 s.
-  shortWindowMilliseconds: 2_000,
-  longWindowMilliseconds: 8_000,
-  // Requests at once of an engine that shares a model in demand.
-  assumedDemand: 2,
-  // Below the loads at once that keep their full speed, with room for late ones.
-  storeLoadsAtOnce: 3,
+  shortWindowMilliseconds: 1_500,
+  longWindowMilliseconds: 4_000,
+  // A quarter of the engines that hold a model at first may be needed elsewhere.
+  assumedShare: 0.75,
+  // The weight store bears three beyond its rate; one is left for late orders.
+  storeLoadBurst: 2,
   // Requests at once beyond which first events came late on the heaviest days.
   replicaShare: 0.25,
   // Less than the demand for one of the models in demand on a calm day.
--- a/packages/arbutustide-node/src/fleet/fleet_wiring.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_wiring.ts
@@ -10,7 +10,11 @@
   MemberTable,
   OwnRecord,
 } from '@arbutustide/membership';
-import {FleetPlanner, PlannerLease} from '@arbutustide/placement';
+import {
+  FleetPlanner,
+  PlannerLease,
+  PlannerTenure,
+} from '@arbutustide/placement';
 import {
   chooseUpstream,
   DemandCounter,
@@ -29,6 +33,7 @@
 import {NodeFleetSurroundings} from './fleet_surroundings.js';
 import {FleetToken} from './fleet_tokens.js';
 import * as tuning from './fleet_tuning.js';
+import {HolderCheck} from './holder_check.js';
 import {HoldingRequester} from './holding_requester.js';
 import {PlannerLink} from './planner_link.js';
 import {UpstreamWatcher} from './upstream_watcher.js';
@@ -54,7 +59,8 @@
   registerWatchers(register, dependencies);
   registerMembership(register, dependencies, identity);
   registerRouting(register, dependencies);
-  registerPlacement(register, dependencies, identity);
+  registerLease(register, dependencies, identity);
+  registerPlacement(register, dependencies);
   return container;
 }
 
@@ -113,7 +119,7 @@
     );
   });
   register(FleetToken.OWN_STATUS, parts => {
-    const lease = parts.resolve(FleetToken.LEASE);
+    const tenure = parts.resolve(FleetToken.TENURE);
     const {nodeName: name, region, failureDomain} = settings;
     return new OwnStatus(
       parts.resolve(FleetToken.MEMBER_TABLE),
@@ -124,7 +130,7 @@
       () =>
         parts.resolve(FleetToken.CONFIGURATION).routes?.configuration.version ??
         0,
-      () => (lease.isHeld ? lease.epoch : 0),
+      () => (tenure.checkActive() ? tenure.epoch : 0),
     );
   });
 }
@@ -194,22 +200,42 @@
   });
 }
 
-function registerPlacement(
+function registerLease(
   register: Register,
-  dependencies: FleetDependencies,
+  {settings, store, transport}: FleetDependencies,
   {identity}: Identity,
 ): void {
-  const {settings, store, orders, transport, logger, metrics} = dependencies;
-  register(
-    FleetToken.LEASE,
-    () =>
-      new PlannerLease(
-        store,
-        LEASE_REGION,
-        identity,
-        settings.leaseMilliseconds,
-      ),
-  );
+  register(FleetToken.LEASE, parts => {
+    const check = new HolderCheck(
+      parts.resolve(FleetToken.MEMBER_TABLE),
+      transport,
+    );
+    return new PlannerLease(
+      store,
+      LEASE_REGION,
+      identity,
+      settings.leaseMilliseconds,
+      holder => check.hasEnded(holder),
+    );
+  });
+  register(FleetToken.TENURE, parts => {
+    const view = parts.resolve(FleetToken.CLUSTER_VIEW);
+    return new PlannerTenure(
+      parts.resolve(FleetToken.LEASE),
+      {
+        nodeCount: () => view.nodes().length,
+        otherPlannerEpoch: () => view.otherPlannerEpoch(),
+        hasSteppedDown: holder => view.hasSteppedDown(holder),
+      },
+      settings,
+    );
+  });
+}
+
+function registerPlacement(
+  register: Register,
+  {settings, orders, transport, logger, metrics}: FleetDependencies,
+): void {
   register(FleetToken.PLANNER, parts => {
     const surroundings = new NodeFleetSurroundings(
       parts.resolve(FleetToken.DIRECTORY),
@@ -224,6 +250,7 @@
     );
     return new FleetPlanner(
       parts.resolve(FleetToken.LEASE),
+      parts.resolve(FleetToken.TENURE),
       orders,
       surroundings,
       {
--- a/packages/arbutustide-node/src/own_status.ts
+++ b/packages/arbutustide-node/src/own_status.ts
@@ -29,16 +29,9 @@
   loads(): Iterable<EntryLoad>;
 }
 
-/** What is told of one entry, and when its arrivals were last counted. */
-interface ArrivalCount {
-  arrivals: number;
-  atMilliseconds: number;
-}
-
 /** Writes what this node does into its own record. */
 export class OwnStatus {
   private nodeState = NodeState.STARTING;
-  private readonly arrivalCounts = new Map<string, ArrivalCount>();
   private publishedKeys = new Set<string>();
 
   constructor(
@@ -101,15 +94,13 @@
 
   private *publishDemands(): Generator<string> {
     for (const load of this.admission.loads()) {
-      const arrivalsMilli = this.arrivalsMilli(load);
       const {entryName, inFlight, queued} = load;
-      if (inFlight + queued + arrivalsMilli === 0) continue;
+      if (inFlight + queued === 0) continue;
       const key = `demand/${entryName}`;
       const value = create(EntryDemandSchema, {
         entry: entryName,
         inFlight,
         queued,
-        arrivalsMilli,
       });
       this.table.own.set(key, {case: 'demand', value});
       yield key;
@@ -129,15 +120,4 @@
       yield key;
     }
   }
-
-  /** Arrivals a second since the last call, in thousandths. */
-  private arrivalsMilli({entryName, arrivals}: EntryLoad): number {
-    const now = performance.now();
-    const before = this.arrivalCounts.get(entryName);
-    this.arrivalCounts.set(entryName, {arrivals, atMilliseconds: now});
-    const elapsed = now - (before?.atMilliseconds ?? now);
-    if (elapsed <= 0) return 0;
-    const added = arrivals - (before?.arrivals ?? 0);
-    return Math.round((added * 1_000_000) / elapsed);
-  }
 }
--- a/packages/arbutustide-placement/src/__tests__/unit/fleet_plans.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/fleet_plans.test.ts
@@ -24,6 +24,9 @@
   return {
     name,
     megabytes: 70,
+    storeLoadMilliseconds: 4_000,
+    diskLoadMilliseconds: 800,
+    memoryLoadMilliseconds: 400,
     demand: 0,
     rememberedDemand: 0,
     waiting: 0,
@@ -42,6 +45,7 @@
     freeMegabytes: 220 - models.length * 70,
     models,
     loading: undefined,
+    load: 0,
     canTakeOrder: true,
     modelsInMemory: new Set(),
     modelsOnDisk: new Set(),
@@ -115,6 +119,42 @@
     expect(move.engineId).to.equal('3');
   });
 
+  it('places a replica where there is least to do', () => {
+    const models = [model('busy', {demand: 30}), model('other')];
+    const engines = [
+      engine('holder', ['busy'], {load: 0.9}),
+      engine('loaded', ['other'], {load: 0.6}),
+      engine('idle', ['other'], {load: 0.1}),
+    ];
+    const [move] = planModels(models, engines, SETTINGS);
+    expect(move).to.include({engineId: 'idle', model: 'busy'});
+  });
+
+  it('prefers a copy at hand though that engine has a little more to do', () => {
+    const models = [model('busy', {demand: 30}), model('other')];
+    const engines = [
+      engine('holder', ['busy'], {load: 0.9}),
+      engine('idle', ['other'], {load: 0.1}),
+      engine('warm', ['other'], {load: 0.2, modelsOnDisk: new Set(['busy'])}),
+    ];
+    const [move] = planModels(models, engines, SETTINGS);
+    expect(move).to.include({engineId: 'warm', model: 'busy'});
+  });
+
+  it('keeps the last replica of what was much in demand', () => {
+    const models = [
+      model('wanted', {waiting: 2}),
+      model('past', {rememberedDemand: 30}),
+      model('rare'),
+    ];
+    const engines = [
+      engine('1', ['past'], {freeMegabytes: 0}),
+      engine('2', ['rare'], {freeMegabytes: 0}),
+    ];
+    const [move] = planModels(models, engines, SETTINGS);
+    expect(move).to.deep.include({engineId: '2', evicted: ['rare']});
+  });
+
   it('prefers the engine that has its own copy', () => {
     const engines = [
       engine('1', []),
--- a/packages/arbutustide-placement/src/fleet/engine_registry.ts
+++ b/packages/arbutustide-placement/src/fleet/engine_registry.ts
@@ -141,6 +141,7 @@
       freeMegabytes: book.freeMegabytes,
       models: book.heldModels.filter(model => model !== closing?.model),
       loading: book.loadingModel ?? closing?.successor,
+      load: listed.inFlight / this.service(listed.service).slots,
       canTakeOrder:
         listed.isReady &&
         book.isKnown &&
--- a/packages/arbutustide-placement/src/fleet/fleet_planner.ts
+++ b/packages/arbutustide-placement/src/fleet/fleet_planner.ts
@@ -1,7 +1,9 @@
 import type {PlannerLease} from '../planner_lease.js';
-import type {AdapterPlan} from './adapter_plan.js';
+import type {PlannerTenure} from '../planner_tenure.js';
+import type {AdapterLoaderSettings} from './adapter_loader.js';
 import type {EngineEntry, EngineRegistrySettings} from './engine_registry.js';
-import type {AdapterName, EngineOrders} from './engine_orders.js';
+import type {ExpectedHolding} from './expected_holding.js';
+import type {EngineOrders} from './engine_orders.js';
 import type {
   CataloguedModel,
   EngineService,
@@ -15,8 +17,9 @@
 
 import {DemandTracker} from '../demand_tracker.js';
 import {LoadAllowance} from '../load_allowance.js';
-import {planAdapter} from './adapter_plan.js';
+import {AdapterLoader} from './adapter_loader.js';
 import {EngineRegistry} from './engine_registry.js';
+import {expectedAt} from './expected_holding.js';
 import {PlannerStep} from './fleet_surroundings.js';
 import {planModels} from './model_plan.js';
 import {OrderSender} from './order_sender.js';
@@ -24,7 +27,7 @@
 
 /** What the planner may do, and how fast. */
 export interface FleetPlannerSettings
-  extends ModelPlanSettings, EngineRegistrySettings {
+  extends ModelPlanSettings, EngineRegistrySettings, AdapterLoaderSettings {
   /** Name under which orders are given. */
   readonly holder: string;
   /** Time between two passes. */
@@ -33,29 +36,20 @@
   readonly suspensionMilliseconds: number;
   /** Time after which nodes have heard that a model takes no new requests. */
   readonly closeMilliseconds: number;
-  /** Least idle time of an adapter that makes place for another. */
-  readonly adapterIdleMilliseconds: number;
   /** Demand is averaged over the shorter window as it rises. */
   readonly shortWindowMilliseconds: number;
   readonly longWindowMilliseconds: number;
-  /** Requests at once assumed for each engine that holds a model at first. */
-  readonly assumedDemand: number;
-  /** Loads at once from the weight store that keep their full speed. */
-  readonly storeLoadsAtOnce: number;
+  /**
+   * Demand assumed at first for each further engine that holds a model, as a
+   * part of what one replica serves well.
+   */
+  readonly assumedShare: number;
+  /** Loads from the weight store that may begin at one moment. */
+  readonly storeLoadBurst: number;
 }
 
 /** Part of the weight store's rate that is used; late orders take the rest. */
 const STORE_RATE_SHARE = 0.95;
-/** Time until a place for an adapter is looked for again, in milliseconds. */
-const PLACE_RETRY_MILLISECONDS = 150;
-
-/** Where a model or adapter will be held, and when. */
-export interface ExpectedHolding {
-  /** Empty while the engine has not been chosen. */
-  readonly upstreamId: string;
-  readonly readyInMilliseconds: number;
-}
-
 /**
  * Decides what each engine holds and orders it, while this node has the lease.
  * A node that has just gained it waits first until the orders of the holder
@@ -64,16 +58,17 @@
 export class FleetPlanner {
   private readonly registry: EngineRegistry;
   private readonly sender: OrderSender;
+  private readonly adapters: AdapterLoader;
   private readonly allowances = new Map<string, LoadAllowance>();
   /** Demand for the models of each service. */
   private readonly demands = new Map<string, DemandTracker>();
-  private readonly adapterAskedAt = new Map<string, number>();
   private readonly guard: SuspensionGuard;
   private heldEpoch: number | undefined;
-  private ordersFromMilliseconds = Infinity;
+  private lastEpoch = 0;
 
   constructor(
     private readonly lease: PlannerLease,
+    private readonly tenure: PlannerTenure,
     orders: EngineOrders,
     private readonly surroundings: FleetSurroundings,
     private readonly settings: FleetPlannerSettings,
@@ -85,6 +80,12 @@
       mayOrder: () => this.checkMayOrder(),
       record: decision => surroundings.record(decision),
     });
+    this.adapters = new AdapterLoader(
+      this.registry,
+      this.sender,
+      surroundings,
+      settings,
+    );
   }
 
   /**
@@ -94,9 +95,9 @@
   checkMayOrder(): boolean {
     if (this.guard.check()) this.lease.distrust();
     return (
-      this.lease.isHeld &&
-      this.heldEpoch === this.lease.epoch &&
-      performance.now() >= this.ordersFromMilliseconds
+      this.tenure.checkActive() &&
+      this.heldEpoch === this.tenure.epoch &&
+      this.tenure.isSettled
     );
   }
 
@@ -121,11 +122,16 @@
   ): Promise<ExpectedHolding | undefined> {
     if (!this.checkMayOrder()) return undefined;
     if (adapter === undefined) return this.expectedModel(service, model);
-    return this.loadAdapter(service, {model, adapter});
+    const wanted = {model, adapter};
+    const entries = this.registry.ofService(service);
+    const isModelHeld = entries.some(({book}) => book.holdsModel(model));
+    return isModelHeld
+      ? this.adapters.load(service, wanted)
+      : this.expectedModel(service, model);
   }
 
   private followLease(): void {
-    const epoch = this.lease.isHeld ? this.lease.epoch : undefined;
+    const epoch = this.tenure.checkActive() ? this.tenure.epoch : undefined;
     if (epoch === this.heldEpoch) return;
     const {record} = this.surroundings;
     if (epoch === undefined) {
@@ -133,9 +139,9 @@
       this.registry.clear(this.heldEpoch ?? 0);
     } else {
       record({step: PlannerStep.LEASE_GAINED, epoch});
-      this.ordersFromMilliseconds =
-        performance.now() + this.lease.settleMilliseconds;
-      this.allowances.clear();
+      // The loads that the holder before began last are not known.
+      if (epoch !== this.lastEpoch) this.allowances.clear();
+      this.lastEpoch = epoch;
     }
     this.heldEpoch = epoch;
   }
@@ -151,7 +157,7 @@
   }
 
   /** Demand before any traffic is read off what the engines hold at first. */
-  private sampleDemand({name, models}: EngineService): void {
+  private sampleDemand({name, models, slots}: EngineService): void {
     const demand = this.demandOf(name);
     const entries = this.registry.ofService(name);
     const samples = models.map(model => ({
@@ -163,14 +169,19 @@
       const holders = entries.filter(({book}) =>
         book.holdsModel(models[index].name),
       );
-      const assumed = holders.length * this.settings.assumedDemand;
-      demand.assume(entry, assumed);
+      demand.assume(entry, this.assumedDemand(slots, holders.length));
     }
     if (samples.some(({concurrency}) => concurrency > 0)) {
       demand.sample(samples);
     }
   }
 
+  /** The more engines hold a model at first, the more it was in demand. */
+  private assumedDemand(slots: number, holders: number): number {
+    const {assumedShare, replicaShare} = this.settings;
+    return Math.max(0, holders - 1) * assumedShare * replicaShare * slots;
+  }
+
   private demandOf(service: string): DemandTracker {
     const known = this.demands.get(service);
     if (known) return known;
@@ -216,13 +227,13 @@
 
   private plannedModel(
     service: string,
-    {name, megabytes}: CataloguedModel,
+    catalogued: CataloguedModel,
   ): PlannedModel {
+    const {name} = catalogued;
     const entry = `${service}/${name}`;
     const demand = this.demandOf(service);
     return {
-      name,
-      megabytes,
+      ...catalogued,
       demand: demand.expected(entry),
       rememberedDemand: demand.remembered(entry),
       waiting: this.surroundings.waiting(service, name),
@@ -285,7 +296,8 @@
     if (known) return known;
     const allowance = new LoadAllowance(
       service.storeLoadsPerSecond * STORE_RATE_SHARE,
-      this.settings.storeLoadsAtOnce,
+      loadsAtOnce(service),
+      this.settings.storeLoadBurst,
       this.lease.hadNoHolder ? undefined : 0,
     );
     this.allowances.set(service.name, allowance);
@@ -304,86 +316,23 @@
       .ofService(serviceName)
       .filter(({listed}) => listed.isReady);
     const holder = entries.find(({book}) => book.holdsModel(model));
-    if (holder) return expected(holder, 0);
+    if (holder) return expectedAt(holder, 0);
     const loader = entries.find(({book}) => book.loadingModel === model);
     if (loader) {
-      return expected(loader, loadMilliseconds(described, loader.listed));
+      return expectedAt(loader, loadMilliseconds(described, loader.listed));
     }
-    return expected(undefined, described.storeLoadMilliseconds);
+    return expectedAt(undefined, described.storeLoadMilliseconds);
   }
-
-  private async loadAdapter(
-    service: string,
-    wanted: AdapterName,
-  ): Promise<ExpectedHolding | undefined> {
-    this.adapterAskedAt.set(useKey(service, wanted), performance.now());
-    const entries = this.registry.ofService(service);
-    const {adapterLoadMilliseconds} = this.settings;
-    const holder = entries.find(
-      ({book, listed}) => listed.isReady && book.hasAdapter(wanted),
-    );
-    if (holder) return expected(holder, adapterLoadMilliseconds);
-    if (!entries.some(({book}) => book.holdsModel(wanted.model))) {
-      return this.expectedModel(service, wanted.model);
-    }
-    const plan = this.planAdapter(service, wanted, entries);
-    const entry = plan && this.registry.get(plan.book.engine.id);
-    if (!plan || !entry) {
-      this.surroundings.record({step: PlannerStep.NO_PLACE, ...wanted});
-      return expected(undefined, PLACE_RETRY_MILLISECONDS);
-    }
-    const {evicted} = plan;
-    if (evicted) {
-      await this.sender.send(
-        entry,
-        OrderKind.UNLOAD,
-        evicted.model,
-        evicted.adapter,
-      );
-      await this.registry.refresh(entry);
-    }
-    await this.sender.send(entry, OrderKind.LOAD, wanted.model, wanted.adapter);
-    return entry.book.hasAdapter(wanted)
-      ? expected(entry, adapterLoadMilliseconds)
-      : expected(undefined, PLACE_RETRY_MILLISECONDS);
-  }
-
-  private planAdapter(
-    service: string,
-    wanted: AdapterName,
-    entries: readonly EngineEntry[],
-  ): AdapterPlan | undefined {
-    const candidates = entries.map(({book, listed, closing}) => ({
-      book,
-      isReady: listed.isReady && closing?.model !== wanted.model,
-      inFlight: listed.inFlight,
-    }));
-    return planAdapter(wanted, candidates, {
-      idleMilliseconds: name => this.idleMilliseconds(service, name),
-      evictableAfterMilliseconds: this.settings.adapterIdleMilliseconds,
-    });
-  }
-
-  private idleMilliseconds(service: string, name: AdapterName): number {
-    const {model, adapter} = name;
-    const key = useKey(service, name);
-    const now = performance.now();
-    if (this.surroundings.isAdapterInUse(service, model, adapter)) {
-      this.adapterAskedAt.set(key, now);
-    }
-    return now - (this.adapterAskedAt.get(key) ?? -Infinity);
-  }
-}
-
-function expected(
-  entry: EngineEntry | undefined,
-  readyInMilliseconds: number,
-): ExpectedHolding {
-  return {upstreamId: entry?.listed.id ?? '', readyInMilliseconds};
 }
 
-function useKey(service: string, {model, adapter}: AdapterName): string {
-  return `${service}/${model}/${adapter}`;
+/** Loads at once that use the weight store's rate in full. */
+function loadsAtOnce({models, storeLoadsPerSecond}: EngineService): number {
+  const total = models.reduce(
+    (sum, {storeLoadMilliseconds}) => sum + storeLoadMilliseconds,
+    0,
+  );
+  const meanSeconds = total / Math.max(1, models.length) / 1_000;
+  return Math.max(1, Math.floor(storeLoadsPerSecond * meanSeconds));
 }
 
 function loadMilliseconds(
--- a/packages/arbutustide-placement/src/fleet/model_plan.ts
+++ b/packages/arbutustide-placement/src/fleet/model_plan.ts
@@ -1,7 +1,7 @@
+import type {CataloguedModel} from './fleet_surroundings.js';
+
 /** A model with what is asked of it. */
-export interface PlannedModel {
-  readonly name: string;
-  readonly megabytes: number;
+export interface PlannedModel extends CataloguedModel {
   /** Requests at once, expected over all nodes. */
   readonly demand: number;
   /** The highest demand that is remembered; it fades slowly. */
@@ -19,6 +19,8 @@
   readonly models: readonly string[];
   /** A model being loaded, which counts as held. */
   readonly loading: string | undefined;
+  /** Requests at the engine, as a part of its slots. */
+  readonly load: number;
   /** Whether it can take an order now. */
   readonly canTakeOrder: boolean;
   readonly modelsInMemory: ReadonlySet<string>;
@@ -59,6 +61,8 @@
   readonly model: PlannedModel;
 }
 
+/** Part of the remembered demand that the last replica is kept for. */
+const REMEMBERED_SHARE = 0.25;
 /** Worth of one engine that holds a model at all; gains count requests. */
 const COVERAGE_GAIN = 1;
 /** Worth of a replica in reserve, in case an engine is lost. */
@@ -113,7 +117,10 @@
   const replicaDemand = replicaShare * slots;
   const excess = Math.max(0, demand - replicas * replicaDemand);
   const relief = Math.min(excess, replicaDemand);
-  if (replicas === 0) return COVERAGE_GAIN + waiting + relief;
+  if (replicas === 0) {
+    const expectedReturn = REMEMBERED_SHARE * rememberedDemand;
+    return COVERAGE_GAIN + waiting + relief + expectedReturn;
+  }
   const isSpareDue =
     replicas < SPARE_REPLICAS && rememberedDemand >= spareDemand;
   const spare = isSpareDue ? SPARE_GAIN : 0;
@@ -180,7 +187,7 @@
     const isCovered = coveredDomains.has(engine.failureDomain);
     const cost =
       eviction.loss +
-      loadCost(model.name, engine) +
+      gain * (lostShare(model, engine) + busyShare(engine)) +
       (isCovered ? SAME_DOMAIN_COST : 0);
     if (cost >= bestCost) continue;
     bestCost = cost;
@@ -196,17 +203,37 @@
 
 /** Replicas in several domains are lost less easily and nearer to callers. */
 const SAME_DOMAIN_COST = 0.1;
-/** Loads from an engine's own copies are five to ten times as fast. */
-const LOAD_COSTS = {memory: 0, disk: 0.01, store: 0.05} as const;
+/** Demand moves on within this time, so that a replica must pay off by then. */
+const PAY_OFF_MILLISECONDS = 20_000;
 
-function loadCost(
-  model: string,
+/**
+ * Part of a replica's gain that is lost while it is loaded. Loads from an
+ * engine's own copies are five to ten times as fast.
+ */
+function lostShare(
+  model: PlannedModel,
   {modelsInMemory, modelsOnDisk}: PlannedEngine,
 ): number {
-  if (modelsInMemory.has(model)) return LOAD_COSTS.memory;
-  return modelsOnDisk.has(model) ? LOAD_COSTS.disk : LOAD_COSTS.store;
+  const {name, storeLoadMilliseconds, diskLoadMilliseconds} = model;
+  const milliseconds = modelsInMemory.has(name)
+    ? model.memoryLoadMilliseconds
+    : modelsOnDisk.has(name)
+      ? diskLoadMilliseconds
+      : storeLoadMilliseconds;
+  return Math.min(MOST_LOST_SHARE, milliseconds / PAY_OFF_MILLISECONDS);
 }
 
+/** Part of a replica's gain that is lost to requests the engine has already. */
+function busyShare({load}: PlannedEngine): number {
+  return Math.min(MOST_BUSY_SHARE, load);
+}
+
+/** The busiest engine is still better than none. */
+const MOST_BUSY_SHARE = 0.15;
+
+/** A model must be loadable however long that takes. */
+const MOST_LOST_SHARE = 0.5;
+
 interface Eviction {
   readonly names: readonly string[];
   readonly loss: number;
--- a/packages/arbutustide-placement/src/index.ts
+++ b/packages/arbutustide-placement/src/index.ts
@@ -5,6 +5,7 @@
 export type {Move} from './move_log.js';
 export type {PlannableWorker, PlanInput, PlannedOrder} from './plan_types.js';
 export type {PlannerOptions, PlannerSurroundings} from './planner.js';
+export type {TenureSettings, TenureSurroundings} from './planner_tenure.js';
 export type {LedgerItem, OrderIntent, WorkerRecord} from './worker_record.js';
 
 export type {
@@ -15,10 +16,8 @@
   EngineState,
   HoldingOrder,
 } from './fleet/engine_orders.js';
-export type {
-  ExpectedHolding,
-  FleetPlannerSettings,
-} from './fleet/fleet_planner.js';
+export type {ExpectedHolding} from './fleet/expected_holding.js';
+export type {FleetPlannerSettings} from './fleet/fleet_planner.js';
 export type {
   CataloguedModel,
   EngineService,
@@ -58,4 +57,5 @@
 export {planPlacement} from './placement_plan.js';
 export {Planner} from './planner.js';
 export {leaseKey, parseLease, PlannerLease} from './planner_lease.js';
+export {PlannerTenure} from './planner_tenure.js';
 export {WORKER_PREFIX, workerKey, workerRecordSchema} from './worker_record.js';
--- a/packages/arbutustide-placement/src/load_allowance.ts
+++ b/packages/arbutustide-placement/src/load_allowance.ts
@@ -7,13 +7,16 @@
   private refilledAtMilliseconds = performance.now();
 
   /**
-   * @param initialLoads loads allowed at once at the start; fewer where others
+   * @param loadsAtOnce loads that may be underway at one moment.
+   * @param burst loads that may begin at one moment.
+   * @param initialLoads loads that may begin at the start; fewer where others
    *     may have started some just before.
    */
   constructor(
     private readonly loadsPerSecond: number,
     private readonly loadsAtOnce: number,
-    initialLoads = loadsAtOnce,
+    private readonly burst = loadsAtOnce,
+    initialLoads = burst,
   ) {
     this.tokens = initialLoads;
   }
@@ -28,7 +31,7 @@
     const elapsedSeconds = (now - this.refilledAtMilliseconds) / 1_000;
     this.refilledAtMilliseconds = now;
     this.tokens = Math.min(
-      this.loadsAtOnce,
+      this.burst,
       this.tokens + elapsedSeconds * this.loadsPerSecond,
     );
     const places = this.loadsAtOnce - underway;
--- a/packages/arbutustide-placement/src/planner_lease.ts
+++ b/packages/arbutustide-placement/src/planner_lease.ts
@@ -21,11 +21,27 @@
   return `planner/lease/${region}`;
 }
 
+/** Tells whether the process that holds the lease has certainly ended. */
+export type HolderProbe = (holder: string) => Promise<boolean>;
+
 /** Reads a lease as stored, for operators. */
 export function parseLease(value: unknown): Lease {
   return leaseSchema.parse(value);
 }
 
+/**
+ * The lease an object stands for. One that another writer spoilt counts as held
+ * by somebody; its version exceeds every epoch, since each epoch took a write.
+ */
+function readLease({value, version}: StoredObject): Lease {
+  const read = leaseSchema.safeParse(value);
+  if (read.success) return read.data;
+  return {holder: UNREADABLE_HOLDER, epoch: version, writeId: ''};
+}
+
+/** Stands for the holder of a lease that cannot be read. */
+const UNREADABLE_HOLDER = 'unreadable';
+
 /**
  * The planner's lease of one region. Durations are measured by each side's own
  * monotonic clock: a challenger waits until it has seen the record unchanged
@@ -37,7 +53,10 @@
   private heldVersion: number | undefined;
   private heldEpoch = 0;
   private validUntilMilliseconds = 0;
+  private renewedAt = 0;
   private isFirstHolder = false;
+  private isDistrusted = false;
+  private isSuccessorOfEnded = false;
   private seenHolder = '';
   private settleTime = 0;
 
@@ -46,6 +65,7 @@
     private readonly region: string,
     private readonly identity: string,
     private readonly leaseMilliseconds: number,
+    private readonly hasEnded: HolderProbe = async () => false,
   ) {}
 
   /** Whether this process holds the lease at this moment. */
@@ -53,19 +73,37 @@
     return performance.now() < this.validUntilMilliseconds;
   }
 
+  /**
+   * Whether this process wrote the lease last, as far as it knows: since then
+   * the store was out of its reach, and nothing else spoke against it.
+   */
+  get isUnchallenged(): boolean {
+    return this.heldVersion !== undefined && !this.isDistrusted;
+  }
+
+  /** When the lease was last renewed, from before the write was sent. */
+  get renewedAtMilliseconds(): number {
+    return this.renewedAt;
+  }
+
   /** Epoch of the lease held, or last held. */
   get epoch(): number {
     return this.heldEpoch;
   }
 
+  /** Whether the holder before had given the lease up or ended. */
+  get hadEndedHolder(): boolean {
+    return this.isSuccessorOfEnded;
+  }
+
   /** Whether no process can have held the lease before this one. */
   get hadNoHolder(): boolean {
     return this.isFirstHolder;
   }
 
   /**
-   * Time after the gain until the previous holder, which may have acted until
-   * the end of its lease, lies a whole lease behind; in milliseconds.
+   * Time after the gain in which the previous holder may still act, since it
+   * gave nothing up and has yet to hear of this one; in milliseconds.
    */
   get settleMilliseconds(): number {
     return this.settleTime;
@@ -73,6 +111,7 @@
 
   /** Does not count on the lease until it has been renewed. */
   distrust(): void {
+    this.isDistrusted = true;
     this.validUntilMilliseconds = 0;
   }
 
@@ -90,14 +129,15 @@
       return;
     }
     const stored = await this.store.get(leaseKey(this.region));
-    if (!stored.ok) {
-      if (stored.val.kind === StoreErrorKind.NOT_FOUND) {
-        await this.write(1, undefined, sentAt);
-        this.isFirstHolder = this.isHeld;
-      }
+    if (stored.ok) {
+      await this.challenge(stored.val);
       return;
     }
-    await this.challenge(stored.val);
+    // While the store is away its holder cannot renew the lease either.
+    this.seenVersion = -1;
+    if (stored.val.kind !== StoreErrorKind.NOT_FOUND) return;
+    await this.write(1, undefined, sentAt);
+    this.isFirstHolder = this.isHeld;
   }
 
   /** Gives the lease up so that another node can take it at once. */
@@ -113,7 +153,7 @@
   }
 
   private async challenge(stored: StoredObject): Promise<void> {
-    const lease = leaseSchema.parse(stored.value);
+    const lease = readLease(stored);
     const now = performance.now();
     this.seenHolder = lease.holder;
     if (stored.version !== this.seenVersion) {
@@ -122,11 +162,14 @@
     }
     const unchangedFor = now - this.seenSinceMilliseconds;
     const isFree = lease.holder === '';
-    if (!isFree && unchangedFor < this.leaseMilliseconds) return;
+    const hasEnded = isFree || (await this.hasEnded(lease.holder));
+    if (!hasEnded && unchangedFor < this.leaseMilliseconds) return;
     this.isFirstHolder = false;
-    const leases = isFree ? 1 : 2;
-    await this.write(lease.epoch + 1, stored.version, now);
-    const settled = leases * this.leaseMilliseconds - unchangedFor;
+    this.isSuccessorOfEnded = hasEnded;
+    await this.write(lease.epoch + 1, stored.version, performance.now());
+    // One that gave the lease up has stopped; one that did not may go on until
+    // it hears of this epoch.
+    const settled = this.leaseMilliseconds - (isFree ? unchangedFor : 0);
     this.settleTime = Math.max(0, settled);
   }
 
@@ -139,7 +182,7 @@
     const kind = await this.write(this.heldEpoch, version, sentAt);
     if (kind !== StoreErrorKind.CONFLICT) return;
     const stored = await this.store.get(leaseKey(this.region));
-    const lease = stored.ok ? leaseSchema.parse(stored.val.value) : undefined;
+    const lease = stored.ok ? readLease(stored.val) : undefined;
     const isOwn =
       lease?.holder === this.identity && lease.epoch === this.heldEpoch;
     if (!stored.ok || !isOwn) {
@@ -166,11 +209,13 @@
       leaseKey(this.region),
       lease,
       version,
-      value => leaseSchema.parse(value).writeId === lease.writeId,
+      value => leaseSchema.safeParse(value).data?.writeId === lease.writeId,
     );
     if (written.ok) {
       this.heldVersion = written.val.version;
       this.heldEpoch = epoch;
+      this.isDistrusted = false;
+      this.renewedAt = sentAt;
       this.validUntilMilliseconds = sentAt + this.leaseMilliseconds;
       return undefined;
     }
--- a/packages/arbutustide-routing/src/admission.ts
+++ b/packages/arbutustide-routing/src/admission.ts
@@ -39,15 +39,12 @@
   readonly entryName: string;
   readonly inFlight: number;
   readonly queued: number;
-  /** Requests since the start. */
-  readonly arrivals: number;
 }
 
 interface EntryGate {
   readonly gate: AdmissionGate;
   readonly serviceTime: MovingAverage;
   entry: CatalogueEntry;
-  arrivals: number;
 }
 
 /**
@@ -70,9 +67,7 @@
     entry: CatalogueEntry,
     request: AdmissionRequest,
   ): Promise<Result<Permit, RefusalError>> {
-    const entryGate = this.gateOf(entry);
-    entryGate.arrivals += 1;
-    const permit = await entryGate.gate.enter(request);
+    const permit = await this.gateOf(entry).gate.enter(request);
     if (!permit.ok || entry.kind !== EntryKind.ADAPTER) return permit;
     const adapterPermit = await this.adapterGate.enter(request);
     if (!adapterPermit.ok) {
@@ -102,9 +97,9 @@
 
   /** Demand for each entry that was ever asked for. */
   *loads(): Generator<EntryLoad> {
-    for (const [entryName, {gate, arrivals}] of this.gates) {
+    for (const [entryName, {gate}] of this.gates) {
       const {inFlight, queued} = gate;
-      yield {entryName, inFlight, queued, arrivals};
+      yield {entryName, inFlight, queued};
     }
   }
 
@@ -119,7 +114,6 @@
       gate: new AdmissionGate(this.entryLimits(entry.name, serviceTime)),
       serviceTime,
       entry,
-      arrivals: 0,
     };
     this.gates.set(entry.name, entryGate);
     return entryGate;
--- a/packages/arbutustide-routing/src/event_splitter.ts
+++ b/packages/arbutustide-routing/src/event_splitter.ts
@@ -1,4 +1,5 @@
 const EVENT_END = Buffer.from('\n\n');
+const LINE_END = '\n';
 const ID_FIELD = 'id: ';
 const DONE_DATA = 'data: [DONE]';
 
@@ -35,12 +36,21 @@
   }
 }
 
+/** Reads an event; most begin with their id, which spares a look at the rest. */
 function parseEvent(bytes: Buffer): StreamEvent {
-  const lines = bytes.toString('utf8').split('\n');
-  const idLine = lines.find(line => line.startsWith(ID_FIELD));
-  return {
-    bytes,
-    id: idLine?.slice(ID_FIELD.length),
-    isDone: lines.some(line => line.trimEnd() === DONE_DATA),
-  };
+  const isDone = bytes.includes(DONE_DATA) && hasDoneLine(bytes);
+  if (bytes.indexOf(ID_FIELD) === 0) {
+    const id = bytes.toString('utf8', ID_FIELD.length, bytes.indexOf(LINE_END));
+    return {bytes, id, isDone};
+  }
+  const idLine = linesOf(bytes).find(line => line.startsWith(ID_FIELD));
+  return {bytes, id: idLine?.slice(ID_FIELD.length), isDone};
+}
+
+function hasDoneLine(bytes: Buffer): boolean {
+  return linesOf(bytes).some(line => line.trimEnd() === DONE_DATA);
+}
+
+function linesOf(bytes: Buffer): string[] {
+  return bytes.toString('utf8').split(LINE_END);
 }
--- a/packages/arbutustide-routing/src/fleet/demand_counter.ts
+++ b/packages/arbutustide-routing/src/fleet/demand_counter.ts
@@ -4,7 +4,6 @@
 interface Count {
   inFlight: number;
   queued: number;
-  arrivals: number;
   /** Requests refused of late; fades, and was right at the time beside it. */
   missed: number;
   missedAtMilliseconds: number;
@@ -15,7 +14,6 @@
   readonly inFlight: number;
   /** Waiting, or refused so lately that their callers will be back. */
   readonly queued: number;
-  readonly arrivals: number;
 }
 
 /** Time in which a refused request fades from the demand. */
@@ -45,7 +43,6 @@
   /** Counts a request that has arrived and waits. */
   arrived(request: RoutedRequest): void {
     for (const count of this.countsOf(request)) {
-      count.arrivals += 1;
       count.queued += 1;
     }
   }
@@ -102,7 +99,6 @@
     const count: Count = {
       inFlight: 0,
       queued: 0,
-      arrivals: 0,
       missed: 0,
       missedAtMilliseconds: 0,
     };
@@ -117,6 +113,6 @@
 }
 
 function demandOf(count: Count): EntryDemand {
-  const {inFlight, queued, arrivals} = count;
-  return {inFlight, queued: queued + Math.round(missedNow(count)), arrivals};
+  const {inFlight, queued} = count;
+  return {inFlight, queued: queued + Math.round(missedNow(count))};
 }
