Assume demand as engines become known; wait for no engine that fails to report

Cause: the planner assumed the first demand in its first pass, when only some engines were listed. A silent engine made each pass wait up to 0.7 s for its report.

Ruled out: the coverage of models that nobody holds (it takes only replicas beyond the assumed demand).

--- /dev/null
+++ b/packages/arbutustide-placement/src/__tests__/unit/demand_tracker.test.ts
@@ -0,0 +1,51 @@
+import {install} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+
+import {DemandTracker} from '../../demand_tracker.js';
+
+const SHORT_MILLISECONDS = 1_500;
+const LONG_MILLISECONDS = 4_000;
+const SAMPLE_MILLISECONDS = 150;
+
+describe('demand for models', () => {
+  let clock: ReturnType<typeof install>;
+  let tracker: DemandTracker;
+
+  beforeEach(() => {
+    clock = install();
+    tracker = new DemandTracker(SHORT_MILLISECONDS, LONG_MILLISECONDS);
+  });
+
+  afterEach(() => clock.uninstall());
+
+  function sampleFor(milliseconds: number, concurrency: number): void {
+    for (let passed = 0; passed < milliseconds; passed += SAMPLE_MILLISECONDS) {
+      clock.tick(SAMPLE_MILLISECONDS);
+      tracker.sample([{entry: 'model', concurrency}]);
+    }
+  }
+
+  it('assumes more as more holders become known, until it is measured', () => {
+    tracker.assume('model', 0);
+    tracker.assume('model', 20);
+    tracker.assume('model', 10);
+    expect(tracker.expected('model')).to.equal(20);
+    tracker.sample([{entry: 'model', concurrency: 5}]);
+    tracker.assume('model', 40);
+    expect(tracker.expected('model')).to.equal(20);
+  });
+
+  it('follows a rise within two short windows', () => {
+    sampleFor(2 * SHORT_MILLISECONDS, 30);
+    expect(tracker.expected('model')).to.be.greaterThan(0.6 * 30);
+  });
+
+  it('believes a fall only after the long window, and remembers the peak', () => {
+    sampleFor(5 * LONG_MILLISECONDS, 30);
+    sampleFor(SHORT_MILLISECONDS, 0);
+    expect(tracker.expected('model')).to.be.greaterThan(0.6 * 30);
+    sampleFor(2 * LONG_MILLISECONDS, 0);
+    expect(tracker.expected('model')).to.be.lessThan(0.2 * 30);
+    expect(tracker.remembered('model')).to.be.greaterThan(0.6 * 30);
+  });
+});
--- a/packages/arbutustide-placement/src/demand_tracker.ts
+++ b/packages/arbutustide-placement/src/demand_tracker.ts
@@ -56,14 +56,15 @@
     }
   }
 
-  /** Assumes a demand of which no sample has been taken yet. */
+  /**
+   * Assumes a demand of which no sample has been taken yet. The highest
+   * assumption counts, since what it is based on becomes known bit by bit.
+   */
   assume(entry: string, concurrency: number): void {
-    if (this.demands.has(entry)) return;
-    this.demands.set(entry, {
-      short: 0,
-      long: concurrency,
-      peak: concurrency,
-    });
+    const known = this.demands.get(entry);
+    if (known && this.sampledAtMilliseconds !== undefined) return;
+    const long = Math.max(known?.long ?? 0, concurrency);
+    this.demands.set(entry, {short: 0, long, peak: long});
   }
 
   /** Requests at once the entry is to be ready for. */
--- a/packages/arbutustide-placement/src/fleet/engine_registry.ts
+++ b/packages/arbutustide-placement/src/fleet/engine_registry.ts
@@ -23,6 +23,8 @@
   readonly book: EngineBook;
   closing: Closing | undefined;
   isReportFailing: boolean;
+  /** The report that is asked for again after a failure. */
+  retry: Promise<void> | undefined;
   /** Orders to one engine go one after another. */
   turn: Promise<unknown>;
 }
@@ -106,11 +108,17 @@
     }
   }
 
-  /** Reads all reports that are too old to plan with. */
+  /**
+   * Reads all reports that are too old to plan with. An engine that failed to
+   * report is asked again, but nothing waits for its answer.
+   */
   async refreshAll(): Promise<void> {
-    await Promise.all(
-      [...this.entries.values()].map(entry => this.refresh(entry)),
-    );
+    const refreshes: Promise<void>[] = [];
+    for (const entry of this.entries.values()) {
+      if (entry.isReportFailing) this.retryReport(entry);
+      else refreshes.push(this.refresh(entry));
+    }
+    await Promise.all(refreshes);
   }
 
   /** Reads an engine's report if the last one is too old to plan with. */
@@ -132,6 +140,12 @@
     });
   }
 
+  private retryReport(entry: EngineEntry): void {
+    entry.retry ??= this.refresh(entry).finally(() => {
+      entry.retry = undefined;
+    });
+  }
+
   /** An engine as the model plan sees it. */
   planned({book, listed, closing}: EngineEntry): PlannedEngine {
     const {reportAgeMilliseconds} = this.settings;
@@ -178,6 +192,7 @@
       book,
       closing: undefined,
       isReportFailing: false,
+      retry: undefined,
       turn: Promise.resolve(),
     };
   }
