Tell moves of models at once; keep engines free for models in demand

A node learned of a new replica about 1 s after it was there; a model was closed 1 s before its unload; in-flight requests tell of a rise late. Requests were held to within 20 ms of the end of their callers' patience, so that the refusal came after the caller had left.

Change: the planner calls up to 8 peers when a model's holders change (what a peer has is remembered for each peer, so that only the change is sent); demand is led by half of its rise; the least gain of a move rises as engines become busy; a request waits at most 0.8 of the caller's patience.

--- a/packages/arbutustide-membership/src/gossip.ts
+++ b/packages/arbutustide-membership/src/gossip.ts
@@ -38,11 +38,11 @@
   readonly stop: AbortController;
 }
 
-const EMPTY_VECTOR: SequenceVector = new Map();
-
 /** Exchanges records with a bounded number of peers, one task a peer. */
 export class Gossip {
   private readonly tasks = new Map<string, PeerTask>();
+  /** What each peer had after the last exchange with it. */
+  private readonly peerVectors = new Map<string, SequenceVector>();
   private readonly stopped = new AbortController();
   private listed: readonly PeerAddress[] = [];
 
@@ -82,7 +82,19 @@
   /** Exchanges with every peer once, so that a change is known at once. */
   async spreadNow(): Promise<void> {
     const urls = [...this.tasks.keys()];
-    await Promise.all(urls.map(url => this.exchange(url, EMPTY_VECTOR)));
+    await Promise.all(urls.map(url => this.exchange(url)));
+  }
+
+  /**
+   * Tells an urgent change at once.
+   *
+   * @param maximumPeers most peers that are called; the rest hears of it later.
+   */
+  async spreadWide(maximumPeers: number): Promise<void> {
+    const urls = this.knownPeers().keys();
+    const {ownUrl} = this.options;
+    const picked = rendezvousPick(ownUrl, urls, url => url, maximumPeers);
+    await Promise.all(picked.map(url => this.exchange(url)));
   }
 
   private async runHeartbeat(): Promise<void> {
@@ -104,6 +116,7 @@
       task.stop.abort();
       this.tasks.delete(url);
     }
+    this.forgetVectors();
     for (const url of chosen) {
       if (this.tasks.has(url)) continue;
       const task: PeerTask = {stop: new AbortController()};
@@ -130,6 +143,13 @@
     return [...nearPicked, ...farPicked].map(({url}) => url);
   }
 
+  private forgetVectors(): void {
+    const known = this.knownPeers();
+    for (const url of this.peerVectors.keys()) {
+      if (!known.has(url)) this.peerVectors.delete(url);
+    }
+  }
+
   /** Peers by the platform's list and by the records, without this node. */
   private knownPeers(): Map<string, PeerAddress> {
     const peers = new Map(this.listed.map(peer => [peer.url, peer]));
@@ -144,37 +164,31 @@
   }
 
   private async runPeer(url: string, signal: AbortSignal): Promise<void> {
-    let peerVector = EMPTY_VECTOR;
     await delay(this.jitteredInterval() / 2, signal);
     while (!signal.aborted) {
-      peerVector = await this.exchange(url, peerVector);
+      await this.exchange(url);
       await delay(this.jitteredInterval(), signal);
     }
   }
 
   /**
-   * One exchange.
-   *
-   * @param peerVector what the peer is known to have; empty when unknown.
-   * @return what the peer has now, or empty after a failure, since another
-   *     process may have taken the address.
+   * One exchange. What the peer has is forgotten after a failure, since another
+   * process may have taken the address.
    */
-  private async exchange(
-    url: string,
-    peerVector: SequenceVector,
-  ): Promise<SequenceVector> {
-    const isPeerKnown = peerVector.size > 0;
+  private async exchange(url: string): Promise<void> {
+    const peerVector = this.peerVectors.get(url);
     const request = create(ExchangeRequestSchema, {
       sender: this.table.own.identity,
       vector: this.table.vector(),
-      deltas: isPeerKnown
-        ? this.table.deltasSince(peerVector)
-        : this.ownDelta(),
+      deltas: peerVector ? this.table.deltasSince(peerVector) : this.ownDelta(),
     });
     const answer = await this.transport.exchange(url, request);
-    if (!answer.ok) return EMPTY_VECTOR;
+    if (!answer.ok) {
+      this.peerVectors.delete(url);
+      return;
+    }
     this.table.merge(answer.val.deltas);
-    return toVector(answer.val.vector);
+    this.peerVectors.set(url, toVector(answer.val.vector));
   }
 
   /** To a peer of which nothing is known only the own record is sent. */
--- a/packages/arbutustide-node/src/fleet/fleet_surroundings.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_surroundings.ts
@@ -28,6 +28,7 @@
     private readonly table: MemberTable,
     private readonly view: ClusterView,
     private readonly configuration: () => ServingConfiguration | undefined,
+    readonly announce: () => void,
     readonly record: (decision: PlannerDecision) => void,
   ) {}
 
--- a/packages/arbutustide-node/src/fleet/fleet_tuning.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_tuning.ts
@@ -24,6 +24,8 @@
 export const GOSSIP_EXPIRY_MILLISECONDS = 3_500;
 /** Peers a node exchanges with; the rest hears through them. */
 export const GOSSIP_PEERS = 2;
+/** Peers the planner calls when models move; covers the fleets of today. */
+export const ANNOUNCEMENT_PEERS = 8;
 /** Removals are passed on for this many expiry times. */
 export const REMOVAL_EXPIRIES = 2;
 /** How often the own record is written and the others' are applied. */
@@ -51,14 +53,15 @@
   reportAgeMilliseconds: 1_000,
   // Reports lag by 200 ms, so that asking more often shows nothing new.
   busyReportAgeMilliseconds: 250,
-  // Records reach all nodes within two exchanges.
-  closeMilliseconds: 1_000,
+  // A change of models is told to all nodes at once; records go between them
+  // within two exchanges where that call fails.
+  closeMilliseconds: 500,
   // Adapters take 5 to 10 ms where few are on their way.
   adapterLoadMilliseconds: 12,
   // Longer than the time between two records, so that use has been heard of.
   adapterIdleMilliseconds: 300,
   // Demand moves to other models within 4 to 6 s.
-  shortWindowMilliseconds: 1_500,
+  shortWindowMilliseconds: 1_000,
   longWindowMilliseconds: 4_000,
   // A quarter of the engines that hold a model at first may be needed elsewhere.
   assumedShare: 0.75,
@@ -72,4 +75,7 @@
   hysteresis: 1.5,
   // A move costs the engine seconds without another order.
   moveCost: 0.3,
+  // Where all engines are loading, a model in demand waits for the first of
+  // them; its requests in that time are about a fifth of the slots.
+  busyCostShare: 0.2,
 };
--- a/packages/arbutustide-node/src/fleet/fleet_wiring.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_wiring.ts
@@ -243,6 +243,10 @@
       parts.resolve(FleetToken.MEMBER_TABLE),
       parts.resolve(FleetToken.CLUSTER_VIEW),
       () => parts.resolve(FleetToken.CONFIGURATION).routes?.configuration,
+      () =>
+        void parts
+          .resolve(FleetToken.GOSSIP)
+          .spreadWide(tuning.ANNOUNCEMENT_PEERS),
       decision => {
         logger.info(decision, 'planner');
         measurePlanner(decision, metrics);
--- a/packages/arbutustide-placement/src/__tests__/unit/fleet_plans.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/fleet_plans.test.ts
@@ -18,6 +18,7 @@
   spareDemand: 3,
   hysteresis: 1.5,
   moveCost: 0.3,
+  busyCostShare: 0.2,
 };
 
 function model(name: string, changes: Partial<PlannedModel> = {}) {
@@ -130,6 +131,21 @@
     expect(move).to.include({engineId: 'idle', model: 'busy'});
   });
 
+  it('keeps the last free engine for a model in demand', () => {
+    const busy = {canTakeOrder: false};
+    const engines = [
+      engine('1', ['a'], busy),
+      engine('2', ['a'], busy),
+      engine('3', ['a'], busy),
+      engine('4', ['a']),
+    ];
+    const rare = [model('a'), model('rare', {waiting: 2})];
+    expect([...planModels(rare, engines, SETTINGS)]).to.eql([]);
+    const wanted = [model('a'), model('wanted', {waiting: 8})];
+    const [move] = planModels(wanted, engines, SETTINGS);
+    expect(move).to.include({engineId: '4', model: 'wanted'});
+  });
+
   it('prefers a copy at hand though that engine has a little more to do', () => {
     const models = [model('busy', {demand: 30}), model('other')];
     const engines = [
--- a/packages/arbutustide-placement/src/demand_tracker.ts
+++ b/packages/arbutustide-placement/src/demand_tracker.ts
@@ -9,6 +9,9 @@
 /** Long windows over which a remembered demand fades. */
 const MEMORY_WINDOWS = 10;
 
+/** Part of the rise over the long window that is expected to come on top. */
+const RISE_SHARE = 0.5;
+
 /** Demand for one entry at this moment, over all nodes. */
 export interface DemandSample {
   readonly entry: string;
@@ -67,10 +70,15 @@
     this.demands.set(entry, {short: 0, long, peak: long});
   }
 
-  /** Requests at once the entry is to be ready for. */
+  /**
+   * Requests at once the entry is to be ready for. A rise is taken to go on,
+   * since a replica takes as long to come as the short window.
+   */
   expected(entry: string): number {
     const demand = this.demands.get(entry);
-    return demand ? Math.max(demand.short, demand.long) : 0;
+    if (!demand) return 0;
+    const {short, long} = demand;
+    return Math.max(short + RISE_SHARE * (short - long), long);
   }
 
   /** The highest demand that is remembered, in requests at once. */
--- a/packages/arbutustide-placement/src/fleet/engine_registry.ts
+++ b/packages/arbutustide-placement/src/fleet/engine_registry.ts
@@ -23,6 +23,8 @@
   readonly book: EngineBook;
   closing: Closing | undefined;
   isReportFailing: boolean;
+  /** Models that the nodes were last told to take requests there. */
+  openModels: string;
   /** The report that is asked for again after a failure. */
   retry: Promise<void> | undefined;
   /** Orders to one engine go one after another. */
@@ -169,7 +171,9 @@
 
   /** Tells the nodes what each engine holds. */
   publishAll(epoch: number): void {
-    for (const {book, listed, closing} of this.entries.values()) {
+    let areModelsChanged = false;
+    for (const entry of this.entries.values()) {
+      const {book, listed, closing} = entry;
       if (!book.hasReport) continue;
       const held = [...book.usable(this.settings.adapterLoadMilliseconds)];
       const open = held.filter(
@@ -177,7 +181,11 @@
           name !== closing?.model && !name.startsWith(`${closing?.model}/`),
       );
       this.surroundings.publish(listed, open, epoch);
+      const models = open.filter(name => !name.includes('/')).join();
+      areModelsChanged ||= models !== entry.openModels;
+      entry.openModels = models;
     }
+    if (areModelsChanged) this.surroundings.announce();
   }
 
   private newEntry(
@@ -192,6 +200,7 @@
       book,
       closing: undefined,
       isReportFailing: false,
+      openModels: '',
       retry: undefined,
       turn: Promise.resolve(),
     };
--- a/packages/arbutustide-placement/src/fleet/fleet_surroundings.ts
+++ b/packages/arbutustide-placement/src/fleet/fleet_surroundings.ts
@@ -74,5 +74,7 @@
     held: readonly string[] | undefined,
     epoch: number,
   ): void;
+  /** Has what was published last told to the other nodes at once. */
+  announce(): void;
   record(decision: PlannerDecision): void;
 }
--- a/packages/arbutustide-placement/src/fleet/model_plan.ts
+++ b/packages/arbutustide-placement/src/fleet/model_plan.ts
@@ -47,8 +47,10 @@
   readonly spareDemand: number;
   /** Factor by which a gain must exceed the loss of what makes room. */
   readonly hysteresis: number;
-  /** Least gain that is worth a move. */
+  /** Least gain that is worth a move while no engine is busy. */
   readonly moveCost: number;
+  /** What that gain rises by as all engines become busy, as a part of slots. */
+  readonly busyCostShare: number;
 }
 
 /** The weights with the slots of the engines planned for. */
@@ -85,6 +87,7 @@
 ): Generator<ModelMove> {
   const holdings = countReplicas(models, engines);
   const free = new Set(engines.filter(({canTakeOrder}) => canTakeOrder));
+  const leastGain = worthwhileGain(free.size / engines.length, settings);
   const domains = domainsByModel(engines);
   const byGain = [...holdings.values()].sort(
     (left, right) =>
@@ -92,7 +95,7 @@
   );
   for (const holding of byGain) {
     const gain = additionGain(holding, settings);
-    if (gain <= settings.moveCost) return;
+    if (gain <= leastGain) return;
     const covered = domains.get(holding.model.name) ?? new Set();
     const move = bestMove(holding, gain, free, covered, holdings, settings);
     if (!move) continue;
@@ -108,6 +111,19 @@
   }
 }
 
+/**
+ * The gain from which a move is worth the engine's time. An engine that loads
+ * takes no other order for seconds, so the last free ones are kept for demand
+ * that may yet come.
+ */
+function worthwhileGain(
+  freeShare: number,
+  {moveCost, busyCostShare, slots}: SizedSettings,
+): number {
+  const busyShare = 1 - freeShare;
+  return moveCost + busyCostShare * slots * busyShare * busyShare;
+}
+
 /** Requests at once that one more replica serves better. */
 function additionGain(
   {replicas, model}: Holding,
--- a/packages/arbutustide-routing/src/fleet/fleet_progress.ts
+++ b/packages/arbutustide-routing/src/fleet/fleet_progress.ts
@@ -25,11 +25,21 @@
   return mayHaveRun ? Ran.MAYBE : Ran.NO;
 }
 
-/** Time left in which a first byte must come, in milliseconds. */
-export function patienceLeftMilliseconds({request}: FleetProgress): number {
+/**
+ * Part of the caller's patience in which a request may wait for a place. The
+ * rest is for the answer, and lets a refusal reach a caller that still listens.
+ */
+const WAITING_SHARE = 0.8;
+
+/** Time left in which a place must come, in milliseconds. */
+export function waitLeftMilliseconds({request}: FleetProgress): number {
   const {arrivedAtMilliseconds, deadlineAtMilliseconds, route} = request;
-  const patienceEnd = arrivedAtMilliseconds + route.patienceMilliseconds;
-  return Math.min(deadlineAtMilliseconds, patienceEnd) - performance.now();
+  const patience = Math.min(
+    deadlineAtMilliseconds - arrivedAtMilliseconds,
+    route.patienceMilliseconds,
+  );
+  const end = arrivedAtMilliseconds + WAITING_SHARE * patience;
+  return end - performance.now();
 }
 
 /** Time left until the request's deadline, in milliseconds. */
--- a/packages/arbutustide-routing/src/fleet/place_queue.ts
+++ b/packages/arbutustide-routing/src/fleet/place_queue.ts
@@ -9,7 +9,7 @@
 import {Err, Ok} from 'ts-results';
 
 import {NoChoice} from './fleet_choice.js';
-import {ranUntilNow, patienceLeftMilliseconds} from './fleet_progress.js';
+import {ranUntilNow, waitLeftMilliseconds} from './fleet_progress.js';
 
 /** Told of each request's way through the queue. */
 export interface QueueObserver {
@@ -130,7 +130,7 @@
     const wait = this.options.predictWait(progress, reason, ahead);
     const needed = this.options.serviceMilliseconds(progress);
     const total = (wait ?? Infinity) + needed;
-    if (total <= patienceLeftMilliseconds(progress)) return undefined;
+    if (total <= waitLeftMilliseconds(progress)) return undefined;
     return refusal(progress, reason, wait);
   }
 
@@ -156,7 +156,7 @@
       const needed = this.options.serviceMilliseconds(progress);
       const timer = setTimeout(
         giveUp,
-        Math.max(0, patienceLeftMilliseconds(progress) - needed),
+        Math.max(0, waitLeftMilliseconds(progress) - needed),
       );
       this.waiters.splice(this.position(progress), 0, waiter);
       forget = progress.cancel.onCancel(giveUp);
