Go on elsewhere when an upstream falls silent; close pools of upstreams that are gone

A stream that broke later than 1.9 s after its arrival was never resumed where no place was free at that moment, since the wait was counted from the arrival. The pool of an upstream that was gone stayed to the end of the process.

Change: SilenceWatch gives an attempt up after half of the caller's patience, where the request may be repeated, another upstream has a place and the fleet's budget a retry. An engine that answers others is taken for busy until the stream has begun. Waits are counted from the last part of the answer the caller got.

--- a/packages/arbutustide-node/src/fleet/upstream_watcher.ts
+++ b/packages/arbutustide-node/src/fleet/upstream_watcher.ts
@@ -159,6 +159,7 @@
     this.cancelRemoval(id);
     this.entries.delete(id);
     this.directory.remove(id);
+    this.dependencies.connector.forget(id);
     this.dependencies.logger.info({upstream: id, reason}, 'upstream removed');
   }
 
--- a/packages/arbutustide-routing/src/__tests__/unit/fleet_decisions.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/fleet_decisions.test.ts
@@ -44,6 +44,7 @@
     tried: new Set(),
     attempts: 1,
     mayHaveRun: false,
+    heardAtMilliseconds: performance.now(),
     ...changes,
   };
 }
--- a/packages/arbutustide-routing/src/__tests__/unit/fleet_dispatcher.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/fleet_dispatcher.test.ts
@@ -1,89 +1,34 @@
-import type {
-  AttemptTerms,
-  FleetConnector,
-  UpstreamHead,
-} from '../../fleet/fleet_connector.js';
 import type {RequestDecision} from '../../fleet/fleet_decision.js';
 import type {FleetUpstream} from '../../fleet/fleet_upstream.js';
 import type {RoutedRequest} from '../../fleet/routed_request.js';
-import type {Result} from 'ts-results';
+import type {Script} from './scripted_dispatch.js';
 
 import {Cancellation, ErrorKind, Ran} from '@arbutustide/errors';
 import {AttemptError, AttemptFailure} from '@arbutustide/upstream';
 import {install} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
-import {Err, Ok} from 'ts-results';
+import {Err} from 'ts-results';
 
 import {AnswerEnd} from '../../caller_request.js';
-import {DemandCounter} from '../../fleet/demand_counter.js';
-import {chooseUpstream, NoChoice} from '../../fleet/fleet_choice.js';
 import {DecisionStep} from '../../fleet/fleet_decision.js';
-import {FleetDispatcher} from '../../fleet/fleet_dispatcher.js';
-import {PlaceQueue} from '../../fleet/place_queue.js';
 import {RequestKind} from '../../fleet/route.js';
-import {RequestSuspects} from '../../request_suspects.js';
 import {
   testModelRequest,
   testRequest,
   testRoute,
   testUpstream,
 } from './fleet_world.js';
-
-type Attempt = Result<UpstreamHead, AttemptError>;
-type Script = (
-  upstream: FleetUpstream,
-  terms: AttemptTerms,
-) => Attempt | Promise<Attempt>;
-
-function head(changes: Partial<UpstreamHead>, body: readonly string[] = []) {
-  const whole: UpstreamHead = {
-    status: 200,
-    headers: [],
-    isNotRun: false,
-    isOtherInstance: false,
-    isSigned: true,
-    isEventStream: false,
-    load: undefined,
-    body: (async function* () {
-      for (const piece of body) yield Buffer.from(piece);
-    })(),
-    ...changes,
-  };
-  return Ok(whole);
-}
-
-function broken(): AttemptError {
-  return new AttemptError(AttemptFailure.CLOSED, 'the connection broke');
-}
-
-/** An event stream that breaks after the given events, unless it is whole. */
-function stream(ids: readonly number[], isWhole: boolean) {
-  const body = (async function* () {
-    for (const id of ids) yield Buffer.from(`id: ${id}\ndata: x\n\n`);
-    if (!isWhole) throw broken();
-  })();
-  return head({isEventStream: true, body});
-}
-
-/** Plays one attempt after another as scripted. */
-class ScriptedConnector implements FleetConnector {
-  readonly sent: string[] = [];
-  readonly resumedAfter: (number | undefined)[] = [];
-
-  constructor(private readonly scripts: Script[]) {}
-
-  async open(
-    upstream: FleetUpstream,
-    _request: RoutedRequest,
-    terms: AttemptTerms,
-  ): Promise<Attempt> {
-    this.sent.push(upstream.id);
-    this.resumedAfter.push(terms.resumeAfter);
-    const script = this.scripts.shift();
-    if (!script) throw new Error('no attempt was expected');
-    return script(upstream, terms);
-  }
-}
+import {
+  broken,
+  dispatcherOf,
+  head,
+  idsOf,
+  read,
+  requestOf,
+  ScriptedConnector,
+  silent,
+  stream,
+} from './scripted_dispatch.js';
 
 describe('dispatch of routed requests', () => {
   let clock: ReturnType<typeof install>;
@@ -97,48 +42,20 @@
   });
   afterEach(() => clock.uninstall());
 
-  function dispatcherOf(connector: FleetConnector): FleetDispatcher {
-    const settings = {
-      ownFailureDomain: 'near',
-      crossDomainShare: 0.1,
-      fullShare: 1,
-      random: () => 0,
-    };
-    const queue = new PlaceQueue({
-      choose: ({request, tried}) =>
-        chooseUpstream(upstreams, request.modelRequest, tried, settings),
-      predictWait: (_progress, reason) =>
-        reason === NoChoice.FULL ? 10 : undefined,
-      serviceMilliseconds: () => 20,
-      onNotHeld: () => {},
-      observer: new DemandCounter(),
-    });
-    return new FleetDispatcher(queue, connector, {
-      recordRequest: () => {},
-      tryTakeRetry: () => true,
-      onMissing: (upstream, model) => upstream.learnHolding(model, false),
-      onDecision: decision => decisions.push(decision),
-      suspects: new RequestSuspects(
-        10_000,
-        {crashes: () => 0, runsOthers: () => false},
-        3,
-      ),
-    });
+  function dispatcherFor(connector: ScriptedConnector) {
+    return dispatcherOf(
+      connector,
+      () => upstreams,
+      decision => decisions.push(decision),
+    );
   }
 
   async function play(request: RoutedRequest, ...scripts: Script[]) {
     const connector = new ScriptedConnector(scripts);
-    const result = await dispatcherOf(connector).dispatch(request);
+    const result = await dispatcherFor(connector).dispatch(request);
     return {result, connector};
   }
 
-  function requestOf(kind: RequestKind, isResumable = false): RoutedRequest {
-    return testRequest({
-      route: testRoute({kind, isResumable}),
-      modelRequest: testModelRequest('m'),
-    });
-  }
-
   const notRun: Script = () => head({status: 503, isNotRun: true});
   const lost: Script = () => Err(broken());
   const whole: Script = () => head({}, ['who', 'le']);
@@ -204,21 +121,16 @@
     );
   });
 
-  it('answers at the deadline while the upstream is silent', async () => {
-    const silent: Script = (_upstream, {cancel}) =>
-      new Promise(resolve => {
-        cancel.onCancel(reason =>
-          resolve(
-            Err(new AttemptError(AttemptFailure.CANCELLED, String(reason))),
-          ),
-        );
-      });
-    const playing = play(requestOf(RequestKind.IDEMPOTENT), silent);
+  it('answers at the deadline while the upstreams are silent', async () => {
+    const once = play(requestOf(RequestKind.NON_IDEMPOTENT), silent);
+    const twice = play(requestOf(RequestKind.IDEMPOTENT), silent, silent);
     await clock.tickAsync(5_000);
-    const {result} = await playing;
-    expect(result.err && result.val.kind).to.equal(
-      ErrorKind.UPSTREAM_TIMED_OUT,
-    );
+    for (const {result} of [await once, await twice]) {
+      expect(result.err && result.val.kind).to.equal(
+        ErrorKind.UPSTREAM_TIMED_OUT,
+      );
+      expect(result.err && result.val.ran).to.equal(Ran.MAYBE);
+    }
   });
 
   it('ends the work of a caller that leaves', async () => {
@@ -240,21 +152,6 @@
     expect(result.err && result.val.kind).to.equal(ErrorKind.CALLER_GONE);
   });
 
-  async function read(result: Awaited<ReturnType<typeof play>>['result']) {
-    const {body} = result.unwrap();
-    let text = '';
-    if (Buffer.isBuffer(body)) return {text: String(body), end: undefined};
-    for (;;) {
-      const piece = await body.next();
-      if (piece.done) return {text, end: piece.value};
-      text += Buffer.from(piece.value).toString();
-    }
-  }
-
-  function idsOf(text: string): number[] {
-    return [...text.matchAll(/id: (\d+)/g)].map(([, id]) => Number(id));
-  }
-
   it('goes on with a stream at another upstream after its last event', async () => {
     const {result, connector} = await play(
       requestOf(RequestKind.STREAM, true),
@@ -294,7 +191,7 @@
 
   it('sends a request no more whose connections broke three times', async () => {
     const connector = new ScriptedConnector([lost, lost, lost]);
-    const dispatcher = dispatcherOf(connector);
+    const dispatcher = dispatcherFor(connector);
     const once = () =>
       dispatcher.dispatch(requestOf(RequestKind.NON_IDEMPOTENT));
     for (let crash = 0; crash < 3; crash += 1) {
@@ -315,7 +212,7 @@
     const held: Script = () =>
       new Promise(resolve => releases.push(() => resolve(head({}, ['ok']))));
     const connector = new ScriptedConnector([held, held, held]);
-    const dispatcher = dispatcherOf(connector);
+    const dispatcher = dispatcherFor(connector);
     const send = async (name: string, priority: number) => {
       const route = testRoute({priority});
       const request = testRequest({
--- a/packages/arbutustide-routing/src/fleet/fleet_attempt.ts
+++ b/packages/arbutustide-routing/src/fleet/fleet_attempt.ts
@@ -1,6 +1,7 @@
 import type {FleetConnector, UpstreamHead} from './fleet_connector.js';
 import type {FleetProgress} from './fleet_progress.js';
 import type {Place} from './place_queue.js';
+import type {SilenceWatch} from './silence_watch.js';
 
 import {AttemptError, AttemptFailure} from '@arbutustide/upstream';
 
@@ -14,6 +15,8 @@
 /** One attempt with what came of it. */
 export interface Attempt {
   readonly place: Place;
+  /** Ends the attempt when its upstream falls silent. */
+  readonly watch: SilenceWatch;
   readonly outcome: AttemptOutcome;
   /** The answer's head, unless none came. */
   readonly head: UpstreamHead | undefined;
@@ -23,6 +26,14 @@
   readonly error: AttemptError | undefined;
 }
 
+/** What an attempt is made with. */
+export interface AttemptMeans {
+  readonly place: Place;
+  readonly watch: SilenceWatch;
+  /** Goes on after this event; undefined to begin at the first. */
+  readonly resumeAfter: number | undefined;
+}
+
 /**
  * Sends a request to one upstream and reads its answer: a whole one up to its
  * end, an event stream up to its head.
@@ -30,33 +41,34 @@
 export async function runAttempt(
   connector: FleetConnector,
   progress: FleetProgress,
-  place: Place,
-  resumeAfter: number | undefined,
+  means: AttemptMeans,
 ): Promise<Attempt> {
-  const {request, cancel} = progress;
-  const opened = await connector.open(place.upstream, request, {
+  const {place, watch, resumeAfter} = means;
+  const opened = await connector.open(place.upstream, progress.request, {
     remainingMilliseconds: remainingMilliseconds(progress),
     resumeAfter,
-    cancel,
+    cancel: watch.cancel,
   });
-  if (!opened.ok) return failedAttempt(place, undefined, opened.val);
+  if (!opened.ok) return failedAttempt(means, undefined, opened.val);
+  watch.heard();
   const head = opened.val;
   if (head.load) place.upstream.learnLoad(head.load);
   const outcome = outcomeOfHead(head);
   const isStreamed = head.isEventStream && outcome === AttemptOutcome.ANSWERED;
-  if (isStreamed)
-    return {place, outcome, head, body: undefined, error: undefined};
+  const common = {place, watch, outcome, head};
+  if (isStreamed) return {...common, body: undefined, error: undefined};
   try {
-    const body = await collect(head.body);
-    return {place, outcome, head, body, error: undefined};
+    const body = await collect(head.body, watch);
+    watch.stop();
+    return {...common, body, error: undefined};
   } catch (error) {
-    return brokenAttempt(place, head, outcome, error);
+    return brokenAttempt(means, head, outcome, error);
   }
 }
 
 /** An attempt whose answer was cut short after its head. */
 function brokenAttempt(
-  place: Place,
+  means: AttemptMeans,
   head: UpstreamHead,
   outcome: AttemptOutcome,
   cause: unknown,
@@ -65,22 +77,29 @@
     cause instanceof AttemptError
       ? cause
       : new AttemptError(AttemptFailure.CLOSED, String(cause));
-  if (outcome !== AttemptOutcome.NOT_RUN)
-    return failedAttempt(place, head, error);
-  return {place, outcome, head, body: undefined, error};
+  const failed = failedAttempt(means, head, error);
+  return outcome === AttemptOutcome.NOT_RUN ? {...failed, outcome} : failed;
 }
 
 function failedAttempt(
-  place: Place,
+  {place, watch}: AttemptMeans,
   head: UpstreamHead | undefined,
-  error: AttemptError,
+  cause: AttemptError,
 ): Attempt {
+  watch.stop();
+  const error = watch.explain(cause);
   const outcome = outcomeOfError(error);
-  return {place, outcome, head, body: undefined, error};
+  return {place, watch, outcome, head, body: undefined, error};
 }
 
-async function collect(body: AsyncIterable<Uint8Array>): Promise<Buffer> {
+async function collect(
+  body: AsyncIterable<Uint8Array>,
+  watch: SilenceWatch,
+): Promise<Buffer> {
   const pieces: Uint8Array[] = [];
-  for await (const piece of body) pieces.push(piece);
+  for await (const piece of body) {
+    watch.heard();
+    pieces.push(piece);
+  }
   return pieces.length === 1 ? Buffer.from(pieces[0]) : Buffer.concat(pieces);
 }
--- a/packages/arbutustide-routing/src/fleet/fleet_connector.ts
+++ b/packages/arbutustide-routing/src/fleet/fleet_connector.ts
@@ -39,4 +39,6 @@
     request: RoutedRequest,
     terms: AttemptTerms,
   ): Promise<Result<UpstreamHead, AttemptError>>;
+  /** Closes the connections to an upstream that is gone, as they fall idle. */
+  forget(upstreamId: string): void;
 }
--- a/packages/arbutustide-routing/src/fleet/fleet_dispatcher.ts
+++ b/packages/arbutustide-routing/src/fleet/fleet_dispatcher.ts
@@ -23,7 +23,9 @@
 import {DecisionStep} from './fleet_decision.js';
 import {ranUntilNow, remainingMilliseconds} from './fleet_progress.js';
 import {FleetStream} from './fleet_stream.js';
+import {isRepeatable} from './route.js';
 import {routedFingerprint} from './routed_request.js';
+import {SilenceWatch} from './silence_watch.js';
 
 /** What the dispatcher asks of its surroundings. */
 export interface FleetDispatcherOptions {
@@ -74,6 +76,7 @@
       tried: new Set(),
       attempts: 0,
       mayHaveRun: false,
+      heardAtMilliseconds: request.arrivedAtMilliseconds,
       fingerprint: routedFingerprint(request),
     };
     if (suspects.isQuarantined(progress.fingerprint)) {
@@ -109,7 +112,9 @@
       if (attempt.outcome === AttemptOutcome.ANSWERED) return Ok(attempt);
       if (attempt.outcome === AttemptOutcome.FAILED) lastFailure = attempt;
       const terms = {
-        tryTakeRetry: () => this.options.tryTakeRetry(progress.request.service),
+        tryTakeRetry: () =>
+          attempt.watch.hasGivenUp ||
+          this.options.tryTakeRetry(progress.request.service),
       };
       if (mayTryAgain(progress, attempt.outcome, terms)) continue;
       if (lastFailure?.body) return Ok(lastFailure);
@@ -125,12 +130,10 @@
     const {upstream} = place;
     progress.tried.add(upstream);
     progress.attempts += 1;
-    const attempt = await runAttempt(
-      this.connector,
-      progress,
-      place,
-      resumeAfter,
-    );
+    const mayReplace = () => this.mayReplace(progress);
+    const watch = new SilenceWatch(progress, upstream, mayReplace);
+    const means = {place, watch, resumeAfter};
+    const attempt = await runAttempt(this.connector, progress, means);
     const isOpen = attempt.body === undefined && attempt.error === undefined;
     if (!isOpen) place.release();
     if (mayHaveRun(attempt.outcome)) progress.mayHaveRun = true;
@@ -142,6 +145,17 @@
     return attempt;
   }
 
+  /** Takes what another attempt in place of a silent one needs. */
+  private mayReplace(progress: FleetProgress): boolean {
+    const {route, service} = progress.request;
+    return (
+      isRepeatable(route) &&
+      progress.attempts < route.maximumAttempts &&
+      this.queue.hasPlace(progress) &&
+      this.options.tryTakeRetry(service)
+    );
+  }
+
   /** What an attempt tells of its upstream. */
   private learn(progress: FleetProgress, attempt: Attempt): void {
     const {upstream} = attempt.place;
--- a/packages/arbutustide-routing/src/fleet/fleet_progress.ts
+++ b/packages/arbutustide-routing/src/fleet/fleet_progress.ts
@@ -18,6 +18,8 @@
   attempts: number;
   /** Whether an upstream may have begun to run it. */
   mayHaveRun: boolean;
+  /** When the caller last got a part of the answer; at first its arrival. */
+  heardAtMilliseconds: number;
 }
 
 /** Whether the request ran, as far as is known before any success. */
@@ -32,13 +34,16 @@
 const WAITING_SHARE = 0.8;
 
 /** Time left in which a place must come, in milliseconds. */
-export function waitLeftMilliseconds({request}: FleetProgress): number {
-  const {arrivedAtMilliseconds, deadlineAtMilliseconds, route} = request;
+export function waitLeftMilliseconds({
+  request,
+  heardAtMilliseconds,
+}: FleetProgress): number {
+  const {deadlineAtMilliseconds, route} = request;
   const patience = Math.min(
-    deadlineAtMilliseconds - arrivedAtMilliseconds,
+    deadlineAtMilliseconds - heardAtMilliseconds,
     route.patienceMilliseconds,
   );
-  const end = arrivedAtMilliseconds + WAITING_SHARE * patience;
+  const end = heardAtMilliseconds + WAITING_SHARE * patience;
   return end - performance.now();
 }
 
--- a/packages/arbutustide-routing/src/fleet/fleet_stream.ts
+++ b/packages/arbutustide-routing/src/fleet/fleet_stream.ts
@@ -33,6 +33,8 @@
 /** Why one attempt's part of a stream ended before the stream did. */
 interface PartBreak {
   readonly reason: string;
+  /** Whether it was given up here, for which the retry was taken already. */
+  readonly isSilent?: boolean;
 }
 
 /** Passes a stream's events on, over all the upstreams that make them. */
@@ -74,6 +76,7 @@
     this.events.beginAttempt();
     try {
       for await (const piece of attempt.head?.body ?? []) {
+        attempt.watch.heard();
         const {bytes, problem} = this.events.push(piece);
         if (bytes) {
           this.notePiece();
@@ -85,12 +88,14 @@
         ? {reason: 'the stream ended within an event'}
         : undefined;
     } catch (error) {
+      const {hasGivenUp: isSilent} = attempt.watch;
       if (!this.progress.cancel.isCancelled) {
         attempt.place.upstream.recordFailure();
-        this.options.onBreak();
+        if (!isSilent) this.options.onBreak();
       }
-      return {reason: String(error)};
+      return {reason: String(error), isSilent};
     } finally {
+      attempt.watch.stop();
       attempt.place.release();
     }
   }
@@ -101,6 +106,7 @@
     else
       this.longestPause = Math.max(this.longestPause, now - this.lastEventAt);
     this.lastEventAt = now;
+    this.progress.heardAtMilliseconds = now;
   }
 
   private pace(): StreamPace {
@@ -120,7 +126,7 @@
       isRepeatable(route) &&
       !cancel.isCancelled &&
       attempts < route.maximumAttempts &&
-      this.options.tryTakeRetry();
+      (broken.isSilent || this.options.tryTakeRetry());
     if (!isAllowed) return undefined;
     const next = await this.options.resume(this.events.lastNumber);
     const attempt = next.ok ? next.val : undefined;
--- a/packages/arbutustide-routing/src/fleet/fleet_upstream.ts
+++ b/packages/arbutustide-routing/src/fleet/fleet_upstream.ts
@@ -63,6 +63,7 @@
   private told: UpstreamLoad | undefined;
   private toldAtMilliseconds = 0;
   private ownInFlightWhenTold = 0;
+  private heardAtMilliseconds = performance.now();
   private failuresInRow = 0;
   private restsUntilMilliseconds = 0;
   private listed: ReadonlySet<string> = new Set();
@@ -136,6 +137,16 @@
     return Math.max(told, this.ownInFlight);
   }
 
+  /** Notes that it has sent something. */
+  noteHeard(): void {
+    this.heardAtMilliseconds = performance.now();
+  }
+
+  /** Time since it last sent something to this node, in milliseconds. */
+  get silentMilliseconds(): number {
+    return performance.now() - this.heardAtMilliseconds;
+  }
+
   recordSuccess(): void {
     this.failuresInRow = 0;
     this.restsUntilMilliseconds = 0;
--- a/packages/arbutustide-routing/src/fleet/place_queue.ts
+++ b/packages/arbutustide-routing/src/fleet/place_queue.ts
@@ -88,6 +88,11 @@
     return result;
   }
 
+  /** Whether the request would be given a place at this moment. */
+  hasPlace(progress: FleetProgress): boolean {
+    return !isReason(this.options.choose(progress));
+  }
+
   /** Looks for places anew, once after all changes of this turn. */
   wake(): void {
     if (this.isPassDue || this.waiters.length === 0) return;
