--- a/packages/arbutustide-catalogue/src/__tests__/unit/catalogue.test.ts
+++ b/packages/arbutustide-catalogue/src/__tests__/unit/catalogue.test.ts
@@ -35,7 +35,10 @@
 }
 
 const documents = fc
-  .uniqueArray(fc.stringMatching(/^[a-z][a-z0-9-]{0,8}$/), {maxLength: 200})
+  .uniqueArray(fc.stringMatching(/^[a-z][a-z0-9-]{0,8}$/), {
+    maxLength: 200,
+    size: 'max',
+  })
   .map(names => documentOf(names.map(name => model(name))));
 
 describe('catalogue', () => {
@@ -51,7 +54,10 @@
   });
 
   it('never goes back to a lower revision, in whatever order they come', () => {
-    const offers = fc.array(fc.integer({min: 1, max: 20}), {maxLength: 40});
+    const offers = fc.array(fc.integer({min: 1, max: 20}), {
+      maxLength: 40,
+      size: 'max',
+    });
     fc.assert(
       fc.property(offers, revisions => {
         const holder = new CatalogueHolder();
--- a/packages/arbutustide-claims/src/__tests__/unit/claim_store.test.ts
+++ b/packages/arbutustide-claims/src/__tests__/unit/claim_store.test.ts
@@ -74,7 +74,7 @@
 
 const fates = fc.array(
   fc.constantFrom(WriteFate.DONE, WriteFate.REPLY_LOST, WriteFate.REFUSED),
-  {maxLength: 12},
+  {maxLength: 12, size: 'max'},
 );
 
 describe('claims', () => {
--- a/packages/arbutustide-membership/src/__tests__/unit/member_table.test.ts
+++ b/packages/arbutustide-membership/src/__tests__/unit/member_table.test.ts
@@ -52,7 +52,7 @@
     isRemoval: fc.boolean(),
     isSent: fc.boolean(),
   }),
-  {maxLength: 40},
+  {maxLength: 40, size: 'max'},
 );
 
 describe('member table', () => {
--- /dev/null
+++ b/packages/arbutustide-node/src/__tests__/unit/configuration_watcher.test.ts
@@ -0,0 +1,65 @@
+import type {StoredObject} from '@arbutustide/object-store';
+import type {ServingConfiguration} from '@arbutustide/routing';
+
+import type {FleetDependencies} from '../../fleet/fleet_dependencies.js';
+
+import {silentLogger} from '@arbutustide/telemetry';
+import {expect} from 'chai';
+import {Err, Ok} from 'ts-results';
+
+import {ConfigurationWatcher} from '../../fleet/configuration_watcher.js';
+
+const LIMITS = {
+  headerBytes: 1,
+  bodyBytes: 1,
+  headerTimeoutMilliseconds: 1,
+  idleTimeoutMilliseconds: 1,
+};
+
+/** An object of a revision that holds a version, or nothing usable. */
+function object(revision: number, version: number | undefined): StoredObject {
+  return {key: 'configuration', version: revision, value: version};
+}
+
+describe('configuration in force', () => {
+  let watcher: ConfigurationWatcher;
+  let told: number[];
+
+  beforeEach(() => {
+    const dependencies: Pick<FleetDependencies, 'logger' | 'configuration'> = {
+      logger: silentLogger(),
+      configuration: {
+        prefix: 'configuration',
+        decode: value => {
+          if (typeof value !== 'number') return Err(new Error('not usable'));
+          const configuration: ServingConfiguration = {
+            version: value,
+            routes: [],
+            services: new Map(),
+            limits: LIMITS,
+          };
+          return Ok(configuration);
+        },
+      },
+    };
+    watcher = new ConfigurationWatcher(dependencies as FleetDependencies);
+    told = [];
+    watcher.onConfiguration(({version}) => told.push(version));
+  });
+
+  it('never gives way to an older one, whatever order they come in', () => {
+    watcher.take(object(5, 3));
+    watcher.take(object(4, 2));
+    watcher.take(object(9, 3));
+    watcher.take(object(10, 7));
+    expect(told).to.eql([3, 7]);
+    expect(watcher.routes?.configuration.version).to.equal(7);
+  });
+
+  it('stays in force though a later object cannot be used', () => {
+    watcher.take(object(5, 3));
+    watcher.take(object(6, undefined));
+    expect(watcher.routes?.configuration.version).to.equal(3);
+    expect(watcher.stored?.version).to.equal(5);
+  });
+});
--- a/packages/arbutustide-placement/src/__tests__/unit/engine_book.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/engine_book.test.ts
@@ -171,31 +171,57 @@
   },
 };
 
+/** Plays the steps, and checks the engine's room after each. */
+function playSteps(
+  steps: ReadonlyArray<{readonly step: Step; readonly model: string}>,
+): void {
+  const engine = new ModelledEngine();
+  const play: Play = {
+    engine,
+    book: new EngineBook(ENGINE, () => ROOM),
+    fence: 1,
+    lagging: engine.report(),
+    late: [],
+  };
+  for (const {step: name, model} of steps) {
+    STEPS[name](play, model);
+    expect(engine.committedMegabytes).to.be.at.most(ROOM.weightMegabytes);
+    expect(engine.adapterCount).to.be.at.most(ROOM.adapterPlaces);
+  }
+}
+
 describe('order book of an engine', () => {
-  it('never overfills an engine, whatever is late or lost', () => {
-    const step = fc.record({
-      step: fc.constantFrom(...Object.values(Step)),
-      model: fc.constantFrom('one', 'two', 'three', 'four', 'five'),
-    });
-    fc.assert(
-      fc.property(fc.array(step, {maxLength: 60}), steps => {
-        const engine = new ModelledEngine();
-        const play: Play = {
-          engine,
-          book: new EngineBook(ENGINE, () => ROOM),
-          fence: 1,
-          lagging: engine.report(),
-          late: [],
-        };
-        for (const {step: name, model} of steps) {
-          STEPS[name](play, model);
-          expect(engine.committedMegabytes).to.be.at.most(ROOM.weightMegabytes);
-          expect(engine.adapterCount).to.be.at.most(ROOM.adapterPlaces);
-        }
-      }),
-      {numRuns: 2_000, seed: 20261204},
-    );
+  const model = fc.constantFrom('one', 'two', 'three', 'four', 'five');
+  const anyStep = fc.record({
+    step: fc.constantFrom(...Object.values(Step)),
+    model,
   });
+  /** Fills the engine, which any steps alone seldom do. */
+  const fillingStep = fc.record({
+    step: fc.constantFrom(
+      Step.LOAD,
+      Step.LOAD_ADAPTER,
+      Step.FINISH,
+      Step.REPORT,
+    ),
+    model,
+  });
+  const plays = {
+    'whatever is late or lost': fc.array(anyStep, {maxLength: 60, size: 'max'}),
+    'though it is nearly full': fc.array(
+      fc.oneof({weight: 9, arbitrary: fillingStep}, anyStep),
+      {maxLength: 120, size: 'max'},
+    ),
+  };
+
+  for (const [circumstance, play] of Object.entries(plays)) {
+    it(`never overfills an engine, ${circumstance}`, () => {
+      fc.assert(fc.property(play, playSteps), {
+        numRuns: 2_000,
+        seed: 20261204,
+      });
+    });
+  }
 
   it('leaves room for a late order to an engine that started again', () => {
     const engine = new ModelledEngine();
--- a/packages/arbutustide-placement/src/__tests__/unit/ledger.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/ledger.test.ts
@@ -101,7 +101,7 @@
       index: fc.nat(10),
     });
     fc.assert(
-      fc.property(fc.array(step, {maxLength: 60}), steps => {
+      fc.property(fc.array(step, {maxLength: 60, size: 'max'}), steps => {
         const engine = new ModelEngine();
         let record = newWorkerRecord(
           {id: 'w', failureDomain: 'd'},
--- a/packages/arbutustide-routing/src/__tests__/unit/admission_gate.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/admission_gate.test.ts
@@ -97,7 +97,11 @@
 
 describe('fleet share', () => {
   it('adds up to no more than the limit when all know the same', () => {
-    const demands = fc.array(fc.nat(200), {minLength: 1, maxLength: 40});
+    const demands = fc.array(fc.nat(200), {
+      minLength: 1,
+      maxLength: 40,
+      size: 'max',
+    });
     fc.assert(
       fc.property(demands, fc.integer({min: 40, max: 500}), (own, limit) => {
         const total = own.reduce((sum, demand) => sum + demand, 0);
--- a/packages/arbutustide-routing/src/__tests__/unit/silence_watch.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/silence_watch.test.ts
@@ -76,8 +76,14 @@
   });
 
   it('waits for a silent upstream of what may run once', async () => {
-    const {connector} = await playSilence(RequestKind.NON_IDEMPOTENT, silent);
+    const {answer, connector} = await playSilence(
+      RequestKind.NON_IDEMPOTENT,
+      silent,
+    );
     expect(connector.sent).to.have.length(1);
+    expect(await Promise.race([answer, 'still waiting'])).to.equal(
+      'still waiting',
+    );
   });
 
   it('waits for a silent upstream where no other is free', async () => {
--- a/packages/arbutustide-scenarios/src/__tests__/unit/proofs.test.ts
+++ b/packages/arbutustide-scenarios/src/__tests__/unit/proofs.test.ts
@@ -10,6 +10,8 @@
 
 const DIRECTORY = 'docs/proofs';
 const FILES = readdirSync(DIRECTORY).filter(file => file.endsWith('.patch'));
+const PLATFORM_DIRECTORY = 'docs/proofs/platform';
+const PLATFORM_FILES = readdirSync(PLATFORM_DIRECTORY);
 const CELLS = singleFaults().possible.map(cellName);
 
 describe('mutations kept as proofs', () => {
@@ -24,4 +26,14 @@
       expect(CELLS).to.include(cell);
     });
   }
+  for (const file of PLATFORM_FILES) {
+    it(`${file} applies and names a test`, () => {
+      const path = join(PLATFORM_DIRECTORY, file);
+      execFileSync('git', ['apply', '--check', path], {stdio: 'pipe'});
+      const text = readFileSync(path, 'utf8');
+      const test = /^Test: (.*)$/m.exec(text)?.[1] ?? '';
+      const title = /^Title: (.+)$/m.exec(text)?.[1] ?? '';
+      expect(readFileSync(test, 'utf8')).to.include(title.split(', ').at(-1));
+    });
+  }
 });
