Give up connections that are not taken; the library heeds no signal before

Its pass waited for the report of an engine that had gone dark: a call's time limit is a signal, which undici heeds only once there is a connection, and a connection may take 10 s by default. The same held for calls to the store, and for requests of callers: one that connects was not answered at its deadline.

Ruled out: collected time-out signals (they fire on established connections; the logs show both), the order's own retries.

--- a/packages/arbutustide-object-store/src/store_http_client.ts
+++ b/packages/arbutustide-object-store/src/store_http_client.ts
@@ -57,6 +57,8 @@
     this.pool = new Pool(options.url, {
       pipelining: 1,
       connections: MAXIMUM_CONNECTIONS,
+      // The library heeds no signal before the connection is there.
+      connect: {timeout: options.timeoutMilliseconds},
     });
     this.counter = options.counter ?? new StoreCallCounter();
   }
