--- a/packages/arbutustide-node/src/fleet/holder_check.ts
+++ b/packages/arbutustide-node/src/fleet/holder_check.ts
@@ -1,7 +1,7 @@
 import type {MemberTable, PeerTransport} from '@arbutustide/membership';
 
-import {ExchangeRequestSchema} from '@arbutustide/membership';
 import {delay} from '@arbutustide/errors';
+import {ExchangeRequestSchema} from '@arbutustide/membership';
 import {create} from '@bufbuild/protobuf';
 
 import {peerUrlOfIdentity} from './fleet_identity.js';
@@ -41,6 +41,7 @@
       this.transport.exchange(peerUrl, request),
       delay(PROBE_MILLISECONDS),
     ]);
+    // No answer in time; the call itself goes on and is not waited for.
     if (typeof answer === 'boolean') return false;
     return answer.ok ? answer.val.sender !== identity : answer.val.isRefused;
   }
--- a/packages/arbutustide-placement/src/fleet/model_plan.ts
+++ b/packages/arbutustide-placement/src/fleet/model_plan.ts
@@ -222,6 +222,9 @@
 /** Demand moves on within this time, so that a replica must pay off by then. */
 const PAY_OFF_MILLISECONDS = 20_000;
 
+/** A model must be loadable however long that takes. */
+const MOST_LOST_SHARE = 0.5;
+
 /**
  * Part of a replica's gain that is lost while it is loaded. Loads from an
  * engine's own copies are five to ten times as fast.
@@ -239,17 +242,14 @@
   return Math.min(MOST_LOST_SHARE, milliseconds / PAY_OFF_MILLISECONDS);
 }
 
+/** The busiest engine is still better than none. */
+const MOST_BUSY_SHARE = 0.15;
+
 /** Part of a replica's gain that is lost to requests the engine has already. */
 function busyShare({load}: PlannedEngine): number {
   return Math.min(MOST_BUSY_SHARE, load);
 }
 
-/** The busiest engine is still better than none. */
-const MOST_BUSY_SHARE = 0.15;
-
-/** A model must be loadable however long that takes. */
-const MOST_LOST_SHARE = 0.5;
-
 interface Eviction {
   readonly names: readonly string[];
   readonly loss: number;
--- a/packages/arbutustide-placement/src/planner_lease.ts
+++ b/packages/arbutustide-placement/src/planner_lease.ts
@@ -29,6 +29,9 @@
   return leaseSchema.parse(value);
 }
 
+/** Stands for the holder of a lease that cannot be read. */
+const UNREADABLE_HOLDER = 'unreadable';
+
 /**
  * The lease an object stands for. One that another writer spoilt counts as held
  * by somebody; its version exceeds every epoch, since each epoch took a write.
@@ -39,9 +42,6 @@
   return {holder: UNREADABLE_HOLDER, epoch: version, writeId: ''};
 }
 
-/** Stands for the holder of a lease that cannot be read. */
-const UNREADABLE_HOLDER = 'unreadable';
-
 /**
  * The planner's lease of one region. Durations are measured by each side's own
  * monotonic clock: a challenger waits until it has seen the record unchanged
