Tell one request's story and its cause from nodes' logs

arbutustide trace REQUEST_ID LOG... reads logs of several nodes, also behind what a collector puts before each line, orders the request's lines, adds the planner's that bear on its model, and names the cause.

--- a/packages/arbutustide-cli/src/program.ts
+++ b/packages/arbutustide-cli/src/program.ts
@@ -25,6 +25,7 @@
   movesCommand,
   statusCommand,
 } from './status_commands.js';
+import {traceCommand} from './trace/trace_command.js';
 import {VERSION} from './version.js';
 
 /** The whole command line. */
@@ -65,6 +66,12 @@
       .option('--limit <number>', 'newest moves shown', '50')
       .action(movesCommand),
   );
+  program
+    .command('trace')
+    .description("one request's story and its cause, from nodes' logs")
+    .argument('<request-id>')
+    .argument('<file...>', 'logs of one or more nodes, as they were written')
+    .action(traceCommand);
   program
     .command('completion')
     .description('print a completion script for bash')
--- /dev/null
+++ b/packages/arbutustide-cli/src/trace/request_story.ts
@@ -0,0 +1,149 @@
+import type {LogLine} from './log_line.js';
+
+import {ErrorKind} from '@arbutustide/errors';
+
+/** Messages of a request's own lines and of the planner's. */
+const REQUEST_MESSAGE = 'request';
+const PLANNER_MESSAGE = 'planner';
+/** Steps that end a request. */
+const FINAL_STEPS: ReadonlySet<unknown> = new Set(['refused', 'ended']);
+const PLACED_STEP = 'placed';
+const ATTEMPT_STEP = 'attempt_ended';
+const WHOLE_END = 'whole';
+const LEASE_GAINED = 'lease_gained';
+const LOAD_ORDER = 'load';
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/**
+ * How long before a request's arrival and after its end other lines may bear on
+ * it: the longest gap without a planner.
+ */
+const CONTEXT_MILLISECONDS = 10_000;
+/** Requests at an upstream beyond which it was probably slow, by its slots. */
+const BUSY_LOAD = 24;
+
+/** What happened to one request, and why. */
+export interface RequestStory {
+  /** The request's own lines, in order. */
+  readonly lines: readonly LogLine[];
+  /** Lines of the planner and of dependencies that bear on it. */
+  readonly context: readonly LogLine[];
+  readonly cause: string;
+}
+
+type Explanation = (
+  final: LogLine,
+  story: Omit<RequestStory, 'cause'>,
+) => string;
+
+/** Tells the story of a request; undefined when no line names it. */
+export function tellStory(
+  all: readonly LogLine[],
+  requestId: string,
+): RequestStory | undefined {
+  const lines = all.filter(line => isOfRequest(line, requestId)).sort(byTime);
+  const [first] = lines;
+  const last = lines.at(-1);
+  if (!first || !last) return undefined;
+  const context = all.filter(line => bearsOn(line, first, last)).sort(byTime);
+  const story = {lines, context};
+  return {...story, cause: causeOf(story)};
+}
+
+function isOfRequest({message, fields}: LogLine, requestId: string): boolean {
+  return message === REQUEST_MESSAGE && fields['requestId'] === requestId;
+}
+
+function byTime(left: LogLine, right: LogLine): number {
+  return left.atMilliseconds - right.atMilliseconds;
+}
+
+/** Changes of the lease, and orders and failures that concern its model. */
+function bearsOn(line: LogLine, first: LogLine, last: LogLine): boolean {
+  const {message, fields, atMilliseconds} = line;
+  const isNear =
+    atMilliseconds > first.atMilliseconds - CONTEXT_MILLISECONDS &&
+    atMilliseconds < last.atMilliseconds + CONTEXT_MILLISECONDS;
+  if (!isNear || message !== PLANNER_MESSAGE) return false;
+  const model = first.fields['model'];
+  const order = fields['order'] as {model?: unknown} | undefined;
+  return order ? order.model === model : fields['model'] === undefined;
+}
+
+function causeOf(story: Omit<RequestStory, 'cause'>): string {
+  const final = story.lines.find(({fields}) => FINAL_STEPS.has(fields['step']));
+  if (!final)
+    return 'no line tells how it ended: the node stopped, or lines were dropped';
+  const kind = final.fields['kind'];
+  const explain = EXPLANATIONS[kind as ErrorKind] ?? explainEnd;
+  return explain(final, story);
+}
+
+const EXPLANATIONS: Partial<Readonly<Record<ErrorKind, Explanation>>> = {
+  [ErrorKind.NO_REPLICA]: (final, story) =>
+    `no engine held ${String(final.fields['model'])}; ${explainPlanner(story)}`,
+  [ErrorKind.DEADLINE_UNREACHABLE]: final =>
+    `every upstream that could take it had as much work as it may have, for ${String(final.fields['elapsedMilliseconds'])} ms`,
+  [ErrorKind.UPSTREAM_BROKEN]: (_final, story) =>
+    `its upstream broke off: ${explainAttempt(story)}`,
+  [ErrorKind.UPSTREAM_UNREACHABLE]: (_final, story) =>
+    `no upstream took it: ${explainAttempt(story)}`,
+  [ErrorKind.UPSTREAM_TIMED_OUT]: (_final, story) =>
+    `its time was over before an answer came; ${explainPlace(story)}`,
+  [ErrorKind.CALLER_GONE]: (_final, story) =>
+    `its caller left; ${explainPlace(story)}`,
+  [ErrorKind.REQUEST_QUARANTINED]: () =>
+    'requests like it broke the connections of several upstreams',
+};
+
+/** A request that was answered, whole or not. */
+function explainEnd(
+  {fields}: LogLine,
+  story: Omit<RequestStory, 'cause'>,
+): string {
+  const {end, kind, firstEventMilliseconds: firstEvent} = fields;
+  if (end === WHOLE_END) {
+    const late =
+      firstEvent === undefined ? '' : ` after ${String(firstEvent)} ms`;
+    return `answered whole${late}; ${explainPlace(story)}`;
+  }
+  return `ended as ${String(end ?? kind)}; ${explainAttempt(story)}`;
+}
+
+/** Who had the model loaded after the refusal, and what came in between. */
+function explainPlanner({lines, context}: Omit<RequestStory, 'cause'>): string {
+  const refusedAt = lines[lines.length - 1].atMilliseconds;
+  const load = context.find(
+    line => line.atMilliseconds >= refusedAt && isModelLoad(line),
+  );
+  const until = load?.atMilliseconds ?? Infinity;
+  const gained = context.find(
+    ({fields, atMilliseconds}) =>
+      fields['step'] === LEASE_GAINED && atMilliseconds < until,
+  );
+  const change = gained ? `${gained.node} had become the planner, ` : '';
+  if (!load) return `${change}no load of it was ordered in the time after`;
+  const seconds = (load.atMilliseconds - refusedAt) / MILLISECONDS_PER_SECOND;
+  return `${change}${load.node} ordered a load ${seconds.toFixed(1)} s later (${String(load.fields['answer'])})`;
+}
+
+function isModelLoad({fields}: LogLine): boolean {
+  const order = fields['order'] as {kind?: unknown; adapter?: unknown};
+  return order?.kind === LOAD_ORDER && order.adapter === undefined;
+}
+
+function explainAttempt({lines}: Omit<RequestStory, 'cause'>): string {
+  const attempt = lines.findLast(({fields}) => fields['step'] === ATTEMPT_STEP);
+  if (!attempt) return 'no attempt failed before';
+  const {upstream, outcome, reason, status} = attempt.fields;
+  const why = String(reason ?? `status ${String(status)}`);
+  return `${String(upstream)}: ${String(outcome)}, ${why}`;
+}
+
+function explainPlace({lines}: Omit<RequestStory, 'cause'>): string {
+  const place = lines.findLast(({fields}) => fields['step'] === PLACED_STEP);
+  if (!place) return 'it was given no place';
+  const {upstream, load, waitedMilliseconds} = place.fields;
+  const busy = Number(load) >= BUSY_LOAD ? ', which is busy' : '';
+  return `it waited ${String(waitedMilliseconds)} ms for ${String(upstream)} with ${String(load)} requests${busy}`;
+}
