Refuse what still waits for a place before the node stops

A request for a model that no engine held came 1.5 s after SIGTERM and waited for a place with its caller's patience of 16 s; at 93 % of the grace period its connection was closed without an answer, though it had never been sent. Since waits are bounded by the caller's patience alone, any long patience does this.

Change: halfway through the grace period the queue refuses all that wait as not run, with 0.1 s to come back to another node, and from then on what finds no place at once.

--- a/packages/arbutustide-node/src/fleet/fleet_core.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_core.ts
@@ -27,6 +27,7 @@
   QUEUE_CHECK_MILLISECONDS,
   RENEWAL_SHARE,
   STANDBY_NODES,
+  WAITS_END_SHARE,
 } from './fleet_tuning.js';
 import {createFleetContainer} from './fleet_wiring.js';
 
@@ -96,6 +97,7 @@
   /** Tells the surroundings that this node is about to stop. */
   async leave(): Promise<void> {
     this.status.setState(NodeState.LEAVING);
+    this.endWaitsLater();
     this.planningStopped.abort();
     await Promise.all(this.planning);
     await this.parts.resolve(FleetToken.LEASE).release();
@@ -140,6 +142,15 @@
     return this.parts.resolve(FleetToken.OWN_STATUS);
   }
 
+  /** Lets requests wait for a place only while there is time to run them. */
+  private endWaitsLater(): void {
+    const {stopMilliseconds} = this.dependencies.settings;
+    const queue = this.parts.resolve(FleetToken.QUEUE);
+    void delay(stopMilliseconds * WAITS_END_SHARE, this.stopped.signal).then(
+      () => queue.close(),
+    );
+  }
+
   private takeConfiguration(): void {
     if (this.status.state !== NodeState.STARTING) return;
     this.status.setState(NodeState.READY);
--- a/packages/arbutustide-node/src/fleet/fleet_tuning.ts
+++ b/packages/arbutustide-node/src/fleet/fleet_tuning.ts
@@ -17,6 +17,9 @@
 /** Time between two looks at waiting requests that nothing else woke. */
 export const QUEUE_CHECK_MILLISECONDS = 100;
 
+/** Part of the time to stop after which nothing waits; the rest is to run. */
+export const WAITS_END_SHARE = 0.5;
+
 /** Time between two exchanges with one peer; each costs bytes and time. */
 export const GOSSIP_INTERVAL_MILLISECONDS = 700;
 export const GOSSIP_HEARTBEAT_MILLISECONDS = 700;
--- a/packages/arbutustide-routing/src/fleet/place_queue.ts
+++ b/packages/arbutustide-routing/src/fleet/place_queue.ts
@@ -66,6 +66,7 @@
 export class PlaceQueue {
   private readonly waiters: Waiter[] = [];
   private isPassDue = false;
+  private isClosed = false;
 
   constructor(private readonly options: PlaceQueueOptions) {}
 
@@ -93,6 +94,18 @@
     return !isReason(this.options.choose(progress));
   }
 
+  /**
+   * Refuses all that wait, and from now on what finds no place at once. It is
+   * called before this node stops, while there is time to answer and for
+   * callers to go elsewhere.
+   */
+  close(): void {
+    this.isClosed = true;
+    for (const waiter of this.waiters.splice(0)) {
+      waiter.decide(Err(leavingRefusal(waiter.progress)));
+    }
+  }
+
   /** Looks for places anew, once after all changes of this turn. */
   wake(): void {
     if (this.isPassDue || this.waiters.length === 0) return;
@@ -134,6 +147,7 @@
   ): RefusalError | undefined {
     const wait = this.options.predictWait(progress, reason, ahead);
     const needed = this.options.serviceMilliseconds(progress);
+    if (this.isClosed) return leavingRefusal(progress);
     const total = (wait ?? Infinity) + needed;
     if (total <= waitLeftMilliseconds(progress)) return undefined;
     return refusal(progress, reason, wait);
@@ -232,6 +246,16 @@
   );
 }
 
+/** Another node takes the request as soon as it comes. */
+const LEAVING_RETRY_MILLISECONDS = 100;
+
+function leavingRefusal(progress: FleetProgress): RefusalError {
+  return new RefusalError(ErrorKind.NOT_READY, 'this node is about to stop', {
+    ran: ranUntilNow(progress),
+    retryAfterMilliseconds: LEAVING_RETRY_MILLISECONDS,
+  });
+}
+
 const KIND_BY_REASON: Readonly<Record<NoChoice, ErrorKind>> = {
   [NoChoice.NOT_HELD]: ErrorKind.NO_REPLICA,
   [NoChoice.FULL]: ErrorKind.DEADLINE_UNREACHABLE,
