Take the planner's steps and orders in the trace from where they are defined

The trace wrote lease_gained and load again as text; PlannerStep and OrderKind have them. The steps of requests stay as text: DecisionStep is in routing, which the command line may not import.

--- a/packages/arbutustide-cli/src/trace/request_story.ts
+++ b/packages/arbutustide-cli/src/trace/request_story.ts
@@ -1,6 +1,8 @@
 import type {LogLine} from './log_line.js';
 
 import {ErrorKind} from '@arbutustide/errors';
+import {PlannerStep} from '@arbutustide/placement';
+import {OrderKind} from '@arbutustide/upstream';
 
 /** Messages of a request's own lines and of the planner's. */
 const REQUEST_MESSAGE = 'request';
@@ -10,8 +12,6 @@
 const PLACED_STEP = 'placed';
 const ATTEMPT_STEP = 'attempt_ended';
 const WHOLE_END = 'whole';
-const LEASE_GAINED = 'lease_gained';
-const LOAD_ORDER = 'load';
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /**
@@ -119,7 +119,7 @@
   const until = load?.atMilliseconds ?? Infinity;
   const gained = context.find(
     ({fields, atMilliseconds}) =>
-      fields['step'] === LEASE_GAINED && atMilliseconds < until,
+      fields['step'] === PlannerStep.LEASE_GAINED && atMilliseconds < until,
   );
   const change = gained ? `${gained.node} had become the planner, ` : '';
   if (!load) return `${change}no load of it was ordered in the time after`;
@@ -129,7 +129,7 @@
 
 function isModelLoad({fields}: LogLine): boolean {
   const order = fields['order'] as {kind?: unknown; adapter?: unknown};
-  return order?.kind === LOAD_ORDER && order.adapter === undefined;
+  return order?.kind === OrderKind.LOAD && order.adapter === undefined;
 }
 
 function explainAttempt({lines}: Omit<RequestStory, 'cause'>): string {
