--- a/packages/arbutustide-claims/src/__tests__/unit/claim_store.test.ts
+++ b/packages/arbutustide-claims/src/__tests__/unit/claim_store.test.ts
@@ -24,6 +24,7 @@
 
 /** In-memory object store whose writes have the listed outcomes, then DONE. */
 class FaultInjectingStore implements ObjectStore {
+  readonly eraStartVersion = 0;
   private readonly objects = new Map<string, StoredObject>();
   private version = 0;
 
--- a/packages/arbutustide-cli/src/exit_code.ts
+++ b/packages/arbutustide-cli/src/exit_code.ts
@@ -17,6 +17,7 @@
   [StoreErrorKind.NOT_FOUND]: ExitCode.NOT_FOUND,
   [StoreErrorKind.CONFLICT]: ExitCode.CONFLICT,
   [StoreErrorKind.HISTORY_GONE]: ExitCode.UNAVAILABLE,
+  [StoreErrorKind.ERA_CHANGED]: ExitCode.OUTCOME_UNKNOWN,
   [StoreErrorKind.UNAVAILABLE]: ExitCode.UNAVAILABLE,
   [StoreErrorKind.OUTCOME_UNKNOWN]: ExitCode.OUTCOME_UNKNOWN,
 };
--- a/packages/arbutustide-membership/src/cluster_view.ts
+++ b/packages/arbutustide-membership/src/cluster_view.ts
@@ -52,6 +52,8 @@
   readonly crashCountByFingerprint: Map<string, number>;
   /** Fingerprints of suspected requests that some peer is running. */
   readonly runningSuspects: Set<string>;
+  /** Start times of leaving upstream processes, by upstream. */
+  readonly departuresByUpstream: Map<string, number>;
   /** Holdings published by the planner with the highest epoch. */
   readonly holdingsByUpstream: Map<string, UpstreamHoldings>;
   holdingsEpoch: number;
@@ -99,6 +101,11 @@
     const known = summary.crashCountByFingerprint.get(fingerprint) ?? 0;
     summary.crashCountByFingerprint.set(fingerprint, known + crashes);
   },
+  departure: (field, _writer, summary) => {
+    if (field.value.case !== 'departure') return;
+    const {upstreamId, upstreamStartedAt} = field.value.value;
+    summary.departuresByUpstream.set(upstreamId, Number(upstreamStartedAt));
+  },
   holdings: (field, _writer, summary) => {
     if (field.value.case !== 'holdings') return;
     const {epoch, upstreamId} = field.value.value;
@@ -185,6 +192,11 @@
     return this.currentSummary().holdingsByUpstream;
   }
 
+  /** Start times of upstream processes that peers saw leave, by upstream. */
+  departures(): ReadonlyMap<string, number> {
+    return this.currentSummary().departuresByUpstream;
+  }
+
   /** Upstream crashes that peers counted while the request was in flight. */
   peerCrashCount(fingerprint: string): number {
     return this.currentSummary().crashCountByFingerprint.get(fingerprint) ?? 0;
@@ -228,6 +240,7 @@
     observations: [],
     crashCountByFingerprint: new Map(),
     runningSuspects: new Set(),
+    departuresByUpstream: new Map(),
     holdingsByUpstream: new Map(),
     holdingsEpoch: 0,
   };
--- a/packages/arbutustide-membership/src/index.ts
+++ b/packages/arbutustide-membership/src/index.ts
@@ -32,6 +32,7 @@
   NodeState,
   NodeStatusSchema,
   SuspicionSchema,
+  UpstreamDepartureSchema,
   UpstreamHoldingsSchema,
   UpstreamLoadSchema,
   UpstreamObservationSchema,
--- /dev/null
+++ b/packages/arbutustide-node/src/__tests__/unit/upstream_watcher.test.ts
@@ -0,0 +1,162 @@
+/**
+ * Guards against a list of upstreams from a restored store: it may lack live
+ * upstreams and show those as ready that have left. Also against the snapshot
+ * of a peer from before the restore.
+ */
+import type {
+  ObjectStore,
+  StoredObject,
+  WatchBatch,
+} from '@arbutustide/object-store';
+import type {UpstreamDescription} from '@arbutustide/routing';
+
+import type {ProxyDependencies} from '../../proxy/proxy_dependencies.js';
+
+import {StoreError, StoreErrorKind, toVersion} from '@arbutustide/object-store';
+import {ProxyUpstreamDirectory, UpstreamState} from '@arbutustide/routing';
+import {silentLogger} from '@arbutustide/telemetry';
+import {install} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {Err, Ok} from 'ts-results';
+
+import {UpstreamWatcher} from '../../proxy/upstream_watcher.js';
+
+const REMOVAL_GRACE_MILLISECONDS = 2_000;
+const STEP_MILLISECONDS = 300;
+
+/** Answers lists and watches as a test sets them; watches wait for a batch. */
+class ScriptedStore implements Pick<
+  ObjectStore,
+  'list' | 'watch' | 'eraStartVersion'
+> {
+  era = 1;
+  objects: StoredObject[] = [];
+  private pendingBatches: Partial<WatchBatch>[] = [];
+  private revision = 1;
+
+  get eraStartVersion(): number {
+    return toVersion(this.era, 0);
+  }
+
+  deliver(batch: Partial<WatchBatch>): void {
+    this.pendingBatches.push(batch);
+  }
+
+  async list() {
+    return Ok({objects: this.objects, version: this.nextVersion()});
+  }
+
+  async watch(_prefix: string, afterVersion: number) {
+    for (;;) {
+      if (afterVersion < this.eraStartVersion)
+        return Err(new StoreError(StoreErrorKind.HISTORY_GONE, 'restored'));
+      const batch = this.pendingBatches.shift();
+      if (batch) {
+        const version = this.nextVersion();
+        return Ok({changes: [], deletedKeys: [], ...batch, version});
+      }
+      await new Promise(resolve => setTimeout(resolve, 10));
+    }
+  }
+
+  private nextVersion(): number {
+    this.revision += 1;
+    return toVersion(this.era, this.revision);
+  }
+}
+
+function entry(id: string, state = UpstreamState.READY, version = 1) {
+  const description: UpstreamDescription = {
+    id,
+    service: 'service',
+    address: '10.0.0.1:80',
+    failureDomain: 'near',
+    state,
+    slots: 4,
+    startedAt: 1,
+    models: [],
+    modelsInMemory: [],
+    modelsOnDisk: [],
+  };
+  return {key: `upstreams/${id}`, version, value: description};
+}
+
+describe('UpstreamWatcher', () => {
+  let clock: ReturnType<typeof install>;
+  let store: ScriptedStore;
+  let directory: ProxyUpstreamDirectory;
+  let watcher: UpstreamWatcher;
+  let stopController: AbortController;
+
+  beforeEach(() => {
+    clock = install();
+    store = new ScriptedStore();
+    directory = new ProxyUpstreamDirectory();
+    const dependencies: Partial<ProxyDependencies> = {
+      logger: silentLogger(),
+      store: store as unknown as ObjectStore,
+      upstreams: {
+        prefix: 'upstreams/',
+        decode: object => Ok(object.value as UpstreamDescription),
+        parseId: key => key.slice('upstreams/'.length),
+      },
+      connector: {
+        drainConnections: () => {},
+      } as unknown as ProxyDependencies['connector'],
+    };
+    watcher = new UpstreamWatcher(dependencies as ProxyDependencies, directory);
+    stopController = new AbortController();
+  });
+
+  afterEach(async () => {
+    stopController.abort();
+    clock.uninstall();
+  });
+
+  const readyIds = () =>
+    [...directory.all()].filter(({isReady}) => isReady).map(({id}) => id);
+
+  async function restoreWith(objects: StoredObject[]): Promise<void> {
+    store.era += 1;
+    store.objects = objects;
+    await clock.tickAsync(STEP_MILLISECONDS);
+  }
+
+  it('keeps upstreams that a restored list lacks until they list themselves', async () => {
+    store.objects = [entry('one'), entry('two')];
+    void watcher.run(stopController.signal);
+    await clock.tickAsync(STEP_MILLISECONDS);
+    await restoreWith([]);
+    expect(readyIds()).to.eql(['one', 'two']);
+    store.deliver({changes: [entry('one')]});
+    await clock.tickAsync(REMOVAL_GRACE_MILLISECONDS);
+    expect(readyIds()).to.eql(['one']);
+  });
+
+  it('does not use an upstream that had left and is in a restored list', async () => {
+    store.objects = [entry('one'), entry('two'), entry('three')];
+    void watcher.run(stopController.signal);
+    await clock.tickAsync(STEP_MILLISECONDS);
+    store.deliver({
+      changes: [entry('one', UpstreamState.LEAVING)],
+      deletedKeys: ['upstreams/two'],
+    });
+    await clock.tickAsync(STEP_MILLISECONDS);
+    await restoreWith([entry('one'), entry('two'), entry('three')]);
+    expect(readyIds()).to.eql(['three']);
+    // An upstream that was only silent lists itself again.
+    store.deliver({changes: [entry('one'), entry('two')]});
+    await clock.tickAsync(STEP_MILLISECONDS);
+    expect(readyIds()).to.have.members(['three', 'two']);
+  });
+
+  it('refuses the snapshot of a peer from before a restore', () => {
+    store.era = 2;
+    watcher.initializeFromPeer([entry('one', UpstreamState.READY, 7)]);
+    expect(watcher.isInitialized).to.equal(false);
+    watcher.initializeFromPeer([
+      entry('one', UpstreamState.READY, toVersion(2, 7)),
+    ]);
+    expect(readyIds()).to.eql(['one']);
+  });
+});
--- a/packages/arbutustide-node/src/node_status_publisher.ts
+++ b/packages/arbutustide-node/src/node_status_publisher.ts
@@ -7,6 +7,7 @@
   NodeStatusSchema,
   NODE_STATUS_KEY,
   SuspicionSchema,
+  UpstreamDepartureSchema,
   UpstreamLoadSchema,
 } from '@arbutustide/membership';
 import {create} from '@bufbuild/protobuf';
@@ -22,6 +23,11 @@
 /** Source of this node's number of requests in flight at each upstream. */
 export interface UpstreamLoadSource {
   all(): Iterable<{readonly id: string; readonly ownInFlight: number}>;
+  /** Departures that this node saw in answers a short time ago. */
+  observedDepartures?(): Iterable<{
+    readonly id: string;
+    readonly startedAt: number;
+  }>;
 }
 
 /** Source of this node's requests to each catalogue entry. */
@@ -69,6 +75,7 @@
     for (const key of this.publishLoads()) keys.add(key);
     for (const key of this.publishDemands()) keys.add(key);
     for (const key of this.publishSuspicions()) keys.add(key);
+    for (const key of this.publishDepartures()) keys.add(key);
     for (const key of this.publishedKeys) {
       if (!keys.has(key)) this.memberTable.ownRecord.remove(key);
     }
@@ -113,6 +120,19 @@
     }
   }
 
+  private *publishDepartures(): Generator<string> {
+    const departures = this.loadSource.observedDepartures?.() ?? [];
+    for (const {id, startedAt} of departures) {
+      const key = `departure/${id}`;
+      const value = create(UpstreamDepartureSchema, {
+        upstreamId: id,
+        upstreamStartedAt: BigInt(startedAt),
+      });
+      this.memberTable.ownRecord.set(key, {case: 'departure', value});
+      yield key;
+    }
+  }
+
   private *publishSuspicions(): Generator<string> {
     for (const suspicion of this.poisonRequestDetector.activeSuspicions()) {
       const {fingerprint, crashes, isRunning} = suspicion;
--- a/packages/arbutustide-node/src/proxy/node_engine_planner_environment.ts
+++ b/packages/arbutustide-node/src/proxy/node_engine_planner_environment.ts
@@ -107,6 +107,7 @@
     failureDomain: description.failureDomain,
     startedAt: description.startedAt,
     isReady: upstream.isReady,
+    acceptsCalls: upstream.remainingBackOffMilliseconds === 0,
     inFlight: upstream.estimatedInFlight,
     modelsInMemory: new Set(description.modelsInMemory),
     modelsOnDisk: new Set(description.modelsOnDisk),
--- a/packages/arbutustide-node/src/proxy/proxy_core.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_core.ts
@@ -10,6 +10,7 @@
   ProxyDispatcher,
   RouteTable,
   ServingConfiguration,
+  UpstreamSignals,
 } from '@arbutustide/routing';
 import type {NodeLogger} from '@arbutustide/telemetry';
 import type {DependencyContainer} from 'tsyringe';
@@ -18,6 +19,7 @@
 
 import {delay} from '@arbutustide/errors';
 import {NodeState} from '@arbutustide/membership';
+import {DepartureSource} from '@arbutustide/routing';
 
 import {serializeSnapshot, PeerBootstrap} from './peer_bootstrap.js';
 import {createPeerIdentity, peerUrlFromIdentity} from './peer_identity.js';
@@ -86,6 +88,18 @@
       .onConfiguration(listener);
   }
 
+  /** Applies what an upstream said of itself in answer to a control call. */
+  recordUpstreamSignals(upstreamId: string, signals: UpstreamSignals): void {
+    const upstream = this.container
+      .resolve(ProxyToken.UPSTREAM_DIRECTORY)
+      .get(upstreamId);
+    if (!upstream) return;
+    if (signals.backOffMilliseconds !== undefined)
+      upstream.recordBackOff(signals.backOffMilliseconds);
+    if (signals.isLeaving)
+      this.container.resolve(ProxyToken.DEPARTURE_HANDLER)(upstream);
+  }
+
   /** Starts the background tasks. */
   start(): void {
     const {signal} = this.stopController;
@@ -239,6 +253,8 @@
     const leadership = this.container.resolve(ProxyToken.PLANNER_LEADERSHIP);
     while (!signal.aborted) {
       this.status.publish();
+      for (const [id, startedAt] of clusterView.departures())
+        directory.markLeaving({id, startedAt}, DepartureSource.REPORT);
       const holdings = clusterView.plannerHoldings();
       for (const upstream of directory.all()) {
         upstream.peersInFlight = clusterView.peerRequestsInFlight(upstream.id);
--- a/packages/arbutustide-node/src/proxy/proxy_tokens.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tokens.ts
@@ -6,6 +6,7 @@
 } from '@arbutustide/placement';
 import type {
   DemandCounter,
+  ProxyUpstream,
   ProxyUpstreamDirectory,
   ProxyDispatcher,
   SlotQueue,
@@ -29,6 +30,10 @@
   CONFIGURATION_WATCHER:
     'fleet.configuration' as InjectionToken<ConfigurationWatcher>,
   UPSTREAM_WATCHER: 'fleet.upstreams' as InjectionToken<UpstreamWatcher>,
+  /** Receives an upstream whose answer states that it is leaving. */
+  DEPARTURE_HANDLER: 'fleet.departureHandler' as InjectionToken<
+    (upstream: ProxyUpstream) => void
+  >,
   DEMAND_COUNTER: 'fleet.counter' as InjectionToken<DemandCounter>,
   RETRY_BUDGETS: 'fleet.budgets' as InjectionToken<ServiceRetryBudgets>,
   REQUEST_QUEUE: 'fleet.queue' as InjectionToken<SlotQueue>,
--- a/packages/arbutustide-node/src/proxy/proxy_wiring.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_wiring.ts
@@ -18,6 +18,8 @@
 import {
   chooseUpstream,
   DemandCounter,
+  DepartureSource,
+  remainingBackOffMilliseconds,
   ProxyUpstreamDirectory,
   ProxyDispatcher,
   NoUpstreamReason,
@@ -76,6 +78,18 @@
 ): void {
   register(ProxyToken.UPSTREAM_DIRECTORY, () => new ProxyUpstreamDirectory());
   register(ProxyToken.DEMAND_COUNTER, () => new DemandCounter());
+  register(ProxyToken.DEPARTURE_HANDLER, container => {
+    const upstreamDirectory = container.resolve(ProxyToken.UPSTREAM_DIRECTORY);
+    return ({id, isReady, description}) => {
+      if (isReady) {
+        dependencies.logger.info(
+          {upstream: id},
+          'upstream says that it is leaving',
+        );
+      }
+      upstreamDirectory.markLeaving(description, DepartureSource.ANSWER);
+    };
+  });
   register(
     ProxyToken.CONFIGURATION_WATCHER,
     () => new ConfigurationWatcher(dependencies),
@@ -175,6 +189,7 @@
           retryBudgets.forService(service).tryConsume(),
         onModelMissing: (upstream, model) =>
           upstream.recordObservedHolding(model, false),
+        onLeaving: container.resolve(ProxyToken.DEPARTURE_HANDLER),
         onDecision: decision => {
           logger.info(decision, 'request');
           recordRequestMetrics(decision, metrics);
@@ -212,8 +227,15 @@
         },
       ),
     predictWaitMilliseconds: ({request: {service, modelRequest}}, reason) => {
-      if (reason === NoUpstreamReason.FULL)
-        return tuning.MINIMUM_SERVICE_MILLISECONDS;
+      if (reason === NoUpstreamReason.FULL) {
+        return Math.max(
+          tuning.MINIMUM_SERVICE_MILLISECONDS,
+          remainingBackOffMilliseconds(
+            upstreamDirectory.listByService(service),
+            modelRequest,
+          ),
+        );
+      }
       return (
         modelRequest &&
         holdingRequester.expectedWaitMilliseconds(service, modelRequest)
--- a/packages/arbutustide-node/src/proxy/upstream_watcher.ts
+++ b/packages/arbutustide-node/src/proxy/upstream_watcher.ts
@@ -30,6 +30,7 @@
   private readonly watcher: PrefixWatcher;
   private removalGraceEndMilliseconds = -Infinity;
   private hasReceivedList = false;
+  private isNextListRestored = false;
   /** Entries that could be decoded, by upstream, in their stored form. */
   private readonly storedObjectsById = new Map<string, StoredObject>();
   /** Timers of deferred removals, by upstream. */
@@ -52,6 +53,7 @@
         onList: objects => this.applyList(objects),
         onChange: object => this.applyObject(object),
         onDelete: key => this.removeByKey(key, 'deleted'),
+        onRestored: () => this.prepareForRestoredList(),
         onUnavailable: error =>
           logger.warn(
             {reason: error.message},
@@ -81,9 +83,22 @@
     return this.watcher.sinceResponseMilliseconds;
   }
 
-  /** Applies the entries of a peer, unless a list was received before. */
+  /**
+   * Applies the entries of a peer, unless a list was received before. Entries
+   * from before the store was last restored are refused.
+   */
   initializeFromPeer(objects: readonly StoredObject[]): void {
-    if (!this.hasReceivedList) this.applyList(objects);
+    if (this.hasReceivedList) return;
+    const {eraStartVersion} = this.dependencies.store;
+    const isOutdated = objects.some(({version}) => version < eraStartVersion);
+    if (isOutdated) {
+      this.dependencies.logger.warn(
+        {upstreams: objects.length},
+        'the upstreams of a peer are from before the store was restored; ignoring them',
+      );
+      return;
+    }
+    this.applyList(objects);
   }
 
   /** Watches the store until the signal is aborted. */
@@ -91,12 +106,32 @@
     return this.watcher.run(signal);
   }
 
+  /**
+   * The list that follows is out of date: live upstreams that are missing write
+   * their entries again, and those that had left may be listed.
+   */
+  private prepareForRestoredList(): void {
+    this.isNextListRestored = true;
+    this.removalGraceEndMilliseconds =
+      performance.now() + REMOVAL_GRACE_MILLISECONDS;
+    this.dependencies.logger.warn(
+      'the store was restored from a copy; listing upstreams again',
+    );
+  }
+
   private applyList(objects: readonly StoredObject[]): void {
     this.hasReceivedList = true;
+    const isRestored = this.isNextListRestored;
+    this.isNextListRestored = false;
     const descriptions: UpstreamDescription[] = [];
     for (const object of objects) {
       const description = this.decode(object);
-      if (description) descriptions.push(description);
+      if (!description) continue;
+      if (isRestored && this.directory.hasDeparted(description)) {
+        this.storedObjectsById.delete(description.id);
+        continue;
+      }
+      descriptions.push(description);
     }
     const listedIds = new Set(descriptions.map(({id}) => id));
     for (const {id} of [...this.directory.all()]) {
--- a/packages/arbutustide-object-store/src/http_object_store.ts
+++ b/packages/arbutustide-object-store/src/http_object_store.ts
@@ -5,7 +5,7 @@
   StoreResult,
   WatchBatch,
 } from './object_store.js';
-import type {StoreHttpClientOptions} from './store_http_client.js';
+import type {StoreCall, StoreHttpClientOptions} from './store_http_client.js';
 
 import {z} from 'zod';
 
@@ -36,6 +36,8 @@
 
 /** Client of the object API; docs/INTERFACES.md describes the protocol. */
 export class HttpObjectStore implements ObjectStore {
+  /** The project's object API is never restored from a copy. */
+  readonly eraStartVersion = 0;
   private readonly client: StoreHttpClient;
 
   constructor(private readonly options: HttpObjectStoreOptions) {
@@ -43,7 +45,7 @@
   }
 
   get(key: string): StoreResult<StoredObject> {
-    return this.client.call({
+    return this.callForValue({
       method: 'GET',
       path: objectPath(key),
       operation: 'get',
@@ -52,7 +54,7 @@
   }
 
   list(prefix: string): StoreResult<StoredList> {
-    return this.client.call({
+    return this.callForValue({
       method: 'GET',
       path: `/objects?prefix=${encodeURIComponent(prefix)}`,
       operation: 'list',
@@ -61,7 +63,7 @@
   }
 
   create(key: string, value: unknown): StoreResult<StoredObject> {
-    return this.client.call({
+    return this.callForValue({
       method: 'PUT',
       path: objectPath(key),
       operation: 'create',
@@ -76,7 +78,7 @@
     value: unknown,
     version: number,
   ): StoreResult<StoredObject> {
-    return this.client.call({
+    return this.callForValue({
       method: 'PUT',
       path: objectPath(key),
       operation: 'update',
@@ -87,7 +89,7 @@
   }
 
   async delete(key: string, version: number): StoreResult<void> {
-    const deleted = await this.client.call({
+    const deleted = await this.callForValue({
       method: 'DELETE',
       path: objectPath(key),
       operation: 'delete',
@@ -108,7 +110,7 @@
       after: String(afterVersion),
       wait_milliseconds: String(watchMilliseconds),
     });
-    return this.client.call({
+    return this.callForValue({
       method: 'GET',
       path: `/watch?${query}`,
       operation: 'watch',
@@ -118,6 +120,11 @@
     });
   }
 
+  private async callForValue<T>(call: StoreCall<T>): StoreResult<T> {
+    const answer = await this.client.call(call);
+    return answer.map(({value}) => value);
+  }
+
   /** Closes the connections to the store. */
   close(): Promise<void> {
     return this.client.close();
--- a/packages/arbutustide-object-store/src/index.ts
+++ b/packages/arbutustide-object-store/src/index.ts
@@ -8,11 +8,16 @@
   StoreResult,
   WatchBatch,
 } from './object_store.js';
-export type {StoreCall, StoreHttpClientOptions} from './store_http_client.js';
+export type {
+  StoreAnswer,
+  StoreCall,
+  StoreHttpClientOptions,
+} from './store_http_client.js';
 
 export {HttpObjectStore} from './http_object_store.js';
 export {PrefixWatcher} from './prefix_watcher.js';
 export {StoreCallCounter} from './store_call_counter.js';
 export {StoreError, StoreErrorKind} from './store_error.js';
 export {StoreHttpClient} from './store_http_client.js';
+export {eraOfVersion, revisionOfVersion, toVersion} from './store_version.js';
 export {writeAndConfirm} from './write_and_confirm.js';
--- a/packages/arbutustide-object-store/src/object_store.ts
+++ b/packages/arbutustide-object-store/src/object_store.ts
@@ -5,7 +5,10 @@
 /** A stored object. */
 export interface StoredObject {
   readonly key: string;
-  /** Version set by the store; increases with every write to any object. */
+  /**
+   * Version set by the store; increases with every write to any object, also
+   * over restores of the store.
+   */
   readonly version: number;
   /** JSON value of at most one megabyte when encoded. */
   readonly value: unknown;
@@ -31,9 +34,16 @@
 /**
  * The platform's object API. Every method makes one call, which the platform
  * charges. A write that fails with `OUTCOME_UNKNOWN` may have taken effect, or
- * may still take effect later.
+ * may still take effect later. A call with a version from before the store was
+ * restored fails with `ERA_CHANGED`, a watch with `HISTORY_GONE`.
  */
 export interface ObjectStore {
+  /**
+   * Lower bound of all versions of the store's current era, as known from its
+   * latest answer. Lower versions are from before the store was last restored
+   * from a copy. Zero for a store that is never restored.
+   */
+  readonly eraStartVersion: number;
   /** Fails with `NOT_FOUND` when the object does not exist. */
   get(key: string): StoreResult<StoredObject>;
   list(prefix: string): StoreResult<StoredList>;
--- a/packages/arbutustide-object-store/src/prefix_watcher.ts
+++ b/packages/arbutustide-object-store/src/prefix_watcher.ts
@@ -10,6 +10,11 @@
   /** An object was created or written. */
   onChange(object: StoredObject): void;
   onDelete(key: string): void;
+  /**
+   * The store was restored from a copy. Objects may be missing or out of date
+   * until their writers have written them again. `onList` follows.
+   */
+  onRestored?(): void;
   /** The store cannot be read; the known objects may be out of date. */
   onUnavailable(error: StoreError): void;
   /**
@@ -36,10 +41,11 @@
 /**
  * Keeps a listener up to date with the objects under a prefix: lists them,
  * watches for changes after the list's version, and lists again when the store
- * no longer has those changes. Retries while the store is unavailable.
+ * no longer has those changes or was restored from a copy. Retries while the store is unavailable.
  */
 export class PrefixWatcher {
   private watchedVersion: number | undefined;
+  private listedEraStartVersion: number | undefined;
   private unavailableSinceMilliseconds: number | undefined;
   private lastResponseAtMilliseconds = -Infinity;
 
@@ -77,6 +83,7 @@
     this.recordResponse();
     const {objects, version} = listed.val;
     this.watchedVersion = version;
+    this.recordEra();
     this.listener.onList(objects, version);
     return undefined;
   }
@@ -101,6 +108,14 @@
     return undefined;
   }
 
+  private recordEra(): void {
+    const {eraStartVersion} = this.store;
+    const previous = this.listedEraStartVersion;
+    this.listedEraStartVersion = eraStartVersion;
+    if (previous !== undefined && eraStartVersion > previous)
+      this.listener.onRestored?.();
+  }
+
   private recordResponse(): void {
     const now = performance.now();
     this.lastResponseAtMilliseconds = now;
--- a/packages/arbutustide-object-store/src/store_error.ts
+++ b/packages/arbutustide-object-store/src/store_error.ts
@@ -4,6 +4,11 @@
   CONFLICT = 'conflict',
   /** The store no longer has the changes after the requested version. */
   HISTORY_GONE = 'history_gone',
+  /**
+   * The store was restored from a copy since the versions in the call were
+   * read. A write may have taken effect; nothing read before it still holds.
+   */
+  ERA_CHANGED = 'era_changed',
   /** The call had no effect. */
   UNAVAILABLE = 'unavailable',
   /** The call may have taken effect, or may still take effect later. */
--- a/packages/arbutustide-object-store/src/store_http_client.ts
+++ b/packages/arbutustide-object-store/src/store_http_client.ts
@@ -1,3 +1,4 @@
+import type {IncomingHttpHeaders} from 'node:http';
 import type {Result} from 'ts-results';
 import type {Dispatcher} from 'undici';
 import type {z} from 'zod';
@@ -34,6 +35,12 @@
   readonly timeoutMilliseconds: number;
   /** Bearer token. */
   readonly token?: string;
+  /**
+   * Lower-case name of the response header with the store's era, an integer
+   * that increases whenever the store is restored from a copy. Without it the
+   * store is taken to be never restored.
+   */
+  readonly eraHeader?: string;
   readonly counter?: StoreCallCounter;
 }
 
@@ -46,10 +53,19 @@
   readonly schema: z.ZodType<T>;
   readonly headers?: Record<string, string>;
   readonly body?: unknown;
+  /** Era that the arguments were read in; an answer of another era fails. */
+  readonly expectedEra?: number;
   readonly timeoutMilliseconds?: number;
   readonly signal?: AbortSignal;
 }
 
+/** Body of a successful call. */
+export interface StoreAnswer<T> {
+  readonly value: T;
+  /** Era of the store when it answered. */
+  readonly era: number;
+}
+
 /**
  * Makes HTTP calls to a store and classifies failures by whether the call may
  * have taken effect.
@@ -57,6 +73,7 @@
 export class StoreHttpClient {
   private readonly pool: Pool;
   private readonly counter: StoreCallCounter;
+  private latestEra = 0;
 
   constructor(private readonly options: StoreHttpClientOptions) {
     this.pool = new Pool(options.url, {
@@ -73,8 +90,15 @@
     return this.pool.destroy();
   }
 
+  /** Highest era in an answer of the store so far. */
+  get era(): number {
+    return this.latestEra;
+  }
+
   /** Makes one call. Returns every failure as a StoreError; never throws. */
-  async call<T>(call: StoreCall<T>): Promise<Result<T, StoreError>> {
+  async call<T>(
+    call: StoreCall<T>,
+  ): Promise<Result<StoreAnswer<T>, StoreError>> {
     this.counter.record(call.operation);
     const timeout =
       call.timeoutMilliseconds ?? this.options.timeoutMilliseconds;
@@ -95,14 +119,44 @@
           : deadline,
       });
       const text = await response.body.text();
+      const era = this.recordEra(response.headers);
+      const expectedEra = call.expectedEra ?? this.latestEra;
+      if (era !== expectedEra || era < this.latestEra) {
+        return Err(toEraError(call, era, expectedEra));
+      }
       if (response.statusCode >= 300) {
         return Err(toStatusError(call, response.statusCode, text));
       }
-      return Ok(call.schema.parse(text === '' ? undefined : JSON.parse(text)));
+      const value = call.schema.parse(
+        text === '' ? undefined : JSON.parse(text),
+      );
+      return Ok({value, era});
     } catch (error) {
       return Err(toTransportError(call, error));
     }
   }
+
+  /** Returns the era of an answer, and remembers it if it is the latest. */
+  private recordEra(headers: IncomingHttpHeaders): number {
+    const {eraHeader} = this.options;
+    const text = eraHeader && headers[eraHeader];
+    const era = typeof text === 'string' ? Number(text) : NaN;
+    if (!Number.isSafeInteger(era)) return this.latestEra;
+    this.latestEra = Math.max(this.latestEra, era);
+    return era;
+  }
+}
+
+/** Fails a call whose answer is not of the era that it was made in. */
+function toEraError<T>(
+  call: StoreCall<T>,
+  era: number,
+  expectedEra: number,
+): StoreError {
+  return new StoreError(
+    StoreErrorKind.ERA_CHANGED,
+    `${call.operation} ${call.path}: answered in era ${era}, not ${expectedEra}`,
+  );
 }
 
 function toStatusError<T>(
--- a/packages/arbutustide-object-store/src/write_and_confirm.ts
+++ b/packages/arbutustide-object-store/src/write_and_confirm.ts
@@ -14,7 +14,8 @@
  * @param isOwnWrite whether a value that was read back is the one written here;
  *     the value must contain an id that no other writer uses.
  * @return the object as written; `CONFLICT` when another write took effect
- *     first; `UNAVAILABLE` when nothing was written; `OUTCOME_UNKNOWN` when
+ *     first; `UNAVAILABLE` when nothing was written; `ERA_CHANGED` when the
+ *     store was restored since the version was read; `OUTCOME_UNKNOWN` when
  *     the read could not decide.
  */
 export async function writeAndConfirm(
@@ -30,6 +31,7 @@
       : await store.update(key, value, version);
   if (written.ok) return written;
   if (written.val.kind === StoreErrorKind.UNAVAILABLE) return written;
+  if (written.val.kind === StoreErrorKind.ERA_CHANGED) return written;
   const current = await store.get(key);
   if (current.ok && isOwnWrite(current.val.value)) return current;
   if (written.val.kind === StoreErrorKind.CONFLICT) return written;
--- a/packages/arbutustide-placement/src/__tests__/unit/planner_leadership.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/planner_leadership.test.ts
@@ -29,8 +29,9 @@
 /** One node's connection to the shared store, which can be cut. */
 class DisconnectableStore implements Pick<
   ObjectStore,
-  'get' | 'create' | 'update'
+  'get' | 'create' | 'update' | 'eraStartVersion'
 > {
+  readonly eraStartVersion = 0;
   isReachable = true;
 
   constructor(private readonly shared: SharedStoreState) {}
--- a/packages/arbutustide-placement/src/engines/engine_planner.ts
+++ b/packages/arbutustide-placement/src/engines/engine_planner.ts
@@ -8,7 +8,6 @@
   CataloguedModel,
   EngineService,
   EnginePlannerEnvironment,
-  ListedEngine,
 } from './engine_planner_environment.js';
 import type {ModelMove, ModelPlanSettings, PlannedModel} from './model_plan.js';
 
@@ -20,6 +19,10 @@
 import {AdapterLoader} from './adapter_loader.js';
 import {EngineRegistry} from './engine_registry.js';
 import {expectedHoldingAt} from './expected_holding.js';
+import {
+  expectedLoadMilliseconds,
+  maximumConcurrentStoreLoads,
+} from './load_estimates.js';
 import {PlannerStep} from './engine_planner_environment.js';
 import {planModelMoves} from './model_plan.js';
 import {OrderSender} from './order_sender.js';
@@ -124,15 +127,16 @@
    * Requests that some engine hold a model or adapter. An adapter is ordered at
    * once if its model is held; models are left to the next planning pass.
    *
-   * @return where and when it will be usable; undefined if this node may not
-   *     send orders or the model is not in the catalogue.
+   * @return where and when it will be usable; undefined if this node does not
+   *     lead or the model is not in the catalogue.
    */
   async requestHolding(
     service: string,
     model: string,
     adapter: string | undefined,
   ): Promise<ExpectedHolding | undefined> {
-    if (!this.checkCanSendOrders()) return undefined;
+    if (!this.checkCanSendOrders())
+      return this.expectHoldingAfterTakeover(service, model, adapter);
     if (adapter === undefined) return this.expectModelHolding(service, model);
     const wanted = {model, adapter};
     const entries = this.registry.entriesOfService(service);
@@ -144,6 +148,22 @@
       : this.expectModelHolding(service, model);
   }
 
+  /** While this node leads but must wait for its predecessor to stop. */
+  private expectHoldingAfterTakeover(
+    service: string,
+    model: string,
+    adapter: string | undefined,
+  ): ExpectedHolding | undefined {
+    if (!this.leadership.checkLeadership()) return undefined;
+    const waitMilliseconds = this.leadership.remainingTakeoverMilliseconds;
+    const expected = this.expectModelHolding(service, model);
+    if (waitMilliseconds === 0 || !expected) return undefined;
+    const loadMilliseconds =
+      expected.readyInMilliseconds +
+      (adapter === undefined ? 0 : this.settings.adapterLoadMilliseconds);
+    return expectedHoldingAt(undefined, waitMilliseconds + loadMilliseconds);
+  }
+
   private syncLeaseState(): void {
     const epoch = this.leadership.checkLeadership()
       ? this.leadership.epoch
@@ -155,8 +175,8 @@
       this.registry.clear(this.heldEpoch ?? 0);
     } else {
       recordEvent({step: PlannerStep.LEASE_GAINED, epoch});
-      // The predecessor's recent loads are unknown. New limiters therefore
-      // start without tokens.
+      // Recent loads of a predecessor are unknown. New limiters therefore start
+      // without tokens.
       if (epoch !== this.lastHeldEpoch) this.loadLimiters.clear();
       this.lastHeldEpoch = epoch;
     }
@@ -330,7 +350,7 @@
       service.storeLoadsPerSecond * STORE_RATE_SHARE,
       maximumConcurrentStoreLoads(service),
       this.settings.storeLoadBurst,
-      this.lease.isFirstHolder ? undefined : 0,
+      0,
     );
     this.loadLimiters.set(service.name, limiter);
     return limiter;
@@ -367,25 +387,3 @@
     return expectedHoldingAt(undefined, catalogued.storeLoadMilliseconds);
   }
 }
-
-/** Concurrent loads that use the full rate of the weight store. */
-function maximumConcurrentStoreLoads({
-  models,
-  storeLoadsPerSecond,
-}: EngineService): number {
-  const total = models.reduce(
-    (sum, {storeLoadMilliseconds}) => sum + storeLoadMilliseconds,
-    0,
-  );
-  const meanSeconds = total / Math.max(1, models.length) / 1_000;
-  return Math.max(1, Math.floor(storeLoadsPerSecond * meanSeconds));
-}
-
-function expectedLoadMilliseconds(
-  model: CataloguedModel,
-  {modelsInMemory, modelsOnDisk}: ListedEngine,
-): number {
-  if (modelsInMemory.has(model.name)) return model.memoryLoadMilliseconds;
-  if (modelsOnDisk.has(model.name)) return model.diskLoadMilliseconds;
-  return model.storeLoadMilliseconds;
-}
--- a/packages/arbutustide-placement/src/engines/engine_planner_environment.ts
+++ b/packages/arbutustide-placement/src/engines/engine_planner_environment.ts
@@ -9,6 +9,8 @@
   readonly startedAt: number;
   /** Whether the engine accepts new requests. */
   readonly isReady: boolean;
+  /** Whether it takes calls of this node; not while it asked for a pause. */
+  readonly acceptsCalls: boolean;
   /** Requests in flight at the engine, summed over all nodes. */
   readonly inFlight: number;
   /** Models that the engine can load from its own host memory. */
--- a/packages/arbutustide-placement/src/engines/engine_registry.ts
+++ b/packages/arbutustide-placement/src/engines/engine_registry.ts
@@ -135,6 +135,7 @@
   /** Reads an engine's report if the last one is too old. */
   async refreshReport(entry: EngineEntry): Promise<void> {
     const {holdings, listed} = entry;
+    if (!listed.acceptsCalls) return;
     const {maximumReportAgeMilliseconds, maximumBusyReportAgeMilliseconds} =
       this.settings;
     const maximumAgeMilliseconds = holdings.isBusy
@@ -180,6 +181,7 @@
       utilization: listed.inFlight / this.serviceNamed(listed.service).slots,
       canAcceptOrder:
         listed.isReady &&
+        listed.acceptsCalls &&
         holdings.isUpToDate &&
         !holdings.isBusy &&
         pendingEviction === undefined &&
--- a/packages/arbutustide-placement/src/engines/order_sender.ts
+++ b/packages/arbutustide-placement/src/engines/order_sender.ts
@@ -54,6 +54,7 @@
     gain: number | undefined,
   ): Promise<void> {
     if (!this.options.canSendOrders() || !holdings.isUpToDate) return;
+    if (!listed.acceptsCalls) return;
     if (kind === OrderKind.LOAD && findLoadBlocker(holdings, model, adapter))
       return;
     const order: HoldingOrder = holdings.createOrder(kind, model, adapter, {
--- a/packages/arbutustide-placement/src/planner_leadership.ts
+++ b/packages/arbutustide-placement/src/planner_leadership.ts
@@ -71,10 +71,16 @@
   get hasPredecessorStopped(): boolean {
     if (performance.now() >= this.takeoverEndMilliseconds) return true;
     if (!this.settings.areFencesChecked) return false;
+    if (!this.lease.isPredecessorKnown) return false;
     const {hasPredecessorEnded, lastHolder} = this.lease;
     return hasPredecessorEnded || this.environment.hasSteppedDown(lastHolder);
   }
 
+  /** Time until the previous holder has certainly stopped. */
+  get remainingTakeoverMilliseconds(): number {
+    return Math.max(0, this.takeoverEndMilliseconds - performance.now());
+  }
+
   private recordRenewal(): void {
     const {renewedAtMilliseconds} = this.lease;
     if (renewedAtMilliseconds === this.observedRenewalMilliseconds) return;
--- a/packages/arbutustide-placement/src/planner_lease.ts
+++ b/packages/arbutustide-placement/src/planner_lease.ts
@@ -8,7 +8,10 @@
 const leaseSchema = z.strictObject({
   /** Identity of the holding process; empty after a release. */
   holder: z.string(),
-  /** Increases with each change of holder; fencing token of its orders. */
+  /**
+   * Increases with each change of holder, also over restores of the store;
+   * fencing token of the holder's orders.
+   */
   epoch: z.number().int(),
   /** Random ID of each write, to recognize it after a lost reply. */
   writeId: z.string(),
@@ -38,8 +41,7 @@
 
 /**
  * Returns the lease stored in an object. One that another writer corrupted
- * counts as held by an unknown process. Its version serves as the epoch: it
- * exceeds every earlier epoch, since each epoch took at least one write.
+ * counts as held by an unknown process.
  */
 function leaseFromObject({value, version}: StoredObject): Lease {
   const parsed = leaseSchema.safeParse(value);
@@ -52,6 +54,11 @@
  * monotonic clock: a challenger takes over after it has observed the record
  * unchanged for one lease duration, and the holder counts its lease from before
  * it sent the renewal.
+ *
+ * An epoch is derived from the version that its first write replaces. Two
+ * processes never gain the same epoch, and a later one is higher, also when a
+ * restore of the store has brought back an earlier record. A lease gained in an
+ * earlier era of the store is not held any more.
  */
 export class PlannerLease {
   private observedVersion = -1;
@@ -60,11 +67,11 @@
   private heldEpoch = 0;
   private validUntilMilliseconds = 0;
   private renewalSentMilliseconds = 0;
-  private acquiredAsFirstHolder = false;
   private mustRenewFirst = false;
   private acquiredFromEndedHolder = false;
   private observedHolder = '';
   private takeoverDelayMilliseconds = 0;
+  private isHolderOnRecordLast = true;
 
   constructor(
     private readonly store: ObjectStore,
@@ -76,7 +83,10 @@
 
   /** Whether this process holds the lease at this moment. */
   get isHeld(): boolean {
-    return performance.now() < this.validUntilMilliseconds;
+    return (
+      this.isOfCurrentEra(this.heldEpoch) &&
+      performance.now() < this.validUntilMilliseconds
+    );
   }
 
   /**
@@ -85,7 +95,11 @@
    * store was unavailable.
    */
   get isLastKnownHolder(): boolean {
-    return this.heldVersion !== undefined && !this.mustRenewFirst;
+    return (
+      this.heldVersion !== undefined &&
+      !this.mustRenewFirst &&
+      this.isOfCurrentEra(this.heldEpoch)
+    );
   }
 
   /** Monotonic time just before the last successful renewal was sent. */
@@ -103,9 +117,12 @@
     return this.acquiredFromEndedHolder;
   }
 
-  /** Whether no process can have held the lease before this one. */
-  get isFirstHolder(): boolean {
-    return this.acquiredAsFirstHolder;
+  /**
+   * Whether the holder on record was the last one. A restore of the store may
+   * have lost the record of a later holder.
+   */
+  get isPredecessorKnown(): boolean {
+    return this.isHolderOnRecordLast;
   }
 
   /**
@@ -130,11 +147,12 @@
   /** Renews or tries to gain the lease; call several times per lease. */
   async acquireOrRenew(): Promise<void> {
     const sentAt = performance.now();
-    if (this.heldVersion !== undefined) {
+    if (this.heldVersion !== undefined && this.isOfCurrentEra(this.heldEpoch)) {
       // An unchanged version proves that no other process held it meanwhile.
       await this.renewHeldLease(this.heldVersion, sentAt);
       return;
     }
+    this.heldVersion = undefined;
     const stored = await this.store.get(leaseKey(this.region));
     if (stored.ok) {
       await this.tryTakeOver(stored.val);
@@ -144,8 +162,7 @@
     // so the observation starts again.
     this.observedVersion = -1;
     if (stored.val.kind !== StoreErrorKind.NOT_FOUND) return;
-    await this.writeLease(1, undefined, sentAt);
-    this.acquiredAsFirstHolder = this.isHeld;
+    await this.createLease(sentAt);
   }
 
   /** Releases the lease so that another node can take it immediately. */
@@ -169,17 +186,45 @@
       this.observedSinceMilliseconds = now;
     }
     const unchangedMilliseconds = now - this.observedSinceMilliseconds;
-    const isReleased = lease.holder === '';
-    const hasEnded = isReleased || (await this.hasEnded(lease.holder));
-    if (!hasEnded && unchangedMilliseconds < this.leaseMilliseconds) return;
-    this.acquiredAsFirstHolder = false;
+    // A restore of the store may have lost the records of later holders. None of
+    // them holds the lease any more, as it was gained in an earlier era.
+    const isLatestRecord = this.isOfCurrentEra(lease.epoch);
+    const isReleased = isLatestRecord && lease.holder === '';
+    const hasEnded =
+      isReleased || (isLatestRecord && (await this.hasEnded(lease.holder)));
+    const mayTakeOver =
+      hasEnded ||
+      !isLatestRecord ||
+      unchangedMilliseconds >= this.leaseMilliseconds;
+    if (!mayTakeOver) return;
     this.acquiredFromEndedHolder = hasEnded;
-    await this.writeLease(lease.epoch + 1, stored.version, performance.now());
+    this.isHolderOnRecordLast = isLatestRecord;
     // A holder that released the lease has stopped; any other may continue
     // until it learns of this epoch.
     const delayMilliseconds =
       this.leaseMilliseconds - (isReleased ? unchangedMilliseconds : 0);
     this.takeoverDelayMilliseconds = Math.max(0, delayMilliseconds);
+    await this.writeLease(
+      stored.version + 1,
+      stored.version,
+      performance.now(),
+    );
+  }
+
+  /**
+   * Creates the lease object, which is missing: no process has held the lease,
+   * or a restore of the store has lost the object.
+   */
+  private async createLease(sentAt: number): Promise<void> {
+    this.acquiredFromEndedHolder = false;
+    this.isHolderOnRecordLast = false;
+    this.takeoverDelayMilliseconds = this.leaseMilliseconds;
+    await this.writeLease(this.store.eraStartVersion + 1, undefined, sentAt);
+  }
+
+  /** Whether an epoch or version was given out since the latest restore. */
+  private isOfCurrentEra(epoch: number): boolean {
+    return epoch >= this.store.eraStartVersion;
   }
 
   /**
--- a/packages/arbutustide-routing/src/__tests__/unit/proxy_decisions.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/proxy_decisions.test.ts
@@ -66,6 +66,8 @@
     isOtherInstance: false,
     isSigned: true,
     isEventStream: false,
+    isLeaving: false,
+    backOffMilliseconds: undefined,
     load: undefined,
     body: (async function* () {})(),
     ...changes,
--- a/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
@@ -13,10 +13,15 @@
 import {Err, Ok} from 'ts-results';
 
 import {DemandCounter} from '../../proxy/demand_counter.js';
-import {chooseUpstream, NoUpstreamReason} from '../../proxy/choose_upstream.js';
+import {
+  chooseUpstream,
+  NoUpstreamReason,
+  remainingBackOffMilliseconds,
+} from '../../proxy/choose_upstream.js';
 import {ProxyDispatcher} from '../../proxy/proxy_dispatcher.js';
 import {SlotQueue} from '../../proxy/slot_queue.js';
 import type {RequestKind} from '../../proxy/route.js';
+import {UpstreamState} from '../../proxy/proxy_upstream.js';
 import {PoisonRequestDetector} from '../../poison_request_detector.js';
 import {testModelRequest, testRequest, testRoute} from './proxy_fixtures.js';
 
@@ -39,6 +44,8 @@
     isOtherInstance: false,
     isSigned: true,
     isEventStream: false,
+    isLeaving: false,
+    backOffMilliseconds: undefined,
     load: undefined,
     body: (async function* () {
       for (const chunk of body) yield Buffer.from(chunk);
@@ -102,8 +109,13 @@
   const queue = new SlotQueue({
     chooseUpstream: ({request, triedUpstreams: tried}) =>
       chooseUpstream(upstreams(), request.modelRequest, tried, settings),
-    predictWaitMilliseconds: (_progress, reason) =>
-      reason === NoUpstreamReason.FULL ? 10 : undefined,
+    predictWaitMilliseconds: ({request}, reason) =>
+      reason === NoUpstreamReason.FULL
+        ? Math.max(
+            10,
+            remainingBackOffMilliseconds(upstreams(), request.modelRequest),
+          )
+        : undefined,
     minimumServiceMilliseconds: () => 20,
     onNotHeld: () => {},
     observer: new DemandCounter(),
@@ -113,6 +125,11 @@
     tryConsumeRetry: () => true,
     onModelMissing: (upstream, model) =>
       upstream.recordObservedHolding(model, false),
+    onLeaving: upstream =>
+      upstream.updateDescription({
+        ...upstream.description,
+        state: UpstreamState.LEAVING,
+      }),
     onDecision,
     poisonRequestDetector: new PoisonRequestDetector(
       10_000,
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -25,6 +25,7 @@
   AttemptOptions,
   ProxyConnector,
   UpstreamResponseHead,
+  UpstreamSignals,
 } from './proxy/proxy_connector.js';
 export type {RequestDecision} from './proxy/request_decision.js';
 export type {ProxyDispatcherOptions} from './proxy/proxy_dispatcher.js';
@@ -65,7 +66,15 @@
 export {Dispatcher} from './dispatcher.js';
 export {ServerSentEventParser} from './server_sent_event_parser.js';
 export {AttemptOutcome} from './proxy/attempt_outcome.js';
-export {chooseUpstream, NoUpstreamReason} from './proxy/choose_upstream.js';
+export {
+  DepartedUpstreams,
+  DepartureSource,
+} from './proxy/departed_upstreams.js';
+export {
+  chooseUpstream,
+  NoUpstreamReason,
+  remainingBackOffMilliseconds,
+} from './proxy/choose_upstream.js';
 export {
   adapterEntryName,
   DemandCounter,
--- a/packages/arbutustide-routing/src/proxy/choose_upstream.ts
+++ b/packages/arbutustide-routing/src/proxy/choose_upstream.ts
@@ -19,7 +19,10 @@
 export enum NoUpstreamReason {
   /** No ready upstream that was not yet tried holds the model. */
   NOT_HELD = 'not_held',
-  /** Each upstream that holds it is ejected or at its utilization limit. */
+  /**
+   * Each upstream that holds it is ejected, asked for a pause, or is at its
+   * utilization limit.
+   */
   FULL = 'full',
 }
 
@@ -46,7 +49,8 @@
     if (!upstream.isReady || excluded.has(upstream)) continue;
     if (model && !upstream.canServe(model)) continue;
     isModelHeld = true;
-    if (upstream.isEjected) continue;
+    if (upstream.isEjected || upstream.remainingBackOffMilliseconds > 0)
+      continue;
     const load = upstream.estimatedInFlight / upstream.description.slots;
     if (load >= settings.fullShare) continue;
     const cost = upstreamCost(upstream, load, settings);
@@ -58,6 +62,22 @@
   return isModelHeld ? NoUpstreamReason.FULL : NoUpstreamReason.NOT_HELD;
 }
 
+/**
+ * Time until the first upstream that can serve a request accepts calls again,
+ * in milliseconds; zero if one does now or none can serve it.
+ */
+export function remainingBackOffMilliseconds(
+  candidates: Iterable<ProxyUpstream>,
+  model: ModelReference | undefined,
+): number {
+  let shortest = Infinity;
+  for (const upstream of candidates) {
+    if (!upstream.isReady || (model && !upstream.canServe(model))) continue;
+    shortest = Math.min(shortest, upstream.remainingBackOffMilliseconds);
+  }
+  return shortest === Infinity ? 0 : shortest;
+}
+
 function upstreamCost(
   {description, ownInFlight}: ProxyUpstream,
   load: number,
--- a/packages/arbutustide-routing/src/proxy/event_sequencer.ts
+++ b/packages/arbutustide-routing/src/proxy/event_sequencer.ts
@@ -1,11 +1,16 @@
 import {ServerSentEventParser} from '../server_sent_event_parser.js';
 
+/** Larger events count as bytes that are no answer. */
+const MAXIMUM_EVENT_BYTES = 1_024 * 1_024;
+
 /** Why an event stream cannot be continued. */
 export enum EventOrderProblem {
   /** The id of an event does not follow that of the last one. */
   GAP = 'gap',
   /** An event has no integer id. */
   NO_NUMBER = 'no_number',
+  /** An event does not end within the largest size of events. */
+  TOO_LARGE = 'too_large',
 }
 
 /** New complete events, in order, from one chunk of a body. */
@@ -60,7 +65,11 @@
       this.lastPassedId = number;
       complete.push(bytes);
     }
-    return {bytes: join(complete), problem: undefined};
+    const problem =
+      this.splitter.partialEventBytes > MAXIMUM_EVENT_BYTES
+        ? EventOrderProblem.TOO_LARGE
+        : undefined;
+    return {bytes: join(complete), problem};
   }
 }
 
--- a/packages/arbutustide-routing/src/proxy/proxy_connector.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_connector.ts
@@ -5,8 +5,19 @@
 import type {ProxyUpstream, UpstreamLoad} from './proxy_upstream.js';
 import type {RoutedRequest} from './routed_request.js';
 
+/** What an upstream says of itself in the head of any of its answers. */
+export interface UpstreamSignals {
+  /** Whether it is about to leave. */
+  readonly isLeaving: boolean;
+  /**
+   * Time for which it wants nothing from this node, in milliseconds; undefined
+   * if it did not ask for a pause.
+   */
+  readonly backOffMilliseconds: number | undefined;
+}
+
 /** Status, headers and unread body of an upstream's answer. */
-export interface UpstreamResponseHead {
+export interface UpstreamResponseHead extends UpstreamSignals {
   readonly status: number;
   /** Alternating names and values, without hop-by-hop headers. */
   readonly headers: readonly string[];
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -38,6 +38,8 @@
     upstream: ProxyUpstream,
     model: ModelReference,
   ) => void;
+  /** Called when an answer of an upstream states that it is leaving. */
+  readonly onLeaving: (upstream: ProxyUpstream) => void;
   readonly onDecision: (decision: RequestDecision) => void;
   readonly poisonRequestDetector: PoisonRequestDetector;
 }
@@ -178,6 +180,7 @@
   ): void {
     const {upstream} = attempt.slot;
     const {modelRequest} = progress.request;
+    if (attempt.head?.isLeaving) this.options.onLeaving(upstream);
     if (attempt.error) {
       if (attempt.error.failure !== AttemptFailure.CANCELLED) {
         upstream.recordFailure();
--- a/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
@@ -77,13 +77,14 @@
     this.eventSequencer.discardPartialEvent();
     try {
       for await (const chunk of attempt.head?.body ?? []) {
-        attempt.inactivityTimeout.recordActivity();
         const {bytes, problem} = this.eventSequencer.push(chunk);
         if (bytes) {
+          // Bytes that complete no new event are no progress.
+          attempt.inactivityTimeout.recordActivity();
           this.recordDelivery();
           yield bytes;
         }
-        if (problem) return {reason: `event out of order: ${problem}`};
+        if (problem) return {reason: `event cannot follow: ${problem}`};
       }
       return this.eventSequencer.hasPartialEvent
         ? {reason: 'the stream ended within an event'}
--- a/packages/arbutustide-routing/src/proxy/proxy_upstream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_upstream.ts
@@ -45,6 +45,9 @@
 /** Duration of an ejection; short, as an upstream may recover any time. */
 const EJECTION_MILLISECONDS = 1_000;
 
+/** Limits the effect of a faulty upstream's answer. */
+const MAXIMUM_BACK_OFF_MILLISECONDS = 300_000;
+
 /**
  * Time for which an observed holding overrides the platform's list, which lags
  * by two heartbeats of the upstream.
@@ -69,6 +72,7 @@
   private lastActivityAtMilliseconds = performance.now();
   private consecutiveFailures = 0;
   private ejectedUntilMilliseconds = 0;
+  private backOffEndMilliseconds = 0;
   private listedHoldings: ReadonlySet<string> = new Set();
   private plannedHoldings: ReadonlySet<string> | undefined;
   private readonly observedHoldings = new Map<string, ObservedHolding>();
@@ -95,6 +99,23 @@
     return performance.now() < this.ejectedUntilMilliseconds;
   }
 
+  /**
+   * Time for which the upstream has asked this node to send it nothing, in
+   * milliseconds; zero if it may be called.
+   */
+  get remainingBackOffMilliseconds(): number {
+    return Math.max(0, this.backOffEndMilliseconds - performance.now());
+  }
+
+  /** Records that the upstream asked this node to send nothing for a time. */
+  recordBackOff(milliseconds: number): void {
+    const limited = Math.min(milliseconds, MAXIMUM_BACK_OFF_MILLISECONDS);
+    this.backOffEndMilliseconds = Math.max(
+      this.backOffEndMilliseconds,
+      performance.now() + limited,
+    );
+  }
+
   /** Applies a newer description of the same process. */
   updateDescription(description: UpstreamDescription): void {
     this.currentDescription = description;
--- a/packages/arbutustide-routing/src/proxy/proxy_upstream_directory.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_upstream_directory.ts
@@ -1,5 +1,7 @@
+import type {UpstreamProcess} from './departed_upstreams.js';
 import type {UpstreamDescription} from './proxy_upstream.js';
 
+import {DepartedUpstreams, DepartureSource} from './departed_upstreams.js';
 import {ProxyUpstream, UpstreamState} from './proxy_upstream.js';
 
 /** Index of all upstreams known to this node, by id and by service. */
@@ -7,6 +9,7 @@
   private readonly byId = new Map<string, ProxyUpstream>();
   private readonly byService = new Map<string, Set<ProxyUpstream>>();
   private readonly listeners = new Set<() => void>();
+  private readonly departures = new DepartedUpstreams();
 
   /** Registers a callback that is called after each change. */
   onChange(listener: () => void): void {
@@ -26,11 +29,45 @@
     return this.byService.get(service) ?? [];
   }
 
+  /** Departures that this node saw in answers a short time ago. */
+  observedDepartures(): Iterable<UpstreamProcess> {
+    return this.departures.recentlyObserved();
+  }
+
+  /** Whether this process is known to be leaving or to have left. */
+  hasDeparted(process: UpstreamProcess): boolean {
+    return this.departures.hasDeparted(process);
+  }
+
+  /**
+   * Marks an upstream as leaving. It gets no new requests until another process
+   * has its place.
+   */
+  markLeaving({id, startedAt}: UpstreamProcess, source: DepartureSource): void {
+    this.departures.record({id, startedAt}, source);
+    const known = this.byId.get(id);
+    if (!known?.isReady || known.description.startedAt !== startedAt) return;
+    known.updateDescription({
+      ...known.description,
+      state: UpstreamState.LEAVING,
+    });
+    this.notifyListeners();
+  }
+
   /**
    * Adds an upstream or updates its description. A changed address or start
-   * time means another process, for which all state is reset.
+   * time means another process, for which all state is reset. A process that
+   * said that it is leaving stays so, whatever the description says.
    */
-  upsert(description: UpstreamDescription): void {
+  upsert(listed: UpstreamDescription): void {
+    if (listed.state === UpstreamState.LEAVING) {
+      this.departures.record(listed, DepartureSource.REPORT);
+    } else {
+      this.departures.recordListedAgain(listed);
+    }
+    const description = this.departures.hasAnnounced(listed)
+      ? {...listed, state: UpstreamState.LEAVING}
+      : listed;
     const known = this.byId.get(description.id);
     const isSameProcess =
       known?.description.startedAt === description.startedAt &&
@@ -44,12 +81,8 @@
   remove(id: string): void {
     const known = this.byId.get(id);
     if (!known) return;
-    known.updateDescription({
-      ...known.description,
-      state: UpstreamState.LEAVING,
-    });
-    this.byId.delete(id);
-    this.byService.get(known.description.service)?.delete(known);
+    this.departures.record(known.description, DepartureSource.REMOVAL);
+    this.detach(known);
     this.notifyListeners();
   }
 
@@ -58,11 +91,20 @@
     for (const listener of this.listeners) listener();
   }
 
+  private detach(known: ProxyUpstream): void {
+    known.updateDescription({
+      ...known.description,
+      state: UpstreamState.LEAVING,
+    });
+    this.byId.delete(known.id);
+    this.byService.get(known.description.service)?.delete(known);
+  }
+
   private replaceUpstream(
     known: ProxyUpstream | undefined,
     next: ProxyUpstream,
   ): void {
-    if (known) this.remove(known.id);
+    if (known) this.detach(known);
     this.byId.set(next.id, next);
     const {service} = next.description;
     const group = this.byService.get(service) ?? new Set();
--- a/packages/arbutustide-routing/src/proxy/run_attempt.ts
+++ b/packages/arbutustide-routing/src/proxy/run_attempt.ts
@@ -12,6 +12,12 @@
 } from './attempt_outcome.js';
 import {remainingMilliseconds} from './routed_request_progress.js';
 
+/**
+ * Size up to which an answer that is no event stream is buffered. A larger one
+ * counts as an answer without end.
+ */
+const MAXIMUM_BUFFERED_ANSWER_BYTES = 4 * 1_024 * 1_024;
+
 /** An attempt that has its complete answer, an open stream or an error. */
 export interface AttemptResult {
   readonly slot: UpstreamSlot;
@@ -53,6 +59,8 @@
   inactivityTimeout.recordActivity();
   const head = opened.val;
   if (head.load) slot.upstream.recordReportedLoad(head.load);
+  if (head.backOffMilliseconds !== undefined)
+    slot.upstream.recordBackOff(head.backOffMilliseconds);
   const outcome = classifyResponseHead(head);
   const isStreamed = head.isEventStream && outcome === AttemptOutcome.ANSWERED;
   const common = {slot, inactivityTimeout, outcome, head};
@@ -97,8 +105,16 @@
   inactivityTimeout: InactivityTimeout,
 ): Promise<Buffer> {
   const chunks: Uint8Array[] = [];
+  let size = 0;
   for await (const chunk of body) {
     inactivityTimeout.recordActivity();
+    size += chunk.length;
+    if (size > MAXIMUM_BUFFERED_ANSWER_BYTES) {
+      throw new AttemptError(
+        AttemptFailure.PROTOCOL_VIOLATION,
+        `the answer is larger than ${MAXIMUM_BUFFERED_ANSWER_BYTES} bytes`,
+      );
+    }
     chunks.push(chunk);
   }
   return chunks.length === 1 ? Buffer.from(chunks[0]) : Buffer.concat(chunks);
--- a/packages/arbutustide-routing/src/server_sent_event_parser.ts
+++ b/packages/arbutustide-routing/src/server_sent_event_parser.ts
@@ -21,6 +21,11 @@
     return this.partialEvent.length > 0;
   }
 
+  /** Size of the incomplete event that is buffered. */
+  get partialEventBytes(): number {
+    return this.partialEvent.length;
+  }
+
   /** Appends a chunk and yields the events that it completes. */
   *push(chunk: Uint8Array): Generator<ServerSentEvent> {
     const buffer = Buffer.from(chunk.buffer, chunk.byteOffset, chunk.length);
--- a/packages/arbutustide-scenarios/src/world/simulated_store.ts
+++ b/packages/arbutustide-scenarios/src/world/simulated_store.ts
@@ -28,6 +28,8 @@
 
 /** Object API client of a simulated process. */
 export class SimulatedStore implements ObjectStore {
+  readonly eraStartVersion = 0;
+
   constructor(
     private readonly objectTable: ObjectTable,
     private readonly network: SimulatedNetwork,
--- a/packages/arbutustide-stand-ins/src/object_api_server.ts
+++ b/packages/arbutustide-stand-ins/src/object_api_server.ts
@@ -11,6 +11,7 @@
   [StoreErrorKind.NOT_FOUND]: 404,
   [StoreErrorKind.CONFLICT]: 409,
   [StoreErrorKind.HISTORY_GONE]: 410,
+  [StoreErrorKind.ERA_CHANGED]: 409,
   [StoreErrorKind.UNAVAILABLE]: 503,
   [StoreErrorKind.OUTCOME_UNKNOWN]: 500,
 };
