Watch the store through relays in each failure domain

Change: rendezvous hashing chooses one node for each 16 of a failure domain; the others watch through it, by a call that it holds open. A relay's answer carries the age of its knowledge; a node watches the store itself when that is over 0.65 of the bound on changes, when the relay does not answer, or when it lacks the version. Only used where the bound is 3 s or more and the failure domain has three nodes or more, so the small deployments are unchanged.

--- a/packages/arbutustide-membership/src/connect_peer_server.ts
+++ b/packages/arbutustide-membership/src/connect_peer_server.ts
@@ -32,6 +32,10 @@
             const holding = await handler().requestHolding(request);
             return holding ? {promised: true, ...holding} : {promised: false};
           },
+          watch: async request => {
+            const response = await handler().serveWatch(request);
+            return response ? {isServed: true, ...response} : {isServed: false};
+          },
         });
       },
     });
--- a/packages/arbutustide-membership/src/connect_peer_transport.ts
+++ b/packages/arbutustide-membership/src/connect_peer_transport.ts
@@ -5,6 +5,8 @@
   ExchangeRequest,
   ExchangeResponse,
   HoldingRequest,
+  WatchRequest,
+  WatchResponse,
 } from './gen/arbutustide/membership/v1/membership_pb.js';
 import type {PeerTransport, PromisedHolding} from './peer_transport.js';
 
@@ -18,6 +20,8 @@
 /** After this time without traffic a connection is checked with a ping. */
 const PING_INTERVAL_MILLISECONDS = 5_000;
 const IDLE_CONNECTION_MILLISECONDS = 60_000;
+/** Time for the answer to a watch beyond the time that it may be held open. */
+const WATCH_ANSWER_MILLISECONDS = 400;
 const CONNECTION_REFUSED = 'ECONNREFUSED';
 
 type PeerClient = Client<typeof MembershipService>;
@@ -68,6 +72,14 @@
     return answer.map(holding => (holding.promised ? holding : undefined));
   }
 
+  watch(
+    peerUrl: string,
+    request: WatchRequest,
+  ): Promise<Result<WatchResponse, PeerError>> {
+    const timeoutMs = request.waitMilliseconds + WATCH_ANSWER_MILLISECONDS;
+    return this.call(peerUrl, client => client.watch(request, {timeoutMs}));
+  }
+
   /** Releases the client of a peer that no longer exists. */
   dropClient(peerUrl: string): void {
     this.clients.delete(peerUrl);
--- a/packages/arbutustide-membership/src/index.ts
+++ b/packages/arbutustide-membership/src/index.ts
@@ -11,6 +11,8 @@
   NodeStatus,
   UpstreamHoldings,
   UpstreamObservation,
+  WatchRequest,
+  WatchResponse,
 } from './gen/arbutustide/membership/v1/membership_pb.js';
 export type {GossipOptions, PeerAddress} from './gossip.js';
 export type {MemberRecord} from './member_record.js';
@@ -19,6 +21,7 @@
   PeerHandler,
   PeerTransport,
   PromisedHolding,
+  WatchResponseFields,
 } from './peer_transport.js';
 
 export {ClusterView} from './cluster_view.js';
@@ -36,6 +39,8 @@
   UpstreamHoldingsSchema,
   UpstreamLoadSchema,
   UpstreamObservationSchema,
+  WatchRequestSchema,
+  WatchResponseSchema,
 } from './gen/arbutustide/membership/v1/membership_pb.js';
 export {Gossip} from './gossip.js';
 export {findNodeStatus, NODE_STATUS_KEY} from './member_record.js';
--- a/packages/arbutustide-membership/src/peer_transport.ts
+++ b/packages/arbutustide-membership/src/peer_transport.ts
@@ -4,6 +4,8 @@
   ExchangeRequest,
   ExchangeResponse,
   HoldingRequest,
+  WatchRequest,
+  WatchResponse,
 } from './gen/arbutustide/membership/v1/membership_pb.js';
 
 /** A call to a peer that failed. */
@@ -51,8 +53,19 @@
     peerUrl: string,
     request: HoldingRequest,
   ): Promise<Result<PromisedHolding | undefined, PeerError>>;
+  /** Waits for changes in the object store that the peer has received. */
+  watch(
+    peerUrl: string,
+    request: WatchRequest,
+  ): Promise<Result<WatchResponse, PeerError>>;
 }
 
+/** Answer to a peer's watch; undefined if this node lacks the version. */
+export type WatchResponseFields = Pick<
+  WatchResponse,
+  'batchesJson' | 'version' | 'ageMilliseconds'
+>;
+
 /** Server side of the calls from peers. */
 export interface PeerHandler {
   exchange(request: ExchangeRequest): ExchangeResponse;
@@ -62,4 +75,6 @@
   catalogueContentJson(digest: string): string;
   /** Undefined unless this node is the planner and an upstream will hold it. */
   requestHolding(request: HoldingRequest): Promise<PromisedHolding | undefined>;
+  /** Undefined if this node does not have all changes after the version. */
+  serveWatch(request: WatchRequest): Promise<WatchResponseFields | undefined>;
 }
--- a/packages/arbutustide-node/src/node_core.ts
+++ b/packages/arbutustide-node/src/node_core.ts
@@ -159,6 +159,11 @@
    * Promises nothing: nodes with a catalogue plan placement from its entries
    * and do not accept requests for a placement.
    */
+  /** Nodes with the project's own interface watch the store themselves. */
+  async serveWatch(): Promise<undefined> {
+    return undefined;
+  }
+
   async requestHolding(): Promise<undefined> {
     return undefined;
   }
--- a/packages/arbutustide-node/src/proxy/proxy_core.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_core.ts
@@ -5,6 +5,8 @@
   HoldingRequest,
   PeerHandler,
   PromisedHolding,
+  WatchRequest,
+  WatchResponseFields,
 } from '@arbutustide/membership';
 import type {
   ProxyDispatcher,
@@ -176,6 +178,16 @@
       .requestHolding(service, model, requestedAdapter);
   }
 
+  serveWatch({
+    prefix,
+    afterVersion,
+    waitMilliseconds,
+  }: WatchRequest): Promise<WatchResponseFields | undefined> {
+    return this.container
+      .resolve(ProxyToken.RELAYED_STORE)
+      .serveWatch(prefix, afterVersion, waitMilliseconds);
+  }
+
   private get status() {
     return this.container.resolve(ProxyToken.OWN_STATUS);
   }
--- a/packages/arbutustide-node/src/proxy/proxy_settings.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_settings.ts
@@ -28,6 +28,11 @@
   readonly upstreamBeatMilliseconds: number;
   /** Time from the request to stop until the process must have ended. */
   readonly stopMilliseconds: number;
+  /**
+   * Time within which a change of the configuration or of the list of upstreams
+   * must be in effect.
+   */
+  readonly changeBoundMilliseconds: number;
   readonly leaseMilliseconds: number;
   /** Whether engines refuse orders with an outdated fencing token. */
   readonly areFencesChecked: boolean;
--- a/packages/arbutustide-node/src/proxy/proxy_tokens.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tokens.ts
@@ -21,12 +21,14 @@
 import type {LeaseHolderProbe} from './lease_holder_probe.js';
 import type {HoldingRequester} from './holding_requester.js';
 import type {UpstreamWatcher} from './upstream_watcher.js';
+import type {RelayedObjectStore} from './watch_relay/relayed_object_store.js';
 
 /** Dependency injection tokens of the components of a proxying node. */
 export const ProxyToken = {
   DEPENDENCIES: 'fleet.dependencies' as InjectionToken<ProxyDependencies>,
   UPSTREAM_DIRECTORY:
     'fleet.directory' as InjectionToken<ProxyUpstreamDirectory>,
+  RELAYED_STORE: 'fleet.relayedStore' as InjectionToken<RelayedObjectStore>,
   CONFIGURATION_WATCHER:
     'fleet.configuration' as InjectionToken<ConfigurationWatcher>,
   UPSTREAM_WATCHER: 'fleet.upstreams' as InjectionToken<UpstreamWatcher>,
--- a/packages/arbutustide-node/src/proxy/proxy_tuning.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tuning.ts
@@ -45,6 +45,15 @@
  * of the present deployments.
  */
 export const HOLDINGS_BROADCAST_PEERS = 8;
+/**
+ * Changes must be in effect within at least this time for watches through a
+ * relay: a relay that freezes delays them by RELAY_WAIT_SHARE of it.
+ */
+export const MINIMUM_BOUND_TO_RELAY_MILLISECONDS = 3_000;
+/** Time that a relay holds a watch open, as a share of the bound on changes. */
+export const RELAY_WAIT_SHARE = 0.25;
+/** Age of a relay's knowledge up to which it is used, as the same share. */
+export const RELAY_MAXIMUM_AGE_SHARE = 0.65;
 /** How long removals of fields are gossiped, in expiry times. */
 export const TOMBSTONE_RETENTION_EXPIRIES = 2;
 /** Interval at which the own record is published and peers' are applied. */
--- a/packages/arbutustide-node/src/proxy/proxy_wiring.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_wiring.ts
@@ -42,6 +42,8 @@
 import {HoldingRequester} from './holding_requester.js';
 import {PlannerClient} from './planner_client.js';
 import {UpstreamWatcher} from './upstream_watcher.js';
+import {chooseWatchRelays} from './watch_relay/choose_watch_relays.js';
+import {RelayedObjectStore} from './watch_relay/relayed_object_store.js';
 
 /** Region in the lease's key; a single planner serves all regions. */
 const LEASE_REGION = 'all';
@@ -64,7 +66,7 @@
     container.register(token, {useFactory: instanceCachingFactory(create)});
   };
   container.register(ProxyToken.DEPENDENCIES, {useValue: dependencies});
-  registerWatchers(register, dependencies);
+  registerWatchers(register, dependencies, identity);
   registerMembership(register, dependencies, identity);
   registerRouting(register, dependencies);
   registerLease(register, dependencies, identity);
@@ -72,9 +74,41 @@
   return container;
 }
 
+/** The object store, watched through a peer where that saves calls. */
+function createRelayedStore(
+  container: DependencyContainer,
+  {settings, store, transport, logger}: ProxyDependencies,
+  {identity}: PeerIdentity,
+): RelayedObjectStore {
+  const {changeBoundMilliseconds} = settings;
+  const canRelay =
+    changeBoundMilliseconds >= tuning.MINIMUM_BOUND_TO_RELAY_MILLISECONDS;
+  return new RelayedObjectStore(
+    store,
+    transport,
+    {
+      listRelayUrls: () =>
+        canRelay
+          ? chooseWatchRelays(
+              container.resolve(ProxyToken.CLUSTER_VIEW).nodes(),
+              identity,
+              settings.failureDomain,
+            ).map(({peerUrl}) => peerUrl)
+          : [],
+      relayWaitMilliseconds: Math.round(
+        changeBoundMilliseconds * tuning.RELAY_WAIT_SHARE,
+      ),
+      maximumAgeMilliseconds:
+        changeBoundMilliseconds * tuning.RELAY_MAXIMUM_AGE_SHARE,
+    },
+    logger,
+  );
+}
+
 function registerWatchers(
   register: RegisterSingleton,
   dependencies: ProxyDependencies,
+  identity: PeerIdentity,
 ): void {
   register(ProxyToken.UPSTREAM_DIRECTORY, () => new ProxyUpstreamDirectory());
   register(ProxyToken.DEMAND_COUNTER, () => new DemandCounter());
@@ -90,15 +124,25 @@
       upstreamDirectory.markLeaving(description, DepartureSource.ANSWER);
     };
   });
+  register(ProxyToken.RELAYED_STORE, container =>
+    createRelayedStore(container, dependencies, identity),
+  );
   register(
     ProxyToken.CONFIGURATION_WATCHER,
-    () => new ConfigurationWatcher(dependencies),
+    container =>
+      new ConfigurationWatcher({
+        ...dependencies,
+        store: container.resolve(ProxyToken.RELAYED_STORE),
+      }),
   );
   register(
     ProxyToken.UPSTREAM_WATCHER,
     container =>
       new UpstreamWatcher(
-        dependencies,
+        {
+          ...dependencies,
+          store: container.resolve(ProxyToken.RELAYED_STORE),
+        },
         container.resolve(ProxyToken.UPSTREAM_DIRECTORY),
       ),
   );
--- a/packages/arbutustide-scenarios/src/world/simulated_peer_transport.ts
+++ b/packages/arbutustide-scenarios/src/world/simulated_peer_transport.ts
@@ -5,13 +5,16 @@
   PeerHandler,
   PeerTransport,
   PromisedHolding,
+  WatchRequest,
+  WatchResponse,
 } from '@arbutustide/membership';
 import type {Result} from 'ts-results';
 
 import type {SimulatedNetwork} from './simulated_network.js';
 import type {SimulatedProcess} from './simulated_process.js';
 
-import {PeerError} from '@arbutustide/membership';
+import {PeerError, WatchResponseSchema} from '@arbutustide/membership';
+import {create} from '@bufbuild/protobuf';
 import {Err} from 'ts-results';
 
 import {Step} from './fault.js';
@@ -69,6 +72,18 @@
     );
   }
 
+  async watch(
+    peerUrl: string,
+    request: WatchRequest,
+  ): Promise<Result<WatchResponse, PeerError>> {
+    const response = await this.callPeer(peerUrl, undefined, handler =>
+      handler.serveWatch(request),
+    );
+    return response.map(served =>
+      create(WatchResponseSchema, {isServed: served !== undefined, ...served}),
+    );
+  }
+
   private async callPeer<T>(
     peerUrl: string,
     step: Step | undefined,
