--- a/packages/arbutustide-node/src/proxy/holding_requester.ts
+++ b/packages/arbutustide-node/src/proxy/holding_requester.ts
@@ -9,6 +9,11 @@
 
 /** Minimum time between two requests for the same holding. */
 const REQUEST_INTERVAL_MILLISECONDS = 250;
+/**
+ * Longest time between two requests while a holding is expected. Limits how long
+ * a node goes by the answer of a planner that has been replaced.
+ */
+const MAXIMUM_REQUEST_INTERVAL_MILLISECONDS = 1_000;
 /** How long a denial by the planner stays valid. */
 const DENIAL_RETENTION_MILLISECONDS = 500;
 
@@ -56,12 +61,7 @@
     const previous = this.requestStates.get(key);
     const now = performance.now();
     if (previous?.isPending) return;
-    if (
-      previous &&
-      now - previous.updatedAtMilliseconds < REQUEST_INTERVAL_MILLISECONDS
-    ) {
-      return;
-    }
+    if (previous && now < nextRequestAtMilliseconds(previous)) return;
     const requestState: RequestState = {
       isPending: true,
       updatedAtMilliseconds: now,
@@ -100,6 +100,27 @@
   }
 }
 
+/**
+ * A holding that takes long is asked for less often: every node asks for each
+ * model that its requests wait for, and one planner answers them all.
+ */
+function nextRequestAtMilliseconds({
+  updatedAtMilliseconds,
+  readyAtMilliseconds,
+}: RequestState): number {
+  const expectedMilliseconds = readyAtMilliseconds - updatedAtMilliseconds;
+  const interval =
+    expectedMilliseconds < Infinity
+      ? Math.min(
+          expectedMilliseconds / 2,
+          MAXIMUM_REQUEST_INTERVAL_MILLISECONDS,
+        )
+      : 0;
+  return (
+    updatedAtMilliseconds + Math.max(interval, REQUEST_INTERVAL_MILLISECONDS)
+  );
+}
+
 function holdingKey(service: string, {model, adapter}: ModelReference): string {
   return adapter === undefined
     ? modelEntryName(service, model)
