--- a/packages/arbutustide-node/src/__tests__/unit/upstream_watcher.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/upstream_watcher.test.ts
@@ -22,6 +22,7 @@
 import {UpstreamWatcher} from '../../proxy/upstream_watcher.js';
 
 const REMOVAL_GRACE_MILLISECONDS = 2_000;
+const CHANGE_BOUND_MILLISECONDS = 2_000;
 const STEP_MILLISECONDS = 300;
 
 /** Answers lists and watches as a test sets them; watches wait for a batch. */
@@ -94,6 +95,9 @@
     directory = new ProxyUpstreamDirectory();
     const dependencies: Partial<ProxyDependencies> = {
       logger: silentLogger(),
+      settings: {
+        changeBoundMilliseconds: CHANGE_BOUND_MILLISECONDS,
+      } as ProxyDependencies['settings'],
       store: store as unknown as ObjectStore,
       upstreams: {
         prefix: 'upstreams/',
--- a/packages/arbutustide-node/src/__tests__/unit/watch_relay.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/watch_relay.test.ts
@@ -105,7 +105,7 @@
       this.relayed,
       {
         prefix: PREFIX,
-        pauseMilliseconds: 250,
+        pauseMilliseconds: CHANGE_BOUND_MILLISECONDS * 0.125,
         retryDelayMilliseconds: 250,
         pause: milliseconds => delay(milliseconds),
       },
--- a/packages/arbutustide-node/src/proxy/upstream_watcher.ts
+++ b/packages/arbutustide-node/src/proxy/upstream_watcher.ts
@@ -13,10 +13,11 @@
 const STORE_RETRY_DELAY_MILLISECONDS = 250;
 
 /**
- * Pause between watch calls. Bounds the number of calls when many upstreams
- * change, at the price of learning of a change this much later.
+ * Pause between watch calls, as a share of the bound on changes. Limits the
+ * number of calls when many upstreams change, at the price of learning of a
+ * change this much later, once at a relay and once behind it.
  */
-const WATCH_INTERVAL_MILLISECONDS = 250;
+const WATCH_PAUSE_SHARE = 0.125;
 
 /**
  * How long removals are deferred after a store outage. Entries expire during an
@@ -40,12 +41,12 @@
     private readonly dependencies: ProxyDependencies,
     private readonly directory: ProxyUpstreamDirectory,
   ) {
-    const {store, upstreams, logger} = dependencies;
+    const {settings, store, upstreams, logger} = dependencies;
     this.watcher = new PrefixWatcher(
       store,
       {
         prefix: upstreams.prefix,
-        pauseMilliseconds: WATCH_INTERVAL_MILLISECONDS,
+        pauseMilliseconds: settings.changeBoundMilliseconds * WATCH_PAUSE_SHARE,
         retryDelayMilliseconds: STORE_RETRY_DELAY_MILLISECONDS,
         pause: delay,
       },
