Keep the departure of a later process when a peer reports an earlier one

Cause: departures are kept by id; a late message about an earlier process replaced the departure of the one that followed it under the same id, which an outdated list could then show as ready. Change: a departure does not replace that of a later process. Shown: a test in departed_upstreams.test.ts, red before.

--- a/packages/arbutustide-routing/src/__tests__/unit/departed_upstreams.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/departed_upstreams.test.ts
@@ -52,6 +52,14 @@
     expect(directory.get('one')?.isReady).to.equal(true);
   });
 
+  it('keeps a departure when a peer reports that of an earlier process', () => {
+    const later = {...ready, startedAt: 6};
+    directory.markLeaving(later, DepartureSource.ANSWER);
+    directory.markLeaving(ready, DepartureSource.REPORT);
+    directory.upsert(later);
+    expect(directory.get('one')?.isReady).to.equal(false);
+  });
+
   it('uses a process again that was removed and has listed itself again', () => {
     directory.remove('one');
     expect(directory.hasDeparted(ready)).to.equal(true);
--- a/packages/arbutustide-routing/src/proxy/departed_upstreams.ts
+++ b/packages/arbutustide-routing/src/proxy/departed_upstreams.ts
@@ -39,9 +39,14 @@
 export class DepartedUpstreams {
   private readonly departuresById = new Map<string, Departure>();
 
-  /** Records a departure, unless it is known to be final. */
+  /**
+   * Records a departure, unless it is known to be final or a later process of
+   * the upstream has departed.
+   */
   record({id, startedAt}: UpstreamProcess, source: DepartureSource): void {
     if (this.hasAnnounced({id, startedAt})) return;
+    const known = this.departuresById.get(id);
+    if (known && known.startedAt > startedAt) return;
     this.dropExpired();
     // Reinserted, so that the map stays ordered by age.
     this.departuresById.delete(id);
