Keep a departure when a list shows an earlier process; drop unused state of the watch log

Cause, from reading the diff: an entry of an earlier process under the same id deleted the departure of the later one, which an outdated list could then show as ready. The watch log kept the version before each batch and never read it. Change: only a removal of the same process is lifted; the log keeps the batches alone. Shown: a test in departed_upstreams.test.ts, red before.

--- a/packages/arbutustide-node/src/proxy/watch_relay/relayed_object_store.ts
+++ b/packages/arbutustide-node/src/proxy/watch_relay/relayed_object_store.ts
@@ -110,7 +110,7 @@
       else if (relayed.val) return Ok(relayed.val);
     }
     const batch = await this.store.watch(prefix, afterVersion, signal);
-    if (batch.ok) this.logOf(prefix).append(afterVersion, batch.val, 0);
+    if (batch.ok) this.logOf(prefix).append(batch.val, 0);
     return batch;
   }
 
@@ -162,7 +162,7 @@
     // An answer without changes confirms the time at which it was sent.
     const elapsed = performance.now() - sentAt;
     const age = Math.min(ageMilliseconds + elapsed, maximumAgeMilliseconds);
-    this.logOf(prefix).append(afterVersion, batch, age);
+    this.logOf(prefix).append(batch, age);
     return Ok(batch);
   }
 
--- a/packages/arbutustide-node/src/proxy/watch_relay/watch_log.ts
+++ b/packages/arbutustide-node/src/proxy/watch_relay/watch_log.ts
@@ -3,12 +3,6 @@
 /** Batches that are kept for peers that are behind. */
 const MAXIMUM_BATCHES = 200;
 
-/** A batch with the version that it follows. */
-interface LoggedBatch {
-  readonly batch: WatchBatch;
-  readonly fromVersion: number;
-}
-
 /** What a log answers to a peer that watches through it. */
 export interface LoggedChanges {
   readonly batches: readonly WatchBatch[];
@@ -23,7 +17,7 @@
  * this node. A peer whose version is older than the log must ask the store.
  */
 export class WatchLog {
-  private batches: LoggedBatch[] = [];
+  private batches: WatchBatch[] = [];
   private startVersion = Infinity;
   private endVersion = -Infinity;
   private confirmedAtMilliseconds = -Infinity;
@@ -39,15 +33,11 @@
   }
 
   /**
-   * Appends the result of a watch after a version.
+   * Appends the result of a watch from the end of the log.
    *
    * @param ageMilliseconds age of the result when it arrived.
    */
-  append(
-    fromVersion: number,
-    batch: WatchBatch,
-    ageMilliseconds: number,
-  ): void {
+  append(batch: WatchBatch, ageMilliseconds: number): void {
     const confirmedAt = performance.now() - ageMilliseconds;
     this.confirmedAtMilliseconds = Math.max(
       this.confirmedAtMilliseconds,
@@ -55,7 +45,7 @@
     );
     if (batch.version <= this.endVersion) return;
     const isEmpty = batch.changes.length + batch.deletedKeys.length === 0;
-    if (!isEmpty) this.batches.push({batch, fromVersion});
+    if (!isEmpty) this.batches.push(batch);
     if (this.batches.length > MAXIMUM_BATCHES) this.dropOldest();
     this.endVersion = batch.version;
     if (!isEmpty) this.wakeWaiters();
@@ -80,9 +70,9 @@
     const endsAt = performance.now() + waitMilliseconds;
     for (;;) {
       if (afterVersion < this.startVersion) return undefined;
-      const batches = this.batches
-        .map(({batch}) => batch)
-        .filter(({version}) => version > afterVersion);
+      const batches = this.batches.filter(
+        ({version}) => version > afterVersion,
+      );
       const {endVersion: version, ageMilliseconds} = this;
       const remaining = Math.min(
         endsAt - performance.now(),
@@ -96,7 +86,7 @@
 
   private dropOldest(): void {
     const dropped = this.batches.shift();
-    if (dropped) this.startVersion = dropped.batch.version;
+    if (dropped) this.startVersion = dropped.version;
   }
 
   private waitForWake(milliseconds: number): Promise<void> {
--- a/packages/arbutustide-routing/src/__tests__/unit/departed_upstreams.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/departed_upstreams.test.ts
@@ -60,6 +60,14 @@
     expect(directory.get('one')?.isReady).to.equal(false);
   });
 
+  it('keeps a departure when an outdated list shows an earlier process', () => {
+    const later = {...ready, startedAt: 6};
+    directory.markLeaving(later, DepartureSource.ANSWER);
+    directory.upsert(ready);
+    directory.upsert(later);
+    expect(directory.get('one')?.isReady).to.equal(false);
+  });
+
   it('uses a process again that was removed and has listed itself again', () => {
     directory.remove('one');
     expect(directory.hasDeparted(ready)).to.equal(true);
--- a/packages/arbutustide-routing/src/proxy/departed_upstreams.ts
+++ b/packages/arbutustide-routing/src/proxy/departed_upstreams.ts
@@ -58,9 +58,9 @@
   }
 
   /** Records that a process has listed itself again after its removal. */
-  recordListedAgain({id, startedAt}: UpstreamProcess): void {
-    if (this.hasAnnounced({id, startedAt})) return;
-    this.departuresById.delete(id);
+  recordListedAgain(process: UpstreamProcess): void {
+    if (this.find(process)?.source === DepartureSource.REMOVAL)
+      this.departuresById.delete(process.id);
   }
 
   /** Whether this process of the upstream said that it is leaving. */
