--- a/packages/arbutustide-cli/src/__tests__/unit/trace.test.ts
+++ b/packages/arbutustide-cli/src/__tests__/unit/trace.test.ts
@@ -101,6 +101,16 @@
     expect(cause).to.include('engine-1 with 48 requests, which is busy');
   });
 
+  it('names the configuration that has no route for the request', () => {
+    const cause = traceCause(
+      requestLineAt(1, 'refused', {
+        kind: 'unknown_route',
+        configurationVersion: 7,
+      }),
+    );
+    expect(cause).to.include('configuration version 7 of the node');
+  });
+
   it('reports a missing outcome, and no trace for an unknown request', () => {
     expect(traceCause(requestLineAt(0, 'placed'))).to.include(
       'no log line shows',
--- a/packages/arbutustide-cli/src/trace/request_trace.ts
+++ b/packages/arbutustide-cli/src/trace/request_trace.ts
@@ -117,6 +117,8 @@
     `its deadline passed before an answer arrived; ${explainUpstreamChoice(trace)}`,
   [ErrorKind.CALLER_GONE]: (_final, trace) =>
     `its caller disconnected; ${explainUpstreamChoice(trace)}`,
+  [ErrorKind.UNKNOWN_ROUTE]: ({fields}) =>
+    `configuration version ${String(fields['configurationVersion'])} of the node has no route for it`,
   [ErrorKind.REQUEST_QUARANTINED]: () =>
     'similar requests broke the connections of several upstreams',
 };
--- a/packages/arbutustide-node/src/proxy/configuration_watcher.ts
+++ b/packages/arbutustide-node/src/proxy/configuration_watcher.ts
@@ -78,8 +78,10 @@
   /**
    * Decodes and applies a configuration. Logs one that cannot be decoded, and
    * ignores one that is not newer than the current.
+   *
+   * @param peerUrl the peer that it was read from; undefined for the store.
    */
-  applyObject(object: StoredObject): void {
+  applyObject(object: StoredObject, peerUrl?: string): void {
     const {key, version: revision, value} = object;
     const {logger, configuration} = this.dependencies;
     const decoded = configuration.decode(value);
@@ -97,7 +99,13 @@
     this.currentRoutes = new RouteTable(decoded.val);
     this.currentObject = object;
     logger.info(
-      {version, revision, previous: currentVersion, routes: routes.length},
+      {
+        version,
+        revision,
+        previous: currentVersion,
+        routes: routes.length,
+        ...(peerUrl && {peer: peerUrl}),
+      },
       'applied a newer configuration',
     );
     for (const listener of this.listeners) listener(decoded.val);
--- a/packages/arbutustide-node/src/proxy/peer_bootstrap.ts
+++ b/packages/arbutustide-node/src/proxy/peer_bootstrap.ts
@@ -97,7 +97,8 @@
       {peer: url, ageMilliseconds, upstreams: upstreams.length},
       'received a snapshot from a peer',
     );
-    if (configuration) this.configurationWatcher.applyObject(configuration);
+    if (configuration)
+      this.configurationWatcher.applyObject(configuration, url);
     this.upstreamWatcher.initializeFromPeer(upstreams);
   }
 }
--- a/packages/arbutustide-node/src/proxy/proxy_core.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_core.ts
@@ -60,7 +60,10 @@
     this.container
       .resolve(ProxyToken.UPSTREAM_DIRECTORY)
       .onChange(() => queue.scheduleScan());
-    this.onConfiguration(() => this.markReadyOnConfiguration());
+    this.onConfiguration(({version}) => {
+      dependencies.metrics.catalogueRevision.set(version);
+      this.markReadyOnConfiguration();
+    });
   }
 
   /** Routes of the current configuration; undefined until there is one. */
--- a/packages/arbutustide-routing/src/__tests__/unit/proxy_fixtures.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/proxy_fixtures.ts
@@ -40,6 +40,7 @@
     body: Buffer.from('body'),
     modelRequest: undefined,
     lastEventId: undefined,
+    configurationVersion: 1,
     arrivedAtMilliseconds: now,
     deadlineAtMilliseconds: now + 5_000,
     disconnection: new Cancellation(),
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -305,13 +305,18 @@
 
   private recordDecision(
     {request}: RoutedRequestProgress,
-    decision: Omit<RequestDecision, 'requestId' | 'route' | 'service'>,
+    decision: Omit<
+      RequestDecision,
+      'requestId' | 'route' | 'service' | 'configurationVersion'
+    >,
   ): void {
-    const {requestId, route, service, modelRequest} = request;
+    const {requestId, route, service, configurationVersion, modelRequest} =
+      request;
     this.options.onDecision({
       requestId,
       route: route.name,
       service,
+      configurationVersion,
       ...(modelRequest && {model: modelRequest.model}),
       ...decision,
     });
--- a/packages/arbutustide-routing/src/proxy/request_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/request_decision.ts
@@ -17,6 +17,8 @@
   readonly step: DecisionStep;
   readonly route: string;
   readonly service: string;
+  /** Version of the configuration that the request was routed by. */
+  readonly configurationVersion: number;
   readonly model?: string;
   readonly upstream?: string;
   /** In-flight requests at the upstream, as estimated for the choice. */
--- a/packages/arbutustide-routing/src/proxy/routed_request.ts
+++ b/packages/arbutustide-routing/src/proxy/routed_request.ts
@@ -37,6 +37,8 @@
   readonly route: Route;
   /** The service selected among the route's targets. */
   readonly service: string;
+  /** Version of the configuration that the route was taken from. */
+  readonly configurationVersion: number;
   readonly method: string;
   /** HTTP request target: path and query as the caller sent them. */
   readonly requestTarget: string;
--- a/packages/arbutustide-telemetry/src/metrics.ts
+++ b/packages/arbutustide-telemetry/src/metrics.ts
@@ -66,7 +66,7 @@
   });
   readonly catalogueRevision = new Gauge({
     name: 'arbutustide_catalogue_revision',
-    help: 'Revision of the catalogue in force.',
+    help: 'Revision of the catalogue or version of the configuration in force.',
     registers: [this.registry],
   });
   readonly requestsInFlight = new Gauge({
