Open new connections to the store after a call that got no answer

What callers could see: a configuration that is in force seconds late at a node whose open connections to the store went silent for good.

Cause: a call that timed out closed its own connection only; the next call took another one out of the pool, which may be silent as well, and timed out too, 2.5 s for each watch.

Now a call without an answer retires the whole pool: calls in flight end there, later calls open new connections.

--- a/packages/arbutustide-object-store/src/store_http_client.ts
+++ b/packages/arbutustide-object-store/src/store_http_client.ts
@@ -71,23 +71,21 @@
  * have taken effect.
  */
 export class StoreHttpClient {
-  private readonly pool: Pool;
+  private pool: Pool;
+  /** Pools that complete their calls and get no new ones. */
+  private readonly retiredPools = new Set<Pool>();
   private readonly counter: StoreCallCounter;
   private latestEra = 0;
 
   constructor(private readonly options: StoreHttpClientOptions) {
-    this.pool = new Pool(options.url, {
-      pipelining: 1,
-      connections: MAXIMUM_CONNECTIONS,
-      // undici ignores the abort signal until the connection is established.
-      connect: {timeout: options.timeoutMilliseconds},
-    });
+    this.pool = this.createPool();
     this.counter = options.counter ?? new StoreCallCounter();
   }
 
   /** Closes the connections to the store. */
-  close(): Promise<void> {
-    return this.pool.destroy();
+  async close(): Promise<void> {
+    const pools = [this.pool, ...this.retiredPools];
+    await Promise.all(pools.map(pool => pool.destroy()));
   }
 
   /** Highest era in an answer of the store so far. */
@@ -108,8 +106,9 @@
       headers['authorization'] = `Bearer ${this.options.token}`;
     }
     if (call.body !== undefined) headers['content-type'] = 'application/json';
+    const {pool} = this;
     try {
-      const response = await this.pool.request({
+      const response = await pool.request({
         method: call.method,
         path: call.path,
         headers,
@@ -132,10 +131,32 @@
       );
       return Ok({value, era});
     } catch (error) {
+      if (deadline.aborted) this.retire(pool);
       return Err(toTransportError(call, error));
     }
   }
 
+  private createPool(): Pool {
+    const {url, timeoutMilliseconds} = this.options;
+    return new Pool(url, {
+      pipelining: 1,
+      connections: MAXIMUM_CONNECTIONS,
+      // undici ignores the abort signal until the connection is established.
+      connect: {timeout: timeoutMilliseconds},
+    });
+  }
+
+  /**
+   * Sends later calls on new connections. When one connection has gone silent,
+   * others of the same age may have too.
+   */
+  private retire(pool: Pool): void {
+    if (pool !== this.pool) return;
+    this.pool = this.createPool();
+    this.retiredPools.add(pool);
+    void pool.close().finally(() => this.retiredPools.delete(pool));
+  }
+
   /** Returns the era of an answer, and remembers it if it is the latest. */
   private recordEra(headers: IncomingHttpHeaders): number {
     const {eraHeader} = this.options;
