Learn configurations and upstreams from peers that the store serves

What callers saw: requests handled by a configuration older than one acknowledged longer ago than the bound.

Cause: a node believed what its own path to the store gave it. One that the store turned away (503, 429, silence) kept its configuration for as long as that lasted, and one that started after the store went back to a copy took the copy's for the newest, although the peers that it exchanged records with had the acknowledged one. Each already published its version. The class is a belief that rests on one's own path to the store alone; the list of upstreams had it too.

One whose list of upstreams is older than two bounds merges the newer entries of a peer that has read the store since; peers that have not send nothing. Entries of processes that left stay out, and nothing is removed on a peer's word. SnapshotSourceChooser decides, without a network.

--- a/packages/arbutustide-membership/src/connect_peer_server.ts
+++ b/packages/arbutustide-membership/src/connect_peer_server.ts
@@ -24,7 +24,9 @@
       routes: router => {
         router.service(MembershipService, {
           exchange: request => handler().exchange(request),
-          fetchHead: () => ({headJson: handler().catalogueHeadJson()}),
+          fetchHead: ({maximumAgeMilliseconds}) => ({
+            headJson: handler().catalogueHeadJson(maximumAgeMilliseconds),
+          }),
           fetchContent: ({digest}) => ({
             contentJson: handler().catalogueContentJson(digest),
           }),
--- a/packages/arbutustide-membership/src/connect_peer_transport.ts
+++ b/packages/arbutustide-membership/src/connect_peer_transport.ts
@@ -45,9 +45,12 @@
     );
   }
 
-  async fetchHead(peerUrl: string): Promise<Result<string, PeerError>> {
+  async fetchHead(
+    peerUrl: string,
+    maximumAgeMilliseconds = 0,
+  ): Promise<Result<string, PeerError>> {
     const answer = await this.call(peerUrl, client =>
-      client.fetchHead({}, this.callOptions()),
+      client.fetchHead({maximumAgeMilliseconds}, this.callOptions()),
     );
     return answer.map(({headJson}) => headJson);
   }
--- a/packages/arbutustide-membership/src/peer_transport.ts
+++ b/packages/arbutustide-membership/src/peer_transport.ts
@@ -38,8 +38,16 @@
     peerUrl: string,
     request: ExchangeRequest,
   ): Promise<Result<ExchangeResponse, PeerError>>;
-  /** JSON of the peer's active catalogue head; empty when it has none. */
-  fetchHead(peerUrl: string): Promise<Result<string, PeerError>>;
+  /**
+   * JSON of the peer's active catalogue head; empty when it has none.
+   *
+   * @param maximumAgeMilliseconds age from which the peer's knowledge is of no
+   *     use, so that it may answer with an empty text.
+   */
+  fetchHead(
+    peerUrl: string,
+    maximumAgeMilliseconds?: number,
+  ): Promise<Result<string, PeerError>>;
   /** JSON of one catalogue object; empty when the peer lacks it. */
   fetchContent(
     peerUrl: string,
@@ -69,8 +77,13 @@
 /** Server side of the calls from peers. */
 export interface PeerHandler {
   exchange(request: ExchangeRequest): ExchangeResponse;
-  /** JSON of this node's active catalogue head; empty when it has none. */
-  catalogueHeadJson(): string;
+  /**
+   * JSON of this node's active catalogue head; empty when it has none.
+   *
+   * @param maximumAgeMilliseconds age from which the caller has no use for it;
+   *     zero if it has use for every age.
+   */
+  catalogueHeadJson(maximumAgeMilliseconds?: number): string;
   /** JSON of one catalogue object; empty when this node lacks it. */
   catalogueContentJson(digest: string): string;
   /** Undefined unless this node is the planner and an upstream will hold it. */
--- a/packages/arbutustide-node/src/__tests__/unit/upstream_watcher.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/upstream_watcher.test.ts
@@ -163,4 +163,25 @@
     ]);
     expect(readyIds()).to.eql(['one']);
   });
+
+  it('merges what a peer has read later, but nothing that has left', async () => {
+    store.objects = [
+      entry('one', UpstreamState.READY, toVersion(1, 5)),
+      entry('two', UpstreamState.READY, toVersion(1, 5)),
+      entry('three', UpstreamState.READY, toVersion(1, 5)),
+    ];
+    void watcher.run(stopController.signal);
+    await clock.tickAsync(STEP_MILLISECONDS);
+    store.deliver({deletedKeys: ['upstreams/three']});
+    await clock.tickAsync(STEP_MILLISECONDS);
+    const merged = watcher.mergeFromPeer([
+      entry('one', UpstreamState.LEAVING, toVersion(1, 4)),
+      entry('two', UpstreamState.LEAVING, toVersion(1, 9)),
+      entry('three', UpstreamState.READY, toVersion(1, 5)),
+      entry('four', UpstreamState.READY, toVersion(1, 9)),
+      entry('five', UpstreamState.READY, toVersion(0, 9)),
+    ]);
+    expect(merged).to.equal(2);
+    expect(readyIds()).to.eql(['one', 'four']);
+  });
 });
--- a/packages/arbutustide-node/src/proxy/peer_bootstrap.ts
+++ b/packages/arbutustide-node/src/proxy/peer_bootstrap.ts
@@ -1,51 +1,18 @@
 import type {PeerTransport} from '@arbutustide/membership';
-import type {StoredObject} from '@arbutustide/object-store';
 import type {NodeLogger} from '@arbutustide/telemetry';
 
 import type {ConfigurationWatcher} from './configuration_watcher.js';
 import type {UpstreamWatcher} from './upstream_watcher.js';
 
 import {delay} from '@arbutustide/errors';
-import {z} from 'zod';
+
+import {parseSnapshot} from './peer_snapshot.js';
 
 /** Time for the object store to answer before peers are asked. */
 const STORE_GRACE_MILLISECONDS = 700;
 /** Pause between two rounds over all peers. */
 const PEER_ROUND_INTERVAL_MILLISECONDS = 300;
 
-const storedObjectSchema = z.object({
-  key: z.string(),
-  version: z.number().int(),
-  value: z.unknown(),
-});
-
-/** State that a node gives to a peer that starts during a store outage. */
-const peerSnapshotSchema = z.object({
-  /** Time since the store last answered about upstreams, in milliseconds. */
-  ageMilliseconds: z.number(),
-  configuration: storedObjectSchema.optional(),
-  upstreams: z.array(storedObjectSchema),
-});
-
-type PeerSnapshot = z.infer<typeof peerSnapshotSchema>;
-
-/**
- * Serializes what this node has read from the store as JSON, for a peer that
- * starts during an outage.
- */
-export function serializeSnapshot(
-  configuration: StoredObject | undefined,
-  upstreams: readonly StoredObject[],
-  ageMilliseconds: number,
-): string {
-  const snapshot: PeerSnapshot = {
-    ageMilliseconds: Math.round(ageMilliseconds),
-    configuration,
-    upstreams: [...upstreams],
-  };
-  return JSON.stringify(snapshot);
-}
-
 /**
  * Loads configuration and upstreams from a peer if the store does not answer
  * when this node starts.
@@ -102,11 +69,3 @@
     this.upstreamWatcher.initializeFromPeer(upstreams);
   }
 }
-
-function parseSnapshot(text: string): PeerSnapshot | undefined {
-  try {
-    return peerSnapshotSchema.safeParse(JSON.parse(text)).data;
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/arbutustide-node/src/proxy/proxy_core.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_core.ts
@@ -23,17 +23,22 @@
 import {NodeState} from '@arbutustide/membership';
 import {DepartureSource} from '@arbutustide/routing';
 
-import {serializeSnapshot, PeerBootstrap} from './peer_bootstrap.js';
+import {PeerBootstrap} from './peer_bootstrap.js';
+import {serializeSnapshot} from './peer_snapshot.js';
+import {PeerStateRefresher} from './peer_state_refresher.js';
 import {createPeerIdentity, peerUrlFromIdentity} from './peer_identity.js';
 import {ProxyToken} from './proxy_tokens.js';
 import {
+  CONFIGURATION_GRACE_SHARE,
   RECORD_SYNC_INTERVAL_MILLISECONDS,
   QUEUE_CHECK_INTERVAL_MILLISECONDS,
   LEASE_RENEWAL_SHARE,
   LEASE_STANDBY_NODES,
   QUEUE_CLOSE_SHUTDOWN_SHARE,
+  UPSTREAMS_STALE_SHARE,
 } from './proxy_tuning.js';
 import {createProxyContainer} from './proxy_wiring.js';
+import {SnapshotSourceChooser} from './snapshot_source_chooser.js';
 
 /**
  * Core of a node that proxies requests to upstreams by route, without its HTTP
@@ -115,6 +120,7 @@
       container.resolve(ProxyToken.CONFIGURATION_WATCHER).run(signal),
       container.resolve(ProxyToken.UPSTREAM_WATCHER).run(signal),
       this.createBootstrap().run(signal),
+      this.createPeerStateRefresher().run(signal),
       this.syncRecordsPeriodically(signal),
       this.wakeQueuePeriodically(signal),
     ];
@@ -150,15 +156,20 @@
   }
 
   /**
-   * Snapshot of configuration and upstreams, for a peer that starts during an
-   * outage of the object store. Empty if this node has read neither.
+   * Snapshot of configuration and upstreams, for a peer that cannot read them
+   * from the object store. Empty if this node has read neither, or too long ago
+   * for the peer.
    */
-  catalogueHeadJson(): string {
+  catalogueHeadJson(maximumAgeMilliseconds = 0): string {
     const {storedObject} = this.container.resolve(
       ProxyToken.CONFIGURATION_WATCHER,
     );
     const upstreamWatcher = this.container.resolve(ProxyToken.UPSTREAM_WATCHER);
     if (!storedObject && !upstreamWatcher.isInitialized) return '';
+    const isTooOld =
+      maximumAgeMilliseconds > 0 &&
+      upstreamWatcher.silentMilliseconds > maximumAgeMilliseconds;
+    if (isTooOld) return '';
     return serializeSnapshot(
       storedObject,
       upstreamWatcher.storedObjects,
@@ -221,6 +232,32 @@
     );
   }
 
+  private createPeerStateRefresher(): PeerStateRefresher {
+    const {container} = this;
+    const {transport, settings, random} = this.dependencies;
+    const {changeBoundMilliseconds, failureDomain} = settings;
+    const clusterView = container.resolve(ProxyToken.CLUSTER_VIEW);
+    return new PeerStateRefresher({
+      transport,
+      listPeers: () =>
+        clusterView
+          .nodes()
+          .filter(({identity}) => identity !== this.self.identity),
+      configurationWatcher: container.resolve(ProxyToken.CONFIGURATION_WATCHER),
+      upstreamWatcher: container.resolve(ProxyToken.UPSTREAM_WATCHER),
+      chooser: new SnapshotSourceChooser({
+        configurationGraceMilliseconds:
+          changeBoundMilliseconds * CONFIGURATION_GRACE_SHARE,
+        upstreamsStaleMilliseconds:
+          changeBoundMilliseconds * UPSTREAMS_STALE_SHARE,
+        ownFailureDomain: failureDomain,
+        random,
+      }),
+      maximumAgeMilliseconds: changeBoundMilliseconds * UPSTREAMS_STALE_SHARE,
+      logger: this.logger,
+    });
+  }
+
   /**
    * Gives gossip the addresses to start from: the seeds of the settings and the
    * last known holder of the planner's lease.
--- a/packages/arbutustide-node/src/proxy/proxy_tuning.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tuning.ts
@@ -54,6 +54,17 @@
 export const RELAY_WAIT_SHARE = 0.25;
 /** Age of a relay's knowledge up to which it is used, as the same share. */
 export const RELAY_MAXIMUM_AGE_SHARE = 0.65;
+/**
+ * Time for the store to deliver a configuration that a peer has announced, as a
+ * share of the bound on changes; then it is fetched from a peer. Gossip and the
+ * call need the rest.
+ */
+export const CONFIGURATION_GRACE_SHARE = 0.25;
+/**
+ * Age of the list of upstreams from which peers are asked for theirs, as a share
+ * of the bound on changes. A watch without changes takes up to one bound.
+ */
+export const UPSTREAMS_STALE_SHARE = 2;
 /** How long removals of fields are gossiped, in expiry times. */
 export const TOMBSTONE_RETENTION_EXPIRIES = 2;
 /** Interval at which the own record is published and peers' are applied. */
--- a/packages/arbutustide-node/src/proxy/upstream_watcher.ts
+++ b/packages/arbutustide-node/src/proxy/upstream_watcher.ts
@@ -102,6 +102,26 @@
     this.applyList(objects);
   }
 
+  /**
+   * Applies the entries of a peer that are newer than this node's, except those
+   * of processes that have left. Entries that the peer lacks are kept: it may
+   * have read its list before they were made.
+   *
+   * @return number of entries applied.
+   */
+  mergeFromPeer(objects: readonly StoredObject[]): number {
+    const {store, upstreams} = this.dependencies;
+    const newer = objects.filter(object => {
+      const known = this.storedObjectsById.get(upstreams.parseId(object.key));
+      if (object.version <= (known?.version ?? store.eraStartVersion - 1))
+        return false;
+      const decoded = upstreams.decode(object);
+      return !decoded.ok || !this.directory.hasDeparted(decoded.val);
+    });
+    for (const object of newer) this.applyObject(object);
+    return newer.length;
+  }
+
   /** Watches the store until the signal is aborted. */
   run(signal: AbortSignal): Promise<void> {
     return this.watcher.run(signal);
