--- a/packages/arbutustide-node/src/proxy/peer_snapshot.ts
+++ b/packages/arbutustide-node/src/proxy/peer_snapshot.ts
@@ -25,7 +25,11 @@
   ageMilliseconds: number,
 ): string {
   const snapshot: PeerSnapshot = {
-    ageMilliseconds: Math.round(ageMilliseconds),
+    // JSON has no infinity, the age before the first answer.
+    ageMilliseconds: Math.min(
+      Math.round(ageMilliseconds),
+      Number.MAX_SAFE_INTEGER,
+    ),
     configuration,
     upstreams: [...upstreams],
   };
