Replace a silent connection to a peer before gossip drops the peer

Configurations now also travel between peers, so this path must not be lost for longer than the records that announce them live.

Cause: a connection to a peer was checked after 5 s without traffic. Each exchange timed out after 1 s until then, while gossip drops a peer after 3.5 s.

--- a/packages/arbutustide-membership/src/connect_peer_transport.ts
+++ b/packages/arbutustide-membership/src/connect_peer_transport.ts
@@ -17,8 +17,14 @@
 import {MembershipService} from './gen/arbutustide/membership/v1/membership_pb.js';
 import {PeerError} from './peer_transport.js';
 
-/** After this time without traffic a connection is checked with a ping. */
-const PING_INTERVAL_MILLISECONDS = 5_000;
+/**
+ * After this time without traffic a connection is checked with a ping. Longer
+ * than the pause between two exchanges, which then need no ping, and short
+ * enough to replace a silent connection before gossip drops the peer.
+ */
+const PING_INTERVAL_MILLISECONDS = 900;
+/** Leaves time for a call on a new connection within the call's timeout. */
+const PING_TIMEOUT_MILLISECONDS = 700;
 const IDLE_CONNECTION_MILLISECONDS = 60_000;
 /** Time for the answer to a watch beyond the time that it may be held open. */
 const WATCH_ANSWER_MILLISECONDS = 400;
@@ -33,7 +39,7 @@
 export class ConnectPeerTransport implements PeerTransport {
   private readonly clients = new Map<string, PeerClient>();
 
-  /** @param timeoutMilliseconds limit for one call and for a ping's reply. */
+  /** @param timeoutMilliseconds limit for one call. */
   constructor(private readonly timeoutMilliseconds: number) {}
 
   exchange(
@@ -115,7 +121,7 @@
       baseUrl: peerUrl,
       httpVersion: '2',
       pingIntervalMs: PING_INTERVAL_MILLISECONDS,
-      pingTimeoutMs: this.timeoutMilliseconds,
+      pingTimeoutMs: PING_TIMEOUT_MILLISECONDS,
       idleConnectionTimeoutMs: IDLE_CONNECTION_MILLISECONDS,
     });
     const client = createClient(MembershipService, transport);
