Log the shared prompt segments of a request and why its stream broke

The logs could not tell requests with one bad prompt segment from engines that crash on their own: no line named the segments, and a stream that broke without a resume had no reason.

--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -24,7 +24,7 @@
 import {ranSoFar, remainingMilliseconds} from './routed_request_progress.js';
 import {ProxyEventStream} from './proxy_event_stream.js';
 import {isRepeatable} from './route.js';
-import {fingerprintRoutedRequest} from './routed_request.js';
+import {fingerprintRoutedRequest, sharedSegmentIds} from './routed_request.js';
 import {InactivityTimeout} from './inactivity_timeout.js';
 
 /** Retry budget and callbacks of a dispatcher. */
@@ -47,6 +47,13 @@
 type AnswerOrRefusal = Promise<Result<ProxyAnswer, RefusalError>>;
 type AttemptOrRefusal = Promise<Result<AttemptResult, RefusalError>>;
 
+/** What is recorded of a stream's end besides the kind of end. */
+interface StreamOutcome {
+  readonly timing?: StreamTiming;
+  /** Why its last attempt failed, if it did. */
+  readonly reason?: string;
+}
+
 /** Why this node aborted a request. */
 enum CancelReason {
   CALLER_GONE = 'the caller went away',
@@ -218,9 +225,9 @@
       onConnectionLost: () =>
         this.options.poisonRequestDetector.recordCrash(progress.fingerprint),
       onResume: (reason, next) => this.recordResume(progress, reason, next),
-      onEnd: (end, timing) => {
+      onEnd: (end, timing, reason) => {
         stopCancellation();
-        this.recordEnd(progress, end, slot.upstream, timing);
+        this.recordEnd(progress, end, slot.upstream, {timing, reason});
       },
     });
     return {...common, body: stream.readChunks(attempt)};
@@ -231,8 +238,10 @@
     slot: UpstreamSlot,
   ): void {
     const {upstream, waitedMilliseconds} = slot;
+    const {modelRequest} = progress.request;
     this.recordDecision(progress, {
       step: DecisionStep.PLACED,
+      ...(modelRequest && {sharedSegments: sharedSegmentIds(modelRequest)}),
       upstream: upstream.id,
       load: upstream.estimatedInFlight,
       waitedMilliseconds: Math.round(waitedMilliseconds),
@@ -285,7 +294,7 @@
     progress: RoutedRequestProgress,
     end: AnswerEnd,
     upstream: ProxyUpstream,
-    timing?: StreamTiming,
+    {timing, reason}: StreamOutcome = {},
   ): void {
     const firstEvent = timing?.firstEventMilliseconds;
     this.recordDecision(progress, {
@@ -300,6 +309,7 @@
       }),
       attempts: progress.attempts,
       elapsedMilliseconds: millisecondsSinceArrival(progress),
+      ...(reason && {reason}),
     });
   }
 
--- a/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
@@ -20,7 +20,12 @@
   /** Called when the connection to an upstream breaks within a stream. */
   readonly onConnectionLost: () => void;
   readonly onResume: (reason: string, next: AttemptResult | undefined) => void;
-  readonly onEnd: (end: AnswerEnd, timing: StreamTiming) => void;
+  /** `reason` is why the last attempt failed, if it did. */
+  readonly onEnd: (
+    end: AnswerEnd,
+    timing: StreamTiming,
+    reason: string | undefined,
+  ) => void;
 }
 
 /** Timing of a stream's events, in milliseconds. */
@@ -57,16 +62,16 @@
   ): AsyncGenerator<Uint8Array, AnswerEnd, undefined> {
     let end = AnswerEnd.ABANDONED;
     let attempt: AttemptResult | undefined = first;
+    let failure: SegmentFailure | undefined;
     try {
       while (attempt) {
-        const failure: SegmentFailure | undefined =
-          yield* this.readSegment(attempt);
+        failure = yield* this.readSegment(attempt);
         end = failure ? AnswerEnd.BROKEN : AnswerEnd.WHOLE;
         attempt = failure && (await this.resume(failure));
       }
       return end;
     } finally {
-      this.options.onEnd(end, this.timing());
+      this.options.onEnd(end, this.timing(), failure?.reason);
     }
   }
 
--- a/packages/arbutustide-routing/src/proxy/request_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/request_decision.ts
@@ -20,6 +20,8 @@
   /** Version of the configuration that the request was routed by. */
   readonly configurationVersion: number;
   readonly model?: string;
+  /** Ids of the prompt's shared segments. */
+  readonly sharedSegments?: readonly string[];
   readonly upstream?: string;
   /** In-flight requests at the upstream, as estimated for the choice. */
   readonly load?: number;
--- a/packages/arbutustide-routing/src/proxy/routed_request.ts
+++ b/packages/arbutustide-routing/src/proxy/routed_request.ts
@@ -22,6 +22,14 @@
   readonly promptSegments: readonly PromptSegment[];
 }
 
+/**
+ * Ids of the segments that other requests may share: all but the last, which
+ * belongs to the request or its session.
+ */
+export function sharedSegmentIds({promptSegments}: ModelRequest): string[] {
+  return promptSegments.slice(0, -1).map(({id}) => id);
+}
+
 /** Hash that is equal for requests with the same effect at an upstream. */
 export function fingerprintRoutedRequest(request: RoutedRequest): string {
   const hash = createHash('sha1').update(request.route.host);
