Quarantine prompt segments that crash upstreams, over all nodes

What callers saw: requests with one prompt segment crashed engine after engine, up to 42 within a minute, and hardly a draft was served meanwhile.

Cause: crashes were counted by the fingerprint of a whole request, and no two of these are alike. The class: blame was tied to what a request is instead of to what requests have in common, and any broken connection counted as a crash.

Requests that an upstream's process lost when it ended unexpectedly make one crash; nodes tell each other of crashes at once. A segment is blamed for at least four crashes if no request with it survived since, here or at a peer, and if chance is ruled out: how often it occurs among sound requests gives the probability that it was lost in that many of the crashes, and the number of segments looked at counts too. So segments that many share are not blamed, nor rare ones while upstreams crash on their own. Requests with it are refused as not run (502 if they may have run), also those in the queue, for 5 minutes at all nodes, and for nodes that start meanwhile; a request that survives after all lifts it everywhere. Each decision is a module without a network (crash_attribution/).

--- a/packages/arbutustide-membership/src/cluster_view.ts
+++ b/packages/arbutustide-membership/src/cluster_view.ts
@@ -1,5 +1,8 @@
 import type {
   Field,
+  SegmentQuarantine,
+  SegmentSurvivals,
+  UpstreamCrash,
   UpstreamHoldings,
   UpstreamObservation,
 } from './gen/arbutustide/membership/v1/membership_pb.js';
@@ -52,6 +55,10 @@
   readonly crashCountByFingerprint: Map<string, number>;
   /** Fingerprints of suspected requests that some peer is running. */
   readonly runningSuspects: Set<string>;
+  readonly crashes: UpstreamCrash[];
+  readonly quarantines: SegmentQuarantine[];
+  /** Survivals of suspected prompt segments, by the peer's identity. */
+  readonly survivalsByPeer: Map<string, SegmentSurvivals>;
   /** Start times of leaving upstream processes, by upstream. */
   readonly departuresByUpstream: Map<string, number>;
   /** Holdings published by the planner with the highest epoch. */
@@ -101,6 +108,17 @@
     const known = summary.crashCountByFingerprint.get(fingerprint) ?? 0;
     summary.crashCountByFingerprint.set(fingerprint, known + crashes);
   },
+  crash: (field, _writer, summary) => {
+    if (field.value.case === 'crash') summary.crashes.push(field.value.value);
+  },
+  quarantine: (field, _writer, summary) => {
+    if (field.value.case === 'quarantine')
+      summary.quarantines.push(field.value.value);
+  },
+  survivals: (field, writer, summary) => {
+    if (field.value.case === 'survivals')
+      summary.survivalsByPeer.set(writer, field.value.value);
+  },
   departure: (field, _writer, summary) => {
     if (field.value.case !== 'departure') return;
     const {upstreamId, upstreamStartedAt} = field.value.value;
@@ -197,6 +215,21 @@
     return this.currentSummary().departuresByUpstream;
   }
 
+  /** Crashes of upstreams that peers saw, one for each peer. */
+  peerCrashes(): readonly UpstreamCrash[] {
+    return this.currentSummary().crashes;
+  }
+
+  /** Decisions of peers on prompt segments that crash upstreams. */
+  peerQuarantines(): readonly SegmentQuarantine[] {
+    return this.currentSummary().quarantines;
+  }
+
+  /** Survivals of suspected prompt segments, by the peer's identity. */
+  peerSurvivals(): ReadonlyMap<string, SegmentSurvivals> {
+    return this.currentSummary().survivalsByPeer;
+  }
+
   /** Upstream crashes that peers counted while the request was in flight. */
   peerCrashCount(fingerprint: string): number {
     return this.currentSummary().crashCountByFingerprint.get(fingerprint) ?? 0;
@@ -240,6 +273,9 @@
     observations: [],
     crashCountByFingerprint: new Map(),
     runningSuspects: new Set(),
+    crashes: [],
+    quarantines: [],
+    survivalsByPeer: new Map(),
     departuresByUpstream: new Map(),
     holdingsByUpstream: new Map(),
     holdingsEpoch: 0,
--- a/packages/arbutustide-node/src/node_status_publisher.ts
+++ b/packages/arbutustide-node/src/node_status_publisher.ts
@@ -1,4 +1,4 @@
-import type {MemberTable} from '@arbutustide/membership';
+import type {FieldValue, MemberTable} from '@arbutustide/membership';
 import type {EntryLoad, PoisonRequestDetector} from '@arbutustide/routing';
 
 import {
@@ -51,6 +51,9 @@
     private readonly poisonRequestDetector: PoisonRequestDetector,
     private readonly getCatalogueRevision: () => number,
     private readonly getPlannerEpoch: () => number = () => 0,
+    private readonly listOtherFields: () => Iterable<
+      readonly [string, FieldValue]
+    > = () => [],
   ) {
     this.publishStatus();
   }
@@ -76,6 +79,10 @@
     for (const key of this.publishDemands()) keys.add(key);
     for (const key of this.publishSuspicions()) keys.add(key);
     for (const key of this.publishDepartures()) keys.add(key);
+    for (const [key, value] of this.listOtherFields()) {
+      this.memberTable.ownRecord.set(key, value);
+      keys.add(key);
+    }
     for (const key of this.publishedKeys) {
       if (!keys.has(key)) this.memberTable.ownRecord.remove(key);
     }
--- a/packages/arbutustide-node/src/proxy/proxy_core.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_core.ts
@@ -23,6 +23,7 @@
 import {NodeState} from '@arbutustide/membership';
 import {DepartureSource} from '@arbutustide/routing';
 
+import {readPeerCrashEvidence} from './crash_evidence_fields.js';
 import {PeerBootstrap} from './peer_bootstrap.js';
 import {serializeSnapshot} from './peer_snapshot.js';
 import {PeerStateRefresher} from './peer_state_refresher.js';
@@ -303,10 +304,14 @@
     const clusterView = this.container.resolve(ProxyToken.CLUSTER_VIEW);
     const directory = this.container.resolve(ProxyToken.UPSTREAM_DIRECTORY);
     const leadership = this.container.resolve(ProxyToken.PLANNER_LEADERSHIP);
+    const poisonSegmentDetector = this.container.resolve(
+      ProxyToken.POISON_SEGMENT_DETECTOR,
+    );
     while (!signal.aborted) {
       this.status.publish();
       for (const [id, startedAt] of clusterView.departures())
         directory.markLeaving({id, startedAt}, DepartureSource.REPORT);
+      poisonSegmentDetector.update(readPeerCrashEvidence(clusterView));
       const holdings = clusterView.plannerHoldings();
       for (const upstream of directory.all()) {
         upstream.peersInFlight = clusterView.peerRequestsInFlight(upstream.id);
--- a/packages/arbutustide-node/src/proxy/proxy_tokens.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tokens.ts
@@ -11,6 +11,7 @@
   ProxyDispatcher,
   SlotQueue,
   PoisonRequestDetector,
+  PoisonSegmentDetector,
 } from '@arbutustide/routing';
 import type {InjectionToken} from 'tsyringe';
 
@@ -46,6 +47,8 @@
   OWN_STATUS: 'fleet.ownStatus' as InjectionToken<NodeStatusPublisher>,
   POISON_REQUEST_DETECTOR:
     'fleet.suspects' as InjectionToken<PoisonRequestDetector>,
+  POISON_SEGMENT_DETECTOR:
+    'fleet.segments' as InjectionToken<PoisonSegmentDetector>,
   LEASE_HOLDER_PROBE: 'fleet.holderCheck' as InjectionToken<LeaseHolderProbe>,
   PLANNER_LEASE: 'fleet.lease' as InjectionToken<PlannerLease>,
   PLANNER_LEADERSHIP: 'fleet.tenure' as InjectionToken<PlannerLeadership>,
--- a/packages/arbutustide-node/src/proxy/proxy_tuning.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tuning.ts
@@ -84,6 +84,8 @@
 export const LEASE_RENEWAL_SHARE = 1 / 3;
 /** How long a request is remembered after its connection broke. */
 export const SUSPICION_RETENTION_MILLISECONDS = 30_000;
+/** Peers that are told of a crash at once; the others learn it by gossip. */
+export const CRASH_BROADCAST_PEERS = 8;
 /** Broken connections after which a request is no longer forwarded. */
 export const POISON_CRASH_THRESHOLD = 3;
 
--- a/packages/arbutustide-node/src/proxy/proxy_wiring.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_wiring.ts
@@ -16,19 +16,18 @@
   PlannerLeadership,
 } from '@arbutustide/placement';
 import {
-  chooseUpstream,
   DemandCounter,
   DepartureSource,
-  remainingBackOffMilliseconds,
   ProxyUpstreamDirectory,
   ProxyDispatcher,
-  NoUpstreamReason,
-  SlotQueue,
   PoisonRequestDetector,
 } from '@arbutustide/routing';
 import {container as rootContainer, instanceCachingFactory} from 'tsyringe';
 
 import {NodeStatusPublisher} from '../node_status_publisher.js';
+import {crashEvidenceFields} from './crash_evidence_fields.js';
+import {createSlotQueue} from './create_slot_queue.js';
+import {createPoisonSegmentDetector} from './create_poison_segment_detector.js';
 import {ConfigurationWatcher} from './configuration_watcher.js';
 import {ServiceRetryBudgets} from './service_retry_budgets.js';
 import {
@@ -68,6 +67,7 @@
   container.register(ProxyToken.DEPENDENCIES, {useValue: dependencies});
   registerWatchers(register, dependencies, identity);
   registerMembership(register, dependencies, identity);
+  registerCrashDetectors(register, dependencies, identity);
   registerRouting(register, dependencies);
   registerLease(register, dependencies, identity);
   registerPlacement(register, dependencies);
@@ -177,17 +177,6 @@
         random,
       }),
   );
-  register(ProxyToken.POISON_REQUEST_DETECTOR, container => {
-    const clusterView = container.resolve(ProxyToken.CLUSTER_VIEW);
-    return new PoisonRequestDetector(
-      tuning.SUSPICION_RETENTION_MILLISECONDS,
-      {
-        crashes: fingerprint => clusterView.peerCrashCount(fingerprint),
-        runsOtherSuspects: () => false,
-      },
-      tuning.POISON_CRASH_THRESHOLD,
-    );
-  });
   register(ProxyToken.OWN_STATUS, container => {
     const leadership = container.resolve(ProxyToken.PLANNER_LEADERSHIP);
     const {nodeName: name, region, failureDomain} = settings;
@@ -201,10 +190,35 @@
         container.resolve(ProxyToken.CONFIGURATION_WATCHER).routes
           ?.configuration.version ?? 0,
       () => (leadership.checkLeadership() ? leadership.epoch : 0),
+      () =>
+        crashEvidenceFields(
+          container.resolve(ProxyToken.POISON_SEGMENT_DETECTOR),
+        ),
     );
   });
 }
 
+function registerCrashDetectors(
+  register: RegisterSingleton,
+  {logger}: ProxyDependencies,
+  {identity}: PeerIdentity,
+): void {
+  register(ProxyToken.POISON_REQUEST_DETECTOR, container => {
+    const clusterView = container.resolve(ProxyToken.CLUSTER_VIEW);
+    return new PoisonRequestDetector(
+      tuning.SUSPICION_RETENTION_MILLISECONDS,
+      {
+        crashes: fingerprint => clusterView.peerCrashCount(fingerprint),
+        runsOtherSuspects: () => false,
+      },
+      tuning.POISON_CRASH_THRESHOLD,
+    );
+  });
+  register(ProxyToken.POISON_SEGMENT_DETECTOR, container =>
+    createPoisonSegmentDetector(container, logger, identity),
+  );
+}
+
 function registerRouting(
   register: RegisterSingleton,
   dependencies: ProxyDependencies,
@@ -219,7 +233,7 @@
     );
   });
   register(ProxyToken.REQUEST_QUEUE, container =>
-    createQueue(container, dependencies),
+    createSlotQueue(container, dependencies),
   );
   register(ProxyToken.DISPATCHER, container => {
     const retryBudgets = container.resolve(ProxyToken.RETRY_BUDGETS);
@@ -241,58 +255,14 @@
         poisonRequestDetector: container.resolve(
           ProxyToken.POISON_REQUEST_DETECTOR,
         ),
+        poisonSegmentDetector: container.resolve(
+          ProxyToken.POISON_SEGMENT_DETECTOR,
+        ),
       },
     );
   });
 }
 
-function createQueue(
-  container: DependencyContainer,
-  {settings, random}: ProxyDependencies,
-): SlotQueue {
-  const upstreamDirectory = container.resolve(ProxyToken.UPSTREAM_DIRECTORY);
-  const holdingRequester = container.resolve(ProxyToken.HOLDING_REQUESTER);
-  const choiceSettings = {
-    ownFailureDomain: settings.failureDomain,
-    crossDomainShare: tuning.CROSS_DOMAIN_SLOT_SHARE,
-    random,
-  };
-  return new SlotQueue({
-    chooseUpstream: ({request, triedUpstreams: tried}) =>
-      chooseUpstream(
-        upstreamDirectory.listByService(request.service),
-        request.modelRequest,
-        tried,
-        {
-          ...choiceSettings,
-          fullShare: request.modelRequest
-            ? tuning.ENGINE_IN_FLIGHT_SLOT_SHARE
-            : tuning.SERVICE_IN_FLIGHT_SLOT_SHARE,
-        },
-      ),
-    predictWaitMilliseconds: ({request: {service, modelRequest}}, reason) => {
-      if (reason === NoUpstreamReason.FULL) {
-        return Math.max(
-          tuning.MINIMUM_SERVICE_MILLISECONDS,
-          remainingBackOffMilliseconds(
-            upstreamDirectory.listByService(service),
-            modelRequest,
-          ),
-        );
-      }
-      return (
-        modelRequest &&
-        holdingRequester.expectedWaitMilliseconds(service, modelRequest)
-      );
-    },
-    minimumServiceMilliseconds: () => tuning.MINIMUM_SERVICE_MILLISECONDS,
-    onNotHeld: ({request: {service, modelRequest}}) => {
-      if (modelRequest) holdingRequester.requestHolding(service, modelRequest);
-    },
-    observer: container.resolve(ProxyToken.DEMAND_COUNTER),
-  });
-}
-
 function registerLease(
   register: RegisterSingleton,
   {settings, store, transport}: ProxyDependencies,
--- a/packages/arbutustide-routing/src/__tests__/unit/proxy_decisions.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/proxy_decisions.test.ts
@@ -65,6 +65,7 @@
     isNotRun: false,
     isOtherInstance: false,
     isSigned: true,
+    isSelfDelimiting: true,
     isEventStream: false,
     isLeaving: false,
     backOffMilliseconds: undefined,
--- a/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
@@ -12,6 +12,10 @@
 import {AttemptError, AttemptFailure} from '@arbutustide/upstream';
 import {Err, Ok} from 'ts-results';
 
+import {
+  PoisonSegmentDetector,
+  ProcessState,
+} from '../../proxy/crash_attribution/poison_segment_detector.js';
 import {DemandCounter} from '../../proxy/demand_counter.js';
 import {
   chooseUpstream,
@@ -44,6 +48,7 @@
     isOtherInstance: false,
     isSigned: true,
     isEventStream: false,
+    isSelfDelimiting: true,
     isLeaving: false,
     backOffMilliseconds: undefined,
     load: undefined,
@@ -136,6 +141,13 @@
       {crashes: () => 0, runsOtherSuspects: () => false},
       3,
     ),
+    poisonSegmentDetector: new PoisonSegmentDetector({
+      identity: 'node',
+      processState: () => ProcessState.RUNNING,
+      onCrash: () => {},
+      onQuarantine: () => {},
+      onExonerated: () => {},
+    }),
   });
 }
 
--- a/packages/arbutustide-routing/src/dispatch_refusals.ts
+++ b/packages/arbutustide-routing/src/dispatch_refusals.ts
@@ -1,7 +1,7 @@
 import type {FailedAttempt} from './attempt_runner.js';
 import type {RequestProgress} from './request_progress.js';
 
-import {ErrorKind, RefusalError} from '@arbutustide/errors';
+import {ErrorKind, ExecutionStatus, RefusalError} from '@arbutustide/errors';
 import {AttemptFailure} from '@arbutustide/upstream';
 
 import {ranStatus} from './request_progress.js';
@@ -57,9 +57,12 @@
 }
 
 /** Refuses a request that is quarantined because upstreams crashed. */
-export function quarantineRefusal(): RefusalError {
+export function quarantineRefusal(
+  ran = ExecutionStatus.NOT_EXECUTED,
+): RefusalError {
   return new RefusalError(
     ErrorKind.REQUEST_QUARANTINED,
-    'this request was not run: upstreams crashed each time it ran before',
+    'upstreams crashed each time this request, or one with a part of its prompt, ran',
+    {ran},
   );
 }
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -27,6 +27,19 @@
   UpstreamResponseHead,
   UpstreamSignals,
 } from './proxy/proxy_connector.js';
+export type {CrashCause} from './proxy/crash_attribution/attribute_crashes.js';
+export type {
+  PeerCrashEvidence,
+  PeerSurvivals,
+  PoisonSegmentDetectorOptions,
+  SegmentSurvivals,
+} from './proxy/crash_attribution/poison_segment_detector.js';
+export type {Quarantine} from './proxy/crash_attribution/quarantine_list.js';
+export type {
+  LostRequests,
+  UpstreamCrash,
+} from './proxy/crash_attribution/upstream_crash.js';
+export type {UpstreamProcess} from './proxy/departed_upstreams.js';
 export type {RequestDecision} from './proxy/request_decision.js';
 export type {ProxyDispatcherOptions} from './proxy/proxy_dispatcher.js';
 export type {RoutedRequestProgress} from './proxy/routed_request_progress.js';
@@ -64,8 +77,13 @@
 export {AnswerEnd} from './caller_request.js';
 export {chooseReplicas, predictedMilliseconds} from './choose_replica.js';
 export {Dispatcher} from './dispatcher.js';
+export {quarantineRefusal} from './dispatch_refusals.js';
 export {ServerSentEventParser} from './server_sent_event_parser.js';
 export {AttemptOutcome} from './proxy/attempt_outcome.js';
+export {
+  PoisonSegmentDetector,
+  ProcessState,
+} from './proxy/crash_attribution/poison_segment_detector.js';
 export {
   DepartedUpstreams,
   DepartureSource,
@@ -83,7 +101,10 @@
 export {DecisionStep} from './proxy/request_decision.js';
 export {ProxyUpstreamDirectory} from './proxy/proxy_upstream_directory.js';
 export {ProxyDispatcher} from './proxy/proxy_dispatcher.js';
-export {remainingMilliseconds} from './proxy/routed_request_progress.js';
+export {
+  ranSoFar,
+  remainingMilliseconds,
+} from './proxy/routed_request_progress.js';
 export {ClusterRetryBudget} from './proxy/cluster_retry_budget.js';
 export {ProxyUpstream, UpstreamState} from './proxy/proxy_upstream.js';
 export {EventSequencer} from './proxy/event_sequencer.js';
--- /dev/null
+++ b/packages/arbutustide-routing/src/proxy/decision_recorder.ts
@@ -0,0 +1,121 @@
+import type {RefusalError} from '@arbutustide/errors';
+
+import type {AttemptResult} from './run_attempt.js';
+import type {ProxyUpstream} from './proxy_upstream.js';
+import type {RequestDecision} from './request_decision.js';
+import type {RoutedRequestProgress} from './routed_request_progress.js';
+import type {StreamTiming} from './proxy_event_stream.js';
+import type {UpstreamSlot} from './slot_queue.js';
+import type {AnswerEnd} from '../caller_request.js';
+
+import {AttemptOutcome} from './attempt_outcome.js';
+import {DecisionStep} from './request_decision.js';
+import {sharedSegmentIds} from './routed_request.js';
+
+/** What is recorded of a stream's end besides the kind of end. */
+interface StreamOutcome {
+  readonly timing?: StreamTiming;
+  /** Why its last attempt failed, if it did. */
+  readonly reason?: string;
+}
+
+/** Reports each step of a request with the inputs that decided it. */
+export class DecisionRecorder {
+  constructor(
+    private readonly onDecision: (decision: RequestDecision) => void,
+  ) {}
+
+  recordSlotTaken(progress: RoutedRequestProgress, slot: UpstreamSlot): void {
+    const {upstream, waitedMilliseconds} = slot;
+    const {modelRequest} = progress.request;
+    this.recordDecision(progress, {
+      step: DecisionStep.PLACED,
+      ...(modelRequest && {sharedSegments: sharedSegmentIds(modelRequest)}),
+      upstream: upstream.id,
+      load: upstream.estimatedInFlight,
+      waitedMilliseconds: Math.round(waitedMilliseconds),
+    });
+  }
+
+  recordAttempt(progress: RoutedRequestProgress, attempt: AttemptResult): void {
+    if (attempt.outcome === AttemptOutcome.ANSWERED) return;
+    this.recordDecision(progress, {
+      step: DecisionStep.ATTEMPT_ENDED,
+      upstream: attempt.slot.upstream.id,
+      outcome: attempt.outcome,
+      attempts: progress.attempts,
+      ...(attempt.head && {status: attempt.head.status}),
+      ...(attempt.error && {reason: attempt.error.message}),
+    });
+  }
+
+  recordResume(
+    progress: RoutedRequestProgress,
+    reason: string,
+    next: AttemptResult | undefined,
+  ): void {
+    this.recordDecision(progress, {
+      step: DecisionStep.STREAM_RESUMED,
+      reason,
+      attempts: progress.attempts,
+      ...(next && {upstream: next.slot.upstream.id}),
+    });
+  }
+
+  recordRefusal(progress: RoutedRequestProgress, refusal: RefusalError): void {
+    this.recordDecision(progress, {
+      step: DecisionStep.REFUSED,
+      kind: refusal.kind,
+      ran: refusal.ran,
+      retryAfterMilliseconds: refusal.retryAfterMilliseconds,
+      reason: refusal.message,
+      elapsedMilliseconds: millisecondsSinceArrival(progress),
+    });
+  }
+
+  recordEnd(
+    progress: RoutedRequestProgress,
+    end: AnswerEnd,
+    upstream: ProxyUpstream,
+    {timing, reason}: StreamOutcome = {},
+  ): void {
+    const firstEvent = timing?.firstEventMilliseconds;
+    this.recordDecision(progress, {
+      step: DecisionStep.ENDED,
+      end,
+      upstream: upstream.id,
+      ...(firstEvent !== undefined && {
+        firstEventMilliseconds: Math.round(firstEvent),
+      }),
+      ...(timing && {
+        longestPauseMilliseconds: Math.round(timing.longestPauseMilliseconds),
+      }),
+      attempts: progress.attempts,
+      elapsedMilliseconds: millisecondsSinceArrival(progress),
+      ...(reason && {reason}),
+    });
+  }
+
+  private recordDecision(
+    {request}: RoutedRequestProgress,
+    decision: Omit<
+      RequestDecision,
+      'requestId' | 'route' | 'service' | 'configurationVersion'
+    >,
+  ): void {
+    const {requestId, route, service, configurationVersion, modelRequest} =
+      request;
+    this.onDecision({
+      requestId,
+      route: route.name,
+      service,
+      configurationVersion,
+      ...(modelRequest && {model: modelRequest.model}),
+      ...decision,
+    });
+  }
+}
+
+function millisecondsSinceArrival({request}: RoutedRequestProgress): number {
+  return Math.round(performance.now() - request.arrivedAtMilliseconds);
+}
--- a/packages/arbutustide-routing/src/proxy/proxy_connector.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_connector.ts
@@ -28,6 +28,11 @@
   /** Whether the answer has the signature header of an upstream. */
   readonly isSigned: boolean;
   readonly isEventStream: boolean;
+  /**
+   * Whether the answer states where it ends, by a length or chunks. Otherwise
+   * it ends with its connection, and a part of it may look whole.
+   */
+  readonly isSelfDelimiting: boolean;
   /** Load that the upstream reports with the answer, if any. */
   readonly load: UpstreamLoad | undefined;
   /** Body chunks; iteration throws `AttemptError` if the body is truncated. */
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -5,8 +5,9 @@
 import type {ProxyConnector} from './proxy_connector.js';
 import type {RequestDecision} from './request_decision.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
-import type {StreamTiming} from './proxy_event_stream.js';
 import type {ProxyUpstream} from './proxy_upstream.js';
+import type {ObservedAttempt} from './crash_attribution/observed_attempt.js';
+import type {PoisonSegmentDetector} from './crash_attribution/poison_segment_detector.js';
 import type {PoisonRequestDetector} from '../poison_request_detector.js';
 import type {UpstreamSlot, SlotQueue} from './slot_queue.js';
 import type {ModelReference} from './route.js';
@@ -20,11 +21,11 @@
 import {quarantineRefusal} from '../dispatch_refusals.js';
 import {AttemptOutcome, mayHaveRun, isRetryAllowed} from './attempt_outcome.js';
 import {runAttempt} from './run_attempt.js';
-import {DecisionStep} from './request_decision.js';
+import {DecisionRecorder} from './decision_recorder.js';
 import {ranSoFar, remainingMilliseconds} from './routed_request_progress.js';
 import {ProxyEventStream} from './proxy_event_stream.js';
 import {isRepeatable} from './route.js';
-import {fingerprintRoutedRequest, sharedSegmentIds} from './routed_request.js';
+import {fingerprintRoutedRequest} from './routed_request.js';
 import {InactivityTimeout} from './inactivity_timeout.js';
 
 /** Retry budget and callbacks of a dispatcher. */
@@ -42,18 +43,12 @@
   readonly onLeaving: (upstream: ProxyUpstream) => void;
   readonly onDecision: (decision: RequestDecision) => void;
   readonly poisonRequestDetector: PoisonRequestDetector;
+  readonly poisonSegmentDetector: PoisonSegmentDetector;
 }
 
 type AnswerOrRefusal = Promise<Result<ProxyAnswer, RefusalError>>;
 type AttemptOrRefusal = Promise<Result<AttemptResult, RefusalError>>;
 
-/** What is recorded of a stream's end besides the kind of end. */
-interface StreamOutcome {
-  readonly timing?: StreamTiming;
-  /** Why its last attempt failed, if it did. */
-  readonly reason?: string;
-}
-
 /** Why this node aborted a request. */
 enum CancelReason {
   CALLER_GONE = 'the caller went away',
@@ -63,6 +58,17 @@
 /** Time until nodes know which upstreams can serve the request. */
 const NOT_RUN_RETRY_AFTER_MILLISECONDS = 300;
 
+/** What a failed attempt tells of whether its upstream survived it. */
+const CRASH_EVIDENCE_BY_FAILURE: Readonly<
+  Record<AttemptFailure, (observed: ObservedAttempt | undefined) => void>
+> = {
+  [AttemptFailure.NOT_CONNECTED]: () => {},
+  [AttemptFailure.CONNECTION_LOST]: observed => observed?.recordBroken(),
+  [AttemptFailure.INACTIVITY_TIMEOUT]: observed => observed?.recordBroken(),
+  [AttemptFailure.CANCELLED]: observed => observed?.recordCancelled(),
+  [AttemptFailure.PROTOCOL_VIOLATION]: () => {},
+};
+
 const REFUSAL_KIND_BY_FAILURE: Readonly<Record<AttemptFailure, ErrorKind>> = {
   [AttemptFailure.NOT_CONNECTED]: ErrorKind.UPSTREAM_UNREACHABLE,
   [AttemptFailure.CONNECTION_LOST]: ErrorKind.UPSTREAM_BROKEN,
@@ -76,15 +82,23 @@
  * refused. A refusal states whether the request may have run.
  */
 export class ProxyDispatcher {
+  private readonly decisions: DecisionRecorder;
+
   constructor(
     private readonly queue: SlotQueue,
     private readonly connector: ProxyConnector,
     private readonly options: ProxyDispatcherOptions,
-  ) {}
+  ) {
+    this.decisions = new DecisionRecorder(options.onDecision);
+  }
 
   /** Resolves to the answer of an upstream, or to a refusal. */
   async dispatch(request: RoutedRequest): AnswerOrRefusal {
-    const {recordRequest, poisonRequestDetector: suspects} = this.options;
+    const {
+      recordRequest,
+      poisonRequestDetector: suspects,
+      poisonSegmentDetector,
+    } = this.options;
     recordRequest(request.service);
     const progress: RoutedRequestProgress = {
       request,
@@ -95,9 +109,12 @@
       lastDeliveryAtMilliseconds: request.arrivedAtMilliseconds,
       fingerprint: fingerprintRoutedRequest(request),
     };
-    if (suspects.isQuarantined(progress.fingerprint)) {
+    if (
+      suspects.isQuarantined(progress.fingerprint) ||
+      poisonSegmentDetector.isQuarantined(request)
+    ) {
       const refusal = quarantineRefusal();
-      this.recordRefusal(progress, refusal);
+      this.decisions.recordRefusal(progress, refusal);
       return Err(refusal);
     }
     const stopCancellation = cancelOnDisconnectOrDeadline(progress);
@@ -105,7 +122,7 @@
     const isOver = !attempt.ok || attempt.val.body !== undefined;
     if (isOver) stopCancellation();
     if (!attempt.ok) {
-      this.recordRefusal(progress, attempt.val);
+      this.decisions.recordRefusal(progress, attempt.val);
       return attempt;
     }
     return Ok(this.createAnswer(progress, attempt.val, stopCancellation));
@@ -123,7 +140,12 @@
     for (;;) {
       const slot = await this.queue.acquireSlot(progress);
       if (!slot.ok) return lastFailure?.body ? Ok(lastFailure) : slot;
-      this.recordSlotTaken(progress, slot.val);
+      // The quarantine may have begun while the request was queued.
+      if (this.options.poisonSegmentDetector.isQuarantined(progress.request)) {
+        slot.val.release();
+        return Err(quarantineRefusal(ranSoFar(progress)));
+      }
+      this.decisions.recordSlotTaken(progress, slot.val);
       const attempt = await this.makeAttempt(
         progress,
         slot.val,
@@ -156,7 +178,11 @@
       upstream,
       tryReserveReplacement,
     );
-    const context = {slot, inactivityTimeout, resumeAfterEventId};
+    const observed = this.options.poisonSegmentDetector.observe(
+      progress.request,
+      upstream.description,
+    );
+    const context = {slot, inactivityTimeout, observed, resumeAfterEventId};
     const attempt = await runAttempt(this.connector, progress, context);
     const isOpen = attempt.body === undefined && attempt.error === undefined;
     if (!isOpen) slot.release();
@@ -165,7 +191,7 @@
     if (attempt.outcome === AttemptOutcome.NOT_CONNECTED)
       progress.attempts -= 1;
     this.updateUpstreamHealth(progress, attempt);
-    this.recordAttempt(progress, attempt);
+    this.decisions.recordAttempt(progress, attempt);
     return attempt;
   }
 
@@ -188,6 +214,7 @@
     const {upstream} = attempt.slot;
     const {modelRequest} = progress.request;
     if (attempt.head?.isLeaving) this.options.onLeaving(upstream);
+    this.recordCrashEvidence(attempt);
     if (attempt.error) {
       if (attempt.error.failure !== AttemptFailure.CANCELLED) {
         upstream.recordFailure();
@@ -203,6 +230,23 @@
     }
   }
 
+  /** Records whether the upstream survived an attempt that has ended. */
+  private recordCrashEvidence({
+    slot,
+    observed,
+    outcome,
+    body,
+    error,
+  }: AttemptResult) {
+    if (error?.isRefused) {
+      this.options.poisonSegmentDetector.recordUnreachable(
+        slot.upstream.description,
+      );
+    }
+    if (error) CRASH_EVIDENCE_BY_FAILURE[error.failure](observed);
+    else if (body !== undefined && mayHaveRun(outcome)) observed?.recordWhole();
+  }
+
   private createAnswer(
     progress: RoutedRequestProgress,
     attempt: AttemptResult,
@@ -215,7 +259,7 @@
       upstreamId: slot.upstream.id,
     };
     if (body !== undefined || !head) {
-      this.recordEnd(progress, AnswerEnd.WHOLE, slot.upstream);
+      this.decisions.recordEnd(progress, AnswerEnd.WHOLE, slot.upstream);
       return {...common, body: body ?? Buffer.alloc(0)};
     }
     const stream = new ProxyEventStream(progress, {
@@ -224,113 +268,18 @@
         this.options.tryConsumeRetry(progress.request.service),
       onConnectionLost: () =>
         this.options.poisonRequestDetector.recordCrash(progress.fingerprint),
-      onResume: (reason, next) => this.recordResume(progress, reason, next),
+      onResume: (reason, next) =>
+        this.decisions.recordResume(progress, reason, next),
       onEnd: (end, timing, reason) => {
         stopCancellation();
-        this.recordEnd(progress, end, slot.upstream, {timing, reason});
+        this.decisions.recordEnd(progress, end, slot.upstream, {
+          timing,
+          reason,
+        });
       },
     });
     return {...common, body: stream.readChunks(attempt)};
   }
-
-  private recordSlotTaken(
-    progress: RoutedRequestProgress,
-    slot: UpstreamSlot,
-  ): void {
-    const {upstream, waitedMilliseconds} = slot;
-    const {modelRequest} = progress.request;
-    this.recordDecision(progress, {
-      step: DecisionStep.PLACED,
-      ...(modelRequest && {sharedSegments: sharedSegmentIds(modelRequest)}),
-      upstream: upstream.id,
-      load: upstream.estimatedInFlight,
-      waitedMilliseconds: Math.round(waitedMilliseconds),
-    });
-  }
-
-  private recordAttempt(
-    progress: RoutedRequestProgress,
-    attempt: AttemptResult,
-  ): void {
-    if (attempt.outcome === AttemptOutcome.ANSWERED) return;
-    this.recordDecision(progress, {
-      step: DecisionStep.ATTEMPT_ENDED,
-      upstream: attempt.slot.upstream.id,
-      outcome: attempt.outcome,
-      attempts: progress.attempts,
-      ...(attempt.head && {status: attempt.head.status}),
-      ...(attempt.error && {reason: attempt.error.message}),
-    });
-  }
-
-  private recordResume(
-    progress: RoutedRequestProgress,
-    reason: string,
-    next: AttemptResult | undefined,
-  ): void {
-    this.recordDecision(progress, {
-      step: DecisionStep.STREAM_RESUMED,
-      reason,
-      attempts: progress.attempts,
-      ...(next && {upstream: next.slot.upstream.id}),
-    });
-  }
-
-  private recordRefusal(
-    progress: RoutedRequestProgress,
-    refusal: RefusalError,
-  ): void {
-    this.recordDecision(progress, {
-      step: DecisionStep.REFUSED,
-      kind: refusal.kind,
-      ran: refusal.ran,
-      retryAfterMilliseconds: refusal.retryAfterMilliseconds,
-      reason: refusal.message,
-      elapsedMilliseconds: millisecondsSinceArrival(progress),
-    });
-  }
-
-  private recordEnd(
-    progress: RoutedRequestProgress,
-    end: AnswerEnd,
-    upstream: ProxyUpstream,
-    {timing, reason}: StreamOutcome = {},
-  ): void {
-    const firstEvent = timing?.firstEventMilliseconds;
-    this.recordDecision(progress, {
-      step: DecisionStep.ENDED,
-      end,
-      upstream: upstream.id,
-      ...(firstEvent !== undefined && {
-        firstEventMilliseconds: Math.round(firstEvent),
-      }),
-      ...(timing && {
-        longestPauseMilliseconds: Math.round(timing.longestPauseMilliseconds),
-      }),
-      attempts: progress.attempts,
-      elapsedMilliseconds: millisecondsSinceArrival(progress),
-      ...(reason && {reason}),
-    });
-  }
-
-  private recordDecision(
-    {request}: RoutedRequestProgress,
-    decision: Omit<
-      RequestDecision,
-      'requestId' | 'route' | 'service' | 'configurationVersion'
-    >,
-  ): void {
-    const {requestId, route, service, configurationVersion, modelRequest} =
-      request;
-    this.options.onDecision({
-      requestId,
-      route: route.name,
-      service,
-      configurationVersion,
-      ...(modelRequest && {model: modelRequest.model}),
-      ...decision,
-    });
-  }
 }
 
 /**
@@ -376,7 +325,3 @@
     {ran, retryAfterMilliseconds: NOT_RUN_RETRY_AFTER_MILLISECONDS},
   );
 }
-
-function millisecondsSinceArrival({request}: RoutedRequestProgress): number {
-  return Math.round(performance.now() - request.arrivedAtMilliseconds);
-}
--- a/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
@@ -86,22 +86,29 @@
         if (bytes) {
           // Bytes that complete no new event are no progress.
           attempt.inactivityTimeout.recordActivity();
+          attempt.observed?.recordData();
           this.recordDelivery();
           yield bytes;
         }
         if (problem) return {reason: `event cannot follow: ${problem}`};
       }
-      return this.eventSequencer.hasPartialEvent
-        ? {reason: 'the stream ended within an event'}
-        : undefined;
+      if (this.eventSequencer.hasPartialEvent) {
+        attempt.observed?.recordBroken();
+        return {reason: 'the stream ended within an event'};
+      }
+      if (attempt.head?.isSelfDelimiting) attempt.observed?.recordWhole();
+      else attempt.observed?.recordBroken(false);
+      return undefined;
     } catch (error) {
       const {hasExpired: wasInactive} = attempt.inactivityTimeout;
       if (!this.progress.cancellation.isCancelled) {
         attempt.slot.upstream.recordFailure();
+        attempt.observed?.recordBroken();
         if (!wasInactive) this.options.onConnectionLost();
       }
       return {reason: String(error), wasInactive};
     } finally {
+      attempt.observed?.recordCancelled();
       attempt.inactivityTimeout.stop();
       attempt.slot.release();
     }
--- a/packages/arbutustide-routing/src/proxy/proxy_upstream_directory.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_upstream_directory.ts
@@ -39,6 +39,11 @@
     return this.departures.hasDeparted(process);
   }
 
+  /** Whether this process said that it is leaving. */
+  hasAnnouncedDeparture(process: UpstreamProcess): boolean {
+    return this.departures.hasAnnounced(process);
+  }
+
   /**
    * Marks an upstream as leaving. It gets no new requests until another process
    * has its place.
--- a/packages/arbutustide-routing/src/proxy/run_attempt.ts
+++ b/packages/arbutustide-routing/src/proxy/run_attempt.ts
@@ -1,3 +1,4 @@
+import type {ObservedAttempt} from './crash_attribution/observed_attempt.js';
 import type {ProxyConnector, UpstreamResponseHead} from './proxy_connector.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
 import type {UpstreamSlot} from './slot_queue.js';
@@ -23,6 +24,8 @@
   readonly slot: UpstreamSlot;
   /** Aborts the attempt when its upstream is inactive. */
   readonly inactivityTimeout: InactivityTimeout;
+  /** Undefined if the request shares no prompt segments. */
+  readonly observed: ObservedAttempt | undefined;
   readonly outcome: AttemptOutcome;
   /** Undefined if no answer arrived. */
   readonly head: UpstreamResponseHead | undefined;
@@ -36,6 +39,7 @@
 export interface AttemptContext {
   readonly slot: UpstreamSlot;
   readonly inactivityTimeout: InactivityTimeout;
+  readonly observed: ObservedAttempt | undefined;
   /** Id of the event after which a stream resumes; undefined to start it. */
   readonly resumeAfterEventId: number | undefined;
 }
@@ -49,7 +53,7 @@
   progress: RoutedRequestProgress,
   context: AttemptContext,
 ): Promise<AttemptResult> {
-  const {slot, inactivityTimeout, resumeAfterEventId} = context;
+  const {slot, inactivityTimeout, observed, resumeAfterEventId} = context;
   const opened = await connector.sendRequest(slot.upstream, progress.request, {
     remainingMilliseconds: remainingMilliseconds(progress),
     resumeAfterEventId,
@@ -57,13 +61,14 @@
   });
   if (!opened.ok) return failedAttempt(context, undefined, opened.val);
   inactivityTimeout.recordActivity();
+  observed?.recordHead();
   const head = opened.val;
   if (head.load) slot.upstream.recordReportedLoad(head.load);
   if (head.backOffMilliseconds !== undefined)
     slot.upstream.recordBackOff(head.backOffMilliseconds);
   const outcome = classifyResponseHead(head);
   const isStreamed = head.isEventStream && outcome === AttemptOutcome.ANSWERED;
-  const common = {slot, inactivityTimeout, outcome, head};
+  const common = {slot, inactivityTimeout, observed, outcome, head};
   if (isStreamed) return {...common, body: undefined, error: undefined};
   try {
     const body = await collectBody(head.body, inactivityTimeout);
@@ -90,14 +95,22 @@
 }
 
 function failedAttempt(
-  {slot, inactivityTimeout}: AttemptContext,
+  {slot, inactivityTimeout, observed}: AttemptContext,
   head: UpstreamResponseHead | undefined,
   cause: AttemptError,
 ): AttemptResult {
   inactivityTimeout.stop();
   const error = inactivityTimeout.translateError(cause);
   const outcome = classifyAttemptError(error);
-  return {slot, inactivityTimeout, outcome, head, body: undefined, error};
+  return {
+    slot,
+    inactivityTimeout,
+    observed,
+    outcome,
+    head,
+    body: undefined,
+    error,
+  };
 }
 
 async function collectBody(
--- a/packages/arbutustide-routing/src/proxy/slot_queue.ts
+++ b/packages/arbutustide-routing/src/proxy/slot_queue.ts
@@ -114,6 +114,18 @@
     }
   }
 
+  /** Refuses the queued requests that the function has a refusal for. */
+  refuseQueued(
+    refusalOf: (progress: RoutedRequestProgress) => RefusalError | undefined,
+  ): void {
+    for (const waiter of [...this.waiters]) {
+      const refusal = refusalOf(waiter.progress);
+      if (!refusal) continue;
+      this.removeWaiter(waiter);
+      waiter.settle(Err(refusal));
+    }
+  }
+
   /** Schedules one scan of the queue after this turn of the event loop. */
   scheduleScan(): void {
     if (this.isScanScheduled || this.waiters.length === 0) return;
--- a/packages/arbutustide-upstream/src/attempt_error.ts
+++ b/packages/arbutustide-upstream/src/attempt_error.ts
@@ -14,9 +14,14 @@
 
 /** A failed attempt at an upstream. */
 export class AttemptError extends Error {
+  /**
+   * @param isRefused whether the connection was refused, so that no process
+   *     listens at the upstream's address.
+   */
   constructor(
     readonly failure: AttemptFailure,
     message: string,
+    readonly isRefused = false,
   ) {
     super(message);
     this.name = 'AttemptError';
--- a/packages/arbutustide-upstream/src/upstream_connection_pool.ts
+++ b/packages/arbutustide-upstream/src/upstream_connection_pool.ts
@@ -237,5 +237,9 @@
     : isAbort
       ? AttemptFailure.CANCELLED
       : (FAILURE_BY_CODE[code ?? ''] ?? AttemptFailure.CONNECTION_LOST);
-  return new AttemptError(failure, `${code ?? name}: ${String(error)}`);
+  return new AttemptError(
+    failure,
+    `${code ?? name}: ${String(error)}`,
+    code === 'ECONNREFUSED',
+  );
 }
