Take a stream that ends with its connection before any event for broken

An engine that crashes before its first event, on an answer without length or chunks, ends the connection; the node passed on an empty stream as whole, and the crash was no evidence.

Now it is broken: resumed where the route allows, else the caller's connection is cut.

--- a/packages/arbutustide-routing/src/__tests__/unit/proxy_dispatcher.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/proxy_dispatcher.test.ts
@@ -215,6 +215,24 @@
     expect(end).to.equal(AnswerEnd.BROKEN);
   });
 
+  it('takes a stream without length or events for broken, and resumes it', async () => {
+    const {result} = await dispatchWith(
+      createRequest(RequestKind.STREAM, true),
+      () => respondWith({isEventStream: true, isSelfDelimiting: false}),
+      () => respondWithEvents([1, 2], true),
+    );
+    const {text, end} = await readAnswer(result);
+    expect(eventIdsIn(text)).to.eql([1, 2]);
+    expect(end).to.equal(AnswerEnd.WHOLE);
+  });
+
+  it('never shows a stream without length or events as whole', async () => {
+    const {result} = await dispatchWith(createRequest(RequestKind.STREAM), () =>
+      respondWith({isEventStream: true, isSelfDelimiting: false}),
+    );
+    expect((await readAnswer(result)).end).to.equal(AnswerEnd.BROKEN);
+  });
+
   it('quarantines a request after three broken connections', async () => {
     const connector = new ScriptedConnector([
       connectionLost,
--- a/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
@@ -92,9 +92,10 @@
         }
         if (problem) return {reason: `event cannot follow: ${problem}`};
       }
-      if (this.eventSequencer.hasPartialEvent) {
+      const reason = this.findTruncation(attempt);
+      if (reason !== undefined) {
         attempt.observed?.recordBroken();
-        return {reason: 'the stream ended within an event'};
+        return {reason};
       }
       if (attempt.head?.isSelfDelimiting) attempt.observed?.recordWhole();
       else attempt.observed?.recordBroken(false);
@@ -114,6 +115,16 @@
     }
   }
 
+  /** Why a stream that ended without an error is incomplete, if it is. */
+  private findTruncation({head}: AttemptResult): string | undefined {
+    const {hasPartialEvent, lastEventId} = this.eventSequencer;
+    if (hasPartialEvent) return 'the stream ended within an event';
+    // Its end is the end of the connection, which a crash may have caused.
+    if (!head?.isSelfDelimiting && lastEventId === undefined)
+      return 'the stream ended without an event';
+    return undefined;
+  }
+
   private recordDelivery(): void {
     const now = performance.now();
     if (this.firstEventAtMilliseconds === undefined)
