Clear the suspicion of a request that an upstream answered whole

Three broken connections within 30 s, over all nodes, refused a request for 30 s, also one that many callers send and that is answered well in between.

The new test (broken, broken, whole, broken, then asked again) failed before: refused. Now a whole answer clears what this node has counted; peers' counts expire as before.

--- a/packages/arbutustide-routing/src/__tests__/unit/proxy_dispatcher.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/proxy_dispatcher.test.ts
@@ -253,6 +253,25 @@
     expect(connector.upstreamIds).to.have.length(3);
   });
 
+  it('quarantines no request that succeeds between broken connections', async () => {
+    const connector = new ScriptedConnector([
+      connectionLost,
+      connectionLost,
+      whole,
+      connectionLost,
+      whole,
+    ]);
+    const dispatcher = createTestDispatcher(connector);
+    for (let turn = 0; turn < 4; turn += 1) {
+      await dispatcher.dispatch(createRequest(RequestKind.NON_IDEMPOTENT));
+      await clock.tickAsync(2_000);
+    }
+    const result = await dispatcher.dispatch(
+      createRequest(RequestKind.NON_IDEMPOTENT),
+    );
+    expect(result.ok).to.equal(true);
+  });
+
   it('gives free slots to queued requests by priority', async () => {
     upstreams = [testUpstream('one', ['m'], {slots: 1})];
     const order: string[] = [];
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -258,7 +258,9 @@
       headers: head?.headers ?? [],
       upstreamId: slot.upstream.id,
     };
+    const {poisonRequestDetector} = this.options;
     if (body !== undefined || !head) {
+      if (head) poisonRequestDetector.recordSuccess(progress.fingerprint);
       this.decisions.recordEnd(progress, AnswerEnd.WHOLE, slot.upstream);
       return {...common, body: body ?? Buffer.alloc(0)};
     }
@@ -267,11 +269,13 @@
       tryConsumeRetry: () =>
         this.options.tryConsumeRetry(progress.request.service),
       onConnectionLost: () =>
-        this.options.poisonRequestDetector.recordCrash(progress.fingerprint),
+        poisonRequestDetector.recordCrash(progress.fingerprint),
       onResume: (reason, next) =>
         this.decisions.recordResume(progress, reason, next),
       onEnd: (end, timing, reason) => {
         stopCancellation();
+        if (end === AnswerEnd.WHOLE && head.isSelfDelimiting)
+          poisonRequestDetector.recordSuccess(progress.fingerprint);
         this.decisions.recordEnd(progress, end, slot.upstream, {
           timing,
           reason,
