--- a/packages/arbutustide-routing/src/__tests__/unit/poison_segment_detector.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/poison_segment_detector.test.ts
@@ -81,6 +81,13 @@
     expect(isBlamed('common')).to.equal(false);
   });
 
+  it('blames no common segment while no request survives', () => {
+    survive(50, 'common', 'other');
+    for (let round = 0; round < 12; round += 1)
+      crash(`engine${round}`, ['common', `rare${round}`]);
+    expect(isBlamed('common')).to.equal(false);
+  });
+
   it('counts broken connections only if the process has ended', () => {
     survive(50, 'common');
     for (const id of ['one', 'two', 'three', 'four']) {
