Combine the notices of one crash into one broadcast

Found on the last reading: the requests of a crash are lost one after another, and each sent an exchange to eight peers. Notices within 50 ms are now one. The three tests of poison_segment.test.ts pass.

--- a/packages/arbutustide-node/src/proxy/create_poison_segment_detector.ts
+++ b/packages/arbutustide-node/src/proxy/create_poison_segment_detector.ts
@@ -15,11 +15,14 @@
 } from '@arbutustide/routing';
 
 import {ProxyToken} from './proxy_tokens.js';
-import {CRASH_BROADCAST_PEERS} from './proxy_tuning.js';
+import {
+  CRASH_BROADCAST_PEERS,
+  CRASH_NOTICE_DELAY_MILLISECONDS,
+} from './proxy_tuning.js';
 
 /**
  * Creates the detector of poison segments. Crashes and quarantines go to peers
- * at once: until they know, they pass on what crashes more upstreams.
+ * without waiting for the next exchange: until they know, they pass on what crashes more upstreams.
  */
 export function createPoisonSegmentDetector(
   container: DependencyContainer,
@@ -27,21 +30,22 @@
   identity: string,
 ): PoisonSegmentDetector {
   const directory = container.resolve(ProxyToken.UPSTREAM_DIRECTORY);
+  const tellPeers = createPeerNotifier(container);
   const detector = new PoisonSegmentDetector({
     identity,
     processState: process => findProcessState(directory, process),
     onCrash: crash => {
       logCrash(logger, crash);
-      tellPeers(container);
+      tellPeers();
     },
     onQuarantine: (segment, cause) => {
       logQuarantine(logger, segment, cause);
       refuseQueued(container, detector);
-      if (cause) tellPeers(container);
+      if (cause) tellPeers();
     },
     onExonerated: segment => {
       logger.warn({segment}, 'quarantine of a prompt segment is lifted');
-      tellPeers(container);
+      tellPeers();
     },
   });
   return detector;
@@ -58,9 +62,23 @@
     : ProcessState.ENDED;
 }
 
-function tellPeers(container: DependencyContainer): void {
-  container.resolve(ProxyToken.OWN_STATUS).publish();
-  void container.resolve(ProxyToken.GOSSIP).broadcast(CRASH_BROADCAST_PEERS);
+/**
+ * Returns a function that tells peers what this node has published. The requests
+ * of one crash are lost one after another, so calls are combined.
+ */
+function createPeerNotifier(container: DependencyContainer): () => void {
+  let isScheduled = false;
+  return () => {
+    if (isScheduled) return;
+    isScheduled = true;
+    setTimeout(() => {
+      isScheduled = false;
+      container.resolve(ProxyToken.OWN_STATUS).publish();
+      void container
+        .resolve(ProxyToken.GOSSIP)
+        .broadcast(CRASH_BROADCAST_PEERS);
+    }, CRASH_NOTICE_DELAY_MILLISECONDS);
+  };
 }
 
 /** Refuses at once what waits for a slot and must not get one. */
--- a/packages/arbutustide-node/src/proxy/proxy_tuning.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tuning.ts
@@ -86,6 +86,8 @@
 export const SUSPICION_RETENTION_MILLISECONDS = 30_000;
 /** Peers that are told of a crash at once; the others learn it by gossip. */
 export const CRASH_BROADCAST_PEERS = 8;
+/** For the other requests lost in the same crash to be noticed. */
+export const CRASH_NOTICE_DELAY_MILLISECONDS = 50;
 /** Broken connections after which a request is no longer forwarded. */
 export const POISON_CRASH_THRESHOLD = 3;
 
