Make no further attempt for a suspected prompt segment

Cause, by reading, no log was kept: with ten sound requests seen in all, chance is ruled out only at the sixth or seventh crash, and each request with the segment ran twice, as its broken stream was resumed. A segment that probably is the cause (chance below 0.1) is now suspected, and a request with it that broke off makes no further attempt.

A new unit test covers it.

--- a/packages/arbutustide-routing/src/__tests__/unit/poison_segment_detector.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/poison_segment_detector.test.ts
@@ -81,6 +81,16 @@
     expect(isBlamed('common')).to.equal(false);
   });
 
+  it('suspects a segment before chance is ruled out', () => {
+    survive(1, 'common');
+    for (const id of ['one', 'two', 'three']) crash(id, ['common', POISON]);
+    expect(detector.isSuspected(requestWith(POISON))).to.equal(false);
+    crash('four', ['common', POISON], ['common', 'other']);
+    expect(detector.isSuspected(requestWith(POISON))).to.equal(true);
+    expect(isBlamed(POISON)).to.equal(false);
+    expect(detector.isSuspected(requestWith('common'))).to.equal(false);
+  });
+
   it('blames no common segment while no request survives', () => {
     survive(50, 'common', 'other');
     for (let round = 0; round < 12; round += 1)
--- a/packages/arbutustide-routing/src/proxy/crash_attribution/attribute_crashes.ts
+++ b/packages/arbutustide-routing/src/proxy/crash_attribution/attribute_crashes.ts
@@ -7,6 +7,8 @@
  * lost requests by chance.
  */
 const MAXIMUM_CHANCE = 0.01;
+/** The same up to which a segment is suspected. */
+const MAXIMUM_CHANCE_TO_SUSPECT = 0.1;
 
 /** What is known of segments from requests that upstreams survived. */
 export interface SurvivalStatistics {
@@ -21,10 +23,13 @@
   readonly crashes: number;
   /** Probability that it was in all these crashes by chance. */
   readonly chance: number;
+  /** Whether chance is ruled out; otherwise the segment is only suspected. */
+  readonly isCertain: boolean;
 }
 
 /**
- * Finds the prompt segment that best explains crashes of upstreams, if one does.
+ * Finds the prompt segment that best explains crashes of upstreams, if one does
+ * or may.
  *
  * A segment is blamed only if no request with it survived since its first crash
  * and if chance is ruled out: one that many sound requests have is lost in many
@@ -34,7 +39,7 @@
   crashes: readonly RecordedCrash[],
   statistics: SurvivalStatistics,
 ): CrashCause | undefined {
-  let best: CrashCause | undefined;
+  let best: Omit<CrashCause, 'isCertain'> | undefined;
   const segments = listSegments(crashes);
   for (const segment of segments) {
     const cause = examineSegment(segment, crashes, statistics);
@@ -43,7 +48,8 @@
   if (!best) return undefined;
   // The more segments are examined, the likelier one of them fits by chance.
   const chanceOfAny = best.chance * segments.size;
-  return chanceOfAny <= MAXIMUM_CHANCE ? best : undefined;
+  if (chanceOfAny > MAXIMUM_CHANCE_TO_SUSPECT) return undefined;
+  return {...best, isCertain: chanceOfAny <= MAXIMUM_CHANCE};
 }
 
 /** Whether a request with the segment was lost in the crash. */
@@ -58,7 +64,7 @@
   segment: string,
   crashes: readonly RecordedCrash[],
   statistics: SurvivalStatistics,
-): CrashCause | undefined {
+): Omit<CrashCause, 'isCertain'> | undefined {
   const survivedAt = statistics.lastSurvivalAtMilliseconds(segment);
   const since = crashes.filter(
     ({recordedAtMilliseconds}) => recordedAtMilliseconds > survivedAt,
--- a/packages/arbutustide-routing/src/proxy/crash_attribution/poison_segment_detector.ts
+++ b/packages/arbutustide-routing/src/proxy/crash_attribution/poison_segment_detector.ts
@@ -83,6 +83,7 @@
   private peerCrashes = new Map<string, RecordedCrash>();
   /** Survival counts of peers, by peer and segment. */
   private peerSurvivalCounts = new Map<string, number>();
+  private suspectedSegment: string | undefined;
   private decisionCount = 0;
 
   constructor(private readonly options: PoisonSegmentDetectorOptions) {}
@@ -93,6 +94,15 @@
     return sharedSegmentIds(modelRequest).some(id => this.quarantines.has(id));
   }
 
+  /**
+   * Whether the request has a segment that probably crashes upstreams. Another
+   * attempt after a broken one would probably crash one more.
+   */
+  isSuspected({modelRequest}: RoutedRequest): boolean {
+    if (!modelRequest || this.suspectedSegment === undefined) return false;
+    return sharedSegmentIds(modelRequest).includes(this.suspectedSegment);
+  }
+
   /** Follows an attempt; undefined if the request shares nothing. */
   observe(
     {modelRequest}: RoutedRequest,
@@ -220,7 +230,8 @@
     this.dropExpired();
     for (;;) {
       const cause = findCrashCause(this.unexplainedCrashes(), this.history);
-      if (!cause) return;
+      this.suspectedSegment = cause?.segment;
+      if (!cause?.isCertain) return;
       this.decisionCount += 1;
       const decisionId = `${this.options.identity}#${this.decisionCount}`;
       this.quarantines.add(cause.segment, decisionId);
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -156,7 +156,7 @@
       const budget = {
         tryConsumeRetry: () =>
           attempt.inactivityTimeout.hasExpired ||
-          this.options.tryConsumeRetry(progress.request.service),
+          this.tryConsumeRetry(progress, mayHaveRun(attempt.outcome)),
       };
       if (isRetryAllowed(progress, attempt.outcome, budget)) continue;
       if (lastFailure?.body) return Ok(lastFailure);
@@ -195,6 +195,17 @@
     return attempt;
   }
 
+  /** Consumes a retry, unless it would probably crash another upstream. */
+  private tryConsumeRetry(
+    {request}: RoutedRequestProgress,
+    mayHaveRunBefore: boolean,
+  ): boolean {
+    const {poisonSegmentDetector, tryConsumeRetry} = this.options;
+    if (mayHaveRunBefore && poisonSegmentDetector.isSuspected(request))
+      return false;
+    return tryConsumeRetry(request.service);
+  }
+
   /** Consumes a retry to replace an inactive upstream, if that is allowed. */
   private tryReserveReplacement(progress: RoutedRequestProgress): boolean {
     const {route, service} = progress.request;
@@ -266,8 +277,7 @@
     }
     const stream = new ProxyEventStream(progress, {
       resume: after => this.attemptUntilAnswered(progress, after),
-      tryConsumeRetry: () =>
-        this.options.tryConsumeRetry(progress.request.service),
+      tryConsumeRetry: () => this.tryConsumeRetry(progress, true),
       onConnectionLost: () =>
         poisonRequestDetector.recordCrash(progress.fingerprint),
       onResume: (reason, next) =>
