Read the rate limits that upstreams name, and log their changes

The logs of the incident show neither the limits that answers name nor when a node learned of them, so they cannot tell a limit that is not read from one that each node keeps by itself. What an answer says of its upstream is now handled in one place for requests and control calls. Answers may overtake each other, so an answer without a limit counts only if its request was sent after the last answer with one.

--- a/packages/arbutustide-node/src/proxy/proxy_core.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_core.ts
@@ -105,10 +105,7 @@
       .resolve(ProxyToken.UPSTREAM_DIRECTORY)
       .get(upstreamId);
     if (!upstream) return;
-    if (signals.backOffMilliseconds !== undefined)
-      upstream.recordBackOff(signals.backOffMilliseconds);
-    if (signals.isLeaving)
-      this.container.resolve(ProxyToken.DEPARTURE_HANDLER)(upstream);
+    this.container.resolve(ProxyToken.SIGNALS_HANDLER)(upstream, signals);
   }
 
   /** Starts the background tasks. */
--- a/packages/arbutustide-node/src/proxy/proxy_tokens.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tokens.ts
@@ -6,12 +6,12 @@
 } from '@arbutustide/placement';
 import type {
   DemandCounter,
-  ProxyUpstream,
   ProxyUpstreamDirectory,
   ProxyDispatcher,
   SlotQueue,
   PoisonRequestDetector,
   PoisonSegmentDetector,
+  UpstreamSignalsHandler,
 } from '@arbutustide/routing';
 import type {InjectionToken} from 'tsyringe';
 
@@ -33,10 +33,8 @@
   CONFIGURATION_WATCHER:
     'fleet.configuration' as InjectionToken<ConfigurationWatcher>,
   UPSTREAM_WATCHER: 'fleet.upstreams' as InjectionToken<UpstreamWatcher>,
-  /** Receives an upstream whose answer states that it is leaving. */
-  DEPARTURE_HANDLER: 'fleet.departureHandler' as InjectionToken<
-    (upstream: ProxyUpstream) => void
-  >,
+  SIGNALS_HANDLER:
+    'fleet.signalsHandler' as InjectionToken<UpstreamSignalsHandler>,
   DEMAND_COUNTER: 'fleet.counter' as InjectionToken<DemandCounter>,
   RETRY_BUDGETS: 'fleet.budgets' as InjectionToken<ServiceRetryBudgets>,
   REQUEST_QUEUE: 'fleet.queue' as InjectionToken<SlotQueue>,
--- a/packages/arbutustide-node/src/proxy/proxy_wiring.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_wiring.ts
@@ -17,7 +17,6 @@
 } from '@arbutustide/placement';
 import {
   DemandCounter,
-  DepartureSource,
   ProxyUpstreamDirectory,
   ProxyDispatcher,
   PoisonRequestDetector,
@@ -40,6 +39,7 @@
 import {LeaseHolderProbe} from './lease_holder_probe.js';
 import {HoldingRequester} from './holding_requester.js';
 import {PlannerClient} from './planner_client.js';
+import {createUpstreamSignalsHandler} from './upstream_signals_handler.js';
 import {UpstreamWatcher} from './upstream_watcher.js';
 import {chooseWatchRelays} from './watch_relay/choose_watch_relays.js';
 import {RelayedObjectStore} from './watch_relay/relayed_object_store.js';
@@ -112,18 +112,12 @@
 ): void {
   register(ProxyToken.UPSTREAM_DIRECTORY, () => new ProxyUpstreamDirectory());
   register(ProxyToken.DEMAND_COUNTER, () => new DemandCounter());
-  register(ProxyToken.DEPARTURE_HANDLER, container => {
-    const upstreamDirectory = container.resolve(ProxyToken.UPSTREAM_DIRECTORY);
-    return ({id, isReady, description}) => {
-      if (isReady) {
-        dependencies.logger.info(
-          {upstream: id},
-          'upstream says that it is leaving',
-        );
-      }
-      upstreamDirectory.markLeaving(description, DepartureSource.ANSWER);
-    };
-  });
+  register(ProxyToken.SIGNALS_HANDLER, container =>
+    createUpstreamSignalsHandler(
+      container.resolve(ProxyToken.UPSTREAM_DIRECTORY),
+      dependencies.logger,
+    ),
+  );
   register(ProxyToken.RELAYED_STORE, container =>
     createRelayedStore(container, dependencies, identity),
   );
@@ -247,7 +241,7 @@
           retryBudgets.forService(service).tryConsume(),
         onModelMissing: (upstream, model) =>
           upstream.recordObservedHolding(model, false),
-        onLeaving: container.resolve(ProxyToken.DEPARTURE_HANDLER),
+        onSignals: container.resolve(ProxyToken.SIGNALS_HANDLER),
         onDecision: decision => {
           logger.info(decision, 'request');
           recordRequestMetrics(decision, metrics);
--- a/packages/arbutustide-routing/src/__tests__/unit/proxy_decisions.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/proxy_decisions.test.ts
@@ -69,6 +69,7 @@
     isEventStream: false,
     isLeaving: false,
     backOffMilliseconds: undefined,
+    requestsPerSecond: undefined,
     load: undefined,
     body: (async function* () {})(),
     ...changes,
--- a/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
@@ -51,6 +51,7 @@
     isSelfDelimiting: true,
     isLeaving: false,
     backOffMilliseconds: undefined,
+    requestsPerSecond: undefined,
     load: undefined,
     body: (async function* () {
       for (const chunk of body) yield Buffer.from(chunk);
@@ -130,11 +131,14 @@
     tryConsumeRetry: () => true,
     onModelMissing: (upstream, model) =>
       upstream.recordObservedHolding(model, false),
-    onLeaving: upstream =>
+    onSignals: (upstream, signals, unlimitedSince) => {
+      upstream.recordSignals(signals, unlimitedSince);
+      if (!signals.isLeaving) return;
       upstream.updateDescription({
         ...upstream.description,
         state: UpstreamState.LEAVING,
-      }),
+      });
+    },
     onDecision,
     poisonRequestDetector: new PoisonRequestDetector(
       10_000,
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -26,6 +26,7 @@
   ProxyConnector,
   UpstreamResponseHead,
   UpstreamSignals,
+  UpstreamSignalsHandler,
 } from './proxy/proxy_connector.js';
 export type {CrashCause} from './proxy/crash_attribution/attribute_crashes.js';
 export type {
--- a/packages/arbutustide-routing/src/proxy/proxy_connector.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_connector.ts
@@ -14,8 +14,25 @@
    * if it did not ask for a pause.
    */
   readonly backOffMilliseconds: number | undefined;
+  /**
+   * Requests per second that it takes from all nodes together; undefined if it
+   * names no limit.
+   */
+  readonly requestsPerSecond: number | undefined;
 }
 
+/**
+ * Called with what an answer of an upstream says of it.
+ *
+ * @param unlimitedSinceMilliseconds when the request was sent, if an answer
+ *     without a rate limit means that there is none.
+ */
+export type UpstreamSignalsHandler = (
+  upstream: ProxyUpstream,
+  signals: UpstreamSignals,
+  unlimitedSinceMilliseconds?: number,
+) => void;
+
 /** Status, headers and unread body of an upstream's answer. */
 export interface UpstreamResponseHead extends UpstreamSignals {
   readonly status: number;
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -2,7 +2,10 @@
 
 import type {AttemptResult} from './run_attempt.js';
 import type {ProxyAnswer} from './proxy_answer.js';
-import type {ProxyConnector} from './proxy_connector.js';
+import type {
+  ProxyConnector,
+  UpstreamSignalsHandler,
+} from './proxy_connector.js';
 import type {RequestDecision} from './request_decision.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
 import type {ProxyUpstream} from './proxy_upstream.js';
@@ -39,8 +42,7 @@
     upstream: ProxyUpstream,
     model: ModelReference,
   ) => void;
-  /** Called when an answer of an upstream states that it is leaving. */
-  readonly onLeaving: (upstream: ProxyUpstream) => void;
+  readonly onSignals: UpstreamSignalsHandler;
   readonly onDecision: (decision: RequestDecision) => void;
   readonly poisonRequestDetector: PoisonRequestDetector;
   readonly poisonSegmentDetector: PoisonSegmentDetector;
@@ -182,7 +184,14 @@
       progress.request,
       upstream.description,
     );
-    const context = {slot, inactivityTimeout, observed, resumeAfterEventId};
+    const {onSignals} = this.options;
+    const context = {
+      slot,
+      inactivityTimeout,
+      observed,
+      onSignals,
+      resumeAfterEventId,
+    };
     const attempt = await runAttempt(this.connector, progress, context);
     const isOpen = attempt.body === undefined && attempt.error === undefined;
     if (!isOpen) slot.release();
@@ -224,7 +233,6 @@
   ): void {
     const {upstream} = attempt.slot;
     const {modelRequest} = progress.request;
-    if (attempt.head?.isLeaving) this.options.onLeaving(upstream);
     this.recordCrashEvidence(attempt);
     if (attempt.error) {
       if (attempt.error.failure !== AttemptFailure.CANCELLED) {
--- a/packages/arbutustide-routing/src/proxy/proxy_upstream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_upstream.ts
@@ -1,5 +1,8 @@
+import type {UpstreamSignals} from './proxy_connector.js';
 import type {ModelReference} from './route.js';
 
+import {UpstreamRateLimit} from './rate_limit/upstream_rate_limit.js';
+
 /** Whether an upstream accepts new requests. */
 export enum UpstreamState {
   READY = 'ready',
@@ -66,6 +69,7 @@
   ownInFlight = 0;
   /** Requests of the other nodes in flight, as they last reported. */
   peersInFlight = 0;
+  readonly rateLimit = new UpstreamRateLimit();
   private reportedLoad: UpstreamLoad | undefined;
   private reportedAtMilliseconds = 0;
   private ownInFlightAtReport = 0;
@@ -107,6 +111,29 @@
     return Math.max(0, this.backOffEndMilliseconds - performance.now());
   }
 
+  /**
+   * Applies what an answer says of the upstream, except that it is leaving.
+   *
+   * @param unlimitedSinceMilliseconds when the request was sent, if an answer
+   *     without a limit means that there is none.
+   * @return whether the upstream's rate limit has changed.
+   */
+  recordSignals(
+    {backOffMilliseconds, requestsPerSecond}: UpstreamSignals,
+    unlimitedSinceMilliseconds?: number,
+  ): boolean {
+    if (backOffMilliseconds !== undefined)
+      this.recordBackOff(backOffMilliseconds);
+    const atMilliseconds =
+      requestsPerSecond === undefined
+        ? unlimitedSinceMilliseconds
+        : performance.now();
+    return (
+      atMilliseconds !== undefined &&
+      this.rateLimit.record({requestsPerSecond, atMilliseconds})
+    );
+  }
+
   /** Records that the upstream asked this node to send nothing for a time. */
   recordBackOff(milliseconds: number): void {
     const limited = Math.min(milliseconds, MAXIMUM_BACK_OFF_MILLISECONDS);
--- a/packages/arbutustide-routing/src/proxy/run_attempt.ts
+++ b/packages/arbutustide-routing/src/proxy/run_attempt.ts
@@ -1,5 +1,9 @@
 import type {ObservedAttempt} from './crash_attribution/observed_attempt.js';
-import type {ProxyConnector, UpstreamResponseHead} from './proxy_connector.js';
+import type {
+  ProxyConnector,
+  UpstreamResponseHead,
+  UpstreamSignalsHandler,
+} from './proxy_connector.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
 import type {UpstreamSlot} from './slot_queue.js';
 import type {InactivityTimeout} from './inactivity_timeout.js';
@@ -40,6 +44,7 @@
   readonly slot: UpstreamSlot;
   readonly inactivityTimeout: InactivityTimeout;
   readonly observed: ObservedAttempt | undefined;
+  readonly onSignals: UpstreamSignalsHandler;
   /** Id of the event after which a stream resumes; undefined to start it. */
   readonly resumeAfterEventId: number | undefined;
 }
@@ -54,6 +59,7 @@
   context: AttemptContext,
 ): Promise<AttemptResult> {
   const {slot, inactivityTimeout, observed, resumeAfterEventId} = context;
+  const sentAtMilliseconds = performance.now();
   const opened = await connector.sendRequest(slot.upstream, progress.request, {
     remainingMilliseconds: remainingMilliseconds(progress),
     resumeAfterEventId,
@@ -64,8 +70,11 @@
   observed?.recordHead();
   const head = opened.val;
   if (head.load) slot.upstream.recordReportedLoad(head.load);
-  if (head.backOffMilliseconds !== undefined)
-    slot.upstream.recordBackOff(head.backOffMilliseconds);
+  context.onSignals(
+    slot.upstream,
+    head,
+    isByUpstream(head) ? sentAtMilliseconds : undefined,
+  );
   const outcome = classifyResponseHead(head);
   const isStreamed = head.isEventStream && outcome === AttemptOutcome.ANSWERED;
   const common = {slot, inactivityTimeout, observed, outcome, head};
@@ -79,6 +88,11 @@
   }
 }
 
+/** Whether the upstream itself, and not another process, wrote the answer. */
+function isByUpstream(head: UpstreamResponseHead): boolean {
+  return (head.isSigned || head.isNotRun) && !head.isOtherInstance;
+}
+
 /** Result of an attempt whose body was truncated. */
 function truncatedAttempt(
   context: AttemptContext,
