Keep the rate limits that upstreams name, over all nodes together

Callers saw nothing; an engine that asked for 4.2 and 1 requests a second got 53 and 37 in 4 s.

Cause: no node read the limit, and nothing bounds the rate of requests to an upstream: slots bound what is in flight, and with short requests any rate fits in. Class of the fault: a bound of an upstream over all nodes that each node would keep for itself.

Now each limited process has one issuer of tokens among the nodes, chosen by rendezvous hash; an attempt of any kind (first, retry, resumed stream) needs a token, which is taken where it gets its slot. Tokens are asked for when no other upstream can take a request, and now and then besides, which shows that a limit has ended. A new issuer begins after a second; in a partition each part issues its share of the rate. The limit is known to peers by gossip, and only an answer to a request sent after the last one that named it ends it. Requests that no token reaches in time are refused at once, with the time that follows from the rate. The planner counts a limited engine by the share of its slots that it may use.

The same cause elsewhere: an upstream whose entry was missing for a while lost what its process had asked for, its limit and its pause; the directory now remembers removed processes.

--- a/packages/arbutustide-membership/src/cluster_view.ts
+++ b/packages/arbutustide-membership/src/cluster_view.ts
@@ -5,6 +5,7 @@
   UpstreamCrash,
   UpstreamHoldings,
   UpstreamObservation,
+  UpstreamRateLimit,
 } from './gen/arbutustide/membership/v1/membership_pb.js';
 import type {MemberTable} from './member_table.js';
 
@@ -42,6 +43,15 @@
   readonly writer: string;
 }
 
+/** The rate limit of an upstream, as another node published it. */
+export interface PeerRateLimit {
+  readonly limit: UpstreamRateLimit;
+  /** Sequence in the writer's record; a higher one is newer. */
+  readonly sequence: number;
+  /** Identity of the node that published it. */
+  readonly writer: string;
+}
+
 /** What the records of all peers add up to. */
 interface ClusterSummary {
   readonly computedAtMilliseconds: number;
@@ -57,6 +67,7 @@
   readonly runningSuspects: Set<string>;
   readonly crashes: UpstreamCrash[];
   readonly quarantines: SegmentQuarantine[];
+  readonly rateLimits: PeerRateLimit[];
   /** Survivals of suspected prompt segments, by the peer's identity. */
   readonly survivalsByPeer: Map<string, SegmentSurvivals>;
   /** Start times of leaving upstream processes, by upstream. */
@@ -119,6 +130,11 @@
     if (field.value.case === 'survivals')
       summary.survivalsByPeer.set(writer, field.value.value);
   },
+  rateLimit: (field, writer, summary) => {
+    if (field.value.case !== 'rateLimit') return;
+    const {sequence} = field;
+    summary.rateLimits.push({limit: field.value.value, sequence, writer});
+  },
   departure: (field, _writer, summary) => {
     if (field.value.case !== 'departure') return;
     const {upstreamId, upstreamStartedAt} = field.value.value;
@@ -225,6 +241,11 @@
     return this.currentSummary().quarantines;
   }
 
+  /** Rate limits of upstreams that peers publish. */
+  peerRateLimits(): readonly PeerRateLimit[] {
+    return this.currentSummary().rateLimits;
+  }
+
   /** Survivals of suspected prompt segments, by the peer's identity. */
   peerSurvivals(): ReadonlyMap<string, SegmentSurvivals> {
     return this.currentSummary().survivalsByPeer;
@@ -275,6 +296,7 @@
     runningSuspects: new Set(),
     crashes: [],
     quarantines: [],
+    rateLimits: [],
     survivalsByPeer: new Map(),
     departuresByUpstream: new Map(),
     holdingsByUpstream: new Map(),
--- a/packages/arbutustide-membership/src/connect_peer_server.ts
+++ b/packages/arbutustide-membership/src/connect_peer_server.ts
@@ -38,6 +38,10 @@
             const response = await handler().serveWatch(request);
             return response ? {isServed: true, ...response} : {isServed: false};
           },
+          requestToken: request => {
+            const response = handler().issueToken(request);
+            return response ? {isIssuer: true, ...response} : {isIssuer: false};
+          },
         });
       },
     });
--- a/packages/arbutustide-membership/src/connect_peer_transport.ts
+++ b/packages/arbutustide-membership/src/connect_peer_transport.ts
@@ -5,6 +5,8 @@
   ExchangeRequest,
   ExchangeResponse,
   HoldingRequest,
+  RequestTokenRequest,
+  RequestTokenResponse,
   WatchRequest,
   WatchResponse,
 } from './gen/arbutustide/membership/v1/membership_pb.js';
@@ -89,6 +91,15 @@
     return this.call(peerUrl, client => client.watch(request, {timeoutMs}));
   }
 
+  requestToken(
+    peerUrl: string,
+    request: RequestTokenRequest,
+  ): Promise<Result<RequestTokenResponse, PeerError>> {
+    return this.call(peerUrl, client =>
+      client.requestToken(request, this.callOptions()),
+    );
+  }
+
   /** Releases the client of a peer that no longer exists. */
   dropClient(peerUrl: string): void {
     this.clients.delete(peerUrl);
--- a/packages/arbutustide-membership/src/index.ts
+++ b/packages/arbutustide-membership/src/index.ts
@@ -3,12 +3,15 @@
   ClusterNode,
   DemandSummary,
   PeerObservation,
+  PeerRateLimit,
 } from './cluster_view.js';
 export type {
   ExchangeRequest,
   ExchangeResponse,
   HoldingRequest,
   NodeStatus,
+  RequestTokenRequest,
+  RequestTokenResponse,
   SegmentQuarantine,
   UpstreamHoldings,
   UpstreamObservation,
@@ -22,6 +25,7 @@
   PeerHandler,
   PeerTransport,
   PromisedHolding,
+  RequestTokenResponseFields,
   WatchResponseFields,
 } from './peer_transport.js';
 
@@ -36,6 +40,8 @@
   LostRequestsSchema,
   NodeState,
   NodeStatusSchema,
+  RequestTokenRequestSchema,
+  RequestTokenResponseSchema,
   SegmentQuarantineSchema,
   SegmentSurvivalsSchema,
   SuspicionSchema,
@@ -44,6 +50,7 @@
   UpstreamHoldingsSchema,
   UpstreamLoadSchema,
   UpstreamObservationSchema,
+  UpstreamRateLimitSchema,
   WatchRequestSchema,
   WatchResponseSchema,
 } from './gen/arbutustide/membership/v1/membership_pb.js';
--- a/packages/arbutustide-membership/src/peer_transport.ts
+++ b/packages/arbutustide-membership/src/peer_transport.ts
@@ -1,10 +1,14 @@
+import type {MessageInitShape} from '@bufbuild/protobuf';
 import type {Result} from 'ts-results';
 
 import type {
   ExchangeRequest,
   ExchangeResponse,
   HoldingRequest,
+  RequestTokenRequest,
+  RequestTokenResponse,
   WatchRequest,
+  RequestTokenResponseSchema,
   WatchResponse,
 } from './gen/arbutustide/membership/v1/membership_pb.js';
 
@@ -66,6 +70,11 @@
     peerUrl: string,
     request: WatchRequest,
   ): Promise<Result<WatchResponse, PeerError>>;
+  /** Asks the issuer of an upstream's tokens for one. */
+  requestToken(
+    peerUrl: string,
+    request: RequestTokenRequest,
+  ): Promise<Result<RequestTokenResponse, PeerError>>;
 }
 
 /** Answer to a peer's watch; undefined if this node lacks the version. */
@@ -74,6 +83,12 @@
   'batchesJson' | 'version' | 'ageMilliseconds'
 >;
 
+/** Answer of an issuer; undefined if this node is not the issuer. */
+export type RequestTokenResponseFields = Omit<
+  MessageInitShape<typeof RequestTokenResponseSchema>,
+  '$typeName' | 'isIssuer'
+>;
+
 /** Server side of the calls from peers. */
 export interface PeerHandler {
   exchange(request: ExchangeRequest): ExchangeResponse;
@@ -90,4 +105,8 @@
   requestHolding(request: HoldingRequest): Promise<PromisedHolding | undefined>;
   /** Undefined if this node does not have all changes after the version. */
   serveWatch(request: WatchRequest): Promise<WatchResponseFields | undefined>;
+  /** Undefined if this node does not issue the tokens of the upstream. */
+  issueToken(
+    request: RequestTokenRequest,
+  ): RequestTokenResponseFields | undefined;
 }
--- a/packages/arbutustide-node/src/__tests__/integration/lease_holder_probe.test.ts
+++ b/packages/arbutustide-node/src/__tests__/integration/lease_holder_probe.test.ts
@@ -47,6 +47,7 @@
     catalogueContentJson: () => '',
     requestHolding: async () => undefined,
     serveWatch: async () => undefined,
+    issueToken: () => undefined,
   };
 }
 
--- a/packages/arbutustide-node/src/node_core.ts
+++ b/packages/arbutustide-node/src/node_core.ts
@@ -168,6 +168,11 @@
     return undefined;
   }
 
+  /** Upstreams on the project's own interface name no rate limits. */
+  issueToken(): undefined {
+    return undefined;
+  }
+
   private applyRevision(revision: number): void {
     const {metrics, logger} = this.dependencies;
     metrics.catalogueRevision.set(revision);
--- a/packages/arbutustide-node/src/proxy/create_slot_queue.ts
+++ b/packages/arbutustide-node/src/proxy/create_slot_queue.ts
@@ -1,10 +1,15 @@
+import type {RoutedRequestProgress, UpstreamChoice} from '@arbutustide/routing';
+
 import type {ProxyDependencies} from './proxy_dependencies.js';
+import type {ProxySettings} from './proxy_settings.js';
 import type {DependencyContainer} from 'tsyringe';
 
 import {
+  chooseRateLimited,
   chooseUpstream,
+  expectedAcceptanceMilliseconds,
   NoUpstreamReason,
-  remainingBackOffMilliseconds,
+  ProxyUpstream,
   SlotQueue,
 } from '@arbutustide/routing';
 
@@ -18,37 +23,20 @@
 ): SlotQueue {
   const upstreamDirectory = container.resolve(ProxyToken.UPSTREAM_DIRECTORY);
   const holdingRequester = container.resolve(ProxyToken.HOLDING_REQUESTER);
-  const choiceSettings = {
-    ownFailureDomain: settings.failureDomain,
-    crossDomainShare: tuning.CROSS_DOMAIN_SLOT_SHARE,
-    random,
-  };
   return new SlotQueue({
-    chooseUpstream: ({request, triedUpstreams: tried}) =>
-      chooseUpstream(
-        upstreamDirectory.listByService(request.service),
-        request.modelRequest,
-        tried,
-        {
-          ...choiceSettings,
-          fullShare: request.modelRequest
-            ? tuning.ENGINE_IN_FLIGHT_SLOT_SHARE
-            : tuning.SERVICE_IN_FLIGHT_SLOT_SHARE,
-        },
-      ),
-    predictWaitMilliseconds: ({request: {service, modelRequest}}, reason) => {
-      if (reason === NoUpstreamReason.FULL) {
-        return Math.max(
-          tuning.MINIMUM_SERVICE_MILLISECONDS,
-          remainingBackOffMilliseconds(
-            upstreamDirectory.listByService(service),
-            modelRequest,
-          ),
+    chooseUpstream: createUpstreamChooser(container, settings, random),
+    predictWaitMilliseconds: (progress, reason, ahead) => {
+      const {service, modelRequest} = progress.request;
+      if (reason === NoUpstreamReason.NOT_HELD) {
+        return (
+          modelRequest &&
+          holdingRequester.expectedWaitMilliseconds(service, modelRequest)
         );
       }
-      return (
-        modelRequest &&
-        holdingRequester.expectedWaitMilliseconds(service, modelRequest)
+      const upstreams = upstreamDirectory.listByService(service);
+      return Math.max(
+        tuning.MINIMUM_SERVICE_MILLISECONDS,
+        expectedAcceptanceMilliseconds(upstreams, modelRequest, ahead),
       );
     },
     minimumServiceMilliseconds: () => tuning.MINIMUM_SERVICE_MILLISECONDS,
@@ -58,3 +46,42 @@
     observer: container.resolve(ProxyToken.DEMAND_COUNTER),
   });
 }
+
+/**
+ * Creates the choice of an upstream for a request, which also asks for tokens of
+ * upstreams that limit their rate.
+ */
+function createUpstreamChooser(
+  container: DependencyContainer,
+  {failureDomain}: ProxySettings,
+  random: () => number,
+): (progress: RoutedRequestProgress) => UpstreamChoice {
+  const upstreamDirectory = container.resolve(ProxyToken.UPSTREAM_DIRECTORY);
+  const tokenRequester = container.resolve(ProxyToken.TOKEN_REQUESTER);
+  return ({request: {service, modelRequest}, triedUpstreams}) => {
+    const settings = {
+      ownFailureDomain: failureDomain,
+      crossDomainShare: tuning.CROSS_DOMAIN_SLOT_SHARE,
+      random,
+      fullShare: modelRequest
+        ? tuning.ENGINE_IN_FLIGHT_SLOT_SHARE
+        : tuning.SERVICE_IN_FLIGHT_SLOT_SHARE,
+    };
+    const candidates = [...upstreamDirectory.listByService(service)];
+    const choice = chooseUpstream(
+      candidates,
+      modelRequest,
+      triedUpstreams,
+      settings,
+    );
+    const limited = chooseRateLimited(
+      candidates,
+      modelRequest,
+      triedUpstreams,
+      settings,
+    );
+    if (limited)
+      tokenRequester.request(limited, !(choice instanceof ProxyUpstream));
+    return choice;
+  };
+}
--- a/packages/arbutustide-node/src/proxy/node_engine_planner_environment.ts
+++ b/packages/arbutustide-node/src/proxy/node_engine_planner_environment.ts
@@ -109,6 +109,7 @@
     isReady: upstream.isReady,
     acceptsCalls: upstream.remainingBackOffMilliseconds === 0,
     inFlight: upstream.estimatedInFlight,
+    requestsPerSecond: upstream.rateLimit.observation.requestsPerSecond,
     modelsInMemory: new Set(description.modelsInMemory),
     modelsOnDisk: new Set(description.modelsOnDisk),
   };
--- a/packages/arbutustide-node/src/proxy/proxy_core.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_core.ts
@@ -5,6 +5,8 @@
   HoldingRequest,
   PeerHandler,
   PromisedHolding,
+  RequestTokenRequest,
+  RequestTokenResponseFields,
   WatchRequest,
   WatchResponseFields,
 } from '@arbutustide/membership';
@@ -39,6 +41,12 @@
   UPSTREAMS_STALE_SHARE,
 } from './proxy_tuning.js';
 import {createProxyContainer} from './proxy_wiring.js';
+import {chooseTokenIssuer} from './rate_limit/choose_token_issuer.js';
+import {PublishedRateLimits} from './rate_limit/published_rate_limits.js';
+import {
+  decodeTokenRequest,
+  encodeTokenResponse,
+} from './rate_limit/token_messages.js';
 import {SnapshotSourceChooser} from './snapshot_source_chooser.js';
 
 /**
@@ -200,6 +208,18 @@
       .serveWatch(prefix, afterVersion, waitMilliseconds);
   }
 
+  issueToken(
+    message: RequestTokenRequest,
+  ): RequestTokenResponseFields | undefined {
+    const request = decodeTokenRequest(message);
+    const nodes = this.container.resolve(ProxyToken.CLUSTER_VIEW).nodes();
+    const issuer = chooseTokenIssuer(nodes, request.process);
+    if (issuer?.identity !== this.self.identity) return undefined;
+    return encodeTokenResponse(
+      this.container.resolve(ProxyToken.TOKEN_ISSUER).handle(request),
+    );
+  }
+
   private get status() {
     return this.container.resolve(ProxyToken.OWN_STATUS);
   }
@@ -304,8 +324,12 @@
     const poisonSegmentDetector = this.container.resolve(
       ProxyToken.POISON_SEGMENT_DETECTOR,
     );
+    const reachableShare = this.container.resolve(ProxyToken.REACHABLE_SHARE);
+    const publishedRateLimits = new PublishedRateLimits(directory);
     while (!signal.aborted) {
       this.status.publish();
+      reachableShare.update();
+      publishedRateLimits.apply(clusterView.peerRateLimits());
       for (const [id, startedAt] of clusterView.departures())
         directory.markLeaving({id, startedAt}, DepartureSource.REPORT);
       poisonSegmentDetector.update(readPeerCrashEvidence(clusterView));
--- a/packages/arbutustide-node/src/proxy/proxy_tokens.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tokens.ts
@@ -11,6 +11,7 @@
   SlotQueue,
   PoisonRequestDetector,
   PoisonSegmentDetector,
+  TokenIssuer,
   UpstreamSignalsHandler,
 } from '@arbutustide/routing';
 import type {InjectionToken} from 'tsyringe';
@@ -21,6 +22,8 @@
 import type {ServiceRetryBudgets} from './service_retry_budgets.js';
 import type {LeaseHolderProbe} from './lease_holder_probe.js';
 import type {HoldingRequester} from './holding_requester.js';
+import type {ReachableShare} from './rate_limit/reachable_share.js';
+import type {TokenRequester} from './rate_limit/token_requester.js';
 import type {UpstreamWatcher} from './upstream_watcher.js';
 import type {RelayedObjectStore} from './watch_relay/relayed_object_store.js';
 
@@ -51,5 +54,8 @@
   PLANNER_LEASE: 'fleet.lease' as InjectionToken<PlannerLease>,
   PLANNER_LEADERSHIP: 'fleet.tenure' as InjectionToken<PlannerLeadership>,
   PLANNER: 'fleet.planner' as InjectionToken<EnginePlanner>,
+  REACHABLE_SHARE: 'fleet.reachableShare' as InjectionToken<ReachableShare>,
+  TOKEN_ISSUER: 'fleet.tokenIssuer' as InjectionToken<TokenIssuer>,
+  TOKEN_REQUESTER: 'fleet.tokenRequester' as InjectionToken<TokenRequester>,
   HOLDING_REQUESTER: 'fleet.requester' as InjectionToken<HoldingRequester>,
 } as const;
--- a/packages/arbutustide-node/src/proxy/proxy_wiring.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_wiring.ts
@@ -1,5 +1,7 @@
 import 'reflect-metadata';
 
+import type {FieldValue} from '@arbutustide/membership';
+
 import type {PeerIdentity} from './peer_identity.js';
 import type {ProxyDependencies} from './proxy_dependencies.js';
 import type {DependencyContainer, InjectionToken} from 'tsyringe';
@@ -20,6 +22,7 @@
   ProxyUpstreamDirectory,
   ProxyDispatcher,
   PoisonRequestDetector,
+  TokenIssuer,
 } from '@arbutustide/routing';
 import {container as rootContainer, instanceCachingFactory} from 'tsyringe';
 
@@ -39,6 +42,10 @@
 import {LeaseHolderProbe} from './lease_holder_probe.js';
 import {HoldingRequester} from './holding_requester.js';
 import {PlannerClient} from './planner_client.js';
+import {chooseTokenIssuer} from './rate_limit/choose_token_issuer.js';
+import {rateLimitFields} from './rate_limit/published_rate_limits.js';
+import {ReachableShare} from './rate_limit/reachable_share.js';
+import {TokenRequester} from './rate_limit/token_requester.js';
 import {createUpstreamSignalsHandler} from './upstream_signals_handler.js';
 import {UpstreamWatcher} from './upstream_watcher.js';
 import {chooseWatchRelays} from './watch_relay/choose_watch_relays.js';
@@ -68,6 +75,7 @@
   registerWatchers(register, dependencies, identity);
   registerMembership(register, dependencies, identity);
   registerCrashDetectors(register, dependencies, identity);
+  registerRateLimits(register, dependencies, identity);
   registerRouting(register, dependencies);
   registerLease(register, dependencies, identity);
   registerPlacement(register, dependencies);
@@ -115,6 +123,8 @@
   register(ProxyToken.SIGNALS_HANDLER, container =>
     createUpstreamSignalsHandler(
       container.resolve(ProxyToken.UPSTREAM_DIRECTORY),
+      upstream =>
+        container.resolve(ProxyToken.TOKEN_REQUESTER).report(upstream),
       dependencies.logger,
     ),
   );
@@ -184,14 +194,55 @@
         container.resolve(ProxyToken.CONFIGURATION_WATCHER).routes
           ?.configuration.version ?? 0,
       () => (leadership.checkLeadership() ? leadership.epoch : 0),
-      () =>
-        crashEvidenceFields(
-          container.resolve(ProxyToken.POISON_SEGMENT_DETECTOR),
-        ),
+      () => listSharedFields(container),
     );
   });
 }
 
+/** Fields of the own record that components of this node contribute. */
+function* listSharedFields(
+  container: DependencyContainer,
+): Generator<readonly [string, FieldValue]> {
+  yield* crashEvidenceFields(
+    container.resolve(ProxyToken.POISON_SEGMENT_DETECTOR),
+  );
+  yield* rateLimitFields(container.resolve(ProxyToken.TOKEN_ISSUER));
+}
+
+function registerRateLimits(
+  register: RegisterSingleton,
+  {settings, transport, logger}: ProxyDependencies,
+  {identity, peerUrl}: PeerIdentity,
+): void {
+  const hasOtherSeeds = settings.seedAddresses.some(
+    address => !peerUrl.includes(`//${address}:`),
+  );
+  register(ProxyToken.REACHABLE_SHARE, container => {
+    const clusterView = container.resolve(ProxyToken.CLUSTER_VIEW);
+    return new ReachableShare(
+      () => new Set(clusterView.nodes().map(node => node.peerUrl)).size,
+      hasOtherSeeds ? tuning.INITIAL_NODE_COUNT : 1,
+    );
+  });
+  register(ProxyToken.TOKEN_ISSUER, container => {
+    const reachableShare = container.resolve(ProxyToken.REACHABLE_SHARE);
+    return new TokenIssuer(() => reachableShare.update());
+  });
+  register(ProxyToken.TOKEN_REQUESTER, container => {
+    const clusterView = container.resolve(ProxyToken.CLUSTER_VIEW);
+    return new TokenRequester({
+      identity,
+      chooseIssuer: process => chooseTokenIssuer(clusterView.nodes(), process),
+      countNodes: () => clusterView.nodes().length,
+      ownIssuer: container.resolve(ProxyToken.TOKEN_ISSUER),
+      transport,
+      onTokenValid: () =>
+        container.resolve(ProxyToken.REQUEST_QUEUE).scheduleScan(),
+      logger,
+    });
+  });
+}
+
 function registerCrashDetectors(
   register: RegisterSingleton,
   {logger}: ProxyDependencies,
--- a/packages/arbutustide-node/src/proxy/upstream_signals_handler.ts
+++ b/packages/arbutustide-node/src/proxy/upstream_signals_handler.ts
@@ -1,4 +1,5 @@
 import type {
+  ProxyUpstream,
   ProxyUpstreamDirectory,
   UpstreamSignalsHandler,
 } from '@arbutustide/routing';
@@ -6,9 +7,14 @@
 
 import {DepartureSource} from '@arbutustide/routing';
 
-/** Creates the handler of what upstreams say of themselves in answers. */
+/**
+ * Creates the handler of what upstreams say of themselves in answers.
+ *
+ * @param onRateLimitChange called when an answer has changed a rate limit.
+ */
 export function createUpstreamSignalsHandler(
   directory: ProxyUpstreamDirectory,
+  onRateLimitChange: (upstream: ProxyUpstream) => void,
   logger: NodeLogger,
 ): UpstreamSignalsHandler {
   return (upstream, signals, unlimitedSinceMilliseconds) => {
@@ -19,6 +25,7 @@
         {upstream: id, requestsPerSecond: requestsPerSecond ?? null},
         'rate limit of an upstream has changed',
       );
+      onRateLimitChange(upstream);
     }
     if (!signals.isLeaving) return;
     if (isReady)
--- a/packages/arbutustide-placement/src/__tests__/unit/engine_plans.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/engine_plans.test.ts
@@ -53,6 +53,7 @@
     models,
     loadingModel: undefined,
     utilization: 0,
+    capacityShare: 1,
     canAcceptOrder: true,
     modelsInMemory: new Set(),
     modelsOnDisk: new Set(),
@@ -100,6 +101,26 @@
     expect(move).to.include({engineId: '2', model: 'hot'});
   });
 
+  it('adds a replica of a model whose holder limits its rate, not on another such engine', () => {
+    const models = [model('hot', {expectedDemand: 5, peakDemand: 2})];
+    const limited = {capacityShare: 0.02};
+    const engines = [
+      engine('1', ['hot'], limited),
+      engine('2', [], limited),
+      engine('3', []),
+    ];
+    const [move] = planModelMoves(models, engines, SETTINGS);
+    expect(move).to.include({engineId: '3', model: 'hot'});
+    engines[0] = engine('1', ['hot']);
+    expect([...planModelMoves(models, engines, SETTINGS)]).to.eql([]);
+  });
+
+  it('loads a model that no engine holds although all limit their rate', () => {
+    const engines = [engine('1', [], {capacityShare: 0.02})];
+    const [move] = planModelMoves([model('asked')], engines, SETTINGS);
+    expect(move).to.include({engineId: '1', model: 'asked'});
+  });
+
   it('evicts an idle model for queued requests to a model nobody holds', () => {
     const models = [
       ...['a', 'b', 'c'].map(name => model(name)),
--- a/packages/arbutustide-placement/src/engines/engine_planner_environment.ts
+++ b/packages/arbutustide-placement/src/engines/engine_planner_environment.ts
@@ -13,6 +13,8 @@
   readonly acceptsCalls: boolean;
   /** Requests in flight at the engine, summed over all nodes. */
   readonly inFlight: number;
+  /** Requests that it takes per second; undefined if it names no limit. */
+  readonly requestsPerSecond: number | undefined;
   /** Models that the engine can load from its own host memory. */
   readonly modelsInMemory: ReadonlySet<string>;
   /** Models that the engine can load from its own disk. */
--- a/packages/arbutustide-placement/src/engines/engine_registry.ts
+++ b/packages/arbutustide-placement/src/engines/engine_registry.ts
@@ -49,6 +49,9 @@
   readonly adapterLoadMilliseconds: number;
 }
 
+/** Time for which a request occupies an engine, to compare rates with slots. */
+const ASSUMED_SERVICE_SECONDS = 1;
+
 /** Default for a service without configuration; no load fits its engines. */
 const UNCONFIGURED_SERVICE: Omit<EngineService, 'name'> = {
   weightMegabytes: 0,
@@ -170,6 +173,8 @@
     pendingEviction,
   }: EngineEntry): PlannedEngine {
     const {maximumReportAgeMilliseconds} = this.settings;
+    const {slots} = this.serviceNamed(listed.service);
+    const {requestsPerSecond = Infinity} = listed;
     return {
       id: listed.id,
       failureDomain: listed.failureDomain,
@@ -178,7 +183,11 @@
         model => model !== pendingEviction?.model,
       ),
       loadingModel: holdings.loadingModel ?? pendingEviction?.replacement,
-      utilization: listed.inFlight / this.serviceNamed(listed.service).slots,
+      utilization: listed.inFlight / slots,
+      capacityShare: Math.min(
+        1,
+        (requestsPerSecond * ASSUMED_SERVICE_SECONDS) / slots,
+      ),
       canAcceptOrder:
         listed.isReady &&
         listed.acceptsCalls &&
--- a/packages/arbutustide-placement/src/engines/model_plan.ts
+++ b/packages/arbutustide-placement/src/engines/model_plan.ts
@@ -21,6 +21,8 @@
   readonly loadingModel: string | undefined;
   /** Requests in flight at the engine, as a fraction of its slots. */
   readonly utilization: number;
+  /** Share of its slots that its rate limit lets it use; 1 without a limit. */
+  readonly capacityShare: number;
   /** Whether the engine can accept an order now. */
   readonly canAcceptOrder: boolean;
   readonly modelsInMemory: ReadonlySet<string>;
@@ -65,6 +67,8 @@
 /** A model with the number of engines that hold it, as the plan proceeds. */
 interface ModelReplicas {
   replicas: number;
+  /** Sum of the replicas' shares of their engines' slots. */
+  capacity: number;
   readonly model: PlannedModel;
 }
 
@@ -120,12 +124,13 @@
     );
     if (!move) continue;
     for (const engine of available) {
-      if (engine.id === move.engineId) available.delete(engine);
-    }
-    modelReplicas.replicas += 1;
-    for (const name of move.evicted) {
-      const evicted = replicasByModel.get(name);
-      if (evicted) evicted.replicas -= 1;
+      if (engine.id !== move.engineId) continue;
+      available.delete(engine);
+      changeReplicas(modelReplicas, engine, 1);
+      for (const name of move.evicted) {
+        const evicted = replicasByModel.get(name);
+        if (evicted) changeReplicas(evicted, engine, -1);
+      }
     }
     yield move;
   }
@@ -146,12 +151,12 @@
 
 /** Gain of adding a replica, in concurrent requests served better. */
 function additionGain(
-  {replicas, model}: ModelReplicas,
+  {replicas, capacity, model}: ModelReplicas,
   {replicaTargetUtilization, slots, spareReplicaDemand}: ModelPlanParameters,
 ): number {
   const {expectedDemand, peakDemand, queuedRequests} = model;
   const replicaDemand = replicaTargetUtilization * slots;
-  const excessDemand = Math.max(0, expectedDemand - replicas * replicaDemand);
+  const excessDemand = Math.max(0, expectedDemand - capacity * replicaDemand);
   const servedExcess = Math.min(excessDemand, replicaDemand);
   if (replicas === 0) {
     const expectedReturningDemand = PEAK_DEMAND_SHARE * peakDemand;
@@ -174,10 +179,26 @@
 
 /** Loss from removing a replica, in the unit of the gain. */
 function removalLoss(
-  {replicas, model}: ModelReplicas,
+  {replicas, capacity, model}: ModelReplicas,
+  {capacityShare}: PlannedEngine,
   settings: ModelPlanParameters,
 ): number {
-  return additionGain({replicas: replicas - 1, model}, settings);
+  const remaining = {
+    replicas: replicas - 1,
+    capacity: capacity - capacityShare,
+    model,
+  };
+  return additionGain(remaining, settings);
+}
+
+/** Records that an engine gets a replica or, with a count of -1, loses it. */
+function changeReplicas(
+  modelReplicas: ModelReplicas,
+  {capacityShare}: PlannedEngine,
+  count: 1 | -1,
+): void {
+  modelReplicas.replicas += count;
+  modelReplicas.capacity += count * capacityShare;
 }
 
 function countReplicas(
@@ -185,12 +206,12 @@
   engines: readonly PlannedEngine[],
 ): Map<string, ModelReplicas> {
   const replicasByModel = new Map<string, ModelReplicas>(
-    models.map(model => [model.name, {replicas: 0, model}]),
+    models.map(model => [model.name, {replicas: 0, capacity: 0, model}]),
   );
   for (const engine of engines) {
     for (const name of modelsHeldBy(engine)) {
       const modelReplicas = replicasByModel.get(name);
-      if (modelReplicas) modelReplicas.replicas += 1;
+      if (modelReplicas) changeReplicas(modelReplicas, engine, 1);
     }
   }
   return replicasByModel;
@@ -236,7 +257,7 @@
     const isCovered = coveredDomains.has(engine.failureDomain);
     const cost =
       eviction.loss +
-      gain * (loadTimeLossShare(model, engine) + utilizationLossShare(engine)) +
+      gain * lossShare(model, engine) +
       (isCovered ? SAME_DOMAIN_COST : 0);
     if (cost >= bestCost) continue;
     bestCost = cost;
@@ -285,6 +306,18 @@
   );
 }
 
+/** Fraction of a replica's gain that is lost on this engine. */
+function lossShare(model: PlannedModel, engine: PlannedEngine): number {
+  const shares =
+    loadTimeLossShare(model, engine) +
+    utilizationLossShare(engine) +
+    (1 - engine.capacityShare);
+  return Math.min(MAXIMUM_LOSS_SHARE, shares);
+}
+
+/** Upper bound that leaves a place for a model that no other engine can load. */
+const MAXIMUM_LOSS_SHARE = 0.65;
+
 /** Upper bound: even the busiest engine is better than no engine. */
 const MAXIMUM_UTILIZATION_LOSS_SHARE = 0.15;
 
@@ -306,17 +339,18 @@
  */
 function cheapestEviction(
   {megabytes}: PlannedModel,
-  {freeMegabytes, models}: PlannedEngine,
+  engine: PlannedEngine,
   replicasByModel: ReadonlyMap<string, ModelReplicas>,
   settings: ModelPlanParameters,
 ): Eviction | undefined {
+  const {freeMegabytes, models} = engine;
   const removable = models
     .map(name => {
       const modelReplicas = replicasByModel.get(name);
       return {
         name,
         megabytes: modelReplicas?.model.megabytes ?? 0,
-        loss: modelReplicas ? removalLoss(modelReplicas, settings) : 0,
+        loss: modelReplicas ? removalLoss(modelReplicas, engine, settings) : 0,
       };
     })
     .sort((left, right) => left.loss - right.loss);
--- a/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
@@ -20,7 +20,7 @@
 import {
   chooseUpstream,
   NoUpstreamReason,
-  remainingBackOffMilliseconds,
+  expectedAcceptanceMilliseconds,
 } from '../../proxy/choose_upstream.js';
 import {ProxyDispatcher} from '../../proxy/proxy_dispatcher.js';
 import {SlotQueue} from '../../proxy/slot_queue.js';
@@ -115,13 +115,17 @@
   const queue = new SlotQueue({
     chooseUpstream: ({request, triedUpstreams: tried}) =>
       chooseUpstream(upstreams(), request.modelRequest, tried, settings),
-    predictWaitMilliseconds: ({request}, reason) =>
-      reason === NoUpstreamReason.FULL
-        ? Math.max(
+    predictWaitMilliseconds: ({request}, reason, ahead) =>
+      reason === NoUpstreamReason.NOT_HELD
+        ? undefined
+        : Math.max(
             10,
-            remainingBackOffMilliseconds(upstreams(), request.modelRequest),
-          )
-        : undefined,
+            expectedAcceptanceMilliseconds(
+              upstreams(),
+              request.modelRequest,
+              ahead,
+            ),
+          ),
     minimumServiceMilliseconds: () => 20,
     onNotHeld: () => {},
     observer: new DemandCounter(),
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -61,6 +61,11 @@
   ServiceDescription,
   ServingConfiguration,
 } from './proxy/route.js';
+export type {RateLimitObservation} from './proxy/rate_limit/rate_limit_observation.js';
+export type {
+  TokenRequest,
+  TokenResponse,
+} from './proxy/rate_limit/token_issuer.js';
 export type {
   ModelRequest,
   PromptSegment,
@@ -90,9 +95,10 @@
   DepartureSource,
 } from './proxy/departed_upstreams.js';
 export {
+  chooseRateLimited,
   chooseUpstream,
+  expectedAcceptanceMilliseconds,
   NoUpstreamReason,
-  remainingBackOffMilliseconds,
 } from './proxy/choose_upstream.js';
 export {
   adapterEntryName,
@@ -106,6 +112,7 @@
   ranSoFar,
   remainingMilliseconds,
 } from './proxy/routed_request_progress.js';
+export {TokenIssuer} from './proxy/rate_limit/token_issuer.js';
 export {ClusterRetryBudget} from './proxy/cluster_retry_budget.js';
 export {ProxyUpstream, UpstreamState} from './proxy/proxy_upstream.js';
 export {EventSequencer} from './proxy/event_sequencer.js';
--- a/packages/arbutustide-routing/src/proxy/choose_upstream.ts
+++ b/packages/arbutustide-routing/src/proxy/choose_upstream.ts
@@ -15,6 +15,8 @@
   readonly random: () => number;
 }
 
+const MILLISECONDS_PER_SECOND = 1_000;
+
 /** Why no upstream can take a request now. */
 export enum NoUpstreamReason {
   /** No ready upstream that was not yet tried holds the model. */
@@ -24,6 +26,8 @@
    * utilization limit.
    */
   FULL = 'full',
+  /** Some upstream that holds it lacks only a token of its rate limit. */
+  RATE_LIMITED = 'rate_limited',
 }
 
 /** The chosen upstream, or why there is none. */
@@ -44,38 +48,90 @@
 ): UpstreamChoice {
   let best: ProxyUpstream | undefined;
   let bestCost = Infinity;
-  let isModelHeld = false;
+  let reason = NoUpstreamReason.NOT_HELD;
   for (const upstream of candidates) {
     if (!upstream.isReady || excluded.has(upstream)) continue;
     if (model && !upstream.canServe(model)) continue;
-    isModelHeld = true;
-    if (upstream.isEjected || upstream.remainingBackOffMilliseconds > 0)
+    if (reason === NoUpstreamReason.NOT_HELD) reason = NoUpstreamReason.FULL;
+    if (!hasCapacity(upstream, settings.fullShare)) continue;
+    if (!upstream.rateLimit.allowsRequest) {
+      reason = NoUpstreamReason.RATE_LIMITED;
       continue;
-    const load = upstream.estimatedInFlight / upstream.description.slots;
-    if (load >= settings.fullShare) continue;
+    }
+    const load = utilization(upstream);
     const cost = upstreamCost(upstream, load, settings);
     if (cost >= bestCost) continue;
     best = upstream;
     bestCost = cost;
   }
-  if (best) return best;
-  return isModelHeld ? NoUpstreamReason.FULL : NoUpstreamReason.NOT_HELD;
+  return best ?? reason;
+}
+
+/**
+ * Among the upstreams that lack only a token to take a request, the one that
+ * will take it first.
+ *
+ * @param excluded upstreams already tried for this request.
+ */
+export function chooseRateLimited(
+  candidates: Iterable<ProxyUpstream>,
+  model: ModelReference | undefined,
+  excluded: ReadonlySet<ProxyUpstream>,
+  {fullShare}: Pick<UpstreamChoiceSettings, 'fullShare'>,
+): ProxyUpstream | undefined {
+  let best: ProxyUpstream | undefined;
+  for (const upstream of candidates) {
+    const {rateLimit} = upstream;
+    if (!rateLimit.isLimited || rateLimit.allowsRequest) continue;
+    if (!upstream.isReady || excluded.has(upstream)) continue;
+    if (model && !upstream.canServe(model)) continue;
+    if (!hasCapacity(upstream, fullShare)) continue;
+    const bestWait = best?.rateLimit.expectedWaitMilliseconds ?? Infinity;
+    if (rateLimit.expectedWaitMilliseconds < bestWait) best = upstream;
+  }
+  return best;
 }
 
 /**
- * Time until the first upstream that can serve a request accepts calls again,
- * in milliseconds; zero if one does now or none can serve it.
+ * Expected time until the upstreams that can serve a request accept it, in
+ * milliseconds: after their pauses, and as fast as their rate limits allow. Zero
+ * if one accepts requests now or none can serve it.
+ *
+ * @param ahead number of requests that are served before.
  */
-export function remainingBackOffMilliseconds(
+export function expectedAcceptanceMilliseconds(
   candidates: Iterable<ProxyUpstream>,
   model: ModelReference | undefined,
+  ahead: number,
 ): number {
   let shortest = Infinity;
+  let requestsPerSecond = 0;
   for (const upstream of candidates) {
     if (!upstream.isReady || (model && !upstream.canServe(model))) continue;
-    shortest = Math.min(shortest, upstream.remainingBackOffMilliseconds);
+    const {rateLimit, remainingBackOffMilliseconds} = upstream;
+    requestsPerSecond += rateLimit.expectedRequestsPerSecond;
+    shortest = Math.min(
+      shortest,
+      Math.max(
+        remainingBackOffMilliseconds,
+        rateLimit.expectedWaitMilliseconds,
+      ),
+    );
   }
-  return shortest === Infinity ? 0 : shortest;
+  if (shortest === Infinity) return 0;
+  return shortest + (ahead * MILLISECONDS_PER_SECOND) / requestsPerSecond;
+}
+
+/** Whether the upstream takes requests and is not at its utilization limit. */
+function hasCapacity(upstream: ProxyUpstream, fullShare: number): boolean {
+  if (upstream.isEjected || upstream.remainingBackOffMilliseconds > 0)
+    return false;
+  return utilization(upstream) < fullShare;
+}
+
+/** Requests in flight at the upstream, as a share of its slots. */
+function utilization({estimatedInFlight, description}: ProxyUpstream): number {
+  return estimatedInFlight / description.slots;
 }
 
 function upstreamCost(
--- a/packages/arbutustide-routing/src/proxy/proxy_upstream_directory.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_upstream_directory.ts
@@ -4,10 +4,23 @@
 import {DepartedUpstreams, DepartureSource} from './departed_upstreams.js';
 import {ProxyUpstream, UpstreamState} from './proxy_upstream.js';
 
+/**
+ * How long a removed process is remembered. Its entry may be missing for a while
+ * although it runs, for example while the platform's list is not updated.
+ */
+const REMOVED_RETENTION_MILLISECONDS = 120_000;
+
+interface RemovedUpstream {
+  readonly upstream: ProxyUpstream;
+  readonly removedAtMilliseconds: number;
+}
+
 /** Index of all upstreams known to this node, by id and by service. */
 export class ProxyUpstreamDirectory {
   private readonly byId = new Map<string, ProxyUpstream>();
   private readonly byService = new Map<string, Set<ProxyUpstream>>();
+  /** By id; ordered by the time of removal. */
+  private readonly removedById = new Map<string, RemovedUpstream>();
   private readonly listeners = new Set<() => void>();
   private readonly departures = new DepartedUpstreams();
 
@@ -61,8 +74,9 @@
 
   /**
    * Adds an upstream or updates its description. A changed address or start
-   * time means another process, for which all state is reset. A process that
-   * said that it is leaving stays so, whatever the description says.
+   * time means another process, for which all state is reset; a process that is
+   * listed again keeps its state. One that said that it is leaving stays so,
+   * whatever the description says.
    */
   upsert(listed: UpstreamDescription): void {
     if (listed.state === UpstreamState.LEAVING) {
@@ -74,11 +88,9 @@
       ? {...listed, state: UpstreamState.LEAVING}
       : listed;
     const known = this.byId.get(description.id);
-    const isSameProcess =
-      known?.description.startedAt === description.startedAt &&
-      known.description.address === description.address;
-    if (known && isSameProcess) known.updateDescription(description);
-    else this.replaceUpstream(known, new ProxyUpstream(description));
+    if (known && isSameProcess(known, description))
+      known.updateDescription(description);
+    else this.replaceUpstream(known, this.reviveOrCreate(description));
     this.notifyListeners();
   }
 
@@ -88,6 +100,11 @@
     if (!known) return;
     this.departures.record(known.description, DepartureSource.REMOVAL);
     this.detach(known);
+    this.removedById.delete(id);
+    this.removedById.set(id, {
+      upstream: known,
+      removedAtMilliseconds: performance.now(),
+    });
     this.notifyListeners();
   }
 
@@ -96,6 +113,20 @@
     for (const listener of this.listeners) listener();
   }
 
+  private reviveOrCreate(description: UpstreamDescription): ProxyUpstream {
+    const oldestKept = performance.now() - REMOVED_RETENTION_MILLISECONDS;
+    for (const [id, {removedAtMilliseconds}] of this.removedById) {
+      if (removedAtMilliseconds >= oldestKept) break;
+      this.removedById.delete(id);
+    }
+    const removed = this.removedById.get(description.id)?.upstream;
+    if (!removed || !isSameProcess(removed, description))
+      return new ProxyUpstream(description);
+    this.removedById.delete(description.id);
+    removed.updateDescription(description);
+    return removed;
+  }
+
   private detach(known: ProxyUpstream): void {
     known.updateDescription({
       ...known.description,
@@ -117,3 +148,10 @@
     this.byService.set(service, group);
   }
 }
+
+function isSameProcess(
+  {description: known}: ProxyUpstream,
+  {startedAt, address}: UpstreamDescription,
+): boolean {
+  return known.startedAt === startedAt && known.address === address;
+}
--- a/packages/arbutustide-routing/src/proxy/slot_queue.ts
+++ b/packages/arbutustide-routing/src/proxy/slot_queue.ts
@@ -88,7 +88,7 @@
     const refused = this.refuseIfLate(
       progress,
       choice,
-      this.insertionIndex(progress),
+      this.countAhead(progress),
     );
     const result = refused
       ? Err(refused)
@@ -219,6 +219,7 @@
   ): UpstreamSlot {
     const {observer} = this.options;
     upstream.ownInFlight += 1;
+    upstream.rateLimit.takeToken();
     observer.recordSlotTaken(request);
     let isReserved = true;
     return {
@@ -241,6 +242,17 @@
     return true;
   }
 
+  /** Queued requests with the same requirements that are served before. */
+  private countAhead(progress: RoutedRequestProgress): number {
+    const requirement = requirementKey(progress.request);
+    const index = this.insertionIndex(progress);
+    let count = 0;
+    for (const waiter of this.waiters.slice(0, index)) {
+      if (requirementKey(waiter.progress.request) === requirement) count += 1;
+    }
+    return count;
+  }
+
   /** Number of queued requests that are served before this one. */
   private insertionIndex(progress: RoutedRequestProgress): number {
     let low = 0;
@@ -295,6 +307,7 @@
 const ERROR_KIND_BY_REASON: Readonly<Record<NoUpstreamReason, ErrorKind>> = {
   [NoUpstreamReason.NOT_HELD]: ErrorKind.NO_REPLICA,
   [NoUpstreamReason.FULL]: ErrorKind.DEADLINE_UNREACHABLE,
+  [NoUpstreamReason.RATE_LIMITED]: ErrorKind.DEADLINE_UNREACHABLE,
 };
 
 function createNoSlotRefusal(
--- a/packages/arbutustide-scenarios/src/world/simulated_peer_transport.ts
+++ b/packages/arbutustide-scenarios/src/world/simulated_peer_transport.ts
@@ -5,6 +5,8 @@
   PeerHandler,
   PeerTransport,
   PromisedHolding,
+  RequestTokenRequest,
+  RequestTokenResponse,
   WatchRequest,
   WatchResponse,
 } from '@arbutustide/membership';
@@ -13,7 +15,11 @@
 import type {SimulatedNetwork} from './simulated_network.js';
 import type {SimulatedProcess} from './simulated_process.js';
 
-import {PeerError, WatchResponseSchema} from '@arbutustide/membership';
+import {
+  PeerError,
+  RequestTokenResponseSchema,
+  WatchResponseSchema,
+} from '@arbutustide/membership';
 import {create} from '@bufbuild/protobuf';
 import {Err} from 'ts-results';
 
@@ -84,6 +90,21 @@
     );
   }
 
+  async requestToken(
+    peerUrl: string,
+    request: RequestTokenRequest,
+  ): Promise<Result<RequestTokenResponse, PeerError>> {
+    const response = await this.callPeer(peerUrl, undefined, handler =>
+      handler.issueToken(request),
+    );
+    return response.map(issued =>
+      create(RequestTokenResponseSchema, {
+        isIssuer: issued !== undefined,
+        ...issued,
+      }),
+    );
+  }
+
   private async callPeer<T>(
     peerUrl: string,
     step: Step | undefined,
