--- a/packages/arbutustide-node/src/proxy/proxy_tokens.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tokens.ts
@@ -6,12 +6,13 @@
 } from '@arbutustide/placement';
 import type {
   DemandCounter,
-  ProxyUpstream,
   ProxyUpstreamDirectory,
   ProxyDispatcher,
   SlotQueue,
   PoisonRequestDetector,
   PoisonSegmentDetector,
+  TokenIssuer,
+  UpstreamSignalsHandler,
 } from '@arbutustide/routing';
 import type {InjectionToken} from 'tsyringe';
 
@@ -21,6 +22,8 @@
 import type {ServiceRetryBudgets} from './service_retry_budgets.js';
 import type {LeaseHolderProbe} from './lease_holder_probe.js';
 import type {HoldingRequester} from './holding_requester.js';
+import type {ReachableShare} from './rate_limit/reachable_share.js';
+import type {TokenRequester} from './rate_limit/token_requester.js';
 import type {UpstreamWatcher} from './upstream_watcher.js';
 import type {RelayedObjectStore} from './watch_relay/relayed_object_store.js';
 
@@ -33,10 +36,8 @@
   CONFIGURATION_WATCHER:
     'fleet.configuration' as InjectionToken<ConfigurationWatcher>,
   UPSTREAM_WATCHER: 'fleet.upstreams' as InjectionToken<UpstreamWatcher>,
-  /** Receives an upstream whose answer states that it is leaving. */
-  DEPARTURE_HANDLER: 'fleet.departureHandler' as InjectionToken<
-    (upstream: ProxyUpstream) => void
-  >,
+  SIGNALS_HANDLER:
+    'fleet.signalsHandler' as InjectionToken<UpstreamSignalsHandler>,
   DEMAND_COUNTER: 'fleet.counter' as InjectionToken<DemandCounter>,
   RETRY_BUDGETS: 'fleet.budgets' as InjectionToken<ServiceRetryBudgets>,
   REQUEST_QUEUE: 'fleet.queue' as InjectionToken<SlotQueue>,
@@ -53,5 +54,8 @@
   PLANNER_LEASE: 'fleet.lease' as InjectionToken<PlannerLease>,
   PLANNER_LEADERSHIP: 'fleet.tenure' as InjectionToken<PlannerLeadership>,
   PLANNER: 'fleet.planner' as InjectionToken<EnginePlanner>,
+  REACHABLE_SHARE: 'fleet.reachableShare' as InjectionToken<ReachableShare>,
+  TOKEN_ISSUER: 'fleet.tokenIssuer' as InjectionToken<TokenIssuer>,
+  TOKEN_REQUESTER: 'fleet.tokenRequester' as InjectionToken<TokenRequester>,
   HOLDING_REQUESTER: 'fleet.requester' as InjectionToken<HoldingRequester>,
 } as const;
--- a/packages/arbutustide-node/src/proxy/proxy_wiring.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_wiring.ts
@@ -1,5 +1,7 @@
 import 'reflect-metadata';
 
+import type {FieldValue} from '@arbutustide/membership';
+
 import type {PeerIdentity} from './peer_identity.js';
 import type {ProxyDependencies} from './proxy_dependencies.js';
 import type {DependencyContainer, InjectionToken} from 'tsyringe';
@@ -17,10 +19,10 @@
 } from '@arbutustide/placement';
 import {
   DemandCounter,
-  DepartureSource,
   ProxyUpstreamDirectory,
   ProxyDispatcher,
   PoisonRequestDetector,
+  TokenIssuer,
 } from '@arbutustide/routing';
 import {container as rootContainer, instanceCachingFactory} from 'tsyringe';
 
@@ -40,6 +42,11 @@
 import {LeaseHolderProbe} from './lease_holder_probe.js';
 import {HoldingRequester} from './holding_requester.js';
 import {PlannerClient} from './planner_client.js';
+import {chooseTokenIssuer} from './rate_limit/choose_token_issuer.js';
+import {rateLimitFields} from './rate_limit/published_rate_limits.js';
+import {ReachableShare} from './rate_limit/reachable_share.js';
+import {TokenRequester} from './rate_limit/token_requester.js';
+import {createUpstreamSignalsHandler} from './upstream_signals_handler.js';
 import {UpstreamWatcher} from './upstream_watcher.js';
 import {chooseWatchRelays} from './watch_relay/choose_watch_relays.js';
 import {RelayedObjectStore} from './watch_relay/relayed_object_store.js';
@@ -68,6 +75,7 @@
   registerWatchers(register, dependencies, identity);
   registerMembership(register, dependencies, identity);
   registerCrashDetectors(register, dependencies, identity);
+  registerRateLimits(register, dependencies, identity);
   registerRouting(register, dependencies);
   registerLease(register, dependencies, identity);
   registerPlacement(register, dependencies);
@@ -112,18 +120,14 @@
 ): void {
   register(ProxyToken.UPSTREAM_DIRECTORY, () => new ProxyUpstreamDirectory());
   register(ProxyToken.DEMAND_COUNTER, () => new DemandCounter());
-  register(ProxyToken.DEPARTURE_HANDLER, container => {
-    const upstreamDirectory = container.resolve(ProxyToken.UPSTREAM_DIRECTORY);
-    return ({id, isReady, description}) => {
-      if (isReady) {
-        dependencies.logger.info(
-          {upstream: id},
-          'upstream says that it is leaving',
-        );
-      }
-      upstreamDirectory.markLeaving(description, DepartureSource.ANSWER);
-    };
-  });
+  register(ProxyToken.SIGNALS_HANDLER, container =>
+    createUpstreamSignalsHandler(
+      container.resolve(ProxyToken.UPSTREAM_DIRECTORY),
+      upstream =>
+        container.resolve(ProxyToken.TOKEN_REQUESTER).report(upstream),
+      dependencies.logger,
+    ),
+  );
   register(ProxyToken.RELAYED_STORE, container =>
     createRelayedStore(container, dependencies, identity),
   );
@@ -190,12 +194,53 @@
         container.resolve(ProxyToken.CONFIGURATION_WATCHER).routes
           ?.configuration.version ?? 0,
       () => (leadership.checkLeadership() ? leadership.epoch : 0),
-      () =>
-        crashEvidenceFields(
-          container.resolve(ProxyToken.POISON_SEGMENT_DETECTOR),
-        ),
+      () => listSharedFields(container),
+    );
+  });
+}
+
+/** Fields of the own record that components of this node contribute. */
+function* listSharedFields(
+  container: DependencyContainer,
+): Generator<readonly [string, FieldValue]> {
+  yield* crashEvidenceFields(
+    container.resolve(ProxyToken.POISON_SEGMENT_DETECTOR),
+  );
+  yield* rateLimitFields(container.resolve(ProxyToken.TOKEN_ISSUER));
+}
+
+function registerRateLimits(
+  register: RegisterSingleton,
+  {settings, transport, logger}: ProxyDependencies,
+  {identity, peerUrl}: PeerIdentity,
+): void {
+  const hasOtherSeeds = settings.seedAddresses.some(
+    address => !peerUrl.includes(`//${address}:`),
+  );
+  register(ProxyToken.REACHABLE_SHARE, container => {
+    const clusterView = container.resolve(ProxyToken.CLUSTER_VIEW);
+    return new ReachableShare(
+      () => new Set(clusterView.nodes().map(node => node.peerUrl)).size,
+      hasOtherSeeds ? tuning.INITIAL_NODE_COUNT : 1,
     );
   });
+  register(ProxyToken.TOKEN_ISSUER, container => {
+    const reachableShare = container.resolve(ProxyToken.REACHABLE_SHARE);
+    return new TokenIssuer(() => reachableShare.update());
+  });
+  register(ProxyToken.TOKEN_REQUESTER, container => {
+    const clusterView = container.resolve(ProxyToken.CLUSTER_VIEW);
+    return new TokenRequester({
+      identity,
+      chooseIssuer: process => chooseTokenIssuer(clusterView.nodes(), process),
+      countNodes: () => clusterView.nodes().length,
+      ownIssuer: container.resolve(ProxyToken.TOKEN_ISSUER),
+      transport,
+      onTokenValid: () =>
+        container.resolve(ProxyToken.REQUEST_QUEUE).scheduleScan(),
+      logger,
+    });
+  });
 }
 
 function registerCrashDetectors(
@@ -247,7 +292,7 @@
           retryBudgets.forService(service).tryConsume(),
         onModelMissing: (upstream, model) =>
           upstream.recordObservedHolding(model, false),
-        onLeaving: container.resolve(ProxyToken.DEPARTURE_HANDLER),
+        onSignals: container.resolve(ProxyToken.SIGNALS_HANDLER),
         onDecision: decision => {
           logger.info(decision, 'request');
           recordRequestMetrics(decision, metrics);
--- a/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
@@ -20,7 +20,7 @@
 import {
   chooseUpstream,
   NoUpstreamReason,
-  remainingBackOffMilliseconds,
+  expectedAcceptanceMilliseconds,
 } from '../../proxy/choose_upstream.js';
 import {ProxyDispatcher} from '../../proxy/proxy_dispatcher.js';
 import {SlotQueue} from '../../proxy/slot_queue.js';
@@ -51,6 +51,7 @@
     isSelfDelimiting: true,
     isLeaving: false,
     backOffMilliseconds: undefined,
+    requestsPerSecond: undefined,
     load: undefined,
     body: (async function* () {
       for (const chunk of body) yield Buffer.from(chunk);
@@ -114,13 +115,17 @@
   const queue = new SlotQueue({
     chooseUpstream: ({request, triedUpstreams: tried}) =>
       chooseUpstream(upstreams(), request.modelRequest, tried, settings),
-    predictWaitMilliseconds: ({request}, reason) =>
-      reason === NoUpstreamReason.FULL
-        ? Math.max(
+    predictWaitMilliseconds: ({request}, reason, ahead) =>
+      reason === NoUpstreamReason.NOT_HELD
+        ? undefined
+        : Math.max(
             10,
-            remainingBackOffMilliseconds(upstreams(), request.modelRequest),
-          )
-        : undefined,
+            expectedAcceptanceMilliseconds(
+              upstreams(),
+              request.modelRequest,
+              ahead,
+            ),
+          ),
     minimumServiceMilliseconds: () => 20,
     onNotHeld: () => {},
     observer: new DemandCounter(),
@@ -130,11 +135,14 @@
     tryConsumeRetry: () => true,
     onModelMissing: (upstream, model) =>
       upstream.recordObservedHolding(model, false),
-    onLeaving: upstream =>
+    onSignals: (upstream, signals, unlimitedSince) => {
+      upstream.recordSignals(signals, unlimitedSince);
+      if (!signals.isLeaving) return;
       upstream.updateDescription({
         ...upstream.description,
         state: UpstreamState.LEAVING,
-      }),
+      });
+    },
     onDecision,
     poisonRequestDetector: new PoisonRequestDetector(
       10_000,
