Read software versions of upstreams and what a request resumes, and log both

The logs of the incident name neither the version of an engine nor the request whose stream a caller takes up again, so they cannot tell which of the hypotheses holds.

--- a/packages/arbutustide-node/src/__tests__/unit/rate_limited_cluster.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/rate_limited_cluster.ts
@@ -201,6 +201,7 @@
     service: 'service',
     address: '10.0.0.1:80',
     failureDomain: 'domain',
+    softwareVersion: 'v1',
     state: UpstreamState.READY,
     slots: 64,
     models: [],
--- a/packages/arbutustide-node/src/__tests__/unit/upstream_watcher.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/upstream_watcher.test.ts
@@ -72,6 +72,7 @@
     service: 'service',
     address: '10.0.0.1:80',
     failureDomain: 'near',
+    softwareVersion: 'v1',
     state,
     slots: 4,
     startedAt: 1,
--- a/packages/arbutustide-node/src/proxy/upstream_watcher.ts
+++ b/packages/arbutustide-node/src/proxy/upstream_watcher.ts
@@ -190,7 +190,8 @@
       previous?.state !== description.state ||
       previous.startedAt !== description.startedAt;
     if (!hasChanged) return;
-    const {id, state, service, address, startedAt} = description;
+    const {id, state, service, address, startedAt, softwareVersion} =
+      description;
     this.dependencies.logger.info(
       {
         upstream: id,
@@ -199,6 +200,7 @@
         service,
         address,
         startedAt,
+        softwareVersion,
       },
       'upstream',
     );
--- a/packages/arbutustide-routing/src/proxy/decision_recorder.ts
+++ b/packages/arbutustide-routing/src/proxy/decision_recorder.ts
@@ -27,11 +27,14 @@
 
   recordSlotTaken(progress: RoutedRequestProgress, slot: UpstreamSlot): void {
     const {upstream, waitedMilliseconds} = slot;
-    const {modelRequest} = progress.request;
+    const {modelRequest, lastEventId, resumedRequestId} = progress.request;
     this.recordDecision(progress, {
       step: DecisionStep.PLACED,
       ...(modelRequest && {sharedSegments: sharedSegmentIds(modelRequest)}),
+      ...(lastEventId !== undefined && {lastEventId}),
+      ...(resumedRequestId !== undefined && {resumedRequestId}),
       upstream: upstream.id,
+      softwareVersion: upstream.description.softwareVersion,
       load: upstream.estimatedInFlight,
       waitedMilliseconds: Math.round(waitedMilliseconds),
     });
@@ -58,7 +61,10 @@
       step: DecisionStep.STREAM_RESUMED,
       reason,
       attempts: progress.attempts,
-      ...(next && {upstream: next.slot.upstream.id}),
+      ...(next && {
+        upstream: next.slot.upstream.id,
+        softwareVersion: next.slot.upstream.description.softwareVersion,
+      }),
     });
   }
 
--- a/packages/arbutustide-routing/src/proxy/proxy_upstream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_upstream.ts
@@ -24,6 +24,8 @@
   /** Host and port. */
   readonly address: string;
   readonly failureDomain: string;
+  /** Version of the process's software, which has no order; may be empty. */
+  readonly softwareVersion: string;
   readonly state: UpstreamState;
   readonly slots: number;
   /** Unix time of the process start in milliseconds; identifies a restart. */
--- a/packages/arbutustide-routing/src/proxy/request_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/request_decision.ts
@@ -23,6 +23,12 @@
   /** Ids of the prompt's shared segments. */
   readonly sharedSegments?: readonly string[];
   readonly upstream?: string;
+  /** Software version of the upstream. */
+  readonly softwareVersion?: string;
+  /** Id of the request that began the stream which this one resumes. */
+  readonly resumedRequestId?: string;
+  /** Id of the last event that the caller has of a stream. */
+  readonly lastEventId?: number;
   /** In-flight requests at the upstream, as estimated for the choice. */
   readonly load?: number;
   readonly waitedMilliseconds?: number;
--- a/packages/arbutustide-routing/src/proxy/routed_request.ts
+++ b/packages/arbutustide-routing/src/proxy/routed_request.ts
@@ -57,6 +57,11 @@
   readonly modelRequest: ModelRequest | undefined;
   /** Id of the last event that the caller has, if it resumes a stream. */
   readonly lastEventId: number | undefined;
+  /**
+   * Id of the caller's request that began the stream which this one resumes;
+   * undefined if the caller names none.
+   */
+  readonly resumedRequestId: string | undefined;
   /** Monotonic clock, in milliseconds. */
   readonly arrivedAtMilliseconds: number;
   /** Earlier of the caller's deadline and the route's timeout (monotonic). */
