Let a stream go on only at the software version that began it

Cause: the version in an upstream's entry was dropped, so a stream was resumed, by the node within one answer or by a caller at another node, at any upstream that holds the model. Class of the fault: a continuation keyed by service where it ought to be keyed by what began it.

Now an attempt after the caller's first event needs an upstream of the same version. For callers, the origin of a stream is recorded under the id of the request that began it: at the node itself, and at two keepers by rendezvous hash in different failure domains, while the service has, or had within the longest time of a request, several versions. A node that a stream is resumed at asks three keepers at once. Without a record the origin is known only where all nodes asked have seen one version; else the request is refused at once as not run (stream_not_resumable). A stream whose version has no upstream for it is refused at once too; adapters are loaded at engines of that version. A resumed stream goes to the service that its first request went to, where a route is split.

--- a/packages/arbutustide-errors/src/answer_table.ts
+++ b/packages/arbutustide-errors/src/answer_table.ts
@@ -52,6 +52,7 @@
   [ErrorKind.STORE_UNAVAILABLE]: retryLaterRow(503, 5_000),
   [ErrorKind.UPSTREAM_UNREACHABLE]: retryLaterRow(503, 1_000),
   [ErrorKind.RETRY_BUDGET_SPENT]: retryLaterRow(503, 2_000),
+  [ErrorKind.STREAM_NOT_RESUMABLE]: retryLaterRow(503, 500),
   [ErrorKind.REQUEST_QUARANTINED]: {
     status: 503,
     ran: ExecutionStatus.NOT_EXECUTED,
--- a/packages/arbutustide-errors/src/error_kind.ts
+++ b/packages/arbutustide-errors/src/error_kind.ts
@@ -22,6 +22,7 @@
   STORE_UNAVAILABLE = 'store_unavailable',
   UPSTREAM_UNREACHABLE = 'upstream_unreachable',
   REQUEST_QUARANTINED = 'request_quarantined',
+  STREAM_NOT_RESUMABLE = 'stream_not_resumable',
   RETRY_BUDGET_SPENT = 'retry_budget_spent',
   CLAIM_RUNNING = 'request_running',
   CLAIM_OUTCOME_UNKNOWN = 'request_may_have_run',
--- a/packages/arbutustide-membership/src/connect_peer_server.ts
+++ b/packages/arbutustide-membership/src/connect_peer_server.ts
@@ -38,6 +38,11 @@
             const response = await handler().serveWatch(request);
             return response ? {isServed: true, ...response} : {isServed: false};
           },
+          recordStreamOrigins: request => {
+            handler().recordStreamOrigins(request);
+            return {};
+          },
+          findStreamOrigin: request => handler().findStreamOrigin(request),
           requestToken: request => {
             const response = handler().issueToken(request);
             return response ? {isIssuer: true, ...response} : {isIssuer: false};
--- a/packages/arbutustide-membership/src/connect_peer_transport.ts
+++ b/packages/arbutustide-membership/src/connect_peer_transport.ts
@@ -4,7 +4,10 @@
 import type {
   ExchangeRequest,
   ExchangeResponse,
+  FindStreamOriginRequest,
+  FindStreamOriginResponse,
   HoldingRequest,
+  RecordStreamOriginsRequest,
   RequestTokenRequest,
   RequestTokenResponse,
   WatchRequest,
@@ -100,6 +103,25 @@
     );
   }
 
+  async recordStreamOrigins(
+    peerUrl: string,
+    request: RecordStreamOriginsRequest,
+  ): Promise<Result<void, PeerError>> {
+    const answer = await this.call(peerUrl, client =>
+      client.recordStreamOrigins(request, this.callOptions()),
+    );
+    return answer.map(() => undefined);
+  }
+
+  findStreamOrigin(
+    peerUrl: string,
+    request: FindStreamOriginRequest,
+  ): Promise<Result<FindStreamOriginResponse, PeerError>> {
+    return this.call(peerUrl, client =>
+      client.findStreamOrigin(request, this.callOptions()),
+    );
+  }
+
   /** Releases the client of a peer that no longer exists. */
   dropClient(peerUrl: string): void {
     this.clients.delete(peerUrl);
--- a/packages/arbutustide-membership/src/peer_transport.ts
+++ b/packages/arbutustide-membership/src/peer_transport.ts
@@ -4,7 +4,11 @@
 import type {
   ExchangeRequest,
   ExchangeResponse,
+  FindStreamOriginRequest,
+  FindStreamOriginResponse,
+  FindStreamOriginResponseSchema,
   HoldingRequest,
+  RecordStreamOriginsRequest,
   RequestTokenRequest,
   RequestTokenResponse,
   WatchRequest,
@@ -75,6 +79,16 @@
     peerUrl: string,
     request: RequestTokenRequest,
   ): Promise<Result<RequestTokenResponse, PeerError>>;
+  /** Tells a peer where streams began. */
+  recordStreamOrigins(
+    peerUrl: string,
+    request: RecordStreamOriginsRequest,
+  ): Promise<Result<void, PeerError>>;
+  /** Asks a peer where a stream began. */
+  findStreamOrigin(
+    peerUrl: string,
+    request: FindStreamOriginRequest,
+  ): Promise<Result<FindStreamOriginResponse, PeerError>>;
 }
 
 /** Answer to a peer's watch; undefined if this node lacks the version. */
@@ -89,6 +103,12 @@
   '$typeName' | 'isIssuer'
 >;
 
+/** What this node knows of the origin of a stream. */
+export type FindStreamOriginResponseFields = Omit<
+  MessageInitShape<typeof FindStreamOriginResponseSchema>,
+  '$typeName'
+>;
+
 /** Server side of the calls from peers. */
 export interface PeerHandler {
   exchange(request: ExchangeRequest): ExchangeResponse;
@@ -109,4 +129,8 @@
   issueToken(
     request: RequestTokenRequest,
   ): RequestTokenResponseFields | undefined;
+  recordStreamOrigins(request: RecordStreamOriginsRequest): void;
+  findStreamOrigin(
+    request: FindStreamOriginRequest,
+  ): FindStreamOriginResponseFields;
 }
--- a/packages/arbutustide-node/src/__tests__/integration/lease_holder_probe.test.ts
+++ b/packages/arbutustide-node/src/__tests__/integration/lease_holder_probe.test.ts
@@ -48,6 +48,8 @@
     requestHolding: async () => undefined,
     serveWatch: async () => undefined,
     issueToken: () => undefined,
+    recordStreamOrigins: () => {},
+    findStreamOrigin: () => ({isKnown: false}),
   };
 }
 
--- a/packages/arbutustide-node/src/node_core.ts
+++ b/packages/arbutustide-node/src/node_core.ts
@@ -2,6 +2,7 @@
 
 import type {CatalogueEntry, CatalogueSync} from '@arbutustide/catalogue';
 import type {
+  FindStreamOriginResponseFields,
   ExchangeRequest,
   ExchangeResponse,
   PeerHandler,
@@ -168,6 +169,13 @@
     return undefined;
   }
 
+  /** Streams of the project's own interface are not resumed by callers. */
+  recordStreamOrigins(): void {}
+
+  findStreamOrigin(): FindStreamOriginResponseFields {
+    return {isKnown: false};
+  }
+
   /** Upstreams on the project's own interface name no rate limits. */
   issueToken(): undefined {
     return undefined;
--- a/packages/arbutustide-node/src/proxy/create_slot_queue.ts
+++ b/packages/arbutustide-node/src/proxy/create_slot_queue.ts
@@ -7,6 +7,7 @@
 import {
   chooseRateLimited,
   chooseUpstream,
+  compatibleUpstreams,
   expectedAcceptanceMilliseconds,
   NoUpstreamReason,
   ProxyUpstream,
@@ -27,26 +28,53 @@
     chooseUpstream: createUpstreamChooser(container, settings, random),
     predictWaitMilliseconds: (progress, reason, ahead) => {
       const {service, modelRequest} = progress.request;
+      const upstreams = [
+        ...compatibleUpstreams(
+          upstreamDirectory.listByService(service),
+          progress,
+        ),
+      ];
       if (reason === NoUpstreamReason.NOT_HELD) {
-        return (
-          modelRequest &&
-          holdingRequester.expectedWaitMilliseconds(service, modelRequest)
+        if (!modelRequest || !canGetHolding(progress, upstreams))
+          return undefined;
+        return holdingRequester.expectedWaitMilliseconds(
+          service,
+          modelRequest,
+          progress.origin?.softwareVersion,
         );
       }
-      const upstreams = upstreamDirectory.listByService(service);
       return Math.max(
         tuning.MINIMUM_SERVICE_MILLISECONDS,
         expectedAcceptanceMilliseconds(upstreams, modelRequest, ahead),
       );
     },
     minimumServiceMilliseconds: () => tuning.MINIMUM_SERVICE_MILLISECONDS,
-    onNotHeld: ({request: {service, modelRequest}}) => {
-      if (modelRequest) holdingRequester.requestHolding(service, modelRequest);
+    onNotHeld: ({request: {service, modelRequest}, origin}) => {
+      if (!modelRequest) return;
+      const softwareVersion = origin?.softwareVersion;
+      holdingRequester.requestHolding(service, modelRequest, softwareVersion);
     },
     observer: container.resolve(ProxyToken.DEMAND_COUNTER),
   });
 }
 
+/**
+ * Whether an upstream may come to hold what the request needs in time. A stream
+ * that goes on at one software version cannot wait until a model is loaded; an
+ * adapter is loaded in milliseconds.
+ */
+function canGetHolding(
+  {request: {modelRequest}, origin}: RoutedRequestProgress,
+  upstreams: readonly ProxyUpstream[],
+): boolean {
+  if (!origin || !modelRequest) return true;
+  const {model, adapter} = modelRequest;
+  return (
+    adapter !== undefined &&
+    upstreams.some(upstream => upstream.isReady && upstream.holdsModel(model))
+  );
+}
+
 /**
  * Creates the choice of an upstream for a request, which also asks for tokens of
  * upstreams that limit their rate.
@@ -58,7 +86,9 @@
 ): (progress: RoutedRequestProgress) => UpstreamChoice {
   const upstreamDirectory = container.resolve(ProxyToken.UPSTREAM_DIRECTORY);
   const tokenRequester = container.resolve(ProxyToken.TOKEN_REQUESTER);
-  return ({request: {service, modelRequest}, triedUpstreams}) => {
+  return progress => {
+    const {request, triedUpstreams} = progress;
+    const {service, modelRequest} = request;
     const settings = {
       ownFailureDomain: failureDomain,
       crossDomainShare: tuning.CROSS_DOMAIN_SLOT_SHARE,
@@ -67,7 +97,12 @@
         ? tuning.ENGINE_IN_FLIGHT_SLOT_SHARE
         : tuning.SERVICE_IN_FLIGHT_SLOT_SHARE,
     };
-    const candidates = [...upstreamDirectory.listByService(service)];
+    const candidates = [
+      ...compatibleUpstreams(
+        upstreamDirectory.listByService(service),
+        progress,
+      ),
+    ];
     const choice = chooseUpstream(
       candidates,
       modelRequest,
--- a/packages/arbutustide-node/src/proxy/holding_requester.ts
+++ b/packages/arbutustide-node/src/proxy/holding_requester.ts
@@ -42,8 +42,10 @@
   expectedWaitMilliseconds(
     service: string,
     name: ModelReference,
+    softwareVersion?: string,
   ): number | undefined {
-    const requestState = this.requestStates.get(holdingKey(service, name));
+    const key = requestKey(service, name, softwareVersion);
+    const requestState = this.requestStates.get(key);
     if (!requestState) return 0;
     const now = performance.now();
     if (requestState.readyAtMilliseconds < Infinity) {
@@ -55,9 +57,18 @@
     return isDenied ? undefined : 0;
   }
 
-  /** Asks for a holding, unless a request is pending or was made just now. */
-  requestHolding(service: string, name: ModelReference): void {
-    const key = holdingKey(service, name);
+  /**
+   * Asks for a holding, unless a request is pending or was made just now.
+   *
+   * @param softwareVersion version that the upstream must have; undefined if
+   *     any will do.
+   */
+  requestHolding(
+    service: string,
+    name: ModelReference,
+    softwareVersion?: string,
+  ): void {
+    const key = requestKey(service, name, softwareVersion);
     const previous = this.requestStates.get(key);
     const now = performance.now();
     if (previous?.isPending) return;
@@ -68,15 +79,20 @@
       readyAtMilliseconds: now,
     };
     this.requestStates.set(key, requestState);
-    void this.sendRequest(service, name, requestState);
+    const response = this.plannerClient.requestHolding(
+      service,
+      name,
+      softwareVersion,
+    );
+    void this.applyResponse(name, requestState, response);
   }
 
-  private async sendRequest(
-    service: string,
+  private async applyResponse(
     name: ModelReference,
     requestState: RequestState,
+    pendingResponse: ReturnType<PlannerClient['requestHolding']>,
   ): Promise<void> {
-    const response = await this.plannerClient.requestHolding(service, name);
+    const response = await pendingResponse;
     requestState.isPending = false;
     requestState.updatedAtMilliseconds = performance.now();
     // Without a reachable planner the wait is unknown: requests stay queued.
@@ -121,8 +137,14 @@
   );
 }
 
-function holdingKey(service: string, {model, adapter}: ModelReference): string {
-  return adapter === undefined
-    ? modelEntryName(service, model)
-    : adapterEntryName(service, model, adapter);
+function requestKey(
+  service: string,
+  {model, adapter}: ModelReference,
+  softwareVersion = '',
+): string {
+  const entryName =
+    adapter === undefined
+      ? modelEntryName(service, model)
+      : adapterEntryName(service, model, adapter);
+  return `${entryName} ${softwareVersion}`;
 }
--- a/packages/arbutustide-node/src/proxy/node_engine_planner_environment.ts
+++ b/packages/arbutustide-node/src/proxy/node_engine_planner_environment.ts
@@ -105,6 +105,7 @@
     address: description.address,
     service: description.service,
     failureDomain: description.failureDomain,
+    softwareVersion: description.softwareVersion,
     startedAt: description.startedAt,
     isReady: upstream.isReady,
     acceptsCalls: upstream.remainingBackOffMilliseconds === 0,
--- a/packages/arbutustide-node/src/proxy/planner_client.ts
+++ b/packages/arbutustide-node/src/proxy/planner_client.ts
@@ -24,14 +24,20 @@
   /**
    * Asks the planner to have an upstream hold a model or adapter. The result is
    * undefined if the planner declines, and an error if none can be reached.
+   *
+   * @param softwareVersion version that the upstream must have; undefined if
+   *     any will do.
    */
   async requestHolding(
     service: string,
-    {model, adapter}: ModelReference,
+    reference: ModelReference,
+    softwareVersion: string | undefined,
   ): Promise<HoldingResult> {
     const localPlanner = this.getLocalPlanner();
     if (localPlanner.checkCanSendOrders())
-      return Ok(await localPlanner.requestHolding(service, model, adapter));
+      return Ok(
+        await localPlanner.requestHolding(service, reference, softwareVersion),
+      );
     const plannerNode = this.clusterView.findPlanner();
     if (!plannerNode)
       return Err(
@@ -39,7 +45,12 @@
       );
     return this.transport.requestHolding(
       plannerNode.peerUrl,
-      create(HoldingRequestSchema, {service, model, adapter: adapter ?? ''}),
+      create(HoldingRequestSchema, {
+        service,
+        model: reference.model,
+        adapter: reference.adapter ?? '',
+        softwareVersion: softwareVersion ?? '',
+      }),
     );
   }
 }
--- a/packages/arbutustide-node/src/proxy/proxy_core.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_core.ts
@@ -1,15 +1,4 @@
-import type {
-  ClusterNode,
-  ExchangeRequest,
-  ExchangeResponse,
-  HoldingRequest,
-  PeerHandler,
-  PromisedHolding,
-  RequestTokenRequest,
-  RequestTokenResponseFields,
-  WatchRequest,
-  WatchResponseFields,
-} from '@arbutustide/membership';
+import type {ClusterNode, PeerHandler} from '@arbutustide/membership';
 import type {
   ProxyDispatcher,
   RouteTable,
@@ -27,7 +16,6 @@
 
 import {readPeerCrashEvidence} from './crash_evidence_fields.js';
 import {PeerBootstrap} from './peer_bootstrap.js';
-import {serializeSnapshot} from './peer_snapshot.js';
 import {PeerStateRefresher} from './peer_state_refresher.js';
 import {createPeerIdentity, peerUrlFromIdentity} from './peer_identity.js';
 import {ProxyToken} from './proxy_tokens.js';
@@ -41,12 +29,8 @@
   UPSTREAMS_STALE_SHARE,
 } from './proxy_tuning.js';
 import {createProxyContainer} from './proxy_wiring.js';
-import {chooseTokenIssuer} from './rate_limit/choose_token_issuer.js';
+import {ProxyPeerHandler} from './proxy_peer_handler.js';
 import {PublishedRateLimits} from './rate_limit/published_rate_limits.js';
-import {
-  decodeTokenRequest,
-  encodeTokenResponse,
-} from './rate_limit/token_messages.js';
 import {SnapshotSourceChooser} from './snapshot_source_chooser.js';
 
 /**
@@ -55,9 +39,11 @@
  * election for the planner's lease and the planner itself. Answers the calls of
  * its peers.
  */
-export class ProxyCore implements PeerHandler {
+export class ProxyCore {
   readonly dispatcher: ProxyDispatcher;
   readonly logger: NodeLogger;
+  /** Answers the calls of peers. */
+  readonly peerHandler: PeerHandler;
   private readonly self;
   private readonly container: DependencyContainer;
   private readonly stopController = new AbortController();
@@ -70,6 +56,7 @@
     this.self = createPeerIdentity(dependencies.settings);
     this.container = createProxyContainer(dependencies, this.self);
     this.dispatcher = this.container.resolve(ProxyToken.DISPATCHER);
+    this.peerHandler = new ProxyPeerHandler(this.container, this.self.identity);
     const queue = this.container.resolve(ProxyToken.REQUEST_QUEUE);
     this.container
       .resolve(ProxyToken.UPSTREAM_DIRECTORY)
@@ -157,69 +144,6 @@
     await Promise.all(this.backgroundTasks);
   }
 
-  exchange(request: ExchangeRequest): ExchangeResponse {
-    return this.container.resolve(ProxyToken.GOSSIP).handleExchange(request);
-  }
-
-  /**
-   * Snapshot of configuration and upstreams, for a peer that cannot read them
-   * from the object store. Empty if this node has read neither, or too long ago
-   * for the peer.
-   */
-  catalogueHeadJson(maximumAgeMilliseconds = 0): string {
-    const {storedObject} = this.container.resolve(
-      ProxyToken.CONFIGURATION_WATCHER,
-    );
-    const upstreamWatcher = this.container.resolve(ProxyToken.UPSTREAM_WATCHER);
-    if (!storedObject && !upstreamWatcher.isInitialized) return '';
-    const isTooOld =
-      maximumAgeMilliseconds > 0 &&
-      upstreamWatcher.silentMilliseconds > maximumAgeMilliseconds;
-    if (isTooOld) return '';
-    return serializeSnapshot(
-      storedObject,
-      upstreamWatcher.storedObjects,
-      upstreamWatcher.silentMilliseconds,
-    );
-  }
-
-  catalogueContentJson(): string {
-    return '';
-  }
-
-  requestHolding({
-    service,
-    model,
-    adapter,
-  }: HoldingRequest): Promise<PromisedHolding | undefined> {
-    const requestedAdapter = adapter === '' ? undefined : adapter;
-    return this.container
-      .resolve(ProxyToken.PLANNER)
-      .requestHolding(service, model, requestedAdapter);
-  }
-
-  serveWatch({
-    prefix,
-    afterVersion,
-    waitMilliseconds,
-  }: WatchRequest): Promise<WatchResponseFields | undefined> {
-    return this.container
-      .resolve(ProxyToken.RELAYED_STORE)
-      .serveWatch(prefix, afterVersion, waitMilliseconds);
-  }
-
-  issueToken(
-    message: RequestTokenRequest,
-  ): RequestTokenResponseFields | undefined {
-    const request = decodeTokenRequest(message);
-    const nodes = this.container.resolve(ProxyToken.CLUSTER_VIEW).nodes();
-    const issuer = chooseTokenIssuer(nodes, request.process);
-    if (issuer?.identity !== this.self.identity) return undefined;
-    return encodeTokenResponse(
-      this.container.resolve(ProxyToken.TOKEN_ISSUER).handle(request),
-    );
-  }
-
   private get status() {
     return this.container.resolve(ProxyToken.OWN_STATUS);
   }
@@ -325,10 +249,12 @@
       ProxyToken.POISON_SEGMENT_DETECTOR,
     );
     const reachableShare = this.container.resolve(ProxyToken.REACHABLE_SHARE);
+    const streamOrigins = this.container.resolve(ProxyToken.STREAM_ORIGINS);
     const publishedRateLimits = new PublishedRateLimits(directory);
     while (!signal.aborted) {
       this.status.publish();
       reachableShare.update();
+      streamOrigins.updateVersions();
       publishedRateLimits.apply(clusterView.peerRateLimits());
       for (const [id, startedAt] of clusterView.departures())
         directory.markLeaving({id, startedAt}, DepartureSource.REPORT);
--- a/packages/arbutustide-node/src/proxy/proxy_tokens.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tokens.ts
@@ -24,6 +24,7 @@
 import type {HoldingRequester} from './holding_requester.js';
 import type {ReachableShare} from './rate_limit/reachable_share.js';
 import type {TokenRequester} from './rate_limit/token_requester.js';
+import type {ClusterStreamOrigins} from './stream_origin/cluster_stream_origins.js';
 import type {UpstreamWatcher} from './upstream_watcher.js';
 import type {RelayedObjectStore} from './watch_relay/relayed_object_store.js';
 
@@ -57,5 +58,6 @@
   REACHABLE_SHARE: 'fleet.reachableShare' as InjectionToken<ReachableShare>,
   TOKEN_ISSUER: 'fleet.tokenIssuer' as InjectionToken<TokenIssuer>,
   TOKEN_REQUESTER: 'fleet.tokenRequester' as InjectionToken<TokenRequester>,
+  STREAM_ORIGINS: 'fleet.streamOrigins' as InjectionToken<ClusterStreamOrigins>,
   HOLDING_REQUESTER: 'fleet.requester' as InjectionToken<HoldingRequester>,
 } as const;
--- a/packages/arbutustide-node/src/proxy/proxy_tuning.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tuning.ts
@@ -82,6 +82,11 @@
 export const INITIAL_NODE_COUNT = 8;
 /** Interval of lease renewals, as a share of the lease duration. */
 export const LEASE_RENEWAL_SHARE = 1 / 3;
+/**
+ * Callers may resume a stream for at least this time after it has begun,
+ * whatever the timeouts of the routes.
+ */
+export const MINIMUM_STREAM_LIFETIME_MILLISECONDS = 30_000;
 /** How long a request is remembered after its connection broke. */
 export const SUSPICION_RETENTION_MILLISECONDS = 30_000;
 /** Peers that are told of a crash at once; the others learn it by gossip. */
--- a/packages/arbutustide-node/src/proxy/proxy_wiring.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_wiring.ts
@@ -4,7 +4,8 @@
 
 import type {PeerIdentity} from './peer_identity.js';
 import type {ProxyDependencies} from './proxy_dependencies.js';
-import type {DependencyContainer, InjectionToken} from 'tsyringe';
+import type {RegisterSingleton} from './register_singleton.js';
+import type {DependencyContainer} from 'tsyringe';
 
 import {
   ClusterView,
@@ -22,7 +23,6 @@
   ProxyUpstreamDirectory,
   ProxyDispatcher,
   PoisonRequestDetector,
-  TokenIssuer,
 } from '@arbutustide/routing';
 import {container as rootContainer, instanceCachingFactory} from 'tsyringe';
 
@@ -42,10 +42,9 @@
 import {LeaseHolderProbe} from './lease_holder_probe.js';
 import {HoldingRequester} from './holding_requester.js';
 import {PlannerClient} from './planner_client.js';
-import {chooseTokenIssuer} from './rate_limit/choose_token_issuer.js';
+import {registerRateLimits} from './rate_limit/register_rate_limits.js';
+import {registerStreamOrigins} from './stream_origin/register_stream_origins.js';
 import {rateLimitFields} from './rate_limit/published_rate_limits.js';
-import {ReachableShare} from './rate_limit/reachable_share.js';
-import {TokenRequester} from './rate_limit/token_requester.js';
 import {createUpstreamSignalsHandler} from './upstream_signals_handler.js';
 import {UpstreamWatcher} from './upstream_watcher.js';
 import {chooseWatchRelays} from './watch_relay/choose_watch_relays.js';
@@ -54,11 +53,6 @@
 /** Region in the lease's key; a single planner serves all regions. */
 const LEASE_REGION = 'all';
 
-type RegisterSingleton = <T>(
-  token: InjectionToken<T>,
-  create: (container: DependencyContainer) => T,
-) => void;
-
 /**
  * Creates the dependency injection container of a proxying node. Each component
  * is a singleton that is created when it is first resolved.
@@ -76,6 +70,7 @@
   registerMembership(register, dependencies, identity);
   registerCrashDetectors(register, dependencies, identity);
   registerRateLimits(register, dependencies, identity);
+  registerStreamOrigins(register, dependencies, identity);
   registerRouting(register, dependencies);
   registerLease(register, dependencies, identity);
   registerPlacement(register, dependencies);
@@ -209,40 +204,6 @@
   yield* rateLimitFields(container.resolve(ProxyToken.TOKEN_ISSUER));
 }
 
-function registerRateLimits(
-  register: RegisterSingleton,
-  {settings, transport, logger}: ProxyDependencies,
-  {identity, peerUrl}: PeerIdentity,
-): void {
-  const hasOtherSeeds = settings.seedAddresses.some(
-    address => !peerUrl.includes(`//${address}:`),
-  );
-  register(ProxyToken.REACHABLE_SHARE, container => {
-    const clusterView = container.resolve(ProxyToken.CLUSTER_VIEW);
-    return new ReachableShare(
-      () => new Set(clusterView.nodes().map(node => node.peerUrl)).size,
-      hasOtherSeeds ? tuning.INITIAL_NODE_COUNT : 1,
-    );
-  });
-  register(ProxyToken.TOKEN_ISSUER, container => {
-    const reachableShare = container.resolve(ProxyToken.REACHABLE_SHARE);
-    return new TokenIssuer(() => reachableShare.update());
-  });
-  register(ProxyToken.TOKEN_REQUESTER, container => {
-    const clusterView = container.resolve(ProxyToken.CLUSTER_VIEW);
-    return new TokenRequester({
-      identity,
-      chooseIssuer: process => chooseTokenIssuer(clusterView.nodes(), process),
-      countNodes: () => clusterView.nodes().length,
-      ownIssuer: container.resolve(ProxyToken.TOKEN_ISSUER),
-      transport,
-      onTokenValid: () =>
-        container.resolve(ProxyToken.REQUEST_QUEUE).scheduleScan(),
-      logger,
-    });
-  });
-}
-
 function registerCrashDetectors(
   register: RegisterSingleton,
   {logger}: ProxyDependencies,
@@ -303,6 +264,7 @@
         poisonSegmentDetector: container.resolve(
           ProxyToken.POISON_SEGMENT_DETECTOR,
         ),
+        streamOrigins: container.resolve(ProxyToken.STREAM_ORIGINS),
       },
     );
   });
--- a/packages/arbutustide-placement/src/engines/adapter_loader.ts
+++ b/packages/arbutustide-placement/src/engines/adapter_loader.ts
@@ -38,18 +38,21 @@
    * Loads an adapter of a held model; evicts an idle adapter if no slot is
    * free.
    *
+   * @param softwareVersion version that the engine must have; undefined if any
+   *     will do.
    * @return the engine and the expected time until the adapter is usable. No
    *     engine is named if the order could not be placed; the caller retries.
    */
   async load(
     service: string,
     wanted: AdapterKey,
+    softwareVersion?: string,
   ): Promise<ExpectedHolding | undefined> {
     this.lastRequestedAtMilliseconds.set(
       usageKey(service, wanted),
       performance.now(),
     );
-    const entries = this.registry.entriesOfService(service);
+    const entries = this.registry.entriesOfService(service, softwareVersion);
     const {adapterLoadMilliseconds} = this.settings;
     const holdingEntry = entries.find(
       ({holdings, listed}) =>
--- a/packages/arbutustide-placement/src/engines/engine_planner.ts
+++ b/packages/arbutustide-placement/src/engines/engine_planner.ts
@@ -2,7 +2,7 @@
 import type {PlannerLeadership} from '../planner_leadership.js';
 import type {AdapterLoaderSettings} from './adapter_loader.js';
 import type {EngineEntry, EngineRegistrySettings} from './engine_registry.js';
-import type {ExpectedHolding} from './expected_holding.js';
+import type {ExpectedHolding, RequestedHolding} from './expected_holding.js';
 import type {EngineClient} from './engine_client.js';
 import type {
   CataloguedModel,
@@ -125,27 +125,36 @@
 
   /**
    * Requests that some engine hold a model or adapter. An adapter is ordered at
-   * once if its model is held; models are left to the next planning pass.
+   * once if its model is held; models are left to the next planning pass, which
+   * does not go by versions.
    *
+   * @param softwareVersion version that the engine must have; undefined if any
+   *     will do.
    * @return where and when it will be usable; undefined if this node does not
    *     lead or the model is not in the catalogue.
    */
   async requestHolding(
     service: string,
-    model: string,
-    adapter: string | undefined,
+    {model, adapter}: RequestedHolding,
+    softwareVersion?: string,
   ): Promise<ExpectedHolding | undefined> {
-    if (!this.checkCanSendOrders())
-      return this.expectHoldingAfterTakeover(service, model, adapter);
-    if (adapter === undefined) return this.expectModelHolding(service, model);
-    const wanted = {model, adapter};
-    const entries = this.registry.entriesOfService(service);
-    const isModelHeld = entries.some(({holdings}) =>
-      holdings.holdsModel(model),
-    );
-    return isModelHeld
-      ? this.adapterLoader.load(service, wanted)
-      : this.expectModelHolding(service, model);
+    if (!this.checkCanSendOrders()) {
+      return softwareVersion === undefined
+        ? this.expectHoldingAfterTakeover(service, model, adapter)
+        : undefined;
+    }
+    const isModelHeld = this.registry
+      .entriesOfService(service, softwareVersion)
+      .some(({holdings}) => holdings.holdsModel(model));
+    if (adapter !== undefined && isModelHeld)
+      return this.adapterLoader.load(
+        service,
+        {model, adapter},
+        softwareVersion,
+      );
+    return softwareVersion === undefined
+      ? this.expectModelHolding(service, model)
+      : undefined;
   }
 
   /** While this node leads but must wait for its predecessor to stop. */
--- a/packages/arbutustide-placement/src/engines/engine_planner_environment.ts
+++ b/packages/arbutustide-placement/src/engines/engine_planner_environment.ts
@@ -5,6 +5,8 @@
 export interface ListedEngine extends EngineAddress {
   readonly service: string;
   readonly failureDomain: string;
+  /** Version of the engine's software. */
+  readonly softwareVersion: string;
   /** Unix time at which the engine process started, in milliseconds. */
   readonly startedAt: number;
   /** Whether the engine accepts new requests. */
--- a/packages/arbutustide-placement/src/engines/engine_registry.ts
+++ b/packages/arbutustide-placement/src/engines/engine_registry.ts
@@ -77,9 +77,13 @@
     return this.entries.get(id);
   }
 
-  entriesOfService(service: string): EngineEntry[] {
+  /** @param softwareVersion undefined for the engines of all versions. */
+  entriesOfService(service: string, softwareVersion?: string): EngineEntry[] {
     return [...this.entries.values()].filter(
-      ({listed}) => listed.service === service,
+      ({listed}) =>
+        listed.service === service &&
+        (softwareVersion === undefined ||
+          listed.softwareVersion === softwareVersion),
     );
   }
 
--- a/packages/arbutustide-routing/src/__tests__/unit/proxy_decisions.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/proxy_decisions.test.ts
@@ -51,6 +51,7 @@
     triedUpstreams: new Set(),
     attempts: 1,
     mayHaveRun: false,
+    origin: undefined,
     lastDeliveryAtMilliseconds: performance.now(),
     ...changes,
   };
--- a/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
@@ -7,6 +7,7 @@
 import type {ProxyAnswer} from '../../proxy/proxy_answer.js';
 import type {ProxyUpstream} from '../../proxy/proxy_upstream.js';
 import type {RoutedRequest} from '../../proxy/routed_request.js';
+import type {StreamOrigins} from '../../proxy/stream_origin/stream_origin.js';
 import type {Result} from 'ts-results';
 
 import {AttemptError, AttemptFailure} from '@arbutustide/upstream';
@@ -19,6 +20,7 @@
 import {DemandCounter} from '../../proxy/demand_counter.js';
 import {
   chooseUpstream,
+  compatibleUpstreams,
   NoUpstreamReason,
   expectedAcceptanceMilliseconds,
 } from '../../proxy/choose_upstream.js';
@@ -26,6 +28,7 @@
 import {SlotQueue} from '../../proxy/slot_queue.js';
 import type {RequestKind} from '../../proxy/route.js';
 import {UpstreamState} from '../../proxy/proxy_upstream.js';
+import {OriginKnowledge} from '../../proxy/stream_origin/stream_origin.js';
 import {PoisonRequestDetector} from '../../poison_request_detector.js';
 import {testModelRequest, testRequest, testRoute} from './proxy_fixtures.js';
 
@@ -100,11 +103,19 @@
   }
 }
 
+/** Knows no origin; takes every stream for one of the only version. */
+const NO_ORIGINS: StreamOrigins = {
+  resolve: async () => ({knowledge: OriginKnowledge.NO_VERSION}),
+  recordBegun: () => {},
+  recordComplete: () => {},
+};
+
 /** A dispatcher for the given upstreams, with an unlimited retry budget. */
 export function createDispatcher(
   connector: ProxyConnector,
   upstreams: () => readonly ProxyUpstream[],
   onDecision: (decision: RequestDecision) => void,
+  streamOrigins = NO_ORIGINS,
 ): ProxyDispatcher {
   const settings = {
     ownFailureDomain: 'near',
@@ -113,8 +124,13 @@
     random: () => 0,
   };
   const queue = new SlotQueue({
-    chooseUpstream: ({request, triedUpstreams: tried}) =>
-      chooseUpstream(upstreams(), request.modelRequest, tried, settings),
+    chooseUpstream: ({request, triedUpstreams: tried, origin}) =>
+      chooseUpstream(
+        compatibleUpstreams(upstreams(), {origin}),
+        request.modelRequest,
+        tried,
+        settings,
+      ),
     predictWaitMilliseconds: ({request}, reason, ahead) =>
       reason === NoUpstreamReason.NOT_HELD
         ? undefined
@@ -144,6 +160,7 @@
       });
     },
     onDecision,
+    streamOrigins,
     poisonRequestDetector: new PoisonRequestDetector(
       10_000,
       {crashes: () => 0, runsOtherSuspects: () => false},
--- a/packages/arbutustide-routing/src/__tests__/unit/slot_queue.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/slot_queue.test.ts
@@ -39,6 +39,7 @@
       triedUpstreams: new Set(),
       attempts: 0,
       mayHaveRun: false,
+      origin: undefined,
       lastDeliveryAtMilliseconds: performance.now(),
     };
     return queue.acquireSlot(progress);
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -66,6 +66,13 @@
   TokenRequest,
   TokenResponse,
 } from './proxy/rate_limit/token_issuer.js';
+export type {
+  OriginEvidence,
+  ResolvedOrigin,
+  StreamOrigin,
+  StreamOrigins,
+} from './proxy/stream_origin/stream_origin.js';
+export type {StreamOriginRecord} from './proxy/stream_origin/stream_origin_registry.js';
 export type {
   ModelRequest,
   PromptSegment,
@@ -97,6 +104,7 @@
 export {
   chooseRateLimited,
   chooseUpstream,
+  compatibleUpstreams,
   expectedAcceptanceMilliseconds,
   NoUpstreamReason,
 } from './proxy/choose_upstream.js';
@@ -113,6 +121,9 @@
   remainingMilliseconds,
 } from './proxy/routed_request_progress.js';
 export {TokenIssuer} from './proxy/rate_limit/token_issuer.js';
+export {RecentVersions} from './proxy/stream_origin/recent_versions.js';
+export {resolveOrigin} from './proxy/stream_origin/stream_origin.js';
+export {StreamOriginRegistry} from './proxy/stream_origin/stream_origin_registry.js';
 export {ClusterRetryBudget} from './proxy/cluster_retry_budget.js';
 export {ProxyUpstream, UpstreamState} from './proxy/proxy_upstream.js';
 export {EventSequencer} from './proxy/event_sequencer.js';
--- a/packages/arbutustide-routing/src/proxy/choose_upstream.ts
+++ b/packages/arbutustide-routing/src/proxy/choose_upstream.ts
@@ -1,5 +1,6 @@
 import type {ProxyUpstream} from './proxy_upstream.js';
 import type {ModelReference} from './route.js';
+import type {RoutedRequestProgress} from './routed_request_progress.js';
 
 /** Weights and limits of load balancing, as shares of an upstream's slots. */
 export interface UpstreamChoiceSettings {
@@ -17,6 +18,17 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
+/** The upstreams whose software may serve the request, whatever their state. */
+export function* compatibleUpstreams(
+  candidates: Iterable<ProxyUpstream>,
+  {origin}: Pick<RoutedRequestProgress, 'origin'>,
+): Generator<ProxyUpstream> {
+  for (const upstream of candidates) {
+    const {softwareVersion} = upstream.description;
+    if (!origin || softwareVersion === origin.softwareVersion) yield upstream;
+  }
+}
+
 /** Why no upstream can take a request now. */
 export enum NoUpstreamReason {
   /** No ready upstream that was not yet tried holds the model. */
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -15,6 +15,7 @@
 import type {UpstreamSlot, SlotQueue} from './slot_queue.js';
 import type {ModelReference} from './route.js';
 import type {RoutedRequest} from './routed_request.js';
+import type {StreamOrigins} from './stream_origin/stream_origin.js';
 
 import {Cancellation, ErrorKind, RefusalError} from '@arbutustide/errors';
 import {AttemptFailure} from '@arbutustide/upstream';
@@ -30,6 +31,7 @@
 import {isRepeatable} from './route.js';
 import {fingerprintRoutedRequest} from './routed_request.js';
 import {InactivityTimeout} from './inactivity_timeout.js';
+import {OriginKnowledge} from './stream_origin/stream_origin.js';
 
 /** Retry budget and callbacks of a dispatcher. */
 export interface ProxyDispatcherOptions {
@@ -46,6 +48,7 @@
   readonly onDecision: (decision: RequestDecision) => void;
   readonly poisonRequestDetector: PoisonRequestDetector;
   readonly poisonSegmentDetector: PoisonSegmentDetector;
+  readonly streamOrigins: StreamOrigins;
 }
 
 type AnswerOrRefusal = Promise<Result<ProxyAnswer, RefusalError>>;
@@ -108,6 +111,7 @@
       triedUpstreams: new Set(),
       attempts: 0,
       mayHaveRun: false,
+      origin: undefined,
       lastDeliveryAtMilliseconds: request.arrivedAtMilliseconds,
       fingerprint: fingerprintRoutedRequest(request),
     };
@@ -120,7 +124,10 @@
       return Err(refusal);
     }
     const stopCancellation = cancelOnDisconnectOrDeadline(progress);
-    const attempt = await this.attemptUntilAnswered(progress, undefined);
+    const originRefusal = await this.resolveOrigin(progress);
+    const attempt = originRefusal
+      ? Err(originRefusal)
+      : await this.attemptUntilAnswered(progress, undefined);
     const isOver = !attempt.ok || attempt.val.body !== undefined;
     if (isOver) stopCancellation();
     if (!attempt.ok) {
@@ -130,6 +137,23 @@
     return Ok(this.createAnswer(progress, attempt.val, stopCancellation));
   }
 
+  /**
+   * Finds where the stream began that the request resumes. Returns a refusal if
+   * it cannot be known: the stream must not go on at another version.
+   */
+  private async resolveOrigin(
+    progress: RoutedRequestProgress,
+  ): Promise<RefusalError | undefined> {
+    const {request} = progress;
+    if (request.lastEventId === undefined) return undefined;
+    const resolved = await this.options.streamOrigins.resolve(request);
+    if (resolved.knowledge === OriginKnowledge.UNKNOWN)
+      return unknownOriginRefusal(request);
+    if (resolved.knowledge === OriginKnowledge.KNOWN)
+      progress.origin = resolved.origin;
+    return undefined;
+  }
+
   /**
    * Sends the request to one upstream after another until one answers or no
    * retry is allowed. Falls back to the last error answer of an upstream.
@@ -266,6 +290,17 @@
     else if (body !== undefined && mayHaveRun(outcome)) observed?.recordWhole();
   }
 
+  /** Records where a stream began whose first event is about to be sent. */
+  private recordOrigin(
+    progress: RoutedRequestProgress,
+    {slot}: AttemptResult,
+  ): void {
+    if (progress.origin) return;
+    const {service, softwareVersion} = slot.upstream.description;
+    progress.origin = {service, softwareVersion};
+    this.options.streamOrigins.recordBegun(progress.request, progress.origin);
+  }
+
   private createAnswer(
     progress: RoutedRequestProgress,
     attempt: AttemptResult,
@@ -288,12 +323,15 @@
       tryConsumeRetry: () => this.tryConsumeRetry(progress, true),
       onConnectionLost: () =>
         poisonRequestDetector.recordCrash(progress.fingerprint),
+      onFirstEvent: first => this.recordOrigin(progress, first),
       onResume: (reason, next) =>
         this.decisions.recordResume(progress, reason, next),
       onEnd: (end, timing, reason) => {
         stopCancellation();
         if (end === AnswerEnd.WHOLE && head.isSelfDelimiting)
           poisonRequestDetector.recordSuccess(progress.fingerprint);
+        if (end === AnswerEnd.WHOLE)
+          this.options.streamOrigins.recordComplete(progress.request);
         this.decisions.recordEnd(progress, end, slot.upstream, {
           timing,
           reason,
@@ -304,6 +342,13 @@
   }
 }
 
+function unknownOriginRefusal({service}: RoutedRequest): RefusalError {
+  return new RefusalError(
+    ErrorKind.STREAM_NOT_RESUMABLE,
+    `the upstreams of ${service} have several software versions, and it is unknown at which the stream began`,
+  );
+}
+
 /**
  * Cancels the request when the caller disconnects or the deadline passes.
  *
--- a/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
@@ -19,6 +19,8 @@
   readonly tryConsumeRetry: () => boolean;
   /** Called when the connection to an upstream breaks within a stream. */
   readonly onConnectionLost: () => void;
+  /** Called before the caller gets its first event of the stream. */
+  readonly onFirstEvent: (attempt: AttemptResult) => void;
   readonly onResume: (reason: string, next: AttemptResult | undefined) => void;
   /** `reason` is why the last attempt failed, if it did. */
   readonly onEnd: (
@@ -87,6 +89,8 @@
           // Bytes that complete no new event are no progress.
           attempt.inactivityTimeout.recordActivity();
           attempt.observed?.recordData();
+          if (this.firstEventAtMilliseconds === undefined)
+            this.options.onFirstEvent(attempt);
           this.recordDelivery();
           yield bytes;
         }
--- a/packages/arbutustide-routing/src/proxy/route_table.ts
+++ b/packages/arbutustide-routing/src/proxy/route_table.ts
@@ -7,9 +7,16 @@
 
 /** Matches requests to routes by host, then by longest path prefix. */
 export class RouteTable {
+  /** Longest time that a request may take, in milliseconds. */
+  readonly longestTimeoutMilliseconds: number;
   private readonly byHost = new Map<string, Route[]>();
 
   constructor(readonly configuration: ServingConfiguration) {
+    this.longestTimeoutMilliseconds = configuration.routes.reduce(
+      (longest, {timeoutMilliseconds}) =>
+        Math.max(longest, timeoutMilliseconds),
+      0,
+    );
     for (const route of configuration.routes) {
       const routes = this.byHost.get(route.host) ?? [];
       routes.push(route);
--- a/packages/arbutustide-routing/src/proxy/routed_request_progress.ts
+++ b/packages/arbutustide-routing/src/proxy/routed_request_progress.ts
@@ -2,6 +2,7 @@
 
 import type {ProxyUpstream} from './proxy_upstream.js';
 import type {RoutedRequest} from './routed_request.js';
+import type {StreamOrigin} from './stream_origin/stream_origin.js';
 
 import {ExecutionStatus} from '@arbutustide/errors';
 
@@ -18,6 +19,11 @@
   attempts: number;
   /** Whether an upstream may have started to run the request. */
   mayHaveRun: boolean;
+  /**
+   * Where the stream began, once its caller has an event of it; later attempts
+   * need the same software version.
+   */
+  origin: StreamOrigin | undefined;
   /** Time of the last event sent to the caller; initially of its arrival. */
   lastDeliveryAtMilliseconds: number;
 }
--- a/packages/arbutustide-routing/src/proxy/slot_queue.ts
+++ b/packages/arbutustide-routing/src/proxy/slot_queue.ts
@@ -145,7 +145,7 @@
     const waiting = new Map<string, number>();
     for (const waiter of [...this.waiters]) {
       const {progress, queuedAtMilliseconds} = waiter;
-      const requirement = requirementKey(progress.request);
+      const requirement = requirementKey(progress);
       const ahead = waiting.get(requirement) ?? 0;
       const isFirst = ahead === 0 || progress.triedUpstreams.size > 0;
       const choice = isFirst
@@ -244,11 +244,11 @@
 
   /** Queued requests with the same requirements that are served before. */
   private countAhead(progress: RoutedRequestProgress): number {
-    const requirement = requirementKey(progress.request);
+    const requirement = requirementKey(progress);
     const index = this.insertionIndex(progress);
     let count = 0;
     for (const waiter of this.waiters.slice(0, index)) {
-      if (requirementKey(waiter.progress.request) === requirement) count += 1;
+      if (requirementKey(waiter.progress) === requirement) count += 1;
     }
     return count;
   }
@@ -273,10 +273,10 @@
 }
 
 /** Identifies requests that the same upstreams can serve. */
-function requirementKey({service, modelRequest}: RoutedRequest): string {
-  if (!modelRequest) return service;
-  const {model, adapter = ''} = modelRequest;
-  return `${service}/${model}/${adapter}`;
+function requirementKey({request, origin}: RoutedRequestProgress): string {
+  const {service, modelRequest} = request;
+  const {model = '', adapter = ''} = modelRequest ?? {};
+  return `${service}/${model}/${adapter}/${origin?.softwareVersion ?? ''}`;
 }
 
 /** Whether the left request is served before the right one. */
--- /dev/null
+++ b/packages/arbutustide-routing/src/proxy/stream_origin/recent_versions.ts
@@ -0,0 +1,45 @@
+import type {ProxyUpstream} from '../proxy_upstream.js';
+
+/** Versions of the software of each service's upstreams, also of former ones. */
+export class RecentVersions {
+  /** When each version was last seen, by service and version. */
+  private readonly seenAtByService = new Map<string, Map<string, number>>();
+
+  /** @param retentionMilliseconds longest time that a stream may last. */
+  constructor(private readonly retentionMilliseconds: () => number) {}
+
+  /**
+   * Records the versions of the upstreams that are listed now.
+   *
+   * @return services that have several versions from now on.
+   */
+  update(upstreams: Iterable<ProxyUpstream>): string[] {
+    const now = performance.now();
+    const countsBefore = new Map<string, number>();
+    for (const {description} of upstreams) {
+      const {service, softwareVersion} = description;
+      if (!countsBefore.has(service))
+        countsBefore.set(service, this.versionsOf(service).size);
+      const seenAt = this.seenAtByService.get(service) ?? new Map();
+      seenAt.set(softwareVersion, now);
+      this.seenAtByService.set(service, seenAt);
+    }
+    return [...countsBefore]
+      .filter(
+        ([service, count]) => count === 1 && this.versionsOf(service).size > 1,
+      )
+      .map(([service]) => service);
+  }
+
+  /** Versions that a stream which goes on now may have begun at. */
+  versionsOf(service: string): ReadonlySet<string> {
+    const seenAt = this.seenAtByService.get(service);
+    const oldest = performance.now() - this.retentionMilliseconds();
+    const versions = new Set<string>();
+    for (const [version, at] of seenAt ?? []) {
+      if (at >= oldest) versions.add(version);
+      else seenAt?.delete(version);
+    }
+    return versions;
+  }
+}
--- a/packages/arbutustide-scenarios/src/world/simulated_peer_transport.ts
+++ b/packages/arbutustide-scenarios/src/world/simulated_peer_transport.ts
@@ -1,10 +1,13 @@
 import type {
   ExchangeRequest,
   ExchangeResponse,
+  FindStreamOriginRequest,
+  FindStreamOriginResponse,
   HoldingRequest,
   PeerHandler,
   PeerTransport,
   PromisedHolding,
+  RecordStreamOriginsRequest,
   RequestTokenRequest,
   RequestTokenResponse,
   WatchRequest,
@@ -16,6 +19,7 @@
 import type {SimulatedProcess} from './simulated_process.js';
 
 import {
+  FindStreamOriginResponseSchema,
   PeerError,
   RequestTokenResponseSchema,
   WatchResponseSchema,
@@ -105,6 +109,27 @@
     );
   }
 
+  recordStreamOrigins(
+    peerUrl: string,
+    request: RecordStreamOriginsRequest,
+  ): Promise<Result<void, PeerError>> {
+    return this.callPeer(peerUrl, undefined, handler =>
+      handler.recordStreamOrigins(request),
+    );
+  }
+
+  async findStreamOrigin(
+    peerUrl: string,
+    request: FindStreamOriginRequest,
+  ): Promise<Result<FindStreamOriginResponse, PeerError>> {
+    const response = await this.callPeer(peerUrl, undefined, handler =>
+      handler.findStreamOrigin(request),
+    );
+    return response.map(fields =>
+      create(FindStreamOriginResponseSchema, fields),
+    );
+  }
+
   private async callPeer<T>(
     peerUrl: string,
     step: Step | undefined,
