--- /dev/null
+++ b/packages/arbutustide-node/src/__tests__/unit/stream_origin_cluster.ts
@@ -0,0 +1,188 @@
+import type {
+  ClusterNode,
+  FindStreamOriginRequest,
+  PeerTransport,
+  RecordStreamOriginsRequest,
+} from '@arbutustide/membership';
+import type {RoutedRequest} from '@arbutustide/routing';
+
+import {
+  FindStreamOriginRequestSchema,
+  FindStreamOriginResponseSchema,
+  NodeState,
+  PeerError,
+  RecordStreamOriginsRequestSchema,
+} from '@arbutustide/membership';
+import {ProxyUpstreamDirectory, UpstreamState} from '@arbutustide/routing';
+import {silentLogger} from '@arbutustide/telemetry';
+import {create, toBinary} from '@bufbuild/protobuf';
+import {Err, Ok} from 'ts-results';
+
+import {ClusterStreamOrigins} from '../../proxy/stream_origin/cluster_stream_origins.js';
+
+const LATENCY_MILLISECONDS = 6;
+const CALL_TIMEOUT_MILLISECONDS = 1_000;
+const STREAM_LIFETIME_MILLISECONDS = 30_000;
+const FAILURE_DOMAINS = 4;
+const SERVICE = 'service';
+
+/** One node with the upstreams that it has listed. */
+export class OriginNode {
+  readonly directory = new ProxyUpstreamDirectory();
+  readonly peerUrl: string;
+  readonly failureDomain: string;
+  origins: ClusterStreamOrigins;
+  isGone = false;
+  /** Bytes of the messages that this node has sent to peers. */
+  sentBytes = 0;
+  sentCalls = 0;
+
+  constructor(
+    private readonly cluster: OriginCluster,
+    readonly name: string,
+    index: number,
+  ) {
+    this.peerUrl = `http://${name}`;
+    this.failureDomain = `domain-${index % FAILURE_DOMAINS}`;
+    this.origins = this.createOrigins();
+  }
+
+  /** Lists upstreams of these versions, and no others. */
+  listVersions(...versions: readonly string[]): void {
+    for (const {id} of [...this.directory.all()]) this.directory.remove(id);
+    for (const softwareVersion of versions) {
+      this.directory.upsert({
+        id: `upstream-${softwareVersion}`,
+        service: SERVICE,
+        address: '10.0.0.1:80',
+        failureDomain: 'domain-0',
+        softwareVersion,
+        state: UpstreamState.READY,
+        slots: 64,
+        startedAt: 1,
+        models: [],
+        modelsInMemory: [],
+        modelsOnDisk: [],
+      });
+    }
+    this.origins.updateVersions();
+  }
+
+  /** Replaces the process, which then knows no stream. */
+  restart(): void {
+    this.origins = this.createOrigins();
+    this.origins.updateVersions();
+  }
+
+  begin(requestId: string, softwareVersion: string): void {
+    const request = {requestId, service: SERVICE} as RoutedRequest;
+    this.origins.recordBegun(request, {service: SERVICE, softwareVersion});
+  }
+
+  resume(resumedRequestId: string | undefined) {
+    return this.origins.resolve({
+      service: SERVICE,
+      resumedRequestId,
+    } as RoutedRequest);
+  }
+
+  toClusterNode(): ClusterNode {
+    return {
+      identity: this.name,
+      name: this.name,
+      peerUrl: this.peerUrl,
+      region: 'region',
+      failureDomain: this.failureDomain,
+      state: NodeState.READY,
+      catalogueRevision: 1,
+      plannerEpoch: 0,
+    };
+  }
+
+  private createOrigins(): ClusterStreamOrigins {
+    const {cluster} = this;
+    return new ClusterStreamOrigins({
+      ownUrl: this.peerUrl,
+      listNodes: () => cluster.visibleNodes(),
+      directory: this.directory,
+      transport: {
+        recordStreamOrigins: async (
+          url: string,
+          request: RecordStreamOriginsRequest,
+        ) => {
+          this.countSent(
+            toBinary(RecordStreamOriginsRequestSchema, request).length,
+          );
+          return cluster.call(url, node => node.origins.handleRecords(request));
+        },
+        findStreamOrigin: async (
+          url: string,
+          request: FindStreamOriginRequest,
+        ) => {
+          this.countSent(
+            toBinary(FindStreamOriginRequestSchema, request).length,
+          );
+          return cluster.call(url, node =>
+            create(
+              FindStreamOriginResponseSchema,
+              node.origins.handleFind(request),
+            ),
+          );
+        },
+      } as unknown as PeerTransport,
+      streamLifetimeMilliseconds: () => STREAM_LIFETIME_MILLISECONDS,
+      logger: silentLogger(),
+    });
+  }
+
+  private countSent(bytes: number): void {
+    this.sentBytes += bytes;
+    this.sentCalls += 1;
+  }
+}
+
+/** Nodes that remember where streams began, on a simulated network. */
+export class OriginCluster {
+  readonly nodes: OriginNode[];
+  private readonly hidden = new Set<OriginNode>();
+
+  constructor(nodeCount: number) {
+    this.nodes = Array.from(
+      {length: nodeCount},
+      (_, index) => new OriginNode(this, `node-${index}`, index),
+    );
+  }
+
+  visibleNodes(): ClusterNode[] {
+    return this.nodes
+      .filter(node => !this.hidden.has(node))
+      .map(node => node.toClusterNode());
+  }
+
+  listVersions(...versions: readonly string[]): void {
+    for (const node of this.nodes) node.listVersions(...versions);
+  }
+
+  /** Removes nodes that have ended from the members that the others see. */
+  expireGoneNodes(): void {
+    for (const node of this.nodes) {
+      if (node.isGone) this.hidden.add(node);
+    }
+  }
+
+  async call<T>(peerUrl: string, handle: (node: OriginNode) => T) {
+    const callee = this.nodes.find(node => node.peerUrl === peerUrl);
+    await pause(LATENCY_MILLISECONDS);
+    if (!callee || callee.isGone) {
+      await pause(CALL_TIMEOUT_MILLISECONDS);
+      return Err(new PeerError(peerUrl, 'no answer'));
+    }
+    const response = handle(callee);
+    await pause(LATENCY_MILLISECONDS);
+    return Ok(response);
+  }
+}
+
+function pause(milliseconds: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
