Bound the wait of a new node for origins while one version serves

A node younger than the longest stream asks its peers even if it knows one version only. A silent peer then kept the caller of a resumed stream waiting for the whole timeout of a call, 1 s; now 250 ms, as the question is a precaution. The test failed before.

--- a/packages/arbutustide-node/src/__tests__/unit/stream_origins_over_nodes.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/stream_origins_over_nodes.test.ts
@@ -141,6 +141,20 @@
     expect(await resumeAt(cluster, 0, 'unknown')).to.equal(undefined);
   });
 
+  it('do not keep callers waiting for silent nodes while one version serves', async () => {
+    const cluster = new OriginCluster(7);
+    cluster.listVersions('v1');
+    const [restarted, ...others] = cluster.nodes;
+    restarted.restart();
+    for (const node of others) node.isGone = true;
+    let resolved: ResolvedOrigin | undefined;
+    void restarted.resume('unknown').then(origin => {
+      resolved = origin;
+    });
+    await clock.tickAsync(300);
+    expect(resolved && softwareVersionOf(resolved)).to.equal('v1');
+  });
+
   it('are unknown after all nodes have started again, and new streams are known', async () => {
     const cluster = new OriginCluster(7);
     cluster.listVersions(...VERSIONS);
--- a/packages/arbutustide-node/src/proxy/stream_origin/cluster_stream_origins.ts
+++ b/packages/arbutustide-node/src/proxy/stream_origin/cluster_stream_origins.ts
@@ -16,6 +16,7 @@
 } from '@arbutustide/routing';
 import type {NodeLogger} from '@arbutustide/telemetry';
 
+import {delay} from '@arbutustide/errors';
 import {FindStreamOriginRequestSchema} from '@arbutustide/membership';
 import {
   RecentVersions,
@@ -27,6 +28,13 @@
 import {ASKED_KEEPERS, chooseOriginKeepers} from './choose_origin_keepers.js';
 import {OriginRecorder} from './origin_recorder.js';
 
+/**
+ * How long keepers are waited for while this node knows of one version only and
+ * asks just because it is new. Callers give a stream up after some seconds
+ * without an event.
+ */
+const PRECAUTION_MILLISECONDS = 250;
+
 /** Dependencies of the origins of streams. */
 export interface ClusterStreamOriginsOptions {
   /** URL at which peers reach this node. */
@@ -150,9 +158,14 @@
         softwareVersion: response.softwareVersion,
       };
     };
-    const origin = await Promise.any(keepers.map(findAt)).catch(
-      () => undefined,
-    );
+    const answer = Promise.any(keepers.map(findAt)).catch(() => undefined);
+    const isMixed = ownVersions.size > 1;
+    const origin = isMixed
+      ? await answer
+      : await Promise.race([
+          answer,
+          delay(PRECAUTION_MILLISECONDS).then(() => undefined),
+        ]);
     return {origin, recentVersions};
   }
 
