End a rate limit only by an answer to a request that ran

A rejection without the header ended the limit, and a rejection may come from another process or name less than an answer does; told nodes would then send without tokens. The test failed before. Besides, an upstream with a high limit that others could spare was asked for ten tokens a second over all nodes at most; now up to its limit.

--- a/packages/arbutustide-node/src/proxy/rate_limit/token_requester.ts
+++ b/packages/arbutustide-node/src/proxy/rate_limit/token_requester.ts
@@ -13,10 +13,12 @@
 /** Least time between two requests to an issuer, for each node. */
 const REQUEST_INTERVAL_PER_NODE_MILLISECONDS = 20;
 /**
- * The same while other upstreams can take the requests. Shows when a limit has
- * ended.
+ * Requests for tokens per second, over all nodes, while other upstreams can take
+ * what the upstream does not get; more if its limit is higher. They show when a
+ * limit has ended.
  */
-const OPTIONAL_REQUEST_INTERVAL_PER_NODE_MILLISECONDS = 100;
+const OPTIONAL_REQUESTS_PER_SECOND = 10;
+const MILLISECONDS_PER_SECOND = 1_000;
 /** Time until the next request after one that no issuer answered. */
 const FAILURE_RETRY_MILLISECONDS = 500;
 
@@ -52,11 +54,12 @@
     const {id, rateLimit} = upstream;
     if (!rateLimit.isTokenRequestDue || this.pendingIds.has(id)) return;
     const now = performance.now();
-    const optionalAt =
-      (this.requestedAtById.get(id) ?? -Infinity) +
-      OPTIONAL_REQUEST_INTERVAL_PER_NODE_MILLISECONDS *
-        this.options.countNodes();
-    if (!isNeeded && now < optionalAt) return;
+    const requestedAt = this.requestedAtById.get(id) ?? -Infinity;
+    if (
+      !isNeeded &&
+      now < requestedAt + this.optionalIntervalMilliseconds(upstream)
+    )
+      return;
     this.requestedAtById.set(id, now);
     this.pendingIds.add(id);
     void this.exchange(upstream, true).finally(() =>
@@ -69,6 +72,16 @@
     void this.exchange(upstream, false);
   }
 
+  /** Time between two requests of this node that it could do without. */
+  private optionalIntervalMilliseconds({rateLimit}: ProxyUpstream): number {
+    const {requestsPerSecond = 0} = rateLimit.observation;
+    const ofAllNodes = Math.max(
+      OPTIONAL_REQUESTS_PER_SECOND,
+      requestsPerSecond,
+    );
+    return (MILLISECONDS_PER_SECOND * this.options.countNodes()) / ofAllNodes;
+  }
+
   private async exchange(
     upstream: ProxyUpstream,
     wantsToken: boolean,
--- a/packages/arbutustide-routing/src/__tests__/unit/upstream_rate_limit.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/upstream_rate_limit.test.ts
@@ -184,6 +184,17 @@
       ...grantToken(),
       observation: rateLimit.observation,
     });
+    // A rejection tells nothing of it.
+    const rejected: AttemptScript = () =>
+      respondWith({status: 503, isNotRun: true});
+    const refused = dispatch(RequestKind.NON_IDEMPOTENT, rejected).result;
+    await clock.tickAsync(5_001);
+    await refused;
+    expect(rateLimit.isLimited).to.equal(true);
+    rateLimit.recordTokenResponse({
+      ...grantToken(),
+      observation: rateLimit.observation,
+    });
     await dispatch(RequestKind.IDEMPOTENT, whole).result;
     expect(rateLimit.isLimited).to.equal(false);
   });
--- a/packages/arbutustide-routing/src/proxy/run_attempt.ts
+++ b/packages/arbutustide-routing/src/proxy/run_attempt.ts
@@ -73,7 +73,7 @@
   context.onSignals(
     slot.upstream,
     head,
-    isByUpstream(head) ? sentAtMilliseconds : undefined,
+    isRunByUpstream(head) ? sentAtMilliseconds : undefined,
   );
   const outcome = classifyResponseHead(head);
   const isStreamed = head.isEventStream && outcome === AttemptOutcome.ANSWERED;
@@ -88,9 +88,12 @@
   }
 }
 
-/** Whether the upstream itself, and not another process, wrote the answer. */
-function isByUpstream(head: UpstreamResponseHead): boolean {
-  return (head.isSigned || head.isNotRun) && !head.isOtherInstance;
+/**
+ * Whether the upstream has run the request, so that its answer tells whether it
+ * still names a limit. A rejection may come from another process.
+ */
+function isRunByUpstream(head: UpstreamResponseHead): boolean {
+  return head.isSigned && !head.isNotRun && !head.isOtherInstance;
 }
 
 /** Result of an attempt whose body was truncated. */
