Wait for the origin of a stream no longer than for its request

A request whose caller had left, or whose deadline had passed, waited for the peers that were asked for its stream's origin, up to 1 s. It is now answered at once; the test failed by its timeout before.

--- a/packages/arbutustide-routing/src/__tests__/unit/stream_origin.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/stream_origin.test.ts
@@ -176,6 +176,26 @@
     });
   }
 
+  it('is not waited for beyond the deadline', async () => {
+    const connector = new ScriptedConnector([]);
+    const origins = new ScriptedOrigins();
+    origins.resolve = () => new Promise(() => {});
+    const dispatcher = createDispatcher(
+      connector,
+      () => [upstreamOf('one', 'v1')],
+      () => {},
+      origins,
+    );
+    const request = createRequest(RequestKind.STREAM, true);
+    const pending = dispatcher.dispatch({...request, lastEventId: 2});
+    await clock.tickAsync(5_001);
+    const result = await pending;
+    expect(result.err && result.val.kind).to.equal(
+      ErrorKind.DEADLINE_UNREACHABLE,
+    );
+    expect(result.err && result.val.ran).to.equal(ExecutionStatus.NOT_EXECUTED);
+  });
+
   it('is known without a record only while one version was there', () => {
     const resolve = (...versions: string[]) =>
       resolveOrigin('service', {
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -1,3 +1,4 @@
+import type {RefusalError} from '@arbutustide/errors';
 import type {Result} from 'ts-results';
 
 import type {AttemptResult} from './run_attempt.js';
@@ -17,7 +18,7 @@
 import type {RoutedRequest} from './routed_request.js';
 import type {StreamOrigins} from './stream_origin/stream_origin.js';
 
-import {Cancellation, ErrorKind, RefusalError} from '@arbutustide/errors';
+import {Cancellation} from '@arbutustide/errors';
 import {AttemptFailure} from '@arbutustide/upstream';
 import {Err, Ok} from 'ts-results';
 
@@ -27,6 +28,12 @@
 import {runAttempt} from './run_attempt.js';
 import {DecisionRecorder} from './decision_recorder.js';
 import {ranSoFar, remainingMilliseconds} from './routed_request_progress.js';
+import {
+  cancelledRefusal,
+  CancelReason,
+  failedAttemptRefusal,
+  unknownOriginRefusal,
+} from './proxy_refusals.js';
 import {ProxyEventStream} from './proxy_event_stream.js';
 import {isRepeatable} from './route.js';
 import {fingerprintRoutedRequest} from './routed_request.js';
@@ -54,15 +61,6 @@
 type AnswerOrRefusal = Promise<Result<ProxyAnswer, RefusalError>>;
 type AttemptOrRefusal = Promise<Result<AttemptResult, RefusalError>>;
 
-/** Why this node aborted a request. */
-enum CancelReason {
-  CALLER_GONE = 'the caller went away',
-  DEADLINE = 'the deadline has passed',
-}
-
-/** Time until nodes know which upstreams can serve the request. */
-const NOT_RUN_RETRY_AFTER_MILLISECONDS = 300;
-
 /** What a failed attempt tells of whether its upstream survived it. */
 const CRASH_EVIDENCE_BY_FAILURE: Readonly<
   Record<AttemptFailure, (observed: ObservedAttempt | undefined) => void>
@@ -74,14 +72,6 @@
   [AttemptFailure.PROTOCOL_VIOLATION]: () => {},
 };
 
-const REFUSAL_KIND_BY_FAILURE: Readonly<Record<AttemptFailure, ErrorKind>> = {
-  [AttemptFailure.NOT_CONNECTED]: ErrorKind.UPSTREAM_UNREACHABLE,
-  [AttemptFailure.CONNECTION_LOST]: ErrorKind.UPSTREAM_BROKEN,
-  [AttemptFailure.INACTIVITY_TIMEOUT]: ErrorKind.UPSTREAM_TIMED_OUT,
-  [AttemptFailure.CANCELLED]: ErrorKind.UPSTREAM_TIMED_OUT,
-  [AttemptFailure.PROTOCOL_VIOLATION]: ErrorKind.ANSWER_INCOMPLETE,
-};
-
 /**
  * Sends routed requests to upstreams, with retries, until each is answered or
  * refused. A refusal states whether the request may have run.
@@ -146,7 +136,11 @@
   ): Promise<RefusalError | undefined> {
     const {request} = progress;
     if (request.lastEventId === undefined) return undefined;
-    const resolved = await this.options.streamOrigins.resolve(request);
+    const resolved = await Promise.race([
+      this.options.streamOrigins.resolve(request),
+      untilCancelled(progress),
+    ]);
+    if (!resolved) return cancelledRefusal(progress);
     if (resolved.knowledge === OriginKnowledge.UNKNOWN)
       return unknownOriginRefusal(request);
     if (resolved.knowledge === OriginKnowledge.KNOWN)
@@ -186,7 +180,7 @@
       };
       if (isRetryAllowed(progress, attempt.outcome, budget)) continue;
       if (lastFailure?.body) return Ok(lastFailure);
-      return Err(createRefusal(progress, attempt));
+      return Err(failedAttemptRefusal(progress, attempt));
     }
   }
 
@@ -342,11 +336,12 @@
   }
 }
 
-function unknownOriginRefusal({service}: RoutedRequest): RefusalError {
-  return new RefusalError(
-    ErrorKind.STREAM_NOT_RESUMABLE,
-    `the upstreams of ${service} have several software versions, and it is unknown at which the stream began`,
-  );
+function untilCancelled({
+  cancellation,
+}: RoutedRequestProgress): Promise<undefined> {
+  return new Promise(resolve => {
+    cancellation.onCancel(() => resolve(undefined));
+  });
 }
 
 /**
@@ -370,25 +365,3 @@
     removeCancelListener();
   };
 }
-
-function createRefusal(
-  progress: RoutedRequestProgress,
-  attempt: AttemptResult,
-): RefusalError {
-  const {request} = progress;
-  const ran = ranSoFar(progress);
-  if (request.disconnection.isCancelled) {
-    return new RefusalError(ErrorKind.CALLER_GONE, 'the caller went away', {
-      ran,
-    });
-  }
-  if (attempt.error) {
-    const kind = REFUSAL_KIND_BY_FAILURE[attempt.error.failure];
-    return new RefusalError(kind, attempt.error.message, {ran});
-  }
-  return new RefusalError(
-    ErrorKind.UPSTREAM_UNREACHABLE,
-    `${request.service} did not serve the request: outcome ${attempt.outcome}`,
-    {ran, retryAfterMilliseconds: NOT_RUN_RETRY_AFTER_MILLISECONDS},
-  );
-}
--- /dev/null
+++ b/packages/arbutustide-routing/src/proxy/proxy_refusals.ts
@@ -0,0 +1,66 @@
+import type {AttemptResult} from './run_attempt.js';
+import type {RoutedRequest} from './routed_request.js';
+import type {RoutedRequestProgress} from './routed_request_progress.js';
+
+import {ErrorKind, ExecutionStatus, RefusalError} from '@arbutustide/errors';
+import {AttemptFailure} from '@arbutustide/upstream';
+
+import {ranSoFar} from './routed_request_progress.js';
+
+/** Why this node aborted a request. */
+export enum CancelReason {
+  CALLER_GONE = 'the caller went away',
+  DEADLINE = 'the deadline has passed',
+}
+
+/** Time until nodes know which upstreams can serve the request. */
+const NOT_RUN_RETRY_AFTER_MILLISECONDS = 300;
+
+const REFUSAL_KIND_BY_FAILURE: Readonly<Record<AttemptFailure, ErrorKind>> = {
+  [AttemptFailure.NOT_CONNECTED]: ErrorKind.UPSTREAM_UNREACHABLE,
+  [AttemptFailure.CONNECTION_LOST]: ErrorKind.UPSTREAM_BROKEN,
+  [AttemptFailure.INACTIVITY_TIMEOUT]: ErrorKind.UPSTREAM_TIMED_OUT,
+  [AttemptFailure.CANCELLED]: ErrorKind.UPSTREAM_TIMED_OUT,
+  [AttemptFailure.PROTOCOL_VIOLATION]: ErrorKind.ANSWER_INCOMPLETE,
+};
+
+/** Refuses a request whose last attempt was not answered. */
+export function failedAttemptRefusal(
+  progress: RoutedRequestProgress,
+  attempt: AttemptResult,
+): RefusalError {
+  const {request} = progress;
+  const ran = ranSoFar(progress);
+  if (request.disconnection.isCancelled) {
+    return new RefusalError(ErrorKind.CALLER_GONE, CancelReason.CALLER_GONE, {
+      ran,
+    });
+  }
+  if (attempt.error) {
+    const kind = REFUSAL_KIND_BY_FAILURE[attempt.error.failure];
+    return new RefusalError(kind, attempt.error.message, {ran});
+  }
+  return new RefusalError(
+    ErrorKind.UPSTREAM_UNREACHABLE,
+    `${request.service} did not serve the request: outcome ${attempt.outcome}`,
+    {ran, retryAfterMilliseconds: NOT_RUN_RETRY_AFTER_MILLISECONDS},
+  );
+}
+
+/** Refuses a request that was cancelled before it was sent. */
+export function cancelledRefusal({
+  request,
+}: RoutedRequestProgress): RefusalError {
+  const [kind, message] = request.disconnection.isCancelled
+    ? [ErrorKind.CALLER_GONE, CancelReason.CALLER_GONE]
+    : [ErrorKind.DEADLINE_UNREACHABLE, CancelReason.DEADLINE];
+  return new RefusalError(kind, message, {ran: ExecutionStatus.NOT_EXECUTED});
+}
+
+/** Refuses to resume a stream that may have begun at another version. */
+export function unknownOriginRefusal({service}: RoutedRequest): RefusalError {
+  return new RefusalError(
+    ErrorKind.STREAM_NOT_RESUMABLE,
+    `the upstreams of ${service} have several software versions, and it is unknown at which the stream began`,
+  );
+}
