Let a resumed stream wait for its model while one version serves

The fix before bound each resumed stream to the version that began it and refused it at once where no upstream of that version held its model, also where the service has one version only and the planner could load the model in time: 503 instead of the rest of the stream. A version is now required of the planner only while upstreams of the service differ in it.

--- a/packages/arbutustide-node/src/proxy/create_slot_queue.ts
+++ b/packages/arbutustide-node/src/proxy/create_slot_queue.ts
@@ -1,4 +1,8 @@
-import type {RoutedRequestProgress, UpstreamChoice} from '@arbutustide/routing';
+import type {
+  ProxyUpstreamDirectory,
+  RoutedRequestProgress,
+  UpstreamChoice,
+} from '@arbutustide/routing';
 
 import type {ProxyDependencies} from './proxy_dependencies.js';
 import type {ProxySettings} from './proxy_settings.js';
@@ -35,12 +39,18 @@
         ),
       ];
       if (reason === NoUpstreamReason.NOT_HELD) {
-        if (!modelRequest || !canGetHolding(progress, upstreams))
-          return undefined;
+        const softwareVersion = findRequiredVersion(
+          progress,
+          upstreamDirectory,
+        );
+        const isLoadable =
+          softwareVersion === undefined ||
+          lacksOnlyAdapter(progress, upstreams);
+        if (!modelRequest || !isLoadable) return undefined;
         return holdingRequester.expectedWaitMilliseconds(
           service,
           modelRequest,
-          progress.origin?.softwareVersion,
+          softwareVersion,
         );
       }
       return Math.max(
@@ -49,9 +59,10 @@
       );
     },
     minimumServiceMilliseconds: () => tuning.MINIMUM_SERVICE_MILLISECONDS,
-    onNotHeld: ({request: {service, modelRequest}, origin}) => {
+    onNotHeld: progress => {
+      const {service, modelRequest} = progress.request;
       if (!modelRequest) return;
-      const softwareVersion = origin?.softwareVersion;
+      const softwareVersion = findRequiredVersion(progress, upstreamDirectory);
       holdingRequester.requestHolding(service, modelRequest, softwareVersion);
     },
     observer: container.resolve(ProxyToken.DEMAND_COUNTER),
@@ -59,19 +70,34 @@
 }
 
 /**
- * Whether an upstream may come to hold what the request needs in time. A stream
- * that goes on at one software version cannot wait until a model is loaded; an
- * adapter is loaded in milliseconds.
+ * The software version that an upstream must have to get what a stream needs;
+ * undefined if any will do, as all upstreams of the service have the same.
+ */
+function findRequiredVersion(
+  {request: {service}, origin}: RoutedRequestProgress,
+  upstreamDirectory: ProxyUpstreamDirectory,
+): string | undefined {
+  if (!origin) return undefined;
+  const {softwareVersion} = origin;
+  for (const {description} of upstreamDirectory.listByService(service)) {
+    if (description.softwareVersion !== softwareVersion) return softwareVersion;
+  }
+  return undefined;
+}
+
+/**
+ * Whether one of the upstreams lacks at most the adapter that a request needs.
+ * It is loaded in milliseconds; for a model, a stream of one of several versions
+ * cannot wait, as the planner does not load models by version.
  */
-function canGetHolding(
-  {request: {modelRequest}, origin}: RoutedRequestProgress,
+function lacksOnlyAdapter(
+  {request: {modelRequest}}: RoutedRequestProgress,
   upstreams: readonly ProxyUpstream[],
 ): boolean {
-  if (!origin || !modelRequest) return true;
-  const {model, adapter} = modelRequest;
-  return (
-    adapter !== undefined &&
-    upstreams.some(upstream => upstream.isReady && upstream.holdsModel(model))
+  if (modelRequest?.adapter === undefined) return false;
+  const {model} = modelRequest;
+  return upstreams.some(
+    upstream => upstream.isReady && upstream.holdsModel(model),
   );
 }
 
