--- a/packages/arbutustide-scenarios/src/processes/process_cluster.ts
+++ b/packages/arbutustide-scenarios/src/processes/process_cluster.ts
@@ -77,6 +77,14 @@
     return this.hostList.url;
   }
 
+  /** The latest output of each process that has ended by itself. */
+  *unexpectedEnds(): Generator<string> {
+    for (const {name, hasEndedByItself, outputLines} of this.startedProcesses) {
+      if (hasEndedByItself)
+        yield `process ${name} has ended by itself:\n${outputLines.join('\n')}`;
+    }
+  }
+
   /** Starts the object API, the host list and the weight store. */
   async startPlatform(hostListLagMilliseconds = 200): Promise<void> {
     [this.objectApi, this.hostList, this.weightStore] = await Promise.all([
--- a/packages/arbutustide-scenarios/src/processes/program_process.ts
+++ b/packages/arbutustide-scenarios/src/processes/program_process.ts
@@ -15,6 +15,7 @@
   private readonly child: ChildProcess;
   private readonly standardOutputReader: Interface;
   private readonly exitCode: Promise<number | null>;
+  private hasBeenSignalled = false;
 
   constructor(
     readonly name: string,
@@ -40,7 +41,13 @@
     return this.child.exitCode === null && this.child.signalCode === null;
   }
 
+  /** Whether the process has ended although nobody told it to. */
+  get hasEndedByItself(): boolean {
+    return !this.isRunning && !this.hasBeenSignalled;
+  }
+
   sendSignal(name: NodeJS.Signals): void {
+    this.hasBeenSignalled = true;
     this.child.kill(name);
   }
 
--- a/packages/arbutustide-scenarios/src/soak_main.ts
+++ b/packages/arbutustide-scenarios/src/soak_main.ts
@@ -48,6 +48,8 @@
   try {
     await runSoak(cluster, report, Number(minutes), seed);
   } finally {
+    for (const text of cluster.unexpectedEnds())
+      process.stderr.write(`${text}\n`);
     await cluster.stop();
   }
   process.stdout.write(`seed: ${seed}\n${formatSoakReport(report)}\n`);
