--- a/packages/arbutustide-errors/src/answer_table.ts
+++ b/packages/arbutustide-errors/src/answer_table.ts
@@ -47,6 +47,8 @@
   [ErrorKind.KEY_REUSED]: fixRequestRow(422),
   [ErrorKind.NOT_READY]: retryLaterRow(503, 1_000),
   [ErrorKind.QUEUE_FULL]: retryLaterRow(429, 1_000),
+  [ErrorKind.QUOTA_EXCEEDED]: retryLaterRow(429, 1_000),
+  [ErrorKind.CONFIGURATION_UNCONFIRMED]: retryLaterRow(503, 500),
   [ErrorKind.DEADLINE_UNREACHABLE]: retryLaterRow(503, 2_000),
   [ErrorKind.NO_REPLICA]: retryLaterRow(503, 2_000),
   [ErrorKind.STORE_UNAVAILABLE]: retryLaterRow(503, 5_000),
--- a/packages/arbutustide-errors/src/error_kind.ts
+++ b/packages/arbutustide-errors/src/error_kind.ts
@@ -17,6 +17,8 @@
   KEY_REUSED = 'idempotency_key_reused',
   NOT_READY = 'not_ready',
   QUEUE_FULL = 'queue_full',
+  QUOTA_EXCEEDED = 'quota_exceeded',
+  CONFIGURATION_UNCONFIRMED = 'configuration_unconfirmed',
   DEADLINE_UNREACHABLE = 'deadline_unreachable',
   NO_REPLICA = 'no_replica',
   STORE_UNAVAILABLE = 'store_unavailable',
--- a/packages/arbutustide-membership/src/connect_peer_server.ts
+++ b/packages/arbutustide-membership/src/connect_peer_server.ts
@@ -45,6 +45,9 @@
           relayRequest: (request, {signal}) =>
             handler().relayRequest(request, signal),
           findStreamOrigin: request => handler().findStreamOrigin(request),
+          confirmConfiguration: request =>
+            handler().confirmConfiguration(request),
+          leaseQuota: request => handler().leaseQuota(request),
           requestToken: request => {
             const response = handler().issueToken(request);
             return response ? {isIssuer: true, ...response} : {isIssuer: false};
--- a/packages/arbutustide-membership/src/connect_peer_transport.ts
+++ b/packages/arbutustide-membership/src/connect_peer_transport.ts
@@ -2,11 +2,15 @@
 import type {Result} from 'ts-results';
 
 import type {
+  ConfirmConfigurationRequest,
+  ConfirmConfigurationResponse,
   ExchangeRequest,
   ExchangeResponse,
   FindStreamOriginRequest,
   FindStreamOriginResponse,
   HoldingRequest,
+  LeaseQuotaRequest,
+  LeaseQuotaResponse,
   RecordStreamOriginsRequest,
   RelayRequestRequest,
   RelayRequestResponse,
@@ -131,6 +135,24 @@
     );
   }
 
+  confirmConfiguration(
+    peerUrl: string,
+    request: ConfirmConfigurationRequest,
+  ): Promise<Result<ConfirmConfigurationResponse, PeerError>> {
+    return this.call(peerUrl, client =>
+      client.confirmConfiguration(request, this.callOptions()),
+    );
+  }
+
+  leaseQuota(
+    peerUrl: string,
+    request: LeaseQuotaRequest,
+  ): Promise<Result<LeaseQuotaResponse, PeerError>> {
+    return this.call(peerUrl, client =>
+      client.leaseQuota(request, this.callOptions()),
+    );
+  }
+
   async *relayRequest(
     peerUrl: string,
     request: RelayRequestRequest,
--- a/packages/arbutustide-membership/src/index.ts
+++ b/packages/arbutustide-membership/src/index.ts
@@ -6,13 +6,19 @@
   PeerRateLimit,
 } from './cluster_view.js';
 export type {
+  ConfirmConfigurationRequest,
+  ConfirmConfigurationResponse,
   ExchangeRequest,
   ExchangeResponse,
   FindStreamOriginRequest,
   FindStreamOriginResponse,
   HoldingRequest,
+  LeaseQuotaRequest,
+  LeaseQuotaResponse,
   NodeStatus,
   LostUpstreams,
+  QuotaClaim,
+  QuotaGrant,
   RecordStreamOriginsRequest,
   RelayRequestRequest,
   RelayRequestResponse,
@@ -28,6 +34,8 @@
 export type {MemberRecord} from './member_record.js';
 export type {FieldValue} from './own_record.js';
 export type {
+  ConfirmConfigurationResponseFields,
+  LeaseQuotaResponseFields,
   PeerHandler,
   PeerTransport,
   FindStreamOriginResponseFields,
@@ -42,12 +50,16 @@
 export {ConnectPeerTransport} from './connect_peer_transport.js';
 export {
   BrittleServiceSchema,
+  ConfirmConfigurationRequestSchema,
+  ConfirmConfigurationResponseSchema,
   EntryDemandSchema,
   ExchangeRequestSchema,
   ExchangeResponseSchema,
   FindStreamOriginRequestSchema,
   FindStreamOriginResponseSchema,
   HoldingRequestSchema,
+  LeaseQuotaRequestSchema,
+  LeaseQuotaResponseSchema,
   LostRequestsSchema,
   LostUpstreamsSchema,
   NodeState,
--- a/packages/arbutustide-membership/src/peer_transport.ts
+++ b/packages/arbutustide-membership/src/peer_transport.ts
@@ -2,12 +2,18 @@
 import type {Result} from 'ts-results';
 
 import type {
+  ConfirmConfigurationRequest,
+  ConfirmConfigurationResponse,
+  ConfirmConfigurationResponseSchema,
   ExchangeRequest,
   ExchangeResponse,
   FindStreamOriginRequest,
   FindStreamOriginResponse,
   FindStreamOriginResponseSchema,
   HoldingRequest,
+  LeaseQuotaRequest,
+  LeaseQuotaResponse,
+  LeaseQuotaResponseSchema,
   RecordStreamOriginsRequest,
   RelayRequestRequest,
   RelayRequestResponse,
@@ -92,6 +98,16 @@
     peerUrl: string,
     request: FindStreamOriginRequest,
   ): Promise<Result<FindStreamOriginResponse, PeerError>>;
+  /** Asks a peer how recently it confirmed the configuration in force. */
+  confirmConfiguration(
+    peerUrl: string,
+    request: ConfirmConfigurationRequest,
+  ): Promise<Result<ConfirmConfigurationResponse, PeerError>>;
+  /** Asks the issuer of teams' quotas for leases on tokens. */
+  leaseQuota(
+    peerUrl: string,
+    request: LeaseQuotaRequest,
+  ): Promise<Result<LeaseQuotaResponse, PeerError>>;
   /**
    * Has a peer pass a caller's request on. The iteration throws a PeerError if
    * the peer does not answer or its answer breaks off.
@@ -123,6 +139,18 @@
   '$typeName'
 >;
 
+/** How recently this node confirmed the configuration in force. */
+export type ConfirmConfigurationResponseFields = Omit<
+  MessageInitShape<typeof ConfirmConfigurationResponseSchema>,
+  '$typeName'
+>;
+
+/** Grants for the claims of a peer. */
+export type LeaseQuotaResponseFields = Omit<
+  MessageInitShape<typeof LeaseQuotaResponseSchema>,
+  '$typeName'
+>;
+
 /** A part of the answer to a request that a peer has passed to this node. */
 export type RelayResponsePart = MessageInitShape<
   typeof RelayRequestResponseSchema
@@ -152,6 +180,10 @@
   findStreamOrigin(
     request: FindStreamOriginRequest,
   ): FindStreamOriginResponseFields;
+  confirmConfiguration(
+    request: ConfirmConfigurationRequest,
+  ): ConfirmConfigurationResponseFields;
+  leaseQuota(request: LeaseQuotaRequest): LeaseQuotaResponseFields;
   /**
    * Passes a request on for a peer that cannot reach the upstreams.
    *
--- a/packages/arbutustide-node/src/__tests__/integration/lease_holder_probe.test.ts
+++ b/packages/arbutustide-node/src/__tests__/integration/lease_holder_probe.test.ts
@@ -51,6 +51,8 @@
     recordStreamOrigins: () => {},
     relayRequest: async function* () {},
     findStreamOrigin: () => ({isKnown: false}),
+    confirmConfiguration: () => ({isKnown: false}),
+    leaseQuota: () => ({grants: []}),
   };
 }
 
--- a/packages/arbutustide-node/src/__tests__/integration/relay_cancellation.test.ts
+++ b/packages/arbutustide-node/src/__tests__/integration/relay_cancellation.test.ts
@@ -38,6 +38,7 @@
   const now = performance.now();
   return {
     requestId: 'request',
+    team: undefined,
     route: {
       name: 'route',
       host: 'host.example',
@@ -50,6 +51,7 @@
       priority: 1,
       maximumAttempts: 2,
       isResumable: true,
+      isPublic: false,
     },
     service: 'service',
     configurationVersion: 1,
--- a/packages/arbutustide-node/src/__tests__/unit/configuration_watcher.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/configuration_watcher.test.ts
@@ -42,6 +42,7 @@
             routes: [],
             services: new Map(),
             limits: LIMITS,
+            teams: undefined,
           };
           return Ok(configuration);
         },
--- a/packages/arbutustide-node/src/__tests__/unit/request_relay.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/request_relay.test.ts
@@ -47,6 +47,7 @@
   const now = performance.now();
   return {
     requestId: 'request-1',
+    team: undefined,
     route: {
       name: 'route',
       host: 'host.example',
@@ -59,6 +60,7 @@
       priority: 1,
       maximumAttempts: 2,
       isResumable: true,
+      isPublic: false,
     },
     service: 'service',
     configurationVersion: 7,
--- a/packages/arbutustide-node/src/node_core.ts
+++ b/packages/arbutustide-node/src/node_core.ts
@@ -2,7 +2,9 @@
 
 import type {CatalogueEntry, CatalogueSync} from '@arbutustide/catalogue';
 import type {
+  ConfirmConfigurationResponseFields,
   FindStreamOriginResponseFields,
+  LeaseQuotaResponseFields,
   ExchangeRequest,
   ExchangeResponse,
   PeerHandler,
@@ -185,6 +187,15 @@
     yield {part: {case: 'refusal', value: {kind, message: reason, ran}}};
   }
 
+  /** Teams and quotas exist on proxied routes only. */
+  confirmConfiguration(): ConfirmConfigurationResponseFields {
+    return {isKnown: false};
+  }
+
+  leaseQuota(): LeaseQuotaResponseFields {
+    return {grants: []};
+  }
+
   /** Upstreams on the project's own interface name no rate limits. */
   issueToken(): undefined {
     return undefined;
--- a/packages/arbutustide-node/src/proxy/proxy_peer_handler.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_peer_handler.ts
@@ -1,9 +1,11 @@
 import type {
+  ConfirmConfigurationResponseFields,
   ExchangeRequest,
   ExchangeResponse,
   FindStreamOriginRequest,
   FindStreamOriginResponseFields,
   HoldingRequest,
+  LeaseQuotaResponseFields,
   PeerHandler,
   PromisedHolding,
   RecordStreamOriginsRequest,
@@ -109,6 +111,14 @@
     this.container.resolve(ProxyToken.STREAM_ORIGINS).handleRecords(request);
   }
 
+  confirmConfiguration(): ConfirmConfigurationResponseFields {
+    return {isKnown: false};
+  }
+
+  leaseQuota(): LeaseQuotaResponseFields {
+    return {grants: []};
+  }
+
   findStreamOrigin(
     request: FindStreamOriginRequest,
   ): FindStreamOriginResponseFields {
--- a/packages/arbutustide-node/src/proxy/proxy_tokens.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tokens.ts
@@ -13,6 +13,7 @@
   PoisonRequestDetector,
   PoisonSegmentDetector,
   ReachabilityMonitor,
+  RequestGate,
   TokenIssuer,
   UpstreamSignalsHandler,
 } from '@arbutustide/routing';
@@ -46,6 +47,7 @@
     'fleet.signalsHandler' as InjectionToken<UpstreamSignalsHandler>,
   DEMAND_COUNTER: 'fleet.counter' as InjectionToken<DemandCounter>,
   RETRY_BUDGETS: 'fleet.budgets' as InjectionToken<ServiceRetryBudgets>,
+  REQUEST_GATE: 'fleet.requestGate' as InjectionToken<RequestGate>,
   REQUEST_QUEUE: 'fleet.queue' as InjectionToken<SlotQueue>,
   DISPATCHER: 'fleet.dispatcher' as InjectionToken<ProxyDispatcher>,
   MEMBER_TABLE: 'fleet.memberTable' as InjectionToken<MemberTable>,
--- a/packages/arbutustide-node/src/proxy/proxy_wiring.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_wiring.ts
@@ -21,6 +21,7 @@
 import {
   BrittleServices,
   DemandCounter,
+  OPEN_GATE,
   ProxyUpstreamDirectory,
   ProxyDispatcher,
   PoisonRequestDetector,
@@ -261,6 +262,7 @@
       tuning.INITIAL_NODE_COUNT,
     );
   });
+  register(ProxyToken.REQUEST_GATE, () => OPEN_GATE);
   register(ProxyToken.REQUEST_QUEUE, container =>
     createSlotQueue(container, dependencies),
   );
@@ -287,6 +289,7 @@
         ProxyToken.POISON_SEGMENT_DETECTOR,
       ),
       streamOrigins: container.resolve(ProxyToken.STREAM_ORIGINS),
+      gate: container.resolve(ProxyToken.REQUEST_GATE),
     });
   });
 }
--- a/packages/arbutustide-node/src/proxy/relay/relay_messages.ts
+++ b/packages/arbutustide-node/src/proxy/relay/relay_messages.ts
@@ -46,6 +46,7 @@
       maximumAttempts: route.maximumAttempts,
       isResumable: route.isResumable,
     },
+    team: request.team,
     service: request.service,
     configurationVersion: request.configurationVersion,
     method: request.method,
@@ -83,6 +84,11 @@
   return {
     requestId: message.requestId,
     route: decodeRoute(route, kind, service),
+    team: message.team && {
+      name: message.team.name,
+      priority: message.team.priority,
+      keyDigest: message.team.keyDigest,
+    },
     service,
     configurationVersion: message.configurationVersion,
     method: message.method,
@@ -169,6 +175,8 @@
     priority: route.priority,
     maximumAttempts: route.maximumAttempts,
     isResumable: route.isResumable,
+    // The node that has the request from its caller has checked the key.
+    isPublic: false,
   };
 }
 
--- /dev/null
+++ b/packages/arbutustide-quotas/src/index.ts
@@ -0,0 +1,2 @@
+/** Quotas of teams over all nodes. */
+export {};
--- a/packages/arbutustide-routing/src/__tests__/unit/proxy_decisions.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/proxy_decisions.test.ts
@@ -97,6 +97,7 @@
       headerTimeoutMilliseconds: 1,
       idleTimeoutMilliseconds: 1,
     },
+    teams: undefined,
   });
 
   it('matches the longest path prefix of the host', () => {
--- a/packages/arbutustide-routing/src/__tests__/unit/proxy_fixtures.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/proxy_fixtures.ts
@@ -21,6 +21,7 @@
     priority: 1,
     maximumAttempts: 2,
     isResumable: false,
+    isPublic: false,
     ...changes,
   };
 }
@@ -33,6 +34,7 @@
   return {
     requestId: 'request',
     route: testRoute(),
+    team: undefined,
     service: 'service',
     method: 'POST',
     requestTarget: '/path',
--- a/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
@@ -26,6 +26,7 @@
 } from '../../proxy/choose_upstream.js';
 import {ProxyDispatcher} from '../../proxy/proxy_dispatcher.js';
 import {NO_RELAY} from '../../proxy/relay/request_relay.js';
+import {OPEN_GATE} from '../../proxy/request_gate.js';
 import {SlotQueue} from '../../proxy/slot_queue.js';
 import type {RequestKind} from '../../proxy/route.js';
 import {UpstreamState} from '../../proxy/proxy_upstream.js';
@@ -176,6 +177,7 @@
     },
     onDecision,
     streamOrigins,
+    gate: OPEN_GATE,
     poisonRequestDetector: new PoisonRequestDetector(
       10_000,
       {crashes: () => 0, runsOtherSuspects: () => false},
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -51,6 +51,7 @@
 } from './proxy/crash_attribution/upstream_crash.js';
 export type {UpstreamProcess} from './proxy/departed_upstreams.js';
 export type {RequestDecision} from './proxy/request_decision.js';
+export type {GateAdmission, RequestGate} from './proxy/request_gate.js';
 export type {ProxyDispatcherOptions} from './proxy/proxy_dispatcher.js';
 export type {RoutedRequestProgress} from './proxy/routed_request_progress.js';
 export type {ClusterRetryBudgetSettings} from './proxy/cluster_retry_budget.js';
@@ -69,6 +70,8 @@
   RouteTarget,
   ServiceDescription,
   ServingConfiguration,
+  TeamDescription,
+  TeamQuota,
 } from './proxy/route.js';
 export type {RateLimitObservation} from './proxy/rate_limit/rate_limit_observation.js';
 export type {
@@ -85,6 +88,7 @@
 export type {
   ModelRequest,
   PromptSegment,
+  RequestTeam,
   RoutedRequest,
 } from './proxy/routed_request.js';
 export type {ClusterDemand} from './cluster_share.js';
@@ -145,7 +149,9 @@
 export {ProxyUpstream, UpstreamState} from './proxy/proxy_upstream.js';
 export {EventSequencer} from './proxy/event_sequencer.js';
 export {SlotQueue} from './proxy/slot_queue.js';
-export {isRepeatable, RequestKind} from './proxy/route.js';
+export {OPEN_GATE} from './proxy/request_gate.js';
+export {isRepeatable, QuotaUnit, RequestKind} from './proxy/route.js';
+export {effectivePriority} from './proxy/routed_request.js';
 export {pickTarget, RouteTable} from './proxy/route_table.js';
 export {clusterShare} from './cluster_share.js';
 export {MovingAverage} from './moving_average.js';
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -5,6 +5,7 @@
 import type {AttemptResult} from './run_attempt.js';
 import type {ProxyAnswer} from './proxy_answer.js';
 import type {RequestDecision} from './request_decision.js';
+import type {RequestGate} from './request_gate.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
 import type {RelayedProgress, RequestRelay} from './relay/request_relay.js';
 import type {SlotQueue} from './slot_queue.js';
@@ -12,7 +13,7 @@
 import type {StreamOrigins} from './stream_origin/stream_origin.js';
 import type {UpstreamTargetOptions} from './upstream_target.js';
 
-import {Cancellation, ErrorKind} from '@arbutustide/errors';
+import {Cancellation, ErrorKind, ExecutionStatus} from '@arbutustide/errors';
 import {Err, Ok} from 'ts-results';
 
 import {AnswerEnd} from '../caller_request.js';
@@ -25,8 +26,8 @@
   cancelledRefusal,
   CancelReason,
   failedAttemptRefusal,
-  refusalOfPeer,
   unknownOriginRefusal,
+  withRanSoFar,
 } from './proxy_refusals.js';
 import {ProxyEventStream} from './proxy_event_stream.js';
 import {isRepeatable} from './route.js';
@@ -45,6 +46,7 @@
   readonly relay: RequestRelay;
   readonly onDecision: (decision: RequestDecision) => void;
   readonly streamOrigins: StreamOrigins;
+  readonly gate: RequestGate;
 }
 
 type AnswerOrRefusal = Promise<Result<ProxyAnswer, RefusalError>>;
@@ -99,10 +101,10 @@
       return Err(refusal);
     }
     const stopCancellation = cancelOnDisconnectOrDeadline(progress);
-    const originRefusal = await this.resolveOrigin(progress);
-    const attempt = originRefusal
-      ? Err(originRefusal)
-      : await this.attemptUntilAnswered(progress, relayed?.resumeAfterEventId);
+    const attempt = await this.admitAndAttempt(
+      progress,
+      relayed?.resumeAfterEventId,
+    );
     const isOver = !attempt.ok || attempt.val.body !== undefined;
     if (isOver) stopCancellation();
     if (!attempt.ok) {
@@ -112,6 +114,29 @@
     return Ok(this.createAnswer(progress, attempt.val, stopCancellation));
   }
 
+  /**
+   * Admits the request, unless a peer has done so, and attempts it. What it
+   * took of its team's quota is given back if it has certainly not run.
+   */
+  private async admitAndAttempt(
+    progress: RoutedRequestProgress,
+    resumeAfterEventId: number | undefined,
+  ): AttemptOrRefusal {
+    const originRefusal = await this.resolveOrigin(progress);
+    if (originRefusal) return Err(originRefusal);
+    const admission = progress.isRelayed
+      ? undefined
+      : await this.options.gate.admit(progress.request);
+    if (admission && !admission.ok) return admission;
+    const attempt = await this.attemptUntilAnswered(
+      progress,
+      resumeAfterEventId,
+    );
+    if (!attempt.ok && ranSoFar(progress) === ExecutionStatus.NOT_EXECUTED)
+      admission?.val.giveBack();
+    return attempt;
+  }
+
   /**
    * Finds where the stream began that the request resumes. Returns a refusal if
    * it cannot be known: the stream must not go on at another version.
@@ -151,6 +176,11 @@
         slot.val.release();
         return Err(quarantineRefusal(ranSoFar(progress)));
       }
+      const gateRefusal = this.options.gate.check(progress.request);
+      if (gateRefusal) {
+        slot.val.release();
+        return Err(withRanSoFar(progress, gateRefusal));
+      }
       this.decisions.recordSlotTaken(progress, slot.val);
       const attempt = await this.makeAttempt(
         progress,
@@ -165,7 +195,7 @@
           this.tryConsumeRetry(progress, mayHaveRun(attempt.outcome)),
       };
       const {finalRefusal} = attempt.slot.target;
-      if (finalRefusal) return Err(refusalOfPeer(progress, finalRefusal));
+      if (finalRefusal) return Err(withRanSoFar(progress, finalRefusal));
       if (isRetryAllowed(progress, attempt.outcome, budget)) continue;
       if (lastFailure?.body) return Ok(lastFailure);
       return Err(failedAttemptRefusal(progress, attempt));
--- a/packages/arbutustide-routing/src/proxy/proxy_refusals.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_refusals.ts
@@ -48,10 +48,10 @@
 }
 
 /**
- * Passes on the refusal of a peer. "Not run" of the peer holds for its own
- * attempts; an earlier one may have run.
+ * The refusal of a peer or of the gate, as the caller may see it: its "not run"
+ * holds for the latest attempt only, and an earlier one may have run.
  */
-export function refusalOfPeer(
+export function withRanSoFar(
   {mayHaveRun}: RoutedRequestProgress,
   refusal: RefusalError,
 ): RefusalError {
--- a/packages/arbutustide-routing/src/proxy/proxy_upstream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_upstream.ts
@@ -43,6 +43,11 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /**
+   * How long work takes on the upstream's host at this moment, in per cent of
+   * the usual time; undefined if the upstream does not tell.
+   */
+  readonly workPercent?: number;
 }
 
 /** Age up to which a reported load is used for load balancing. */
--- a/packages/arbutustide-routing/src/proxy/route.ts
+++ b/packages/arbutustide-routing/src/proxy/route.ts
@@ -34,6 +34,35 @@
   readonly maximumAttempts: number;
   /** Whether another upstream can continue a stream after its last event. */
   readonly isResumable: boolean;
+  /** Whether callers need no key although the configuration has teams. */
+  readonly isPublic: boolean;
+}
+
+/** What a team's quota counts. */
+export enum QuotaUnit {
+  REQUESTS = 'requests',
+  TOKENS = 'tokens',
+}
+
+/** How much a team may use, over all nodes together. */
+export interface TeamQuota {
+  readonly unit: QuotaUnit;
+  /** Units per second. */
+  readonly ratePerSecond: number;
+  /** Units beyond the rate that may be used at once. */
+  readonly burst: number;
+  /** Cost in tokens of a request that names no token counts. */
+  readonly plainTokens: number;
+}
+
+/** A team whose callers authenticate with a key. */
+export interface TeamDescription {
+  readonly name: string;
+  readonly apiKeys: readonly string[];
+  /** Replaces the priority of the route; undefined to use the route's. */
+  readonly priority: number | undefined;
+  /** Undefined if the team has no limit. */
+  readonly quota: TeamQuota | undefined;
 }
 
 /** The model, and the adapter if any, that a request asks for. */
@@ -99,6 +128,8 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<string, ServiceDescription>;
   readonly limits: CallerLimits;
+  /** Undefined if callers need no keys. */
+  readonly teams: readonly TeamDescription[] | undefined;
 }
 
 /** Whether a request that may already have run may be sent again. */
--- a/packages/arbutustide-routing/src/proxy/routed_request.ts
+++ b/packages/arbutustide-routing/src/proxy/routed_request.ts
@@ -39,10 +39,21 @@
   return hash.digest('base64').slice(0, FINGERPRINT_LENGTH);
 }
 
+/** The team whose key a request carries. */
+export interface RequestTeam {
+  readonly name: string;
+  /** Replaces the priority of the route; undefined to use the route's. */
+  readonly priority: number | undefined;
+  /** SHA-256 of the key; the key itself is dropped when the request is read. */
+  readonly keyDigest: Uint8Array;
+}
+
 /** A request whose headers and body are forwarded unchanged. */
 export interface RoutedRequest {
   readonly requestId: string;
   readonly route: Route;
+  /** Undefined if the route is public or the configuration has no teams. */
+  readonly team: RequestTeam | undefined;
   /** The service selected among the route's targets. */
   readonly service: string;
   /** Version of the configuration that the route was taken from. */
@@ -69,3 +80,11 @@
   /** Cancelled when the caller disconnects. */
   readonly disconnection: Cancellation;
 }
+
+/** Priority of a request; lower numbers are served first. */
+export function effectivePriority({
+  team,
+  route,
+}: Pick<RoutedRequest, 'team' | 'route'>): number {
+  return team?.priority ?? route.priority;
+}
--- a/packages/arbutustide-routing/src/proxy/slot_queue.ts
+++ b/packages/arbutustide-routing/src/proxy/slot_queue.ts
@@ -10,6 +10,7 @@
 import {Err, Ok} from 'ts-results';
 
 import {NoUpstreamReason} from './choose_upstream.js';
+import {effectivePriority} from './routed_request.js';
 import {
   ranSoFar,
   remainingQueueMilliseconds,
@@ -309,11 +310,9 @@
   left: RoutedRequestProgress,
   right: RoutedRequestProgress,
 ): boolean {
-  const {route: leftRoute} = left.request;
-  const {route: rightRoute} = right.request;
-  if (leftRoute.priority !== rightRoute.priority) {
-    return leftRoute.priority < rightRoute.priority;
-  }
+  const leftPriority = effectivePriority(left.request);
+  const rightPriority = effectivePriority(right.request);
+  if (leftPriority !== rightPriority) return leftPriority < rightPriority;
   return (
     left.request.deadlineAtMilliseconds < right.request.deadlineAtMilliseconds
   );
--- a/packages/arbutustide-scenarios/src/world/simulated_peer_transport.ts
+++ b/packages/arbutustide-scenarios/src/world/simulated_peer_transport.ts
@@ -1,9 +1,13 @@
 import type {
+  ConfirmConfigurationRequest,
+  ConfirmConfigurationResponse,
   ExchangeRequest,
   ExchangeResponse,
   FindStreamOriginRequest,
   FindStreamOriginResponse,
   HoldingRequest,
+  LeaseQuotaRequest,
+  LeaseQuotaResponse,
   PeerHandler,
   PeerTransport,
   PromisedHolding,
@@ -20,7 +24,9 @@
 import type {SimulatedProcess} from './simulated_process.js';
 
 import {
+  ConfirmConfigurationResponseSchema,
   FindStreamOriginResponseSchema,
+  LeaseQuotaResponseSchema,
   PeerError,
   RequestTokenResponseSchema,
   WatchResponseSchema,
@@ -115,6 +121,28 @@
     );
   }
 
+  async confirmConfiguration(
+    peerUrl: string,
+    request: ConfirmConfigurationRequest,
+  ): Promise<Result<ConfirmConfigurationResponse, PeerError>> {
+    const response = await this.callPeer(peerUrl, undefined, handler =>
+      handler.confirmConfiguration(request),
+    );
+    return response.map(fields =>
+      create(ConfirmConfigurationResponseSchema, fields),
+    );
+  }
+
+  async leaseQuota(
+    peerUrl: string,
+    request: LeaseQuotaRequest,
+  ): Promise<Result<LeaseQuotaResponse, PeerError>> {
+    const response = await this.callPeer(peerUrl, undefined, handler =>
+      handler.leaseQuota(request),
+    );
+    return response.map(fields => create(LeaseQuotaResponseSchema, fields));
+  }
+
   recordStreamOrigins(
     peerUrl: string,
     request: RecordStreamOriginsRequest,
