Cut what a calm node spends on gossip, summaries and standby planning

Cause: a profile of 35 nodes without callers shows 15 to 18 in 100 of the time in the asynchronous gzip of messages between nodes, 5 in summing records that had not changed, and 5 in the planner's loop on nodes that do not plan.

Change: messages are compressed on the calling thread, requests too (they carry the sequences of all records, and bytes between failure domains are dear); the summary of records is computed again only after a change; a node that does not plan checks its leadership twice a second; watches through a relay are held open for 0.4 of the bound on changes instead of 0.25, so that a relay answers fewer calls.

--- a/packages/arbutustide-membership/src/cluster_view.ts
+++ b/packages/arbutustide-membership/src/cluster_view.ts
@@ -56,6 +56,8 @@
 /** What the records of all peers add up to. */
 interface ClusterSummary {
   readonly computedAtMilliseconds: number;
+  /** Changes of the peers' records that it covers. */
+  readonly peerChanges: number;
   readonly peers: ClusterNode[];
   /** Number of peers that serve callers. */
   readyPeerCount: number;
@@ -320,11 +322,12 @@
   }
 
   private currentSummary(): ClusterSummary {
+    const {summary} = this;
+    if (summary?.peerChanges === this.table.peerChanges) return summary;
     const now = performance.now();
-    const age = now - (this.summary?.computedAtMilliseconds ?? -Infinity);
-    if (!this.summary || age > MAXIMUM_SUMMARY_AGE_MILLISECONDS) {
-      this.summary = summarizePeers(this.table, now);
-    }
+    const age = now - (summary?.computedAtMilliseconds ?? -Infinity);
+    if (summary && age <= MAXIMUM_SUMMARY_AGE_MILLISECONDS) return summary;
+    this.summary = summarizePeers(this.table, now);
     return this.summary;
   }
 }
@@ -332,6 +335,7 @@
 function summarizePeers(table: MemberTable, now: number): ClusterSummary {
   const summary: ClusterSummary = {
     computedAtMilliseconds: now,
+    peerChanges: table.peerChanges,
     peers: [],
     readyPeerCount: 0,
     requestsInFlightByUpstream: new Map(),
--- a/packages/arbutustide-membership/src/connect_peer_server.ts
+++ b/packages/arbutustide-membership/src/connect_peer_server.ts
@@ -9,6 +9,10 @@
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 
 import {MembershipService} from './gen/arbutustide/membership/v1/membership_pb.js';
+import {
+  COMPRESSION_MINIMUM_BYTES,
+  PEER_COMPRESSION,
+} from './peer_compression.js';
 
 /** Serves MembershipService to peers with the Connect protocol on HTTP/2. */
 export class ConnectPeerServer {
@@ -21,6 +25,8 @@
    */
   constructor(handler: () => PeerHandler) {
     const handle = connectNodeAdapter({
+      acceptCompression: [PEER_COMPRESSION],
+      compressMinBytes: COMPRESSION_MINIMUM_BYTES,
       routes: router => {
         router.service(MembershipService, {
           exchange: request => handler().exchange(request),
--- a/packages/arbutustide-membership/src/connect_peer_transport.ts
+++ b/packages/arbutustide-membership/src/connect_peer_transport.ts
@@ -26,6 +26,10 @@
 import {Err, Ok} from 'ts-results';
 
 import {MembershipService} from './gen/arbutustide/membership/v1/membership_pb.js';
+import {
+  COMPRESSION_MINIMUM_BYTES,
+  PEER_COMPRESSION,
+} from './peer_compression.js';
 import {PeerSessionManager} from './peer_session_manager.js';
 import {PeerError} from './peer_transport.js';
 
@@ -191,6 +195,9 @@
     const transport = createConnectTransport({
       baseUrl: peerUrl,
       httpVersion: '2',
+      acceptCompression: [PEER_COMPRESSION],
+      sendCompression: PEER_COMPRESSION,
+      compressMinBytes: COMPRESSION_MINIMUM_BYTES,
       sessionManager: new PeerSessionManager(
         peerUrl,
         {
--- a/packages/arbutustide-membership/src/member_table.ts
+++ b/packages/arbutustide-membership/src/member_table.ts
@@ -26,6 +26,7 @@
 export class MemberTable {
   private readonly records = new Map<string, MemberRecord>();
   private readonly tombstones = new Map<string, RecordTombstone>();
+  private peerChangeCount = 0;
 
   /**
    * @param expiryMilliseconds a peer's record is dropped when its sequence has
@@ -36,6 +37,14 @@
     private readonly expiryMilliseconds: number,
   ) {}
 
+  /**
+   * Number of changes of the peers' records: new ones, new fields and drops.
+   * Heartbeats, which change no field, do not count.
+   */
+  get peerChanges(): number {
+    return this.peerChangeCount;
+  }
+
   /** Records of the peers. */
   peerRecords(): Iterable<MemberRecord> {
     return this.records.values();
@@ -100,6 +109,7 @@
     for (const peer of this.records.values()) {
       if (now - peer.updatedAtMilliseconds < this.expiryMilliseconds) continue;
       this.records.delete(peer.identity);
+      this.peerChangeCount += 1;
       this.tombstones.set(peer.identity, {
         sequence: peer.sequence,
         droppedAtMilliseconds: now,
@@ -121,10 +131,12 @@
     if (record === undefined) {
       record = createRecord(identity, now);
       this.records.set(identity, record);
+      this.peerChangeCount += 1;
     }
     if (sequence <= record.sequence) return;
     record.sequence = sequence;
     record.updatedAtMilliseconds = now;
+    if (fields.length > 0) this.peerChangeCount += 1;
     for (const field of fields) mergeField(record, field);
   }
 
--- a/packages/arbutustide-node/src/proxy/proxy_core.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_core.ts
@@ -270,9 +270,10 @@
         directory.markLeaving({id, startedAt}, DepartureSource.REPORT);
       poisonSegmentDetector.update(readPeerCrashEvidence(clusterView));
       const holdings = clusterView.plannerHoldings();
+      const isPlanner = leadership.checkLeadership();
       for (const upstream of directory.all()) {
         upstream.peersInFlight = clusterView.peerRequestsInFlight(upstream.id);
-        if (leadership.checkLeadership()) continue;
+        if (isPlanner) continue;
         const plannedHoldings = holdings.get(upstream.id);
         const isSameProcess =
           plannedHoldings?.upstreamStartedAt ===
--- a/packages/arbutustide-node/src/proxy/proxy_tuning.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tuning.ts
@@ -51,7 +51,7 @@
  */
 export const MINIMUM_BOUND_TO_RELAY_MILLISECONDS = 3_000;
 /** Time that a relay holds a watch open, as a share of the bound on changes. */
-export const RELAY_WAIT_SHARE = 0.25;
+export const RELAY_WAIT_SHARE = 0.4;
 /** Age of a relay's knowledge up to which it is used, as the same share. */
 export const RELAY_MAXIMUM_AGE_SHARE = 0.65;
 /**
--- a/packages/arbutustide-placement/src/engines/engine_planner.ts
+++ b/packages/arbutustide-placement/src/engines/engine_planner.ts
@@ -25,6 +25,7 @@
 } from './load_estimates.js';
 import {PlannerStep} from './engine_planner_environment.js';
 import {planModelMoves} from './model_plan.js';
+import {STANDBY_MILLISECONDS, STORE_RATE_SHARE} from './planner_constants.js';
 import {OrderSender} from './order_sender.js';
 import {SuspensionDetector} from './suspension_detector.js';
 
@@ -55,9 +56,6 @@
   readonly storeLoadBurst: number;
 }
 
-/** Used fraction of the weight store's rate; the rest is for late orders. */
-const STORE_RATE_SHARE = 0.95;
-
 /**
  * Decides which models and adapters each engine holds, and sends the orders,
  * while this node is the planner. After a change of leadership it sends no
@@ -118,8 +116,12 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.syncLeaseState();
-      if (this.heldEpoch !== undefined) await this.runPass(this.heldEpoch);
-      await delay(this.settings.planningIntervalMilliseconds, signal);
+      let pause = STANDBY_MILLISECONDS;
+      if (this.heldEpoch !== undefined) {
+        pause = this.settings.planningIntervalMilliseconds;
+        await this.runPass(this.heldEpoch);
+      }
+      await delay(pause, signal);
     }
   }
 
