Spread requests of many nodes by two random choices over aged load reports

Cause: each node sent to the upstream with the lowest load in its own view. A report arrives only with the node's own answers and was used for 0.5 s, and counts of other nodes are 0.7 to 3 s old, so that with 35 nodes all of them chose the same engine.

Change: proxy/balance/pick_upstream.ts draws one upstream in this failure domain and one elsewhere by free capacity over work time and takes the one with the lower expected time. While one request of each node fits into one upstream (deployments in service) it is the global minimum, as before. LoadEstimate moves from a report to the exchanged counts as the report ages; WorkTime ages the reported speed out; where none is reported, learnWorkTimes compares response times.

--- a/packages/arbutustide-node/src/proxy/create_slot_queue.ts
+++ b/packages/arbutustide-node/src/proxy/create_slot_queue.ts
@@ -115,6 +115,7 @@
   const brittleUpstreams = container.resolve(ProxyToken.BRITTLE_UPSTREAMS);
   const monitor = container.resolve(ProxyToken.REACHABILITY_MONITOR);
   const relay = container.resolve(ProxyToken.REQUEST_RELAY);
+  const clusterView = container.resolve(ProxyToken.CLUSTER_VIEW);
   // A few upstreams that no peer can send to either are down and may come back.
   const mayWait = (progress: RoutedRequestProgress) =>
     !progress.isRelayed &&
@@ -127,6 +128,7 @@
     const settings = {
       ownFailureDomain: failureDomain,
       crossDomainShare: tuning.CROSS_DOMAIN_SLOT_SHARE,
+      senderCount: clusterView.nodes().length,
       random,
       brittleTerms,
       maySend: (upstream: ProxyUpstream) =>
--- a/packages/arbutustide-routing/src/proxy/choose_upstream.ts
+++ b/packages/arbutustide-routing/src/proxy/choose_upstream.ts
@@ -1,20 +1,13 @@
+import type {PickSettings} from './balance/pick_upstream.js';
 import type {ProxyUpstream} from './proxy_upstream.js';
 import type {BrittleTerms} from './brittleness/brittle_terms.js';
 import type {ModelReference} from './route.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
 
+import {pickUpstream} from './balance/pick_upstream.js';
+
 /** Weights and limits of load balancing, as shares of an upstream's slots. */
-export interface UpstreamChoiceSettings {
-  readonly ownFailureDomain: string;
-  /**
-   * Penalty of an upstream in another failure domain, as a share of its slots:
-   * one of this node's domain is preferred until it is busier by this much.
-   */
-  readonly crossDomainShare: number;
-  /** Utilization (in-flight requests by slots) from which none is sent. */
-  readonly fullShare: number;
-  /** Uniformly distributed in [0, 1); breaks ties. */
-  readonly random: () => number;
+export interface UpstreamChoiceSettings extends PickSettings {
   /** Whether this node may send to an upstream; it may if absent. */
   readonly maySend?: (upstream: ProxyUpstream) => boolean;
   /** Undefined unless the service's upstreams are brittle. */
@@ -58,9 +51,7 @@
 export type UpstreamChoice = ProxyUpstream | NoUpstreamReason;
 
 /**
- * Chooses the least utilized upstream that can serve a request, with a penalty
- * for upstreams in other failure domains. Requests that this node has in flight
- * at an upstream count twice, so that each node spreads its own requests.
+ * Chooses an upstream that can take a request now, by `pickUpstream`.
  *
  * @param excluded upstreams already tried for this request.
  */
@@ -70,8 +61,7 @@
   excluded: ReadonlySet<ProxyUpstream>,
   settings: UpstreamChoiceSettings,
 ): UpstreamChoice {
-  let best: ProxyUpstream | undefined;
-  let bestCost = Infinity;
+  const eligible: ProxyUpstream[] = [];
   let reason = NoUpstreamReason.NOT_HELD;
   for (const upstream of candidates) {
     if (!upstream.isReady) continue;
@@ -89,13 +79,9 @@
       reason = NoUpstreamReason.RATE_LIMITED;
       continue;
     }
-    const load = utilization(upstream);
-    const cost = upstreamCost(upstream, load, settings);
-    if (cost >= bestCost) continue;
-    best = upstream;
-    bestCost = cost;
+    eligible.push(upstream);
   }
-  return best ?? reason;
+  return pickUpstream(eligible, settings) ?? reason;
 }
 
 /**
@@ -182,13 +168,3 @@
 function utilization({estimatedInFlight, description}: ProxyUpstream): number {
   return estimatedInFlight / description.slots;
 }
-
-function upstreamCost(
-  {description, ownInFlight}: ProxyUpstream,
-  load: number,
-  {ownFailureDomain, crossDomainShare, random}: UpstreamChoiceSettings,
-): number {
-  const isNear = description.failureDomain === ownFailureDomain;
-  const spread = (ownInFlight + random()) / description.slots;
-  return load + (isNear ? 0 : crossDomainShare) + spread;
-}
--- a/packages/arbutustide-routing/src/proxy/proxy_upstream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_upstream.ts
@@ -1,6 +1,9 @@
 import type {UpstreamSignals} from './proxy_connector.js';
 import type {ModelReference} from './route.js';
 
+import {LoadEstimate} from './balance/load_estimate.js';
+import {ResponseTime} from './balance/response_time.js';
+import {WorkTime} from './balance/work_time.js';
 import {UpstreamAdmission} from './brittleness/upstream_admission.js';
 import {UpstreamRateLimit} from './rate_limit/upstream_rate_limit.js';
 import {UpstreamReachability} from './reachability/upstream_reachability.js';
@@ -50,8 +53,6 @@
   readonly workPercent?: number;
 }
 
-/** Age up to which a reported load is used for load balancing. */
-const MAXIMUM_LOAD_REPORT_AGE_MILLISECONDS = 500;
 /** Consecutive failures after which an upstream is temporarily ejected. */
 const CONSECUTIVE_FAILURES_TO_EJECT = 3;
 /** Duration of an ejection; short, as an upstream may recover any time. */
@@ -84,9 +85,9 @@
   /** Whether this node has a path to it. */
   readonly reachability = new UpstreamReachability();
   private readonly createdAtMilliseconds = performance.now();
-  private reportedLoad: UpstreamLoad | undefined;
-  private reportedAtMilliseconds = 0;
-  private ownInFlightAtReport = 0;
+  readonly responseTime = new ResponseTime();
+  private readonly loadEstimate = new LoadEstimate();
+  private readonly workTime = new WorkTime();
   private consecutiveFailures = 0;
   private silenceRecordedAtMilliseconds = -Infinity;
   private ejectedUntilMilliseconds = 0;
@@ -191,24 +192,22 @@
 
   /** Records the load that the upstream reported with an answer. */
   recordReportedLoad(load: UpstreamLoad): void {
-    this.reportedLoad = load;
-    this.reportedAtMilliseconds = performance.now();
-    this.ownInFlightAtReport = this.ownInFlight;
+    this.loadEstimate.record(load, this.ownInFlight);
+    if (load.workPercent !== undefined) this.workTime.record(load.workPercent);
+  }
+
+  /** Estimated requests of all nodes in flight at the upstream. */
+  get estimatedInFlight(): number {
+    const {ownInFlight: own, peersInFlight: peers} = this;
+    return this.loadEstimate.inFlight({own, peers});
   }
 
   /**
-   * Estimated requests of all nodes in flight at the upstream: a recent report,
-   * corrected by this node's requests since, or else the nodes' own counts.
+   * Factor on the usual time that a request takes there now, as reported;
+   * undefined if the upstream does not tell.
    */
-  get estimatedInFlight(): number {
-    const counted = this.ownInFlight + this.peersInFlight;
-    const age = performance.now() - this.reportedAtMilliseconds;
-    if (!this.reportedLoad || age > MAXIMUM_LOAD_REPORT_AGE_MILLISECONDS)
-      return counted;
-    const change = this.ownInFlight - this.ownInFlightAtReport;
-    const reported =
-      this.reportedLoad.running + this.reportedLoad.waiting + change;
-    return Math.max(reported, this.ownInFlight);
+  get reportedWorkTimeFactor(): number | undefined {
+    return this.workTime.factor;
   }
 
   /** Time since it last sent data to this node, in milliseconds. */
--- a/packages/arbutustide-routing/src/proxy/upstream_target.ts
+++ b/packages/arbutustide-routing/src/proxy/upstream_target.ts
@@ -116,6 +116,8 @@
     upstream.reachability.recordAnswer(sentAtMilliseconds);
     this.admission.settle(head.isNotRun && !head.isOtherInstance);
     if (head.load) upstream.recordReportedLoad(head.load);
+    if (isRunByUpstream(head))
+      upstream.responseTime.record(performance.now() - sentAtMilliseconds);
     this.options.onSignals(
       upstream,
       head,
