Refuse at once what would get its slot after its caller's time

Change: the expected wait follows from the requests before it, here and at the peers, and from the rate at which slots come free (requests in flight by the measured time that a request holds a slot), corrected by what requests have waited. What would come too late is refused with the time until there is room, jittered and with hysteresis. Nodes publish what is queued by priority. The wait for a model that the planner has not answered for counts as long as it has lasted.

--- a/packages/arbutustide-membership/src/cluster_view.ts
+++ b/packages/arbutustide-membership/src/cluster_view.ts
@@ -33,6 +33,8 @@
 export interface DemandSummary {
   inFlight: number;
   queued: number;
+  /** Requests that are queued now; the index is the priority. */
+  readonly queuedByPriority: number[];
 }
 
 /** A report of an upstream, as another node read and published it. */
@@ -107,10 +109,14 @@
   },
   demand: (field, _writer, summary) => {
     if (field.value.case !== 'demand') return;
-    const {entry, inFlight, queued} = field.value.value;
+    const {entry, inFlight, queued, queuedByPriority} = field.value.value;
     const sum = summary.demandByEntry.get(entry) ?? emptyDemand();
     sum.inFlight += inFlight;
     sum.queued += queued;
+    for (const [priority, count] of queuedByPriority.entries()) {
+      sum.queuedByPriority[priority] =
+        (sum.queuedByPriority[priority] ?? 0) + count;
+    }
     summary.demandByEntry.set(entry, sum);
   },
   observation: (field, writer, summary) => {
@@ -261,6 +267,11 @@
     return this.currentSummary().demandByEntry.get(entry) ?? emptyDemand();
   }
 
+  /** Requests at the peers, by catalogue entry. */
+  peerDemands(): ReadonlyMap<string, DemandSummary> {
+    return this.currentSummary().demandByEntry;
+  }
+
   /** Reports of upstreams that the peers read. */
   peerObservations(): readonly PeerObservation[] {
     return this.currentSummary().observations;
@@ -363,5 +374,5 @@
 }
 
 function emptyDemand(): DemandSummary {
-  return {inFlight: 0, queued: 0};
+  return {inFlight: 0, queued: 0, queuedByPriority: []};
 }
--- a/packages/arbutustide-node/src/__tests__/unit/published_load.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/published_load.test.ts
@@ -1,6 +1,9 @@
 // Guards against requests that hang behind a lost path and take slots of the
-// upstream from other nodes, which reach it.
-import {MemberTable, OwnRecord} from '@arbutustide/membership';
+// upstream from other nodes, which reach it, and against queues that the other
+// nodes do not know of.
+import type {RoutedRequest} from '@arbutustide/routing';
+
+import {ClusterView, MemberTable, OwnRecord} from '@arbutustide/membership';
 import {
   DemandCounter,
   PoisonRequestDetector,
@@ -30,12 +33,29 @@
   });
 }
 
+/** The fields of a request that the counts of the demand depend on. */
+function createRequest(priority: number, model: string | undefined) {
+  const modelRequest = model === undefined ? undefined : {model};
+  const route = {priority};
+  return {service: 'service', route, modelRequest} as RoutedRequest;
+}
+
 describe('load that a node publishes', () => {
   let upstream: ProxyUpstream;
   let table: MemberTable;
   let publisher: NodeStatusPublisher;
+  let demand: DemandCounter;
+
+  /** What a peer knows of the demand after an exchange. */
+  function readByPeer(entry: string) {
+    const ownRecord = new OwnRecord('peer', EXPIRY_MILLISECONDS);
+    const peerTable = new MemberTable(ownRecord, EXPIRY_MILLISECONDS);
+    peerTable.merge(table.deltasSince(peerTable.sequences()));
+    return new ClusterView(peerTable).peerDemands().get(entry);
+  }
 
   beforeEach(() => {
+    demand = new DemandCounter();
     upstream = createUpstream();
     upstream.ownInFlight = 3;
     const ownRecord = new OwnRecord('node', EXPIRY_MILLISECONDS);
@@ -44,7 +64,7 @@
       table,
       {name: 'node', peerUrl: '', region: '', failureDomain: 'near'},
       {all: () => [upstream]},
-      new DemandCounter(),
+      demand,
       new PoisonRequestDetector(
         1_000,
         {crashes: () => 0, runsOtherSuspects: () => false},
@@ -68,4 +88,28 @@
     publisher.publish();
     expect(table.ownRecord.get(LOAD_KEY)?.case).to.equal('load');
   });
+
+  it('tells peers what is queued for a model, by priority, until it is not', () => {
+    demand.recordQueued(createRequest(2, 'm'));
+    demand.recordQueued(createRequest(0, 'm'));
+    demand.recordQueued(createRequest(2, 'm'));
+    demand.recordSlotTaken(createRequest(2, 'm'));
+    publisher.publish();
+    expect(readByPeer('service/m')?.queuedByPriority).to.deep.equal([1, 0, 1]);
+    demand.recordSlotTaken(createRequest(0, 'm'));
+    demand.recordEnded(createRequest(2, 'm'), false);
+    publisher.publish();
+    expect(readByPeer('service/m')?.queuedByPriority).to.deep.equal([]);
+  });
+
+  it('tells peers what is queued for a plain service, and nothing without', () => {
+    demand.recordQueued(createRequest(1, undefined));
+    publisher.publish();
+    const published = readByPeer('service/');
+    expect(published?.queuedByPriority).to.deep.equal([0, 1]);
+    expect(published?.inFlight).to.equal(0);
+    demand.recordSlotTaken(createRequest(1, undefined));
+    publisher.publish();
+    expect(readByPeer('service/')).to.equal(undefined);
+  });
 });
--- a/packages/arbutustide-node/src/node_status_publisher.ts
+++ b/packages/arbutustide-node/src/node_status_publisher.ts
@@ -120,13 +120,17 @@
 
   private *publishDemands(): Generator<string> {
     for (const load of this.demandSource.loads()) {
-      const {entryName, inFlight, queued} = load;
+      const {entryName, inFlight, queued, queuedByPriority = []} = load;
       if (inFlight + queued === 0) continue;
       const key = `demand/${entryName}`;
       const value = create(EntryDemandSchema, {
         entry: entryName,
         inFlight,
         queued,
+        // Absent while none is queued, so that the field changes less often.
+        queuedByPriority: queuedByPriority.some(count => count > 0)
+          ? [...queuedByPriority]
+          : [],
       });
       this.memberTable.ownRecord.set(key, {case: 'demand', value});
       yield key;
--- a/packages/arbutustide-node/src/proxy/create_slot_queue.ts
+++ b/packages/arbutustide-node/src/proxy/create_slot_queue.ts
@@ -15,11 +15,13 @@
   expectedAcceptanceMilliseconds,
   NoUpstreamReason,
   ProxyUpstream,
+  SlotHoldTimes,
   SlotQueue,
 } from '@arbutustide/routing';
 
 import {ProxyToken} from './proxy_tokens.js';
 import * as tuning from './proxy_tuning.js';
+import {createEarlyRefusal} from './queue/create_early_refusal.js';
 
 /** Creates the queue of requests that wait for a slot at an upstream. */
 export function createSlotQueue(
@@ -28,6 +30,7 @@
 ): SlotQueue {
   const upstreamDirectory = container.resolve(ProxyToken.UPSTREAM_DIRECTORY);
   const holdingRequester = container.resolve(ProxyToken.HOLDING_REQUESTER);
+  const holdTimes = new SlotHoldTimes();
   return new SlotQueue({
     chooseUpstream: createUpstreamChooser(container, settings, random),
     predictWaitMilliseconds: (progress, reason, ahead) => {
@@ -66,6 +69,9 @@
       holdingRequester.requestHolding(service, modelRequest, softwareVersion);
     },
     observer: container.resolve(ProxyToken.DEMAND_COUNTER),
+    earlyRefusal: createEarlyRefusal(container, holdTimes, random),
+    onSlotReturned: ({service}, heldMilliseconds) =>
+      holdTimes.record(service, heldMilliseconds),
   });
 }
 
--- a/packages/arbutustide-node/src/proxy/holding_requester.ts
+++ b/packages/arbutustide-node/src/proxy/holding_requester.ts
@@ -24,6 +24,8 @@
   updatedAtMilliseconds: number;
   /** When the holding is expected; `Infinity` if the planner denied it. */
   readyAtMilliseconds: number;
+  /** When the first request without an answer was sent; undefined if none. */
+  unansweredSinceMilliseconds: number | undefined;
 }
 
 /** Asks the planner to load models and adapters that no upstream holds. */
@@ -37,7 +39,9 @@
 
   /**
    * Time until an upstream is expected to hold the model or adapter, in
-   * milliseconds: zero if unknown, undefined if the planner denied it.
+   * milliseconds: zero if unknown, undefined if the planner denied it. While no
+   * planner answers, the wait is taken to be as long again as it has lasted so
+   * far, so that requests do not wait for a planner that does not come back.
    */
   expectedWaitMilliseconds(
     service: string,
@@ -48,8 +52,10 @@
     const requestState = this.requestStates.get(key);
     if (!requestState) return 0;
     const now = performance.now();
-    if (requestState.readyAtMilliseconds < Infinity) {
-      return Math.max(0, requestState.readyAtMilliseconds - now);
+    const {readyAtMilliseconds, unansweredSinceMilliseconds} = requestState;
+    if (readyAtMilliseconds < Infinity) {
+      const unanswered = now - (unansweredSinceMilliseconds ?? now);
+      return Math.max(0, readyAtMilliseconds - now, unanswered);
     }
     const isDenied =
       !requestState.isPending &&
@@ -76,7 +82,8 @@
     const requestState: RequestState = {
       isPending: true,
       updatedAtMilliseconds: now,
-      readyAtMilliseconds: now,
+      readyAtMilliseconds: findReadyAt(previous, now),
+      unansweredSinceMilliseconds: previous?.unansweredSinceMilliseconds ?? now,
     };
     this.requestStates.set(key, requestState);
     const response = this.plannerClient.requestHolding(
@@ -97,6 +104,7 @@
     requestState.updatedAtMilliseconds = performance.now();
     // Without a reachable planner the wait is unknown: requests stay queued.
     if (!response.ok) return;
+    requestState.unansweredSinceMilliseconds = undefined;
     const holding = response.val;
     requestState.readyAtMilliseconds = holding
       ? performance.now() + holding.readyInMilliseconds
@@ -116,6 +124,12 @@
   }
 }
 
+/** When a holding is expected while the planner is asked for it again. */
+function findReadyAt(previous: RequestState | undefined, now: number): number {
+  const readyAt = previous?.readyAtMilliseconds ?? now;
+  return readyAt < Infinity ? readyAt : now;
+}
+
 /**
  * A holding that takes long is asked for less often: every node asks for each
  * model that its requests wait for, and one planner answers them all.
--- a/packages/arbutustide-routing/src/admission_controller.ts
+++ b/packages/arbutustide-routing/src/admission_controller.ts
@@ -46,6 +46,8 @@
   readonly entryName: string;
   readonly inFlight: number;
   readonly queued: number;
+  /** Requests that are queued now; the index is the priority. */
+  readonly queuedByPriority?: readonly number[];
 }
 
 interface EntryLimiter {
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -60,6 +60,10 @@
   UpstreamDescription,
   UpstreamLoad,
 } from './proxy/proxy_upstream.js';
+export type {
+  ExpectedWaitInputs,
+  WaitingEntry,
+} from './proxy/queue/expected_wait.js';
 export type {UpstreamSlot, SlotQueueOptions} from './proxy/slot_queue.js';
 export type {
   CallerLimits,
@@ -148,6 +152,10 @@
 export {ReachabilityChange} from './proxy/reachability/service_reachability.js';
 export {ProxyUpstream, UpstreamState} from './proxy/proxy_upstream.js';
 export {EventSequencer} from './proxy/event_sequencer.js';
+export {CompetingRequests} from './proxy/queue/competing_requests.js';
+export {EarlyRefusal} from './proxy/queue/early_refusal.js';
+export {expectedWaitMilliseconds} from './proxy/queue/expected_wait.js';
+export {SlotHoldTimes} from './proxy/queue/slot_hold_times.js';
 export {SlotQueue} from './proxy/slot_queue.js';
 export {OPEN_GATE} from './proxy/request_gate.js';
 export {isRepeatable, QuotaUnit, RequestKind} from './proxy/route.js';
--- a/packages/arbutustide-routing/src/proxy/demand_counter.ts
+++ b/packages/arbutustide-routing/src/proxy/demand_counter.ts
@@ -1,9 +1,15 @@
 import type {EntryLoad} from '../admission_controller.js';
 import type {RoutedRequest} from './routed_request.js';
 
+import {effectivePriority} from './routed_request.js';
+
 interface EntryCounts {
+  /** False for plain services, of which only the queue is of interest. */
+  readonly isHolding: boolean;
   inFlight: number;
   queued: number;
+  /** Queued requests by priority; empty for adapters. */
+  readonly queuedByPriority: number[];
   /** Exponentially decaying count, valid at the time in the next field. */
   recentRefusals: number;
   refusalsUpdatedAtMilliseconds: number;
@@ -14,6 +20,8 @@
   readonly inFlight: number;
   /** Queued, plus those refused recently, whose callers will retry. */
   readonly queued: number;
+  /** Requests that are queued now; the index is the priority. */
+  readonly queuedByPriority: readonly number[];
 }
 
 /** Time constant of the decay of refused requests in the demand. */
@@ -22,6 +30,9 @@
 /** Idle entries are evicted while there are more entries than this. */
 const MAXIMUM_ENTRIES_WITH_IDLE = 256;
 
+/** Less urgent requests are counted with those of this priority. */
+const LAST_COUNTED_PRIORITY = 15;
+
 /** Entry name of a model in the demand that nodes exchange. */
 export function modelEntryName(service: string, model: string): string {
   return `${service}/${model}`;
@@ -36,7 +47,20 @@
   return `${service}/${model}/${adapter}`;
 }
 
-/** Counts this node's queued and in-flight requests by model and adapter. */
+/** Entry name of a plain service in the demand that nodes exchange. */
+export function plainEntryName(service: string): string {
+  return modelEntryName(service, '');
+}
+
+/** Position of a priority in counts by priority. */
+export function priorityIndex(priority: number): number {
+  return Math.min(LAST_COUNTED_PRIORITY, Math.max(0, Math.round(priority)));
+}
+
+/**
+ * Counts this node's queued and in-flight requests by model and adapter, and the
+ * queued ones by priority.
+ */
 export class DemandCounter {
   private readonly counts = new Map<string, EntryCounts>();
 
@@ -45,6 +69,7 @@
     for (const count of this.countsForRequest(request)) {
       count.queued += 1;
     }
+    this.countByPriority(request, 1);
   }
 
   /** Moves a request from queued to in flight. */
@@ -53,10 +78,12 @@
       count.queued -= 1;
       count.inFlight += 1;
     }
+    this.countByPriority(request, -1);
   }
 
   /** Removes a request that gave its slot back or was refused one. */
   recordEnded(request: RoutedRequest, hadSlot: boolean): void {
+    if (!hadSlot) this.countByPriority(request, -1);
     for (const count of this.countsForRequest(request)) {
       if (hadSlot) {
         count.inFlight -= 1;
@@ -85,21 +112,46 @@
     return count && demandOf(count);
   }
 
+  /** Queued requests by priority, for each model and plain service with some. */
+  *queuedByPriority(): Generator<readonly [string, readonly number[]]> {
+    for (const [entryName, {queued, queuedByPriority}] of this.counts) {
+      if (queued > 0 && queuedByPriority.length > 0)
+        yield [entryName, queuedByPriority];
+    }
+  }
+
+  private countByPriority(request: RoutedRequest, change: number): void {
+    const {service, modelRequest} = request;
+    const {queuedByPriority} = this.countsForEntry(
+      modelRequest
+        ? modelEntryName(service, modelRequest.model)
+        : plainEntryName(service),
+    );
+    const index = priorityIndex(effectivePriority(request));
+    while (queuedByPriority.length <= index) queuedByPriority.push(0);
+    queuedByPriority[index] += change;
+  }
+
   private *countsForRequest({
     service,
     modelRequest,
   }: RoutedRequest): Generator<EntryCounts> {
-    if (!modelRequest) return;
+    if (!modelRequest) {
+      yield this.countsForEntry(plainEntryName(service), false);
+      return;
+    }
     const {model, adapter} = modelRequest;
     yield this.countsForEntry(modelEntryName(service, model));
     if (adapter === undefined) return;
     yield this.countsForEntry(adapterEntryName(service, model, adapter));
   }
 
-  private countsForEntry(entryName: string): EntryCounts {
+  private countsForEntry(entryName: string, isHolding = true): EntryCounts {
     const known = this.counts.get(entryName);
     if (known) return known;
     const count: EntryCounts = {
+      isHolding,
+      queuedByPriority: [],
       inFlight: 0,
       queued: 0,
       recentRefusals: 0,
@@ -119,6 +171,11 @@
 }
 
 function demandOf(count: EntryCounts): EntryDemand {
-  const {inFlight, queued} = count;
-  return {inFlight, queued: queued + Math.round(decayedRefusals(count))};
+  const {isHolding, inFlight, queued, queuedByPriority} = count;
+  if (!isHolding) return {inFlight: 0, queued, queuedByPriority};
+  return {
+    inFlight,
+    queued: queued + Math.round(decayedRefusals(count)),
+    queuedByPriority,
+  };
 }
--- /dev/null
+++ b/packages/arbutustide-routing/src/proxy/queue/competing_requests.ts
@@ -0,0 +1,112 @@
+import type {WaitingEntry} from './expected_wait.js';
+
+import {modelEntryName, priorityIndex} from '../demand_counter.js';
+
+/** What the peers publish of one model or plain service. */
+export interface PublishedDemand {
+  /** Queued requests; the index is the priority. */
+  readonly queuedByPriority: readonly number[];
+}
+
+/** Peers' records change more slowly than this. */
+const MAXIMUM_AGE_MILLISECONDS = 100;
+
+/** Queued requests of this node and its peers. */
+export interface CompetingRequestsOptions {
+  readonly listOwnQueued: () => Iterable<readonly [string, readonly number[]]>;
+  readonly listPeerDemands: () => Iterable<readonly [string, PublishedDemand]>;
+}
+
+/** Which of the waiting requests are served before a request. */
+export interface CompetingTerms {
+  readonly service: string;
+  /** Undefined for a plain service. */
+  readonly model: string | undefined;
+  readonly priority: number;
+  /**
+   * Part of the requests of the same priority that is served before, as found at
+   * this node: the others' requests are taken to be of the same kinds.
+   */
+  readonly aheadShareInPriority: number;
+}
+
+interface CountedEntry {
+  readonly model: string | undefined;
+  readonly moreUrgent: number;
+  readonly inPriority: number;
+  readonly isOwn: boolean;
+}
+
+interface CachedEntries {
+  readonly computedAtMilliseconds: number;
+  readonly entries: readonly CountedEntry[];
+}
+
+/**
+ * Lists what waits in the cluster and is served before a request. The counts
+ * are kept for a short time, as queues ask for them often.
+ */
+export class CompetingRequests {
+  private readonly cache = new Map<string, CachedEntries>();
+
+  constructor(private readonly options: CompetingRequestsOptions) {}
+
+  /**
+   * The requests that are served before, at the peers and, for other models, at
+   * this node.
+   */
+  *list({
+    service,
+    model,
+    priority,
+    aheadShareInPriority,
+  }: CompetingTerms): Generator<WaitingEntry> {
+    for (const entry of this.entriesFor(service, priorityIndex(priority))) {
+      if (entry.isOwn && entry.model === model) continue;
+      const {moreUrgent, inPriority} = entry;
+      const count = moreUrgent + aheadShareInPriority * inPriority;
+      yield {model: entry.model, count};
+    }
+  }
+
+  private entriesFor(service: string, index: number): readonly CountedEntry[] {
+    const key = `${service} ${index}`;
+    const known = this.cache.get(key);
+    const now = performance.now();
+    if (known && now - known.computedAtMilliseconds < MAXIMUM_AGE_MILLISECONDS)
+      return known.entries;
+    const {listOwnQueued, listPeerDemands} = this.options;
+    const entries = [
+      ...countEntries(listOwnQueued(), service, index, true),
+      ...countEntries(queuedByEntry(listPeerDemands()), service, index, false),
+    ];
+    this.cache.set(key, {computedAtMilliseconds: now, entries});
+    return entries;
+  }
+}
+
+function* queuedByEntry(
+  demands: Iterable<readonly [string, PublishedDemand]>,
+): Generator<readonly [string, readonly number[]]> {
+  for (const [entryName, {queuedByPriority}] of demands)
+    yield [entryName, queuedByPriority];
+}
+
+function* countEntries(
+  queued: Iterable<readonly [string, readonly number[]]>,
+  service: string,
+  index: number,
+  isOwn: boolean,
+): Generator<CountedEntry> {
+  const prefix = modelEntryName(service, '');
+  for (const [entryName, counts] of queued) {
+    if (!entryName.startsWith(prefix)) continue;
+    const inPriority = counts[index] ?? 0;
+    let moreUrgent = 0;
+    for (const count of counts.slice(0, index)) moreUrgent += count ?? 0;
+    if (inPriority + moreUrgent === 0) continue;
+    const name = entryName.slice(prefix.length);
+    const model = name === '' ? undefined : name;
+    yield {model, moreUrgent, inPriority, isOwn};
+  }
+}
--- a/packages/arbutustide-routing/src/proxy/slot_queue.ts
+++ b/packages/arbutustide-routing/src/proxy/slot_queue.ts
@@ -4,17 +4,20 @@
 import type {UpstreamChoice} from './choose_upstream.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
 import type {ProxyUpstream} from './proxy_upstream.js';
+import type {QueuePosition} from './queue/queue_order.js';
+import type {EarlyRefusal, WaitingRequest} from './queue/early_refusal.js';
 import type {RoutedRequest} from './routed_request.js';
+import type {RefusalError} from '@arbutustide/errors';
 
-import {ErrorKind, RefusalError} from '@arbutustide/errors';
 import {Err, Ok} from 'ts-results';
 
 import {NoUpstreamReason} from './choose_upstream.js';
-import {effectivePriority} from './routed_request.js';
+import {findPosition, precedes, requirementKey} from './queue/queue_order.js';
 import {
-  ranSoFar,
-  remainingQueueMilliseconds,
-} from './routed_request_progress.js';
+  createNoSlotRefusal,
+  createStoppingRefusal,
+} from './queue/slot_refusals.js';
+import {remainingQueueMilliseconds} from './routed_request_progress.js';
 
 /** Notified of each request's state in the queue. */
 export interface SlotQueueObserver {
@@ -43,6 +46,13 @@
   /** Called when no upstream holds the model or adapter of a request. */
   readonly onNotHeld: (progress: RoutedRequestProgress) => void;
   readonly observer: SlotQueueObserver;
+  /** Undefined to let requests wait for as long as their callers do. */
+  readonly earlyRefusal?: EarlyRefusal;
+  /** Called when a request that an upstream accepted returns its slot. */
+  readonly onSlotReturned?: (
+    request: RoutedRequest,
+    heldMilliseconds: number,
+  ) => void;
 }
 
 /** A reserved slot: permits one request in flight at an upstream. */
@@ -55,17 +65,21 @@
   release(): void;
 }
 
+/** Assessing a queued request costs as much as choosing an upstream. */
+const QUEUED_CHECK_MILLISECONDS = 500;
+
 type SlotResult = Result<UpstreamSlot, RefusalError>;
 
 interface Waiter {
   readonly progress: RoutedRequestProgress;
   readonly queuedAtMilliseconds: number;
+  /** Wait expected when it was queued; undefined if nothing was measured. */
+  readonly expectedMilliseconds: number | undefined;
+  /** When its prospect of a slot is next assessed. */
+  nextCheckAtMilliseconds: number;
   readonly settle: (result: SlotResult) => void;
 }
 
-/** Retry-after of a refusal when the wait cannot be predicted. */
-const DEFAULT_RETRY_AFTER_MILLISECONDS = 1_000;
-
 /**
  * Queue of requests that wait for a slot at an upstream, ordered by priority and
  * then deadline. It absorbs bursts and lost upstreams. Requests queue here and
@@ -88,14 +102,7 @@
       return Ok(this.takeSlot(progress, choice, performance.now()));
     }
     if (choice === NoUpstreamReason.NOT_HELD) onNotHeld(progress);
-    const refused = this.refuseIfHopeless(
-      progress,
-      choice,
-      this.countAhead(progress),
-    );
-    const result = refused
-      ? Err(refused)
-      : await this.enqueue(progress, choice);
+    const result = await this.enqueueOrRefuse(progress, choice);
     if (!result.ok) observer.recordEnded(progress.request, false);
     return result;
   }
@@ -171,7 +178,7 @@
       if (choice === NoUpstreamReason.NOT_HELD)
         this.options.onNotHeld(progress);
       waiting.set(requirement, ahead + 1);
-      const refused = isFirst && this.refuseIfHopeless(progress, choice, ahead);
+      const refused = isFirst && this.refuseWaiter(waiter, choice, ahead);
       if (!refused) continue;
       this.removeWaiter(waiter);
       waiter.settle(Err(refused));
@@ -198,17 +205,73 @@
     return createNoSlotRefusal(progress, reason, wait);
   }
 
+  private async enqueueOrRefuse(
+    progress: RoutedRequestProgress,
+    reason: NoUpstreamReason,
+  ): Promise<SlotResult> {
+    const position = this.findPosition(progress);
+    const refused = this.refuseIfHopeless(progress, reason, position.ahead);
+    if (refused) return Err(refused);
+    const {earlyRefusal} = this.options;
+    if (!earlyRefusal || reason !== NoUpstreamReason.FULL)
+      return this.enqueue(progress, reason, undefined);
+    const waiting = this.describe(progress, position);
+    const expected = earlyRefusal.expectedWaitMilliseconds(waiting);
+    const retryAfter =
+      expected && earlyRefusal.refuseNewcomer(waiting, expected);
+    if (retryAfter)
+      return Err(createNoSlotRefusal(progress, reason, retryAfter));
+    return this.enqueue(progress, reason, expected);
+  }
+
+  /** The refusal of a queued request that has no prospect of a slot, if so. */
+  private refuseWaiter(
+    waiter: Waiter,
+    reason: NoUpstreamReason,
+    ahead: number,
+  ): RefusalError | undefined {
+    const {progress, queuedAtMilliseconds} = waiter;
+    const refused = this.refuseIfHopeless(progress, reason, ahead);
+    const now = performance.now();
+    if (refused || reason !== NoUpstreamReason.FULL) return refused;
+    if (now < waiter.nextCheckAtMilliseconds) return undefined;
+    waiter.nextCheckAtMilliseconds = now + QUEUED_CHECK_MILLISECONDS;
+    const retryAfter = this.options.earlyRefusal?.refuseQueued(
+      this.describe(progress, this.findPosition(progress)),
+      now - queuedAtMilliseconds,
+    );
+    return retryAfter === undefined
+      ? undefined
+      : createNoSlotRefusal(progress, reason, retryAfter);
+  }
+
+  private describe(
+    progress: RoutedRequestProgress,
+    position: QueuePosition,
+  ): WaitingRequest {
+    const needed = this.options.minimumServiceMilliseconds(progress);
+    return {progress, position, neededMilliseconds: needed};
+  }
+
+  private findPosition(progress: RoutedRequestProgress): QueuePosition {
+    return findPosition(progress, this.waiters, this.insertionIndex(progress));
+  }
+
   private enqueue(
     progress: RoutedRequestProgress,
     reason: NoUpstreamReason,
+    expectedMilliseconds: number | undefined,
   ): Promise<SlotResult> {
     return new Promise(resolve => {
       let removeCancelListener = () => {};
       const waiter: Waiter = {
         progress,
         queuedAtMilliseconds: performance.now(),
+        expectedMilliseconds,
+        nextCheckAtMilliseconds: performance.now() + QUEUED_CHECK_MILLISECONDS,
         settle: result => {
           clearTimeout(timer);
+          this.recordWait(waiter, result.ok);
           removeCancelListener();
           resolve(result);
         },
@@ -227,12 +290,27 @@
     });
   }
 
+  private recordWait(
+    {progress, queuedAtMilliseconds, expectedMilliseconds}: Waiter,
+    hasSlot: boolean,
+  ): void {
+    if (expectedMilliseconds === undefined) return;
+    this.options.earlyRefusal?.recordWait(
+      progress,
+      expectedMilliseconds,
+      performance.now() - queuedAtMilliseconds,
+      hasSlot,
+    );
+  }
+
   private takeSlot(
     {request}: RoutedRequestProgress,
     upstream: ProxyUpstream,
     queuedAtMilliseconds: number,
   ): UpstreamSlot {
-    const {observer} = this.options;
+    const {observer, onSlotReturned} = this.options;
+    const takenAtMilliseconds = performance.now();
+    let isAccepted = false;
     upstream.ownInFlight += 1;
     upstream.reachability.recordAttemptBegun();
     upstream.rateLimit.takeToken();
@@ -240,6 +318,7 @@
     const admission: PendingAdmission = {
       settle: isRejected => {
         pending.settle(isRejected);
+        isAccepted = !isRejected;
         this.scheduleScan();
       },
     };
@@ -248,7 +327,7 @@
     return {
       upstream,
       admission,
-      waitedMilliseconds: performance.now() - queuedAtMilliseconds,
+      waitedMilliseconds: takenAtMilliseconds - queuedAtMilliseconds,
       release: () => {
         if (!isReserved) return;
         isReserved = false;
@@ -256,6 +335,8 @@
         upstream.ownInFlight -= 1;
         upstream.reachability.recordAttemptEnded();
         observer.recordEnded(request, true);
+        if (isAccepted)
+          onSlotReturned?.(request, performance.now() - takenAtMilliseconds);
         this.scheduleScan();
       },
     };
@@ -268,17 +349,6 @@
     return true;
   }
 
-  /** Queued requests with the same requirements that are served before. */
-  private countAhead(progress: RoutedRequestProgress): number {
-    const requirement = requirementKey(progress);
-    const index = this.insertionIndex(progress);
-    let count = 0;
-    for (const waiter of this.waiters.slice(0, index)) {
-      if (requirementKey(waiter.progress) === requirement) count += 1;
-    }
-    return count;
-  }
-
   /** Number of queued requests that are served before this one. */
   private insertionIndex(progress: RoutedRequestProgress): number {
     let low = 0;
@@ -297,56 +367,3 @@
 ): choice is NoUpstreamReason {
   return typeof choice === 'string';
 }
-
-/** Identifies requests that the same upstreams can serve. */
-function requirementKey({request, origin}: RoutedRequestProgress): string {
-  const {service, modelRequest} = request;
-  const {model = '', adapter = ''} = modelRequest ?? {};
-  return `${service}/${model}/${adapter}/${origin?.softwareVersion ?? ''}`;
-}
-
-/** Whether the left request is served before the right one. */
-function precedes(
-  left: RoutedRequestProgress,
-  right: RoutedRequestProgress,
-): boolean {
-  const leftPriority = effectivePriority(left.request);
-  const rightPriority = effectivePriority(right.request);
-  if (leftPriority !== rightPriority) return leftPriority < rightPriority;
-  return (
-    left.request.deadlineAtMilliseconds < right.request.deadlineAtMilliseconds
-  );
-}
-
-/** Short, because another node can take the request at once. */
-const STOPPING_RETRY_AFTER_MILLISECONDS = 100;
-
-function createStoppingRefusal(progress: RoutedRequestProgress): RefusalError {
-  return new RefusalError(ErrorKind.NOT_READY, 'this node is about to stop', {
-    ran: ranSoFar(progress),
-    retryAfterMilliseconds: STOPPING_RETRY_AFTER_MILLISECONDS,
-  });
-}
-
-const ERROR_KIND_BY_REASON: Readonly<Record<NoUpstreamReason, ErrorKind>> = {
-  [NoUpstreamReason.NOT_HELD]: ErrorKind.NO_REPLICA,
-  [NoUpstreamReason.UNREACHABLE]: ErrorKind.UPSTREAM_UNREACHABLE,
-  [NoUpstreamReason.FULL]: ErrorKind.DEADLINE_UNREACHABLE,
-  [NoUpstreamReason.RATE_LIMITED]: ErrorKind.DEADLINE_UNREACHABLE,
-};
-
-function createNoSlotRefusal(
-  progress: RoutedRequestProgress,
-  reason: NoUpstreamReason,
-  wait: number | undefined,
-): RefusalError {
-  const {request} = progress;
-  return new RefusalError(
-    ERROR_KIND_BY_REASON[reason],
-    `no slot at ${request.service} is available in time: ${reason}`,
-    {
-      ran: ranSoFar(progress),
-      retryAfterMilliseconds: wait || DEFAULT_RETRY_AFTER_MILLISECONDS,
-    },
-  );
-}
