Ask callers for the keys of teams, and tell upstreams the team

With teams, a request on a route that is not public needs exactly one key of the configuration that its route was taken from; otherwise the answer is 401, the same for a missing, an unknown and a double key. Upstreams receive the team's name in place of the caller's Tenant header, and the team's priority. Keys are neither forwarded nor logged, and peers receive digests in place of keys. Before each attempt the gate looks the key's digest up in the newest configuration in force. An empty list of teams means no teams unless revocation is closed; then it revokes every key. Without teams both headers pass unchanged.

--- a/packages/arbutustide-node/src/__tests__/unit/configuration_watcher.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/configuration_watcher.test.ts
@@ -35,6 +35,7 @@
       logger: silentLogger(),
       configuration: {
         prefix: 'configuration',
+        redact: value => value,
         decode: value => {
           if (typeof value !== 'number') return Err(new Error('not usable'));
           const configuration: ServingConfiguration = {
--- a/packages/arbutustide-node/src/__tests__/unit/watch_relay.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/watch_relay.test.ts
@@ -92,6 +92,7 @@
           ),
         relayWaitMilliseconds: CHANGE_BOUND_MILLISECONDS * 0.25,
         maximumAgeMilliseconds: CHANGE_BOUND_MILLISECONDS * 0.65,
+        redact: object => object,
       },
       silentLogger(),
     );
--- a/packages/arbutustide-node/src/index.ts
+++ b/packages/arbutustide-node/src/index.ts
@@ -9,6 +9,7 @@
 } from './proxy/proxy_dependencies.js';
 export type {
   ProxySettings,
+  RevocationSettings,
   StoreLoadSettings,
   RetryBudgetSettings,
 } from './proxy/proxy_settings.js';
--- a/packages/arbutustide-node/src/proxy/configuration_watcher.ts
+++ b/packages/arbutustide-node/src/proxy/configuration_watcher.ts
@@ -56,7 +56,10 @@
     return this.currentRoutes;
   }
 
-  /** Stored object that the current configuration was decoded from. */
+  /**
+   * Stored object that the current configuration was decoded from, as it may be
+   * passed to peers.
+   */
   get storedObject(): StoredObject | undefined {
     return this.currentObject;
   }
@@ -97,7 +100,7 @@
       this.currentRoutes?.configuration.version ?? -Infinity;
     if (version <= currentVersion) return;
     this.currentRoutes = new RouteTable(decoded.val);
-    this.currentObject = object;
+    this.currentObject = {...object, value: configuration.redact(value)};
     logger.info(
       {
         version,
--- a/packages/arbutustide-node/src/proxy/proxy_core.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_core.ts
@@ -1,11 +1,15 @@
 import type {ClusterNode, PeerHandler} from '@arbutustide/membership';
 import type {
   ProxyDispatcher,
+  RequestTeam,
+  Route,
   RouteTable,
   ServingConfiguration,
   UpstreamSignals,
 } from '@arbutustide/routing';
 import type {NodeLogger} from '@arbutustide/telemetry';
+import type {RefusalError} from '@arbutustide/errors';
+import type {Result} from 'ts-results';
 import type {DependencyContainer} from 'tsyringe';
 
 import type {ProxyDependencies} from './proxy_dependencies.js';
@@ -45,6 +49,7 @@
   readonly logger: NodeLogger;
   /** Answers the calls of peers. */
   readonly peerHandler: PeerHandler;
+  private readonly authenticator;
   private readonly self;
   private readonly container: DependencyContainer;
   private readonly stopController = new AbortController();
@@ -56,6 +61,7 @@
     this.logger = dependencies.logger;
     this.self = createPeerIdentity(dependencies.settings);
     this.container = createProxyContainer(dependencies, this.self);
+    this.authenticator = this.container.resolve(ProxyToken.AUTHENTICATOR);
     this.dispatcher = this.container.resolve(ProxyToken.DISPATCHER);
     this.peerHandler = new ProxyPeerHandler(this.container, this.self.identity);
     const queue = this.container.resolve(ProxyToken.REQUEST_QUEUE);
@@ -73,6 +79,20 @@
     return this.container.resolve(ProxyToken.CONFIGURATION_WATCHER).routes;
   }
 
+  /**
+   * Finds the team of a request; undefined if it needs no key.
+   *
+   * @param configuration the one that the route was taken from.
+   * @param listKeys lists the keys that the request carries.
+   */
+  authenticate(
+    configuration: ServingConfiguration,
+    route: Route,
+    listKeys: () => readonly string[],
+  ): Result<RequestTeam | undefined, RefusalError> {
+    return this.authenticator.authenticate(configuration, route, listKeys);
+  }
+
   /** Whether this node has a configuration and is not shutting down. */
   get isReady(): boolean {
     return this.status.state === NodeState.READY;
--- a/packages/arbutustide-node/src/proxy/proxy_dependencies.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_dependencies.ts
@@ -15,6 +15,11 @@
 export interface ConfigurationSource {
   readonly prefix: string;
   readonly decode: (value: unknown) => Result<ServingConfiguration, Error>;
+  /**
+   * Removes from a stored configuration what must not pass between nodes. The
+   * result decodes to an equivalent configuration.
+   */
+  readonly redact: (value: unknown) => unknown;
 }
 
 /** Location of upstream entries in the object store, and their decoder. */
--- a/packages/arbutustide-node/src/proxy/proxy_settings.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_settings.ts
@@ -14,6 +14,17 @@
   readonly excessFactor: number;
 }
 
+/** How revoked keys of teams take effect. */
+export interface RevocationSettings {
+  /**
+   * Whether a node refuses requests with keys while it cannot show that it
+   * knows of revocations.
+   */
+  readonly isClosed: boolean;
+  /** Time from a revocation until no new request with the key may run. */
+  readonly boundMilliseconds: number;
+}
+
 /** Settings that a proxying node reads when it starts. */
 export interface ProxySettings {
   readonly nodeName: string;
@@ -43,4 +54,5 @@
   readonly suspensionToleranceMilliseconds: number;
   readonly retry: RetryBudgetSettings;
   readonly loads: StoreLoadSettings;
+  readonly revocation: RevocationSettings;
 }
--- a/packages/arbutustide-node/src/proxy/proxy_tokens.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tokens.ts
@@ -17,6 +17,11 @@
   TokenIssuer,
   UpstreamSignalsHandler,
 } from '@arbutustide/routing';
+import type {
+  Authenticator,
+  KeyTableCache,
+  TeamQuotas,
+} from '@arbutustide/teams';
 import type {InjectionToken} from 'tsyringe';
 
 import type {NodeStatusPublisher} from '../node_status_publisher.js';
@@ -48,6 +53,9 @@
   DEMAND_COUNTER: 'fleet.counter' as InjectionToken<DemandCounter>,
   RETRY_BUDGETS: 'fleet.budgets' as InjectionToken<ServiceRetryBudgets>,
   REQUEST_GATE: 'fleet.requestGate' as InjectionToken<RequestGate>,
+  AUTHENTICATOR: 'fleet.authenticator' as InjectionToken<Authenticator>,
+  KEY_TABLES: 'fleet.keyTables' as InjectionToken<KeyTableCache>,
+  TEAM_QUOTAS: 'fleet.teamQuotas' as InjectionToken<TeamQuotas>,
   REQUEST_QUEUE: 'fleet.queue' as InjectionToken<SlotQueue>,
   DISPATCHER: 'fleet.dispatcher' as InjectionToken<ProxyDispatcher>,
   MEMBER_TABLE: 'fleet.memberTable' as InjectionToken<MemberTable>,
--- a/packages/arbutustide-node/src/proxy/proxy_wiring.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_wiring.ts
@@ -21,7 +21,6 @@
 import {
   BrittleServices,
   DemandCounter,
-  OPEN_GATE,
   ProxyUpstreamDirectory,
   ProxyDispatcher,
   PoisonRequestDetector,
@@ -51,6 +50,7 @@
 import {registerRateLimits} from './rate_limit/register_rate_limits.js';
 import {registerStreamOrigins} from './stream_origin/register_stream_origins.js';
 import {rateLimitFields} from './rate_limit/published_rate_limits.js';
+import {registerTeams} from './teams/register_teams.js';
 import {createUpstreamSignalsHandler} from './upstream_signals_handler.js';
 import {UpstreamWatcher} from './upstream_watcher.js';
 import {chooseWatchRelays} from './watch_relay/choose_watch_relays.js';
@@ -77,6 +77,7 @@
   registerCrashDetectors(register, dependencies, identity);
   registerRateLimits(register, dependencies, identity);
   registerStreamOrigins(register, dependencies, identity);
+  registerTeams(register);
   registerRelay(register, dependencies, identity);
   registerRouting(register, dependencies);
   registerLease(register, dependencies, identity);
@@ -87,7 +88,7 @@
 /** The object store, watched through a peer where that saves calls. */
 function createRelayedStore(
   container: DependencyContainer,
-  {settings, store, transport, logger}: ProxyDependencies,
+  {settings, store, transport, logger, configuration}: ProxyDependencies,
   {identity}: PeerIdentity,
 ): RelayedObjectStore {
   const {changeBoundMilliseconds} = settings;
@@ -110,6 +111,10 @@
       ),
       maximumAgeMilliseconds:
         changeBoundMilliseconds * tuning.RELAY_MAXIMUM_AGE_SHARE,
+      redact: object =>
+        object.key.startsWith(configuration.prefix)
+          ? {...object, value: configuration.redact(object.value)}
+          : object,
     },
     logger,
   );
@@ -262,7 +267,6 @@
       tuning.INITIAL_NODE_COUNT,
     );
   });
-  register(ProxyToken.REQUEST_GATE, () => OPEN_GATE);
   register(ProxyToken.REQUEST_QUEUE, container =>
     createSlotQueue(container, dependencies),
   );
--- a/packages/arbutustide-node/src/proxy/watch_relay/relayed_object_store.ts
+++ b/packages/arbutustide-node/src/proxy/watch_relay/relayed_object_store.ts
@@ -49,6 +49,8 @@
    * The relay is then cut off from the store, or the store does not answer.
    */
   readonly maximumAgeMilliseconds: number;
+  /** Removes from an object what must not pass between nodes. */
+  readonly redact: (object: StoredObject) => StoredObject;
 }
 
 /**
@@ -110,7 +112,7 @@
       else if (relayed.val) return Ok(relayed.val);
     }
     const batch = await this.store.watch(prefix, afterVersion, signal);
-    if (batch.ok) this.logOf(prefix).append(batch.val, 0);
+    if (batch.ok) this.appendToLog(prefix, batch.val, 0);
     return batch;
   }
 
@@ -162,7 +164,7 @@
     // An answer without changes confirms the time at which it was sent.
     const elapsed = performance.now() - sentAt;
     const age = Math.min(ageMilliseconds + elapsed, maximumAgeMilliseconds);
-    this.logOf(prefix).append(batch, age);
+    this.appendToLog(prefix, batch, age);
     return Ok(batch);
   }
 
@@ -185,6 +187,11 @@
     );
   }
 
+  private appendToLog(prefix: string, batch: WatchBatch, age: number): void {
+    const changes = batch.changes.map(this.options.redact);
+    this.logOf(prefix).append({...batch, changes}, age);
+  }
+
   private logOf(prefix: string): WatchLog {
     const existing = this.logs.get(prefix);
     if (existing) return existing;
--- a/packages/arbutustide-routing/src/proxy/route.ts
+++ b/packages/arbutustide-routing/src/proxy/route.ts
@@ -59,6 +59,11 @@
 export interface TeamDescription {
   readonly name: string;
   readonly apiKeys: readonly string[];
+  /**
+   * SHA-256 of further keys, as hexadecimal digits. A configuration that came
+   * through a peer has these in place of keys.
+   */
+  readonly keyDigests?: readonly string[];
   /** Replaces the priority of the route; undefined to use the route's. */
   readonly priority: number | undefined;
   /** Undefined if the team has no limit. */
--- a/packages/arbutustide-teams/src/index.ts
+++ b/packages/arbutustide-teams/src/index.ts
@@ -1,4 +1,15 @@
 /** Teams of callers: their keys, and how recently a node confirmed them. */
+export type {AuthenticationTerms, FreshnessCheck} from './authenticator.js';
+export type {TeamGateOptions} from './team_gate.js';
 export type {TeamQuotas} from './team_quotas.js';
 
+export {Authenticator, createKeyRefusal} from './authenticator.js';
+export {createUnconfirmedRefusal} from './configuration_freshness.js';
+export {
+  digestKey,
+  encodeKeyDigest,
+  KeyTable,
+  KeyTableCache,
+} from './key_table.js';
+export {TeamGate} from './team_gate.js';
 export {UNLIMITED_QUOTAS} from './team_quotas.js';
