--- a/packages/arbutustide-node/src/proxy/proxy_core.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_core.ts
@@ -293,6 +293,10 @@
       const isPlanner = leadership.checkLeadership();
       for (const upstream of directory.all()) {
         upstream.peersInFlight = clusterView.peerRequestsInFlight(upstream.id);
+        upstream.domainPeersInFlight = clusterView.peerRequestsInFlight(
+          upstream.id,
+          this.dependencies.settings.failureDomain,
+        );
         if (isPlanner) continue;
         const plannedHoldings = holdings.get(upstream.id);
         const isSameProcess =
