Share slots between teams and priorities, and serve first what is on time

Cause: the queue served by priority and deadline alone. A team that burst made all others late; while there was too little capacity nearly everyone was served late, and deferred requests were starved. A newcomer took the slot that came free for a request that waited, and a retry that could not use a free upstream kept others from looking for it.

Change: ServiceOrder arranges the queue: starved priorities first (served part below 0.3 of all), then by priority, then what can still meet its objective, then by the teams' shares in tokens, then by deadline. With one priority and no teams the order is by deadline, as before. Newcomers do not overtake queued requests that precede them.

--- a/packages/arbutustide-node/src/proxy/create_slot_queue.ts
+++ b/packages/arbutustide-node/src/proxy/create_slot_queue.ts
@@ -22,6 +22,7 @@
 import {ProxyToken} from './proxy_tokens.js';
 import * as tuning from './proxy_tuning.js';
 import {createEarlyRefusal} from './queue/create_early_refusal.js';
+import {createServiceOrder} from './queue/create_service_order.js';
 
 /** Creates the queue of requests that wait for a slot at an upstream. */
 export function createSlotQueue(
@@ -69,6 +70,7 @@
       holdingRequester.requestHolding(service, modelRequest, softwareVersion);
     },
     observer: container.resolve(ProxyToken.DEMAND_COUNTER),
+    order: createServiceOrder(container),
     earlyRefusal: createEarlyRefusal(container, holdTimes, random),
     onSlotReturned: ({service}, heldMilliseconds) =>
       holdTimes.record(service, heldMilliseconds),
--- a/packages/arbutustide-node/src/proxy/queue/create_early_refusal.ts
+++ b/packages/arbutustide-node/src/proxy/queue/create_early_refusal.ts
@@ -30,7 +30,7 @@
   });
   return new EarlyRefusal({
     random,
-    expectedWaitMilliseconds: (progress, {ahead, aheadShareInPriority}) => {
+    expectedWaitMilliseconds: (progress, position) => {
       const {service, modelRequest} = progress.request;
       const holdMilliseconds = holdTimes.meanMilliseconds(service);
       if (holdMilliseconds === undefined) return undefined;
@@ -43,12 +43,12 @@
         fullShare: modelRequest
           ? tuning.ENGINE_IN_FLIGHT_SLOT_SHARE
           : tuning.SERVICE_IN_FLIGHT_SLOT_SHARE,
-        ahead,
+        ahead: position.ahead,
         competing: competing.list({
           service,
           model: modelRequest?.model,
           priority: effectivePriority(progress.request),
-          aheadShareInPriority,
+          position,
         }),
       });
     },
--- a/packages/arbutustide-routing/src/__tests__/unit/early_refusal.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/early_refusal.test.ts
@@ -11,6 +11,7 @@
 import {expect} from 'chai';
 
 import {EarlyRefusal} from '../../proxy/queue/early_refusal.js';
+import {Standing} from '../../proxy/queue/queue_position.js';
 import {
   capacityPerSecond,
   DEFERRED,
@@ -115,8 +116,11 @@
   let clock: ReturnType<typeof install>;
   let expectedMilliseconds: number | undefined;
   let refusal: EarlyRefusal;
-  let progress: RoutedRequestProgress;
-  const position = {ahead: 0, aheadShareInPriority: 0.5};
+  const position = {
+    standing: Standing.USUAL,
+    ahead: 0,
+    aheadShareInPriority: 0.5,
+  };
 
   beforeEach(() => {
     clock = install();
@@ -124,7 +128,6 @@
       expectedWaitMilliseconds: () => expectedMilliseconds,
       random: () => 1,
     });
-    progress = arrive();
   });
   afterEach(() => clock.uninstall());
 
@@ -140,14 +143,25 @@
     return createProgress(caller, deadlineAt);
   }
 
-  function refuseNewcomer(expected: number) {
-    const request = {progress: arrive(), position, neededMilliseconds: 0};
-    return refusal.refuseNewcomer(request, expected);
+  function describeRequest(waiting: RoutedRequestProgress) {
+    return {progress: waiting, position, neededMilliseconds: 0};
   }
 
-  function refuseQueued(waitedMilliseconds: number) {
-    const request = {progress, position, neededMilliseconds: 0};
-    return refusal.refuseQueued(request, waitedMilliseconds);
+  /** The retry-after of a newcomer; undefined if it may wait. */
+  function refuseNewcomer(expected: number | undefined) {
+    expectedMilliseconds = expected;
+    const prospect = refusal.beginWait(describeRequest(arrive()));
+    return prospect.ok ? undefined : prospect.val;
+  }
+
+  /** Whether a request that was queued is refused after this time. */
+  function isQueuedRefused(waited: number, expectedThen: number | undefined) {
+    expectedMilliseconds = 0;
+    const waiting = describeRequest(arrive());
+    const prospect = refusal.beginWait(waiting).unwrap();
+    clock.tick(waited);
+    expectedMilliseconds = expectedThen;
+    return refusal.reassess(prospect, waiting, waited) !== undefined;
   }
 
   it('names the time until the wait is short enough, with a spread', () => {
@@ -166,24 +180,25 @@
 
   it('learns that requests wait longer than predicted, and forgets it', () => {
     expect(refuseNewcomer(1_000)).to.equal(undefined);
-    for (let count = 0; count < 20; count += 1)
-      refusal.recordWait(arrive(), 500, 4_000, true);
+    expectedMilliseconds = 500;
+    const prospects = Array.from({length: 20}, () =>
+      refusal.beginWait(describeRequest(arrive())).unwrap(),
+    );
+    clock.tick(4_000);
+    for (const prospect of prospects) refusal.endWait(prospect, true);
     expect(refuseNewcomer(1_000)).to.be.above(0);
     clock.tick(30_000);
     expect(refuseNewcomer(1_000)).to.equal(undefined);
   });
 
   it('refuses what is queued only if hopeless, and not when half its time is over', () => {
-    expectedMilliseconds = 4_000;
-    expect(refuseQueued(0)).to.equal(undefined);
-    expectedMilliseconds = 6_000;
-    expect(refuseQueued(0)).to.be.above(0);
-    clock.tick(1_300);
-    expect(refuseQueued(1_300)).to.equal(undefined);
+    expect(isQueuedRefused(100, 2_600)).to.equal(false);
+    expect(isQueuedRefused(100, 3_200)).to.equal(true);
+    expect(isQueuedRefused(1_300, 6_000)).to.equal(false);
   });
 
   it('lets requests wait while nothing was measured', () => {
-    expectedMilliseconds = undefined;
-    expect(refuseQueued(0)).to.equal(undefined);
+    expect(refuseNewcomer(undefined)).to.equal(undefined);
+    expect(isQueuedRefused(100, undefined)).to.equal(false);
   });
 });
--- a/packages/arbutustide-routing/src/__tests__/unit/queue_cluster.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/queue_cluster.ts
@@ -1,4 +1,5 @@
 import type {RoutedRequestProgress} from '../../proxy/routed_request_progress.js';
+import type {ServiceOrder} from '../../proxy/queue/service_order.js';
 import type {RequestTeam} from '../../proxy/routed_request.js';
 import type {Route} from '../../proxy/route.js';
 
@@ -58,6 +59,8 @@
   readonly heldModels: readonly (readonly string[])[];
   readonly random: () => number;
   readonly hasEarlyRefusal: boolean;
+  /** Undefined to serve by priority and then deadline. */
+  readonly createOrder?: () => ServiceOrder;
 }
 
 /** An upstream with a queue for what it cannot run yet. */
@@ -118,6 +121,7 @@
       minimumServiceMilliseconds: () => MINIMUM_SERVICE_MILLISECONDS,
       onNotHeld: () => {},
       observer: this.demand,
+      order: settings.createOrder?.(),
       earlyRefusal: hasEarlyRefusal
         ? this.createEarlyRefusal(random)
         : undefined,
@@ -132,7 +136,7 @@
     });
     return new EarlyRefusal({
       random,
-      expectedWaitMilliseconds: ({request}, {ahead, aheadShareInPriority}) => {
+      expectedWaitMilliseconds: ({request}, position) => {
         const {service, modelRequest} = request;
         const holdMilliseconds = this.holdTimes.meanMilliseconds(service);
         if (holdMilliseconds === undefined) return undefined;
@@ -141,12 +145,12 @@
           reference: modelRequest,
           holdMilliseconds,
           fullShare: 1,
-          ahead,
+          ahead: position.ahead,
           competing: competing.list({
             service,
             model: modelRequest?.model,
             priority: effectivePriority(request),
-            aheadShareInPriority,
+            position,
           }),
         });
       },
--- a/packages/arbutustide-routing/src/__tests__/unit/slot_queue.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/slot_queue.test.ts
@@ -11,7 +11,8 @@
 import {DemandCounter} from '../../proxy/demand_counter.js';
 import {NoUpstreamReason} from '../../proxy/choose_upstream.js';
 import {SlotQueue} from '../../proxy/slot_queue.js';
-import {testRequest, testUpstream} from './proxy_fixtures.js';
+import {testRequest, testRoute, testUpstream} from './proxy_fixtures.js';
+import {createProgress} from './queue_cluster.js';
 
 describe('slot queue of a stopping node', () => {
   let clock: ReturnType<typeof install>;
@@ -66,3 +67,69 @@
     expect((await enterQueue()).ok).to.equal(true);
   });
 });
+
+// A newcomer that takes a slot which has just come free keeps out requests that
+// wait and are more urgent.
+describe('slot that comes free while requests wait', () => {
+  let clock: ReturnType<typeof install>;
+  let upstream: ProxyUpstream;
+  let queue: SlotQueue;
+
+  beforeEach(() => {
+    clock = install();
+    upstream = testUpstream('one', [], {slots: 1});
+    queue = new SlotQueue({
+      chooseUpstream: ({triedUpstreams}) =>
+        upstream.ownInFlight < 1 && !triedUpstreams.has(upstream)
+          ? upstream
+          : NoUpstreamReason.FULL,
+      predictWaitMilliseconds: () => 0,
+      minimumServiceMilliseconds: () => 20,
+      onNotHeld: () => {},
+      observer: new DemandCounter(),
+    });
+  });
+  afterEach(() => clock.uninstall());
+
+  function enterQueue(priority: number, tried: ProxyUpstream[] = []) {
+    const caller = {
+      route: testRoute({priority}),
+      deadlineMilliseconds: 5_000,
+      holdMilliseconds: 0,
+    };
+    const progress = createProgress(caller, performance.now() + 5_000);
+    for (const triedUpstream of tried)
+      progress.triedUpstreams.add(triedUpstream);
+    return queue.acquireSlot(progress);
+  }
+
+  it('goes to the more urgent one that waits, not to a newcomer', async () => {
+    const served: string[] = [];
+    const first = (await enterQueue(1)).unwrap();
+    void enterQueue(1).then(() => served.push('urgent'));
+    await clock.tickAsync(100);
+    first.release();
+    void enterQueue(2).then(() => served.push('newcomer'));
+    await clock.tickAsync(100);
+    expect(served).to.deep.equal(['urgent']);
+  });
+
+  it('goes to a newcomer at once if only retries wait that cannot use it', async () => {
+    const first = (await enterQueue(1)).unwrap();
+    void enterQueue(1, [upstream]);
+    await clock.tickAsync(100);
+    first.release();
+    expect((await enterQueue(2)).ok).to.equal(true);
+  });
+
+  it('is not withheld by a retry that cannot use it', async () => {
+    const first = (await enterQueue(1)).unwrap();
+    void enterQueue(1, [upstream]);
+    const waiting = enterQueue(2);
+    await clock.tickAsync(100);
+    first.release();
+    await clock.tickAsync(100);
+    expect((await waiting).ok).to.equal(true);
+    expect(upstream.ownInFlight).to.equal(1);
+  });
+});
--- a/packages/arbutustide-routing/src/proxy/queue/competing_requests.ts
+++ b/packages/arbutustide-routing/src/proxy/queue/competing_requests.ts
@@ -1,6 +1,8 @@
 import type {WaitingEntry} from './expected_wait.js';
+import type {QueuePosition} from './queue_position.js';
 
 import {modelEntryName, priorityIndex} from '../demand_counter.js';
+import {Standing} from './queue_position.js';
 
 /** What the peers publish of one model or plain service. */
 export interface PublishedDemand {
@@ -23,11 +25,7 @@
   /** Undefined for a plain service. */
   readonly model: string | undefined;
   readonly priority: number;
-  /**
-   * Part of the requests of the same priority that is served before, as found at
-   * this node: the others' requests are taken to be of the same kinds.
-   */
-  readonly aheadShareInPriority: number;
+  readonly position: QueuePosition;
 }
 
 interface CountedEntry {
@@ -53,18 +51,21 @@
 
   /**
    * The requests that are served before, at the peers and, for other models, at
-   * this node.
+   * this node. Of those of the same priority, as large a part counts as is before
+   * the request here: the others' requests are taken to be of the same kinds.
    */
   *list({
     service,
     model,
     priority,
-    aheadShareInPriority,
+    position: {standing, aheadShareInPriority},
   }: CompetingTerms): Generator<WaitingEntry> {
     for (const entry of this.entriesFor(service, priorityIndex(priority))) {
       if (entry.isOwn && entry.model === model) continue;
       const {moreUrgent, inPriority} = entry;
-      const count = moreUrgent + aheadShareInPriority * inPriority;
+      const isAheadOfUrgent = standing === Standing.FAVOURED;
+      const count =
+        (isAheadOfUrgent ? 0 : moreUrgent) + aheadShareInPriority * inPriority;
       yield {model: entry.model, count};
     }
   }
--- a/packages/arbutustide-routing/src/proxy/queue/early_refusal.ts
+++ b/packages/arbutustide-routing/src/proxy/queue/early_refusal.ts
@@ -1,6 +1,9 @@
-import type {QueuePosition} from './queue_order.js';
+import type {QueuePosition, Standing} from './queue_position.js';
+import type {Result} from 'ts-results';
 import type {RoutedRequestProgress} from '../routed_request_progress.js';
 
+import {Err, Ok} from 'ts-results';
+
 import {effectivePriority} from '../routed_request.js';
 import {remainingQueueMilliseconds} from '../routed_request_progress.js';
 import {WaitCorrection} from './wait_correction.js';
@@ -28,6 +31,21 @@
   readonly position: QueuePosition;
 }
 
+/** What was expected of a queued request's wait. */
+export interface Prospect {
+  standing: Standing;
+  /** Identifies the requests that share a correction. */
+  key: string;
+  /** Undefined if nothing was measured. */
+  expectedMilliseconds: number | undefined;
+  /** When it was expected. */
+  sinceMilliseconds: number;
+  nextCheckAtMilliseconds: number;
+}
+
+/** Assessing a queued request costs as much as choosing an upstream. */
+const CHECK_MILLISECONDS = 500;
+
 /**
  * Once a request was refused, others are admitted again when the expected wait
  * is below this share of their time. Callers honour a retry-after of a third of
@@ -42,7 +60,7 @@
  * A queued request is refused when its expected wait exceeds the time that it
  * has left by this factor: estimates vary, and it may still be served.
  */
-const QUEUED_EXCESS_FACTOR = 2;
+const QUEUED_EXCESS_FACTOR = 1.25;
 /**
  * A request that has waited for this share of its time stays until the end, as
  * its caller has no time for another attempt.
@@ -62,75 +80,77 @@
 
   constructor(private readonly options: EarlyRefusalOptions) {}
 
-  /** Expected wait; undefined if nothing was measured. */
-  expectedWaitMilliseconds({
-    progress,
-    position,
-  }: WaitingRequest): number | undefined {
-    return this.options.expectedWaitMilliseconds(progress, position);
-  }
-
   /**
    * Decides on a request that is about to be queued.
    *
-   * @param expectedMilliseconds what `expectedWaitMilliseconds` returned.
-   * @return the retry-after in milliseconds; undefined if it may wait.
+   * @return its prospect, or the retry-after in milliseconds.
    */
-  refuseNewcomer(
-    {progress, neededMilliseconds}: WaitingRequest,
-    expectedMilliseconds: number,
-  ): number | undefined {
-    const key = refusalKey(progress);
-    const wait = this.correctedWait(progress, expectedMilliseconds);
-    const available = remainingQueueMilliseconds(progress) - neededMilliseconds;
+  beginWait(request: WaitingRequest): Result<Prospect, number> {
+    const prospect = this.createProspect(request);
+    const wait = this.correctedWait(prospect);
+    const available = availableMilliseconds(request);
+    const key = refusalKey(request.progress);
     const readmissionWait = READMISSION_SHARE * available;
     const limit = this.isRefusing(key) ? readmissionWait : available;
-    if (wait <= limit) return undefined;
+    if (wait <= limit) return Ok(prospect);
     if (wait > available) this.refusedAtByKey.set(key, performance.now());
-    return this.jitter(wait - readmissionWait);
+    return Err(this.jitter(wait - readmissionWait));
   }
 
-  /** Decides on a queued request in the same way. */
-  refuseQueued(
+  /**
+   * Decides again on a queued request.
+   *
+   * @param waitedMilliseconds time since it was queued.
+   * @return the retry-after in milliseconds; undefined if it may wait.
+   */
+  reassess(
+    prospect: Prospect,
     request: WaitingRequest,
     waitedMilliseconds: number,
   ): number | undefined {
-    const {progress, neededMilliseconds} = request;
-    const available = remainingQueueMilliseconds(progress) - neededMilliseconds;
+    prospect.nextCheckAtMilliseconds = performance.now() + CHECK_MILLISECONDS;
+    const current = this.createProspect(request);
+    if (current.standing !== prospect.standing) {
+      this.endWait(prospect, false);
+      Object.assign(prospect, current);
+    }
+    const available = availableMilliseconds(request);
     const committedAt = COMMITTED_SHARE * (available + waitedMilliseconds);
     if (waitedMilliseconds >= committedAt) return undefined;
-    const expected = this.expectedWaitMilliseconds(request);
-    if (expected === undefined) return undefined;
-    const wait = this.correctedWait(progress, expected);
+    const wait = this.correctedWait(current);
     if (wait <= QUEUED_EXCESS_FACTOR * available) return undefined;
     return this.jitter(wait - READMISSION_SHARE * available);
   }
 
-  /**
-   * Records how long a request that was queued has waited.
-   *
-   * @param hasSlot false if it gave up.
-   */
-  recordWait(
-    progress: RoutedRequestProgress,
-    expectedMilliseconds: number,
-    waitedMilliseconds: number,
+  /** Records that a queued request got a slot or gave up. */
+  endWait(
+    {key, expectedMilliseconds, sinceMilliseconds}: Prospect,
     hasSlot: boolean,
   ): void {
-    this.correction.record(
-      correctionKey(progress),
-      expectedMilliseconds,
-      waitedMilliseconds,
-      hasSlot,
-    );
+    if (expectedMilliseconds === undefined) return;
+    const waited = performance.now() - sinceMilliseconds;
+    this.correction.record(key, expectedMilliseconds, waited, hasSlot);
   }
 
-  private correctedWait(
-    progress: RoutedRequestProgress,
-    expectedMilliseconds: number,
-  ): number {
-    const factor = this.correction.factorFor(correctionKey(progress));
-    return expectedMilliseconds * factor;
+  private createProspect({progress, position}: WaitingRequest): Prospect {
+    const {standing} = position;
+    const {request} = progress;
+    const now = performance.now();
+    return {
+      standing,
+      key: `${request.service} ${effectivePriority(request)} ${standing}`,
+      expectedMilliseconds: this.options.expectedWaitMilliseconds(
+        progress,
+        position,
+      ),
+      sinceMilliseconds: now,
+      nextCheckAtMilliseconds: now + CHECK_MILLISECONDS,
+    };
+  }
+
+  /** Zero if nothing was measured: such requests may wait. */
+  private correctedWait({key, expectedMilliseconds = 0}: Prospect): number {
+    return expectedMilliseconds * this.correction.factorFor(key);
   }
 
   private isRefusing(key: string): boolean {
@@ -153,6 +173,10 @@
   return `${service}/${modelRequest?.model ?? ''} ${route.name}`;
 }
 
-function correctionKey({request}: RoutedRequestProgress): string {
-  return `${request.service} ${effectivePriority(request)}`;
+/** Time left in which the request must get its slot. */
+function availableMilliseconds({
+  progress,
+  neededMilliseconds,
+}: WaitingRequest): number {
+  return remainingQueueMilliseconds(progress) - neededMilliseconds;
 }
--- a/packages/arbutustide-routing/src/proxy/queue/queue_order.ts
+++ b/packages/arbutustide-routing/src/proxy/queue/queue_order.ts
@@ -1,4 +1,5 @@
 import type {RoutedRequestProgress} from '../routed_request_progress.js';
+import type {Queued} from './team_shares.js';
 
 import {effectivePriority} from '../routed_request.js';
 
@@ -12,22 +13,8 @@
   return `${service}/${model}/${adapter}/${origin?.softwareVersion ?? ''}`;
 }
 
-/**
- * Whether two requests wait for the same upstreams' slots. The adapters of a
- * model are at the upstreams that hold it.
- */
-export function competesWith(
-  {request: left}: RoutedRequestProgress,
-  {request: right}: RoutedRequestProgress,
-): boolean {
-  return (
-    left.service === right.service &&
-    left.modelRequest?.model === right.modelRequest?.model
-  );
-}
-
 /** Whether the left request is served before the right one. */
-export function precedes(
+function precedes(
   left: RoutedRequestProgress,
   right: RoutedRequestProgress,
 ): boolean {
@@ -39,38 +26,46 @@
   );
 }
 
-/** Where a request stands among the queued ones that compete with it. */
-export interface QueuePosition {
-  /** Requests that are served before. */
-  readonly ahead: number;
-  /** The part of the requests of its own priority that is served before. */
-  readonly aheadShareInPriority: number;
+/** Number of requests, in order, that are served before this one. */
+export function insertionIndex(
+  queued: readonly Queued[],
+  progress: RoutedRequestProgress,
+): number {
+  let low = 0;
+  let high = queued.length;
+  while (low < high) {
+    const middle = (low + high) >>> 1;
+    if (precedes(progress, queued[middle].progress)) high = middle;
+    else low = middle + 1;
+  }
+  return low;
+}
+
+/** A copy of the requests, in order, with one more. */
+export function insertInOrder<Item extends Queued>(
+  queued: readonly Item[],
+  item: Item,
+): Item[] {
+  const copy = [...queued];
+  copy.splice(insertionIndex(queued, item.progress), 0, item);
+  return copy;
 }
 
 /**
- * Finds the position of a request.
+ * Whether a request that needs the same is served before. A retry does not
+ * count, as it may not use the upstreams that it has tried.
  *
- * @param index number of queued requests, in order, that are served before.
+ * @param arranged requests in the order of service, with this one.
  */
-export function findPosition(
+export function hasEarlierRequest(
+  arranged: readonly Queued[],
   progress: RoutedRequestProgress,
-  queued: readonly {readonly progress: RoutedRequestProgress}[],
-  index: number,
-): QueuePosition {
-  const priority = effectivePriority(progress.request);
-  let ahead = 0;
-  let inPriority = 0;
-  let aheadInPriority = 0;
-  for (const [position, other] of queued.entries()) {
-    if (other.progress === progress) continue;
-    if (!competesWith(progress, other.progress)) continue;
-    const isAhead = position < index;
-    if (isAhead) ahead += 1;
-    if (effectivePriority(other.progress.request) !== priority) continue;
-    inPriority += 1;
-    if (isAhead) aheadInPriority += 1;
+): boolean {
+  const requirement = requirementKey(progress);
+  for (const {progress: other} of arranged) {
+    if (other === progress) return false;
+    if (other.triedUpstreams.size > 0) continue;
+    if (requirementKey(other) === requirement) return true;
   }
-  // Half of them while none is queued to tell by.
-  const aheadShareInPriority = (aheadInPriority + 0.5) / (inPriority + 1);
-  return {ahead, aheadShareInPriority};
+  return false;
 }
--- a/packages/arbutustide-routing/src/proxy/queue/wait_correction.ts
+++ b/packages/arbutustide-routing/src/proxy/queue/wait_correction.ts
@@ -49,7 +49,8 @@
     const current = this.factorFor(key);
     if (!hasSlot && ratio <= current) return;
     this.factors.set(key, {
-      value: current + SAMPLE_WEIGHT * (ratio - current),
+      // The geometric mean, as single ratios are far from symmetric.
+      value: current * (ratio / current) ** SAMPLE_WEIGHT,
       updatedAtMilliseconds: performance.now(),
     });
   }
--- a/packages/arbutustide-routing/src/proxy/slot_queue.ts
+++ b/packages/arbutustide-routing/src/proxy/slot_queue.ts
@@ -4,15 +4,27 @@
 import type {UpstreamChoice} from './choose_upstream.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
 import type {ProxyUpstream} from './proxy_upstream.js';
-import type {QueuePosition} from './queue/queue_order.js';
-import type {EarlyRefusal, WaitingRequest} from './queue/early_refusal.js';
+import type {QueuePosition} from './queue/queue_position.js';
+import type {ServiceOrder} from './queue/service_order.js';
+import type {Queued} from './queue/team_shares.js';
+import type {
+  EarlyRefusal,
+  Prospect,
+  WaitingRequest,
+} from './queue/early_refusal.js';
 import type {RoutedRequest} from './routed_request.js';
 import type {RefusalError} from '@arbutustide/errors';
 
 import {Err, Ok} from 'ts-results';
 
 import {NoUpstreamReason} from './choose_upstream.js';
-import {findPosition, precedes, requirementKey} from './queue/queue_order.js';
+import {
+  hasEarlierRequest,
+  insertInOrder,
+  insertionIndex,
+  requirementKey,
+} from './queue/queue_order.js';
+import {findPosition, Standing} from './queue/queue_position.js';
 import {
   createNoSlotRefusal,
   createStoppingRefusal,
@@ -46,6 +58,8 @@
   /** Called when no upstream holds the model or adapter of a request. */
   readonly onNotHeld: (progress: RoutedRequestProgress) => void;
   readonly observer: SlotQueueObserver;
+  /** Undefined to serve by priority and then deadline. */
+  readonly order?: ServiceOrder;
   /** Undefined to let requests wait for as long as their callers do. */
   readonly earlyRefusal?: EarlyRefusal;
   /** Called when a request that an upstream accepted returns its slot. */
@@ -65,26 +79,26 @@
   release(): void;
 }
 
-/** Assessing a queued request costs as much as choosing an upstream. */
-const QUEUED_CHECK_MILLISECONDS = 500;
-
 type SlotResult = Result<UpstreamSlot, RefusalError>;
 
 interface Waiter {
   readonly progress: RoutedRequestProgress;
   readonly queuedAtMilliseconds: number;
-  /** Wait expected when it was queued; undefined if nothing was measured. */
-  readonly expectedMilliseconds: number | undefined;
-  /** When its prospect of a slot is next assessed. */
-  nextCheckAtMilliseconds: number;
+  /** Undefined if its wait does not depend on slots that come free. */
+  readonly prospect: Prospect | undefined;
   readonly settle: (result: SlotResult) => void;
 }
 
+/** Requests with the same requirements that found no slot in a scan. */
+interface BlockedRequests {
+  count: number;
+  readonly reason: NoUpstreamReason;
+}
+
 /**
- * Queue of requests that wait for a slot at an upstream, ordered by priority and
- * then deadline. It absorbs bursts and lost upstreams. Requests queue here and
- * not at the upstreams, because here a refusal can still state that the request
- * did not run.
+ * Queue of requests that wait for a slot at an upstream. It absorbs bursts and
+ * lost upstreams. Requests queue here and not at the upstreams, because here a
+ * refusal can still state that the request did not run.
  */
 export class SlotQueue {
   private readonly waiters: Waiter[] = [];
@@ -98,20 +112,25 @@
     const {chooseUpstream: choose, observer, onNotHeld} = this.options;
     observer.recordQueued(progress.request);
     const choice = choose(progress);
-    if (!isNoUpstreamReason(choice)) {
+    if (!isNoUpstreamReason(choice) && !this.hasEarlierWaiter(progress)) {
+      this.options.order?.recordServed(progress, false);
       return Ok(this.takeSlot(progress, choice, performance.now()));
     }
     if (choice === NoUpstreamReason.NOT_HELD) onNotHeld(progress);
-    const result = await this.enqueueOrRefuse(progress, choice);
-    if (!result.ok) observer.recordEnded(progress.request, false);
+    const result = isNoUpstreamReason(choice)
+      ? await this.enqueueOrRefuse(progress, choice)
+      : await this.enqueueForScan(progress);
+    if (!result.ok) {
+      this.options.order?.recordRefused(progress);
+      observer.recordEnded(progress.request, false);
+    }
     return result;
   }
 
   /** Whether this node has no path to any upstream that could take it. */
   isUnreachable(progress: RoutedRequestProgress): boolean {
-    return (
-      this.options.chooseUpstream(progress) === NoUpstreamReason.UNREACHABLE
-    );
+    const choice = this.options.chooseUpstream(progress);
+    return choice === NoUpstreamReason.UNREACHABLE;
   }
 
   /** Whether an upstream could take the request now. */
@@ -154,36 +173,55 @@
   }
 
   /**
-   * Gives free slots to the queued requests in order. Of the requests with the
-   * same requirements only the first looks for a slot; those behind it count
-   * as waiting. Retries look themselves, as they exclude the tried upstreams.
+   * Gives free slots to the queued requests in order. Of those with the same
+   * requirements only the first looks for a slot. Retries look themselves, as
+   * they exclude the tried upstreams.
    */
   private scanWaiters(): void {
-    const waiting = new Map<string, number>();
-    for (const waiter of [...this.waiters]) {
-      const {progress, queuedAtMilliseconds} = waiter;
+    const blocked = new Map<string, BlockedRequests>();
+    const arranged = this.arrange(this.waiters);
+    for (const waiter of arranged) {
+      const {progress} = waiter;
       const requirement = requirementKey(progress);
-      const ahead = waiting.get(requirement) ?? 0;
-      const isFirst = ahead === 0 || progress.triedUpstreams.size > 0;
+      const before = blocked.get(requirement);
+      const isRetry = progress.triedUpstreams.size > 0;
+      const isFirst = !before || isRetry;
       const choice = isFirst
         ? this.options.chooseUpstream(progress)
-        : NoUpstreamReason.FULL;
+        : before.reason;
       if (!isNoUpstreamReason(choice)) {
-        this.removeWaiter(waiter);
-        waiter.settle(
-          Ok(this.takeSlot(progress, choice, queuedAtMilliseconds)),
-        );
+        this.giveSlot(waiter, choice);
         continue;
       }
-      if (choice === NoUpstreamReason.NOT_HELD)
+      if (isFirst && choice === NoUpstreamReason.NOT_HELD)
         this.options.onNotHeld(progress);
-      waiting.set(requirement, ahead + 1);
-      const refused = isFirst && this.refuseWaiter(waiter, choice, ahead);
-      if (!refused) continue;
-      this.removeWaiter(waiter);
-      waiter.settle(Err(refused));
-      waiting.set(requirement, ahead);
+      const refused =
+        (isFirst
+          ? this.refuseIfHopeless(progress, choice, before?.count ?? 0)
+          : undefined) ?? this.reassess(waiter, choice, arranged);
+      if (refused) {
+        this.removeWaiter(waiter);
+        waiter.settle(Err(refused));
+        continue;
+      }
+      if (before) before.count += 1;
+      else if (!isRetry) blocked.set(requirement, {count: 1, reason: choice});
     }
+    if (this.waiters.length === 0) this.options.order?.recordEmpty();
+  }
+
+  private giveSlot(waiter: Waiter, upstream: ProxyUpstream): void {
+    const {progress, queuedAtMilliseconds} = waiter;
+    this.removeWaiter(waiter);
+    this.options.order?.recordServed(progress, true);
+    waiter.settle(Ok(this.takeSlot(progress, upstream, queuedAtMilliseconds)));
+  }
+
+  /** A copy of the queued requests in the order of service. */
+  private arrange(waiters: readonly Waiter[]): readonly Waiter[] {
+    const {order} = this.options;
+    const arranged = order ? order.arrange(waiters) : waiters;
+    return arranged === this.waiters ? [...arranged] : arranged;
   }
 
   /**
@@ -214,64 +252,81 @@
     if (refused) return Err(refused);
     const {earlyRefusal} = this.options;
     if (!earlyRefusal || reason !== NoUpstreamReason.FULL)
-      return this.enqueue(progress, reason, undefined);
-    const waiting = this.describe(progress, position);
-    const expected = earlyRefusal.expectedWaitMilliseconds(waiting);
-    const retryAfter =
-      expected && earlyRefusal.refuseNewcomer(waiting, expected);
-    if (retryAfter)
-      return Err(createNoSlotRefusal(progress, reason, retryAfter));
-    return this.enqueue(progress, reason, expected);
+      return this.enqueue(progress, reason);
+    const prospect = earlyRefusal.beginWait(this.describe(progress, position));
+    return prospect.ok
+      ? this.enqueue(progress, reason, prospect.val)
+      : Err(createNoSlotRefusal(progress, reason, prospect.val));
+  }
+
+  /** Queues a request behind others for the slot that it could take. */
+  private enqueueForScan(progress: RoutedRequestProgress): Promise<SlotResult> {
+    const result = this.enqueue(progress, NoUpstreamReason.FULL);
+    this.scheduleScan();
+    return result;
   }
 
   /** The refusal of a queued request that has no prospect of a slot, if so. */
-  private refuseWaiter(
-    waiter: Waiter,
+  private reassess(
+    {progress, prospect, queuedAtMilliseconds}: Waiter,
     reason: NoUpstreamReason,
-    ahead: number,
+    arranged: readonly Waiter[],
   ): RefusalError | undefined {
-    const {progress, queuedAtMilliseconds} = waiter;
-    const refused = this.refuseIfHopeless(progress, reason, ahead);
     const now = performance.now();
-    if (refused || reason !== NoUpstreamReason.FULL) return refused;
-    if (now < waiter.nextCheckAtMilliseconds) return undefined;
-    waiter.nextCheckAtMilliseconds = now + QUEUED_CHECK_MILLISECONDS;
-    const retryAfter = this.options.earlyRefusal?.refuseQueued(
-      this.describe(progress, this.findPosition(progress)),
+    if (!prospect || reason !== NoUpstreamReason.FULL) return undefined;
+    if (now < prospect.nextCheckAtMilliseconds) return undefined;
+    const retryAfter = this.options.earlyRefusal?.reassess(
+      prospect,
+      this.describe(progress, this.findPosition(progress, arranged)),
       now - queuedAtMilliseconds,
     );
-    return retryAfter === undefined
-      ? undefined
-      : createNoSlotRefusal(progress, reason, retryAfter);
+    if (retryAfter === undefined) return undefined;
+    return createNoSlotRefusal(progress, reason, retryAfter);
   }
 
   private describe(
     progress: RoutedRequestProgress,
     position: QueuePosition,
   ): WaitingRequest {
-    const needed = this.options.minimumServiceMilliseconds(progress);
-    return {progress, position, neededMilliseconds: needed};
+    const neededMilliseconds =
+      this.options.minimumServiceMilliseconds(progress);
+    return {progress, position, neededMilliseconds};
   }
 
-  private findPosition(progress: RoutedRequestProgress): QueuePosition {
-    return findPosition(progress, this.waiters, this.insertionIndex(progress));
+  /** Position of a request that is queued, or that would be. */
+  private findPosition(
+    progress: RoutedRequestProgress,
+    arranged = this.arrangeWith(progress),
+  ): QueuePosition {
+    const standing = this.options.order?.standingOf(progress);
+    return findPosition(progress, arranged, standing ?? Standing.USUAL);
+  }
+
+  private arrangeWith(progress: RoutedRequestProgress): readonly Queued[] {
+    const queued = insertInOrder<Queued>(this.waiters, {progress});
+    return this.options.order?.arrange(queued) ?? queued;
+  }
+
+  /** Whether a queued request that needs the same is to be served before. */
+  private hasEarlierWaiter(progress: RoutedRequestProgress): boolean {
+    if (this.waiters.length === 0) return false;
+    return hasEarlierRequest(this.arrangeWith(progress), progress);
   }
 
   private enqueue(
     progress: RoutedRequestProgress,
     reason: NoUpstreamReason,
-    expectedMilliseconds: number | undefined,
+    prospect?: Prospect,
   ): Promise<SlotResult> {
     return new Promise(resolve => {
       let removeCancelListener = () => {};
       const waiter: Waiter = {
         progress,
         queuedAtMilliseconds: performance.now(),
-        expectedMilliseconds,
-        nextCheckAtMilliseconds: performance.now() + QUEUED_CHECK_MILLISECONDS,
+        prospect,
         settle: result => {
           clearTimeout(timer);
-          this.recordWait(waiter, result.ok);
+          if (prospect) this.options.earlyRefusal?.endWait(prospect, result.ok);
           removeCancelListener();
           resolve(result);
         },
@@ -285,24 +340,11 @@
         refuse,
         Math.max(0, remainingQueueMilliseconds(progress) - needed),
       );
-      this.waiters.splice(this.insertionIndex(progress), 0, waiter);
+      this.waiters.splice(insertionIndex(this.waiters, progress), 0, waiter);
       removeCancelListener = progress.cancellation.onCancel(refuse);
     });
   }
 
-  private recordWait(
-    {progress, queuedAtMilliseconds, expectedMilliseconds}: Waiter,
-    hasSlot: boolean,
-  ): void {
-    if (expectedMilliseconds === undefined) return;
-    this.options.earlyRefusal?.recordWait(
-      progress,
-      expectedMilliseconds,
-      performance.now() - queuedAtMilliseconds,
-      hasSlot,
-    );
-  }
-
   private takeSlot(
     {request}: RoutedRequestProgress,
     upstream: ProxyUpstream,
@@ -348,18 +390,6 @@
     this.waiters.splice(index, 1);
     return true;
   }
-
-  /** Number of queued requests that are served before this one. */
-  private insertionIndex(progress: RoutedRequestProgress): number {
-    let low = 0;
-    let high = this.waiters.length;
-    while (low < high) {
-      const middle = (low + high) >>> 1;
-      if (precedes(progress, this.waiters[middle].progress)) high = middle;
-      else low = middle + 1;
-    }
-    return low;
-  }
 }
 
 function isNoUpstreamReason(
