Refuse requests with keys while a node cannot show that it knows of revocations

Cause: a node that is cut off from the store went on to serve keys that had been revoked, without any bound.

Change: ConfigurationFreshness knows when the configuration in force was last confirmed: by a list or a direct watch as of when the call was sent, or by a peer's ConfirmConfiguration with the peer's age added. Where revocation is closed, requests with keys are refused with 503 as not run from 0.9 of the bound on, when they arrive and before each attempt. A drift of the clocks drops the confirmation and everything asked for before. A store whose configuration is older than one that any node knows confirms nothing. ConfigurationConfirmer asks a peer from a quarter of that age on, and more peers and the store from 0.6 on. Nodes that no other node of their failure domain watches for hold the watch of the configuration open for a tenth of the bound, so that their age stays below a quarter. Nodes publish protocol level 1, requests of teams are only passed on to such peers, and a peer that is unconfirmed is replaced by another one. A node that refuses keys and reaches less than half of the known nodes is not ready. SuspensionDetector moved to package errors.

Measured: unit tests of membership, placement and teams, four unit test files of node, proofs.test.ts and integration tests configuration_in_force, teams and key_revocation: 210 passed. configuration_confirmer.test.ts, 1, 7, 91 and 300 nodes on the paused clock: 41 passed in 78 s; calm, peers are called at most once per node and second.

--- a/packages/arbutustide-placement/src/engines/suspension_detector.ts
+++ b/packages/arbutustide-errors/src/suspension_detector.ts
@@ -1,11 +1,13 @@
+import {clockDriftMilliseconds, readClocks} from './clock_reading.js';
+
 /**
  * Detects that the host was suspended. The wall clock advances during a
  * suspension and the monotonic clock does not, so the offset between them
- * jumps. A step of the wall clock looks the same; its only cost is an
- * unnecessary renewal of the lease.
+ * jumps. A step of the wall clock looks the same, so what follows from a
+ * suspension must be harmless without one.
  */
 export class SuspensionDetector {
-  private offsetMilliseconds = clockOffsetMilliseconds();
+  private lastReading = readClocks();
 
   /**
    * @param toleranceMilliseconds drift between two checks that is not taken
@@ -15,14 +17,9 @@
 
   /** Returns whether the clocks drifted apart since the last check. */
   checkSuspended(): boolean {
-    const now = clockOffsetMilliseconds();
-    const drift = Math.abs(now - this.offsetMilliseconds);
-    this.offsetMilliseconds = now;
+    const reading = readClocks();
+    const drift = clockDriftMilliseconds(this.lastReading, reading);
+    this.lastReading = reading;
     return drift > this.toleranceMilliseconds;
   }
 }
-
-/** Offset of the wall clock from the monotonic clock. */
-function clockOffsetMilliseconds(): number {
-  return Date.now() - performance.now();
-}
--- a/packages/arbutustide-membership/src/cluster_view.ts
+++ b/packages/arbutustide-membership/src/cluster_view.ts
@@ -27,6 +27,8 @@
   readonly catalogueRevision: number;
   /** Epoch of the planner's lease while the node holds it; otherwise zero. */
   readonly plannerEpoch: number;
+  /** A `ProtocolLevel`, or a higher number for newer builds. */
+  readonly protocolLevel: number;
 }
 
 /** Requests for one catalogue entry, summed over nodes. */
--- a/packages/arbutustide-membership/src/index.ts
+++ b/packages/arbutustide-membership/src/index.ts
@@ -46,6 +46,7 @@
 } from './peer_transport.js';
 
 export {ClusterView} from './cluster_view.js';
+export {ProtocolLevel} from './protocol_level.js';
 export {ConnectPeerServer} from './connect_peer_server.js';
 export {ConnectPeerTransport} from './connect_peer_transport.js';
 export {
--- /dev/null
+++ b/packages/arbutustide-membership/src/protocol_level.ts
@@ -0,0 +1,7 @@
+/** What a node's build understands, as its published status says. */
+export enum ProtocolLevel {
+  /** Builds that publish no level. */
+  INITIAL = 0,
+  /** Teams in relayed requests, ConfirmConfiguration and LeaseQuota. */
+  TEAMS = 1,
+}
--- a/packages/arbutustide-node/src/__tests__/unit/rate_limited_cluster.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/rate_limited_cluster.ts
@@ -132,6 +132,7 @@
       state: NodeState.READY,
       catalogueRevision: 1,
       plannerEpoch: 0,
+      protocolLevel: 1,
     };
   }
 }
--- a/packages/arbutustide-node/src/__tests__/unit/snapshot_source_chooser.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/snapshot_source_chooser.test.ts
@@ -26,6 +26,7 @@
     state: NodeState.READY,
     catalogueRevision,
     plannerEpoch: 0,
+    protocolLevel: 1,
     ...overrides,
   };
 }
--- a/packages/arbutustide-node/src/__tests__/unit/stream_origin_cluster.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/stream_origin_cluster.ts
@@ -96,6 +96,7 @@
       state: NodeState.READY,
       catalogueRevision: 1,
       plannerEpoch: 0,
+      protocolLevel: 1,
     };
   }
 
--- a/packages/arbutustide-node/src/__tests__/unit/watch_relay.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/watch_relay.test.ts
@@ -181,6 +181,7 @@
     state: NodeState.READY,
     catalogueRevision: 1,
     plannerEpoch: 0,
+    protocolLevel: 1,
   };
 }
 
--- a/packages/arbutustide-node/src/node_status_publisher.ts
+++ b/packages/arbutustide-node/src/node_status_publisher.ts
@@ -6,6 +6,7 @@
   NodeState,
   NodeStatusSchema,
   NODE_STATUS_KEY,
+  ProtocolLevel,
   SuspicionSchema,
   UpstreamDepartureSchema,
   UpstreamLoadSchema,
@@ -100,6 +101,7 @@
       state: this.currentState,
       catalogueRevision: this.getCatalogueRevision(),
       plannerEpoch: this.getPlannerEpoch(),
+      protocolLevel: ProtocolLevel.TEAMS,
     });
     this.memberTable.ownRecord.set(NODE_STATUS_KEY, {case: 'status', value});
   }
--- a/packages/arbutustide-node/src/proxy/proxy_core.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_core.ts
@@ -93,9 +93,14 @@
     return this.authenticator.authenticate(configuration, route, listKeys);
   }
 
-  /** Whether this node has a configuration and is not shutting down. */
+  /** Whether this node has a configuration and the balancer may choose it. */
   get isReady(): boolean {
-    return this.status.state === NodeState.READY;
+    return this.status.state === NodeState.READY && !this.confirmer.isCutOff;
+  }
+
+  /** Whether requests with keys are refused, as keys may have been revoked. */
+  get isUnconfirmed(): boolean {
+    return this.confirmer.isRefusing;
   }
 
   /** Whether a graceful shutdown has begun. */
@@ -144,6 +149,7 @@
       this.syncRecordsPeriodically(signal),
       container.resolve(ProxyToken.REACHABILITY_MONITOR).run(signal),
       this.wakeQueuePeriodically(signal),
+      this.confirmer.run(signal),
     ];
     const planningSignal = this.planningStopController.signal;
     this.planningTasks = [
@@ -172,6 +178,10 @@
     await Promise.all(this.backgroundTasks);
   }
 
+  private get confirmer() {
+    return this.container.resolve(ProxyToken.CONFIGURATION_CONFIRMER);
+  }
+
   private get status() {
     return this.container.resolve(ProxyToken.OWN_STATUS);
   }
--- a/packages/arbutustide-node/src/proxy/proxy_peer_handler.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_peer_handler.ts
@@ -1,4 +1,5 @@
 import type {
+  ConfirmConfigurationRequest,
   ConfirmConfigurationResponseFields,
   ExchangeRequest,
   ExchangeResponse,
@@ -111,8 +112,12 @@
     this.container.resolve(ProxyToken.STREAM_ORIGINS).handleRecords(request);
   }
 
-  confirmConfiguration(): ConfirmConfigurationResponseFields {
-    return {isKnown: false};
+  confirmConfiguration({
+    version,
+  }: ConfirmConfigurationRequest): ConfirmConfigurationResponseFields {
+    return this.container
+      .resolve(ProxyToken.CONFIGURATION_CONFIRMER)
+      .answer(version);
   }
 
   leaseQuota(): LeaseQuotaResponseFields {
--- a/packages/arbutustide-node/src/proxy/proxy_tokens.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tokens.ts
@@ -19,6 +19,7 @@
 } from '@arbutustide/routing';
 import type {
   Authenticator,
+  ConfigurationFreshness,
   KeyTableCache,
   TeamQuotas,
 } from '@arbutustide/teams';
@@ -36,6 +37,7 @@
 import type {ReachableShare} from './rate_limit/reachable_share.js';
 import type {TokenRequester} from './rate_limit/token_requester.js';
 import type {ClusterStreamOrigins} from './stream_origin/cluster_stream_origins.js';
+import type {ConfigurationConfirmer} from './teams/configuration_confirmer.js';
 import type {UpstreamWatcher} from './upstream_watcher.js';
 import type {RelayedObjectStore} from './watch_relay/relayed_object_store.js';
 
@@ -54,6 +56,10 @@
   RETRY_BUDGETS: 'fleet.budgets' as InjectionToken<ServiceRetryBudgets>,
   REQUEST_GATE: 'fleet.requestGate' as InjectionToken<RequestGate>,
   AUTHENTICATOR: 'fleet.authenticator' as InjectionToken<Authenticator>,
+  CONFIGURATION_CONFIRMER:
+    'fleet.configurationConfirmer' as InjectionToken<ConfigurationConfirmer>,
+  CONFIGURATION_FRESHNESS:
+    'fleet.configurationFreshness' as InjectionToken<ConfigurationFreshness>,
   KEY_TABLES: 'fleet.keyTables' as InjectionToken<KeyTableCache>,
   TEAM_QUOTAS: 'fleet.teamQuotas' as InjectionToken<TeamQuotas>,
   REQUEST_QUEUE: 'fleet.queue' as InjectionToken<SlotQueue>,
--- a/packages/arbutustide-node/src/proxy/proxy_wiring.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_wiring.ts
@@ -33,7 +33,6 @@
 import {crashEvidenceFields} from './crash_evidence_fields.js';
 import {createSlotQueue} from './create_slot_queue.js';
 import {createPoisonSegmentDetector} from './create_poison_segment_detector.js';
-import {ConfigurationWatcher} from './configuration_watcher.js';
 import {ServiceRetryBudgets} from './service_retry_budgets.js';
 import {
   recordPlannerMetrics,
@@ -77,7 +76,7 @@
   registerCrashDetectors(register, dependencies, identity);
   registerRateLimits(register, dependencies, identity);
   registerStreamOrigins(register, dependencies, identity);
-  registerTeams(register);
+  registerTeams(register, dependencies, identity);
   registerRelay(register, dependencies, identity);
   registerRouting(register, dependencies);
   registerLease(register, dependencies, identity);
@@ -150,14 +149,6 @@
   register(ProxyToken.RELAYED_STORE, container =>
     createRelayedStore(container, dependencies, identity),
   );
-  register(
-    ProxyToken.CONFIGURATION_WATCHER,
-    container =>
-      new ConfigurationWatcher({
-        ...dependencies,
-        store: container.resolve(ProxyToken.RELAYED_STORE),
-      }),
-  );
   register(
     ProxyToken.UPSTREAM_WATCHER,
     container =>
--- a/packages/arbutustide-node/src/proxy/relay/register_relay.ts
+++ b/packages/arbutustide-node/src/proxy/relay/register_relay.ts
@@ -6,6 +6,7 @@
 import type {RegisterSingleton} from '../register_singleton.js';
 import type {RelayCandidate} from './choose_relay_peer.js';
 
+import {ProtocolLevel} from '@arbutustide/membership';
 import {
   compatibleUpstreams,
   ProbeKind,
@@ -88,7 +89,7 @@
   progress: RoutedRequestProgress,
   ownIdentity: string,
 ): RelayCandidate[] {
-  const {service, modelRequest} = progress.request;
+  const {service, modelRequest, team} = progress.request;
   const directory = container.resolve(ProxyToken.UPSTREAM_DIRECTORY);
   const clusterView = container.resolve(ProxyToken.CLUSTER_VIEW);
   const brittleUpstreams = container.resolve(ProxyToken.BRITTLE_UPSTREAMS);
@@ -102,8 +103,10 @@
   return clusterView
     .readyNodes()
     .filter(
-      ({identity}) =>
+      ({identity, protocolLevel}) =>
         identity !== ownIdentity &&
+        // Builds without teams would pass it on without one.
+        (!team || protocolLevel >= ProtocolLevel.TEAMS) &&
         mayReachAny(
           clusterView,
           identity,
--- a/packages/arbutustide-node/src/proxy/watch_relay/relayed_object_store.ts
+++ b/packages/arbutustide-node/src/proxy/watch_relay/relayed_object_store.ts
@@ -104,14 +104,20 @@
     prefix: string,
     afterVersion: number,
     signal: AbortSignal,
+    waitMilliseconds?: number,
   ): StoreResult<WatchBatch> {
     const relayUrl = this.findUsableRelay();
     if (relayUrl !== undefined) {
       const relayed = await this.watchThrough(relayUrl, prefix, afterVersion);
       if (!relayed.ok) this.avoid(relayUrl, prefix, relayed.val);
-      else if (relayed.val) return Ok(relayed.val);
+      else if (relayed.val) return Ok({...relayed.val, isRelayed: true});
     }
-    const batch = await this.store.watch(prefix, afterVersion, signal);
+    const batch = await this.store.watch(
+      prefix,
+      afterVersion,
+      signal,
+      waitMilliseconds,
+    );
     if (batch.ok) this.appendToLog(prefix, batch.val, 0);
     return batch;
   }
--- a/packages/arbutustide-object-store/src/object_store.ts
+++ b/packages/arbutustide-object-store/src/object_store.ts
@@ -27,6 +27,11 @@
   readonly deletedKeys: readonly string[];
   /** Version to watch from next. */
   readonly version: number;
+  /**
+   * Whether a peer passed it on, so that it does not show when the store held
+   * this state.
+   */
+  readonly isRelayed?: boolean;
 }
 
 export type StoreResult<T> = Promise<Result<T, StoreError>>;
@@ -59,12 +64,14 @@
   delete(key: string, version: number): StoreResult<void>;
   /**
    * Waits for changes under the prefix after the version (long polling);
-   * returns none after a time limit. Fails with `HISTORY_GONE` when the store
+   * returns none after a time limit, or after the given one if that is
+   * shorter. Fails with `HISTORY_GONE` when the store
    * no longer has the changes after the version.
    */
   watch(
     prefix: string,
     afterVersion: number,
     signal: AbortSignal,
+    waitMilliseconds?: number,
   ): StoreResult<WatchBatch>;
 }
--- a/packages/arbutustide-object-store/src/prefix_watcher.ts
+++ b/packages/arbutustide-object-store/src/prefix_watcher.ts
@@ -1,6 +1,10 @@
+import type {ClockReading} from '@arbutustide/errors';
+
 import type {ObjectStore, StoredObject} from './object_store.js';
 import type {StoreError} from './store_error.js';
 
+import {readClocks} from '@arbutustide/errors';
+
 import {StoreErrorKind} from './store_error.js';
 
 /** Receives the objects under a prefix and their changes. */
@@ -22,6 +26,11 @@
    * with what changed.
    */
   onRecovered(silentMilliseconds: number): void;
+  /**
+   * The store had exactly the objects that were reported so far at this time
+   * or later: it is when the call was sent whose result the store itself gave.
+   */
+  onConfirmed?(sentAt: ClockReading): void;
 }
 
 /** Options of a PrefixWatcher. */
@@ -31,6 +40,8 @@
   readonly pauseMilliseconds: number;
   /** Pause after a failed call. */
   readonly retryDelayMilliseconds: number;
+  /** Time to hold a watch open, if the store's usual one is too long. */
+  readonly watchMilliseconds?: () => number | undefined;
   /** Waits for the time, or returns early when the signal is aborted. */
   readonly pause: (
     milliseconds: number,
@@ -78,6 +89,7 @@
   }
 
   private async list(): Promise<StoreError | undefined> {
+    const sentAt = readClocks();
     const listed = await this.store.list(this.options.prefix);
     if (!listed.ok) return listed.val;
     this.recordResponse();
@@ -85,6 +97,7 @@
     this.watchedVersion = version;
     this.recordEra();
     this.listener.onList(objects, version);
+    this.listener.onConfirmed?.(sentAt);
     return undefined;
   }
 
@@ -92,17 +105,20 @@
     afterVersion: number,
     signal: AbortSignal,
   ): Promise<StoreError | undefined> {
+    const sentAt = readClocks();
     const batch = await this.store.watch(
       this.options.prefix,
       afterVersion,
       signal,
+      this.options.watchMilliseconds?.(),
     );
     if (!batch.ok) return batch.val;
     this.recordResponse();
-    const {changes, deletedKeys, version} = batch.val;
+    const {changes, deletedKeys, version, isRelayed} = batch.val;
     this.watchedVersion = Math.max(afterVersion, version);
     for (const object of changes) this.listener.onChange(object);
     for (const key of deletedKeys) this.listener.onDelete(key);
+    if (!isRelayed) this.listener.onConfirmed?.(sentAt);
     const {pauseMilliseconds, pause} = this.options;
     if (pauseMilliseconds > 0) await pause(pauseMilliseconds, signal);
     return undefined;
--- a/packages/arbutustide-placement/src/__tests__/unit/engine_plans.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/engine_plans.test.ts
@@ -11,12 +11,12 @@
   ModelPlanParameters,
 } from '../../engines/model_plan.js';
 
+import {SuspensionDetector} from '@arbutustide/errors';
 import {install} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 
 import {planAdapterLoad} from '../../engines/adapter_plan.js';
 import {planModelMoves} from '../../engines/model_plan.js';
-import {SuspensionDetector} from '../../engines/suspension_detector.js';
 
 const SETTINGS: ModelPlanParameters = {
   replicaTargetUtilization: 0.25,
--- a/packages/arbutustide-placement/src/engines/engine_planner.ts
+++ b/packages/arbutustide-placement/src/engines/engine_planner.ts
@@ -11,7 +11,7 @@
 } from './engine_planner_environment.js';
 import type {ModelMove, ModelPlanSettings, PlannedModel} from './model_plan.js';
 
-import {delay} from '@arbutustide/errors';
+import {delay, SuspensionDetector} from '@arbutustide/errors';
 import {OrderKind} from '@arbutustide/upstream';
 
 import {DemandTracker} from '../demand_tracker.js';
@@ -26,7 +26,6 @@
 import {PlannerStep} from './engine_planner_environment.js';
 import {planModelMoves} from './model_plan.js';
 import {OrderSender} from './order_sender.js';
-import {SuspensionDetector} from './suspension_detector.js';
 
 /** Settings of the planner. */
 export interface EnginePlannerSettings
--- a/packages/arbutustide-placement/src/index.ts
+++ b/packages/arbutustide-placement/src/index.ts
@@ -42,7 +42,6 @@
 export {EnginePlanner} from './engines/engine_planner.js';
 export {PlannerStep} from './engines/engine_planner_environment.js';
 export {planModelMoves} from './engines/model_plan.js';
-export {SuspensionDetector} from './engines/suspension_detector.js';
 export {
   addIntent,
   applyOrderAnswer,
--- a/packages/arbutustide-routing/src/proxy/relay/peer_target.ts
+++ b/packages/arbutustide-routing/src/proxy/relay/peer_target.ts
@@ -16,6 +16,7 @@
 const REFUSALS_TO_TRY_ANOTHER_PEER: ReadonlySet<ErrorKind> = new Set([
   ErrorKind.UPSTREAM_UNREACHABLE,
   ErrorKind.NOT_READY,
+  ErrorKind.CONFIGURATION_UNCONFIRMED,
 ]);
 
 /** A peer that makes the attempt in this node's place. */
