Keep quotas of teams over all nodes with leases of two issuers

Cause: a team's rate and burst hold over all nodes together, in every window and whatever fails, and a request must not wait for a counter that is far away.

Change: package quotas holds an issuer's ledger, whose unissued and leased units together never exceed the capacity, and a node's leases; the wiring in node chooses two issuers for each team by rendezvous hash, each with its part of the rate, answers LeaseQuota and registers ProxyToken.TEAM_QUOTAS, which implements TeamQuotas. ReachableShare takes its retention and the nodes that should be known; chooseIssuers is split from chooseTokenIssuer. NodeMetrics counts units used, leased and returned and requests refused, by team.

--- a/packages/arbutustide-node/src/proxy/proxy_core.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_core.ts
@@ -142,6 +142,7 @@
     this.planningStopController.abort();
     await Promise.all(this.planningTasks);
     await this.container.resolve(ProxyToken.PLANNER_LEASE).release();
+    await this.container.resolve(ProxyToken.TEAM_QUOTAS).release();
     await this.container.resolve(ProxyToken.GOSSIP).exchangeNow();
   }
 
@@ -257,12 +258,14 @@
       ProxyToken.POISON_SEGMENT_DETECTOR,
     );
     const reachableShare = this.container.resolve(ProxyToken.REACHABLE_SHARE);
+    const teamQuotas = this.container.resolve(ProxyToken.TEAM_QUOTAS);
     const streamOrigins = this.container.resolve(ProxyToken.STREAM_ORIGINS);
     const brittleServices = this.container.resolve(ProxyToken.BRITTLE_SERVICES);
     const publishedRateLimits = new PublishedRateLimits(directory);
     while (!signal.aborted) {
       this.status.publish();
       reachableShare.update();
+      teamQuotas.update();
       streamOrigins.updateVersions();
       brittleServices.setToldByPeers(clusterView.brittleServices());
       publishedRateLimits.apply(clusterView.peerRateLimits());
--- a/packages/arbutustide-node/src/proxy/proxy_peer_handler.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_peer_handler.ts
@@ -5,6 +5,7 @@
   FindStreamOriginRequest,
   FindStreamOriginResponseFields,
   HoldingRequest,
+  LeaseQuotaRequest,
   LeaseQuotaResponseFields,
   PeerHandler,
   PromisedHolding,
@@ -115,8 +116,8 @@
     return {isKnown: false};
   }
 
-  leaseQuota(): LeaseQuotaResponseFields {
-    return {grants: []};
+  leaseQuota(request: LeaseQuotaRequest): LeaseQuotaResponseFields {
+    return this.container.resolve(ProxyToken.TEAM_QUOTAS).handleClaims(request);
   }
 
   findStreamOrigin(
--- a/packages/arbutustide-node/src/proxy/proxy_settings.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_settings.ts
@@ -14,6 +14,15 @@
   readonly excessFactor: number;
 }
 
+/** What teams may exceed their quotas by. */
+export interface QuotaRuleSettings {
+  readonly windowMilliseconds: number;
+  /** Share of a window's quota by which it may be exceeded. */
+  readonly overShare: number;
+  /** Tokens by which it may be exceeded besides. */
+  readonly slack: number;
+}
+
 /** Settings that a proxying node reads when it starts. */
 export interface ProxySettings {
   readonly nodeName: string;
@@ -43,4 +52,6 @@
   readonly suspensionToleranceMilliseconds: number;
   readonly retry: RetryBudgetSettings;
   readonly loads: StoreLoadSettings;
+  /** Undefined to use that of the present deployments. */
+  readonly quotaRule?: QuotaRuleSettings;
 }
--- a/packages/arbutustide-node/src/proxy/proxy_tokens.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tokens.ts
@@ -28,6 +28,7 @@
 import type {HoldingRequester} from './holding_requester.js';
 import type {ClusterRequestRelay} from './relay/cluster_request_relay.js';
 import type {RelayServer} from './relay/relay_server.js';
+import type {ClusterTeamQuotas} from './quotas/cluster_team_quotas.js';
 import type {ReachableShare} from './rate_limit/reachable_share.js';
 import type {TokenRequester} from './rate_limit/token_requester.js';
 import type {ClusterStreamOrigins} from './stream_origin/cluster_stream_origins.js';
@@ -72,6 +73,7 @@
   REACHABLE_SHARE: 'fleet.reachableShare' as InjectionToken<ReachableShare>,
   TOKEN_ISSUER: 'fleet.tokenIssuer' as InjectionToken<TokenIssuer>,
   TOKEN_REQUESTER: 'fleet.tokenRequester' as InjectionToken<TokenRequester>,
+  TEAM_QUOTAS: 'fleet.teamQuotas' as InjectionToken<ClusterTeamQuotas>,
   STREAM_ORIGINS: 'fleet.streamOrigins' as InjectionToken<ClusterStreamOrigins>,
   HOLDING_REQUESTER: 'fleet.requester' as InjectionToken<HoldingRequester>,
 } as const;
--- a/packages/arbutustide-node/src/proxy/proxy_wiring.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_wiring.ts
@@ -48,6 +48,7 @@
 import {LeaseHolderProbe} from './lease_holder_probe.js';
 import {HoldingRequester} from './holding_requester.js';
 import {PlannerClient} from './planner_client.js';
+import {registerQuotas} from './quotas/register_quotas.js';
 import {registerRateLimits} from './rate_limit/register_rate_limits.js';
 import {registerStreamOrigins} from './stream_origin/register_stream_origins.js';
 import {rateLimitFields} from './rate_limit/published_rate_limits.js';
@@ -76,6 +77,7 @@
   registerMembership(register, dependencies, identity);
   registerCrashDetectors(register, dependencies, identity);
   registerRateLimits(register, dependencies, identity);
+  registerQuotas(register, dependencies, identity);
   registerStreamOrigins(register, dependencies, identity);
   registerRelay(register, dependencies, identity);
   registerRouting(register, dependencies);
--- /dev/null
+++ b/packages/arbutustide-node/src/proxy/quotas/quota_membership.ts
@@ -0,0 +1,165 @@
+import type {ClusterNode} from '@arbutustide/membership';
+import type {IssuerStanding} from '@arbutustide/quotas';
+
+import {NodeState} from '@arbutustide/membership';
+import {PauseMeter} from '@arbutustide/quotas';
+
+import {chooseIssuers} from '../rate_limit/choose_token_issuer.js';
+
+/** Dependencies of what a node knows of the issuers of quotas. */
+export interface QuotaMembershipOptions {
+  /** Identity of this node. */
+  readonly identity: string;
+  /** All known nodes, with this one. */
+  readonly listNodes: () => readonly ClusterNode[];
+  /** Share of all nodes that this node can reach, from 0 to 1. */
+  readonly reachableShare: () => number;
+  /** Whether there may be nodes that this one does not know yet. */
+  readonly mayHavePeers: boolean;
+}
+
+/** The issuers of one team, as this node chooses them. */
+interface ChosenIssuers {
+  issuers: readonly ClusterNode[];
+  /** Time since which this node has been one of them all along. */
+  ownSinceMilliseconds: number | undefined;
+}
+
+/**
+ * Issuers of one team, each of which issues its part of the rate: a team is
+ * served in part while one of them is lost, until the others notice it.
+ */
+const ISSUERS_PER_TEAM = 2;
+/**
+ * Time until a new issuer issues: the one before it may issue until it sees
+ * the same change of membership. The times at which nodes drop a lost one
+ * differ by up to this.
+ */
+const TAKEOVER_MILLISECONDS = 2_000;
+/** A node that has just started does not know all others yet. */
+const START_MILLISECONDS = 3_000;
+/**
+ * A pause after which others may have replaced this node as an issuer. They do
+ * so after 3.5 s of silence, and their choice issues after the takeover time.
+ */
+const REPLACED_MILLISECONDS = 2_500;
+const UPDATE_MILLISECONDS = 250;
+
+/**
+ * Chooses the issuers of teams' quotas from the known nodes, and tells since
+ * when this node has been one without a doubt.
+ */
+export class QuotaMembership {
+  private readonly chosenByTeam = new Map<string, ChosenIssuers>();
+  private readonly pauseMeter = new PauseMeter();
+  private readonly startedAtMilliseconds = performance.now();
+  private updatedAtMilliseconds = -Infinity;
+  private members = '';
+  private changedAtMilliseconds = performance.now();
+  private pausedAtMilliseconds = -Infinity;
+  private shares: {share: number; atMilliseconds: number}[] = [];
+
+  constructor(private readonly options: QuotaMembershipOptions) {}
+
+  /** The nodes that issue the team's quota. */
+  listIssuers(team: string): readonly ClusterNode[] {
+    return this.findChosen(team).issuers;
+  }
+
+  /** This node's standing; undefined if it is not an issuer of the team. */
+  standingOf(team: string): IssuerStanding | undefined {
+    this.updateIfStale();
+    const {issuers, ownSinceMilliseconds} = this.findChosen(team);
+    if (ownSinceMilliseconds === undefined) return undefined;
+    const since = Math.max(ownSinceMilliseconds, this.pausedAtMilliseconds);
+    const opensAtMilliseconds = this.options.mayHavePeers
+      ? Math.max(
+          since + TAKEOVER_MILLISECONDS,
+          this.startedAtMilliseconds + START_MILLISECONDS,
+        )
+      : since;
+    return {
+      issuerCount: issuers.length,
+      reachableShare: this.lowestRecentShare(),
+      opensAtMilliseconds,
+    };
+  }
+
+  /**
+   * Applies changes of membership. Called at intervals of 250 ms, so that a
+   * pause of the process shows as a longer one.
+   */
+  update(): void {
+    const now = performance.now();
+    this.updatedAtMilliseconds = now;
+    const {elapsedMilliseconds, driftMilliseconds} = this.pauseMeter.read();
+    const paused = Math.max(elapsedMilliseconds, driftMilliseconds);
+    if (paused >= REPLACED_MILLISECONDS) this.pausedAtMilliseconds = now;
+    this.shares.push({
+      share: this.options.reachableShare(),
+      atMilliseconds: now,
+    });
+    while (now - this.shares[0].atMilliseconds > TAKEOVER_MILLISECONDS)
+      this.shares.shift();
+    const members = this.candidates()
+      .map(({identity}) => identity)
+      .sort()
+      .join();
+    if (members === this.members) return;
+    this.members = members;
+    this.changedAtMilliseconds = now;
+    for (const [team, chosen] of this.chosenByTeam)
+      this.chooseAgain(team, chosen);
+  }
+
+  private updateIfStale(): void {
+    const age = performance.now() - this.updatedAtMilliseconds;
+    if (age >= UPDATE_MILLISECONDS) this.update();
+  }
+
+  /**
+   * The other parts of the cluster lower their shares within the takeover time
+   * after this one has raised its own.
+   */
+  private lowestRecentShare(): number {
+    return Math.min(...this.shares.map(({share}) => share));
+  }
+
+  /** A process that was replaced at its address stays known for a while. */
+  private candidates(): readonly ClusterNode[] {
+    const {listNodes, identity} = this.options;
+    const nodeByUrl = new Map<string, ClusterNode>();
+    for (const node of listNodes()) {
+      if (node.state === NodeState.LEAVING) continue;
+      const isOwnKnown = nodeByUrl.get(node.peerUrl)?.identity === identity;
+      if (!isOwnKnown) nodeByUrl.set(node.peerUrl, node);
+    }
+    return [...nodeByUrl.values()];
+  }
+
+  private findChosen(team: string): ChosenIssuers {
+    const known = this.chosenByTeam.get(team);
+    if (known) return known;
+    this.updateIfStale();
+    const chosen: ChosenIssuers = {
+      issuers: [],
+      ownSinceMilliseconds: undefined,
+    };
+    this.chosenByTeam.set(team, chosen);
+    this.chooseAgain(team, chosen);
+    return chosen;
+  }
+
+  private chooseAgain(team: string, chosen: ChosenIssuers): void {
+    const {identity} = this.options;
+    chosen.issuers = chooseIssuers(
+      this.candidates(),
+      `quota/${team}`,
+      ISSUERS_PER_TEAM,
+    );
+    const isOwn = chosen.issuers.some(issuer => issuer.identity === identity);
+    chosen.ownSinceMilliseconds = isOwn
+      ? (chosen.ownSinceMilliseconds ?? this.changedAtMilliseconds)
+      : undefined;
+  }
+}
--- a/packages/arbutustide-node/src/proxy/rate_limit/reachable_share.ts
+++ b/packages/arbutustide-node/src/proxy/rate_limit/reachable_share.ts
@@ -1,6 +1,6 @@
 /** Nodes that were known within this time count as unreachable, not as gone. */
 const RETENTION_MILLISECONDS = 60_000;
-const SAMPLE_MILLISECONDS = 1_000;
+const SAMPLES_PER_RETENTION = 60;
 
 interface Sample {
   readonly atMilliseconds: number;
@@ -17,24 +17,32 @@
 
   /**
    * @param countNodes counts the nodes that are known now, with this one.
-   * @param initialNodeCount nodes assumed while this node knows no other.
+   * @param initialNodeCount nodes assumed by a node that has known no other
+   *     within the retention time.
+   * @param retentionMilliseconds how long nodes that vanished are counted.
+   * @param countExpected counts the nodes that should be known now.
    */
   constructor(
     private readonly countNodes: () => number,
     private readonly initialNodeCount: number,
+    private readonly retentionMilliseconds = RETENTION_MILLISECONDS,
+    private readonly countExpected: () => number = () => 1,
   ) {}
 
   /** Takes a sample; returns the share, from 0 to 1. */
   update(): number {
     const now = performance.now();
     const nodeCount = Math.max(1, this.countNodes());
+    const sampleMilliseconds =
+      this.retentionMilliseconds / SAMPLES_PER_RETENTION;
     const last = this.samples.at(-1);
-    if (last && now - last.atMilliseconds < SAMPLE_MILLISECONDS)
+    if (last && now - last.atMilliseconds < sampleMilliseconds)
       last.nodeCount = Math.max(last.nodeCount, nodeCount);
     else this.samples.push({atMilliseconds: now, nodeCount});
-    while (now - this.samples[0].atMilliseconds > RETENTION_MILLISECONDS)
+    while (now - this.samples[0].atMilliseconds > this.retentionMilliseconds)
       this.samples.shift();
-    const assumed = nodeCount === 1 ? this.initialNodeCount : nodeCount;
+    const isAlone = this.samples.every(sample => sample.nodeCount === 1);
+    const assumed = isAlone ? this.initialNodeCount : this.countExpected();
     const highest = Math.max(
       assumed,
       ...this.samples.map(sample => sample.nodeCount),
--- a/packages/arbutustide-telemetry/src/metrics.ts
+++ b/packages/arbutustide-telemetry/src/metrics.ts
@@ -69,6 +69,18 @@
     help: 'Revision of the catalogue or version of the configuration in force.',
     registers: [this.registry],
   });
+  readonly quotaUnits = new Counter({
+    name: 'arbutustide_quota_units_total',
+    help: "Units of teams' quotas that were used, leased and returned.",
+    labelNames: ['team', 'event'] as const,
+    registers: [this.registry],
+  });
+  readonly quotaRefusals = new Counter({
+    name: 'arbutustide_quota_refusals_total',
+    help: 'Requests refused because the quota of their team was used up.',
+    labelNames: ['team'] as const,
+    registers: [this.registry],
+  });
   readonly requestsInFlight = new Gauge({
     name: 'arbutustide_requests_in_flight',
     help: 'Requests between their head and the end of their answer.',
