--- a/packages/arbutustide-node/src/proxy/proxy_peer_handler.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_peer_handler.ts
@@ -6,6 +6,7 @@
   FindStreamOriginRequest,
   FindStreamOriginResponseFields,
   HoldingRequest,
+  LeaseQuotaRequest,
   LeaseQuotaResponseFields,
   PeerHandler,
   PromisedHolding,
@@ -120,8 +121,8 @@
       .answer(version);
   }
 
-  leaseQuota(): LeaseQuotaResponseFields {
-    return {grants: []};
+  leaseQuota(request: LeaseQuotaRequest): LeaseQuotaResponseFields {
+    return this.container.resolve(ProxyToken.TEAM_QUOTAS).handleClaims(request);
   }
 
   findStreamOrigin(
--- a/packages/arbutustide-node/src/proxy/proxy_settings.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_settings.ts
@@ -25,6 +25,15 @@
   readonly boundMilliseconds: number;
 }
 
+/** What teams may exceed their quotas by. */
+export interface QuotaRuleSettings {
+  readonly windowMilliseconds: number;
+  /** Share of a window's quota by which it may be exceeded. */
+  readonly overShare: number;
+  /** Tokens by which it may be exceeded besides. */
+  readonly slack: number;
+}
+
 /** Settings that a proxying node reads when it starts. */
 export interface ProxySettings {
   readonly nodeName: string;
@@ -60,4 +69,6 @@
   readonly retry: RetryBudgetSettings;
   readonly loads: StoreLoadSettings;
   readonly revocation: RevocationSettings;
+  /** Undefined to use that of the present deployments. */
+  readonly quotaRule?: QuotaRuleSettings;
 }
