--- a/packages/arbutustide-node/src/__tests__/unit/stream_origin_cluster.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/stream_origin_cluster.ts
@@ -163,6 +163,11 @@
     for (const node of this.nodes) node.listVersions(...versions);
   }
 
+  /** Ends all processes at once and starts new ones. */
+  restartAll(): void {
+    for (const node of this.nodes) node.restart();
+  }
+
   /** Removes nodes that have ended from the members that the others see. */
   expireGoneNodes(): void {
     for (const node of this.nodes) {
