Let streams go on at their versions after the loss of all nodes

Cause: where streams began, and which versions a service had, was known in the memory of nodes only. A started node took the one version that was listed for proof, and refused all streams while two were listed.

Change: a history of versions for each service in the object store, written by one ready node, and an archive of streams' origins, written by n/24 archivers while a service has several versions. A process that is younger than a stream lasts needs the history for proof, and looks for unknown origins in the archive. Refusals say why an origin is unknown and are logged with the stream's id.

--- a/packages/arbutustide-node/src/__tests__/unit/stream_origin_cluster.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/stream_origin_cluster.ts
@@ -18,12 +18,18 @@
 import {create, toBinary} from '@bufbuild/protobuf';
 import {Err, Ok} from 'ts-results';
 
+import {OriginStore, TEST_STORAGE} from './stream_origin_store.js';
 import {ClusterStreamOrigins} from '../../proxy/stream_origin/cluster_stream_origins.js';
 
 const LATENCY_MILLISECONDS = 6;
 const CALL_TIMEOUT_MILLISECONDS = 1_000;
 const STREAM_LIFETIME_MILLISECONDS = 30_000;
+/** Interval at which a node compares the listed versions with the stored. */
+const UPDATE_MILLISECONDS = 250;
+/** Time after the loss of all nodes in which nodes know no peers. */
+const DISCOVERY_MILLISECONDS = 500;
 const FAILURE_DOMAINS = 4;
+const GOLDEN_RATIO = 0.618034;
 const SERVICE = 'service';
 
 /** One node with the upstreams that it has listed. */
@@ -33,9 +39,14 @@
   readonly failureDomain: string;
   origins: ClusterStreamOrigins;
   isGone = false;
+  /** Whether it runs but answers no peer. */
+  isSilent = false;
+  /** Whether the list of upstreams is out of date. */
+  isListStale = false;
   /** Bytes of the messages that this node has sent to peers. */
   sentBytes = 0;
   sentCalls = 0;
+  private startCount = 0;
 
   constructor(
     private readonly cluster: OriginCluster,
@@ -45,6 +56,9 @@
     this.peerUrl = `http://${name}`;
     this.failureDomain = `domain-${index % FAILURE_DOMAINS}`;
     this.origins = this.createOrigins();
+    setInterval(() => {
+      if (!this.isGone) this.origins.updateVersions();
+    }, UPDATE_MILLISECONDS);
   }
 
   /** Lists upstreams of these versions, and no others. */
@@ -68,9 +82,13 @@
     this.origins.updateVersions();
   }
 
-  /** Replaces the process, which then knows no stream. */
-  restart(): void {
-    this.origins = this.createOrigins();
+  /**
+   * Replaces the process, which then knows no stream.
+   *
+   * @param discoveryMilliseconds time until it knows its peers.
+   */
+  restart(discoveryMilliseconds = 0): void {
+    this.origins = this.createOrigins(discoveryMilliseconds);
     this.origins.updateVersions();
   }
 
@@ -99,42 +117,58 @@
     };
   }
 
-  private createOrigins(): ClusterStreamOrigins {
+  private createOrigins(discoveryMilliseconds = 0): ClusterStreamOrigins {
     const {cluster} = this;
+    this.startCount += 1;
+    const start = this.startCount;
+    const discoveredAt = performance.now() + discoveryMilliseconds;
+    const isAlive = () => this.startCount === start && !this.isGone;
     return new ClusterStreamOrigins({
       ownUrl: this.peerUrl,
-      listNodes: () => cluster.visibleNodes(),
+      listNodes: () =>
+        performance.now() < discoveredAt
+          ? [this.toClusterNode()]
+          : cluster.visibleNodes(),
       directory: this.directory,
-      transport: {
-        recordStreamOrigins: async (
-          url: string,
-          request: RecordStreamOriginsRequest,
-        ) => {
-          this.countSent(
-            toBinary(RecordStreamOriginsRequestSchema, request).length,
-          );
-          return cluster.call(url, node => node.origins.handleRecords(request));
-        },
-        findStreamOrigin: async (
-          url: string,
-          request: FindStreamOriginRequest,
-        ) => {
-          this.countSent(
-            toBinary(FindStreamOriginRequestSchema, request).length,
-          );
-          return cluster.call(url, node =>
-            create(
-              FindStreamOriginResponseSchema,
-              node.origins.handleFind(request),
-            ),
-          );
-        },
-      } as unknown as PeerTransport,
+      isListReceived: () => true,
+      isListCurrent: () => !this.isListStale,
+      store: cluster.store.connect(isAlive),
+      storage: TEST_STORAGE,
+      transport: this.createTransport(isAlive),
       streamLifetimeMilliseconds: () => STREAM_LIFETIME_MILLISECONDS,
+      random: cluster.random,
       logger: silentLogger(),
     });
   }
 
+  private createTransport(isAlive: () => boolean): PeerTransport {
+    const {cluster} = this;
+    return {
+      recordStreamOrigins: async (
+        url: string,
+        request: RecordStreamOriginsRequest,
+      ) => {
+        if (!isAlive()) return Err(new PeerError(url, 'the caller has ended'));
+        this.countSent(
+          toBinary(RecordStreamOriginsRequestSchema, request).length,
+        );
+        return cluster.call(url, node => node.origins.handleRecords(request));
+      },
+      findStreamOrigin: async (
+        url: string,
+        request: FindStreamOriginRequest,
+      ) => {
+        this.countSent(toBinary(FindStreamOriginRequestSchema, request).length);
+        return cluster.call(url, node =>
+          create(
+            FindStreamOriginResponseSchema,
+            node.origins.handleFind(request),
+          ),
+        );
+      },
+    } as unknown as PeerTransport;
+  }
+
   private countSent(bytes: number): void {
     this.sentBytes += bytes;
     this.sentCalls += 1;
@@ -143,6 +177,8 @@
 
 /** Nodes that remember where streams began, on a simulated network. */
 export class OriginCluster {
+  readonly store = new OriginStore();
+  private randomCount = 0;
   readonly nodes: OriginNode[];
   private readonly hidden = new Set<OriginNode>();
 
@@ -153,6 +189,12 @@
     );
   }
 
+  /** Evenly distributed numbers in [0, 1). */
+  readonly random = (): number => {
+    this.randomCount += 1;
+    return (this.randomCount * GOLDEN_RATIO) % 1;
+  };
+
   visibleNodes(): ClusterNode[] {
     return this.nodes
       .filter(node => !this.hidden.has(node))
@@ -165,7 +207,7 @@
 
   /** Ends all processes at once and starts new ones. */
   restartAll(): void {
-    for (const node of this.nodes) node.restart();
+    for (const node of this.nodes) node.restart(DISCOVERY_MILLISECONDS);
   }
 
   /** Removes nodes that have ended from the members that the others see. */
@@ -178,7 +220,7 @@
   async call<T>(peerUrl: string, handle: (node: OriginNode) => T) {
     const callee = this.nodes.find(node => node.peerUrl === peerUrl);
     await pause(LATENCY_MILLISECONDS);
-    if (!callee || callee.isGone) {
+    if (!callee || callee.isGone || callee.isSilent) {
       await pause(CALL_TIMEOUT_MILLISECONDS);
       return Err(new PeerError(peerUrl, 'no answer'));
     }
--- a/packages/arbutustide-node/src/index.ts
+++ b/packages/arbutustide-node/src/index.ts
@@ -12,6 +12,11 @@
   StoreLoadSettings,
   RetryBudgetSettings,
 } from './proxy/proxy_settings.js';
+export type {
+  ArchivedOrigins,
+  ServiceVersions,
+  StreamOriginStorage,
+} from './proxy/stream_origin/stream_origin_storage.js';
 export type {NodePorts, RunningNode} from './node_daemon.js';
 export type {NodeDependencies, NodeIdentity} from './node_dependencies.js';
 
--- a/packages/arbutustide-node/src/proxy/proxy_dependencies.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_dependencies.ts
@@ -10,6 +10,7 @@
 import type {Result} from 'ts-results';
 
 import type {ProxySettings} from './proxy_settings.js';
+import type {StreamOriginStorage} from './stream_origin/stream_origin_storage.js';
 
 /** Location of the configuration in the object store, and its decoder. */
 export interface ConfigurationSource {
@@ -36,6 +37,7 @@
   readonly transport: PeerTransport;
   readonly configuration: ConfigurationSource;
   readonly upstreams: UpstreamSource;
+  readonly streamOrigins: StreamOriginStorage;
   /** Returns a uniformly distributed number in [0, 1). */
   readonly random: () => number;
 }
--- a/packages/arbutustide-node/src/proxy/stream_origin/cluster_stream_origins.ts
+++ b/packages/arbutustide-node/src/proxy/stream_origin/cluster_stream_origins.ts
@@ -6,6 +6,7 @@
   PeerTransport,
   RecordStreamOriginsRequest,
 } from '@arbutustide/membership';
+import type {ObjectStore} from '@arbutustide/object-store';
 import type {
   OriginEvidence,
   ProxyUpstreamDirectory,
@@ -16,17 +17,29 @@
 } from '@arbutustide/routing';
 import type {NodeLogger} from '@arbutustide/telemetry';
 
+import type {StreamOriginStorage} from './stream_origin_storage.js';
+
 import {delay} from '@arbutustide/errors';
 import {FindStreamOriginRequestSchema} from '@arbutustide/membership';
 import {
+  OriginKnowledge,
   RecentVersions,
   resolveOrigin,
   StreamOriginRegistry,
 } from '@arbutustide/routing';
 import {create} from '@bufbuild/protobuf';
 
-import {ASKED_KEEPERS, chooseOriginKeepers} from './choose_origin_keepers.js';
+import {
+  ASKED_KEEPERS,
+  chooseOriginKeepers,
+  TOLD_KEEPERS,
+} from './choose_origin_keepers.js';
+import {OriginArchive} from './origin_archive.js';
+import {OriginArchiver} from './origin_archiver.js';
+import {OriginArchivers} from './origin_archivers.js';
 import {OriginRecorder} from './origin_recorder.js';
+import {VersionHistory} from './version_history.js';
+import {VersionHistoryWriter} from './version_history_writer.js';
 
 /**
  * How long keepers are waited for while this node knows of one version only and
@@ -34,6 +47,16 @@
  * without an event.
  */
 const PRECAUTION_MILLISECONDS = 250;
+/**
+ * How long the object store and the list of upstreams are waited for, together.
+ * A caller without an answer for longer resumes its stream elsewhere.
+ */
+const STORE_MILLISECONDS = 1_000;
+/** Pause between two looks at whether the list of upstreams has arrived. */
+const LIST_POLL_MILLISECONDS = 20;
+/** Ids of callers' requests are shorter; longer ones are never recorded. */
+const MAXIMUM_ID_LENGTH = 256;
+const HASH_RANGE = 2 ** 32;
 
 /** Dependencies of the origins of streams. */
 export interface ClusterStreamOriginsOptions {
@@ -41,60 +64,103 @@
   readonly ownUrl: string;
   readonly listNodes: () => readonly ClusterNode[];
   readonly directory: ProxyUpstreamDirectory;
+  /** Whether a list of upstreams was received since this process started. */
+  readonly isListReceived: () => boolean;
+  /** Whether the list of upstreams was confirmed a short time ago. */
+  readonly isListCurrent: () => boolean;
+  readonly store: ObjectStore;
+  readonly storage: StreamOriginStorage;
   readonly transport: PeerTransport;
   /** Longest time that a stream may last, in milliseconds. */
   readonly streamLifetimeMilliseconds: () => number;
+  /** Returns a uniformly distributed number in [0, 1). */
+  readonly random: () => number;
   readonly logger: NodeLogger;
 }
 
 /**
  * Remembers where streams began, so that any node can resume them at the same
- * software version. Nodes tell each other of streams only while the upstreams of
- * their service have, or had a short time ago, several versions.
+ * software version. Nodes tell each other of streams, and write them to the
+ * object store, only while the upstreams of their service have, or had a short
+ * time ago, several versions.
  */
 export class ClusterStreamOrigins implements StreamOrigins {
   private readonly registry: StreamOriginRegistry;
   private readonly recentVersions: RecentVersions;
+  private readonly archivers: OriginArchivers;
+  private readonly archiver: OriginArchiver;
+  private readonly archive: OriginArchive;
   private readonly recorder: OriginRecorder;
+  private readonly history: VersionHistory;
+  private readonly historyWriter: VersionHistoryWriter;
   private readonly createdAtMilliseconds = performance.now();
+  private nextHistoryReadAtMilliseconds = -Infinity;
 
   constructor(private readonly options: ClusterStreamOriginsOptions) {
-    const {streamLifetimeMilliseconds, ownUrl, listNodes, transport, logger} =
-      options;
+    const {streamLifetimeMilliseconds, ownUrl, listNodes} = options;
+    const {store, storage, logger, random} = options;
     this.registry = new StreamOriginRegistry(streamLifetimeMilliseconds);
     this.recentVersions = new RecentVersions(streamLifetimeMilliseconds);
-    this.recorder = new OriginRecorder(ownUrl, listNodes, transport, logger);
+    this.archivers = new OriginArchivers(ownUrl, listNodes);
+    // A node that was told to archive by peers which see other members.
+    const otherRing = Math.floor(random() * HASH_RANGE);
+    this.archiver = new OriginArchiver({
+      ...options,
+      chooseRing: () =>
+        this.archivers.ownRank ?? otherRing % Math.max(1, this.archivers.count),
+    });
+    this.archive = new OriginArchive(store, storage, logger);
+    this.recorder = new OriginRecorder({
+      ...options,
+      archivers: this.archivers,
+      archiver: this.archiver,
+    });
+    this.history = new VersionHistory({
+      ...options,
+      onDiscovered: (service, versions) => {
+        if (this.recentVersions.record(service, versions))
+          this.tellOwnStreams(service);
+      },
+    });
+    this.historyWriter = new VersionHistoryWriter({
+      ...options,
+      history: this.history,
+    });
   }
 
   /**
-   * Records the versions of the upstreams that are listed now. When a service
-   * gets a second one, the streams that go on are told to their keepers.
+   * Records the versions of the upstreams that are listed now, also in the
+   * store. Called several times a second.
    */
   updateVersions(): void {
-    const mixed = this.recentVersions.update(this.options.directory.all());
-    for (const service of mixed) {
-      for (const record of this.registry.ownRecords(service))
-        this.recorder.record(record);
-    }
+    this.observeVersions();
+    if (!this.history.isRead) this.readHistory();
+    else if (this.options.isListReceived())
+      this.historyWriter.update(this.listedVersions());
   }
 
-  async resolve({
-    service,
-    resumedRequestId = '',
-  }: RoutedRequest): Promise<ResolvedOrigin> {
-    this.updateVersions();
-    const recentVersions = this.recentVersions.versionsOf(service);
-    const origin = this.registry.find(resumedRequestId);
-    const isOriginNeeded = recentVersions.size > 1 || this.isNew;
-    const evidence =
-      origin || !isOriginNeeded
-        ? {origin, recentVersions}
-        : await this.askKeepers(service, resumedRequestId, recentVersions);
-    return resolveOrigin(service, evidence);
+  async resolve(request: RoutedRequest): Promise<ResolvedOrigin> {
+    this.observeVersions();
+    const {service, requestId, resumedRequestId} = request;
+    const evidence = await this.findEvidence(service, resumedRequestId ?? '');
+    const resolved = resolveOrigin(service, evidence);
+    if (resolved.knowledge === OriginKnowledge.UNKNOWN) {
+      this.options.logger.info(
+        {
+          requestId,
+          resumedRequestId: resumedRequestId?.slice(0, MAXIMUM_ID_LENGTH),
+          service,
+          reason: resolved.reason,
+          recentVersions: [...evidence.recentVersions],
+        },
+        'refused to resume a stream of unknown origin',
+      );
+    }
+    return resolved;
   }
 
   recordBegun({requestId, service}: RoutedRequest, origin: StreamOrigin): void {
-    this.updateVersions();
+    this.observeVersions();
     const record = {requestId, origin};
     this.registry.add(record, true);
     if (this.recentVersions.versionsOf(service).size > 1)
@@ -105,12 +171,15 @@
     this.registry.remove(resumedRequestId ?? requestId);
   }
 
-  /** Keeps what a peer tells of its streams. */
+  /** Keeps, and archives if this node is to, what a peer tells of its streams. */
   handleRecords({groups}: RecordStreamOriginsRequest): void {
     for (const {service, softwareVersion, requestIds} of groups) {
       const origin = {service, softwareVersion};
-      for (const requestId of requestIds)
-        this.registry.add({requestId, origin}, false);
+      for (const requestId of requestIds) {
+        const record = {requestId, origin};
+        if (this.isToArchive(requestId)) this.archiver.add(record);
+        this.registry.add(record, false);
+      }
     }
   }
 
@@ -119,7 +188,7 @@
     requestId,
     service,
   }: FindStreamOriginRequest): FindStreamOriginResponseFields {
-    this.updateVersions();
+    this.observeVersions();
     const origin = this.registry.find(requestId);
     return {
       isKnown: origin !== undefined,
@@ -134,12 +203,108 @@
     return age < this.options.streamLifetimeMilliseconds();
   }
 
+  /**
+   * Records the versions that are listed now. When a service gets a second one,
+   * the streams that go on are told to their keepers.
+   */
+  private observeVersions(): void {
+    const mixed = this.recentVersions.update(this.options.directory.all());
+    for (const service of mixed) this.tellOwnStreams(service);
+  }
+
+  private tellOwnStreams(service: string): void {
+    for (const record of this.registry.ownRecords(service))
+      this.recorder.record(record);
+  }
+
+  private listedVersions(): Map<string, Set<string>> {
+    const listed = new Map<string, Set<string>>();
+    for (const {description} of this.options.directory.all()) {
+      const {service, softwareVersion} = description;
+      const versions = listed.get(service) ?? new Set();
+      listed.set(service, versions.add(softwareVersion));
+    }
+    return listed;
+  }
+
+  /** Reads the history once, again only if that failed. */
+  private readHistory(): void {
+    const now = performance.now();
+    if (now < this.nextHistoryReadAtMilliseconds) return;
+    this.nextHistoryReadAtMilliseconds = now + STORE_MILLISECONDS;
+    void this.history.read();
+  }
+
+  /**
+   * Whether a peer that has told this node of a stream takes it for an archiver.
+   * If it is none itself, the peer may know other members, or the archiver may
+   * not have answered: then this node is told of a stream that it is no keeper
+   * of, or for the second time.
+   */
+  private isToArchive(requestId: string): boolean {
+    const {archivers} = this;
+    if (archivers.ownRank !== undefined) return true;
+    if (archivers.isSettled && !archivers.isSpare) return false;
+    if (this.registry.find(requestId)) return true;
+    const {listNodes, ownUrl} = this.options;
+    return chooseOriginKeepers(listNodes(), requestId, TOLD_KEEPERS).every(
+      ({peerUrl}) => peerUrl !== ownUrl,
+    );
+  }
+
+  /** What memory, peers and the store know, in the order of their cost. */
+  private async findEvidence(
+    service: string,
+    givenId: string,
+  ): Promise<OriginEvidence> {
+    const endAt = performance.now() + STORE_MILLISECONDS;
+    const requestId = givenId.length <= MAXIMUM_ID_LENGTH ? givenId : '';
+    const origin = this.registry.find(requestId);
+    const ownVersions = this.recentVersions.versionsOf(service);
+    if (origin) return {origin, recentVersions: ownVersions, isComplete: true};
+    const isOriginNeeded =
+      ownVersions.size > 1 || this.isNew || !this.options.isListCurrent();
+    if (!isOriginNeeded)
+      return {origin, recentVersions: ownVersions, isComplete: true};
+    const [isComplete, answer] = await Promise.all([
+      this.confirmVersions(service, endAt),
+      this.askKeepers(service, requestId, ownVersions),
+    ]);
+    const recentVersions = new Set([
+      ...this.recentVersions.versionsOf(service),
+      ...answer.recentVersions,
+    ]);
+    const isProved = isComplete && recentVersions.size <= 1;
+    if (answer.origin || isProved || requestId === '')
+      return {origin: answer.origin, recentVersions, isComplete};
+    const remaining = Math.max(0, endAt - performance.now());
+    const archived = await this.archive.find(requestId, remaining);
+    return {origin: archived.origin, recentVersions, isComplete};
+  }
+
+  /**
+   * Waits until all versions are known that a stream may have begun at: by what
+   * this node has seen for as long as a stream may last, or by the history.
+   */
+  private async confirmVersions(
+    service: string,
+    endAtMilliseconds: number,
+  ): Promise<boolean> {
+    if (!this.isNew) return true;
+    const remaining = () => endAtMilliseconds - performance.now();
+    if (!(await this.history.confirm(service, remaining()))) return false;
+    while (!this.options.isListReceived() && remaining() > 0)
+      await delay(LIST_POLL_MILLISECONDS);
+    this.observeVersions();
+    return this.options.isListReceived();
+  }
+
   /** Asks the keepers at the same time; the first that knows it decides. */
   private async askKeepers(
     service: string,
     requestId: string,
     ownVersions: ReadonlySet<string>,
-  ): Promise<OriginEvidence> {
+  ): Promise<Omit<OriginEvidence, 'isComplete'>> {
     const {listNodes, ownUrl} = this.options;
     const recentVersions = new Set(ownVersions);
     const keepers = chooseOriginKeepers(
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -141,7 +141,10 @@
 } from './proxy/routed_request_progress.js';
 export {TokenIssuer} from './proxy/rate_limit/token_issuer.js';
 export {RecentVersions} from './proxy/stream_origin/recent_versions.js';
-export {resolveOrigin} from './proxy/stream_origin/stream_origin.js';
+export {
+  OriginKnowledge,
+  resolveOrigin,
+} from './proxy/stream_origin/stream_origin.js';
 export {StreamOriginRegistry} from './proxy/stream_origin/stream_origin_registry.js';
 export {ClusterRetryBudget} from './proxy/cluster_retry_budget.js';
 export {ReachabilityMonitor} from './proxy/reachability/reachability_monitor.js';
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -153,7 +153,7 @@
     ]);
     if (!resolved) return cancelledRefusal(progress);
     if (resolved.knowledge === OriginKnowledge.UNKNOWN)
-      return unknownOriginRefusal(request);
+      return unknownOriginRefusal(request, resolved.reason);
     if (resolved.knowledge === OriginKnowledge.KNOWN)
       progress.origin = resolved.origin;
     return undefined;
--- a/packages/arbutustide-routing/src/proxy/proxy_refusals.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_refusals.ts
@@ -6,6 +6,7 @@
 import {AttemptFailure} from '@arbutustide/upstream';
 
 import {ranSoFar} from './routed_request_progress.js';
+import {UnknownOriginReason} from './stream_origin/stream_origin.js';
 
 /** Why this node aborted a request. */
 export enum CancelReason {
@@ -73,10 +74,21 @@
   return new RefusalError(kind, message, {ran: ExecutionStatus.NOT_EXECUTED});
 }
 
+const UNKNOWN_ORIGIN_TEXT: Readonly<Record<UnknownOriginReason, string>> = {
+  [UnknownOriginReason.SEVERAL_VERSIONS]:
+    'its upstreams have or had several software versions, and it is unknown at which the stream began',
+  [UnknownOriginReason.UNCONFIRMED_VERSIONS]:
+    'the software versions at which the stream may have begun cannot be read now',
+  [UnknownOriginReason.OTHER_SERVICE]: 'the stream began at another service',
+};
+
 /** Refuses to resume a stream that may have begun at another version. */
-export function unknownOriginRefusal({service}: RoutedRequest): RefusalError {
+export function unknownOriginRefusal(
+  {service}: RoutedRequest,
+  reason: UnknownOriginReason,
+): RefusalError {
   return new RefusalError(
     ErrorKind.STREAM_NOT_RESUMABLE,
-    `the upstreams of ${service} have several software versions, and it is unknown at which the stream began`,
+    `${service} cannot resume the stream: ${UNKNOWN_ORIGIN_TEXT[reason]}`,
   );
 }
--- a/packages/arbutustide-routing/src/proxy/stream_origin/recent_versions.ts
+++ b/packages/arbutustide-routing/src/proxy/stream_origin/recent_versions.ts
@@ -14,23 +14,31 @@
    * @return services that have several versions from now on.
    */
   update(upstreams: Iterable<ProxyUpstream>): string[] {
-    const now = performance.now();
-    const countsBefore = new Map<string, number>();
+    const listed = new Map<string, Set<string>>();
     for (const {description} of upstreams) {
       const {service, softwareVersion} = description;
-      if (!countsBefore.has(service))
-        countsBefore.set(service, this.versionsOf(service).size);
-      const seenAt = this.seenAtByService.get(service) ?? new Map();
-      seenAt.set(softwareVersion, now);
-      this.seenAtByService.set(service, seenAt);
+      const versions = listed.get(service) ?? new Set();
+      listed.set(service, versions.add(softwareVersion));
     }
-    return [...countsBefore]
-      .filter(
-        ([service, count]) => count === 1 && this.versionsOf(service).size > 1,
-      )
+    return [...listed]
+      .filter(([service, versions]) => this.record(service, versions))
       .map(([service]) => service);
   }
 
+  /**
+   * Records versions that a service has now, or may have had.
+   *
+   * @return whether the service has several versions from now on.
+   */
+  record(service: string, softwareVersions: Iterable<string>): boolean {
+    const now = performance.now();
+    const countBefore = this.versionsOf(service).size;
+    const seenAt = this.seenAtByService.get(service) ?? new Map();
+    for (const version of softwareVersions) seenAt.set(version, now);
+    this.seenAtByService.set(service, seenAt);
+    return countBefore <= 1 && this.versionsOf(service).size > 1;
+  }
+
   /** Versions that a stream which goes on now may have begun at. */
   versionsOf(service: string): ReadonlySet<string> {
     const seenAt = this.seenAtByService.get(service);
--- a/packages/arbutustide-routing/src/proxy/stream_origin/stream_origin.ts
+++ b/packages/arbutustide-routing/src/proxy/stream_origin/stream_origin.ts
@@ -19,6 +19,16 @@
   NO_VERSION = 'no_version',
 }
 
+/** Why the origin of a stream is unknown. */
+export enum UnknownOriginReason {
+  /** Upstreams have, or had, several versions, and no node knows the stream. */
+  SEVERAL_VERSIONS = 'several_versions',
+  /** The versions that it may have begun at cannot be found out now. */
+  UNCONFIRMED_VERSIONS = 'unconfirmed_versions',
+  /** It began at another service. */
+  OTHER_SERVICE = 'other_service',
+}
+
 /** The origin of a stream, or why none is known. */
 export type ResolvedOrigin =
   | {
@@ -26,8 +36,10 @@
       readonly origin: StreamOrigin;
     }
   | {
-      readonly knowledge: OriginKnowledge.UNKNOWN | OriginKnowledge.NO_VERSION;
-    };
+      readonly knowledge: OriginKnowledge.UNKNOWN;
+      readonly reason: UnknownOriginReason;
+    }
+  | {readonly knowledge: OriginKnowledge.NO_VERSION};
 
 /** Remembers the origins of streams over all nodes. */
 export interface StreamOrigins {
@@ -45,25 +57,36 @@
   readonly origin: StreamOrigin | undefined;
   /** Versions that upstreams of the service had while it may have begun. */
   readonly recentVersions: ReadonlySet<string>;
+  /**
+   * Whether it cannot have begun at any other version. A node that has started
+   * a short time ago has no memory of such versions, which proves nothing.
+   */
+  readonly isComplete: boolean;
 }
 
 /**
  * Derives the origin of a resumed stream. Without a record of it, the stream can
- * only have begun at the one version that was there.
+ * only have begun at the one version that was there, if all of them are known.
  */
 export function resolveOrigin(
   service: string,
-  {origin, recentVersions}: OriginEvidence,
+  {origin, recentVersions, isComplete}: OriginEvidence,
 ): ResolvedOrigin {
   if (origin) {
     return origin.service === service
       ? {knowledge: OriginKnowledge.KNOWN, origin}
-      : {knowledge: OriginKnowledge.UNKNOWN};
+      : unknownOrigin(UnknownOriginReason.OTHER_SERVICE);
   }
   const [softwareVersion] = recentVersions;
-  if (softwareVersion === undefined)
-    return {knowledge: OriginKnowledge.NO_VERSION};
-  return recentVersions.size === 1
-    ? {knowledge: OriginKnowledge.KNOWN, origin: {service, softwareVersion}}
-    : {knowledge: OriginKnowledge.UNKNOWN};
+  if (recentVersions.size > 1)
+    return unknownOrigin(UnknownOriginReason.SEVERAL_VERSIONS);
+  if (!isComplete)
+    return unknownOrigin(UnknownOriginReason.UNCONFIRMED_VERSIONS);
+  return softwareVersion === undefined
+    ? {knowledge: OriginKnowledge.NO_VERSION}
+    : {knowledge: OriginKnowledge.KNOWN, origin: {service, softwareVersion}};
+}
+
+function unknownOrigin(reason: UnknownOriginReason): ResolvedOrigin {
+  return {knowledge: OriginKnowledge.UNKNOWN, reason};
 }
