--- a/packages/arbutustide-membership/src/cluster_view.ts
+++ b/packages/arbutustide-membership/src/cluster_view.ts
@@ -5,10 +5,9 @@
   SegmentSurvivals,
   UpstreamCrash,
   UpstreamHoldings,
-  UpstreamObservation,
-  UpstreamRateLimit,
 } from './gen/arbutustide/membership/v1/membership_pb.js';
 import type {MemberTable} from './member_table.js';
+import type {PeerObservation, PeerRateLimit} from './peer_observation.js';
 
 import {NodeState} from './gen/arbutustide/membership/v1/membership_pb.js';
 import {findNodeStatus, NODE_STATUS_KEY} from './member_record.js';
@@ -39,24 +38,6 @@
   readonly queuedByPriority: number[];
 }
 
-/** A report of an upstream, as another node read and published it. */
-export interface PeerObservation {
-  readonly observation: UpstreamObservation;
-  /** Sequence in the writer's record; a higher one is a newer report. */
-  readonly sequence: number;
-  /** Identity of the node that read the report. */
-  readonly writer: string;
-}
-
-/** The rate limit of an upstream, as another node published it. */
-export interface PeerRateLimit {
-  readonly limit: UpstreamRateLimit;
-  /** Sequence in the writer's record; a higher one is newer. */
-  readonly sequence: number;
-  /** Identity of the node that published it. */
-  readonly writer: string;
-}
-
 /** What the records of all peers add up to. */
 interface ClusterSummary {
   readonly computedAtMilliseconds: number;
--- a/packages/arbutustide-membership/src/index.ts
+++ b/packages/arbutustide-membership/src/index.ts
@@ -1,10 +1,5 @@
 /** Gossip membership: node records, their exchange, and views of them. */
-export type {
-  ClusterNode,
-  DemandSummary,
-  PeerObservation,
-  PeerRateLimit,
-} from './cluster_view.js';
+export type {ClusterNode, DemandSummary} from './cluster_view.js';
 export type {
   ConfirmConfigurationRequest,
   ConfirmConfigurationResponse,
@@ -33,6 +28,7 @@
 export type {GossipOptions, PeerAddress} from './gossip.js';
 export type {MemberRecord} from './member_record.js';
 export type {FieldValue} from './own_record.js';
+export type {PeerObservation, PeerRateLimit} from './peer_observation.js';
 export type {
   ConfirmConfigurationResponseFields,
   LeaseQuotaResponseFields,
--- a/packages/arbutustide-node/src/__tests__/unit/quota_cluster.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/quota_cluster.ts
@@ -17,6 +17,7 @@
   LeaseQuotaResponseSchema,
   NodeState,
   PeerError,
+  ProtocolLevel,
 } from '@arbutustide/membership';
 import {silentLogger} from '@arbutustide/telemetry';
 import {create} from '@bufbuild/protobuf';
@@ -172,6 +173,7 @@
       state: NodeState.READY,
       catalogueRevision: 1,
       plannerEpoch: 0,
+      protocolLevel: ProtocolLevel.TEAMS,
     };
   }
 }
--- a/packages/arbutustide-node/src/proxy/create_slot_queue.ts
+++ b/packages/arbutustide-node/src/proxy/create_slot_queue.ts
@@ -71,7 +71,7 @@
     },
     observer: container.resolve(ProxyToken.DEMAND_COUNTER),
     order: createServiceOrder(container),
-    earlyRefusal: createEarlyRefusal(container, holdTimes, random),
+    earlyRefusal: createEarlyRefusal(container, holdTimes, dependencies.random),
     onSlotReturned: ({service}, heldMilliseconds) =>
       holdTimes.record(service, heldMilliseconds),
   });
--- a/packages/arbutustide-node/src/proxy/proxy_tokens.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tokens.ts
@@ -21,7 +21,6 @@
   Authenticator,
   ConfigurationFreshness,
   KeyTableCache,
-  TeamQuotas,
 } from '@arbutustide/teams';
 import type {InjectionToken} from 'tsyringe';
 
@@ -62,7 +61,6 @@
   CONFIGURATION_FRESHNESS:
     'fleet.configurationFreshness' as InjectionToken<ConfigurationFreshness>,
   KEY_TABLES: 'fleet.keyTables' as InjectionToken<KeyTableCache>,
-  TEAM_QUOTAS: 'fleet.teamQuotas' as InjectionToken<TeamQuotas>,
   REQUEST_QUEUE: 'fleet.queue' as InjectionToken<SlotQueue>,
   DISPATCHER: 'fleet.dispatcher' as InjectionToken<ProxyDispatcher>,
   MEMBER_TABLE: 'fleet.memberTable' as InjectionToken<MemberTable>,
--- a/packages/arbutustide-node/src/proxy/teams/register_teams.ts
+++ b/packages/arbutustide-node/src/proxy/teams/register_teams.ts
@@ -11,7 +11,6 @@
   ConfigurationFreshness,
   KeyTableCache,
   TeamGate,
-  UNLIMITED_QUOTAS,
 } from '@arbutustide/teams';
 
 import {ProxyToken} from '../proxy_tokens.js';
@@ -67,7 +66,6 @@
         container.resolve(ProxyToken.CONFIGURATION_FRESHNESS),
       ),
   );
-  register(ProxyToken.TEAM_QUOTAS, () => UNLIMITED_QUOTAS);
   register(ProxyToken.REQUEST_GATE, container => {
     const watcher = container.resolve(ProxyToken.CONFIGURATION_WATCHER);
     return new TeamGate({
--- a/packages/arbutustide-routing/src/__tests__/unit/queue_cluster.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/queue_cluster.ts
@@ -113,7 +113,7 @@
       chooseUpstream: ({request, triedUpstreams}) =>
         chooseUpstream(this.upstreams, request.modelRequest, triedUpstreams, {
           ownFailureDomain: 'near',
-          crossDomainShare: 0.2,
+          priceShare: 0.2,
           fullShare: 1,
           random,
         }),
