Watch through another failure domain while the store turns this node away

Change: a node that the store has refused avoids it for 0.5 s, doubling up to 2 s, if a node of another failure domain that watches the store serves its watch meanwhile; the pause after a failed watch doubles up to four times. Nodes that are cut off so learn of changes at once, and not when the store serves them again.

--- a/packages/arbutustide-node/src/__tests__/unit/watch_relay.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/watch_relay.test.ts
@@ -28,7 +28,14 @@
 import {expect} from 'chai';
 import {Err, Ok} from 'ts-results';
 
-import {chooseWatchRelays} from '../../proxy/watch_relay/choose_watch_relays.js';
+import {
+  RELAY_MAXIMUM_AGE_SHARE,
+  RELAY_WAIT_SHARE,
+} from '../../proxy/proxy_tuning.js';
+import {
+  chooseDistantWatchRelays,
+  chooseWatchRelays,
+} from '../../proxy/watch_relay/choose_watch_relays.js';
 import {RelayedObjectStore} from '../../proxy/watch_relay/relayed_object_store.js';
 
 const CHANGE_BOUND_MILLISECONDS = 3_000;
@@ -86,12 +93,12 @@
       this.createClient(),
       transport,
       {
-        listRelayUrls: () =>
-          chooseWatchRelays(listNodes(), cluster.identity, 'here').map(
-            ({peerUrl}) => peerUrl,
-          ),
-        relayWaitMilliseconds: CHANGE_BOUND_MILLISECONDS * 0.25,
-        maximumAgeMilliseconds: CHANGE_BOUND_MILLISECONDS * 0.65,
+        listRelayUrls: () => this.listUrls(chooseWatchRelays, listNodes()),
+        listDistantRelayUrls: () =>
+          this.listUrls(chooseDistantWatchRelays, listNodes()),
+        relayWaitMilliseconds: CHANGE_BOUND_MILLISECONDS * RELAY_WAIT_SHARE,
+        maximumAgeMilliseconds:
+          CHANGE_BOUND_MILLISECONDS * RELAY_MAXIMUM_AGE_SHARE,
         redact: object => object,
       },
       silentLogger(),
@@ -121,6 +128,14 @@
     void watcher.run(signal);
   }
 
+  private listUrls(
+    choose: typeof chooseWatchRelays,
+    nodes: ClusterNode[],
+  ): string[] {
+    const {identity, failureDomain} = this.cluster;
+    return choose(nodes, identity, failureDomain).map(({peerUrl}) => peerUrl);
+  }
+
   /** A client of the store that times out while the node is cut off. */
   private createClient(): ObjectStore {
     const {shared} = this;
@@ -256,7 +271,7 @@
     clock.uninstall();
   });
 
-  async function start(count: number): Promise<void> {
+  async function start(count: number, distantCount = 0): Promise<void> {
     const transport: Pick<PeerTransport, 'watch'> = {
       watch: async (url: string, request: WatchRequest) => {
         const peer = nodes.find(({cluster}) => cluster.peerUrl === url);
@@ -279,13 +294,13 @@
         );
       },
     };
-    nodes = names(count).map(
-      name =>
-        new TestNode(
-          clusterNode(name),
-          shared,
-          transport as PeerTransport,
-          () => nodes.map(({cluster}) => cluster),
+    nodes = [
+      ...names(count).map(name => clusterNode(name)),
+      ...names(distantCount).map(name => clusterNode(`far-${name}`, 'there')),
+    ].map(
+      cluster =>
+        new TestNode(cluster, shared, transport as PeerTransport, () =>
+          nodes.map(node => node.cluster),
         ),
     );
     for (const node of nodes) node.run(stopController.signal);
@@ -339,6 +354,27 @@
     }
   }
 
+  it('serves a domain that the store turns away through another domain', async () => {
+    // Guards against nodes that call a store which refuses them several times a
+    // second each, and learn of changes only when it serves them again.
+    const seconds = 10;
+    await start(12, 12);
+    for (const node of nodes)
+      node.isCutFromStore = node.cluster.failureDomain === 'here';
+    await clock.tickAsync(2 * CHANGE_BOUND_MILLISECONDS);
+    const callsBefore = shared.watchCalls;
+    await clock.tickAsync(seconds * 1_000);
+    const calls = shared.watchCalls - callsBefore;
+    expect(calls / (nodes.length * seconds)).to.be.at.most(0.3);
+    const putAt = performance.now();
+    shared.put('new');
+    await clock.tickAsync(2 * CHANGE_BOUND_MILLISECONDS);
+    for (const {received} of nodes) {
+      const receivedAt = received.get(`${PREFIX}new`) ?? Infinity;
+      expect(receivedAt - putAt).to.be.lessThan(CHANGE_BOUND_MILLISECONDS);
+    }
+  });
+
   it('delivers what was written after a restore of the store', async () => {
     await start(20);
     shared.put('lost');
--- a/packages/arbutustide-node/src/proxy/proxy_wiring.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_wiring.ts
@@ -54,7 +54,10 @@
 import {registerTeams} from './teams/register_teams.js';
 import {createUpstreamSignalsHandler} from './upstream_signals_handler.js';
 import {UpstreamWatcher} from './upstream_watcher.js';
-import {chooseWatchRelays} from './watch_relay/choose_watch_relays.js';
+import {
+  chooseDistantWatchRelays,
+  chooseWatchRelays,
+} from './watch_relay/choose_watch_relays.js';
 import {RelayedObjectStore} from './watch_relay/relayed_object_store.js';
 
 /** Region in the lease's key; a single planner serves all regions. */
@@ -96,18 +99,20 @@
   const {changeBoundMilliseconds} = settings;
   const canRelay =
     changeBoundMilliseconds >= tuning.MINIMUM_BOUND_TO_RELAY_MILLISECONDS;
+  const listUrls = (choose: typeof chooseWatchRelays) =>
+    canRelay
+      ? choose(
+          container.resolve(ProxyToken.CLUSTER_VIEW).nodes(),
+          identity,
+          settings.failureDomain,
+        ).map(({peerUrl}) => peerUrl)
+      : [];
   return new RelayedObjectStore(
     store,
     transport,
     {
-      listRelayUrls: () =>
-        canRelay
-          ? chooseWatchRelays(
-              container.resolve(ProxyToken.CLUSTER_VIEW).nodes(),
-              identity,
-              settings.failureDomain,
-            ).map(({peerUrl}) => peerUrl)
-          : [],
+      listRelayUrls: () => listUrls(chooseWatchRelays),
+      listDistantRelayUrls: () => listUrls(chooseDistantWatchRelays),
       relayWaitMilliseconds: Math.round(
         changeBoundMilliseconds * tuning.RELAY_WAIT_SHARE,
       ),
--- a/packages/arbutustide-node/src/proxy/watch_relay/choose_watch_relays.ts
+++ b/packages/arbutustide-node/src/proxy/watch_relay/choose_watch_relays.ts
@@ -21,24 +21,53 @@
   nodes: Iterable<ClusterNode>,
   ownIdentity: string,
   ownFailureDomain: string,
+): ClusterNode[] {
+  const relays = listRelays(nodes, ownFailureDomain);
+  if (relays.some(({identity}) => identity === ownIdentity)) return [];
+  // Each node prefers another of them, so that they share the load.
+  return selectByRendezvousHash(
+    ownIdentity,
+    relays,
+    ({identity}) => identity,
+    relays.length,
+  );
+}
+
+/**
+ * Chooses the peers of other failure domains that watch the store, best first,
+ * for a node that the store does not serve.
+ */
+export function chooseDistantWatchRelays(
+  nodes: Iterable<ClusterNode>,
+  ownIdentity: string,
+  ownFailureDomain: string,
+): ClusterNode[] {
+  const known = [...nodes];
+  const domains = new Set(known.map(({failureDomain}) => failureDomain));
+  domains.delete(ownFailureDomain);
+  const relays = [...domains].flatMap(domain => listRelays(known, domain));
+  return selectByRendezvousHash(
+    ownIdentity,
+    relays,
+    ({identity}) => identity,
+    relays.length,
+  );
+}
+
+/** The nodes of a failure domain that watch the store for its others. */
+function listRelays(
+  nodes: Iterable<ClusterNode>,
+  domain: string,
 ): ClusterNode[] {
   const candidates = [...nodes].filter(
     ({failureDomain, state}) =>
-      failureDomain === ownFailureDomain && state === NodeState.READY,
+      failureDomain === domain && state === NodeState.READY,
   );
   if (candidates.length < MINIMUM_NODES_TO_RELAY) return [];
-  const relays = selectByRendezvousHash(
+  return selectByRendezvousHash(
     RELAY_SELECTION_KEY,
     candidates,
     ({identity}) => identity,
     Math.ceil(candidates.length / NODES_PER_RELAY),
   );
-  if (relays.some(({identity}) => identity === ownIdentity)) return [];
-  // Each node prefers another of them, so that they share the load.
-  return selectByRendezvousHash(
-    ownIdentity,
-    relays,
-    ({identity}) => identity,
-    relays.length,
-  );
 }
--- a/packages/arbutustide-node/src/proxy/watch_relay/relayed_object_store.ts
+++ b/packages/arbutustide-node/src/proxy/watch_relay/relayed_object_store.ts
@@ -7,6 +7,7 @@
   ObjectStore,
   StoredList,
   StoredObject,
+  StoreError,
   StoreResult,
   WatchBatch,
 } from '@arbutustide/object-store';
@@ -14,7 +15,7 @@
 import type {Result} from 'ts-results';
 
 import {PeerError, WatchRequestSchema} from '@arbutustide/membership';
-import {mergeBatches} from '@arbutustide/object-store';
+import {mergeBatches, StoreErrorKind} from '@arbutustide/object-store';
 import {create} from '@bufbuild/protobuf';
 import {Err, Ok} from 'ts-results';
 import {z} from 'zod';
@@ -38,10 +39,22 @@
   }),
 );
 
+/**
+ * Time for which the store is not watched after it has turned a watch away, if a
+ * peer of another failure domain can serve it; doubles with each refusal.
+ */
+const STORE_RETRY_MILLISECONDS = 500;
+const MAXIMUM_STORE_RETRY_MILLISECONDS = 2_000;
+
 /** Settings of a relayed store. */
 export interface RelayedObjectStoreOptions {
   /** URLs of the peers to watch through, best first; empty to watch alone. */
   readonly listRelayUrls: () => readonly string[];
+  /**
+   * URLs of peers in other failure domains that watch the store, best first. They
+   * are used while the store does not serve this node.
+   */
+  readonly listDistantRelayUrls: () => readonly string[];
   /** Time for which a relay may hold a watch open without changes. */
   readonly relayWaitMilliseconds: number;
   /**
@@ -62,6 +75,8 @@
 export class RelayedObjectStore implements ObjectStore {
   private readonly logs = new Map<string, WatchLog>();
   private readonly avoidedUntilMilliseconds = new Map<string, number>();
+  private storeRetryMilliseconds = 0;
+  private storeAvoidedUntilMilliseconds = -Infinity;
 
   constructor(
     private readonly store: ObjectStore,
@@ -106,18 +121,24 @@
     signal: AbortSignal,
     waitMilliseconds?: number,
   ): StoreResult<WatchBatch> {
-    const relayUrl = this.findUsableRelay();
-    if (relayUrl !== undefined) {
-      const relayed = await this.watchThrough(relayUrl, prefix, afterVersion);
-      if (!relayed.ok) this.avoid(relayUrl, prefix, relayed.val);
-      else if (relayed.val) return Ok({...relayed.val, isRelayed: true});
-    }
+    const {listRelayUrls, listDistantRelayUrls} = this.options;
+    const relayed =
+      (await this.watchThroughOne(listRelayUrls(), prefix, afterVersion)) ??
+      (performance.now() < this.storeAvoidedUntilMilliseconds
+        ? await this.watchThroughOne(
+            listDistantRelayUrls(),
+            prefix,
+            afterVersion,
+          )
+        : undefined);
+    if (relayed) return Ok(relayed);
     const batch = await this.store.watch(
       prefix,
       afterVersion,
       signal,
       waitMilliseconds,
     );
+    this.recordStoreResponse(batch);
     if (batch.ok) this.appendToLog(prefix, batch.val, 0);
     return batch;
   }
@@ -174,11 +195,37 @@
     return Ok(batch);
   }
 
-  private findUsableRelay(): string | undefined {
+  /** Watches through the first relay that is usable; undefined if it fails. */
+  private async watchThroughOne(
+    relayUrls: readonly string[],
+    prefix: string,
+    afterVersion: number,
+  ): Promise<WatchBatch | undefined> {
     const now = performance.now();
-    return this.options
-      .listRelayUrls()
-      .find(url => now >= (this.avoidedUntilMilliseconds.get(url) ?? 0));
+    const relayUrl = relayUrls.find(
+      url => now >= (this.avoidedUntilMilliseconds.get(url) ?? 0),
+    );
+    if (relayUrl === undefined) return undefined;
+    const relayed = await this.watchThrough(relayUrl, prefix, afterVersion);
+    if (!relayed.ok) {
+      this.avoid(relayUrl, prefix, relayed.val);
+      return undefined;
+    }
+    return relayed.val && {...relayed.val, isRelayed: true};
+  }
+
+  /** Avoids a store that turns watches away for a time that doubles. */
+  private recordStoreResponse(response: Result<WatchBatch, StoreError>): void {
+    if (response.ok || response.val.kind === StoreErrorKind.HISTORY_GONE) {
+      this.storeRetryMilliseconds = 0;
+      return;
+    }
+    this.storeRetryMilliseconds = Math.min(
+      MAXIMUM_STORE_RETRY_MILLISECONDS,
+      this.storeRetryMilliseconds * 2 || STORE_RETRY_MILLISECONDS,
+    );
+    this.storeAvoidedUntilMilliseconds =
+      performance.now() + this.storeRetryMilliseconds;
   }
 
   private avoid(relayUrl: string, prefix: string, error: PeerError): void {
--- a/packages/arbutustide-object-store/src/prefix_watcher.ts
+++ b/packages/arbutustide-object-store/src/prefix_watcher.ts
@@ -38,7 +38,10 @@
   readonly prefix: string;
   /** Pause after each batch of changes, so that a series needs fewer calls. */
   readonly pauseMilliseconds: number;
-  /** Pause after a failed call. */
+  /**
+   * Pause after a failed call. It doubles with each further failure, up to
+   * `MAXIMUM_RETRY_FACTOR` times, as refused calls have a cost too.
+   */
   readonly retryDelayMilliseconds: number;
   /** Time to hold a watch open, if the store's usual one is too long. */
   readonly watchMilliseconds?: () => number | undefined;
@@ -49,6 +52,8 @@
   ) => Promise<unknown>;
 }
 
+const MAXIMUM_RETRY_FACTOR = 4;
+
 /**
  * Keeps a listener up to date with the objects under a prefix: lists them,
  * watches for changes after the list's version, and lists again when the store
@@ -58,6 +63,7 @@
   private watchedVersion: number | undefined;
   private listedEraStartVersion: number | undefined;
   private unavailableSinceMilliseconds: number | undefined;
+  private retryFactor = 1;
   private lastResponseAtMilliseconds = -Infinity;
 
   constructor(
@@ -84,7 +90,9 @@
         continue;
       }
       this.recordUnavailable(error);
-      await this.options.pause(this.options.retryDelayMilliseconds, signal);
+      const {retryDelayMilliseconds, pause} = this.options;
+      await pause(retryDelayMilliseconds * this.retryFactor, signal);
+      this.retryFactor = Math.min(MAXIMUM_RETRY_FACTOR, this.retryFactor * 2);
     }
   }
 
@@ -135,6 +143,7 @@
   private recordResponse(): void {
     const now = performance.now();
     this.lastResponseAtMilliseconds = now;
+    this.retryFactor = 1;
     if (this.unavailableSinceMilliseconds === undefined) return;
     const unavailableMilliseconds = now - this.unavailableSinceMilliseconds;
     this.unavailableSinceMilliseconds = undefined;
