Count answers and refusals by team, and test teams on the way through peers

Cause: operators could not see whom a refusal hits, nor how old the confirmation of the configuration is; nothing tested that a request keeps its team at a peer, and that the gate is asked before each attempt.

Change: decisions name the team; latency histograms and answers have it as their tenant label, arbutustide_team_refusals_total counts refusals by team and kind, and arbutustide_configuration_age_seconds is the age of the newest confirmation. Refusals for want of a key are counted by kind. Labels are names of configured teams only. The choice of peers for requests of teams is a function of its own.

--- a/packages/arbutustide-node/src/__tests__/unit/confirming_cluster.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/confirming_cluster.ts
@@ -138,6 +138,7 @@
           ...this.listNodes().map(({catalogueRevision}) => catalogueRevision),
         ),
       reachableShare: () => this.listNodes().length / this.cluster.nodes.length,
+      recordAge: () => {},
       random: () => this.cluster.random(),
       logger: silentLogger(),
     });
--- a/packages/arbutustide-node/src/proxy/decision_metrics.ts
+++ b/packages/arbutustide-node/src/proxy/decision_metrics.ts
@@ -6,8 +6,8 @@
 import {DecisionStep} from '@arbutustide/routing';
 
 const MILLISECONDS_PER_SECOND = 1_000;
-/** Proxied requests carry no tenant. */
-const NO_TENANT = '';
+/** For requests without a team. */
+const NO_TEAM = '';
 
 type RequestRecorder = (
   decision: RequestDecision,
@@ -26,8 +26,10 @@
     metrics.retries.inc({entry: service}),
   [DecisionStep.STREAM_RESUMED]: ({service}, metrics) =>
     metrics.retries.inc({entry: service}),
-  [DecisionStep.REFUSED]: ({kind = '', ran = ''}, metrics) =>
-    metrics.refusals.inc({kind, ran}),
+  [DecisionStep.REFUSED]: ({kind = '', ran = '', team = NO_TEAM}, metrics) => {
+    metrics.refusals.inc({kind, ran});
+    if (team !== NO_TEAM) metrics.teamRefusals.inc({tenant: team, kind});
+  },
   [DecisionStep.ENDED]: (decision, metrics) => {
     const {end = '', elapsedMilliseconds = 0} = decision;
     const {firstEventMilliseconds, longestPauseMilliseconds} = decision;
@@ -68,8 +70,9 @@
   metrics.plannerOrders.inc({kind: order.kind, reason: answer ?? ''});
 }
 
-function requestLabels({route}: RequestDecision) {
-  return {tenant: NO_TENANT, class: route};
+/** The names of teams are those of a configuration, so they are few. */
+function requestLabels({route, team = NO_TEAM}: RequestDecision) {
+  return {tenant: team, class: route};
 }
 
 function toSeconds(milliseconds: number): number {
--- a/packages/arbutustide-node/src/proxy/proxy_core.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_core.ts
@@ -1,15 +1,12 @@
 import type {ClusterNode, PeerHandler} from '@arbutustide/membership';
 import type {
   ProxyDispatcher,
-  RequestTeam,
-  Route,
   RouteTable,
   ServingConfiguration,
   UpstreamSignals,
 } from '@arbutustide/routing';
+import type {Authenticator} from '@arbutustide/teams';
 import type {NodeLogger} from '@arbutustide/telemetry';
-import type {RefusalError} from '@arbutustide/errors';
-import type {Result} from 'ts-results';
 import type {DependencyContainer} from 'tsyringe';
 
 import type {ProxyDependencies} from './proxy_dependencies.js';
@@ -45,11 +42,12 @@
  * its peers.
  */
 export class ProxyCore {
+  /** Finds the teams of callers' requests. */
+  readonly authenticator: Authenticator;
   readonly dispatcher: ProxyDispatcher;
   readonly logger: NodeLogger;
   /** Answers the calls of peers. */
   readonly peerHandler: PeerHandler;
-  private readonly authenticator;
   private readonly self;
   private readonly container: DependencyContainer;
   private readonly stopController = new AbortController();
@@ -79,20 +77,6 @@
     return this.container.resolve(ProxyToken.CONFIGURATION_WATCHER).routes;
   }
 
-  /**
-   * Finds the team of a request; undefined if it needs no key.
-   *
-   * @param configuration the one that the route was taken from.
-   * @param listKeys lists the keys that the request carries.
-   */
-  authenticate(
-    configuration: ServingConfiguration,
-    route: Route,
-    listKeys: () => readonly string[],
-  ): Result<RequestTeam | undefined, RefusalError> {
-    return this.authenticator.authenticate(configuration, route, listKeys);
-  }
-
   /** Whether this node has a configuration and the balancer may choose it. */
   get isReady(): boolean {
     return this.status.state === NodeState.READY && !this.confirmer.isCutOff;
--- a/packages/arbutustide-node/src/proxy/relay/register_relay.ts
+++ b/packages/arbutustide-node/src/proxy/relay/register_relay.ts
@@ -6,7 +6,6 @@
 import type {RegisterSingleton} from '../register_singleton.js';
 import type {RelayCandidate} from './choose_relay_peer.js';
 
-import {ProtocolLevel} from '@arbutustide/membership';
 import {
   compatibleUpstreams,
   ProbeKind,
@@ -17,6 +16,7 @@
 import {ClusterRequestRelay} from './cluster_request_relay.js';
 import {mayReachAny} from './lost_upstreams.js';
 import {RelayServer} from './relay_server.js';
+import {understands} from './understands.js';
 
 /** Registers what finds out about lost paths and passes requests on. */
 export function registerRelay(
@@ -89,7 +89,7 @@
   progress: RoutedRequestProgress,
   ownIdentity: string,
 ): RelayCandidate[] {
-  const {service, modelRequest, team} = progress.request;
+  const {service, modelRequest} = progress.request;
   const directory = container.resolve(ProxyToken.UPSTREAM_DIRECTORY);
   const clusterView = container.resolve(ProxyToken.CLUSTER_VIEW);
   const brittleUpstreams = container.resolve(ProxyToken.BRITTLE_UPSTREAMS);
@@ -103,16 +103,15 @@
   return clusterView
     .readyNodes()
     .filter(
-      ({identity, protocolLevel}) =>
-        identity !== ownIdentity &&
-        // Builds without teams would pass it on without one.
-        (!team || protocolLevel >= ProtocolLevel.TEAMS) &&
+      node =>
+        node.identity !== ownIdentity &&
+        understands(node, progress.request) &&
         mayReachAny(
           clusterView,
-          identity,
+          node.identity,
           service,
           upstreams.filter(upstream =>
-            brittleUpstreams.maySend(upstream, brittleTerms, identity),
+            brittleUpstreams.maySend(upstream, brittleTerms, node.identity),
           ),
         ),
     )
--- a/packages/arbutustide-node/src/proxy/teams/configuration_confirmer.ts
+++ b/packages/arbutustide-node/src/proxy/teams/configuration_confirmer.ts
@@ -52,6 +52,8 @@
   readonly publishedVersion: () => number;
   /** Share of the nodes known a short time ago that this node reaches. */
   readonly reachableShare: () => number;
+  /** Called with the age of the newest confirmation, infinite without one. */
+  readonly recordAge: (milliseconds: number) => void;
   /** Returns a uniformly distributed number in [0, 1). */
   readonly random: () => number;
   readonly logger: NodeLogger;
@@ -126,6 +128,7 @@
     if (!this.isNeeded) return;
     this.updateState();
     const {ageMilliseconds, maximumAgeMilliseconds} = this.options.freshness;
+    this.options.recordAge(ageMilliseconds);
     if (ageMilliseconds < maximumAgeMilliseconds * ASK_AGE_SHARE) return;
     const isLost = ageMilliseconds === Infinity;
     const isUrgent =
--- a/packages/arbutustide-node/src/proxy/teams/register_teams.ts
+++ b/packages/arbutustide-node/src/proxy/teams/register_teams.ts
@@ -19,6 +19,7 @@
 import {chooseWatchRelays} from '../watch_relay/choose_watch_relays.js';
 import {ConfigurationConfirmer} from './configuration_confirmer.js';
 
+const MILLISECONDS_PER_SECOND = 1_000;
 /**
  * Time for which nodes that confirm the configuration for others hold a watch
  * open, as a share of the time until a revocation must be in effect. A watch
@@ -65,6 +66,7 @@
       new Authenticator(
         container.resolve(ProxyToken.KEY_TABLES),
         container.resolve(ProxyToken.CONFIGURATION_FRESHNESS),
+        ({kind, ran}) => dependencies.metrics.refusals.inc({kind, ran}),
       ),
   );
   register(ProxyToken.TEAM_QUOTAS, () => UNLIMITED_QUOTAS);
@@ -103,7 +105,7 @@
 
 function createConfirmer(
   container: DependencyContainer,
-  {settings, store, transport, random, logger}: ProxyDependencies,
+  {settings, store, transport, random, logger, metrics}: ProxyDependencies,
   {identity}: PeerIdentity,
 ): ConfigurationConfirmer {
   const clusterView = container.resolve(ProxyToken.CLUSTER_VIEW);
@@ -129,6 +131,10 @@
       ),
     reachableShare: () =>
       container.resolve(ProxyToken.REACHABLE_SHARE).update(),
+    recordAge: milliseconds =>
+      metrics.configurationAgeSeconds.set(
+        milliseconds / MILLISECONDS_PER_SECOND,
+      ),
     random,
     logger,
   });
--- a/packages/arbutustide-routing/src/__tests__/unit/cut_off_dispatch.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/cut_off_dispatch.test.ts
@@ -129,6 +129,20 @@
     expect(askedPeers).to.deep.equal(['one', 'two', 'three']);
   });
 
+  // Guards against requests that are refused because one peer cannot show that
+  // it knows of revocations, although another one can.
+  it('asks another peer if one cannot judge its key', async () => {
+    cutOff();
+    const {NOT_EXECUTED} = ExecutionStatus;
+    answers = [
+      refused(ErrorKind.CONFIGURATION_UNCONFIRMED, NOT_EXECUTED),
+      relayed(respondWith({}, ['whole'])),
+    ];
+    const answer = await dispatch(RequestKind.NON_IDEMPOTENT);
+    expect(answer.ok).to.equal(true);
+    expect(askedPeers).to.deep.equal(['one', 'two']);
+  });
+
   it('passes on the refusal of a peer that has no slot in time', async () => {
     cutOff();
     const {NOT_EXECUTED} = ExecutionStatus;
--- /dev/null
+++ b/packages/arbutustide-routing/src/__tests__/unit/request_gate.test.ts
@@ -0,0 +1,99 @@
+// Guards against requests that run although their key was revoked while they
+// waited, against refusals that are not true, and against quota that is lost.
+import type {RequestGate} from '../../proxy/request_gate.js';
+
+import {ErrorKind, ExecutionStatus, RefusalError} from '@arbutustide/errors';
+import {expect} from 'chai';
+import {Err, Ok} from 'ts-results';
+
+import {RequestKind} from '../../proxy/route.js';
+import {testUpstream} from './proxy_fixtures.js';
+import {
+  connectionLostError,
+  createDispatcher,
+  createRequest,
+  readAnswer,
+  respondWith,
+  ScriptedConnector,
+} from './scripted_connector.js';
+
+const {NOT_EXECUTED, POSSIBLY_EXECUTED} = ExecutionStatus;
+
+describe('request gate', () => {
+  let isRevoked: boolean;
+  let givenBack: number;
+
+  beforeEach(() => {
+    isRevoked = false;
+    givenBack = 0;
+  });
+
+  const gate: RequestGate = {
+    admit: async () => Ok({giveBack: () => (givenBack += 1)}),
+    check: () =>
+      isRevoked
+        ? new RefusalError(ErrorKind.UNAUTHENTICATED, 'revoked')
+        : undefined,
+  };
+
+  function createTestDispatcher(connector: ScriptedConnector) {
+    const upstreams = [testUpstream('a', ['m']), testUpstream('b', ['m'])];
+    const dispatcher = createDispatcher(
+      connector,
+      () => upstreams,
+      () => {},
+      undefined,
+      undefined,
+      gate,
+    );
+    return {dispatcher, upstreams};
+  }
+
+  it('is asked when a waiting request gets its slot, and leaves the slot free', async () => {
+    const connector = new ScriptedConnector([]);
+    const {dispatcher, upstreams} = createTestDispatcher(connector);
+    for (const upstream of upstreams)
+      upstream.ownInFlight = upstream.description.slots;
+    const answer = dispatcher.dispatch(createRequest(RequestKind.IDEMPOTENT));
+    isRevoked = true;
+    const [freed] = upstreams;
+    freed.ownInFlight = 0;
+    const refused = await answer;
+    expect(refused.err && refused.val.ran).to.equal(NOT_EXECUTED);
+    expect(connector.upstreamIds).to.have.length(0);
+    expect(freed.ownInFlight).to.equal(0);
+    expect(givenBack).to.equal(1);
+  });
+
+  it('stops retries under a revoked key, without a claim that none has run', async () => {
+    const connector = new ScriptedConnector([
+      async () => {
+        isRevoked = true;
+        return Err(connectionLostError());
+      },
+    ]);
+    const {dispatcher} = createTestDispatcher(connector);
+    const refused = await dispatcher.dispatch(
+      createRequest(RequestKind.IDEMPOTENT),
+    );
+    expect(refused.err && refused.val.kind).to.equal(ErrorKind.UNAUTHENTICATED);
+    expect(refused.err && refused.val.ran).to.equal(POSSIBLY_EXECUTED);
+    expect(connector.upstreamIds).to.have.length(1);
+    expect(givenBack).to.equal(0);
+  });
+
+  it('lets an answer through whose key was revoked after it was sent', async () => {
+    const connector = new ScriptedConnector([
+      async () => {
+        isRevoked = true;
+        return respondWith({}, ['whole']);
+      },
+    ]);
+    const {dispatcher} = createTestDispatcher(connector);
+    const answer = await dispatcher.dispatch(
+      createRequest(RequestKind.IDEMPOTENT),
+    );
+    expect((await readAnswer(answer)).text).to.equal('whole');
+    expect(givenBack).to.equal(0);
+  });
+});
--- a/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
@@ -124,6 +124,7 @@
   onDecision: (decision: RequestDecision) => void,
   streamOrigins = NO_ORIGINS,
   relay = NO_RELAY,
+  gate = OPEN_GATE,
 ): ProxyDispatcher {
   const settings = {
     ownFailureDomain: 'near',
@@ -177,7 +178,7 @@
     },
     onDecision,
     streamOrigins,
-    gate: OPEN_GATE,
+    gate,
     poisonRequestDetector: new PoisonRequestDetector(
       10_000,
       {crashes: () => 0, runsOtherSuspects: () => false},
--- a/packages/arbutustide-routing/src/proxy/decision_recorder.ts
+++ b/packages/arbutustide-routing/src/proxy/decision_recorder.ts
@@ -103,13 +103,20 @@
       'requestId' | 'route' | 'service' | 'configurationVersion'
     >,
   ): void {
-    const {requestId, route, service, configurationVersion, modelRequest} =
-      request;
+    const {
+      requestId,
+      route,
+      service,
+      configurationVersion,
+      modelRequest,
+      team,
+    } = request;
     this.onDecision({
       requestId,
       route: route.name,
       service,
       configurationVersion,
+      ...(team && {team: team.name}),
       ...(modelRequest && {model: modelRequest.model}),
       ...decision,
     });
--- a/packages/arbutustide-routing/src/proxy/request_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/request_decision.ts
@@ -19,6 +19,8 @@
   readonly service: string;
   /** Version of the configuration that the request was routed by. */
   readonly configurationVersion: number;
+  /** Name of the caller's team. */
+  readonly team?: string;
   readonly model?: string;
   /** Ids of the prompt's shared segments. */
   readonly sharedSegments?: readonly string[];
--- a/packages/arbutustide-teams/src/authenticator.ts
+++ b/packages/arbutustide-teams/src/authenticator.ts
@@ -26,6 +26,8 @@
   constructor(
     private readonly keyTables: KeyTableCache,
     private readonly freshness: FreshnessCheck,
+    /** Called with each refusal, whose request goes no further. */
+    private readonly onRefusal: (refusal: RefusalError) => void = () => {},
   ) {}
 
   /**
@@ -41,6 +43,16 @@
     configuration: ServingConfiguration,
     route: AuthenticationTerms,
     listKeys: () => readonly string[],
+  ): Result<RequestTeam | undefined, RefusalError> {
+    const team = this.findTeam(configuration, route, listKeys);
+    if (!team.ok) this.onRefusal(team.val);
+    return team;
+  }
+
+  private findTeam(
+    configuration: ServingConfiguration,
+    route: AuthenticationTerms,
+    listKeys: () => readonly string[],
   ): Result<RequestTeam | undefined, RefusalError> {
     const table = this.keyTables.tableOf(configuration);
     if (!table || route.isPublic) return Ok(undefined);
--- a/packages/arbutustide-telemetry/src/metrics.ts
+++ b/packages/arbutustide-telemetry/src/metrics.ts
@@ -46,6 +46,17 @@
     labelNames: ['kind', 'ran'] as const,
     registers: [this.registry],
   });
+  readonly teamRefusals = new Counter({
+    name: 'arbutustide_team_refusals_total',
+    help: 'Refusals of requests with a valid key, by tenant and kind.',
+    labelNames: ['tenant', 'kind'] as const,
+    registers: [this.registry],
+  });
+  readonly configurationAgeSeconds = new Gauge({
+    name: 'arbutustide_configuration_age_seconds',
+    help: 'Age of the newest confirmation that the configuration is in force.',
+    registers: [this.registry],
+  });
   readonly retries = new Counter({
     name: 'arbutustide_retries_total',
     help: 'Attempts after the first, by entry.',
