--- a/packages/arbutustide-node/src/__tests__/unit/configuration_watcher.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/configuration_watcher.test.ts
@@ -35,7 +35,7 @@
       logger: silentLogger(),
       configuration: {
         prefix: 'configuration',
-        redact: value => value,
+        redact: value => ({redacted: value}),
         decode: value => {
           if (typeof value !== 'number') return Err(new Error('not usable'));
           const configuration: ServingConfiguration = {
@@ -69,4 +69,10 @@
     expect(watcher.routes?.configuration.version).to.equal(3);
     expect(watcher.storedObject?.version).to.equal(5);
   });
+
+  // Guards against keys in clear text in what peers are given.
+  it('offers peers only what may pass between nodes', () => {
+    watcher.applyObject(createStoredObject(5, 3));
+    expect(watcher.storedObject?.value).to.deep.equal({redacted: 3});
+  });
 });
--- a/packages/arbutustide-node/src/__tests__/unit/watch_relay.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/watch_relay.test.ts
@@ -8,7 +8,11 @@
   PeerTransport,
   WatchRequest,
 } from '@arbutustide/membership';
-import type {ObjectStore, StoredObject} from '@arbutustide/object-store';
+import type {
+  ObjectStore,
+  StoredObject,
+  WatchBatch,
+} from '@arbutustide/object-store';
 
 import {
   NodeState,
@@ -36,6 +40,7 @@
 const CALL_TIMEOUT_MILLISECONDS = 1_000;
 const POLL_MILLISECONDS = 5;
 const PREFIX = 'things/';
+const REDACTED = 'redacted';
 
 const delay = (milliseconds: number) =>
   new Promise(resolve => setTimeout(resolve, milliseconds));
@@ -92,7 +97,7 @@
           ),
         relayWaitMilliseconds: CHANGE_BOUND_MILLISECONDS * 0.25,
         maximumAgeMilliseconds: CHANGE_BOUND_MILLISECONDS * 0.65,
-        redact: object => object,
+        redact: object => ({...object, value: REDACTED}),
       },
       silentLogger(),
     );
@@ -313,6 +318,19 @@
     return Math.max(...delays);
   }
 
+  // Guards against keys in clear text in what peers are given.
+  it('passes on only what may pass between nodes', async () => {
+    await start(1);
+    const {version} = shared;
+    shared.put('secret');
+    await clock.tickAsync(CHANGE_BOUND_MILLISECONDS);
+    const [{relayed}] = nodes;
+    const served = await relayed.serveWatch(PREFIX, version, 0);
+    const batches = JSON.parse(served?.batchesJson ?? '') as WatchBatch[];
+    const values = batches.flatMap(({changes}) => changes);
+    expect(values.map(({value}) => value)).to.deep.equal([REDACTED]);
+  });
+
   it('lets few nodes call the store and delivers changes to all', async () => {
     await start(32);
     const callsBefore = shared.watchCalls;
