--- a/packages/arbutustide-node/src/__tests__/unit/watch_relay.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/watch_relay.test.ts
@@ -373,8 +373,7 @@
   }
 
   it('serves a domain that the store turns away through another domain', async () => {
-    // Guards against nodes that call a store which refuses them several times a
-    // second each, and learn of changes only when it serves them again.
+    // Guards against nodes that keep calling a store which refuses them.
     await start(12, 12);
     for (const node of nodes)
       node.isCutFromStore = node.cluster.failureDomain === 'here';
