Remember changes of membership for teams that are asked for the first time

Cause: a team without calls was not followed, so any change of membership just before its first request made its issuers wait for the takeover time, although they had been its issuers all along.

Change: QuotaMembership keeps the changes of the last ten seconds and replays them for a new team.

--- a/packages/arbutustide-node/src/proxy/quotas/quota_membership.ts
+++ b/packages/arbutustide-node/src/proxy/quotas/quota_membership.ts
@@ -18,6 +18,12 @@
   readonly mayHavePeers: boolean;
 }
 
+/** Nodes that could be issuers, and the time from which they were known. */
+interface KnownMembers {
+  readonly candidates: readonly ClusterNode[];
+  readonly sinceMilliseconds: number;
+}
+
 /** The issuers of one team, as this node chooses them. */
 interface ChosenIssuers {
   issuers: readonly ClusterNode[];
@@ -44,6 +50,11 @@
  */
 const REPLACED_MILLISECONDS = 2_500;
 const UPDATE_MILLISECONDS = 250;
+/**
+ * Changes of membership that are remembered for teams that are asked for the
+ * first time; their buckets have filled in this time.
+ */
+const HISTORY_MILLISECONDS = 10_000;
 
 /**
  * Chooses the issuers of teams' quotas from the known nodes, and tells since
@@ -55,7 +66,8 @@
   private readonly startedAtMilliseconds = performance.now();
   private updatedAtMilliseconds = -Infinity;
   private members = '';
-  private changedAtMilliseconds = performance.now();
+  /** The latest last; empty until the first update. */
+  private readonly history: KnownMembers[] = [];
   private pausedAtMilliseconds = -Infinity;
   private shares: {share: number; atMilliseconds: number}[] = [];
 
@@ -101,14 +113,23 @@
     });
     while (now - this.shares[0].atMilliseconds > TAKEOVER_MILLISECONDS)
       this.shares.shift();
-    const members = this.candidates()
-      .map(({identity}) => identity)
-      .join();
+    const candidates = this.candidates();
+    const members = candidates.map(({identity}) => identity).join();
     if (members === this.members) return;
     this.members = members;
-    this.changedAtMilliseconds = now;
+    this.recordChange({candidates, sinceMilliseconds: now});
     for (const [team, chosen] of this.chosenByTeam)
-      this.chooseAgain(team, chosen);
+      this.chooseAgain(team, chosen, now);
+  }
+
+  private recordChange(change: KnownMembers): void {
+    this.history.push(change);
+    const oldest = change.sinceMilliseconds - HISTORY_MILLISECONDS;
+    while (
+      this.history.length > 1 &&
+      this.history[1].sinceMilliseconds < oldest
+    )
+      this.history.shift();
   }
 
   private updateIfStale(): void {
@@ -145,20 +166,26 @@
       ownSinceMilliseconds: undefined,
     };
     this.chosenByTeam.set(team, chosen);
-    this.chooseAgain(team, chosen);
+    for (const {sinceMilliseconds, candidates} of this.history)
+      this.chooseAgain(team, chosen, sinceMilliseconds, candidates);
     return chosen;
   }
 
-  private chooseAgain(team: string, chosen: ChosenIssuers): void {
+  private chooseAgain(
+    team: string,
+    chosen: ChosenIssuers,
+    sinceMilliseconds: number,
+    candidates = this.history[this.history.length - 1].candidates,
+  ): void {
     const {identity} = this.options;
     chosen.issuers = chooseIssuers(
-      this.candidates(),
+      candidates,
       `quota/${team}`,
       ISSUERS_PER_TEAM,
     );
     const isOwn = chosen.issuers.some(issuer => issuer.identity === identity);
     chosen.ownSinceMilliseconds = isOwn
-      ? (chosen.ownSinceMilliseconds ?? this.changedAtMilliseconds)
+      ? (chosen.ownSinceMilliseconds ?? sinceMilliseconds)
       : undefined;
   }
 }
