Own each connection to a peer from its creation on

Cause: the library's session manager stops listening to a session that it replaces, between the phases of opening it, and while a ping is under way. An error of such a session ended the process; some requests never settled.

A client that is dropped closes its connection.

--- a/packages/arbutustide-membership/src/connect_peer_transport.ts
+++ b/packages/arbutustide-membership/src/connect_peer_transport.ts
@@ -50,6 +50,7 @@
  */
 export class ConnectPeerTransport implements PeerTransport {
   private readonly clients = new Map<string, PeerClient>();
+  private readonly sessions = new Map<string, PeerSessionManager>();
 
   /**
    * @param timeoutMilliseconds limit for one call.
@@ -167,6 +168,8 @@
 
   /** Releases the client of a peer that no longer exists. */
   dropClient(peerUrl: string): void {
+    this.sessions.get(peerUrl)?.close();
+    this.sessions.delete(peerUrl);
     this.clients.delete(peerUrl);
   }
 
@@ -188,19 +191,21 @@
   private client(peerUrl: string): PeerClient {
     const existing = this.clients.get(peerUrl);
     if (existing) return existing;
+    const sessionManager = new PeerSessionManager(
+      peerUrl,
+      {
+        pingIntervalMs: PING_INTERVAL_MILLISECONDS,
+        pingTimeoutMs: PING_TIMEOUT_MILLISECONDS,
+        idleConnectionTimeoutMs: IDLE_CONNECTION_MILLISECONDS,
+      },
+      error => this.onConnectionError(peerUrl, error),
+    );
     const transport = createConnectTransport({
       baseUrl: peerUrl,
       httpVersion: '2',
-      sessionManager: new PeerSessionManager(
-        peerUrl,
-        {
-          pingIntervalMs: PING_INTERVAL_MILLISECONDS,
-          pingTimeoutMs: PING_TIMEOUT_MILLISECONDS,
-          idleConnectionTimeoutMs: IDLE_CONNECTION_MILLISECONDS,
-        },
-        error => this.onConnectionError(peerUrl, error),
-      ),
+      sessionManager,
     });
+    this.sessions.set(peerUrl, sessionManager);
     const client = createClient(MembershipService, transport);
     this.clients.set(peerUrl, client);
     return client;
