Decide to leave the failure domain by demand, path and price instead of a constant

Cause: an upstream of another failure domain was used once the own one was busier by 0.2 of the slots, whatever the way there costs and however many nodes did the same at once on counts that are seconds old.

Change: decideLeaving computes the share of a domain's requests that leave, so that the expected times become equal, path and price of bytes included. Its inputs are gossiped and counted where requests come in (ClusterView tells the counts of one domain), so that nodes agree and the decision does not change its own input. The extra path is measured by the fastest answers. crossDomainPriceShare in the settings is the price, 0.15 by default. Metrics: placements, leaving share, extra path. Small fleets keep the cheapest upstream, with the computed penalty.

--- a/packages/arbutustide-membership/src/cluster_view.ts
+++ b/packages/arbutustide-membership/src/cluster_view.ts
@@ -60,6 +60,8 @@
   /** Number of peers that serve callers. */
   readyPeerCount: number;
   readonly requestsInFlightByUpstream: Map<string, number>;
+  /** The same by the failure domain of the peers. */
+  readonly requestsInFlightByDomain: Map<string, Map<string, number>>;
   readonly demandByEntry: Map<string, DemandSummary>;
   readonly observations: PeerObservation[];
   /** Upstream crashes counted by peers, by request fingerprint. */
@@ -229,11 +231,19 @@
     return this.currentSummary().readyPeerCount + (isReady ? 1 : 0);
   }
 
-  /** Number of requests that the peers have in flight at an upstream. */
-  peerRequestsInFlight(upstreamId: string): number {
-    return (
-      this.currentSummary().requestsInFlightByUpstream.get(upstreamId) ?? 0
-    );
+  /**
+   * Requests that peers have in flight at an upstream.
+   *
+   * @param failureDomain counts only the peers in it; all peers if absent.
+   */
+  peerRequestsInFlight(upstreamId: string, failureDomain?: string): number {
+    const {requestsInFlightByUpstream, requestsInFlightByDomain} =
+      this.currentSummary();
+    const counts =
+      failureDomain === undefined
+        ? requestsInFlightByUpstream
+        : requestsInFlightByDomain.get(failureDomain);
+    return counts?.get(upstreamId) ?? 0;
   }
 
   /** Rejections a second that upstreams survive, by brittle service. */
@@ -335,6 +345,7 @@
     peers: [],
     readyPeerCount: 0,
     requestsInFlightByUpstream: new Map(),
+    requestsInFlightByDomain: new Map(),
     demandByEntry: new Map(),
     observations: [],
     crashCountByFingerprint: new Map(),
@@ -356,12 +367,25 @@
     if (status?.state === NodeState.READY) summary.readyPeerCount += 1;
     for (const field of record.fields.values()) {
       const {case: fieldCase} = field.value;
+      if (status) addLoadOfDomain(field, status.failureDomain, summary);
       if (fieldCase) COLLECTORS[fieldCase](field, record.identity, summary);
     }
   }
   return summary;
 }
 
+function addLoadOfDomain(
+  {value}: Field,
+  failureDomain: string,
+  {requestsInFlightByDomain}: ClusterSummary,
+): void {
+  if (value.case !== 'load') return;
+  const {upstreamId, inFlight} = value.value;
+  const counts = requestsInFlightByDomain.get(failureDomain) ?? new Map();
+  counts.set(upstreamId, (counts.get(upstreamId) ?? 0) + inFlight);
+  requestsInFlightByDomain.set(failureDomain, counts);
+}
+
 function emptyDemand(): DemandSummary {
   return {inFlight: 0, queued: 0};
 }
--- a/packages/arbutustide-node/src/proxy/create_slot_queue.ts
+++ b/packages/arbutustide-node/src/proxy/create_slot_queue.ts
@@ -5,7 +5,6 @@
 } from '@arbutustide/routing';
 
 import type {ProxyDependencies} from './proxy_dependencies.js';
-import type {ProxySettings} from './proxy_settings.js';
 import type {DependencyContainer} from 'tsyringe';
 
 import {
@@ -18,18 +17,19 @@
   SlotQueue,
 } from '@arbutustide/routing';
 
+import {pickSettingsFactory} from './pick_settings.js';
 import {ProxyToken} from './proxy_tokens.js';
 import * as tuning from './proxy_tuning.js';
 
 /** Creates the queue of requests that wait for a slot at an upstream. */
 export function createSlotQueue(
   container: DependencyContainer,
-  {settings, random}: ProxyDependencies,
+  dependencies: ProxyDependencies,
 ): SlotQueue {
   const upstreamDirectory = container.resolve(ProxyToken.UPSTREAM_DIRECTORY);
   const holdingRequester = container.resolve(ProxyToken.HOLDING_REQUESTER);
   return new SlotQueue({
-    chooseUpstream: createUpstreamChooser(container, settings, random),
+    chooseUpstream: createUpstreamChooser(container, dependencies),
     predictWaitMilliseconds: (progress, reason, ahead) => {
       const {service, modelRequest} = progress.request;
       const upstreams = [
@@ -107,15 +107,14 @@
  */
 function createUpstreamChooser(
   container: DependencyContainer,
-  {failureDomain}: ProxySettings,
-  random: () => number,
+  dependencies: ProxyDependencies,
 ): (progress: RoutedRequestProgress) => UpstreamChoice {
   const upstreamDirectory = container.resolve(ProxyToken.UPSTREAM_DIRECTORY);
   const tokenRequester = container.resolve(ProxyToken.TOKEN_REQUESTER);
   const brittleUpstreams = container.resolve(ProxyToken.BRITTLE_UPSTREAMS);
   const monitor = container.resolve(ProxyToken.REACHABILITY_MONITOR);
   const relay = container.resolve(ProxyToken.REQUEST_RELAY);
-  const clusterView = container.resolve(ProxyToken.CLUSTER_VIEW);
+  const createPickSettings = pickSettingsFactory(container, dependencies);
   // A few upstreams that no peer can send to either are down and may come back.
   const mayWait = (progress: RoutedRequestProgress) =>
     !progress.isRelayed &&
@@ -126,16 +125,10 @@
     const {service, modelRequest} = request;
     const brittleTerms = brittleUpstreams.termsFor(service);
     const settings = {
-      ownFailureDomain: failureDomain,
-      crossDomainShare: tuning.CROSS_DOMAIN_SLOT_SHARE,
-      senderCount: clusterView.nodes().length,
-      random,
+      ...createPickSettings(service, modelRequest !== undefined),
       brittleTerms,
       maySend: (upstream: ProxyUpstream) =>
         brittleUpstreams.maySend(upstream, brittleTerms),
-      fullShare: modelRequest
-        ? tuning.ENGINE_IN_FLIGHT_SLOT_SHARE
-        : tuning.SERVICE_IN_FLIGHT_SLOT_SHARE,
     };
     const candidates = [
       ...compatibleUpstreams(
--- /dev/null
+++ b/packages/arbutustide-node/src/proxy/pick_settings.ts
@@ -0,0 +1,33 @@
+import type {PickSettings} from '@arbutustide/routing';
+
+import type {ProxyDependencies} from './proxy_dependencies.js';
+import type {DependencyContainer} from 'tsyringe';
+
+import {createLeavingRecorder} from './leaving_metrics.js';
+import {ProxyToken} from './proxy_tokens.js';
+import * as tuning from './proxy_tuning.js';
+
+/** Returns what the choice among a service's upstreams depends on. */
+export function pickSettingsFactory(
+  container: DependencyContainer,
+  {settings, metrics, random}: ProxyDependencies,
+): (service: string, isEngine: boolean) => PickSettings {
+  const clusterView = container.resolve(ProxyToken.CLUSTER_VIEW);
+  const {
+    failureDomain: ownFailureDomain,
+    crossDomainPriceShare: priceShare = tuning.CROSS_DOMAIN_PRICE_SHARE,
+  } = settings;
+  return (service, isEngine) => ({
+    ownFailureDomain,
+    priceShare,
+    requestMilliseconds: isEngine
+      ? tuning.ENGINE_REQUEST_MILLISECONDS
+      : undefined,
+    fullShare: isEngine
+      ? tuning.ENGINE_IN_FLIGHT_SLOT_SHARE
+      : tuning.SERVICE_IN_FLIGHT_SLOT_SHARE,
+    senderCount: clusterView.nodes().length,
+    random,
+    onLeavingDecision: createLeavingRecorder(metrics, service),
+  });
+}
--- a/packages/arbutustide-node/src/proxy/proxy_core.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_core.ts
@@ -272,6 +272,10 @@
       const holdings = clusterView.plannerHoldings();
       for (const upstream of directory.all()) {
         upstream.peersInFlight = clusterView.peerRequestsInFlight(upstream.id);
+        upstream.domainPeersInFlight = clusterView.peerRequestsInFlight(
+          upstream.id,
+          this.dependencies.settings.failureDomain,
+        );
         if (leadership.checkLeadership()) continue;
         const plannedHoldings = holdings.get(upstream.id);
         const isSameProcess =
--- a/packages/arbutustide-node/src/proxy/proxy_settings.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_settings.ts
@@ -20,6 +20,11 @@
   /** IP address at which peers reach this node. */
   readonly address: string;
   readonly failureDomain: string;
+  /**
+   * Price of the bytes that cross failure domains, as the share of a request's
+   * time by which it may be served later to save them; a default if absent.
+   */
+  readonly crossDomainPriceShare?: number;
   readonly region: string;
   readonly peerPort: number;
   /** IP addresses of nodes to join through; some may no longer exist. */
--- a/packages/arbutustide-node/src/proxy/proxy_tuning.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tuning.ts
@@ -1,11 +1,12 @@
 import type {EnginePlannerSettings} from '@arbutustide/placement';
 
 /**
- * How much busier an upstream in this node's failure domain may be than one in
- * another domain and still be preferred, as a share of its slots. Trades the
- * latency and traffic cost of crossing domains against queueing.
+ * Price of the bytes that cross failure domains, as the share of a request's time
+ * by which it may be served later to save them. With the extra path of 3 to 11 ms
+ * this prefers an upstream of the own domain until it is busier by 0.15 (engines)
+ * to 0.3 (plain services) of its slots; it was 0.2 for both.
  */
-export const CROSS_DOMAIN_SLOT_SHARE = 0.2;
+export const CROSS_DOMAIN_PRICE_SHARE = 0.15;
 /**
  * Requests in flight at which an engine counts as full, as a share of its
  * slots. More would queue inside the engine, where they cannot be refused.
@@ -21,6 +22,8 @@
 export const MINIMUM_SERVICE_MILLISECONDS = 20;
 /** Service time assumed before any request was measured. */
 export const INITIAL_SERVICE_MILLISECONDS = 500;
+/** Time of a request at an engine, against which an extra path is weighed. */
+export const ENGINE_REQUEST_MILLISECONDS = 500;
 /** Interval at which queued requests are reconsidered without an event. */
 export const QUEUE_CHECK_INTERVAL_MILLISECONDS = 100;
 
--- a/packages/arbutustide-node/src/proxy/proxy_wiring.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_wiring.ts
@@ -45,6 +45,7 @@
 import * as tuning from './proxy_tuning.js';
 import {lostUpstreamsFields} from './relay/lost_upstreams.js';
 import {registerRelay} from './relay/register_relay.js';
+import {recordPlacement} from './leaving_metrics.js';
 import {LeaseHolderProbe} from './lease_holder_probe.js';
 import {HoldingRequester} from './holding_requester.js';
 import {PlannerClient} from './planner_client.js';
@@ -281,6 +282,12 @@
       onDecision: decision => {
         logger.info(decision, 'request');
         recordRequestMetrics(decision, metrics);
+        recordPlacement(
+          decision,
+          metrics,
+          container.resolve(ProxyToken.UPSTREAM_DIRECTORY),
+          settings.failureDomain,
+        );
       },
       poisonRequestDetector: container.resolve(
         ProxyToken.POISON_REQUEST_DETECTOR,
--- a/packages/arbutustide-routing/src/__tests__/unit/balance_over_nodes.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/balance_over_nodes.test.ts
@@ -15,6 +15,9 @@
 
 const SEEDS = ['spring', 'summer', 'autumn'];
 const RUN_SECONDS = 10;
+/** Counts of other nodes are up to 3 s old, which then swing for some seconds. */
+const SETTLED_SECONDS = 8;
+const UNEVEN_SECONDS = 20;
 /** Customer B on a calm day: 393 streams per second on 936 slots. */
 const BUSY_FLEET = {
   engineCount: 78,
@@ -54,9 +57,10 @@
 
   function run(
     settings: Omit<SharedEnginesSettings, 'seed'>,
+    seconds = RUN_SECONDS,
   ): SharedEnginesResult[] {
     return SEEDS.map(seed =>
-      new SharedEngines({...settings, seed}).run(RUN_SECONDS, milliseconds =>
+      new SharedEngines({...settings, seed}).run(seconds, milliseconds =>
         clock.tick(milliseconds),
       ),
     );
@@ -96,6 +100,44 @@
     );
   });
 
+  for (const firstDomainPart of [0.6, 0.8]) {
+    it(`sends steadily elsewhere if ${firstDomainPart} of the callers are in one domain`, () => {
+      const common = {...BUSY_FLEET, nodeCount: 35, firstDomainPart};
+      const chosen = run({...common, assumedSenders: 35}, UNEVEN_SECONDS);
+      const herded = run({...common, assumedSenders: 1}, UNEVEN_SECONDS);
+      expect(average(chosen, ({overflowShare}) => overflowShare)).to.be.below(
+        average(herded, ({overflowShare}) => overflowShare),
+      );
+      expect(
+        average(chosen, ({crossDomainShare}) => crossDomainShare),
+      ).to.be.below(average(herded, ({crossDomainShare}) => crossDomainShare));
+      const swing = ({leftBySecond}: SharedEnginesResult) => {
+        const settled = leftBySecond.slice(SETTLED_SECONDS, UNEVEN_SECONDS);
+        return Math.max(...settled) - Math.min(...settled);
+      };
+      expect(average(chosen, swing)).to.be.below(0.25);
+      expect(average(chosen, swing)).to.be.below(0.7 * average(herded, swing));
+    });
+  }
+
+  it('decides alike at all nodes of a domain without asking', () => {
+    const results = run(
+      {
+        ...BUSY_FLEET,
+        nodeCount: 35,
+        firstDomainPart: 0.8,
+        assumedSenders: 35,
+      },
+      UNEVEN_SECONDS,
+    );
+    for (const {lastShares} of results) {
+      const sorted = [...lastShares].sort((left, right) => left - right);
+      const at = (part: number) => sorted[Math.floor(part * sorted.length)];
+      expect(at(0.5)).to.be.within(0.2, 0.6);
+      expect(at(0.95) - at(0.05)).to.be.below(0.25);
+    }
+  });
+
   it('takes the least loaded engine while one request of each node fits', () => {
     const upstreams = Array.from({length: 13}, (_item, index) =>
       testUpstream(`engine-${index}`, [], {slots: 32}),
@@ -105,9 +147,9 @@
     });
     const random = seedrandom('small');
     for (let index = 0; index < 100; index += 1) {
-      const picked = pickUpstream(upstreams, {
+      const picked = pickUpstream(upstreams, upstreams, {
         ownFailureDomain: 'near',
-        crossDomainShare: 0.2,
+        priceShare: 0.2,
         fullShare: 1,
         senderCount: 7,
         random,
@@ -125,9 +167,9 @@
     );
     const random = seedrandom('idle');
     for (let index = 0; index < 100; index += 1) {
-      const picked = pickUpstream(upstreams, {
+      const picked = pickUpstream(upstreams, upstreams, {
         ownFailureDomain: 'near',
-        crossDomainShare: 0.2,
+        priceShare: 0.2,
         fullShare: 1,
         senderCount: 91,
         random,
--- a/packages/arbutustide-routing/src/__tests__/unit/brittle_upstreams.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/brittle_upstreams.test.ts
@@ -124,7 +124,7 @@
         : createBrittleTerms(rejectionsPerSecond, nodeCount, random);
     const chosen = chooseUpstream(candidates, undefined, new Set(), {
       ownFailureDomain: 'near',
-      crossDomainShare: 0.2,
+      priceShare: 0.2,
       fullShare: 3,
       random,
       brittleTerms,
--- a/packages/arbutustide-routing/src/__tests__/unit/proxy_decisions.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/proxy_decisions.test.ts
@@ -35,7 +35,7 @@
 
 const CHOICE_SETTINGS = {
   ownFailureDomain: 'near',
-  crossDomainShare: 0.1,
+  priceShare: 0.1,
   fullShare: 1.5,
   random: () => 0,
 };
--- a/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
@@ -127,7 +127,7 @@
 ): ProxyDispatcher {
   const settings = {
     ownFailureDomain: 'near',
-    crossDomainShare: 0.1,
+    priceShare: 0.1,
     fullShare: 1,
     random: () => 0,
   };
--- a/packages/arbutustide-routing/src/__tests__/unit/shared_engines.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/shared_engines.ts
@@ -12,8 +12,10 @@
   readonly engineCount: number;
   readonly slots: number;
   readonly failureDomains: number;
-  /** Engines that hold a model: from one up to this number. */
-  readonly maximumReplicas: number;
+  /** Engines that hold a model: from one up to this number; all if absent. */
+  readonly maximumReplicas?: number;
+  /** Part of the requests that come in at the first domain; equal if absent. */
+  readonly firstDomainPart?: number;
   readonly requestsPerSecond: number;
   /** Time of a request at an idle engine, without reading its prompt. */
   readonly requestMilliseconds: number;
@@ -37,6 +39,10 @@
   readonly crossDomainShare: number;
   /** Share of requests sent to engines that were slow at the time. */
   readonly slowShare: number;
+  /** Part of the first domain's requests that left it, by second. */
+  readonly leftBySecond: readonly number[];
+  /** Shares that nodes of the first domain decided on in the last second. */
+  readonly lastShares: readonly number[];
 }
 
 const STEP_MILLISECONDS = 10;
@@ -47,6 +53,7 @@
 /** Time from sending a request until its head brings a load report. */
 const HEAD_MILLISECONDS = 100;
 const PERCENT = 100;
+const MILLISECONDS_PER_SECOND = 1_000;
 const SLOW_FACTOR = 2;
 
 interface Running {
@@ -78,6 +85,8 @@
   private overflows = 0;
   private crossings = 0;
   private slowArrivals = 0;
+  private readonly firstDomainBySecond: {sent: number; left: number}[] = [];
+  private readonly shares: {readonly at: number; readonly share: number}[] = [];
   private now = 0;
 
   constructor(private readonly settings: SharedEnginesSettings) {
@@ -126,6 +135,12 @@
       slowdown95: sorted[Math.floor(0.95 * sorted.length)],
       crossDomainShare: this.crossings / total,
       slowShare: this.slowArrivals / total,
+      leftBySecond: [...this.firstDomainBySecond].map(
+        (counts = {sent: 0, left: 0}) => counts.left / counts.sent,
+      ),
+      lastShares: this.shares
+        .filter(({at}) => at >= this.now - MILLISECONDS_PER_SECOND)
+        .map(({share}) => share),
     };
   }
 
@@ -135,6 +150,10 @@
    */
   private placeModels(): void {
     const {engineCount, maximumReplicas} = this.settings;
+    if (maximumReplicas === undefined) {
+      this.holders.push(this.truth.map((_item, engine) => engine));
+      return;
+    }
     let next = 0;
     for (let model = 0; model < 4 * engineCount; model += 1) {
       const replicas = 1 + Math.floor(this.random() ** 2 * maximumReplicas);
@@ -152,24 +171,49 @@
     return `domain-${index % this.settings.failureDomains}`;
   }
 
+  private isInFirstDomain(node: number): boolean {
+    return this.domainOf(node) === this.domainOf(0);
+  }
+
+  private drawNode(): number {
+    const {firstDomainPart} = this.settings;
+    const isFirst =
+      firstDomainPart !== undefined && this.random() < firstDomainPart;
+    for (;;) {
+      const node = Math.floor(this.random() * this.views.length);
+      if (firstDomainPart === undefined) return node;
+      if (this.isInFirstDomain(node) === isFirst) return node;
+    }
+  }
+
+  private countOfFirstDomain(isCrossing: boolean): void {
+    const second = Math.floor(this.now / MILLISECONDS_PER_SECOND);
+    const counts = (this.firstDomainBySecond[second] ??= {sent: 0, left: 0});
+    counts.sent += 1;
+    if (isCrossing) counts.left += 1;
+  }
+
   private exchangeCounts(): void {
     this.history.push(
       this.views.map(view => view.map(({ownInFlight}) => ownInFlight)),
     );
     const stepMilliseconds = GOSSIP_STEPS * STEP_MILLISECONDS;
-    const totals = new Map<Counts, number[]>();
     this.views.forEach((view, node) => {
       const lag = Math.ceil(this.lags[node] / stepMilliseconds);
       const counts = this.history.at(-1 - lag);
       if (!counts) return;
-      const sums =
-        totals.get(counts) ??
-        this.truth.map((_item, engine) =>
-          counts.reduce((sum, own) => sum + own[engine], 0),
-        );
-      totals.set(counts, sums);
+      const own = counts[node];
       view.forEach((upstream, engine) => {
-        upstream.peersInFlight = sums[engine] - counts[node][engine];
+        upstream.peersInFlight = -own[engine];
+        upstream.domainPeersInFlight = -own[engine];
+      });
+      counts.forEach((row, sender) => {
+        const isNear = this.domainOf(sender) === this.domainOf(node);
+        row.forEach((count, engine) => {
+          if (count === 0) return;
+          view[engine].peersInFlight += count;
+          if (isNear) view[engine].domainPeersInFlight += count;
+        });
       });
     });
     const kept = Math.ceil(MAXIMUM_LAG_MILLISECONDS / stepMilliseconds) + 2;
@@ -228,7 +272,7 @@
 
   private send(): void {
     const {slots, requestMilliseconds, assumedSenders} = this.settings;
-    const node = Math.floor(this.random() * this.views.length);
+    const node = this.drawNode();
     const held = this.holders[Math.floor(this.random() * this.holders.length)];
     const choose = (fullShare: number) =>
       chooseUpstream(
@@ -237,10 +281,14 @@
         new Set(),
         {
           ownFailureDomain: this.domainOf(node),
-          crossDomainShare: 0.2,
+          priceShare: 0.2,
           fullShare,
           senderCount: assumedSenders,
           random: this.random,
+          onLeavingDecision: ({leavingShare: share}) => {
+            if (this.isInFirstDomain(node))
+              this.shares.push({at: this.now, share});
+          },
         },
       );
     const choice = choose(1);
@@ -248,7 +296,9 @@
     if (typeof choice === 'string') return;
     const engine = Number(choice.id.slice('engine-'.length));
     if (this.truth[engine] >= slots) this.overflows += 1;
-    if (this.domainOf(engine) !== this.domainOf(node)) this.crossings += 1;
+    const isCrossing = this.domainOf(engine) !== this.domainOf(node);
+    if (isCrossing) this.crossings += 1;
+    if (this.isInFirstDomain(node)) this.countOfFirstDomain(isCrossing);
     if (this.workFactor(engine) >= SLOW_FACTOR) this.slowArrivals += 1;
     this.truth[engine] += 1;
     this.arrivals[engine] += 1;
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -52,6 +52,11 @@
 export type {UpstreamProcess} from './proxy/departed_upstreams.js';
 export type {RequestDecision} from './proxy/request_decision.js';
 export type {GateAdmission, RequestGate} from './proxy/request_gate.js';
+export type {
+  LeavingDecision,
+  LeavingInput,
+} from './proxy/balance/leaving_the_domain.js';
+export type {PickSettings} from './proxy/balance/pick_upstream.js';
 export type {ProxyDispatcherOptions} from './proxy/proxy_dispatcher.js';
 export type {RoutedRequestProgress} from './proxy/routed_request_progress.js';
 export type {ClusterRetryBudgetSettings} from './proxy/cluster_retry_budget.js';
--- a/packages/arbutustide-routing/src/proxy/choose_upstream.ts
+++ b/packages/arbutustide-routing/src/proxy/choose_upstream.ts
@@ -62,6 +62,7 @@
   settings: UpstreamChoiceSettings,
 ): UpstreamChoice {
   const eligible: ProxyUpstream[] = [];
+  const holders: ProxyUpstream[] = [];
   let reason = NoUpstreamReason.NOT_HELD;
   for (const upstream of candidates) {
     if (!upstream.isReady) continue;
@@ -72,6 +73,7 @@
       continue;
     }
     if (excluded.has(upstream)) continue;
+    holders.push(upstream);
     if (reason !== NoUpstreamReason.RATE_LIMITED)
       reason = NoUpstreamReason.FULL;
     if (!hasCapacity(upstream, settings)) continue;
@@ -81,7 +83,7 @@
     }
     eligible.push(upstream);
   }
-  return pickUpstream(eligible, settings) ?? reason;
+  return pickUpstream(eligible, holders, settings) ?? reason;
 }
 
 /**
--- a/packages/arbutustide-routing/src/proxy/proxy_upstream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_upstream.ts
@@ -79,6 +79,8 @@
   ownInFlight = 0;
   /** Requests of the other nodes in flight, as they last reported. */
   peersInFlight = 0;
+  /** Of those, the ones of nodes in the failure domain of this node. */
+  domainPeersInFlight = 0;
   readonly rateLimit = new UpstreamRateLimit();
   /** Bounds its rejections while it is brittle. */
   readonly admission = new UpstreamAdmission();
--- a/packages/arbutustide-telemetry/src/metrics.ts
+++ b/packages/arbutustide-telemetry/src/metrics.ts
@@ -52,6 +52,24 @@
     labelNames: ['entry'] as const,
     registers: [this.registry],
   });
+  readonly placements = new Counter({
+    name: 'arbutustide_placements_total',
+    help: 'Attempts by entry and by whether the upstream is in the failure domain of the node.',
+    labelNames: ['entry', 'place'] as const,
+    registers: [this.registry],
+  });
+  readonly leavingShare = new Gauge({
+    name: 'arbutustide_leaving_share',
+    help: 'Share of requests that may leave the failure domain, by the last decision.',
+    labelNames: ['entry'] as const,
+    registers: [this.registry],
+  });
+  readonly extraPathSeconds = new Gauge({
+    name: 'arbutustide_extra_path_seconds',
+    help: 'Measured time that a request elsewhere spends on the way in addition.',
+    labelNames: ['entry'] as const,
+    registers: [this.registry],
+  });
   readonly objectStoreCalls = new Counter({
     name: 'arbutustide_store_calls_total',
     help: 'Calls to the object API by method; the platform charges each.',
