Write no request whose deadline has passed or whose caller has left

Cause: a request waits for a connection after it has got its slot, and the timer of its deadline and the caller's leaving are noticed late if the event loop is blocked; requests reached upstreams 0.7 s after their caller's deadline. A cancelled request that was never written was reported as one that may have run.

AttemptFailure.NOT_SENT is not run and no failure of the upstream; isRetryAllowed refuses after the deadline although its timer is late.

--- a/packages/arbutustide-routing/src/__tests__/unit/proxy_decisions.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/proxy_decisions.test.ts
@@ -15,6 +15,7 @@
   isRetryAllowed,
   classifyAttemptError,
   classifyResponseHead,
+  mayHaveRun,
 } from '../../proxy/attempt_outcome.js';
 import {chooseUpstream, NoUpstreamReason} from '../../proxy/choose_upstream.js';
 import {DemandCounter, modelEntryName} from '../../proxy/demand_counter.js';
@@ -218,6 +219,20 @@
     );
   });
 
+  it('does not retry after the deadline, also what was never sent', () => {
+    const late = createProgress(RequestKind.IDEMPOTENT, {
+      request: testRequest({deadlineAtMilliseconds: performance.now() - 1}),
+    });
+    expect(isRetryAllowed(late, AttemptOutcome.NOT_CONNECTED, budget)).to.equal(
+      false,
+    );
+  });
+
+  it('takes a request that this node did not write for not run', () => {
+    const unwritten = new AttemptError(AttemptFailure.NOT_SENT, '');
+    expect(mayHaveRun(classifyAttemptError(unwritten))).to.equal(false);
+  });
+
   it('distinguishes a failed connection from a request that was sent', () => {
     const unsent = new AttemptError(AttemptFailure.NOT_CONNECTED, '');
     const sent = new AttemptError(AttemptFailure.CONNECTION_LOST, '');
--- a/packages/arbutustide-routing/src/dispatch_refusals.ts
+++ b/packages/arbutustide-routing/src/dispatch_refusals.ts
@@ -10,6 +10,7 @@
   [AttemptFailure.NOT_CONNECTED]: ErrorKind.UPSTREAM_UNREACHABLE,
   [AttemptFailure.CONNECTION_LOST]: ErrorKind.UPSTREAM_BROKEN,
   [AttemptFailure.INACTIVITY_TIMEOUT]: ErrorKind.UPSTREAM_TIMED_OUT,
+  [AttemptFailure.NOT_SENT]: ErrorKind.CALLER_GONE,
   [AttemptFailure.CANCELLED]: ErrorKind.CALLER_GONE,
   [AttemptFailure.PROTOCOL_VIOLATION]: ErrorKind.ANSWER_INCOMPLETE,
 };
--- a/packages/arbutustide-routing/src/proxy/attempt_outcome.ts
+++ b/packages/arbutustide-routing/src/proxy/attempt_outcome.ts
@@ -4,6 +4,7 @@
 import type {RoutedRequestProgress} from './routed_request_progress.js';
 
 import {isRepeatable} from './route.js';
+import {remainingMilliseconds} from './routed_request_progress.js';
 
 /** Outcome of one attempt to send a request to an upstream. */
 export enum AttemptOutcome {
@@ -13,7 +14,7 @@
   FAILED = 'failed',
   /** The upstream states that it did not run the request. */
   NOT_RUN = 'not_run',
-  /** No connection was established, so that nothing was sent. */
+  /** Nothing was sent: no connection, or no time was left for one. */
   NOT_CONNECTED = 'not_connected',
   /** Sent, but the answer is missing, truncated or not by the upstream. */
   UNKNOWN = 'unknown',
@@ -68,6 +69,8 @@
   const {request, cancellation, attempts} = progress;
   if (outcome === AttemptOutcome.ANSWERED) return false;
   if (cancellation.isCancelled) return false;
+  // The timer of the deadline fires late if the event loop was blocked.
+  if (remainingMilliseconds(progress) <= 0) return false;
   if (progress.mayHaveRun && !isRepeatable(request.route)) return false;
   if (outcome === AttemptOutcome.NOT_CONNECTED) return true;
   if (attempts >= request.route.maximumAttempts) return false;
--- a/packages/arbutustide-routing/src/proxy/proxy_refusals.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_refusals.ts
@@ -20,6 +20,7 @@
   [AttemptFailure.NOT_CONNECTED]: ErrorKind.UPSTREAM_UNREACHABLE,
   [AttemptFailure.CONNECTION_LOST]: ErrorKind.UPSTREAM_BROKEN,
   [AttemptFailure.INACTIVITY_TIMEOUT]: ErrorKind.UPSTREAM_TIMED_OUT,
+  [AttemptFailure.NOT_SENT]: ErrorKind.DEADLINE_UNREACHABLE,
   [AttemptFailure.CANCELLED]: ErrorKind.UPSTREAM_TIMED_OUT,
   [AttemptFailure.PROTOCOL_VIOLATION]: ErrorKind.ANSWER_INCOMPLETE,
 };
--- a/packages/arbutustide-routing/src/proxy/upstream_target.ts
+++ b/packages/arbutustide-routing/src/proxy/upstream_target.ts
@@ -48,11 +48,18 @@
   readonly poisonSegmentDetector: PoisonSegmentDetector;
 }
 
+/** Failures by which this node ended the attempt itself. */
+const OWN_FAILURES: ReadonlySet<AttemptFailure> = new Set([
+  AttemptFailure.NOT_SENT,
+  AttemptFailure.CANCELLED,
+]);
+
 /** What a failed attempt tells of whether its upstream survived it. */
 const CRASH_EVIDENCE_BY_FAILURE: Readonly<
   Record<AttemptFailure, (observed: ObservedAttempt | undefined) => void>
 > = {
   [AttemptFailure.NOT_CONNECTED]: () => {},
+  [AttemptFailure.NOT_SENT]: () => {},
   [AttemptFailure.CONNECTION_LOST]: observed => observed?.recordBroken(),
   [AttemptFailure.INACTIVITY_TIMEOUT]: observed => observed?.recordBroken(),
   [AttemptFailure.CANCELLED]: observed => observed?.recordCancelled(),
@@ -163,7 +170,7 @@
     {failure}: AttemptError,
   ): void {
     const {upstream, options} = this;
-    if (failure === AttemptFailure.CANCELLED) return;
+    if (OWN_FAILURES.has(failure)) return;
     if (failure === AttemptFailure.NOT_CONNECTED) {
       options.paths.recordNoPath(upstream, this.beganAtMilliseconds);
       return;
--- a/packages/arbutustide-upstream/src/attempt_error.ts
+++ b/packages/arbutustide-upstream/src/attempt_error.ts
@@ -6,12 +6,19 @@
   CONNECTION_LOST = 'closed',
   /** Nothing arrived for longer than the time limit. */
   INACTIVITY_TIMEOUT = 'silent',
+  /** This node ended the attempt before it wrote a byte of the request. */
+  NOT_SENT = 'not_sent',
   /** This node cancelled the attempt. */
   CANCELLED = 'cancelled',
   /** The answer belongs to another attempt or violates the protocol. */
   PROTOCOL_VIOLATION = 'protocol',
 }
 
+const UNSENT_FAILURES: ReadonlySet<AttemptFailure> = new Set([
+  AttemptFailure.NOT_CONNECTED,
+  AttemptFailure.NOT_SENT,
+]);
+
 /** A failed attempt at an upstream. */
 export class AttemptError extends Error {
   /**
@@ -29,6 +36,6 @@
 
   /** False only if the upstream provably read no byte of the request. */
   get mayHaveRun(): boolean {
-    return this.failure !== AttemptFailure.NOT_CONNECTED;
+    return !UNSENT_FAILURES.has(this.failure);
   }
 }
