Leave free slots to more urgent requests at other nodes for a moment

Cause: a deferred request at an idle node took the slot for which urgent ones waited elsewhere.

Change: HoldBack leaves a free slot to others for 150 ms while the peers publish more urgent requests for the same model and no more slots are free than they need; slots that the node has just returned, retries and starved priorities are exempt.

--- a/packages/arbutustide-node/src/proxy/create_slot_queue.ts
+++ b/packages/arbutustide-node/src/proxy/create_slot_queue.ts
@@ -1,4 +1,5 @@
 import type {
+  HoldBack,
   ProxyUpstreamDirectory,
   RoutedRequestProgress,
   UpstreamChoice,
@@ -22,6 +23,7 @@
 import {ProxyToken} from './proxy_tokens.js';
 import * as tuning from './proxy_tuning.js';
 import {createEarlyRefusal} from './queue/create_early_refusal.js';
+import {createHoldBack} from './queue/create_hold_back.js';
 import {createServiceOrder} from './queue/create_service_order.js';
 
 /** Creates the queue of requests that wait for a slot at an upstream. */
@@ -32,8 +34,15 @@
   const upstreamDirectory = container.resolve(ProxyToken.UPSTREAM_DIRECTORY);
   const holdingRequester = container.resolve(ProxyToken.HOLDING_REQUESTER);
   const holdTimes = new SlotHoldTimes();
+  const order = createServiceOrder(container);
+  const holdBack = createHoldBack(container, order);
   return new SlotQueue({
-    chooseUpstream: createUpstreamChooser(container, settings, random),
+    chooseUpstream: createUpstreamChooser(
+      container,
+      settings,
+      random,
+      holdBack,
+    ),
     predictWaitMilliseconds: (progress, reason, ahead) => {
       const {service, modelRequest} = progress.request;
       const upstreams = [
@@ -70,10 +79,12 @@
       holdingRequester.requestHolding(service, modelRequest, softwareVersion);
     },
     observer: container.resolve(ProxyToken.DEMAND_COUNTER),
-    order: createServiceOrder(container),
+    order,
     earlyRefusal: createEarlyRefusal(container, holdTimes, random),
-    onSlotReturned: ({service}, heldMilliseconds) =>
-      holdTimes.record(service, heldMilliseconds),
+    onSlotReturned: ({service}, heldMilliseconds, upstream) => {
+      holdTimes.record(service, heldMilliseconds);
+      holdBack.recordReturned(upstream);
+    },
   });
 }
 
@@ -117,6 +128,7 @@
   container: DependencyContainer,
   {failureDomain}: ProxySettings,
   random: () => number,
+  holdBack: HoldBack,
 ): (progress: RoutedRequestProgress) => UpstreamChoice {
   const upstreamDirectory = container.resolve(ProxyToken.UPSTREAM_DIRECTORY);
   const tokenRequester = container.resolve(ProxyToken.TOKEN_REQUESTER);
@@ -165,6 +177,9 @@
       return NoUpstreamReason.FULL;
     if (limited)
       tokenRequester.request(limited, !(choice instanceof ProxyUpstream));
+    if (!(choice instanceof ProxyUpstream)) holdBack.recordFull(progress);
+    else if (holdBack.withholds(progress, candidates, settings.fullShare))
+      return NoUpstreamReason.FULL;
     return choice;
   };
 }
--- a/packages/arbutustide-routing/src/__tests__/unit/queue_cluster.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/queue_cluster.ts
@@ -5,11 +5,13 @@
 
 import {Cancellation} from '@arbutustide/errors';
 
-import {chooseUpstream} from '../../proxy/choose_upstream.js';
+import {chooseUpstream, NoUpstreamReason} from '../../proxy/choose_upstream.js';
 import {DemandCounter} from '../../proxy/demand_counter.js';
 import {ProxyUpstream} from '../../proxy/proxy_upstream.js';
 import {CompetingRequests} from '../../proxy/queue/competing_requests.js';
 import {EarlyRefusal} from '../../proxy/queue/early_refusal.js';
+import {HoldBack} from '../../proxy/queue/hold_back.js';
+import {Standing} from '../../proxy/queue/queue_position.js';
 import {expectedWaitMilliseconds} from '../../proxy/queue/expected_wait.js';
 import {SlotHoldTimes} from '../../proxy/queue/slot_hold_times.js';
 import {effectivePriority} from '../../proxy/routed_request.js';
@@ -49,6 +51,8 @@
   /** Time from arrival to the deadline. */
   readonly deadlineMilliseconds: number;
   readonly holdMilliseconds: number;
+  /** Index of the node that it is sent to first; at random if absent. */
+  readonly node?: number;
 }
 
 /** Size of a cluster and the parts of the queue that are in use. */
@@ -61,6 +65,7 @@
   readonly hasEarlyRefusal: boolean;
   /** Undefined to serve by priority and then deadline. */
   readonly createOrder?: () => ServiceOrder;
+  readonly hasHoldBack?: boolean;
 }
 
 /** An upstream with a queue for what it cannot run yet. */
@@ -109,23 +114,45 @@
           }),
         ),
     );
+    const order = settings.createOrder?.();
+    const holdBack = new HoldBack({
+      peerDemand: entryName => this.peerDemands.get(entryName),
+      isFavoured: progress => order?.standingOf(progress) === Standing.FAVOURED,
+    });
     this.queue = new SlotQueue({
-      chooseUpstream: ({request, triedUpstreams}) =>
-        chooseUpstream(this.upstreams, request.modelRequest, triedUpstreams, {
-          ownFailureDomain: 'near',
-          crossDomainShare: 0.2,
-          fullShare: 1,
-          random,
-        }),
+      chooseUpstream: progress => {
+        const {request, triedUpstreams} = progress;
+        const choice = chooseUpstream(
+          this.upstreams,
+          request.modelRequest,
+          triedUpstreams,
+          {
+            ownFailureDomain: 'near',
+            crossDomainShare: 0.2,
+            fullShare: 1,
+            random,
+          },
+        );
+        if (!(choice instanceof ProxyUpstream)) holdBack.recordFull(progress);
+        else if (
+          settings.hasHoldBack &&
+          holdBack.withholds(progress, this.upstreams, 1)
+        )
+          return NoUpstreamReason.FULL;
+        return choice;
+      },
       predictWaitMilliseconds: () => MINIMUM_SERVICE_MILLISECONDS,
       minimumServiceMilliseconds: () => MINIMUM_SERVICE_MILLISECONDS,
       onNotHeld: () => {},
       observer: this.demand,
-      order: settings.createOrder?.(),
+      order,
       earlyRefusal: hasEarlyRefusal
         ? this.createEarlyRefusal(random)
         : undefined,
-      onSlotReturned: ({service}, held) => this.holdTimes.record(service, held),
+      onSlotReturned: ({service}, heldMilliseconds, upstream) => {
+        this.holdTimes.record(service, heldMilliseconds);
+        holdBack.recordReturned(upstream);
+      },
     });
   }
 
@@ -179,15 +206,15 @@
     }, QUEUE_CHECK_MILLISECONDS);
   }
 
-  /** Plays one caller, from a node chosen at random. */
+  /** Plays one caller, who comes back to nodes chosen at random. */
   async call(caller: CallerRequest): Promise<void> {
     const arrivedAt = performance.now();
     const {route, team, deadlineMilliseconds} = caller;
     const deadlineAt = arrivedAt + deadlineMilliseconds;
     const results = {route, team: team?.name, arrivedAt};
     let needlessRefusals = 0;
+    let node = this.chooseNode(caller.node);
     for (;;) {
-      const node = this.chooseNode();
       const progress = createProgress(caller, deadlineAt);
       const slot = await node.queue.acquireSlot(progress);
       const elapsed = performance.now() - arrivedAt;
@@ -217,6 +244,7 @@
         return;
       }
       await new Promise(resolve => setTimeout(resolve, retryAfterMilliseconds));
+      node = this.chooseNode();
     }
   }
 
@@ -239,8 +267,9 @@
     slot.release();
   }
 
-  private chooseNode(): SimulatedNode {
-    const index = Math.floor(this.settings.random() * this.nodes.length);
+  private chooseNode(
+    index = Math.floor(this.settings.random() * this.nodes.length),
+  ): SimulatedNode {
     return this.nodes[index];
   }
 
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -155,6 +155,8 @@
 export {CompetingRequests} from './proxy/queue/competing_requests.js';
 export {EarlyRefusal} from './proxy/queue/early_refusal.js';
 export {expectedWaitMilliseconds} from './proxy/queue/expected_wait.js';
+export {HoldBack} from './proxy/queue/hold_back.js';
+export {Standing} from './proxy/queue/queue_position.js';
 export {ServiceOrder} from './proxy/queue/service_order.js';
 export {SlotHoldTimes} from './proxy/queue/slot_hold_times.js';
 export {SlotQueue} from './proxy/slot_queue.js';
--- a/packages/arbutustide-routing/src/proxy/demand_counter.ts
+++ b/packages/arbutustide-routing/src/proxy/demand_counter.ts
@@ -48,10 +48,20 @@
 }
 
 /** Entry name of a plain service in the demand that nodes exchange. */
-export function plainEntryName(service: string): string {
+function plainEntryName(service: string): string {
   return modelEntryName(service, '');
 }
 
+/** Entry name of what a request waits for. */
+export function entryNameOf({
+  service,
+  modelRequest,
+}: Pick<RoutedRequest, 'service' | 'modelRequest'>): string {
+  return modelRequest
+    ? modelEntryName(service, modelRequest.model)
+    : plainEntryName(service);
+}
+
 /** Position of a priority in counts by priority. */
 export function priorityIndex(priority: number): number {
   return Math.min(LAST_COUNTED_PRIORITY, Math.max(0, Math.round(priority)));
@@ -121,12 +131,7 @@
   }
 
   private countByPriority(request: RoutedRequest, change: number): void {
-    const {service, modelRequest} = request;
-    const {queuedByPriority} = this.countsForEntry(
-      modelRequest
-        ? modelEntryName(service, modelRequest.model)
-        : plainEntryName(service),
-    );
+    const {queuedByPriority} = this.countsForEntry(entryNameOf(request));
     const index = priorityIndex(effectivePriority(request));
     while (queuedByPriority.length <= index) queuedByPriority.push(0);
     queuedByPriority[index] += change;
--- a/packages/arbutustide-routing/src/proxy/queue/expected_wait.ts
+++ b/packages/arbutustide-routing/src/proxy/queue/expected_wait.ts
@@ -61,6 +61,22 @@
   return (before * holdMilliseconds) / inFlight;
 }
 
+/** Requests that the usable upstreams can take until they are full. */
+export function countFreeSlots(
+  upstreams: Iterable<ProxyUpstream>,
+  reference: ModelReference | undefined,
+  fullShare: number,
+): number {
+  let count = 0;
+  for (const upstream of upstreams) {
+    if (!isUsable(upstream)) continue;
+    if (reference && !upstream.canServe(reference)) continue;
+    const {estimatedInFlight, description} = upstream;
+    count += Math.max(0, fullShare * description.slots - estimatedInFlight);
+  }
+  return count;
+}
+
 /**
  * The part of the requests for a model that the holders of the requested one
  * are expected to serve.
--- a/packages/arbutustide-routing/src/proxy/slot_queue.ts
+++ b/packages/arbutustide-routing/src/proxy/slot_queue.ts
@@ -66,6 +66,7 @@
   readonly onSlotReturned?: (
     request: RoutedRequest,
     heldMilliseconds: number,
+    upstream: ProxyUpstream,
   ) => void;
 }
 
@@ -179,7 +180,7 @@
    */
   private scanWaiters(): void {
     const blocked = new Map<string, BlockedRequests>();
-    const arranged = this.arrange(this.waiters);
+    const arranged = this.arrange();
     for (const waiter of arranged) {
       const {progress} = waiter;
       const requirement = requirementKey(progress);
@@ -218,9 +219,8 @@
   }
 
   /** A copy of the queued requests in the order of service. */
-  private arrange(waiters: readonly Waiter[]): readonly Waiter[] {
-    const {order} = this.options;
-    const arranged = order ? order.arrange(waiters) : waiters;
+  private arrange(): readonly Waiter[] {
+    const arranged = this.options.order?.arrange(this.waiters) ?? this.waiters;
     return arranged === this.waiters ? [...arranged] : arranged;
   }
 
@@ -377,8 +377,8 @@
         upstream.ownInFlight -= 1;
         upstream.reachability.recordAttemptEnded();
         observer.recordEnded(request, true);
-        if (isAccepted)
-          onSlotReturned?.(request, performance.now() - takenAtMilliseconds);
+        const heldMilliseconds = performance.now() - takenAtMilliseconds;
+        if (isAccepted) onSlotReturned?.(request, heldMilliseconds, upstream);
         this.scheduleScan();
       },
     };
