Let a starting node wait for a relay before it watches the store

Until gossip has named their peers all nodes watch the store themselves, while upstreams that start change their entries.

Change: a node that can use relays waits for one for up to 2 s after its start.

--- a/packages/arbutustide-node/src/proxy/proxy_tuning.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tuning.ts
@@ -55,6 +55,13 @@
 export const MINIMUM_BOUND_TO_RELAY_MILLISECONDS = 3_000;
 /** Time that a relay holds a watch open, as a share of the bound on changes. */
 export const RELAY_WAIT_SHARE = 0.4;
+/**
+ * Time for which a node that starts waits for a relay before it watches the
+ * store itself. A node that started less than 4 s ago owes no bound on changes,
+ * and gossip names its peers within 2 s; meanwhile each would call the store for
+ * each change that the upstreams make as they start.
+ */
+export const RELAY_START_GRACE_MILLISECONDS = 2_000;
 /** Age of a relay's knowledge up to which it is used, as the same share. */
 export const RELAY_MAXIMUM_AGE_SHARE = 0.75;
 /**
--- a/packages/arbutustide-node/src/proxy/proxy_wiring.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_wiring.ts
@@ -113,6 +113,9 @@
     {
       listRelayUrls: () => listUrls(chooseWatchRelays),
       listDistantRelayUrls: () => listUrls(chooseDistantWatchRelays),
+      startGraceMilliseconds: canRelay
+        ? tuning.RELAY_START_GRACE_MILLISECONDS
+        : 0,
       relayWaitMilliseconds: Math.round(
         changeBoundMilliseconds * tuning.RELAY_WAIT_SHARE,
       ),
--- a/packages/arbutustide-node/src/proxy/watch_relay/relayed_object_store.ts
+++ b/packages/arbutustide-node/src/proxy/watch_relay/relayed_object_store.ts
@@ -14,6 +14,7 @@
 import type {NodeLogger} from '@arbutustide/telemetry';
 import type {Result} from 'ts-results';
 
+import {delay} from '@arbutustide/errors';
 import {PeerError, WatchRequestSchema} from '@arbutustide/membership';
 import {mergeBatches, StoreErrorKind} from '@arbutustide/object-store';
 import {create} from '@bufbuild/protobuf';
@@ -45,6 +46,7 @@
  */
 const STORE_RETRY_MILLISECONDS = 500;
 const MAXIMUM_STORE_RETRY_MILLISECONDS = 2_000;
+const PEER_CHECK_MILLISECONDS = 100;
 
 /** Settings of a relayed store. */
 export interface RelayedObjectStoreOptions {
@@ -55,6 +57,11 @@
    * are used while the store does not serve this node.
    */
   readonly listDistantRelayUrls: () => readonly string[];
+  /**
+   * Time after the start for which this node waits for a relay before it watches
+   * the store itself: it does not know its peers yet. None if absent.
+   */
+  readonly startGraceMilliseconds?: number;
   /** Time for which a relay may hold a watch open without changes. */
   readonly relayWaitMilliseconds: number;
   /**
@@ -76,6 +83,7 @@
   private readonly logs = new Map<string, WatchLog>();
   private readonly avoidedUntilMilliseconds = new Map<string, number>();
   private storeRetryMilliseconds = 0;
+  private readonly graceEndMilliseconds: number;
   private storeAvoidedUntilMilliseconds = -Infinity;
 
   constructor(
@@ -83,7 +91,10 @@
     private readonly transport: PeerTransport,
     private readonly options: RelayedObjectStoreOptions,
     private readonly logger: NodeLogger,
-  ) {}
+  ) {
+    this.graceEndMilliseconds =
+      performance.now() + (options.startGraceMilliseconds ?? 0);
+  }
 
   get eraStartVersion(): number {
     return this.store.eraStartVersion;
@@ -122,6 +133,7 @@
     waitMilliseconds?: number,
   ): StoreResult<WatchBatch> {
     const {listRelayUrls, listDistantRelayUrls} = this.options;
+    await this.waitForPeers(signal);
     const relayed =
       (await this.watchThroughOne(listRelayUrls(), prefix, afterVersion)) ??
       (performance.now() < this.storeAvoidedUntilMilliseconds
@@ -195,6 +207,14 @@
     return Ok(batch);
   }
 
+  private async waitForPeers(signal: AbortSignal): Promise<void> {
+    while (
+      performance.now() < this.graceEndMilliseconds &&
+      this.options.listRelayUrls().length === 0
+    )
+      if (!(await delay(PEER_CHECK_MILLISECONDS, signal))) return;
+  }
+
   /** Watches through the first relay that is usable; undefined if it fails. */
   private async watchThroughOne(
     relayUrls: readonly string[],
