--- a/packages/arbutustide-membership/src/cluster_view.ts
+++ b/packages/arbutustide-membership/src/cluster_view.ts
@@ -5,10 +5,9 @@
   SegmentSurvivals,
   UpstreamCrash,
   UpstreamHoldings,
-  UpstreamObservation,
-  UpstreamRateLimit,
 } from './gen/arbutustide/membership/v1/membership_pb.js';
 import type {MemberTable} from './member_table.js';
+import type {PeerObservation, PeerRateLimit} from './peer_observation.js';
 
 import {NodeState} from './gen/arbutustide/membership/v1/membership_pb.js';
 import {findNodeStatus, NODE_STATUS_KEY} from './member_record.js';
@@ -27,39 +26,29 @@
   readonly catalogueRevision: number;
   /** Epoch of the planner's lease while the node holds it; otherwise zero. */
   readonly plannerEpoch: number;
+  /** A `ProtocolLevel`, or a higher number for newer builds. */
+  readonly protocolLevel: number;
 }
 
 /** Requests for one catalogue entry, summed over nodes. */
 export interface DemandSummary {
   inFlight: number;
   queued: number;
-}
-
-/** A report of an upstream, as another node read and published it. */
-export interface PeerObservation {
-  readonly observation: UpstreamObservation;
-  /** Sequence in the writer's record; a higher one is a newer report. */
-  readonly sequence: number;
-  /** Identity of the node that read the report. */
-  readonly writer: string;
-}
-
-/** The rate limit of an upstream, as another node published it. */
-export interface PeerRateLimit {
-  readonly limit: UpstreamRateLimit;
-  /** Sequence in the writer's record; a higher one is newer. */
-  readonly sequence: number;
-  /** Identity of the node that published it. */
-  readonly writer: string;
+  /** Requests that are queued now; the index is the priority. */
+  readonly queuedByPriority: number[];
 }
 
 /** What the records of all peers add up to. */
 interface ClusterSummary {
   readonly computedAtMilliseconds: number;
+  /** Changes of the peers' records that it covers. */
+  readonly peerChanges: number;
   readonly peers: ClusterNode[];
   /** Number of peers that serve callers. */
   readyPeerCount: number;
   readonly requestsInFlightByUpstream: Map<string, number>;
+  /** The same by the failure domain of the peers. */
+  readonly requestsInFlightByDomain: Map<string, Map<string, number>>;
   readonly demandByEntry: Map<string, DemandSummary>;
   readonly observations: PeerObservation[];
   /** Upstream crashes counted by peers, by request fingerprint. */
@@ -107,10 +96,14 @@
   },
   demand: (field, _writer, summary) => {
     if (field.value.case !== 'demand') return;
-    const {entry, inFlight, queued} = field.value.value;
+    const {entry, inFlight, queued, queuedByPriority} = field.value.value;
     const sum = summary.demandByEntry.get(entry) ?? emptyDemand();
     sum.inFlight += inFlight;
     sum.queued += queued;
+    for (const [priority, count] of queuedByPriority.entries()) {
+      sum.queuedByPriority[priority] =
+        (sum.queuedByPriority[priority] ?? 0) + count;
+    }
     summary.demandByEntry.set(entry, sum);
   },
   observation: (field, writer, summary) => {
@@ -229,11 +222,19 @@
     return this.currentSummary().readyPeerCount + (isReady ? 1 : 0);
   }
 
-  /** Number of requests that the peers have in flight at an upstream. */
-  peerRequestsInFlight(upstreamId: string): number {
-    return (
-      this.currentSummary().requestsInFlightByUpstream.get(upstreamId) ?? 0
-    );
+  /**
+   * Requests that peers have in flight at an upstream.
+   *
+   * @param failureDomain counts only the peers in it; all peers if absent.
+   */
+  peerRequestsInFlight(upstreamId: string, failureDomain?: string): number {
+    const {requestsInFlightByUpstream, requestsInFlightByDomain} =
+      this.currentSummary();
+    const counts =
+      failureDomain === undefined
+        ? requestsInFlightByUpstream
+        : requestsInFlightByDomain.get(failureDomain);
+    return counts?.get(upstreamId) ?? 0;
   }
 
   /** Rejections a second that upstreams survive, by brittle service. */
@@ -261,6 +262,11 @@
     return this.currentSummary().demandByEntry.get(entry) ?? emptyDemand();
   }
 
+  /** Requests at the peers, by catalogue entry. */
+  peerDemands(): ReadonlyMap<string, DemandSummary> {
+    return this.currentSummary().demandByEntry;
+  }
+
   /** Reports of upstreams that the peers read. */
   peerObservations(): readonly PeerObservation[] {
     return this.currentSummary().observations;
@@ -320,11 +326,12 @@
   }
 
   private currentSummary(): ClusterSummary {
+    const {summary} = this;
+    if (summary?.peerChanges === this.table.peerChanges) return summary;
     const now = performance.now();
-    const age = now - (this.summary?.computedAtMilliseconds ?? -Infinity);
-    if (!this.summary || age > MAXIMUM_SUMMARY_AGE_MILLISECONDS) {
-      this.summary = summarizePeers(this.table, now);
-    }
+    const age = now - (summary?.computedAtMilliseconds ?? -Infinity);
+    if (summary && age <= MAXIMUM_SUMMARY_AGE_MILLISECONDS) return summary;
+    this.summary = summarizePeers(this.table, now);
     return this.summary;
   }
 }
@@ -332,9 +339,11 @@
 function summarizePeers(table: MemberTable, now: number): ClusterSummary {
   const summary: ClusterSummary = {
     computedAtMilliseconds: now,
+    peerChanges: table.peerChanges,
     peers: [],
     readyPeerCount: 0,
     requestsInFlightByUpstream: new Map(),
+    requestsInFlightByDomain: new Map(),
     demandByEntry: new Map(),
     observations: [],
     crashCountByFingerprint: new Map(),
@@ -356,12 +365,25 @@
     if (status?.state === NodeState.READY) summary.readyPeerCount += 1;
     for (const field of record.fields.values()) {
       const {case: fieldCase} = field.value;
+      if (status) addLoadOfDomain(field, status.failureDomain, summary);
       if (fieldCase) COLLECTORS[fieldCase](field, record.identity, summary);
     }
   }
   return summary;
 }
 
+function addLoadOfDomain(
+  {value}: Field,
+  failureDomain: string,
+  {requestsInFlightByDomain}: ClusterSummary,
+): void {
+  if (value.case !== 'load') return;
+  const {upstreamId, inFlight} = value.value;
+  const counts = requestsInFlightByDomain.get(failureDomain) ?? new Map();
+  counts.set(upstreamId, (counts.get(upstreamId) ?? 0) + inFlight);
+  requestsInFlightByDomain.set(failureDomain, counts);
+}
+
 function emptyDemand(): DemandSummary {
-  return {inFlight: 0, queued: 0};
+  return {inFlight: 0, queued: 0, queuedByPriority: []};
 }
--- a/packages/arbutustide-membership/src/connect_peer_transport.ts
+++ b/packages/arbutustide-membership/src/connect_peer_transport.ts
@@ -2,11 +2,15 @@
 import type {Result} from 'ts-results';
 
 import type {
+  ConfirmConfigurationRequest,
+  ConfirmConfigurationResponse,
   ExchangeRequest,
   ExchangeResponse,
   FindStreamOriginRequest,
   FindStreamOriginResponse,
   HoldingRequest,
+  LeaseQuotaRequest,
+  LeaseQuotaResponse,
   RecordStreamOriginsRequest,
   RelayRequestRequest,
   RelayRequestResponse,
@@ -22,6 +26,10 @@
 import {Err, Ok} from 'ts-results';
 
 import {MembershipService} from './gen/arbutustide/membership/v1/membership_pb.js';
+import {
+  COMPRESSION_MINIMUM_BYTES,
+  PEER_COMPRESSION,
+} from './peer_compression.js';
 import {PeerSessionManager} from './peer_session_manager.js';
 import {PeerError} from './peer_transport.js';
 
@@ -46,6 +54,7 @@
  */
 export class ConnectPeerTransport implements PeerTransport {
   private readonly clients = new Map<string, PeerClient>();
+  private readonly sessions = new Map<string, PeerSessionManager>();
 
   /**
    * @param timeoutMilliseconds limit for one call.
@@ -131,6 +140,24 @@
     );
   }
 
+  confirmConfiguration(
+    peerUrl: string,
+    request: ConfirmConfigurationRequest,
+  ): Promise<Result<ConfirmConfigurationResponse, PeerError>> {
+    return this.call(peerUrl, client =>
+      client.confirmConfiguration(request, this.callOptions()),
+    );
+  }
+
+  leaseQuota(
+    peerUrl: string,
+    request: LeaseQuotaRequest,
+  ): Promise<Result<LeaseQuotaResponse, PeerError>> {
+    return this.call(peerUrl, client =>
+      client.leaseQuota(request, this.callOptions()),
+    );
+  }
+
   async *relayRequest(
     peerUrl: string,
     request: RelayRequestRequest,
@@ -145,6 +172,8 @@
 
   /** Releases the client of a peer that no longer exists. */
   dropClient(peerUrl: string): void {
+    this.sessions.get(peerUrl)?.close();
+    this.sessions.delete(peerUrl);
     this.clients.delete(peerUrl);
   }
 
@@ -166,19 +195,24 @@
   private client(peerUrl: string): PeerClient {
     const existing = this.clients.get(peerUrl);
     if (existing) return existing;
+    const sessionManager = new PeerSessionManager(
+      peerUrl,
+      {
+        pingIntervalMs: PING_INTERVAL_MILLISECONDS,
+        pingTimeoutMs: PING_TIMEOUT_MILLISECONDS,
+        idleConnectionTimeoutMs: IDLE_CONNECTION_MILLISECONDS,
+      },
+      error => this.onConnectionError(peerUrl, error),
+    );
     const transport = createConnectTransport({
       baseUrl: peerUrl,
       httpVersion: '2',
-      sessionManager: new PeerSessionManager(
-        peerUrl,
-        {
-          pingIntervalMs: PING_INTERVAL_MILLISECONDS,
-          pingTimeoutMs: PING_TIMEOUT_MILLISECONDS,
-          idleConnectionTimeoutMs: IDLE_CONNECTION_MILLISECONDS,
-        },
-        error => this.onConnectionError(peerUrl, error),
-      ),
+      acceptCompression: [PEER_COMPRESSION],
+      sendCompression: PEER_COMPRESSION,
+      compressMinBytes: COMPRESSION_MINIMUM_BYTES,
+      sessionManager,
     });
+    this.sessions.set(peerUrl, sessionManager);
     const client = createClient(MembershipService, transport);
     this.clients.set(peerUrl, client);
     return client;
--- a/packages/arbutustide-membership/src/index.ts
+++ b/packages/arbutustide-membership/src/index.ts
@@ -1,18 +1,19 @@
 /** Gossip membership: node records, their exchange, and views of them. */
+export type {ClusterNode, DemandSummary} from './cluster_view.js';
 export type {
-  ClusterNode,
-  DemandSummary,
-  PeerObservation,
-  PeerRateLimit,
-} from './cluster_view.js';
-export type {
+  ConfirmConfigurationRequest,
+  ConfirmConfigurationResponse,
   ExchangeRequest,
   ExchangeResponse,
   FindStreamOriginRequest,
   FindStreamOriginResponse,
   HoldingRequest,
+  LeaseQuotaRequest,
+  LeaseQuotaResponse,
   NodeStatus,
   LostUpstreams,
+  QuotaClaim,
+  QuotaGrant,
   RecordStreamOriginsRequest,
   RelayRequestRequest,
   RelayRequestResponse,
@@ -27,7 +28,10 @@
 export type {GossipOptions, PeerAddress} from './gossip.js';
 export type {MemberRecord} from './member_record.js';
 export type {FieldValue} from './own_record.js';
+export type {PeerObservation, PeerRateLimit} from './peer_observation.js';
 export type {
+  ConfirmConfigurationResponseFields,
+  LeaseQuotaResponseFields,
   PeerHandler,
   PeerTransport,
   FindStreamOriginResponseFields,
@@ -38,16 +42,21 @@
 } from './peer_transport.js';
 
 export {ClusterView} from './cluster_view.js';
+export {ProtocolLevel} from './protocol_level.js';
 export {ConnectPeerServer} from './connect_peer_server.js';
 export {ConnectPeerTransport} from './connect_peer_transport.js';
 export {
   BrittleServiceSchema,
+  ConfirmConfigurationRequestSchema,
+  ConfirmConfigurationResponseSchema,
   EntryDemandSchema,
   ExchangeRequestSchema,
   ExchangeResponseSchema,
   FindStreamOriginRequestSchema,
   FindStreamOriginResponseSchema,
   HoldingRequestSchema,
+  LeaseQuotaRequestSchema,
+  LeaseQuotaResponseSchema,
   LostRequestsSchema,
   LostUpstreamsSchema,
   NodeState,
--- a/packages/arbutustide-node/src/__tests__/unit/watch_relay.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/watch_relay.test.ts
@@ -8,7 +8,11 @@
   PeerTransport,
   WatchRequest,
 } from '@arbutustide/membership';
-import type {ObjectStore, StoredObject} from '@arbutustide/object-store';
+import type {
+  ObjectStore,
+  StoredObject,
+  WatchBatch,
+} from '@arbutustide/object-store';
 
 import {
   NodeState,
@@ -28,7 +32,14 @@
 import {expect} from 'chai';
 import {Err, Ok} from 'ts-results';
 
-import {chooseWatchRelays} from '../../proxy/watch_relay/choose_watch_relays.js';
+import {
+  RELAY_MAXIMUM_AGE_SHARE,
+  RELAY_WAIT_SHARE,
+} from '../../proxy/proxy_tuning.js';
+import {
+  chooseDistantWatchRelays,
+  chooseWatchRelays,
+} from '../../proxy/watch_relay/choose_watch_relays.js';
 import {RelayedObjectStore} from '../../proxy/watch_relay/relayed_object_store.js';
 
 const CHANGE_BOUND_MILLISECONDS = 3_000;
@@ -36,6 +47,7 @@
 const CALL_TIMEOUT_MILLISECONDS = 1_000;
 const POLL_MILLISECONDS = 5;
 const PREFIX = 'things/';
+const REDACTED = 'redacted';
 
 const delay = (milliseconds: number) =>
   new Promise(resolve => setTimeout(resolve, milliseconds));
@@ -86,12 +98,13 @@
       this.createClient(),
       transport,
       {
-        listRelayUrls: () =>
-          chooseWatchRelays(listNodes(), cluster.identity, 'here').map(
-            ({peerUrl}) => peerUrl,
-          ),
-        relayWaitMilliseconds: CHANGE_BOUND_MILLISECONDS * 0.25,
-        maximumAgeMilliseconds: CHANGE_BOUND_MILLISECONDS * 0.65,
+        listRelayUrls: () => this.listUrls(chooseWatchRelays, listNodes()),
+        listDistantRelayUrls: () =>
+          this.listUrls(chooseDistantWatchRelays, listNodes()),
+        relayWaitMilliseconds: CHANGE_BOUND_MILLISECONDS * RELAY_WAIT_SHARE,
+        maximumAgeMilliseconds:
+          CHANGE_BOUND_MILLISECONDS * RELAY_MAXIMUM_AGE_SHARE,
+        redact: object => ({...object, value: REDACTED}),
       },
       silentLogger(),
     );
@@ -120,6 +133,14 @@
     void watcher.run(signal);
   }
 
+  private listUrls(
+    choose: typeof chooseWatchRelays,
+    nodes: ClusterNode[],
+  ): string[] {
+    const {identity, failureDomain} = this.cluster;
+    return choose(nodes, identity, failureDomain).map(({peerUrl}) => peerUrl);
+  }
+
   /** A client of the store that times out while the node is cut off. */
   private createClient(): ObjectStore {
     const {shared} = this;
@@ -180,6 +201,7 @@
     state: NodeState.READY,
     catalogueRevision: 1,
     plannerEpoch: 0,
+    protocolLevel: 1,
   };
 }
 
@@ -254,7 +276,7 @@
     clock.uninstall();
   });
 
-  async function start(count: number): Promise<void> {
+  async function start(count: number, distantCount = 0): Promise<void> {
     const transport: Pick<PeerTransport, 'watch'> = {
       watch: async (url: string, request: WatchRequest) => {
         const peer = nodes.find(({cluster}) => cluster.peerUrl === url);
@@ -277,13 +299,13 @@
         );
       },
     };
-    nodes = names(count).map(
-      name =>
-        new TestNode(
-          clusterNode(name),
-          shared,
-          transport as PeerTransport,
-          () => nodes.map(({cluster}) => cluster),
+    nodes = [
+      ...names(count).map(name => clusterNode(name)),
+      ...names(distantCount).map(name => clusterNode(`far-${name}`, 'there')),
+    ].map(
+      cluster =>
+        new TestNode(cluster, shared, transport as PeerTransport, () =>
+          nodes.map(node => node.cluster),
         ),
     );
     for (const node of nodes) node.run(stopController.signal);
@@ -311,6 +333,19 @@
     return Math.max(...delays);
   }
 
+  // Guards against keys in clear text in what peers are given.
+  it('passes on only what may pass between nodes', async () => {
+    await start(1);
+    const {version} = shared;
+    shared.put('secret');
+    await clock.tickAsync(CHANGE_BOUND_MILLISECONDS);
+    const [{relayed}] = nodes;
+    const served = await relayed.serveWatch(PREFIX, version, 0);
+    const batches = JSON.parse(served?.batchesJson ?? '') as WatchBatch[];
+    const values = batches.flatMap(({changes}) => changes);
+    expect(values.map(({value}) => value)).to.deep.equal([REDACTED]);
+  });
+
   it('lets few nodes call the store and delivers changes to all', async () => {
     await start(32);
     const callsBefore = shared.watchCalls;
@@ -337,6 +372,24 @@
     }
   }
 
+  it('serves a domain that the store turns away through another domain', async () => {
+    // Guards against nodes that keep calling a store which refuses them.
+    await start(12, 12);
+    for (const node of nodes)
+      node.isCutFromStore = node.cluster.failureDomain === 'here';
+    await clock.tickAsync(2 * CHANGE_BOUND_MILLISECONDS);
+    const callsBefore = shared.watchCalls;
+    await clock.tickAsync(10_000);
+    const calls = shared.watchCalls - callsBefore;
+    expect(calls / (nodes.length * 10)).to.be.at.most(0.3);
+    const putAt = performance.now();
+    shared.put('new');
+    await clock.tickAsync(2 * CHANGE_BOUND_MILLISECONDS);
+    const boundAt = putAt + CHANGE_BOUND_MILLISECONDS;
+    for (const {received} of nodes)
+      expect(received.get(`${PREFIX}new`)).to.be.lessThan(boundAt);
+  });
+
   it('delivers what was written after a restore of the store', async () => {
     await start(20);
     shared.put('lost');
--- a/packages/arbutustide-node/src/proxy/create_slot_queue.ts
+++ b/packages/arbutustide-node/src/proxy/create_slot_queue.ts
@@ -1,11 +1,11 @@
 import type {
+  HoldBack,
   ProxyUpstreamDirectory,
   RoutedRequestProgress,
   UpstreamChoice,
 } from '@arbutustide/routing';
 
 import type {ProxyDependencies} from './proxy_dependencies.js';
-import type {ProxySettings} from './proxy_settings.js';
 import type {DependencyContainer} from 'tsyringe';
 
 import {
@@ -15,21 +15,29 @@
   expectedAcceptanceMilliseconds,
   NoUpstreamReason,
   ProxyUpstream,
+  SlotHoldTimes,
   SlotQueue,
 } from '@arbutustide/routing';
 
+import {pickSettingsFactory} from './pick_settings.js';
 import {ProxyToken} from './proxy_tokens.js';
 import * as tuning from './proxy_tuning.js';
+import {createEarlyRefusal} from './queue/create_early_refusal.js';
+import {createHoldBack} from './queue/create_hold_back.js';
+import {createServiceOrder} from './queue/create_service_order.js';
 
 /** Creates the queue of requests that wait for a slot at an upstream. */
 export function createSlotQueue(
   container: DependencyContainer,
-  {settings, random}: ProxyDependencies,
+  dependencies: ProxyDependencies,
 ): SlotQueue {
   const upstreamDirectory = container.resolve(ProxyToken.UPSTREAM_DIRECTORY);
   const holdingRequester = container.resolve(ProxyToken.HOLDING_REQUESTER);
+  const holdTimes = new SlotHoldTimes();
+  const order = createServiceOrder(container);
+  const holdBack = createHoldBack(container, order);
   return new SlotQueue({
-    chooseUpstream: createUpstreamChooser(container, settings, random),
+    chooseUpstream: createUpstreamChooser(container, dependencies, holdBack),
     predictWaitMilliseconds: (progress, reason, ahead) => {
       const {service, modelRequest} = progress.request;
       const upstreams = [
@@ -66,6 +74,12 @@
       holdingRequester.requestHolding(service, modelRequest, softwareVersion);
     },
     observer: container.resolve(ProxyToken.DEMAND_COUNTER),
+    order,
+    earlyRefusal: createEarlyRefusal(container, holdTimes, dependencies.random),
+    onSlotReturned: ({service}, heldMilliseconds, upstream) => {
+      holdTimes.record(service, heldMilliseconds);
+      holdBack.recordReturned(upstream);
+    },
   });
 }
 
@@ -107,14 +121,15 @@
  */
 function createUpstreamChooser(
   container: DependencyContainer,
-  {failureDomain}: ProxySettings,
-  random: () => number,
+  dependencies: ProxyDependencies,
+  holdBack: HoldBack,
 ): (progress: RoutedRequestProgress) => UpstreamChoice {
   const upstreamDirectory = container.resolve(ProxyToken.UPSTREAM_DIRECTORY);
   const tokenRequester = container.resolve(ProxyToken.TOKEN_REQUESTER);
   const brittleUpstreams = container.resolve(ProxyToken.BRITTLE_UPSTREAMS);
   const monitor = container.resolve(ProxyToken.REACHABILITY_MONITOR);
   const relay = container.resolve(ProxyToken.REQUEST_RELAY);
+  const createPickSettings = pickSettingsFactory(container, dependencies);
   // A few upstreams that no peer can send to either are down and may come back.
   const mayWait = (progress: RoutedRequestProgress) =>
     !progress.isRelayed &&
@@ -125,15 +140,10 @@
     const {service, modelRequest} = request;
     const brittleTerms = brittleUpstreams.termsFor(service);
     const settings = {
-      ownFailureDomain: failureDomain,
-      crossDomainShare: tuning.CROSS_DOMAIN_SLOT_SHARE,
-      random,
+      ...createPickSettings(service, modelRequest !== undefined),
       brittleTerms,
       maySend: (upstream: ProxyUpstream) =>
         brittleUpstreams.maySend(upstream, brittleTerms),
-      fullShare: modelRequest
-        ? tuning.ENGINE_IN_FLIGHT_SLOT_SHARE
-        : tuning.SERVICE_IN_FLIGHT_SLOT_SHARE,
     };
     const candidates = [
       ...compatibleUpstreams(
@@ -157,6 +167,9 @@
       return NoUpstreamReason.FULL;
     if (limited)
       tokenRequester.request(limited, !(choice instanceof ProxyUpstream));
+    if (!(choice instanceof ProxyUpstream)) holdBack.recordFull(progress);
+    else if (holdBack.withholds(progress, candidates, settings.fullShare))
+      return NoUpstreamReason.FULL;
     return choice;
   };
 }
--- a/packages/arbutustide-node/src/proxy/proxy_core.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_core.ts
@@ -5,6 +5,7 @@
   ServingConfiguration,
   UpstreamSignals,
 } from '@arbutustide/routing';
+import type {Authenticator} from '@arbutustide/teams';
 import type {NodeLogger} from '@arbutustide/telemetry';
 import type {DependencyContainer} from 'tsyringe';
 
@@ -41,6 +42,8 @@
  * its peers.
  */
 export class ProxyCore {
+  /** Finds the teams of callers' requests. */
+  readonly authenticator: Authenticator;
   readonly dispatcher: ProxyDispatcher;
   readonly logger: NodeLogger;
   /** Answers the calls of peers. */
@@ -56,6 +59,7 @@
     this.logger = dependencies.logger;
     this.self = createPeerIdentity(dependencies.settings);
     this.container = createProxyContainer(dependencies, this.self);
+    this.authenticator = this.container.resolve(ProxyToken.AUTHENTICATOR);
     this.dispatcher = this.container.resolve(ProxyToken.DISPATCHER);
     this.peerHandler = new ProxyPeerHandler(this.container, this.self.identity);
     const queue = this.container.resolve(ProxyToken.REQUEST_QUEUE);
@@ -73,9 +77,14 @@
     return this.container.resolve(ProxyToken.CONFIGURATION_WATCHER).routes;
   }
 
-  /** Whether this node has a configuration and is not shutting down. */
+  /** Whether this node has a configuration and the balancer may choose it. */
   get isReady(): boolean {
-    return this.status.state === NodeState.READY;
+    return this.status.state === NodeState.READY && !this.confirmer.isCutOff;
+  }
+
+  /** Whether requests with keys are refused, as keys may have been revoked. */
+  get isUnconfirmed(): boolean {
+    return this.confirmer.isRefusing;
   }
 
   /** Whether a graceful shutdown has begun. */
@@ -124,6 +133,7 @@
       this.syncRecordsPeriodically(signal),
       container.resolve(ProxyToken.REACHABILITY_MONITOR).run(signal),
       this.wakeQueuePeriodically(signal),
+      this.confirmer.run(signal),
     ];
     const planningSignal = this.planningStopController.signal;
     this.planningTasks = [
@@ -142,6 +152,7 @@
     this.planningStopController.abort();
     await Promise.all(this.planningTasks);
     await this.container.resolve(ProxyToken.PLANNER_LEASE).release();
+    await this.container.resolve(ProxyToken.TEAM_QUOTAS).release();
     await this.container.resolve(ProxyToken.GOSSIP).exchangeNow();
   }
 
@@ -152,6 +163,10 @@
     await Promise.all(this.backgroundTasks);
   }
 
+  private get confirmer() {
+    return this.container.resolve(ProxyToken.CONFIGURATION_CONFIRMER);
+  }
+
   private get status() {
     return this.container.resolve(ProxyToken.OWN_STATUS);
   }
@@ -257,12 +272,14 @@
       ProxyToken.POISON_SEGMENT_DETECTOR,
     );
     const reachableShare = this.container.resolve(ProxyToken.REACHABLE_SHARE);
+    const teamQuotas = this.container.resolve(ProxyToken.TEAM_QUOTAS);
     const streamOrigins = this.container.resolve(ProxyToken.STREAM_ORIGINS);
     const brittleServices = this.container.resolve(ProxyToken.BRITTLE_SERVICES);
     const publishedRateLimits = new PublishedRateLimits(directory);
     while (!signal.aborted) {
       this.status.publish();
       reachableShare.update();
+      teamQuotas.update();
       streamOrigins.updateVersions();
       brittleServices.setToldByPeers(clusterView.brittleServices());
       publishedRateLimits.apply(clusterView.peerRateLimits());
@@ -270,9 +287,14 @@
         directory.markLeaving({id, startedAt}, DepartureSource.REPORT);
       poisonSegmentDetector.update(readPeerCrashEvidence(clusterView));
       const holdings = clusterView.plannerHoldings();
+      const isPlanner = leadership.checkLeadership();
       for (const upstream of directory.all()) {
         upstream.peersInFlight = clusterView.peerRequestsInFlight(upstream.id);
-        if (leadership.checkLeadership()) continue;
+        upstream.domainPeersInFlight = clusterView.peerRequestsInFlight(
+          upstream.id,
+          this.dependencies.settings.failureDomain,
+        );
+        if (isPlanner) continue;
         const plannedHoldings = holdings.get(upstream.id);
         const isSameProcess =
           plannedHoldings?.upstreamStartedAt ===
--- a/packages/arbutustide-node/src/proxy/proxy_peer_handler.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_peer_handler.ts
@@ -1,9 +1,13 @@
 import type {
+  ConfirmConfigurationRequest,
+  ConfirmConfigurationResponseFields,
   ExchangeRequest,
   ExchangeResponse,
   FindStreamOriginRequest,
   FindStreamOriginResponseFields,
   HoldingRequest,
+  LeaseQuotaRequest,
+  LeaseQuotaResponseFields,
   PeerHandler,
   PromisedHolding,
   RecordStreamOriginsRequest,
@@ -109,6 +113,18 @@
     this.container.resolve(ProxyToken.STREAM_ORIGINS).handleRecords(request);
   }
 
+  confirmConfiguration({
+    version,
+  }: ConfirmConfigurationRequest): ConfirmConfigurationResponseFields {
+    return this.container
+      .resolve(ProxyToken.CONFIGURATION_CONFIRMER)
+      .answer(version);
+  }
+
+  leaseQuota(request: LeaseQuotaRequest): LeaseQuotaResponseFields {
+    return this.container.resolve(ProxyToken.TEAM_QUOTAS).handleClaims(request);
+  }
+
   findStreamOrigin(
     request: FindStreamOriginRequest,
   ): FindStreamOriginResponseFields {
--- a/packages/arbutustide-node/src/proxy/proxy_settings.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_settings.ts
@@ -14,12 +14,37 @@
   readonly excessFactor: number;
 }
 
+/** How revoked keys of teams take effect. */
+export interface RevocationSettings {
+  /**
+   * Whether a node refuses requests with keys while it cannot show that it
+   * knows of revocations.
+   */
+  readonly isClosed: boolean;
+  /** Time from a revocation until no new request with the key may run. */
+  readonly boundMilliseconds: number;
+}
+
+/** What teams may exceed their quotas by. */
+export interface QuotaRuleSettings {
+  readonly windowMilliseconds: number;
+  /** Share of a window's quota by which it may be exceeded. */
+  readonly overShare: number;
+  /** Tokens by which it may be exceeded besides. */
+  readonly slack: number;
+}
+
 /** Settings that a proxying node reads when it starts. */
 export interface ProxySettings {
   readonly nodeName: string;
   /** IP address at which peers reach this node. */
   readonly address: string;
   readonly failureDomain: string;
+  /**
+   * Price of the bytes that cross failure domains, as the share of a request's
+   * time by which it may be served later to save them; a default if absent.
+   */
+  readonly crossDomainPriceShare?: number;
   readonly region: string;
   readonly peerPort: number;
   /** IP addresses of nodes to join through; some may no longer exist. */
@@ -43,4 +68,7 @@
   readonly suspensionToleranceMilliseconds: number;
   readonly retry: RetryBudgetSettings;
   readonly loads: StoreLoadSettings;
+  readonly revocation: RevocationSettings;
+  /** Undefined to use that of the present deployments. */
+  readonly quotaRule?: QuotaRuleSettings;
 }
--- a/packages/arbutustide-node/src/proxy/proxy_tokens.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tokens.ts
@@ -13,9 +13,15 @@
   PoisonRequestDetector,
   PoisonSegmentDetector,
   ReachabilityMonitor,
+  RequestGate,
   TokenIssuer,
   UpstreamSignalsHandler,
 } from '@arbutustide/routing';
+import type {
+  Authenticator,
+  ConfigurationFreshness,
+  KeyTableCache,
+} from '@arbutustide/teams';
 import type {InjectionToken} from 'tsyringe';
 
 import type {NodeStatusPublisher} from '../node_status_publisher.js';
@@ -27,9 +33,11 @@
 import type {HoldingRequester} from './holding_requester.js';
 import type {ClusterRequestRelay} from './relay/cluster_request_relay.js';
 import type {RelayServer} from './relay/relay_server.js';
+import type {ClusterTeamQuotas} from './quotas/cluster_team_quotas.js';
 import type {ReachableShare} from './rate_limit/reachable_share.js';
 import type {TokenRequester} from './rate_limit/token_requester.js';
 import type {ClusterStreamOrigins} from './stream_origin/cluster_stream_origins.js';
+import type {ConfigurationConfirmer} from './teams/configuration_confirmer.js';
 import type {UpstreamWatcher} from './upstream_watcher.js';
 import type {RelayedObjectStore} from './watch_relay/relayed_object_store.js';
 
@@ -46,6 +54,13 @@
     'fleet.signalsHandler' as InjectionToken<UpstreamSignalsHandler>,
   DEMAND_COUNTER: 'fleet.counter' as InjectionToken<DemandCounter>,
   RETRY_BUDGETS: 'fleet.budgets' as InjectionToken<ServiceRetryBudgets>,
+  REQUEST_GATE: 'fleet.requestGate' as InjectionToken<RequestGate>,
+  AUTHENTICATOR: 'fleet.authenticator' as InjectionToken<Authenticator>,
+  CONFIGURATION_CONFIRMER:
+    'fleet.configurationConfirmer' as InjectionToken<ConfigurationConfirmer>,
+  CONFIGURATION_FRESHNESS:
+    'fleet.configurationFreshness' as InjectionToken<ConfigurationFreshness>,
+  KEY_TABLES: 'fleet.keyTables' as InjectionToken<KeyTableCache>,
   REQUEST_QUEUE: 'fleet.queue' as InjectionToken<SlotQueue>,
   DISPATCHER: 'fleet.dispatcher' as InjectionToken<ProxyDispatcher>,
   MEMBER_TABLE: 'fleet.memberTable' as InjectionToken<MemberTable>,
@@ -70,6 +85,7 @@
   REACHABLE_SHARE: 'fleet.reachableShare' as InjectionToken<ReachableShare>,
   TOKEN_ISSUER: 'fleet.tokenIssuer' as InjectionToken<TokenIssuer>,
   TOKEN_REQUESTER: 'fleet.tokenRequester' as InjectionToken<TokenRequester>,
+  TEAM_QUOTAS: 'fleet.teamQuotas' as InjectionToken<ClusterTeamQuotas>,
   STREAM_ORIGINS: 'fleet.streamOrigins' as InjectionToken<ClusterStreamOrigins>,
   HOLDING_REQUESTER: 'fleet.requester' as InjectionToken<HoldingRequester>,
 } as const;
--- a/packages/arbutustide-node/src/proxy/proxy_wiring.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_wiring.ts
@@ -33,7 +33,6 @@
 import {crashEvidenceFields} from './crash_evidence_fields.js';
 import {createSlotQueue} from './create_slot_queue.js';
 import {createPoisonSegmentDetector} from './create_poison_segment_detector.js';
-import {ConfigurationWatcher} from './configuration_watcher.js';
 import {ServiceRetryBudgets} from './service_retry_budgets.js';
 import {
   recordPlannerMetrics,
@@ -44,15 +43,21 @@
 import * as tuning from './proxy_tuning.js';
 import {lostUpstreamsFields} from './relay/lost_upstreams.js';
 import {registerRelay} from './relay/register_relay.js';
+import {recordPlacement} from './leaving_metrics.js';
 import {LeaseHolderProbe} from './lease_holder_probe.js';
 import {HoldingRequester} from './holding_requester.js';
 import {PlannerClient} from './planner_client.js';
+import {registerQuotas} from './quotas/register_quotas.js';
 import {registerRateLimits} from './rate_limit/register_rate_limits.js';
 import {registerStreamOrigins} from './stream_origin/register_stream_origins.js';
 import {rateLimitFields} from './rate_limit/published_rate_limits.js';
+import {registerTeams} from './teams/register_teams.js';
 import {createUpstreamSignalsHandler} from './upstream_signals_handler.js';
 import {UpstreamWatcher} from './upstream_watcher.js';
-import {chooseWatchRelays} from './watch_relay/choose_watch_relays.js';
+import {
+  chooseDistantWatchRelays,
+  chooseWatchRelays,
+} from './watch_relay/choose_watch_relays.js';
 import {RelayedObjectStore} from './watch_relay/relayed_object_store.js';
 
 /** Region in the lease's key; a single planner serves all regions. */
@@ -75,7 +80,9 @@
   registerMembership(register, dependencies, identity);
   registerCrashDetectors(register, dependencies, identity);
   registerRateLimits(register, dependencies, identity);
+  registerQuotas(register, dependencies, identity);
   registerStreamOrigins(register, dependencies, identity);
+  registerTeams(register, dependencies, identity);
   registerRelay(register, dependencies, identity);
   registerRouting(register, dependencies);
   registerLease(register, dependencies, identity);
@@ -86,29 +93,38 @@
 /** The object store, watched through a peer where that saves calls. */
 function createRelayedStore(
   container: DependencyContainer,
-  {settings, store, transport, logger}: ProxyDependencies,
+  {settings, store, transport, logger, configuration}: ProxyDependencies,
   {identity}: PeerIdentity,
 ): RelayedObjectStore {
   const {changeBoundMilliseconds} = settings;
   const canRelay =
     changeBoundMilliseconds >= tuning.MINIMUM_BOUND_TO_RELAY_MILLISECONDS;
+  const listUrls = (choose: typeof chooseWatchRelays) =>
+    canRelay
+      ? choose(
+          container.resolve(ProxyToken.CLUSTER_VIEW).nodes(),
+          identity,
+          settings.failureDomain,
+        ).map(({peerUrl}) => peerUrl)
+      : [];
   return new RelayedObjectStore(
     store,
     transport,
     {
-      listRelayUrls: () =>
-        canRelay
-          ? chooseWatchRelays(
-              container.resolve(ProxyToken.CLUSTER_VIEW).nodes(),
-              identity,
-              settings.failureDomain,
-            ).map(({peerUrl}) => peerUrl)
-          : [],
+      listRelayUrls: () => listUrls(chooseWatchRelays),
+      listDistantRelayUrls: () => listUrls(chooseDistantWatchRelays),
+      startGraceMilliseconds: canRelay
+        ? tuning.RELAY_START_GRACE_MILLISECONDS
+        : 0,
       relayWaitMilliseconds: Math.round(
         changeBoundMilliseconds * tuning.RELAY_WAIT_SHARE,
       ),
       maximumAgeMilliseconds:
         changeBoundMilliseconds * tuning.RELAY_MAXIMUM_AGE_SHARE,
+      redact: object =>
+        object.key.startsWith(configuration.prefix)
+          ? {...object, value: configuration.redact(object.value)}
+          : object,
     },
     logger,
   );
@@ -144,14 +160,6 @@
   register(ProxyToken.RELAYED_STORE, container =>
     createRelayedStore(container, dependencies, identity),
   );
-  register(
-    ProxyToken.CONFIGURATION_WATCHER,
-    container =>
-      new ConfigurationWatcher({
-        ...dependencies,
-        store: container.resolve(ProxyToken.RELAYED_STORE),
-      }),
-  );
   register(
     ProxyToken.UPSTREAM_WATCHER,
     container =>
@@ -279,6 +287,12 @@
       onDecision: decision => {
         logger.info(decision, 'request');
         recordRequestMetrics(decision, metrics);
+        recordPlacement(
+          decision,
+          metrics,
+          container.resolve(ProxyToken.UPSTREAM_DIRECTORY),
+          settings.failureDomain,
+        );
       },
       poisonRequestDetector: container.resolve(
         ProxyToken.POISON_REQUEST_DETECTOR,
@@ -287,6 +301,7 @@
         ProxyToken.POISON_SEGMENT_DETECTOR,
       ),
       streamOrigins: container.resolve(ProxyToken.STREAM_ORIGINS),
+      gate: container.resolve(ProxyToken.REQUEST_GATE),
     });
   });
 }
--- a/packages/arbutustide-node/src/proxy/relay/register_relay.ts
+++ b/packages/arbutustide-node/src/proxy/relay/register_relay.ts
@@ -16,6 +16,7 @@
 import {ClusterRequestRelay} from './cluster_request_relay.js';
 import {mayReachAny} from './lost_upstreams.js';
 import {RelayServer} from './relay_server.js';
+import {understands} from './understands.js';
 
 /** Registers what finds out about lost paths and passes requests on. */
 export function registerRelay(
@@ -102,14 +103,15 @@
   return clusterView
     .readyNodes()
     .filter(
-      ({identity}) =>
-        identity !== ownIdentity &&
+      node =>
+        node.identity !== ownIdentity &&
+        understands(node, progress.request) &&
         mayReachAny(
           clusterView,
-          identity,
+          node.identity,
           service,
           upstreams.filter(upstream =>
-            brittleUpstreams.maySend(upstream, brittleTerms, identity),
+            brittleUpstreams.maySend(upstream, brittleTerms, node.identity),
           ),
         ),
     )
--- a/packages/arbutustide-node/src/proxy/watch_relay/relayed_object_store.ts
+++ b/packages/arbutustide-node/src/proxy/watch_relay/relayed_object_store.ts
@@ -7,14 +7,16 @@
   ObjectStore,
   StoredList,
   StoredObject,
+  StoreError,
   StoreResult,
   WatchBatch,
 } from '@arbutustide/object-store';
 import type {NodeLogger} from '@arbutustide/telemetry';
 import type {Result} from 'ts-results';
 
+import {delay} from '@arbutustide/errors';
 import {PeerError, WatchRequestSchema} from '@arbutustide/membership';
-import {mergeBatches} from '@arbutustide/object-store';
+import {mergeBatches, StoreErrorKind} from '@arbutustide/object-store';
 import {create} from '@bufbuild/protobuf';
 import {Err, Ok} from 'ts-results';
 import {z} from 'zod';
@@ -38,10 +40,28 @@
   }),
 );
 
+/**
+ * Time for which the store is not watched after it has turned a watch away, if a
+ * peer of another failure domain can serve it; doubles with each refusal.
+ */
+const STORE_RETRY_MILLISECONDS = 500;
+const MAXIMUM_STORE_RETRY_MILLISECONDS = 2_000;
+const PEER_CHECK_MILLISECONDS = 100;
+
 /** Settings of a relayed store. */
 export interface RelayedObjectStoreOptions {
   /** URLs of the peers to watch through, best first; empty to watch alone. */
   readonly listRelayUrls: () => readonly string[];
+  /**
+   * URLs of peers in other failure domains that watch the store, best first. They
+   * are used while the store does not serve this node.
+   */
+  readonly listDistantRelayUrls: () => readonly string[];
+  /**
+   * Time after the start for which this node waits for a relay before it watches
+   * the store itself: it does not know its peers yet. None if absent.
+   */
+  readonly startGraceMilliseconds?: number;
   /** Time for which a relay may hold a watch open without changes. */
   readonly relayWaitMilliseconds: number;
   /**
@@ -49,6 +69,8 @@
    * The relay is then cut off from the store, or the store does not answer.
    */
   readonly maximumAgeMilliseconds: number;
+  /** Removes from an object what must not pass between nodes. */
+  readonly redact: (object: StoredObject) => StoredObject;
 }
 
 /**
@@ -60,13 +82,19 @@
 export class RelayedObjectStore implements ObjectStore {
   private readonly logs = new Map<string, WatchLog>();
   private readonly avoidedUntilMilliseconds = new Map<string, number>();
+  private storeRetryMilliseconds = 0;
+  private readonly graceEndMilliseconds: number;
+  private storeAvoidedUntilMilliseconds = -Infinity;
 
   constructor(
     private readonly store: ObjectStore,
     private readonly transport: PeerTransport,
     private readonly options: RelayedObjectStoreOptions,
     private readonly logger: NodeLogger,
-  ) {}
+  ) {
+    this.graceEndMilliseconds =
+      performance.now() + (options.startGraceMilliseconds ?? 0);
+  }
 
   get eraStartVersion(): number {
     return this.store.eraStartVersion;
@@ -102,15 +130,28 @@
     prefix: string,
     afterVersion: number,
     signal: AbortSignal,
+    waitMilliseconds?: number,
   ): StoreResult<WatchBatch> {
-    const relayUrl = this.findUsableRelay();
-    if (relayUrl !== undefined) {
-      const relayed = await this.watchThrough(relayUrl, prefix, afterVersion);
-      if (!relayed.ok) this.avoid(relayUrl, prefix, relayed.val);
-      else if (relayed.val) return Ok(relayed.val);
-    }
-    const batch = await this.store.watch(prefix, afterVersion, signal);
-    if (batch.ok) this.logOf(prefix).append(batch.val, 0);
+    const {listRelayUrls, listDistantRelayUrls} = this.options;
+    await this.waitForPeers(signal);
+    const relayed =
+      (await this.watchThroughOne(listRelayUrls(), prefix, afterVersion)) ??
+      (performance.now() < this.storeAvoidedUntilMilliseconds
+        ? await this.watchThroughOne(
+            listDistantRelayUrls(),
+            prefix,
+            afterVersion,
+          )
+        : undefined);
+    if (relayed) return Ok(relayed);
+    const batch = await this.store.watch(
+      prefix,
+      afterVersion,
+      signal,
+      waitMilliseconds,
+    );
+    this.recordStoreResponse(batch);
+    if (batch.ok) this.appendToLog(prefix, batch.val, 0);
     return batch;
   }
 
@@ -162,15 +203,49 @@
     // An answer without changes confirms the time at which it was sent.
     const elapsed = performance.now() - sentAt;
     const age = Math.min(ageMilliseconds + elapsed, maximumAgeMilliseconds);
-    this.logOf(prefix).append(batch, age);
+    this.appendToLog(prefix, batch, age);
     return Ok(batch);
   }
 
-  private findUsableRelay(): string | undefined {
+  private async waitForPeers(signal: AbortSignal): Promise<void> {
+    while (
+      performance.now() < this.graceEndMilliseconds &&
+      this.options.listRelayUrls().length === 0
+    )
+      if (!(await delay(PEER_CHECK_MILLISECONDS, signal))) return;
+  }
+
+  /** Watches through the first relay that is usable; undefined if it fails. */
+  private async watchThroughOne(
+    relayUrls: readonly string[],
+    prefix: string,
+    afterVersion: number,
+  ): Promise<WatchBatch | undefined> {
     const now = performance.now();
-    return this.options
-      .listRelayUrls()
-      .find(url => now >= (this.avoidedUntilMilliseconds.get(url) ?? 0));
+    const relayUrl = relayUrls.find(
+      url => now >= (this.avoidedUntilMilliseconds.get(url) ?? 0),
+    );
+    if (relayUrl === undefined) return undefined;
+    const relayed = await this.watchThrough(relayUrl, prefix, afterVersion);
+    if (!relayed.ok) {
+      this.avoid(relayUrl, prefix, relayed.val);
+      return undefined;
+    }
+    return relayed.val && {...relayed.val, isRelayed: true};
+  }
+
+  /** Avoids a store that turns watches away for a time that doubles. */
+  private recordStoreResponse(response: Result<WatchBatch, StoreError>): void {
+    if (response.ok || response.val.kind === StoreErrorKind.HISTORY_GONE) {
+      this.storeRetryMilliseconds = 0;
+      return;
+    }
+    this.storeRetryMilliseconds = Math.min(
+      MAXIMUM_STORE_RETRY_MILLISECONDS,
+      this.storeRetryMilliseconds * 2 || STORE_RETRY_MILLISECONDS,
+    );
+    this.storeAvoidedUntilMilliseconds =
+      performance.now() + this.storeRetryMilliseconds;
   }
 
   private avoid(relayUrl: string, prefix: string, error: PeerError): void {
@@ -185,6 +260,11 @@
     );
   }
 
+  private appendToLog(prefix: string, batch: WatchBatch, age: number): void {
+    const changes = batch.changes.map(this.options.redact);
+    this.logOf(prefix).append({...batch, changes}, age);
+  }
+
   private logOf(prefix: string): WatchLog {
     const existing = this.logs.get(prefix);
     if (existing) return existing;
--- a/packages/arbutustide-object-store/src/prefix_watcher.ts
+++ b/packages/arbutustide-object-store/src/prefix_watcher.ts
@@ -1,6 +1,10 @@
+import type {ClockReading} from '@arbutustide/errors';
+
 import type {ObjectStore, StoredObject} from './object_store.js';
 import type {StoreError} from './store_error.js';
 
+import {readClocks} from '@arbutustide/errors';
+
 import {StoreErrorKind} from './store_error.js';
 
 /** Receives the objects under a prefix and their changes. */
@@ -22,6 +26,11 @@
    * with what changed.
    */
   onRecovered(silentMilliseconds: number): void;
+  /**
+   * The store had exactly the objects that were reported so far at this time
+   * or later: it is when the call was sent whose result the store itself gave.
+   */
+  onConfirmed?(sentAt: ClockReading): void;
 }
 
 /** Options of a PrefixWatcher. */
@@ -29,8 +38,13 @@
   readonly prefix: string;
   /** Pause after each batch of changes, so that a series needs fewer calls. */
   readonly pauseMilliseconds: number;
-  /** Pause after a failed call. */
+  /**
+   * Pause after a failed call. It doubles with each further failure, up to
+   * `MAXIMUM_RETRY_FACTOR` times, as refused calls have a cost too.
+   */
   readonly retryDelayMilliseconds: number;
+  /** Time to hold a watch open, if the store's usual one is too long. */
+  readonly watchMilliseconds?: () => number | undefined;
   /** Waits for the time, or returns early when the signal is aborted. */
   readonly pause: (
     milliseconds: number,
@@ -38,6 +52,8 @@
   ) => Promise<unknown>;
 }
 
+const MAXIMUM_RETRY_FACTOR = 4;
+
 /**
  * Keeps a listener up to date with the objects under a prefix: lists them,
  * watches for changes after the list's version, and lists again when the store
@@ -47,6 +63,7 @@
   private watchedVersion: number | undefined;
   private listedEraStartVersion: number | undefined;
   private unavailableSinceMilliseconds: number | undefined;
+  private retryFactor = 1;
   private lastResponseAtMilliseconds = -Infinity;
 
   constructor(
@@ -73,11 +90,14 @@
         continue;
       }
       this.recordUnavailable(error);
-      await this.options.pause(this.options.retryDelayMilliseconds, signal);
+      const {retryDelayMilliseconds, pause} = this.options;
+      await pause(retryDelayMilliseconds * this.retryFactor, signal);
+      this.retryFactor = Math.min(MAXIMUM_RETRY_FACTOR, this.retryFactor * 2);
     }
   }
 
   private async list(): Promise<StoreError | undefined> {
+    const sentAt = readClocks();
     const listed = await this.store.list(this.options.prefix);
     if (!listed.ok) return listed.val;
     this.recordResponse();
@@ -85,6 +105,7 @@
     this.watchedVersion = version;
     this.recordEra();
     this.listener.onList(objects, version);
+    this.listener.onConfirmed?.(sentAt);
     return undefined;
   }
 
@@ -92,17 +113,20 @@
     afterVersion: number,
     signal: AbortSignal,
   ): Promise<StoreError | undefined> {
+    const sentAt = readClocks();
     const batch = await this.store.watch(
       this.options.prefix,
       afterVersion,
       signal,
+      this.options.watchMilliseconds?.(),
     );
     if (!batch.ok) return batch.val;
     this.recordResponse();
-    const {changes, deletedKeys, version} = batch.val;
+    const {changes, deletedKeys, version, isRelayed} = batch.val;
     this.watchedVersion = Math.max(afterVersion, version);
     for (const object of changes) this.listener.onChange(object);
     for (const key of deletedKeys) this.listener.onDelete(key);
+    if (!isRelayed) this.listener.onConfirmed?.(sentAt);
     const {pauseMilliseconds, pause} = this.options;
     if (pauseMilliseconds > 0) await pause(pauseMilliseconds, signal);
     return undefined;
@@ -119,6 +143,7 @@
   private recordResponse(): void {
     const now = performance.now();
     this.lastResponseAtMilliseconds = now;
+    this.retryFactor = 1;
     if (this.unavailableSinceMilliseconds === undefined) return;
     const unavailableMilliseconds = now - this.unavailableSinceMilliseconds;
     this.unavailableSinceMilliseconds = undefined;
--- a/packages/arbutustide-placement/src/engines/engine_planner.ts
+++ b/packages/arbutustide-placement/src/engines/engine_planner.ts
@@ -11,7 +11,7 @@
 } from './engine_planner_environment.js';
 import type {ModelMove, ModelPlanSettings, PlannedModel} from './model_plan.js';
 
-import {delay} from '@arbutustide/errors';
+import {delay, SuspensionDetector} from '@arbutustide/errors';
 import {OrderKind} from '@arbutustide/upstream';
 
 import {DemandTracker} from '../demand_tracker.js';
@@ -25,8 +25,8 @@
 } from './load_estimates.js';
 import {PlannerStep} from './engine_planner_environment.js';
 import {planModelMoves} from './model_plan.js';
+import {STANDBY_MILLISECONDS, STORE_RATE_SHARE} from './planner_constants.js';
 import {OrderSender} from './order_sender.js';
-import {SuspensionDetector} from './suspension_detector.js';
 
 /** Settings of the planner. */
 export interface EnginePlannerSettings
@@ -55,9 +55,6 @@
   readonly storeLoadBurst: number;
 }
 
-/** Used fraction of the weight store's rate; the rest is for late orders. */
-const STORE_RATE_SHARE = 0.95;
-
 /**
  * Decides which models and adapters each engine holds, and sends the orders,
  * while this node is the planner. After a change of leadership it sends no
@@ -118,8 +115,12 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.syncLeaseState();
-      if (this.heldEpoch !== undefined) await this.runPass(this.heldEpoch);
-      await delay(this.settings.planningIntervalMilliseconds, signal);
+      let pause = STANDBY_MILLISECONDS;
+      if (this.heldEpoch !== undefined) {
+        pause = this.settings.planningIntervalMilliseconds;
+        await this.runPass(this.heldEpoch);
+      }
+      await delay(pause, signal);
     }
   }
 
--- a/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
@@ -26,6 +26,7 @@
 } from '../../proxy/choose_upstream.js';
 import {ProxyDispatcher} from '../../proxy/proxy_dispatcher.js';
 import {NO_RELAY} from '../../proxy/relay/request_relay.js';
+import {OPEN_GATE} from '../../proxy/request_gate.js';
 import {SlotQueue} from '../../proxy/slot_queue.js';
 import type {RequestKind} from '../../proxy/route.js';
 import {UpstreamState} from '../../proxy/proxy_upstream.js';
@@ -123,10 +124,11 @@
   onDecision: (decision: RequestDecision) => void,
   streamOrigins = NO_ORIGINS,
   relay = NO_RELAY,
+  gate = OPEN_GATE,
 ): ProxyDispatcher {
   const settings = {
     ownFailureDomain: 'near',
-    crossDomainShare: 0.1,
+    priceShare: 0.1,
     fullShare: 1,
     random: () => 0,
   };
@@ -176,6 +178,7 @@
     },
     onDecision,
     streamOrigins,
+    gate,
     poisonRequestDetector: new PoisonRequestDetector(
       10_000,
       {crashes: () => 0, runsOtherSuspects: () => false},
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -51,6 +51,12 @@
 } from './proxy/crash_attribution/upstream_crash.js';
 export type {UpstreamProcess} from './proxy/departed_upstreams.js';
 export type {RequestDecision} from './proxy/request_decision.js';
+export type {GateAdmission, RequestGate} from './proxy/request_gate.js';
+export type {
+  LeavingDecision,
+  LeavingInput,
+} from './proxy/balance/leaving_the_domain.js';
+export type {PickSettings} from './proxy/balance/pick_upstream.js';
 export type {ProxyDispatcherOptions} from './proxy/proxy_dispatcher.js';
 export type {RoutedRequestProgress} from './proxy/routed_request_progress.js';
 export type {ClusterRetryBudgetSettings} from './proxy/cluster_retry_budget.js';
@@ -59,6 +65,10 @@
   UpstreamDescription,
   UpstreamLoad,
 } from './proxy/proxy_upstream.js';
+export type {
+  ExpectedWaitInputs,
+  WaitingEntry,
+} from './proxy/queue/expected_wait.js';
 export type {UpstreamSlot, SlotQueueOptions} from './proxy/slot_queue.js';
 export type {
   CallerLimits,
@@ -69,6 +79,8 @@
   RouteTarget,
   ServiceDescription,
   ServingConfiguration,
+  TeamDescription,
+  TeamQuota,
 } from './proxy/route.js';
 export type {RateLimitObservation} from './proxy/rate_limit/rate_limit_observation.js';
 export type {
@@ -85,6 +97,7 @@
 export type {
   ModelRequest,
   PromptSegment,
+  RequestTeam,
   RoutedRequest,
 } from './proxy/routed_request.js';
 export type {ClusterDemand} from './cluster_share.js';
@@ -137,15 +150,27 @@
 } from './proxy/routed_request_progress.js';
 export {TokenIssuer} from './proxy/rate_limit/token_issuer.js';
 export {RecentVersions} from './proxy/stream_origin/recent_versions.js';
-export {resolveOrigin} from './proxy/stream_origin/stream_origin.js';
+export {
+  OriginKnowledge,
+  resolveOrigin,
+} from './proxy/stream_origin/stream_origin.js';
 export {StreamOriginRegistry} from './proxy/stream_origin/stream_origin_registry.js';
 export {ClusterRetryBudget} from './proxy/cluster_retry_budget.js';
 export {ReachabilityMonitor} from './proxy/reachability/reachability_monitor.js';
 export {ReachabilityChange} from './proxy/reachability/service_reachability.js';
 export {ProxyUpstream, UpstreamState} from './proxy/proxy_upstream.js';
 export {EventSequencer} from './proxy/event_sequencer.js';
+export {CompetingRequests} from './proxy/queue/competing_requests.js';
+export {EarlyRefusal} from './proxy/queue/early_refusal.js';
+export {expectedWaitMilliseconds} from './proxy/queue/expected_wait.js';
+export {HoldBack} from './proxy/queue/hold_back.js';
+export {Standing} from './proxy/queue/queue_position.js';
+export {ServiceOrder} from './proxy/queue/service_order.js';
+export {SlotHoldTimes} from './proxy/queue/slot_hold_times.js';
 export {SlotQueue} from './proxy/slot_queue.js';
-export {isRepeatable, RequestKind} from './proxy/route.js';
+export {OPEN_GATE} from './proxy/request_gate.js';
+export {isRepeatable, QuotaUnit, RequestKind} from './proxy/route.js';
+export {effectivePriority} from './proxy/routed_request.js';
 export {pickTarget, RouteTable} from './proxy/route_table.js';
 export {clusterShare} from './cluster_share.js';
 export {MovingAverage} from './moving_average.js';
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -5,6 +5,7 @@
 import type {AttemptResult} from './run_attempt.js';
 import type {ProxyAnswer} from './proxy_answer.js';
 import type {RequestDecision} from './request_decision.js';
+import type {RequestGate} from './request_gate.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
 import type {RelayedProgress, RequestRelay} from './relay/request_relay.js';
 import type {SlotQueue} from './slot_queue.js';
@@ -12,7 +13,7 @@
 import type {StreamOrigins} from './stream_origin/stream_origin.js';
 import type {UpstreamTargetOptions} from './upstream_target.js';
 
-import {Cancellation, ErrorKind} from '@arbutustide/errors';
+import {Cancellation, ErrorKind, ExecutionStatus} from '@arbutustide/errors';
 import {Err, Ok} from 'ts-results';
 
 import {AnswerEnd} from '../caller_request.js';
@@ -25,8 +26,8 @@
   cancelledRefusal,
   CancelReason,
   failedAttemptRefusal,
-  refusalOfPeer,
   unknownOriginRefusal,
+  withRanSoFar,
 } from './proxy_refusals.js';
 import {ProxyEventStream} from './proxy_event_stream.js';
 import {isRepeatable} from './route.js';
@@ -45,8 +46,16 @@
   readonly relay: RequestRelay;
   readonly onDecision: (decision: RequestDecision) => void;
   readonly streamOrigins: StreamOrigins;
+  readonly gate: RequestGate;
 }
 
+/**
+ * A request that was queued for longer takes its team's quota again: requests
+ * that were admitted over a long time and run together would exceed the quota of
+ * a window by the rate times their wait.
+ */
+const QUOTA_VALID_MILLISECONDS = 500;
+
 type AnswerOrRefusal = Promise<Result<ProxyAnswer, RefusalError>>;
 type AttemptOrRefusal = Promise<Result<AttemptResult, RefusalError>>;
 
@@ -99,10 +108,10 @@
       return Err(refusal);
     }
     const stopCancellation = cancelOnDisconnectOrDeadline(progress);
-    const originRefusal = await this.resolveOrigin(progress);
-    const attempt = originRefusal
-      ? Err(originRefusal)
-      : await this.attemptUntilAnswered(progress, relayed?.resumeAfterEventId);
+    const attempt = await this.admitAndAttempt(
+      progress,
+      relayed?.resumeAfterEventId,
+    );
     const isOver = !attempt.ok || attempt.val.body !== undefined;
     if (isOver) stopCancellation();
     if (!attempt.ok) {
@@ -112,6 +121,38 @@
     return Ok(this.createAnswer(progress, attempt.val, stopCancellation));
   }
 
+  /**
+   * Admits the request, unless a peer has done so, and attempts it. What it
+   * took of its team's quota is given back if it has certainly not run.
+   */
+  private async admitAndAttempt(
+    progress: RoutedRequestProgress,
+    resumeAfterEventId: number | undefined,
+  ): AttemptOrRefusal {
+    const originRefusal = await this.resolveOrigin(progress);
+    if (originRefusal) return Err(originRefusal);
+    const quotaRefusal = progress.isRelayed
+      ? undefined
+      : await this.takeQuota(progress);
+    if (quotaRefusal) return Err(quotaRefusal);
+    const attempt = await this.attemptUntilAnswered(
+      progress,
+      resumeAfterEventId,
+    );
+    if (!attempt.ok && ranSoFar(progress) === ExecutionStatus.NOT_EXECUTED)
+      progress.admission?.giveBack();
+    return attempt;
+  }
+
+  private async takeQuota(
+    progress: RoutedRequestProgress,
+  ): Promise<RefusalError | undefined> {
+    const admitted = await this.options.gate.admit(progress.request);
+    if (!admitted.ok) return admitted.val;
+    progress.admission = admitted.val;
+    return undefined;
+  }
+
   /**
    * Finds where the stream began that the request resumes. Returns a refusal if
    * it cannot be known: the stream must not go on at another version.
@@ -128,7 +169,7 @@
     ]);
     if (!resolved) return cancelledRefusal(progress);
     if (resolved.knowledge === OriginKnowledge.UNKNOWN)
-      return unknownOriginRefusal(request);
+      return unknownOriginRefusal(request, resolved.reason);
     if (resolved.knowledge === OriginKnowledge.KNOWN)
       progress.origin = resolved.origin;
     return undefined;
@@ -151,6 +192,17 @@
         slot.val.release();
         return Err(quarantineRefusal(ranSoFar(progress)));
       }
+      const isQuotaStale =
+        progress.admission !== undefined &&
+        progress.attempts === 0 &&
+        slot.val.waitedMilliseconds > QUOTA_VALID_MILLISECONDS;
+      const gateRefusal =
+        (isQuotaStale ? await this.takeQuota(progress) : undefined) ??
+        this.options.gate.check(progress.request);
+      if (gateRefusal) {
+        slot.val.release();
+        return Err(withRanSoFar(progress, gateRefusal));
+      }
       this.decisions.recordSlotTaken(progress, slot.val);
       const attempt = await this.makeAttempt(
         progress,
@@ -165,7 +217,7 @@
           this.tryConsumeRetry(progress, mayHaveRun(attempt.outcome)),
       };
       const {finalRefusal} = attempt.slot.target;
-      if (finalRefusal) return Err(refusalOfPeer(progress, finalRefusal));
+      if (finalRefusal) return Err(withRanSoFar(progress, finalRefusal));
       if (isRetryAllowed(progress, attempt.outcome, budget)) continue;
       if (lastFailure?.body) return Ok(lastFailure);
       return Err(failedAttemptRefusal(progress, attempt));
--- a/packages/arbutustide-routing/src/proxy/proxy_refusals.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_refusals.ts
@@ -6,6 +6,7 @@
 import {AttemptFailure} from '@arbutustide/upstream';
 
 import {ranSoFar} from './routed_request_progress.js';
+import {UnknownOriginReason} from './stream_origin/stream_origin.js';
 
 /** Why this node aborted a request. */
 export enum CancelReason {
@@ -20,6 +21,7 @@
   [AttemptFailure.NOT_CONNECTED]: ErrorKind.UPSTREAM_UNREACHABLE,
   [AttemptFailure.CONNECTION_LOST]: ErrorKind.UPSTREAM_BROKEN,
   [AttemptFailure.INACTIVITY_TIMEOUT]: ErrorKind.UPSTREAM_TIMED_OUT,
+  [AttemptFailure.NOT_SENT]: ErrorKind.DEADLINE_UNREACHABLE,
   [AttemptFailure.CANCELLED]: ErrorKind.UPSTREAM_TIMED_OUT,
   [AttemptFailure.PROTOCOL_VIOLATION]: ErrorKind.ANSWER_INCOMPLETE,
 };
@@ -48,10 +50,10 @@
 }
 
 /**
- * Passes on the refusal of a peer. "Not run" of the peer holds for its own
- * attempts; an earlier one may have run.
+ * The refusal of a peer or of the gate, as the caller may see it: its "not run"
+ * holds for the latest attempt only, and an earlier one may have run.
  */
-export function refusalOfPeer(
+export function withRanSoFar(
   {mayHaveRun}: RoutedRequestProgress,
   refusal: RefusalError,
 ): RefusalError {
@@ -73,10 +75,21 @@
   return new RefusalError(kind, message, {ran: ExecutionStatus.NOT_EXECUTED});
 }
 
+const UNKNOWN_ORIGIN_TEXT: Readonly<Record<UnknownOriginReason, string>> = {
+  [UnknownOriginReason.SEVERAL_VERSIONS]:
+    'its upstreams have or had several software versions, and it is unknown at which the stream began',
+  [UnknownOriginReason.UNCONFIRMED_VERSIONS]:
+    'the software versions at which the stream may have begun cannot be read now',
+  [UnknownOriginReason.OTHER_SERVICE]: 'the stream began at another service',
+};
+
 /** Refuses to resume a stream that may have begun at another version. */
-export function unknownOriginRefusal({service}: RoutedRequest): RefusalError {
+export function unknownOriginRefusal(
+  {service}: RoutedRequest,
+  reason: UnknownOriginReason,
+): RefusalError {
   return new RefusalError(
     ErrorKind.STREAM_NOT_RESUMABLE,
-    `the upstreams of ${service} have several software versions, and it is unknown at which the stream began`,
+    `${service} cannot resume the stream: ${UNKNOWN_ORIGIN_TEXT[reason]}`,
   );
 }
--- a/packages/arbutustide-routing/src/proxy/slot_queue.ts
+++ b/packages/arbutustide-routing/src/proxy/slot_queue.ts
@@ -4,16 +4,32 @@
 import type {UpstreamChoice} from './choose_upstream.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
 import type {ProxyUpstream} from './proxy_upstream.js';
+import type {QueuePosition} from './queue/queue_position.js';
+import type {ServiceOrder} from './queue/service_order.js';
+import type {Queued} from './queue/team_shares.js';
+import type {
+  EarlyRefusal,
+  Prospect,
+  WaitingRequest,
+} from './queue/early_refusal.js';
 import type {RoutedRequest} from './routed_request.js';
+import type {RefusalError} from '@arbutustide/errors';
 
-import {ErrorKind, RefusalError} from '@arbutustide/errors';
 import {Err, Ok} from 'ts-results';
 
 import {NoUpstreamReason} from './choose_upstream.js';
 import {
-  ranSoFar,
-  remainingQueueMilliseconds,
-} from './routed_request_progress.js';
+  hasEarlierRequest,
+  insertInOrder,
+  insertionIndex,
+  requirementKey,
+} from './queue/queue_order.js';
+import {findPosition, Standing} from './queue/queue_position.js';
+import {
+  createNoSlotRefusal,
+  createStoppingRefusal,
+} from './queue/slot_refusals.js';
+import {remainingQueueMilliseconds} from './routed_request_progress.js';
 
 /** Notified of each request's state in the queue. */
 export interface SlotQueueObserver {
@@ -42,6 +58,16 @@
   /** Called when no upstream holds the model or adapter of a request. */
   readonly onNotHeld: (progress: RoutedRequestProgress) => void;
   readonly observer: SlotQueueObserver;
+  /** Undefined to serve by priority and then deadline. */
+  readonly order?: ServiceOrder;
+  /** Undefined to let requests wait for as long as their callers do. */
+  readonly earlyRefusal?: EarlyRefusal;
+  /** Called when a request that an upstream accepted returns its slot. */
+  readonly onSlotReturned?: (
+    request: RoutedRequest,
+    heldMilliseconds: number,
+    upstream: ProxyUpstream,
+  ) => void;
 }
 
 /** A reserved slot: permits one request in flight at an upstream. */
@@ -59,17 +85,21 @@
 interface Waiter {
   readonly progress: RoutedRequestProgress;
   readonly queuedAtMilliseconds: number;
+  /** Undefined if its wait does not depend on slots that come free. */
+  readonly prospect: Prospect | undefined;
   readonly settle: (result: SlotResult) => void;
 }
 
-/** Retry-after of a refusal when the wait cannot be predicted. */
-const DEFAULT_RETRY_AFTER_MILLISECONDS = 1_000;
+/** Requests with the same requirements that found no slot in a scan. */
+interface BlockedRequests {
+  count: number;
+  readonly reason: NoUpstreamReason;
+}
 
 /**
- * Queue of requests that wait for a slot at an upstream, ordered by priority and
- * then deadline. It absorbs bursts and lost upstreams. Requests queue here and
- * not at the upstreams, because here a refusal can still state that the request
- * did not run.
+ * Queue of requests that wait for a slot at an upstream. It absorbs bursts and
+ * lost upstreams. Requests queue here and not at the upstreams, because here a
+ * refusal can still state that the request did not run.
  */
 export class SlotQueue {
   private readonly waiters: Waiter[] = [];
@@ -83,27 +113,25 @@
     const {chooseUpstream: choose, observer, onNotHeld} = this.options;
     observer.recordQueued(progress.request);
     const choice = choose(progress);
-    if (!isNoUpstreamReason(choice)) {
+    if (!isNoUpstreamReason(choice) && !this.hasEarlierWaiter(progress)) {
+      this.options.order?.recordServed(progress, false);
       return Ok(this.takeSlot(progress, choice, performance.now()));
     }
     if (choice === NoUpstreamReason.NOT_HELD) onNotHeld(progress);
-    const refused = this.refuseIfHopeless(
-      progress,
-      choice,
-      this.countAhead(progress),
-    );
-    const result = refused
-      ? Err(refused)
-      : await this.enqueue(progress, choice);
-    if (!result.ok) observer.recordEnded(progress.request, false);
+    const result = isNoUpstreamReason(choice)
+      ? await this.enqueueOrRefuse(progress, choice)
+      : await this.enqueueForScan(progress);
+    if (!result.ok) {
+      this.options.order?.recordRefused(progress);
+      observer.recordEnded(progress.request, false);
+    }
     return result;
   }
 
   /** Whether this node has no path to any upstream that could take it. */
   isUnreachable(progress: RoutedRequestProgress): boolean {
-    return (
-      this.options.chooseUpstream(progress) === NoUpstreamReason.UNREACHABLE
-    );
+    const choice = this.options.chooseUpstream(progress);
+    return choice === NoUpstreamReason.UNREACHABLE;
   }
 
   /** Whether an upstream could take the request now. */
@@ -146,36 +174,54 @@
   }
 
   /**
-   * Gives free slots to the queued requests in order. Of the requests with the
-   * same requirements only the first looks for a slot; those behind it count
-   * as waiting. Retries look themselves, as they exclude the tried upstreams.
+   * Gives free slots to the queued requests in order. Of those with the same
+   * requirements only the first looks for a slot. Retries look themselves, as
+   * they exclude the tried upstreams.
    */
   private scanWaiters(): void {
-    const waiting = new Map<string, number>();
-    for (const waiter of [...this.waiters]) {
-      const {progress, queuedAtMilliseconds} = waiter;
+    const blocked = new Map<string, BlockedRequests>();
+    const arranged = this.arrange();
+    for (const waiter of arranged) {
+      const {progress} = waiter;
       const requirement = requirementKey(progress);
-      const ahead = waiting.get(requirement) ?? 0;
-      const isFirst = ahead === 0 || progress.triedUpstreams.size > 0;
+      const before = blocked.get(requirement);
+      const isRetry = progress.triedUpstreams.size > 0;
+      const isFirst = !before || isRetry;
       const choice = isFirst
         ? this.options.chooseUpstream(progress)
-        : NoUpstreamReason.FULL;
+        : before.reason;
       if (!isNoUpstreamReason(choice)) {
-        this.removeWaiter(waiter);
-        waiter.settle(
-          Ok(this.takeSlot(progress, choice, queuedAtMilliseconds)),
-        );
+        this.giveSlot(waiter, choice);
         continue;
       }
-      if (choice === NoUpstreamReason.NOT_HELD)
+      if (isFirst && choice === NoUpstreamReason.NOT_HELD)
         this.options.onNotHeld(progress);
-      waiting.set(requirement, ahead + 1);
-      const refused = isFirst && this.refuseIfHopeless(progress, choice, ahead);
-      if (!refused) continue;
-      this.removeWaiter(waiter);
-      waiter.settle(Err(refused));
-      waiting.set(requirement, ahead);
+      const refused =
+        (isFirst
+          ? this.refuseIfHopeless(progress, choice, before?.count ?? 0)
+          : undefined) ?? this.reassess(waiter, choice, arranged);
+      if (refused) {
+        this.removeWaiter(waiter);
+        waiter.settle(Err(refused));
+        continue;
+      }
+      if (before) before.count += 1;
+      else if (!isRetry) blocked.set(requirement, {count: 1, reason: choice});
     }
+    if (this.waiters.length === 0) this.options.order?.recordEmpty();
+  }
+
+  private giveSlot(waiter: Waiter, upstream: ProxyUpstream): void {
+    const {progress, queuedAtMilliseconds} = waiter;
+    this.removeWaiter(waiter);
+    this.options.order?.recordServed(progress, true);
+    waiter.settle(Ok(this.takeSlot(progress, upstream, queuedAtMilliseconds)));
+  }
+
+  /** A copy of the queued requests in the order of service. */
+  private arrange(): readonly Waiter[] {
+    const arranged = this.options.order?.arrange(this.waiters) ?? this.waiters;
+    return arranged === this.waiters ? [...arranged] : arranged;
   }
 
   /**
@@ -197,17 +243,90 @@
     return createNoSlotRefusal(progress, reason, wait);
   }
 
+  private async enqueueOrRefuse(
+    progress: RoutedRequestProgress,
+    reason: NoUpstreamReason,
+  ): Promise<SlotResult> {
+    const position = this.findPosition(progress);
+    const refused = this.refuseIfHopeless(progress, reason, position.ahead);
+    if (refused) return Err(refused);
+    const {earlyRefusal} = this.options;
+    if (!earlyRefusal || reason !== NoUpstreamReason.FULL)
+      return this.enqueue(progress, reason);
+    const prospect = earlyRefusal.beginWait(this.describe(progress, position));
+    return prospect.ok
+      ? this.enqueue(progress, reason, prospect.val)
+      : Err(createNoSlotRefusal(progress, reason, prospect.val));
+  }
+
+  /** Queues a request behind others for the slot that it could take. */
+  private enqueueForScan(progress: RoutedRequestProgress): Promise<SlotResult> {
+    const result = this.enqueue(progress, NoUpstreamReason.FULL);
+    this.scheduleScan();
+    return result;
+  }
+
+  /** The refusal of a queued request that has no prospect of a slot, if so. */
+  private reassess(
+    {progress, prospect, queuedAtMilliseconds}: Waiter,
+    reason: NoUpstreamReason,
+    arranged: readonly Waiter[],
+  ): RefusalError | undefined {
+    const now = performance.now();
+    if (!prospect || reason !== NoUpstreamReason.FULL) return undefined;
+    if (now < prospect.nextCheckAtMilliseconds) return undefined;
+    const retryAfter = this.options.earlyRefusal?.reassess(
+      prospect,
+      this.describe(progress, this.findPosition(progress, arranged)),
+      now - queuedAtMilliseconds,
+    );
+    if (retryAfter === undefined) return undefined;
+    return createNoSlotRefusal(progress, reason, retryAfter);
+  }
+
+  private describe(
+    progress: RoutedRequestProgress,
+    position: QueuePosition,
+  ): WaitingRequest {
+    const neededMilliseconds =
+      this.options.minimumServiceMilliseconds(progress);
+    return {progress, position, neededMilliseconds};
+  }
+
+  /** Position of a request that is queued, or that would be. */
+  private findPosition(
+    progress: RoutedRequestProgress,
+    arranged = this.arrangeWith(progress),
+  ): QueuePosition {
+    const standing = this.options.order?.standingOf(progress);
+    return findPosition(progress, arranged, standing ?? Standing.USUAL);
+  }
+
+  private arrangeWith(progress: RoutedRequestProgress): readonly Queued[] {
+    const queued = insertInOrder<Queued>(this.waiters, {progress});
+    return this.options.order?.arrange(queued) ?? queued;
+  }
+
+  /** Whether a queued request that needs the same is to be served before. */
+  private hasEarlierWaiter(progress: RoutedRequestProgress): boolean {
+    if (this.waiters.length === 0) return false;
+    return hasEarlierRequest(this.arrangeWith(progress), progress);
+  }
+
   private enqueue(
     progress: RoutedRequestProgress,
     reason: NoUpstreamReason,
+    prospect?: Prospect,
   ): Promise<SlotResult> {
     return new Promise(resolve => {
       let removeCancelListener = () => {};
       const waiter: Waiter = {
         progress,
         queuedAtMilliseconds: performance.now(),
+        prospect,
         settle: result => {
           clearTimeout(timer);
+          if (prospect) this.options.earlyRefusal?.endWait(prospect, result.ok);
           removeCancelListener();
           resolve(result);
         },
@@ -221,7 +340,7 @@
         refuse,
         Math.max(0, remainingQueueMilliseconds(progress) - needed),
       );
-      this.waiters.splice(this.insertionIndex(progress), 0, waiter);
+      this.waiters.splice(insertionIndex(this.waiters, progress), 0, waiter);
       removeCancelListener = progress.cancellation.onCancel(refuse);
     });
   }
@@ -231,7 +350,9 @@
     upstream: ProxyUpstream,
     queuedAtMilliseconds: number,
   ): UpstreamSlot {
-    const {observer} = this.options;
+    const {observer, onSlotReturned} = this.options;
+    const takenAtMilliseconds = performance.now();
+    let isAccepted = false;
     upstream.ownInFlight += 1;
     upstream.reachability.recordAttemptBegun();
     upstream.rateLimit.takeToken();
@@ -239,6 +360,7 @@
     const admission: PendingAdmission = {
       settle: isRejected => {
         pending.settle(isRejected);
+        isAccepted = !isRejected;
         this.scheduleScan();
       },
     };
@@ -247,7 +369,7 @@
     return {
       upstream,
       admission,
-      waitedMilliseconds: performance.now() - queuedAtMilliseconds,
+      waitedMilliseconds: takenAtMilliseconds - queuedAtMilliseconds,
       release: () => {
         if (!isReserved) return;
         isReserved = false;
@@ -255,6 +377,8 @@
         upstream.ownInFlight -= 1;
         upstream.reachability.recordAttemptEnded();
         observer.recordEnded(request, true);
+        const heldMilliseconds = performance.now() - takenAtMilliseconds;
+        if (isAccepted) onSlotReturned?.(request, heldMilliseconds, upstream);
         this.scheduleScan();
       },
     };
@@ -266,29 +390,6 @@
     this.waiters.splice(index, 1);
     return true;
   }
-
-  /** Queued requests with the same requirements that are served before. */
-  private countAhead(progress: RoutedRequestProgress): number {
-    const requirement = requirementKey(progress);
-    const index = this.insertionIndex(progress);
-    let count = 0;
-    for (const waiter of this.waiters.slice(0, index)) {
-      if (requirementKey(waiter.progress) === requirement) count += 1;
-    }
-    return count;
-  }
-
-  /** Number of queued requests that are served before this one. */
-  private insertionIndex(progress: RoutedRequestProgress): number {
-    let low = 0;
-    let high = this.waiters.length;
-    while (low < high) {
-      const middle = (low + high) >>> 1;
-      if (precedes(progress, this.waiters[middle].progress)) high = middle;
-      else low = middle + 1;
-    }
-    return low;
-  }
 }
 
 function isNoUpstreamReason(
@@ -296,58 +397,3 @@
 ): choice is NoUpstreamReason {
   return typeof choice === 'string';
 }
-
-/** Identifies requests that the same upstreams can serve. */
-function requirementKey({request, origin}: RoutedRequestProgress): string {
-  const {service, modelRequest} = request;
-  const {model = '', adapter = ''} = modelRequest ?? {};
-  return `${service}/${model}/${adapter}/${origin?.softwareVersion ?? ''}`;
-}
-
-/** Whether the left request is served before the right one. */
-function precedes(
-  left: RoutedRequestProgress,
-  right: RoutedRequestProgress,
-): boolean {
-  const {route: leftRoute} = left.request;
-  const {route: rightRoute} = right.request;
-  if (leftRoute.priority !== rightRoute.priority) {
-    return leftRoute.priority < rightRoute.priority;
-  }
-  return (
-    left.request.deadlineAtMilliseconds < right.request.deadlineAtMilliseconds
-  );
-}
-
-/** Short, because another node can take the request at once. */
-const STOPPING_RETRY_AFTER_MILLISECONDS = 100;
-
-function createStoppingRefusal(progress: RoutedRequestProgress): RefusalError {
-  return new RefusalError(ErrorKind.NOT_READY, 'this node is about to stop', {
-    ran: ranSoFar(progress),
-    retryAfterMilliseconds: STOPPING_RETRY_AFTER_MILLISECONDS,
-  });
-}
-
-const ERROR_KIND_BY_REASON: Readonly<Record<NoUpstreamReason, ErrorKind>> = {
-  [NoUpstreamReason.NOT_HELD]: ErrorKind.NO_REPLICA,
-  [NoUpstreamReason.UNREACHABLE]: ErrorKind.UPSTREAM_UNREACHABLE,
-  [NoUpstreamReason.FULL]: ErrorKind.DEADLINE_UNREACHABLE,
-  [NoUpstreamReason.RATE_LIMITED]: ErrorKind.DEADLINE_UNREACHABLE,
-};
-
-function createNoSlotRefusal(
-  progress: RoutedRequestProgress,
-  reason: NoUpstreamReason,
-  wait: number | undefined,
-): RefusalError {
-  const {request} = progress;
-  return new RefusalError(
-    ERROR_KIND_BY_REASON[reason],
-    `no slot at ${request.service} is available in time: ${reason}`,
-    {
-      ran: ranSoFar(progress),
-      retryAfterMilliseconds: wait || DEFAULT_RETRY_AFTER_MILLISECONDS,
-    },
-  );
-}
--- a/packages/arbutustide-telemetry/src/metrics.ts
+++ b/packages/arbutustide-telemetry/src/metrics.ts
@@ -46,12 +46,41 @@
     labelNames: ['kind', 'ran'] as const,
     registers: [this.registry],
   });
+  readonly teamRefusals = new Counter({
+    name: 'arbutustide_team_refusals_total',
+    help: 'Refusals of requests with a valid key, by tenant and kind.',
+    labelNames: ['tenant', 'kind'] as const,
+    registers: [this.registry],
+  });
+  readonly configurationAgeSeconds = new Gauge({
+    name: 'arbutustide_configuration_age_seconds',
+    help: 'Age of the newest confirmation that the configuration is in force.',
+    registers: [this.registry],
+  });
   readonly retries = new Counter({
     name: 'arbutustide_retries_total',
     help: 'Attempts after the first, by entry.',
     labelNames: ['entry'] as const,
     registers: [this.registry],
   });
+  readonly placements = new Counter({
+    name: 'arbutustide_placements_total',
+    help: 'Attempts by entry and by whether the upstream is in the failure domain of the node.',
+    labelNames: ['entry', 'place'] as const,
+    registers: [this.registry],
+  });
+  readonly leavingShare = new Gauge({
+    name: 'arbutustide_leaving_share',
+    help: 'Share of requests that may leave the failure domain, by the last decision.',
+    labelNames: ['entry'] as const,
+    registers: [this.registry],
+  });
+  readonly extraPathSeconds = new Gauge({
+    name: 'arbutustide_extra_path_seconds',
+    help: 'Measured time that a request elsewhere spends on the way in addition.',
+    labelNames: ['entry'] as const,
+    registers: [this.registry],
+  });
   readonly objectStoreCalls = new Counter({
     name: 'arbutustide_store_calls_total',
     help: 'Calls to the object API by method; the platform charges each.',
@@ -69,6 +98,18 @@
     help: 'Revision of the catalogue or version of the configuration in force.',
     registers: [this.registry],
   });
+  readonly quotaUnits = new Counter({
+    name: 'arbutustide_quota_units_total',
+    help: "Units of teams' quotas that were used, leased and returned.",
+    labelNames: ['team', 'event'] as const,
+    registers: [this.registry],
+  });
+  readonly quotaRefusals = new Counter({
+    name: 'arbutustide_quota_refusals_total',
+    help: 'Requests refused because the quota of their team was used up.',
+    labelNames: ['team'] as const,
+    registers: [this.registry],
+  });
   readonly requestsInFlight = new Gauge({
     name: 'arbutustide_requests_in_flight',
     help: 'Requests between their head and the end of their answer.',
