Reassess every queued request that waits for a full upstream

Cause: a request that was queued behind others, or before its upstreams were full, had no prospect and waited for most of its time before it was refused. Requests that got a slot in the same scan counted as still ahead. A predicted wait of 0 distorted the correction.

Change: a scan creates the missing prospect, and refuses by it unless half of the request's time is over; only requests that are still queued count; predictions of 0 are not learnt from. The options of SlotQueue are in queue/slot_queue_options.ts.

--- a/packages/arbutustide-routing/src/__tests__/unit/early_refusal.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/early_refusal.test.ts
@@ -191,6 +191,25 @@
     expect(refuseNewcomer(1_000)).to.equal(undefined);
   });
 
+  // The ratio of any wait to a prediction of 0 would raise all predictions.
+  it('learns nothing from a request that was to get a slot at once', () => {
+    expectedMilliseconds = 0;
+    const prospect = refusal.beginWait(describeRequest(arrive())).unwrap();
+    clock.tick(4_000);
+    for (let count = 0; count < 20; count += 1) refusal.endWait(prospect, true);
+    expect(refuseNewcomer(2_000)).to.equal(undefined);
+  });
+
+  // Such a request has had no prediction yet, but its caller has waited.
+  it('refuses a queued request at its first prediction only in the first half', () => {
+    expectedMilliseconds = 6_000;
+    const waiting = describeRequest(arrive());
+    clock.tick(100);
+    expect(refusal.beginWait(waiting, 100).ok).to.equal(false);
+    clock.tick(1_200);
+    expect(refusal.beginWait(waiting, 1_300).ok).to.equal(true);
+  });
+
   it('refuses what is queued only if hopeless, and not when half its time is over', () => {
     expect(isQueuedRefused(100, 2_600)).to.equal(false);
     expect(isQueuedRefused(100, 3_200)).to.equal(true);
--- a/packages/arbutustide-routing/src/__tests__/unit/slot_queue.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/slot_queue.test.ts
@@ -10,6 +10,7 @@
 
 import {DemandCounter} from '../../proxy/demand_counter.js';
 import {NoUpstreamReason} from '../../proxy/choose_upstream.js';
+import {EarlyRefusal} from '../../proxy/queue/early_refusal.js';
 import {SlotQueue} from '../../proxy/slot_queue.js';
 import {testRequest, testRoute, testUpstream} from './proxy_fixtures.js';
 import {createProgress} from './queue_cluster.js';
@@ -133,3 +134,85 @@
     expect(upstream.ownInFlight).to.equal(1);
   });
 });
+
+// Guards against a request that is queued while no upstream holds its model, and
+// then waits at full upstreams until its time is over.
+describe('queued request whose upstreams turn out to be full', () => {
+  let clock: ReturnType<typeof install>;
+
+  beforeEach(() => {
+    clock = install();
+  });
+  afterEach(() => clock.uninstall());
+
+  it('is refused at the next scan if its wait is too long', async () => {
+    let reason = NoUpstreamReason.NOT_HELD;
+    const queue = new SlotQueue({
+      chooseUpstream: () => reason,
+      predictWaitMilliseconds: () => 0,
+      minimumServiceMilliseconds: () => 20,
+      onNotHeld: () => {},
+      observer: new DemandCounter(),
+      earlyRefusal: new EarlyRefusal({
+        expectedWaitMilliseconds: () => 60_000,
+        random: () => 0,
+      }),
+    });
+    const caller = {
+      route: testRoute(),
+      deadlineMilliseconds: 5_000,
+      holdMilliseconds: 0,
+    };
+    const progress = createProgress(caller, performance.now() + 5_000);
+    const waiting = queue.acquireSlot(progress);
+    await clock.tickAsync(100);
+    reason = NoUpstreamReason.FULL;
+    queue.scheduleScan();
+    await clock.tickAsync(10);
+    const result = await Promise.race([waiting, Promise.resolve(undefined)]);
+    expect(result?.ok).to.equal(false);
+  });
+});
+
+// Guards against refusals for the sake of requests that have got their slots.
+describe('queued request behind one that gets a slot in the same scan', () => {
+  let clock: ReturnType<typeof install>;
+
+  beforeEach(() => {
+    clock = install();
+  });
+  afterEach(() => clock.uninstall());
+
+  it('is assessed by those that are still before it', async () => {
+    const upstream = testUpstream('one', []);
+    const ahead: number[] = [];
+    let slots = 0;
+    const queue = new SlotQueue({
+      chooseUpstream: () =>
+        upstream.ownInFlight < slots ? upstream : NoUpstreamReason.FULL,
+      predictWaitMilliseconds: () => 0,
+      minimumServiceMilliseconds: () => 20,
+      onNotHeld: () => {},
+      observer: new DemandCounter(),
+      earlyRefusal: new EarlyRefusal({
+        expectedWaitMilliseconds: (_, position) => {
+          ahead.push(position.ahead);
+          return 0;
+        },
+        random: () => 0,
+      }),
+    });
+    const caller = {
+      route: testRoute(),
+      deadlineMilliseconds: 5_000,
+      holdMilliseconds: 0,
+    };
+    for (let count = 0; count < 2; count += 1)
+      void queue.acquireSlot(createProgress(caller, performance.now() + 5_000));
+    await clock.tickAsync(600);
+    slots = 1;
+    queue.scheduleScan();
+    await clock.tickAsync(10);
+    expect(ahead).to.deep.equal([0, 1, 0]);
+  });
+});
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -69,7 +69,10 @@
   ExpectedWaitInputs,
   WaitingEntry,
 } from './proxy/queue/expected_wait.js';
-export type {UpstreamSlot, SlotQueueOptions} from './proxy/slot_queue.js';
+export type {
+  UpstreamSlot,
+  SlotQueueOptions,
+} from './proxy/queue/slot_queue_options.js';
 export type {
   CallerLimits,
   EngineDescription,
--- a/packages/arbutustide-routing/src/proxy/queue/early_refusal.ts
+++ b/packages/arbutustide-routing/src/proxy/queue/early_refusal.ts
@@ -81,12 +81,18 @@
   constructor(private readonly options: EarlyRefusalOptions) {}
 
   /**
-   * Decides on a request that is about to be queued.
+   * Decides on a request that is about to be queued, or whose wait has only now
+   * come to depend on slots that come free.
    *
+   * @param waitedMilliseconds time since it was queued.
    * @return its prospect, or the retry-after in milliseconds.
    */
-  beginWait(request: WaitingRequest): Result<Prospect, number> {
+  beginWait(
+    request: WaitingRequest,
+    waitedMilliseconds = 0,
+  ): Result<Prospect, number> {
     const prospect = this.createProspect(request);
+    if (isCommitted(request, waitedMilliseconds)) return Ok(prospect);
     const wait = this.correctedWait(prospect);
     const available = availableMilliseconds(request);
     const key = refusalKey(request.progress);
@@ -115,8 +121,7 @@
       Object.assign(prospect, current);
     }
     const available = availableMilliseconds(request);
-    const committedAt = COMMITTED_SHARE * (available + waitedMilliseconds);
-    if (waitedMilliseconds >= committedAt) return undefined;
+    if (isCommitted(request, waitedMilliseconds)) return undefined;
     const wait = this.correctedWait(current);
     if (wait <= QUEUED_EXCESS_FACTOR * available) return undefined;
     return this.jitter(wait - READMISSION_SHARE * available);
@@ -127,7 +132,8 @@
     {key, expectedMilliseconds, sinceMilliseconds}: Prospect,
     hasSlot: boolean,
   ): void {
-    if (expectedMilliseconds === undefined) return;
+    // A predicted wait of 0 has no relative error to learn from.
+    if (!expectedMilliseconds) return;
     const waited = performance.now() - sinceMilliseconds;
     this.correction.record(key, expectedMilliseconds, waited, hasSlot);
   }
@@ -180,3 +186,13 @@
 }: WaitingRequest): number {
   return remainingQueueMilliseconds(progress) - neededMilliseconds;
 }
+
+/** Whether a queued request has waited for too long to be refused early. */
+function isCommitted(
+  request: WaitingRequest,
+  waitedMilliseconds: number,
+): boolean {
+  if (waitedMilliseconds <= 0) return false;
+  const total = availableMilliseconds(request) + waitedMilliseconds;
+  return waitedMilliseconds >= COMMITTED_SHARE * total;
+}
--- /dev/null
+++ b/packages/arbutustide-routing/src/proxy/queue/slot_queue_options.ts
@@ -0,0 +1,56 @@
+import type {PendingAdmission} from '../brittleness/upstream_admission.js';
+import type {NoUpstreamReason, UpstreamChoice} from '../choose_upstream.js';
+import type {ProxyUpstream} from '../proxy_upstream.js';
+import type {RoutedRequest} from '../routed_request.js';
+import type {RoutedRequestProgress} from '../routed_request_progress.js';
+import type {EarlyRefusal} from './early_refusal.js';
+import type {ServiceOrder} from './service_order.js';
+
+/** Notified of each request's state in the queue. */
+export interface SlotQueueObserver {
+  recordQueued(request: RoutedRequest): void;
+  recordSlotTaken(request: RoutedRequest): void;
+  recordEnded(request: RoutedRequest, hadSlot: boolean): void;
+}
+
+/** Policies and callbacks of a slot queue. */
+export interface SlotQueueOptions {
+  /** Chooses among the upstreams as they are now. */
+  readonly chooseUpstream: (progress: RoutedRequestProgress) => UpstreamChoice;
+  /**
+   * Predicted time until a slot is free, in milliseconds; undefined if none is
+   * expected. `ahead` is the number of requests that are served before.
+   */
+  readonly predictWaitMilliseconds: (
+    progress: RoutedRequestProgress,
+    reason: NoUpstreamReason,
+    ahead: number,
+  ) => number | undefined;
+  /** Least time from getting a slot to the answer, in milliseconds. */
+  readonly minimumServiceMilliseconds: (
+    progress: RoutedRequestProgress,
+  ) => number;
+  /** Called when no upstream holds the model or adapter of a request. */
+  readonly onNotHeld: (progress: RoutedRequestProgress) => void;
+  readonly observer: SlotQueueObserver;
+  /** Undefined to serve by priority and then deadline. */
+  readonly order?: ServiceOrder;
+  /** Undefined to let requests wait for as long as their callers do. */
+  readonly earlyRefusal?: EarlyRefusal;
+  /** Called when a request that an upstream accepted returns its slot. */
+  readonly onSlotReturned?: (
+    request: RoutedRequest,
+    heldMilliseconds: number,
+    upstream: ProxyUpstream,
+  ) => void;
+}
+
+/** A reserved slot: permits one request in flight at an upstream. */
+export interface UpstreamSlot {
+  readonly upstream: ProxyUpstream;
+  readonly admission: PendingAdmission;
+  /** Time that the request was queued, in milliseconds. */
+  readonly waitedMilliseconds: number;
+  /** Returns the slot; idempotent. */
+  release(): void;
+}
--- a/packages/arbutustide-routing/src/proxy/slot_queue.ts
+++ b/packages/arbutustide-routing/src/proxy/slot_queue.ts
@@ -5,14 +5,12 @@
 import type {RoutedRequestProgress} from './routed_request_progress.js';
 import type {ProxyUpstream} from './proxy_upstream.js';
 import type {QueuePosition} from './queue/queue_position.js';
-import type {ServiceOrder} from './queue/service_order.js';
-import type {Queued} from './queue/team_shares.js';
 import type {
-  EarlyRefusal,
-  Prospect,
-  WaitingRequest,
-} from './queue/early_refusal.js';
-import type {RoutedRequest} from './routed_request.js';
+  SlotQueueOptions,
+  UpstreamSlot,
+} from './queue/slot_queue_options.js';
+import type {Queued} from './queue/team_shares.js';
+import type {Prospect, WaitingRequest} from './queue/early_refusal.js';
 import type {RefusalError} from '@arbutustide/errors';
 
 import {Err, Ok} from 'ts-results';
@@ -31,62 +29,14 @@
 } from './queue/slot_refusals.js';
 import {remainingQueueMilliseconds} from './routed_request_progress.js';
 
-/** Notified of each request's state in the queue. */
-export interface SlotQueueObserver {
-  recordQueued(request: RoutedRequest): void;
-  recordSlotTaken(request: RoutedRequest): void;
-  recordEnded(request: RoutedRequest, hadSlot: boolean): void;
-}
-
-/** Policies and callbacks of a slot queue. */
-export interface SlotQueueOptions {
-  /** Chooses among the upstreams as they are now. */
-  readonly chooseUpstream: (progress: RoutedRequestProgress) => UpstreamChoice;
-  /**
-   * Predicted time until a slot is free, in milliseconds; undefined if none is
-   * expected. `ahead` is the number of requests that are served before.
-   */
-  readonly predictWaitMilliseconds: (
-    progress: RoutedRequestProgress,
-    reason: NoUpstreamReason,
-    ahead: number,
-  ) => number | undefined;
-  /** Least time from getting a slot to the answer, in milliseconds. */
-  readonly minimumServiceMilliseconds: (
-    progress: RoutedRequestProgress,
-  ) => number;
-  /** Called when no upstream holds the model or adapter of a request. */
-  readonly onNotHeld: (progress: RoutedRequestProgress) => void;
-  readonly observer: SlotQueueObserver;
-  /** Undefined to serve by priority and then deadline. */
-  readonly order?: ServiceOrder;
-  /** Undefined to let requests wait for as long as their callers do. */
-  readonly earlyRefusal?: EarlyRefusal;
-  /** Called when a request that an upstream accepted returns its slot. */
-  readonly onSlotReturned?: (
-    request: RoutedRequest,
-    heldMilliseconds: number,
-    upstream: ProxyUpstream,
-  ) => void;
-}
-
-/** A reserved slot: permits one request in flight at an upstream. */
-export interface UpstreamSlot {
-  readonly upstream: ProxyUpstream;
-  readonly admission: PendingAdmission;
-  /** Time that the request was queued, in milliseconds. */
-  readonly waitedMilliseconds: number;
-  /** Returns the slot; idempotent. */
-  release(): void;
-}
-
 type SlotResult = Result<UpstreamSlot, RefusalError>;
 
 interface Waiter {
   readonly progress: RoutedRequestProgress;
   readonly queuedAtMilliseconds: number;
-  /** Undefined if its wait does not depend on slots that come free. */
-  readonly prospect: Prospect | undefined;
+  /** Undefined until its wait depends on slots that come free. */
+  prospect: Prospect | undefined;
+  isQueued: boolean;
   readonly settle: (result: SlotResult) => void;
 }
 
@@ -268,20 +218,29 @@
 
   /** The refusal of a queued request that has no prospect of a slot, if so. */
   private reassess(
-    {progress, prospect, queuedAtMilliseconds}: Waiter,
+    waiter: Waiter,
     reason: NoUpstreamReason,
     arranged: readonly Waiter[],
   ): RefusalError | undefined {
+    const {earlyRefusal} = this.options;
+    if (!earlyRefusal || reason !== NoUpstreamReason.FULL) return undefined;
+    const {progress, prospect, queuedAtMilliseconds} = waiter;
     const now = performance.now();
-    if (!prospect || reason !== NoUpstreamReason.FULL) return undefined;
-    if (now < prospect.nextCheckAtMilliseconds) return undefined;
-    const retryAfter = this.options.earlyRefusal?.reassess(
-      prospect,
-      this.describe(progress, this.findPosition(progress, arranged)),
-      now - queuedAtMilliseconds,
-    );
-    if (retryAfter === undefined) return undefined;
-    return createNoSlotRefusal(progress, reason, retryAfter);
+    if (prospect && now < prospect.nextCheckAtMilliseconds) return undefined;
+    const left = arranged.filter(({isQueued}) => isQueued);
+    const position = this.findPosition(progress, left);
+    const waiting = this.describe(progress, position);
+    const waited = now - queuedAtMilliseconds;
+    if (prospect) {
+      const retryAfter = earlyRefusal.reassess(prospect, waiting, waited);
+      return retryAfter === undefined
+        ? undefined
+        : createNoSlotRefusal(progress, reason, retryAfter);
+    }
+    const begun = earlyRefusal.beginWait(waiting, waited);
+    if (begun.err) return createNoSlotRefusal(progress, reason, begun.val);
+    waiter.prospect = begun.val;
+    return undefined;
   }
 
   private describe(
@@ -324,9 +283,11 @@
         progress,
         queuedAtMilliseconds: performance.now(),
         prospect,
+        isQueued: true,
         settle: result => {
           clearTimeout(timer);
-          if (prospect) this.options.earlyRefusal?.endWait(prospect, result.ok);
+          if (waiter.prospect)
+            this.options.earlyRefusal?.endWait(waiter.prospect, result.ok);
           removeCancelListener();
           resolve(result);
         },
@@ -388,6 +349,7 @@
     const index = this.waiters.indexOf(waiter);
     if (index < 0) return false;
     this.waiters.splice(index, 1);
+    waiter.isQueued = false;
     return true;
   }
 }
