Time the hold-back by what a request needs

Cause: requests for different adapters of a model, and retries, shared the time for which a free slot is left to peers. One that found its upstreams full restarted the time of another, which could be held back for ever.

Change: the key is the requirement and the priority; only a request that has tried no upstream and finds all full ends the time. Old keys are deleted from 100 keys on.

--- a/packages/arbutustide-node/src/proxy/create_slot_queue.ts
+++ b/packages/arbutustide-node/src/proxy/create_slot_queue.ts
@@ -167,8 +167,9 @@
       return NoUpstreamReason.FULL;
     if (limited)
       tokenRequester.request(limited, !(choice instanceof ProxyUpstream));
-    if (!(choice instanceof ProxyUpstream)) holdBack.recordFull(progress);
-    else if (holdBack.withholds(progress, candidates, settings.fullShare))
+    if (choice === NoUpstreamReason.FULL) holdBack.recordFull(progress);
+    if (!(choice instanceof ProxyUpstream)) return choice;
+    if (holdBack.withholds(progress, candidates, settings.fullShare))
       return NoUpstreamReason.FULL;
     return choice;
   };
--- a/packages/arbutustide-routing/src/__tests__/unit/hold_back.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/hold_back.test.ts
@@ -12,7 +12,7 @@
 import {HoldBack} from '../../proxy/queue/hold_back.js';
 import {QueueCluster, createProgress} from './queue_cluster.js';
 import {DEFERRED, isServed, shareOf, URGENT} from './queue_load.js';
-import {testUpstream} from './proxy_fixtures.js';
+import {testModelRequest, testUpstream} from './proxy_fixtures.js';
 
 const NODES = 91;
 const HOLD_MILLISECONDS = 100;
@@ -121,6 +121,30 @@
     expect(withholds()).to.equal(true);
   });
 
+  // Otherwise its time would begin again whenever the other one looks.
+  it('takes a slot in the end while retries or other adapters find none', () => {
+    const caller = {
+      route: DEFERRED,
+      model: 'm',
+      deadlineMilliseconds: 5_000,
+      holdMilliseconds: 0,
+    };
+    const retry = createProgress(caller, performance.now() + 5_000);
+    retry.triedUpstreams.add(upstream);
+    const common = createProgress(caller, performance.now() + 5_000);
+    const request = {
+      ...common.request,
+      modelRequest: {...testModelRequest('m'), adapter: 'a'},
+    };
+    expect(withholds()).to.equal(true);
+    for (let count = 0; count < 4; count += 1) {
+      clock.tick(50);
+      holdBack.recordFull(retry);
+      holdBack.recordFull({...common, request});
+    }
+    expect(withholds()).to.equal(false);
+  });
+
   it('takes a slot at once if there are enough, or none more urgent waits', () => {
     expect(withholds(URGENT)).to.equal(false);
     urgentElsewhere = 1;
--- a/packages/arbutustide-routing/src/__tests__/unit/queue_cluster.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/queue_cluster.ts
@@ -133,8 +133,9 @@
             random,
           },
         );
-        if (!(choice instanceof ProxyUpstream)) holdBack.recordFull(progress);
+        if (choice === NoUpstreamReason.FULL) holdBack.recordFull(progress);
         else if (
+          choice instanceof ProxyUpstream &&
           settings.hasHoldBack &&
           holdBack.withholds(progress, this.upstreams, 1)
         )
--- a/packages/arbutustide-routing/src/proxy/queue/hold_back.ts
+++ b/packages/arbutustide-routing/src/proxy/queue/hold_back.ts
@@ -5,6 +5,7 @@
 import {entryNameOf, priorityIndex} from '../demand_counter.js';
 import {effectivePriority} from '../routed_request.js';
 import {countFreeSlots} from './expected_wait.js';
+import {requirementKey} from './queue_order.js';
 
 /** What this node knows of its peers and of the order of service. */
 export interface HoldBackOptions {
@@ -28,6 +29,9 @@
  */
 const PUBLISHING_MILLISECONDS = 700;
 
+/** Number of keys from which old ones are deleted. */
+const MAXIMUM_KEYS = 100;
+
 interface FreeSlots {
   readonly sinceMilliseconds: number;
   seenAtMilliseconds: number;
@@ -39,7 +43,7 @@
  * deferred ones, for fewer slots.
  */
 export class HoldBack {
-  private readonly freeByEntry = new Map<string, FreeSlots>();
+  private readonly freeByKey = new Map<string, FreeSlots>();
   /** When this node returned slots of which the peers do not know yet. */
   private readonly returnedAt = new WeakMap<ProxyUpstream, number[]>();
 
@@ -72,14 +76,16 @@
         this.countUnpublished(upstream),
     );
     if (!isKnownToPeers) return false;
-    return this.isFreeForMoment(`${entryName} ${priority}`);
+    return this.isFreeForMoment(holdBackKey(progress));
   }
 
-  /** Records that no upstream is free for a request. */
-  recordFull({request}: RoutedRequestProgress): void {
-    if (this.freeByEntry.size === 0) return;
-    const priority = priorityIndex(effectivePriority(request));
-    this.freeByEntry.delete(`${entryNameOf(request)} ${priority}`);
+  /**
+   * Records that all upstreams are full for a request. Retries do not count, as
+   * the upstreams that they have tried may be free.
+   */
+  recordFull(progress: RoutedRequestProgress): void {
+    if (this.freeByKey.size === 0 || progress.triedUpstreams.size > 0) return;
+    this.freeByKey.delete(holdBackKey(progress));
   }
 
   /** Records that a request of this node returned its slot. */
@@ -98,12 +104,19 @@
     return returnedAt.filter(returned => returned > oldest).length;
   }
 
+  private deleteOld(now: number): void {
+    const oldest = now - FREE_RETENTION_MILLISECONDS;
+    for (const [key, {seenAtMilliseconds}] of this.freeByKey)
+      if (seenAtMilliseconds < oldest) this.freeByKey.delete(key);
+  }
+
   private isFreeForMoment(key: string): boolean {
     const now = performance.now();
-    const known = this.freeByEntry.get(key);
+    const known = this.freeByKey.get(key);
     const seenAt = known?.seenAtMilliseconds ?? -Infinity;
     if (!known || now - seenAt > FREE_RETENTION_MILLISECONDS) {
-      this.freeByEntry.set(key, {
+      if (this.freeByKey.size >= MAXIMUM_KEYS) this.deleteOld(now);
+      this.freeByKey.set(key, {
         sinceMilliseconds: now,
         seenAtMilliseconds: now,
       });
@@ -114,6 +127,15 @@
   }
 }
 
+/**
+ * Requests that differ in what they need must not share a time: one that finds
+ * its upstreams full would restart the time of another for ever.
+ */
+function holdBackKey(progress: RoutedRequestProgress): string {
+  const priority = effectivePriority(progress.request);
+  return `${requirementKey(progress)} ${priority}`;
+}
+
 function countMoreUrgent(
   {queuedByPriority}: PublishedDemand,
   priority: number,
