Let newcomers wait only for requests that want the same slot

Cause: a newcomer overtook requests for other adapters of its model, which use the same slots, and waited for requests whose upstreams were not full but missing. Each newcomer arranged the whole queue, and each choice listed all nodes.

Change: only queued requests for the same model that last found it full count, and the queue is arranged only if there are any. The number of senders is that of ready nodes.

--- a/packages/arbutustide-node/src/proxy/pick_settings.ts
+++ b/packages/arbutustide-node/src/proxy/pick_settings.ts
@@ -26,7 +26,7 @@
     fullShare: isEngine
       ? tuning.ENGINE_IN_FLIGHT_SLOT_SHARE
       : tuning.SERVICE_IN_FLIGHT_SLOT_SHARE,
-    senderCount: clusterView.nodes().length,
+    senderCount: clusterView.readyNodeCount(),
     random,
     onLeavingDecision: createLeavingRecorder(metrics, service),
   });
--- a/packages/arbutustide-routing/src/__tests__/unit/slot_queue.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/slot_queue.test.ts
@@ -11,8 +11,14 @@
 import {DemandCounter} from '../../proxy/demand_counter.js';
 import {NoUpstreamReason} from '../../proxy/choose_upstream.js';
 import {EarlyRefusal} from '../../proxy/queue/early_refusal.js';
+import {hasEarlierRequest} from '../../proxy/queue/queue_order.js';
 import {SlotQueue} from '../../proxy/slot_queue.js';
-import {testRequest, testRoute, testUpstream} from './proxy_fixtures.js';
+import {
+  testModelRequest,
+  testRequest,
+  testRoute,
+  testUpstream,
+} from './proxy_fixtures.js';
 import {createProgress} from './queue_cluster.js';
 
 describe('slot queue of a stopping node', () => {
@@ -216,3 +222,31 @@
     expect(ahead).to.deep.equal([0, 1, 0]);
   });
 });
+
+// Guards against newcomers that overtake requests for another adapter, which use
+// the same slots, and against newcomers that wait for one that cannot use them.
+describe('newcomer beside requests that wait for other adapters', () => {
+  const common = createProgress(
+    {
+      route: testRoute(),
+      model: 'm',
+      deadlineMilliseconds: 5_000,
+      holdMilliseconds: 0,
+    },
+    5_000,
+  );
+  const request = {
+    ...common.request,
+    modelRequest: {...testModelRequest('m'), adapter: 'a'},
+  };
+  const waiting = {...common, request};
+
+  it('waits only for those whose upstreams were full', () => {
+    for (const reason of Object.values(NoUpstreamReason)) {
+      const arranged = [{progress: waiting, reason}, {progress: common}];
+      expect(hasEarlierRequest(arranged, common)).to.equal(
+        reason === NoUpstreamReason.FULL,
+      );
+    }
+  });
+});
--- a/packages/arbutustide-routing/src/proxy/queue/queue_order.ts
+++ b/packages/arbutustide-routing/src/proxy/queue/queue_order.ts
@@ -1,7 +1,9 @@
 import type {RoutedRequestProgress} from '../routed_request_progress.js';
 import type {Queued} from './team_shares.js';
 
+import {NoUpstreamReason} from '../choose_upstream.js';
 import {effectivePriority} from '../routed_request.js';
+import {competesWith} from './queue_position.js';
 
 /** Identifies requests that the same upstreams can serve. */
 export function requirementKey({
@@ -51,21 +53,37 @@
   return copy;
 }
 
+/** A queued request, or one that is about to be. */
+export interface Blocked extends Queued {
+  /** Why it got no slot when it last looked for one. */
+  readonly reason?: NoUpstreamReason;
+}
+
+/**
+ * Whether a queued request may want the slot that this one could take. A retry
+ * does not count, as it may not use the upstreams that it has tried.
+ */
+export function wantsSameSlot(
+  {progress: other, reason}: Blocked,
+  progress: RoutedRequestProgress,
+): boolean {
+  if (reason !== NoUpstreamReason.FULL || other.triedUpstreams.size > 0)
+    return false;
+  return competesWith(other, progress);
+}
+
 /**
- * Whether a request that needs the same is served before. A retry does not
- * count, as it may not use the upstreams that it has tried.
+ * Whether a request that may want the same slot is served before.
  *
  * @param arranged requests in the order of service, with this one.
  */
 export function hasEarlierRequest(
-  arranged: readonly Queued[],
+  arranged: readonly Blocked[],
   progress: RoutedRequestProgress,
 ): boolean {
-  const requirement = requirementKey(progress);
-  for (const {progress: other} of arranged) {
-    if (other === progress) return false;
-    if (other.triedUpstreams.size > 0) continue;
-    if (requirementKey(other) === requirement) return true;
+  for (const other of arranged) {
+    if (other.progress === progress) return false;
+    if (wantsSameSlot(other, progress)) return true;
   }
   return false;
 }
--- a/packages/arbutustide-routing/src/proxy/slot_queue.ts
+++ b/packages/arbutustide-routing/src/proxy/slot_queue.ts
@@ -9,7 +9,7 @@
   SlotQueueOptions,
   UpstreamSlot,
 } from './queue/slot_queue_options.js';
-import type {Queued} from './queue/team_shares.js';
+import type {Blocked} from './queue/queue_order.js';
 import type {Prospect, WaitingRequest} from './queue/early_refusal.js';
 import type {RefusalError} from '@arbutustide/errors';
 
@@ -21,6 +21,7 @@
   insertInOrder,
   insertionIndex,
   requirementKey,
+  wantsSameSlot,
 } from './queue/queue_order.js';
 import {findPosition, Standing} from './queue/queue_position.js';
 import {
@@ -37,6 +38,8 @@
   /** Undefined until its wait depends on slots that come free. */
   prospect: Prospect | undefined;
   isQueued: boolean;
+  /** Why it got no slot when it last looked for one. */
+  reason: NoUpstreamReason;
   readonly settle: (result: SlotResult) => void;
 }
 
@@ -144,6 +147,7 @@
         this.giveSlot(waiter, choice);
         continue;
       }
+      waiter.reason = choice;
       if (isFirst && choice === NoUpstreamReason.NOT_HELD)
         this.options.onNotHeld(progress);
       const refused =
@@ -261,14 +265,15 @@
     return findPosition(progress, arranged, standing ?? Standing.USUAL);
   }
 
-  private arrangeWith(progress: RoutedRequestProgress): readonly Queued[] {
-    const queued = insertInOrder<Queued>(this.waiters, {progress});
+  private arrangeWith(progress: RoutedRequestProgress): readonly Blocked[] {
+    const queued = insertInOrder<Blocked>(this.waiters, {progress});
     return this.options.order?.arrange(queued) ?? queued;
   }
 
-  /** Whether a queued request that needs the same is to be served before. */
+  /** Whether a queued request that wants the same slot is served before. */
   private hasEarlierWaiter(progress: RoutedRequestProgress): boolean {
-    if (this.waiters.length === 0) return false;
+    if (!this.waiters.some(waiter => wantsSameSlot(waiter, progress)))
+      return false;
     return hasEarlierRequest(this.arrangeWith(progress), progress);
   }
 
@@ -284,6 +289,7 @@
         queuedAtMilliseconds: performance.now(),
         prospect,
         isQueued: true,
+        reason,
         settle: result => {
           clearTimeout(timer);
           if (waiter.prospect)
