Favour and hold back only where callers differ

Cause: deployments without teams and with one priority were subject to the hold-back and to favoured priorities. Requests whose callers left, that met a stopping node or a missing model counted as refused for lack of capacity, so that their priority was favoured.

Change: the decision on several classes gates both, as it gates on-time-first; refusals count only if the deadline cannot be reached, the caller waits and the queue is open.

--- a/packages/arbutustide-node/src/proxy/queue/create_hold_back.ts
+++ b/packages/arbutustide-node/src/proxy/queue/create_hold_back.ts
@@ -13,6 +13,7 @@
   const clusterView = container.resolve(ProxyToken.CLUSTER_VIEW);
   return new HoldBack({
     peerDemand: entryName => clusterView.peerDemands().get(entryName),
+    hasSeveralClasses: () => order.hasSeveralClasses(),
     isFavoured: progress => order.standingOf(progress) === Standing.FAVOURED,
   });
 }
--- a/packages/arbutustide-node/src/proxy/queue/create_service_order.ts
+++ b/packages/arbutustide-node/src/proxy/queue/create_service_order.ts
@@ -14,15 +14,15 @@
 ): ServiceOrder {
   const watcher = container.resolve(ProxyToken.CONFIGURATION_WATCHER);
   let decidedFor: ServingConfiguration | undefined;
-  let servesOnTimeFirst = false;
+  let isDivided = false;
   return new ServiceOrder({
-    servesOnTimeFirst: () => {
+    hasSeveralClasses: () => {
       const configuration = watcher.routes?.configuration;
       if (configuration !== decidedFor) {
         decidedFor = configuration;
-        servesOnTimeFirst = hasSeveralClasses(configuration);
+        isDivided = hasSeveralClasses(configuration);
       }
-      return servesOnTimeFirst;
+      return isDivided;
     },
   });
 }
--- a/packages/arbutustide-routing/src/__tests__/unit/hold_back.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/hold_back.test.ts
@@ -84,6 +84,7 @@
   let clock: ReturnType<typeof install>;
   let urgentElsewhere: number;
   let isFavoured: boolean;
+  let hasSeveralClasses: boolean;
   let holdBack: HoldBack;
   const upstream = testUpstream('one', ['m'], {slots: 4});
 
@@ -91,9 +92,11 @@
     clock = install();
     urgentElsewhere = 3;
     isFavoured = false;
+    hasSeveralClasses = true;
     upstream.peersInFlight = 2;
     holdBack = new HoldBack({
       peerDemand: () => ({queuedByPriority: [0, urgentElsewhere, 5]}),
+      hasSeveralClasses: () => hasSeveralClasses,
       isFavoured: () => isFavoured,
     });
   });
@@ -160,6 +163,12 @@
     expect(withholds()).to.equal(false);
   });
 
+  // Such deployments have no requests that are more urgent.
+  it('takes a slot at once if callers do not differ in team or priority', () => {
+    hasSeveralClasses = false;
+    expect(withholds()).to.equal(false);
+  });
+
   // A slot that the peers take to be in use would stay unused meanwhile.
   it('takes the slot that this node returned until the peers know of it', () => {
     upstream.peersInFlight = 3;
--- a/packages/arbutustide-routing/src/__tests__/unit/service_order.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/service_order.test.ts
@@ -11,6 +11,7 @@
 import {expect} from 'chai';
 
 import {ServiceOrder} from '../../proxy/queue/service_order.js';
+import {Standing} from '../../proxy/queue/queue_position.js';
 import {createProgress} from './queue_cluster.js';
 import {
   capacityPerSecond,
@@ -67,7 +68,7 @@
     arrivals,
     seed: 'service order',
     hasEarlyRefusal: true,
-    createOrder: () => new ServiceOrder({servesOnTimeFirst: () => true}),
+    createOrder: () => new ServiceOrder({hasSeveralClasses: () => true}),
   });
 }
 
@@ -143,7 +144,7 @@
   afterEach(() => clock.uninstall());
 
   it('stays by deadline, whatever was served or refused', () => {
-    const order = new ServiceOrder({servesOnTimeFirst: () => false});
+    const order = new ServiceOrder({hasSeveralClasses: () => false});
     const queued = [1, 2, 3, 4].map(second => {
       const caller = {
         route: second % 2 === 0 ? SHORT : URGENT,
@@ -160,4 +161,17 @@
     clock.tick(700);
     expect(order.arrange(queued)).to.deep.equal(queued);
   });
+
+  it('favours no request, whatever was refused', () => {
+    const order = new ServiceOrder({hasSeveralClasses: () => false});
+    const [urgent, deferred] = [URGENT, DEFERRED].map(route => {
+      const caller = {route, deadlineMilliseconds: 1_000, holdMilliseconds: 0};
+      return createProgress(caller, 1_000);
+    });
+    for (let count = 0; count < 5; count += 1) {
+      order.recordServed(urgent, true);
+      order.recordRefused(deferred);
+    }
+    expect(order.standingOf(deferred)).to.equal(Standing.USUAL);
+  });
 });
--- a/packages/arbutustide-routing/src/__tests__/unit/slot_queue.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/slot_queue.test.ts
@@ -12,6 +12,7 @@
 import {NoUpstreamReason} from '../../proxy/choose_upstream.js';
 import {EarlyRefusal} from '../../proxy/queue/early_refusal.js';
 import {hasEarlierRequest} from '../../proxy/queue/queue_order.js';
+import {ServiceOrder} from '../../proxy/queue/service_order.js';
 import {SlotQueue} from '../../proxy/slot_queue.js';
 import {
   testModelRequest,
@@ -250,3 +251,55 @@
     }
   });
 });
+
+// Guards against a priority that is favoured because its callers left, or because
+// its model is missing, and so not for lack of capacity.
+describe('refusal of a request by the slot queue', () => {
+  let clock: ReturnType<typeof install>;
+
+  beforeEach(() => {
+    clock = install();
+  });
+  afterEach(() => clock.uninstall());
+
+  async function countRecorded(
+    reason: NoUpstreamReason,
+    end: (queue: SlotQueue, progress: RoutedRequestProgress) => void,
+  ): Promise<number> {
+    const order = new ServiceOrder({hasSeveralClasses: () => true});
+    let recorded = 0;
+    order.recordRefused = () => {
+      recorded += 1;
+    };
+    const queue = new SlotQueue({
+      chooseUpstream: () => reason,
+      predictWaitMilliseconds: () => 0,
+      minimumServiceMilliseconds: () => 20,
+      onNotHeld: () => {},
+      observer: new DemandCounter(),
+      order,
+    });
+    const caller = {
+      route: testRoute(),
+      deadlineMilliseconds: 1_000,
+      holdMilliseconds: 0,
+    };
+    const progress = createProgress(caller, performance.now() + 1_000);
+    const waiting = queue.acquireSlot(progress);
+    await clock.tickAsync(100);
+    end(queue, progress);
+    await clock.tickAsync(2_000);
+    expect((await waiting).ok).to.equal(false);
+    return recorded;
+  }
+
+  it('counts for its priority only if there was no capacity', async () => {
+    const {FULL, NOT_HELD} = NoUpstreamReason;
+    expect(await countRecorded(FULL, () => {})).to.equal(1);
+    expect(await countRecorded(NOT_HELD, () => {})).to.equal(0);
+    expect(await countRecorded(FULL, queue => queue.close())).to.equal(0);
+    const leave = (_: SlotQueue, {cancellation}: RoutedRequestProgress) =>
+      cancellation.cancel('caller left');
+    expect(await countRecorded(FULL, leave)).to.equal(0);
+  });
+});
--- a/packages/arbutustide-routing/src/proxy/queue/hold_back.ts
+++ b/packages/arbutustide-routing/src/proxy/queue/hold_back.ts
@@ -11,6 +11,8 @@
 export interface HoldBackOptions {
   /** What the peers publish of a model or plain service. */
   readonly peerDemand: (entryName: string) => PublishedDemand | undefined;
+  /** Whether callers differ in team or priority; no request waits otherwise. */
+  readonly hasSeveralClasses: () => boolean;
   /** Whether the request's priority is starved and need not give way. */
   readonly isFavoured: (progress: RoutedRequestProgress) => boolean;
 }
@@ -61,7 +63,8 @@
     fullShare: number,
   ): boolean {
     const {request, triedUpstreams} = progress;
-    if (triedUpstreams.size > 0) return false;
+    if (triedUpstreams.size > 0 || !this.options.hasSeveralClasses())
+      return false;
     const entryName = entryNameOf(request);
     const demand = this.options.peerDemand(entryName);
     const priority = priorityIndex(effectivePriority(request));
--- a/packages/arbutustide-routing/src/proxy/queue/service_order.ts
+++ b/packages/arbutustide-routing/src/proxy/queue/service_order.ts
@@ -9,11 +9,12 @@
 /** What the order of service depends on besides the requests. */
 export interface ServiceOrderOptions {
   /**
-   * Whether requests that can still meet their objective precede those of their
-   * priority that cannot. While there is not enough capacity, all would be
-   * served late otherwise.
+   * Whether callers differ in team or priority. If so, starved priorities are
+   * favoured, and requests that can still meet their objective precede those of
+   * their priority that cannot: all would be served late otherwise while there
+   * is not enough capacity.
    */
-  readonly servesOnTimeFirst: () => boolean;
+  readonly hasSeveralClasses: () => boolean;
 }
 
 interface Group<Item> {
@@ -42,7 +43,7 @@
    */
   arrange<Item extends Queued>(items: readonly Item[]): readonly Item[] {
     if (items.length < 2) return items;
-    const servesOnTimeFirst = this.options.servesOnTimeFirst();
+    const servesOnTimeFirst = this.hasSeveralClasses();
     const groups = new Map<string, Group<Item>>();
     const rankOf = this.createRanking();
     for (const item of items) {
@@ -62,13 +63,17 @@
       );
   }
 
+  /** Whether callers differ in team or priority. */
+  hasSeveralClasses(): boolean {
+    return this.options.hasSeveralClasses();
+  }
+
   /** How the order treats a request besides its priority. */
   standingOf(progress: RoutedRequestProgress): Standing {
+    if (!this.hasSeveralClasses()) return Standing.USUAL;
     if (this.priorityShares.isFavoured(progress.request))
       return Standing.FAVOURED;
-    const isLate =
-      this.options.servesOnTimeFirst() && isPastObjective(progress);
-    return isLate ? Standing.LATE : Standing.USUAL;
+    return isPastObjective(progress) ? Standing.LATE : Standing.USUAL;
   }
 
   /** Records that a request got a slot. */
@@ -88,13 +93,15 @@
   }
 
   private createRanking(): (progress: RoutedRequestProgress) => number {
+    const hasSeveralClasses = this.hasSeveralClasses();
     const ranks = new Map<string, number>();
     return progress => {
       const priority = effectivePriority(progress.request);
       const key = `${progress.request.service} ${priority}`;
       const known = ranks.get(key);
       if (known !== undefined) return known;
-      const isFavoured = this.priorityShares.isFavoured(progress.request);
+      const isFavoured =
+        hasSeveralClasses && this.priorityShares.isFavoured(progress.request);
       const rank = isFavoured ? FAVOURED_RANK : priority;
       ranks.set(key, rank);
       return rank;
--- a/packages/arbutustide-routing/src/proxy/slot_queue.ts
+++ b/packages/arbutustide-routing/src/proxy/slot_queue.ts
@@ -13,6 +13,7 @@
 import type {Prospect, WaitingRequest} from './queue/early_refusal.js';
 import type {RefusalError} from '@arbutustide/errors';
 
+import {ErrorKind} from '@arbutustide/errors';
 import {Err, Ok} from 'ts-results';
 
 import {NoUpstreamReason} from './choose_upstream.js';
@@ -75,12 +76,22 @@
       ? await this.enqueueOrRefuse(progress, choice)
       : await this.enqueueForScan(progress);
     if (!result.ok) {
-      this.options.order?.recordRefused(progress);
+      if (this.isForLackOfCapacity(progress, result.val))
+        this.options.order?.recordRefused(progress);
       observer.recordEnded(progress.request, false);
     }
     return result;
   }
 
+  /** Whether a request was refused because others were served instead. */
+  private isForLackOfCapacity(
+    {cancellation}: RoutedRequestProgress,
+    {kind}: RefusalError,
+  ): boolean {
+    if (this.isClosed || cancellation.isCancelled) return false;
+    return kind === ErrorKind.DEADLINE_UNREACHABLE;
+  }
+
   /** Whether this node has no path to any upstream that could take it. */
   isUnreachable(progress: RoutedRequestProgress): boolean {
     const choice = this.options.chooseUpstream(progress);
