--- a/packages/arbutustide-routing/src/__tests__/unit/queue_cluster.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/queue_cluster.ts
@@ -117,6 +117,7 @@
     const order = settings.createOrder?.();
     const holdBack = new HoldBack({
       peerDemand: entryName => this.peerDemands.get(entryName),
+      hasSeveralClasses: () => true,
       isFavoured: progress => order?.standingOf(progress) === Standing.FAVOURED,
     });
     this.queue = new SlotQueue({
@@ -133,8 +134,9 @@
             random,
           },
         );
-        if (!(choice instanceof ProxyUpstream)) holdBack.recordFull(progress);
+        if (choice === NoUpstreamReason.FULL) holdBack.recordFull(progress);
         else if (
+          choice instanceof ProxyUpstream &&
           settings.hasHoldBack &&
           holdBack.withholds(progress, this.upstreams, 1)
         )
