Keep issuers that answer slowly, and use their late answers

Cause: on hosts where a call takes 250 to 600 ms, each slow call marked its issuer silent for all teams; while both were marked, no issuer was asked, and requests under their limits were refused. A late answer counted only after the second issuer had answered or timed out.

Change: the second issuer is still asked after 250 ms. An issuer is silent only if nothing has arrived from it for 1 s; one whose call takes 250 ms or fails is only asked last.

--- a/packages/arbutustide-quotas/src/issuer_calls.ts
+++ b/packages/arbutustide-quotas/src/issuer_calls.ts
@@ -28,10 +28,28 @@
   readonly settle: (isAnswered: boolean) => void;
 }
 
-/** A call takes 3 to 11 ms; one to a peer that is gone may take a second. */
-const ANSWER_MILLISECONDS = 250;
-/** Time after which an issuer that did not answer is tried again. */
-const SILENCE_MILLISECONDS = 500;
+/** What is known of an issuer that was called. */
+interface IssuerContact {
+  /** Calls that have neither been answered nor failed. */
+  openCalls: number;
+  /** Since when nothing has arrived from it though it was called. */
+  unansweredSinceMilliseconds: number | undefined;
+  calledAtMilliseconds: number;
+  hasFailed: boolean;
+}
+
+/**
+ * Time after which another issuer is asked too. A call takes 3 to 11 ms on an
+ * idle host and up to 600 ms on a busy one; one to a peer that is gone may take
+ * a second.
+ */
+export const ANSWER_MILLISECONDS = 250;
+/** Time without any answer after which an issuer counts as gone. */
+const SILENCE_MILLISECONDS = 1_000;
+/** Time from the latest call until a silent issuer is tried again. */
+const RETRY_MILLISECONDS = 750;
+/** Time from the latest call for which an issuer's failure is remembered. */
+const CONTACT_MILLISECONDS = 2_000;
 
 /**
  * Sends claims to issuers. Claims made at the same time for several teams of
@@ -39,51 +57,70 @@
  */
 export class IssuerCalls {
   private readonly pendingByIssuer = new Map<string, PendingClaim[]>();
-  /** When an issuer that did not answer is tried again, by identity. */
-  private readonly retryAtByIssuer = new Map<string, number>();
+  private readonly contactByIssuer = new Map<string, IssuerContact>();
 
   constructor(private readonly call: CallIssuer) {}
 
-  /** Whether the issuer's latest call was not answered. */
+  /** Whether to prefer others: a call to the issuer failed or takes long. */
+  isSlow({identity}: QuotaIssuerAddress): boolean {
+    const contact = this.contactByIssuer.get(identity);
+    return (
+      contact !== undefined &&
+      (contact.hasFailed ||
+        unansweredMilliseconds(contact) >= ANSWER_MILLISECONDS)
+    );
+  }
+
+  /** Whether the issuer was called and nothing has arrived for a while. */
   isSilent({identity}: QuotaIssuerAddress): boolean {
-    return this.retryAtByIssuer.has(identity);
+    const contact = this.contactByIssuer.get(identity);
+    return (
+      contact !== undefined &&
+      unansweredMilliseconds(contact) >= SILENCE_MILLISECONDS
+    );
   }
 
-  /** Whether an issuer that did not answer is to be tried again. */
-  isRetryDue({identity}: QuotaIssuerAddress): boolean {
-    const retryAt = this.retryAtByIssuer.get(identity) ?? -Infinity;
-    return performance.now() >= retryAt;
+  /** Whether the issuer may be called: a silent one only now and then. */
+  isRetryDue(issuer: QuotaIssuerAddress): boolean {
+    const contact = this.contactByIssuer.get(issuer.identity);
+    if (!contact || !this.isSilent(issuer)) return true;
+    const passed = performance.now() - contact.calledAtMilliseconds;
+    return passed >= RETRY_MILLISECONDS;
   }
 
   /**
-   * Sends a claim. Resolves to whether it was answered in time; a later answer
-   * still reaches the listener.
+   * Sends a claim. Resolves to whether it was answered, once the call has ended;
+   * the caller limits the wait.
    */
-  async send(
+  send(
     issuer: QuotaIssuerAddress,
     claim: QuotaClaim,
     onGrant: GrantListener,
   ): Promise<boolean> {
-    const answered = new Promise<boolean>(resolve => {
+    return new Promise<boolean>(resolve => {
       this.enqueue(issuer, {claim, onGrant, settle: resolve});
     });
-    let timer: NodeJS.Timeout | undefined;
-    const timeout = new Promise<false>(resolve => {
-      timer = setTimeout(() => resolve(false), ANSWER_MILLISECONDS);
-    });
-    const isAnswered = await Promise.race([answered, timeout]);
-    clearTimeout(timer);
-    if (!isAnswered) this.recordSilence(issuer);
-    return isAnswered;
   }
 
-  private recordSilence({identity}: QuotaIssuerAddress): void {
+  private recordCall({identity}: QuotaIssuerAddress): IssuerContact {
     const now = performance.now();
-    for (const [silent, retryAt] of this.retryAtByIssuer) {
-      if (now - retryAt > ANSWER_MILLISECONDS + SILENCE_MILLISECONDS)
-        this.retryAtByIssuer.delete(silent);
+    for (const [known, {openCalls, calledAtMilliseconds}] of this
+      .contactByIssuer) {
+      const age = now - calledAtMilliseconds;
+      if (openCalls === 0 && age > CONTACT_MILLISECONDS)
+        this.contactByIssuer.delete(known);
     }
-    this.retryAtByIssuer.set(identity, now + SILENCE_MILLISECONDS);
+    const contact = this.contactByIssuer.get(identity) ?? {
+      openCalls: 0,
+      unansweredSinceMilliseconds: undefined,
+      calledAtMilliseconds: now,
+      hasFailed: false,
+    };
+    contact.openCalls += 1;
+    contact.unansweredSinceMilliseconds ??= now;
+    contact.calledAtMilliseconds = now;
+    this.contactByIssuer.set(identity, contact);
+    return contact;
   }
 
   private enqueue(issuer: QuotaIssuerAddress, pending: PendingClaim): void {
@@ -101,11 +138,12 @@
     const pending = this.pendingByIssuer.get(issuer.identity) ?? [];
     this.pendingByIssuer.delete(issuer.identity);
     const sentAt = performance.now();
+    const contact = this.recordCall(issuer);
     const grants = await this.call(
       issuer,
       pending.map(({claim}) => claim),
     );
-    if (grants) this.retryAtByIssuer.delete(issuer.identity);
+    recordOutcome(contact, grants !== undefined);
     for (const [index, {claim, onGrant, settle}] of pending.entries()) {
       const grant = grants?.[index];
       const isMatching = grant?.team === claim.team;
@@ -114,3 +152,16 @@
     }
   }
 }
+
+function recordOutcome(contact: IssuerContact, isAnswered: boolean): void {
+  contact.openCalls -= 1;
+  contact.hasFailed = !isAnswered;
+  if (!isAnswered) return;
+  contact.unansweredSinceMilliseconds =
+    contact.openCalls > 0 ? performance.now() : undefined;
+}
+
+function unansweredMilliseconds(contact: IssuerContact): number {
+  const {unansweredSinceMilliseconds: since} = contact;
+  return since === undefined ? 0 : performance.now() - since;
+}
--- a/packages/arbutustide-quotas/src/quota_client.ts
+++ b/packages/arbutustide-quotas/src/quota_client.ts
@@ -4,14 +4,18 @@
 import type {QuotaClaim, QuotaGrant} from './quota_messages.js';
 import type {QuotaLimits} from './quota_limits.js';
 import type {Lease, TakenUnits} from './team_leases.js';
+import type {WaitingRequest} from './waiting_request.js';
 
 import {ErrorKind, RefusalError} from '@arbutustide/errors';
 import {Err, Ok} from 'ts-results';
 
-import {IssuerCalls} from './issuer_calls.js';
+import {ClaimWait, waitAtMost} from './claim_wait.js';
+import {ANSWER_MILLISECONDS, IssuerCalls} from './issuer_calls.js';
 import {IMMEDIATE_MILLISECONDS} from './quota_limits.js';
 import {PauseMeter} from './pause_meter.js';
+import {isOdd} from './is_odd.js';
 import {isValid, takeUnits, TeamLeases} from './team_leases.js';
+import {sumOfValid} from './waiting_request.js';
 
 /** What happens to the units of a team's quota at this node. */
 export enum QuotaEvent {
@@ -48,23 +52,6 @@
   giveBack(): void;
 }
 
-/** A request that waits for units. */
-interface WaitingRequest {
-  readonly team: string;
-  readonly cost: number;
-  readonly leases: TeamLeases;
-  /** Units that this node held and units that were granted to it. */
-  granted: Lease[];
-  /** Number of suspensions before these were granted. */
-  suspensions: number;
-  /** What it has taken, once there was enough. */
-  taken: TakenUnits | undefined;
-  /** Whether it has stopped waiting. */
-  isDone: boolean;
-  /** Times after which the issuers that were short may have enough. */
-  readonly retryMilliseconds: number[];
-}
-
 /** A grant, and the part of it that is for the waiting request. */
 interface ReceivedGrant extends QuotaGrant {
   readonly forRequest: Lease;
@@ -124,6 +111,7 @@
       taken: undefined,
       isDone: false,
       retryMilliseconds: [],
+      wait: new ClaimWait(),
     };
     await this.claimFor(request);
     if (request.taken) return Ok(this.admit(team, cost, leases, request.taken));
@@ -148,7 +136,7 @@
         returns.push(this.calls.send(issuer, claim, () => {}));
       }
     }
-    await Promise.all(returns);
+    await waitAtMost(ANSWER_MILLISECONDS, [Promise.all(returns)]);
   }
 
   private leasesOf(team: string): TeamLeases {
@@ -179,10 +167,11 @@
     };
   }
 
-  /** Asks one issuer, and the next if that is short or does not answer. */
+  /** Asks one issuer, and the next if that is short, slow or silent. */
   private async claimFor(request: WaitingRequest): Promise<void> {
-    const {team, cost, leases, retryMilliseconds} = request;
-    for (const issuer of this.orderIssuers(team)) {
+    const {team, cost, leases, retryMilliseconds, wait} = request;
+    const issuers = this.orderIssuers(team);
+    for (const issuer of issuers) {
       const shortFor = leases.shortMilliseconds(issuer.identity, cost);
       if (shortFor !== undefined) retryMilliseconds.push(shortFor);
       if (shortFor !== undefined || !this.calls.isRetryDue(issuer)) continue;
@@ -190,22 +179,35 @@
         this.probe(team, issuer);
         continue;
       }
-      this.dropGrantsAfterSuspension(request);
-      const needed = cost - sumOfValid(request.granted);
-      const claim = this.createClaim(team, {needed});
-      if (!claim) break;
-      const answered = this.send(issuer, claim, grant =>
-        this.receive(request, issuer, grant),
-      );
-      this.renewOthers(team, issuer);
-      await answered;
+      await this.claimFrom(issuer, request);
       if (request.taken) break;
     }
+    const isUnknown = !wait.hasClaims && retryMilliseconds.length === 0;
+    if (isUnknown && issuers.length > 0)
+      await this.claimFrom(issuers[0], request);
+    if (!request.taken) await wait.forAll();
     request.isDone = true;
     this.dropGrantsAfterSuspension(request);
     for (const lease of request.granted) if (isValid(lease)) leases.add(lease);
   }
 
+  /** Claims what a request lacks, and waits until another is to be asked. */
+  private async claimFrom(
+    issuer: QuotaIssuerAddress,
+    request: WaitingRequest,
+  ): Promise<void> {
+    const {team, cost} = request;
+    this.dropGrantsAfterSuspension(request);
+    const needed = cost - sumOfValid(request.granted);
+    const claim = this.createClaim(team, {needed});
+    if (!claim) return;
+    const answered = this.send(issuer, claim, grant =>
+      this.receive(request, issuer, grant),
+    );
+    this.renewOthers(team, issuer);
+    await request.wait.forAnswer(answered);
+  }
+
   /** Gives a request what was granted for it, if it is enough. */
   private receive(
     request: WaitingRequest,
@@ -223,6 +225,7 @@
       sumOfValid(request.granted) >= cost
         ? takeUnits(request.granted.filter(isValid), cost)
         : leases.tryTake(cost);
+    if (request.taken) request.wait.end();
     if (request.taken || !isIssuer) return;
     retryMilliseconds.push(retryAfterMilliseconds);
     leases.recordShortage(
@@ -269,8 +272,7 @@
       ({identity}) =>
         leases.shortMilliseconds(identity, Infinity) === undefined,
     );
-    if (issuer && !this.calls.isSilent(issuer))
-      this.renew(team, issuer, leases);
+    if (issuer && !this.calls.isSlow(issuer)) this.renew(team, issuer, leases);
   }
 
   /** Lets renewals for other teams join a call that is about to be made. */
@@ -293,9 +295,12 @@
     if (!claim) return;
     leases.beginRenewal();
     let wasGranted = false;
-    void this.send(issuer, claim, ({granted}) => {
+    const answered = this.send(issuer, claim, ({granted}) => {
       wasGranted = granted > 0;
-    }).then(() => leases.endRenewal(wasGranted));
+    });
+    void waitAtMost(ANSWER_MILLISECONDS, [answered]).then(() =>
+      leases.endRenewal(wasGranted),
+    );
   }
 
   /** Finds out, without anyone waiting, whether a silent issuer answers. */
@@ -339,7 +344,7 @@
     );
     if (isOdd(identity) !== isOdd(team)) issuers.reverse();
     const rank = (issuer: QuotaIssuerAddress) =>
-      Number(this.calls.isSilent(issuer)) * 2 +
+      Number(this.calls.isSlow(issuer)) * 2 +
       Number(issuer.identity !== identity);
     return issuers.sort((left, right) => rank(left) - rank(right));
   }
@@ -383,15 +388,3 @@
     for (const leases of this.leasesByTeam.values()) leases.drop();
   }
 }
-
-function sumOfValid(leases: readonly Lease[]): number {
-  return leases.filter(isValid).reduce((sum, {units}) => sum + units, 0);
-}
-
-/** Splits names into two halves of about the same size. */
-function isOdd(name: string): boolean {
-  let sum = 0;
-  for (let index = 0; index < name.length; index += 1)
-    sum += name.charCodeAt(index);
-  return sum % 2 === 1;
-}
