Give quota back before it is taken again

Cause: a request that was queued for more than 500 ms took its quota twice and never gave the first part back.

Change: the first admission is given back and cleared before the second.

Result: request_gate.test.ts passes, with a test of three admissions and one return for two requests.

--- a/packages/arbutustide-routing/src/__tests__/unit/request_gate.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/request_gate.test.ts
@@ -53,7 +53,7 @@
     // Guards against requests that were admitted over seconds and run together.
     const admissions = [
       Ok({giveBack: () => {}}),
-      Ok({giveBack: () => {}}),
+      Ok({giveBack: () => (givenBack += 1)}),
       Err(new RefusalError(ErrorKind.QUOTA_EXCEEDED, 'used up')),
     ];
     const upstream = testUpstream('a', ['m'], {slots: 1});
@@ -77,12 +77,46 @@
     );
     await first;
     expect(admissions).to.have.length(0);
+    expect(givenBack, 'first quota given back once').to.equal(1);
     expect(refused.err && refused.val.kind).to.equal(ErrorKind.QUOTA_EXCEEDED);
     expect(refused.err && refused.val.ran).to.equal(NOT_EXECUTED);
     expect(connector.upstreamIds).to.have.length(1);
     expect(upstream.ownInFlight).to.equal(0);
   });
 
+  // Guards against requests that pay twice because they were queued.
+  it('gives the first quota back when it takes quota again', async () => {
+    let taken = 0;
+    const upstream = testUpstream('a', ['m'], {slots: 1});
+    const connector = new ScriptedConnector([
+      async () => {
+        await new Promise(resolve => setTimeout(resolve, 700));
+        return respondWith({});
+      },
+      async () => respondWith({}),
+    ]);
+    const dispatcher = createDispatcher(
+      connector,
+      () => [upstream],
+      () => {},
+      undefined,
+      undefined,
+      {
+        ...gate,
+        admit: async () => {
+          taken += 1;
+          return Ok({giveBack: () => (givenBack += 1)});
+        },
+      },
+    );
+    const answers = await Promise.all([
+      dispatcher.dispatch(createRequest(RequestKind.IDEMPOTENT)),
+      dispatcher.dispatch(createRequest(RequestKind.IDEMPOTENT)),
+    ]);
+    expect(answers.map(({ok}) => ok)).to.deep.equal([true, true]);
+    expect({taken, givenBack}).to.deep.equal({taken: 3, givenBack: 1});
+  });
+
   it('is asked when a waiting request gets its slot, and leaves the slot free', async () => {
     const connector = new ScriptedConnector([]);
     const {dispatcher, upstreams} = createTestDispatcher(connector);
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -144,9 +144,12 @@
     return attempt;
   }
 
+  /** Takes the quota for a request, in place of what it has taken before. */
   private async takeQuota(
     progress: RoutedRequestProgress,
   ): Promise<RefusalError | undefined> {
+    progress.admission?.giveBack();
+    progress.admission = undefined;
     const admitted = await this.options.gate.admit(progress.request);
     if (!admitted.ok) return admitted.val;
     progress.admission = admitted.val;
