Stop checks of a closed peer session

Cause: after a session was closed with a stream open, each ping failed at once and the next check was due 1 ms later. Change: a closed session is not checked; two checks are at least 100 ms apart. Measured: 1,603 checks in 2 s of silence before, at most 1 after (closed_peer_session.test.ts).

--- a/packages/arbutustide-membership/src/peer_session.ts
+++ b/packages/arbutustide-membership/src/peer_session.ts
@@ -7,6 +7,12 @@
 
 import {connect, constants} from 'node:http2';
 
+/**
+ * Shortest pause between two checks. A ping may fail at once, and the next check
+ * is then due at once.
+ */
+const MINIMUM_CHECK_PAUSE_MILLISECONDS = 100;
+
 /** Limits of a session, in milliseconds. */
 export interface PeerSessionOptions {
   /** Time without traffic after which the connection is checked by a ping. */
@@ -161,8 +167,13 @@
 
   private scheduleCheck(): void {
     clearTimeout(this.timer);
+    // Every ping fails on a closed session, which its last stream ends.
+    if (this.session.closed) return;
     const remaining = this.options.pingIntervalMs - this.silentMilliseconds;
-    this.timer = setTimeout(() => void this.check(), Math.max(1, remaining));
+    this.timer = setTimeout(
+      () => void this.check(),
+      Math.max(MINIMUM_CHECK_PAUSE_MILLISECONDS, remaining),
+    );
     this.timer.unref();
   }
 
