Ask the archive beside the keepers, and prove by no old list

Cause: keepers, history and archive shared 1,000 ms one after another, so that a keeper that was gone left no time for the archive; a failed listing was used for another second. A node whose list of upstreams was out of date took its one version for proof when keepers did not answer within 250 ms. Change: the archive is listed 250 ms after the keepers were asked, or at once by a new node that knows several versions; it has at least 400 ms, and a failed listing is repeated. With an old list keepers are waited for, and one version is proof only if all of them have answered; otherwise the archive decides, or the stream is refused.

--- a/packages/arbutustide-node/src/__tests__/unit/stream_origins_in_store.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/stream_origins_in_store.test.ts
@@ -166,6 +166,61 @@
     }
   });
 
+  for (const isNew of [true, false]) {
+    it(`are found although no keeper answers a node that ${isNew ? 'is new' : 'has run for long'}`, async () => {
+      const cluster = new OriginCluster(7);
+      cluster.listVersions(...VERSIONS);
+      await clock.tickAsync(
+        isNew ? SEEN_MILLISECONDS : LIFETIME_MILLISECONDS + SEEN_MILLISECONDS,
+      );
+      const ids = ['a', 'b', 'c', 'd', 'e', 'f'];
+      for (const id of ids) cluster.nodes[1].begin(id, 'v1');
+      await clock.tickAsync(ARCHIVED_MILLISECONDS);
+      const [asked, ...others] = cluster.nodes;
+      if (isNew) asked.restart();
+      for (const node of others) node.isGone = true;
+      cluster.store.latencyMilliseconds = 300;
+      for (const id of ids) {
+        const {resolved, milliseconds} = await decide(cluster, id);
+        expect(resolved?.knowledge, id).to.equal(OriginKnowledge.KNOWN);
+        expect(milliseconds).to.be.at.most(600);
+      }
+    });
+  }
+
+  it('are not proved by a list that is out of date while keepers are silent', async () => {
+    const cluster = new OriginCluster(7);
+    cluster.listVersions('v1');
+    await clock.tickAsync(LIFETIME_MILLISECONDS + SEEN_MILLISECONDS);
+    const [cutOff, ...others] = cluster.nodes;
+    cutOff.isListStale = true;
+    expect(await versionAfter(cluster, 'stream')).to.equal('v1');
+    for (const node of others) {
+      node.listVersions(...VERSIONS);
+      node.isSilent = true;
+    }
+    expect(await versionAfter(cluster, 'stream')).to.equal(undefined);
+  });
+
+  it('are looked for again after the archive could not be read', async () => {
+    const cluster = new OriginCluster(7);
+    cluster.listVersions(...VERSIONS);
+    await clock.tickAsync(LIFETIME_MILLISECONDS + SEEN_MILLISECONDS);
+    const [asked, ...others] = cluster.nodes;
+    const ids = ['a', 'b', 'c', 'd', 'e', 'f'];
+    for (const id of ids) others[0].begin(id, 'v1');
+    await clock.tickAsync(ARCHIVED_MILLISECONDS);
+    for (const node of others) node.isGone = true;
+    cluster.store.isDown = true;
+    void asked.resume('other');
+    await clock.tickAsync(300);
+    cluster.store.isDown = false;
+    const resolved = Promise.all(ids.map(id => asked.resume(id)));
+    await clock.tickAsync(DECISION_MILLISECONDS);
+    for (const {knowledge} of await resolved)
+      expect(knowledge).to.equal(OriginKnowledge.KNOWN);
+  });
+
   it('are written once the store serves again', async () => {
     const cluster = new OriginCluster(7);
     cluster.listVersions(...VERSIONS);
--- a/packages/arbutustide-node/src/proxy/stream_origin/cluster_stream_origins.ts
+++ b/packages/arbutustide-node/src/proxy/stream_origin/cluster_stream_origins.ts
@@ -34,6 +34,7 @@
   chooseOriginKeepers,
   TOLD_KEEPERS,
 } from './choose_origin_keepers.js';
+import {isDecided, proofOf} from './origin_evidence.js';
 import {OriginArchive} from './origin_archive.js';
 import {OriginArchiver} from './origin_archiver.js';
 import {OriginArchivers} from './origin_archivers.js';
@@ -43,8 +44,8 @@
 
 /**
  * How long keepers are waited for while this node knows of one version only and
- * asks just because it is new. Callers give a stream up after some seconds
- * without an event.
+ * asks just because it is new; the archive is asked after this time too. Callers
+ * give a stream up after some seconds without an event.
  */
 const PRECAUTION_MILLISECONDS = 250;
 /**
@@ -52,6 +53,8 @@
  * A caller without an answer for longer resumes its stream elsewhere.
  */
 const STORE_MILLISECONDS = 1_000;
+/** Shortest time that the archive has for its answer. */
+const ARCHIVE_MILLISECONDS = 400;
 /** Pause between two looks at whether the list of upstreams has arrived. */
 const LIST_POLL_MILLISECONDS = 20;
 /** Ids of callers' requests are shorter; longer ones are never recorded. */
@@ -252,7 +255,7 @@
     );
   }
 
-  /** What memory, peers and the store know, in the order of their cost. */
+  /** What memory, peers and the store know. */
   private async findEvidence(
     service: string,
     givenId: string,
@@ -261,25 +264,54 @@
     const requestId = givenId.length <= MAXIMUM_ID_LENGTH ? givenId : '';
     const origin = this.registry.find(requestId);
     const ownVersions = this.recentVersions.versionsOf(service);
-    if (origin) return {origin, recentVersions: ownVersions, isComplete: true};
+    if (origin) return proofOf(origin, ownVersions);
     const isOriginNeeded =
       ownVersions.size > 1 || this.isNew || !this.options.isListCurrent();
     if (!isOriginNeeded)
       return {origin, recentVersions: ownVersions, isComplete: true};
-    const [isComplete, answer] = await Promise.all([
-      this.confirmVersions(service, endAt),
-      this.askKeepers(service, requestId, ownVersions),
+    const remembered = this.findRemembered(service, requestId, endAt);
+    if (requestId === '') return remembered;
+    if (!this.isNew || ownVersions.size <= 1) {
+      const early = await Promise.race([
+        remembered,
+        delay(PRECAUTION_MILLISECONDS),
+      ]);
+      if (typeof early === 'object' && isDecided(early)) return early;
+    }
+    const remaining = endAt - performance.now();
+    const archived = this.archive
+      .find(requestId, Math.max(ARCHIVE_MILLISECONDS, remaining))
+      .then(answer => answer.origin && proofOf(answer.origin, ownVersions));
+    // A keeper that is gone delays neither what the archive knows nor its answer.
+    return Promise.race([
+      archived.then(evidence => evidence ?? remembered),
+      remembered.then(async evidence =>
+        isDecided(evidence) ? evidence : ((await archived) ?? evidence),
+      ),
     ]);
-    const recentVersions = new Set([
-      ...this.recentVersions.versionsOf(service),
-      ...answer.recentVersions,
+  }
+
+  /** What keepers, the list of upstreams and the history prove. */
+  private async findRemembered(
+    service: string,
+    requestId: string,
+    endAtMilliseconds: number,
+  ): Promise<OriginEvidence> {
+    const isListCurrent = this.options.isListCurrent();
+    const ownVersions = this.recentVersions.versionsOf(service);
+    const [isConfirmed, answer] = await Promise.all([
+      this.confirmVersions(service, endAtMilliseconds),
+      this.askKeepers(service, requestId, ownVersions, isListCurrent),
     ]);
-    const isProved = isComplete && recentVersions.size <= 1;
-    if (answer.origin || isProved || requestId === '')
-      return {origin: answer.origin, recentVersions, isComplete};
-    const remaining = Math.max(0, endAt - performance.now());
-    const archived = await this.archive.find(requestId, remaining);
-    return {origin: archived.origin, recentVersions, isComplete};
+    return {
+      origin: answer.origin,
+      recentVersions: new Set([
+        ...this.recentVersions.versionsOf(service),
+        ...answer.recentVersions,
+      ]),
+      // An old list lacks versions that have appeared since.
+      isComplete: isConfirmed && (isListCurrent || answer.isComplete),
+    };
   }
 
   /**
@@ -299,14 +331,19 @@
     return this.options.isListReceived();
   }
 
-  /** Asks the keepers at the same time; the first that knows it decides. */
+  /**
+   * Asks the keepers at the same time; the first that knows it decides. The
+   * answer is complete if all of them have answered.
+   */
   private async askKeepers(
     service: string,
     requestId: string,
     ownVersions: ReadonlySet<string>,
-  ): Promise<Omit<OriginEvidence, 'isComplete'>> {
+    isListCurrent: boolean,
+  ): Promise<OriginEvidence> {
     const {listNodes, ownUrl} = this.options;
     const recentVersions = new Set(ownVersions);
+    let answerCount = 0;
     const keepers = chooseOriginKeepers(
       listNodes(),
       requestId,
@@ -315,6 +352,7 @@
     const request = create(FindStreamOriginRequestSchema, {requestId, service});
     const findAt = async ({peerUrl}: ClusterNode): Promise<StreamOrigin> => {
       const response = await this.ask(peerUrl, request);
+      if (response) answerCount += 1;
       for (const version of response?.recentVersions ?? [])
         recentVersions.add(version);
       if (!response?.isKnown) throw new Error('the origin is not known');
@@ -324,14 +362,15 @@
       };
     };
     const answer = Promise.any(keepers.map(findAt)).catch(() => undefined);
-    const isMixed = ownVersions.size > 1;
-    const origin = isMixed
+    const isPrecaution = isListCurrent && ownVersions.size <= 1;
+    const origin = !isPrecaution
       ? await answer
       : await Promise.race([
           answer,
           delay(PRECAUTION_MILLISECONDS).then(() => undefined),
         ]);
-    return {origin, recentVersions};
+    const isComplete = answerCount === keepers.length;
+    return {origin, recentVersions, isComplete};
   }
 
   private async ask(
--- a/packages/arbutustide-node/src/proxy/stream_origin/origin_archive.ts
+++ b/packages/arbutustide-node/src/proxy/stream_origin/origin_archive.ts
@@ -13,7 +13,7 @@
 
 import {digestRequestId, includesDigest} from './request_digest.js';
 
-/** The archive is read at most once in this time. */
+/** The archive is read at most once in this time, unless a read failed. */
 const LIST_INTERVAL_MILLISECONDS = 1_000;
 
 type ListResult = Result<readonly ArchivedOrigins[], StoreError>;
@@ -60,6 +60,7 @@
     const {store, storage, logger} = this;
     const list = await store.list(storage.archivePrefix);
     if (!list.ok) {
+      this.listedAtMilliseconds = -Infinity;
       logger.warn(
         {reason: list.val.message},
         'failed to read the archive of streams; those that no node knows are refused',
