Choose issuers among leaving nodes if all leave

Cause: while all nodes were leaving, no team had an issuer, and requests that were still accepted were refused.

Change: nodes that leave are candidates while there are no others.

Result: quota_membership.test.ts passes, with a test of this case.

--- a/packages/arbutustide-node/src/__tests__/unit/quota_membership.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/quota_membership.test.ts
@@ -86,6 +86,18 @@
     expect(opensIn()).to.be.below(0);
   });
 
+  // Guards against refusals while the last nodes of a cluster stop together.
+  it('stays open while all nodes leave, and closes if another one stays', () => {
+    run(10_000);
+    expect(opensIn()).to.be.below(0);
+    nodes = nodes.map(node => ({...node, state: NodeState.LEAVING}));
+    run(UPDATE_MILLISECONDS);
+    expect(opensIn()).to.be.below(0);
+    nodes.push(createNode('c'));
+    run(UPDATE_MILLISECONDS);
+    expect(opensIn()).to.equal(undefined);
+  });
+
   it('begins anew after a pause in which others may have replaced the node', () => {
     run(10_000);
     clock.tick(2_600);
--- a/packages/arbutustide-node/src/proxy/quotas/quota_membership.ts
+++ b/packages/arbutustide-node/src/proxy/quotas/quota_membership.ts
@@ -1,11 +1,13 @@
 import type {ClusterNode} from '@arbutustide/membership';
 import type {IssuerStanding} from '@arbutustide/quotas';
 
-import {NodeState, ProtocolLevel} from '@arbutustide/membership';
+import {
+  NodeState,
+  ProtocolLevel,
+  selectByRendezvousHash,
+} from '@arbutustide/membership';
 import {PauseMeter} from '@arbutustide/quotas';
 
-import {chooseIssuers} from '../rate_limit/choose_token_issuer.js';
-
 /** Dependencies of what a node knows of the issuers of quotas. */
 export interface QuotaMembershipOptions {
   /** Identity of this node. */
@@ -145,12 +147,20 @@
     return Math.min(...this.shares.map(({share}) => share));
   }
 
-  /** A process that was replaced at its address stays known for a while. */
+  /** Nodes that leave are candidates only while there are no others. */
   private candidates(): readonly ClusterNode[] {
-    const {listNodes, identity} = this.options;
+    const nodes = this.options.listNodes();
+    const staying = this.listAddresses(
+      nodes.filter(({state}) => state !== NodeState.LEAVING),
+    );
+    return staying.length > 0 ? staying : this.listAddresses(nodes);
+  }
+
+  /** A process that was replaced at its address stays known for a while. */
+  private listAddresses(nodes: readonly ClusterNode[]): readonly ClusterNode[] {
+    const {identity} = this.options;
     const nodeByUrl = new Map<string, ClusterNode>();
-    for (const node of listNodes()) {
-      if (node.state === NodeState.LEAVING) continue;
+    for (const node of nodes) {
       if (node.protocolLevel < ProtocolLevel.TEAMS) continue;
       const isOwnKnown = nodeByUrl.get(node.peerUrl)?.identity === identity;
       if (!isOwnKnown) nodeByUrl.set(node.peerUrl, node);
@@ -179,9 +189,10 @@
     candidates = this.history[this.history.length - 1].candidates,
   ): void {
     const {identity} = this.options;
-    chosen.issuers = chooseIssuers(
-      candidates,
+    chosen.issuers = selectByRendezvousHash(
       `quota/${team}`,
+      candidates,
+      ({peerUrl}) => peerUrl,
       ISSUERS_PER_TEAM,
     );
     const isOwn = chosen.issuers.some(issuer => issuer.identity === identity);
