Forget nodes that left in the share for quotas

Cause: the share of reachable nodes counted nodes, so those that had announced that they leave lowered the quotas for an hour.

Change: quotas keep the last-seen times of addresses and forget an address whose last known state was leaving. A new process at an address takes its place. Rate limits of upstreams keep the class that counts.

Result: quota_reachable_nodes.test.ts, quota_membership.test.ts and quota_sequences.test.ts pass (18 tests); the new mutation fails its test.

--- a/packages/arbutustide-node/src/__tests__/unit/quota_cluster.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/quota_cluster.ts
@@ -33,8 +33,8 @@
   LONE_NODE_COUNT,
   SHARE_RETENTION_MILLISECONDS,
 } from '../../proxy/quotas/quota_tuning.js';
+import {ReachableNodes} from '../../proxy/quotas/reachable_nodes.js';
 import {chooseIssuers} from '../../proxy/rate_limit/choose_token_issuer.js';
-import {ReachableShare} from '../../proxy/rate_limit/reachable_share.js';
 
 /** Time until a message arrives at another node. */
 const LATENCY_MILLISECONDS = 5;
@@ -127,16 +127,16 @@
   private createQuotas(): ClusterTeamQuotas {
     const listNodes = () => this.cluster.visibleFrom(this);
     const isAlone = this.cluster.nodeCount === 1;
-    const share = new ReachableShare(
-      () => listNodes().length,
-      isAlone ? 1 : LONE_NODE_COUNT,
-      SHARE_RETENTION_MILLISECONDS,
-      () =>
+    const share = new ReachableNodes({
+      listNodes,
+      initialNodeCount: isAlone ? 1 : LONE_NODE_COUNT,
+      retentionMilliseconds: SHARE_RETENTION_MILLISECONDS,
+      countExpected: knownUrls =>
         expectedNodeCount(
-          new Set(listNodes().map(({peerUrl}) => peerUrl)),
+          knownUrls,
           this.cluster.nodes.map(({peerUrl}) => peerUrl),
         ),
-    );
+    });
     const {identity} = this;
     return new ClusterTeamQuotas({
       identity,
--- a/packages/arbutustide-node/src/proxy/quotas/register_quotas.ts
+++ b/packages/arbutustide-node/src/proxy/quotas/register_quotas.ts
@@ -3,7 +3,6 @@
 import type {RegisterSingleton} from '../register_singleton.js';
 
 import {ProxyToken} from '../proxy_tokens.js';
-import {ReachableShare} from '../rate_limit/reachable_share.js';
 import {ClusterTeamQuotas} from './cluster_team_quotas.js';
 import {ConfiguredLimits} from './configured_limits.js';
 import {expectedNodeCount} from './expected_node_count.js';
@@ -14,6 +13,7 @@
   SEED_MILLISECONDS,
   SHARE_RETENTION_MILLISECONDS,
 } from './quota_tuning.js';
+import {ReachableNodes} from './reachable_nodes.js';
 import {recordQuotaEvent} from './record_quota_event.js';
 
 /** Registers what keeps the quotas of teams. */
@@ -31,17 +31,17 @@
     const clusterView = container.resolve(ProxyToken.CLUSTER_VIEW);
     const watcher = container.resolve(ProxyToken.CONFIGURATION_WATCHER);
     const startedAt = performance.now();
-    const knownUrls = () =>
-      new Set(clusterView.nodes().map(node => node.peerUrl));
-    const reachableShare = new ReachableShare(
-      () => knownUrls().size,
-      mayHavePeers ? Math.max(LONE_NODE_COUNT, seedUrls.length) : 1,
-      SHARE_RETENTION_MILLISECONDS,
-      () => {
+    const reachableNodes = new ReachableNodes({
+      listNodes: () => clusterView.nodes(),
+      initialNodeCount: mayHavePeers
+        ? Math.max(LONE_NODE_COUNT, seedUrls.length)
+        : 1,
+      retentionMilliseconds: SHARE_RETENTION_MILLISECONDS,
+      countExpected: knownUrls => {
         const isStarting = performance.now() - startedAt < SEED_MILLISECONDS;
-        return expectedNodeCount(knownUrls(), isStarting ? seedUrls : []);
+        return expectedNodeCount(knownUrls, isStarting ? seedUrls : []);
       },
-    );
+    });
     return new ClusterTeamQuotas({
       identity,
       rule,
@@ -49,7 +49,7 @@
       membership: new QuotaMembership({
         identity,
         listNodes: () => clusterView.nodes(),
-        reachableShare: () => reachableShare.update(),
+        reachableShare: () => reachableNodes.update(),
         mayHavePeers,
       }),
       countNodes: () => clusterView.nodes().length,
