Update issuers of quotas rarely while no team has a quota

Cause: each node read the membership for quotas every 250 ms, also where no quota is configured.

Change: it does so every second then. Stopping altogether would lose the nodes that vanish before the first quota is configured, and would look like a pause, after which nothing is issued for two seconds.

--- a/packages/arbutustide-node/src/proxy/quotas/cluster_team_quotas.ts
+++ b/packages/arbutustide-node/src/proxy/quotas/cluster_team_quotas.ts
@@ -29,6 +29,13 @@
   encodeGrants,
 } from './quota_messages.js';
 
+/**
+ * Interval of updates while no team has a quota. What vanished before one is
+ * configured must be known then, and a longer interval would look like a pause
+ * in which others replaced this node as an issuer.
+ */
+const IDLE_UPDATE_MILLISECONDS = 1_000;
+
 /** Dependencies of the quotas of teams. */
 export interface ClusterTeamQuotasOptions {
   /** Identity of this node. */
@@ -50,6 +57,7 @@
 export class ClusterTeamQuotas implements TeamQuotas {
   private readonly issuer: QuotaIssuer;
   private readonly client: QuotaClient;
+  private updatedAtMilliseconds = -Infinity;
 
   constructor(private readonly options: ClusterTeamQuotasOptions) {
     const {limits, membership} = options;
@@ -83,7 +91,12 @@
 
   /** Applies changes of membership; called at short intervals. */
   update(): void {
-    this.options.membership.update();
+    const {limits, membership} = this.options;
+    const now = performance.now();
+    const age = now - this.updatedAtMilliseconds;
+    if (!limits.hasQuotas() && age < IDLE_UPDATE_MILLISECONDS) return;
+    this.updatedAtMilliseconds = now;
+    membership.update();
   }
 
   /** Gives all unused leases back, for a node that stops. */
--- a/packages/arbutustide-node/src/proxy/quotas/configured_limits.ts
+++ b/packages/arbutustide-node/src/proxy/quotas/configured_limits.ts
@@ -58,14 +58,23 @@
     return quota ? COST_RULES[quota.unit](request, quota) : 0;
   }
 
+  /** Whether any team has a limit. */
+  hasQuotas(): boolean {
+    this.readConfiguration();
+    return this.quotaByTeam.size > 0;
+  }
+
   private findQuota(team: string): TeamQuota | undefined {
-    const configuration = this.getConfiguration();
-    if (configuration !== this.configuration) {
-      this.configuration = configuration;
-      this.quotaByTeam = new Map(listQuotas(configuration));
-    }
+    this.readConfiguration();
     return this.quotaByTeam.get(team);
   }
+
+  private readConfiguration(): void {
+    const configuration = this.getConfiguration();
+    if (configuration === this.configuration) return;
+    this.configuration = configuration;
+    this.quotaByTeam = new Map(listQuotas(configuration));
+  }
 }
 
 function* listQuotas(
