--- a/packages/arbutustide-node/src/__tests__/integration/team_quotas.test.ts
+++ b/packages/arbutustide-node/src/__tests__/integration/team_quotas.test.ts
@@ -72,12 +72,17 @@
         suspensionToleranceMilliseconds: 300,
         changeBoundMilliseconds: 2_000,
         leaseMilliseconds: 1_000,
+        revocation: {isClosed: false, boundMilliseconds: 5_000},
       },
       logger: silentLogger(),
       metrics,
       store: {},
       transport: new ConnectPeerTransport(1_000, () => {}),
-      configuration: {prefix: 'config/', decode: () => Ok(CONFIGURATION)},
+      configuration: {
+        prefix: 'config/',
+        decode: () => Ok(CONFIGURATION),
+        redact: (value: unknown) => value,
+      },
       random: Math.random,
     } as unknown as ProxyDependencies;
     const identity = {
