--- a/packages/arbutustide-membership/src/peer_session.ts
+++ b/packages/arbutustide-membership/src/peer_session.ts
@@ -49,8 +49,6 @@
     onError: (error: Error) => void,
   ) {
     this.session = connect(authority);
-    // Each request that waits for the connection listens to it.
-    this.session.setMaxListeners(0);
     this.session.on('error', error => {
       this.error = error;
       if (this.isConnected) onError(error);
