Drop an unused default of quotas and words on present deployments

Cause: read-through of the change. UNLIMITED_QUOTAS has had no user since the quotas of teams are registered; two comments were bound to the present deployments.

Change: the constant is removed, the comments say what holds for any deployment.

--- a/packages/arbutustide-node/src/proxy/proxy_settings.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_settings.ts
@@ -69,6 +69,6 @@
   readonly retry: RetryBudgetSettings;
   readonly loads: StoreLoadSettings;
   readonly revocation: RevocationSettings;
-  /** Undefined to use that of the present deployments. */
+  /** A default rule if absent. */
   readonly quotaRule?: QuotaRuleSettings;
 }
--- a/packages/arbutustide-node/src/proxy/quotas/quota_tuning.ts
+++ b/packages/arbutustide-node/src/proxy/quotas/quota_tuning.ts
@@ -1,6 +1,6 @@
 import type {QuotaRule} from '@arbutustide/quotas';
 
-/** Used where the settings name no rule; the bounds of the deployments. */
+/** Used where the settings name no rule. */
 export const DEFAULT_QUOTA_RULE: QuotaRule = {
   windowMilliseconds: 8_000,
   overShare: 0.1,
@@ -15,8 +15,8 @@
 export const SHARE_RETENTION_MILLISECONDS = 3_600_000;
 
 /**
- * Nodes assumed by a node that has never known another. More than the largest
- * present deployment has, as all may be cut off from each other when they start.
+ * Nodes assumed by a node that has never known another. More than a cluster
+ * usually has, as all may be cut off from each other when they start.
  */
 export const LONE_NODE_COUNT = 100;
 
--- a/packages/arbutustide-teams/src/index.ts
+++ b/packages/arbutustide-teams/src/index.ts
@@ -17,4 +17,3 @@
   KeyTableCache,
 } from './key_table.js';
 export {TeamGate} from './team_gate.js';
-export {UNLIMITED_QUOTAS} from './team_quotas.js';
--- a/packages/arbutustide-teams/src/team_quotas.ts
+++ b/packages/arbutustide-teams/src/team_quotas.ts
@@ -2,8 +2,6 @@
 import type {GateAdmission, RoutedRequest} from '@arbutustide/routing';
 import type {Result} from 'ts-results';
 
-import {Ok} from 'ts-results';
-
 /** Takes what requests use of the quotas of their teams. */
 export interface TeamQuotas {
   /**
@@ -14,8 +12,3 @@
    */
   take(request: RoutedRequest): Promise<Result<GateAdmission, RefusalError>>;
 }
-
-/** Quotas of teams without limits. */
-export const UNLIMITED_QUOTAS: TeamQuotas = {
-  take: async () => Ok({giveBack: () => {}}),
-};
