Log how long requests lay unread and how long the event loop read nothing

A monitor measures the turns of the event loop. From them follows the earliest time at which a request can have arrived. The loop accepts one connection in each turn (seen with Node.js 20.19: 40 connections that waited were accepted in 40 turns), so that a first request may also have waited for those before it. No decision uses these times yet.

--- /dev/null
+++ b/packages/arbutustide-event-loop/src/index.ts
@@ -0,0 +1,5 @@
+/** How far the event loop is behind its input. */
+export type {EventLoop, LoopMeasurements} from './runtime_loop.js';
+export type {LoopTurn} from './input_monitor.js';
+
+export {InputMonitor, inputMonitor} from './input_monitor.js';
--- a/packages/arbutustide-node/src/__tests__/integration/relay_cancellation.test.ts
+++ b/packages/arbutustide-node/src/__tests__/integration/relay_cancellation.test.ts
@@ -63,6 +63,7 @@
     lastEventId: undefined,
     resumedRequestId: undefined,
     arrivedAtMilliseconds: now,
+    unreadMilliseconds: 0,
     deadlineAtMilliseconds: now + 5_000,
     disconnection: new Cancellation(),
   };
--- a/packages/arbutustide-node/src/__tests__/unit/relayed_team.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/relayed_team.test.ts
@@ -55,6 +55,7 @@
     lastEventId: undefined,
     resumedRequestId: undefined,
     arrivedAtMilliseconds: 0,
+    unreadMilliseconds: 0,
     deadlineAtMilliseconds: 5_000,
     disconnection: new Cancellation(),
   };
--- a/packages/arbutustide-node/src/__tests__/unit/request_relay.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/request_relay.test.ts
@@ -78,6 +78,7 @@
     lastEventId: undefined,
     resumedRequestId: undefined,
     arrivedAtMilliseconds: now,
+    unreadMilliseconds: 0,
     deadlineAtMilliseconds: now + 5_000,
     disconnection: new Cancellation(),
     ...changes,
@@ -168,15 +169,15 @@
     const request = createRequest({lastEventId: 4, resumedRequestId: 'first'});
     const progress = {...FRESH, attempts: 1, mayHaveRun: true, origin: ORIGIN};
     await send(request, progress);
-    const {deadlineAtMilliseconds, arrivedAtMilliseconds, disconnection} =
-      request;
-    expect(received?.deadlineAtMilliseconds).to.be.closeTo(
-      deadlineAtMilliseconds,
-      500,
-    );
+    const {arrivedAtMilliseconds, unreadMilliseconds} = request;
+    const {deadlineAtMilliseconds, disconnection} = request;
+    const {deadlineAtMilliseconds: told = 0} = received ?? {};
+    expect(told).to.be.closeTo(deadlineAtMilliseconds, 500);
+    expect(received?.unreadMilliseconds).to.be.within(0, 500);
     expect({
       ...received,
       arrivedAtMilliseconds,
+      unreadMilliseconds,
       deadlineAtMilliseconds,
       disconnection,
       body: received?.body?.toString('hex'),
--- a/packages/arbutustide-node/src/proxy/decision_metrics.ts
+++ b/packages/arbutustide-node/src/proxy/decision_metrics.ts
@@ -16,11 +16,15 @@
 
 const REQUEST_RECORDERS: Readonly<Record<DecisionStep, RequestRecorder>> = {
   [DecisionStep.PLACED]: (decision, metrics) => {
-    const {waitedMilliseconds = 0} = decision;
+    const {waitedMilliseconds = 0, unreadMilliseconds = 0} = decision;
     metrics.queuedSeconds.observe(
       requestLabels(decision),
       toSeconds(waitedMilliseconds),
     );
+    metrics.unreadSeconds.observe(
+      requestLabels(decision),
+      toSeconds(unreadMilliseconds),
+    );
   },
   [DecisionStep.ATTEMPT_ENDED]: ({service}, metrics) =>
     metrics.retries.inc({entry: service}),
--- a/packages/arbutustide-node/src/proxy/relay/relay_messages.ts
+++ b/packages/arbutustide-node/src/proxy/relay/relay_messages.ts
@@ -13,6 +13,7 @@
 } from '@arbutustide/routing';
 
 import {ErrorKind, ExecutionStatus, RefusalError} from '@arbutustide/errors';
+import {inputMonitor} from '@arbutustide/event-loop';
 import {RelayRequestRequestSchema} from '@arbutustide/membership';
 import {RequestKind} from '@arbutustide/routing';
 import {create} from '@bufbuild/protobuf';
@@ -99,6 +100,7 @@
     lastEventId: resumeAfterEventId ?? message.lastEventId,
     resumedRequestId: message.resumedRequestId,
     arrivedAtMilliseconds: now,
+    unreadMilliseconds: now - inputMonitor.arrivedAfterMilliseconds,
     deadlineAtMilliseconds: now + message.remainingMilliseconds,
     disconnection,
   };
--- a/packages/arbutustide-routing/src/__tests__/unit/proxy_fixtures.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/proxy_fixtures.ts
@@ -45,6 +45,7 @@
     resumedRequestId: undefined,
     configurationVersion: 1,
     arrivedAtMilliseconds: now,
+    unreadMilliseconds: 0,
     deadlineAtMilliseconds: now + 5_000,
     disconnection: new Cancellation(),
     ...changes,
--- a/packages/arbutustide-routing/src/proxy/decision_recorder.ts
+++ b/packages/arbutustide-routing/src/proxy/decision_recorder.ts
@@ -34,6 +34,7 @@
       ...(resumedRequestId !== undefined && {resumedRequestId}),
       ...target.decisionFields,
       waitedMilliseconds: Math.round(waitedMilliseconds),
+      unreadMilliseconds: Math.round(progress.request.unreadMilliseconds),
     });
   }
 
@@ -44,6 +45,9 @@
       ...attempt.slot.target.decisionFields,
       outcome: attempt.outcome,
       attempts: progress.attempts,
+      attemptMilliseconds: Math.round(
+        performance.now() - attempt.beganAtMilliseconds,
+      ),
       ...(attempt.head && {status: attempt.head.status}),
       ...(attempt.error && {reason: attempt.error.message}),
     });
@@ -70,6 +74,7 @@
       retryAfterMilliseconds: refusal.retryAfterMilliseconds,
       reason: refusal.message,
       elapsedMilliseconds: millisecondsSinceArrival(progress),
+      unreadMilliseconds: Math.round(progress.request.unreadMilliseconds),
     });
   }
 
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -264,6 +264,7 @@
       inactivityTimeout,
       observed: target.observe(progress.request),
       resumeAfterEventId,
+      beganAtMilliseconds: performance.now(),
     };
     const attempt = await runAttempt(progress, context);
     const isOpen = attempt.body === undefined && attempt.error === undefined;
--- a/packages/arbutustide-routing/src/proxy/request_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/request_decision.ts
@@ -36,6 +36,10 @@
   /** In-flight requests at the upstream, as estimated for the choice. */
   readonly load?: number;
   readonly waitedMilliseconds?: number;
+  /** Longest time for which the request can have waited to be read. */
+  readonly unreadMilliseconds?: number;
+  /** Time from the begin of an attempt to its end. */
+  readonly attemptMilliseconds?: number;
   readonly attempts?: number;
   readonly outcome?: AttemptOutcome;
   readonly status?: number;
--- a/packages/arbutustide-routing/src/proxy/routed_request.ts
+++ b/packages/arbutustide-routing/src/proxy/routed_request.ts
@@ -75,6 +75,8 @@
   readonly resumedRequestId: string | undefined;
   /** Monotonic clock, in milliseconds. */
   readonly arrivedAtMilliseconds: number;
+  /** Longest time for which it can have waited until this node read it. */
+  readonly unreadMilliseconds: number;
   /** Earlier of the caller's deadline and the route's timeout (monotonic). */
   readonly deadlineAtMilliseconds: number;
   /** Cancelled when the caller disconnects. */
--- a/packages/arbutustide-routing/src/proxy/run_attempt.ts
+++ b/packages/arbutustide-routing/src/proxy/run_attempt.ts
@@ -22,6 +22,8 @@
 /** An attempt that has its complete answer, an open stream or an error. */
 export interface AttemptResult {
   readonly slot: AttemptSlot;
+  /** Monotonic clock, in milliseconds. */
+  readonly beganAtMilliseconds: number;
   /** Aborts the attempt when its upstream is inactive. */
   readonly inactivityTimeout: InactivityTimeout;
   /** Undefined if the request shares no prompt segments. */
@@ -42,6 +44,8 @@
   readonly observed: ObservedAttempt | undefined;
   /** Id of the event after which a stream resumes; undefined to start it. */
   readonly resumeAfterEventId: number | undefined;
+  /** Monotonic clock, in milliseconds. */
+  readonly beganAtMilliseconds: number;
 }
 
 /**
@@ -53,7 +57,7 @@
   context: AttemptContext,
 ): Promise<AttemptResult> {
   const {slot, inactivityTimeout, observed, resumeAfterEventId} = context;
-  const sentAtMilliseconds = performance.now();
+  const {beganAtMilliseconds} = context;
   const opened = await slot.target.sendRequest(progress, {
     remainingMilliseconds: remainingMilliseconds(progress),
     resumeAfterEventId,
@@ -63,10 +67,17 @@
   inactivityTimeout.recordActivity();
   observed?.recordHead();
   const head = opened.val;
-  slot.target.recordHead(head, sentAtMilliseconds);
+  slot.target.recordHead(head, beganAtMilliseconds);
   const outcome = classifyResponseHead(head);
   const isStreamed = head.isEventStream && outcome === AttemptOutcome.ANSWERED;
-  const common = {slot, inactivityTimeout, observed, outcome, head};
+  const common = {
+    slot,
+    beganAtMilliseconds,
+    inactivityTimeout,
+    observed,
+    outcome,
+    head,
+  };
   if (isStreamed) return {...common, body: undefined, error: undefined};
   try {
     const body = await collectBody(head.body, inactivityTimeout);
@@ -93,7 +104,7 @@
 }
 
 function failedAttempt(
-  {slot, inactivityTimeout, observed}: AttemptContext,
+  {slot, beganAtMilliseconds, inactivityTimeout, observed}: AttemptContext,
   head: UpstreamResponseHead | undefined,
   cause: AttemptError,
 ): AttemptResult {
@@ -102,6 +113,7 @@
   const outcome = classifyAttemptError(error);
   return {
     slot,
+    beganAtMilliseconds,
     inactivityTimeout,
     observed,
     outcome,
--- a/packages/arbutustide-teams/src/__tests__/unit/fixtures.ts
+++ b/packages/arbutustide-teams/src/__tests__/unit/fixtures.ts
@@ -62,6 +62,7 @@
     lastEventId: undefined,
     resumedRequestId: undefined,
     arrivedAtMilliseconds: 0,
+    unreadMilliseconds: 0,
     deadlineAtMilliseconds: 1,
     disconnection: new Cancellation(),
   };
--- a/packages/arbutustide-telemetry/src/metrics.ts
+++ b/packages/arbutustide-telemetry/src/metrics.ts
@@ -34,6 +34,15 @@
     'arbutustide_queued_seconds',
     'Time a request waited for a place.',
   );
+  readonly unreadSeconds = this.createLatencyHistogram(
+    'arbutustide_unread_seconds',
+    'Longest time for which a request can have waited to be read.',
+  );
+  readonly loopBlockedSeconds = new Counter({
+    name: 'arbutustide_loop_blocked_seconds_total',
+    help: 'Time in long turns of the event loop, in which no input was read.',
+    registers: [this.registry],
+  });
   readonly answers = new Counter({
     name: 'arbutustide_answers_total',
     help: 'Answers by tenant, class and how they ended.',
