Measure the event loop from the start of the process

Started at its first use, the monitor took the time since its import for a turn in which no input was read; the test of the relay showed 1,022 ms at the first request.

--- a/packages/arbutustide-event-loop/src/input_monitor.ts
+++ b/packages/arbutustide-event-loop/src/input_monitor.ts
@@ -17,7 +17,6 @@
  */
 export class InputMonitor {
   private readonly listeners = new Set<(turn: LoopTurn) => void>();
-  private isStarted = false;
   private polledAtMilliseconds = performance.now();
   private atLastPoll: LoopMeasurements;
   /** What had arrived by then has been read. */
@@ -28,6 +27,7 @@
 
   constructor(private readonly loop: EventLoop = RUNTIME_LOOP) {
     this.atLastPoll = loop.measure();
+    loop.onPolled(() => this.recordPoll());
   }
 
   /**
@@ -53,7 +53,6 @@
 
   /** Calls a listener after each turn; returns a function that removes it. */
   onTurn(listener: (turn: LoopTurn) => void): () => void {
-    this.start();
     this.listeners.add(listener);
     return () => this.listeners.delete(listener);
   }
@@ -63,7 +62,6 @@
    * had already arrived.
    */
   private get waitEndMilliseconds(): number | undefined {
-    this.start();
     const measured = this.loop.measure();
     const isPolled = measured.pollCount !== this.atLastPoll.pollCount;
     const idle = this.idleSinceLastPoll(measured);
@@ -72,12 +70,6 @@
       : undefined;
   }
 
-  private start(): void {
-    if (this.isStarted) return;
-    this.isStarted = true;
-    this.loop.onPolled(() => this.recordPoll());
-  }
-
   private recordPoll(): void {
     const measured = this.loop.measure();
     if (measured.pollCount === this.atLastPoll.pollCount) return;
