Read all input before requests are passed on, and see callers leave by their end

Cause: libuv 1.46 accepts one connection in a turn of the event loop, and each turn also passed on what it had read. After a power cut, connections came faster than turns; they waited with their requests and their ends. The node then read a request and waited two turns for the close of its response as the sign that the caller had left. That event comes after the tasks of the turn in which the end of the connection is read: requests were written just before the sign.

Requests now wait in a queue that lets one task go on in each turn, none while the loop still accepts connections (for half of the time at most) or after a long turn. The end of the connection is the sign. The check before writing uses the same queue, and no longer writes after three turns whatever they showed. A request whose caller has left is dropped before it is routed.

--- a/packages/arbutustide-event-loop/src/__tests__/unit/simulated_loop.ts
+++ b/packages/arbutustide-event-loop/src/__tests__/unit/simulated_loop.ts
@@ -8,6 +8,7 @@
   private pollCount = 0;
   private idleMilliseconds = 0;
   private listener = () => {};
+  private callbacks: (() => void)[] = [];
 
   measure(): LoopMeasurements {
     const {pollCount, idleMilliseconds} = this;
@@ -18,6 +19,10 @@
     this.listener = listener;
   }
 
+  afterPoll(callback: () => void): void {
+    this.callbacks.push(callback);
+  }
+
   /** Begins a turn with a wait for input. */
   poll(idleMilliseconds = 0): void {
     this.pollCount += 1;
@@ -33,6 +38,7 @@
   /** Ends the poll of a turn. */
   endPoll(): void {
     this.listener();
+    for (const callback of this.callbacks.splice(0)) callback();
   }
 
   uninstall(): void {
--- a/packages/arbutustide-event-loop/src/input_monitor.ts
+++ b/packages/arbutustide-event-loop/src/input_monitor.ts
@@ -1,9 +1,15 @@
-import type {EventLoop, LoopMeasurements} from './runtime_loop.js';
+import type {EventLoop} from './runtime_loop.js';
 
 import {RUNTIME_LOOP} from './runtime_loop.js';
 
 /** One turn of the event loop, from the end of a poll for input to the next. */
 export interface LoopTurn {
+  /** Number of the poll that ended it. */
+  readonly pollCount: number;
+  /** When that poll ended, by the monotonic clock, in milliseconds. */
+  readonly polledAtMilliseconds: number;
+  /** Whether that poll accepted a connection; more may wait. */
+  readonly hasAccepted: boolean;
   /** Time in which the loop read no input, in milliseconds. */
   readonly activeMilliseconds: number;
 }
@@ -17,19 +23,40 @@
  */
 export class InputMonitor {
   private readonly listeners = new Set<(turn: LoopTurn) => void>();
-  private polledAtMilliseconds = performance.now();
-  private atLastPoll: LoopMeasurements;
+  private turn: LoopTurn;
+  private idleAtPoll: number;
   /** What had arrived by then has been read. */
-  private readUntilMilliseconds = this.polledAtMilliseconds;
+  private readUntilMilliseconds: number;
   /** Connections that were opened by then have been accepted. */
-  private acceptedUntilMilliseconds = this.polledAtMilliseconds;
+  private acceptedUntilMilliseconds: number;
   private hasAccepted = false;
 
   constructor(private readonly loop: EventLoop = RUNTIME_LOOP) {
-    this.atLastPoll = loop.measure();
+    const {pollCount, idleMilliseconds} = loop.measure();
+    const now = performance.now();
+    this.turn = {
+      pollCount,
+      polledAtMilliseconds: now,
+      hasAccepted: false,
+      activeMilliseconds: 0,
+    };
+    this.idleAtPoll = idleMilliseconds;
+    this.readUntilMilliseconds = now;
+    this.acceptedUntilMilliseconds = now;
     loop.onPolled(() => this.recordPoll());
   }
 
+  /** Number of polls for input so far. */
+  get pollCount(): number {
+    return this.loop.measure().pollCount;
+  }
+
+  /** The turn that the latest poll has ended. Call it after that poll only. */
+  get lastTurn(): LoopTurn {
+    this.recordPoll();
+    return this.turn;
+  }
+
   /**
    * Earliest time at which input can have arrived that is being read now. What
    * had arrived before was read in an earlier turn.
@@ -63,30 +90,32 @@
    */
   private get waitEndMilliseconds(): number | undefined {
     const measured = this.loop.measure();
-    const isPolled = measured.pollCount !== this.atLastPoll.pollCount;
-    const idle = this.idleSinceLastPoll(measured);
+    const isPolled = measured.pollCount !== this.turn.pollCount;
+    const idle = measured.idleMilliseconds - this.idleAtPoll;
     return isPolled && idle >= MINIMUM_IDLE_MILLISECONDS
-      ? this.polledAtMilliseconds + idle
+      ? this.turn.polledAtMilliseconds + idle
       : undefined;
   }
 
   private recordPoll(): void {
-    const measured = this.loop.measure();
-    if (measured.pollCount === this.atLastPoll.pollCount) return;
+    const {pollCount, idleMilliseconds} = this.loop.measure();
+    if (pollCount === this.turn.pollCount) return;
     const now = performance.now();
-    const idle = this.idleSinceLastPoll(measured);
-    const activeMilliseconds = now - this.polledAtMilliseconds - idle;
-    this.readUntilMilliseconds = this.polledAtMilliseconds + idle;
-    if (!this.hasAccepted || idle >= MINIMUM_IDLE_MILLISECONDS)
+    const {polledAtMilliseconds} = this.turn;
+    const idle = idleMilliseconds - this.idleAtPoll;
+    const {hasAccepted} = this;
+    this.readUntilMilliseconds = polledAtMilliseconds + idle;
+    if (!hasAccepted || idle >= MINIMUM_IDLE_MILLISECONDS)
       this.acceptedUntilMilliseconds = this.readUntilMilliseconds;
+    this.turn = {
+      pollCount,
+      polledAtMilliseconds: now,
+      hasAccepted,
+      activeMilliseconds: now - polledAtMilliseconds - idle,
+    };
     this.hasAccepted = false;
-    this.polledAtMilliseconds = now;
-    this.atLastPoll = measured;
-    for (const listener of this.listeners) listener({activeMilliseconds});
-  }
-
-  private idleSinceLastPoll({idleMilliseconds}: LoopMeasurements): number {
-    return idleMilliseconds - this.atLastPoll.idleMilliseconds;
+    this.idleAtPoll = idleMilliseconds;
+    for (const listener of this.listeners) listener(this.turn);
   }
 }
 
--- a/packages/arbutustide-event-loop/src/runtime_loop.ts
+++ b/packages/arbutustide-event-loop/src/runtime_loop.ts
@@ -13,6 +13,8 @@
   measure(): LoopMeasurements;
   /** Calls the listener in each turn, after the poll for input. */
   onPolled(listener: () => void): void;
+  /** Calls back after the next poll for input, which does not wait. */
+  afterPoll(callback: () => void): void;
 }
 
 // The loop turns on while a test has replaced the global function.
@@ -33,4 +35,7 @@
     };
     schedule();
   },
+  afterPoll: callback => {
+    scheduleImmediate(callback);
+  },
 };
--- a/packages/arbutustide-node/src/__tests__/integration/relay_cancellation.test.ts
+++ b/packages/arbutustide-node/src/__tests__/integration/relay_cancellation.test.ts
@@ -64,6 +64,7 @@
     resumedRequestId: undefined,
     arrivedAtMilliseconds: now,
     unreadMilliseconds: 0,
+    callerSeenAtMilliseconds: now,
     deadlineAtMilliseconds: now + 5_000,
     disconnection: new Cancellation(),
   };
--- a/packages/arbutustide-node/src/__tests__/unit/relayed_team.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/relayed_team.test.ts
@@ -56,6 +56,7 @@
     resumedRequestId: undefined,
     arrivedAtMilliseconds: 0,
     unreadMilliseconds: 0,
+    callerSeenAtMilliseconds: 0,
     deadlineAtMilliseconds: 5_000,
     disconnection: new Cancellation(),
   };
--- a/packages/arbutustide-node/src/__tests__/unit/request_relay.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/request_relay.test.ts
@@ -79,6 +79,7 @@
     resumedRequestId: undefined,
     arrivedAtMilliseconds: now,
     unreadMilliseconds: 0,
+    callerSeenAtMilliseconds: now,
     deadlineAtMilliseconds: now + 5_000,
     disconnection: new Cancellation(),
     ...changes,
--- a/packages/arbutustide-node/src/proxy/relay/relay_messages.ts
+++ b/packages/arbutustide-node/src/proxy/relay/relay_messages.ts
@@ -101,6 +101,7 @@
     resumedRequestId: message.resumedRequestId,
     arrivedAtMilliseconds: now,
     unreadMilliseconds: now - inputMonitor.arrivedAfterMilliseconds,
+    callerSeenAtMilliseconds: now,
     deadlineAtMilliseconds: now + message.remainingMilliseconds,
     disconnection,
   };
--- a/packages/arbutustide-routing/src/__tests__/unit/proxy_fixtures.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/proxy_fixtures.ts
@@ -46,6 +46,7 @@
     configurationVersion: 1,
     arrivedAtMilliseconds: now,
     unreadMilliseconds: 0,
+    callerSeenAtMilliseconds: now,
     deadlineAtMilliseconds: now + 5_000,
     disconnection: new Cancellation(),
     ...changes,
--- a/packages/arbutustide-routing/src/proxy/routed_request.ts
+++ b/packages/arbutustide-routing/src/proxy/routed_request.ts
@@ -73,10 +73,12 @@
    * undefined if the caller names none.
    */
   readonly resumedRequestId: string | undefined;
-  /** Monotonic clock, in milliseconds. */
+  /** Earliest time at which it can have arrived (monotonic). */
   readonly arrivedAtMilliseconds: number;
   /** Longest time for which it can have waited until this node read it. */
   readonly unreadMilliseconds: number;
+  /** Until when it is known that the caller had not left (monotonic). */
+  readonly callerSeenAtMilliseconds: number;
   /** Earlier of the caller's deadline and the route's timeout (monotonic). */
   readonly deadlineAtMilliseconds: number;
   /** Cancelled when the caller disconnects. */
--- a/packages/arbutustide-teams/src/__tests__/unit/fixtures.ts
+++ b/packages/arbutustide-teams/src/__tests__/unit/fixtures.ts
@@ -63,6 +63,7 @@
     resumedRequestId: undefined,
     arrivedAtMilliseconds: 0,
     unreadMilliseconds: 0,
+    callerSeenAtMilliseconds: 0,
     deadlineAtMilliseconds: 1,
     disconnection: new Cancellation(),
   };
--- a/packages/arbutustide-upstream/src/index.ts
+++ b/packages/arbutustide-upstream/src/index.ts
@@ -13,6 +13,8 @@
   OrderAnswer,
   ResidentItem,
 } from './engine.js';
+export type {SendConditions} from './send_check.js';
+export type {WriteGuard} from './checked_client.js';
 export type {UpstreamConnectionOptions} from './upstream_connection_pool.js';
 export type {PlainService, ServiceReport} from './plain_service.js';
 export type {HostList, PlatformHost} from './platform_host.js';
@@ -24,6 +26,8 @@
   UPSTREAM_LEAVING_HEADER,
   toAttemptError,
 } from './upstream_connection_pool.js';
+export {CheckedClient} from './checked_client.js';
+export {SendCheck, UnsentError, UnsentReason} from './send_check.js';
 export {HttpEngine} from './http_engine.js';
 export {HttpHostList} from './http_host_list.js';
 export {HttpPlainService} from './http_plain_service.js';
