--- a/packages/arbutustide-routing/src/__tests__/unit/proxy_dispatcher.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/proxy_dispatcher.test.ts
@@ -80,6 +80,23 @@
     );
   });
 
+  it('refuses a request at once whose time passed before it was read', async () => {
+    const now = performance.now();
+    const {result, connector} = await dispatchWith(
+      {
+        ...createRequest(RequestKind.IDEMPOTENT),
+        arrivedAtMilliseconds: now - 5_100,
+        deadlineAtMilliseconds: now - 100,
+      },
+      whole,
+    );
+    expect(result.err && result.val.kind).to.equal(
+      ErrorKind.DEADLINE_UNREACHABLE,
+    );
+    expect(result.err && result.val.ran).to.equal(ExecutionStatus.NOT_EXECUTED);
+    expect(connector.upstreamIds).to.eql([]);
+  });
+
   it('sends a request that was not run to another upstream', async () => {
     const {result, connector} = await dispatchWith(
       createRequest(RequestKind.NON_IDEMPOTENT),
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -21,10 +21,13 @@
 import {AttemptOutcome, mayHaveRun, isRetryAllowed} from './attempt_outcome.js';
 import {runAttempt} from './run_attempt.js';
 import {DecisionRecorder} from './decision_recorder.js';
+import {
+  cancelOnDisconnectOrDeadline,
+  untilCancelled,
+} from './request_cancellation.js';
 import {ranSoFar, remainingMilliseconds} from './routed_request_progress.js';
 import {
   cancelledRefusal,
-  CancelReason,
   failedAttemptRefusal,
   unknownOriginRefusal,
   withRanSoFar,
@@ -82,10 +85,8 @@
     request: RoutedRequest,
     relayed?: RelayedProgress,
   ): AnswerOrRefusal {
-    const {recordRequest, poisonRequestDetector, poisonSegmentDetector} =
-      this.options;
     // The node that has it from its caller counts it.
-    if (!relayed) recordRequest(request.service);
+    if (!relayed) this.options.recordRequest(request.service);
     const progress: RoutedRequestProgress = {
       request,
       cancellation: new Cancellation(),
@@ -99,13 +100,10 @@
       lastDeliveryAtMilliseconds: request.arrivedAtMilliseconds,
       fingerprint: fingerprintRoutedRequest(request),
     };
-    if (
-      poisonRequestDetector.isQuarantined(progress.fingerprint) ||
-      poisonSegmentDetector.isQuarantined(request)
-    ) {
-      const refusal = quarantineRefusal();
-      this.decisions.recordRefusal(progress, refusal);
-      return Err(refusal);
+    const hopeless = this.refuseHopeless(progress);
+    if (hopeless) {
+      this.decisions.recordRefusal(progress, hopeless);
+      return Err(hopeless);
     }
     const stopCancellation = cancelOnDisconnectOrDeadline(progress);
     const attempt = await this.admitAndAttempt(
@@ -121,6 +119,20 @@
     return Ok(this.createAnswer(progress, attempt.val, stopCancellation));
   }
 
+  /** The refusal of a request that must not be attempted at all, if so. */
+  private refuseHopeless(
+    progress: RoutedRequestProgress,
+  ): RefusalError | undefined {
+    const {poisonRequestDetector, poisonSegmentDetector} = this.options;
+    const isQuarantined =
+      poisonRequestDetector.isQuarantined(progress.fingerprint) ||
+      poisonSegmentDetector.isQuarantined(progress.request);
+    if (isQuarantined) return quarantineRefusal();
+    return remainingMilliseconds(progress) <= 0
+      ? cancelledRefusal(progress)
+      : undefined;
+  }
+
   /**
    * Admits the request, unless a peer has done so, and attempts it. What it
    * took of its team's quota is given back if it has certainly not run.
@@ -365,33 +377,3 @@
     return {...common, body: stream.readChunks(attempt)};
   }
 }
-
-function untilCancelled({
-  cancellation,
-}: RoutedRequestProgress): Promise<undefined> {
-  return new Promise(resolve => {
-    cancellation.onCancel(() => resolve(undefined));
-  });
-}
-
-/**
- * Cancels the request when the caller disconnects or the deadline passes.
- *
- * @return stops both triggers.
- */
-function cancelOnDisconnectOrDeadline(
-  progress: RoutedRequestProgress,
-): () => void {
-  const {request, cancellation: cancel} = progress;
-  const timer = setTimeout(
-    () => cancel.cancel(CancelReason.DEADLINE),
-    Math.max(0, remainingMilliseconds(progress)),
-  );
-  const removeCancelListener = request.disconnection.onCancel(() =>
-    cancel.cancel(CancelReason.CALLER_GONE),
-  );
-  return () => {
-    clearTimeout(timer);
-    removeCancelListener();
-  };
-}
