Pass no request on for a peer, or to one, that has been given up unread

The node that passes a request to a peer did not look for its caller again; the peer dispatched what it read without looking for the call's end behind it, and began the remaining time anew, however long the request had lain unread.

The first node confirms that the caller is still there before it calls the peer; the peer takes a turn of the event loop for each call, and counts the remaining time from the earliest time at which the call can have arrived.

--- a/packages/arbutustide-node/src/__tests__/integration/relay_cancellation.test.ts
+++ b/packages/arbutustide-node/src/__tests__/integration/relay_cancellation.test.ts
@@ -1,20 +1,11 @@
 // Guards against nodes that end because a request which they pass to a peer is
 // given up, at whatever moment.
 import type {PeerHandler} from '@arbutustide/membership';
-import type {
-  ProxyAnswer,
-  RelayedProgress,
-  RoutedRequest,
-} from '@arbutustide/routing';
+import type {ProxyAnswer, RoutedRequest} from '@arbutustide/routing';
 
-import {
-  Cancellation,
-  delay,
-  ErrorKind,
-  RefusalError,
-} from '@arbutustide/errors';
+import {delay, ErrorKind, RefusalError} from '@arbutustide/errors';
 import {ConnectPeerServer, ConnectPeerTransport} from '@arbutustide/membership';
-import {AnswerEnd, RequestKind} from '@arbutustide/routing';
+import {AnswerEnd} from '@arbutustide/routing';
 import {silentLogger} from '@arbutustide/telemetry';
 import {AttemptError} from '@arbutustide/upstream';
 import {expect} from 'chai';
@@ -22,54 +13,13 @@
 
 import {ClusterRequestRelay} from '../../proxy/relay/cluster_request_relay.js';
 import {RelayServer} from '../../proxy/relay/relay_server.js';
+import {createRequest, FRESH} from '../relay_fixtures.js';
 
-const FRESH: RelayedProgress = {
-  attempts: 0,
-  mayHaveRun: false,
-  origin: undefined,
-  resumeAfterEventId: undefined,
-};
 const ROUNDS = 60;
 const EVENTS = 4;
 const EVENT_INTERVAL_MILLISECONDS = 3;
 const SETTLE_MILLISECONDS = 200;
 
-function createRequest(): RoutedRequest {
-  const now = performance.now();
-  return {
-    requestId: 'request',
-    team: undefined,
-    route: {
-      name: 'route',
-      host: 'host.example',
-      pathPrefix: '/',
-      kind: RequestKind.STREAM,
-      targets: [{service: 'service', weight: 1}],
-      timeoutMilliseconds: 5_000,
-      firstByteTargetMilliseconds: 300,
-      callerTimeoutMilliseconds: 2_000,
-      priority: 1,
-      maximumAttempts: 2,
-      isResumable: true,
-      isPublic: false,
-    },
-    service: 'service',
-    configurationVersion: 1,
-    method: 'POST',
-    requestTarget: '/path',
-    headers: [],
-    body: undefined,
-    modelRequest: undefined,
-    lastEventId: undefined,
-    resumedRequestId: undefined,
-    arrivedAtMilliseconds: now,
-    unreadMilliseconds: 0,
-    callerSeenAtMilliseconds: now,
-    deadlineAtMilliseconds: now + 5_000,
-    disconnection: new Cancellation(),
-  };
-}
-
 async function* streamEvents({
   disconnection,
 }: RoutedRequest): AsyncGenerator<Uint8Array, AnswerEnd, undefined> {
--- a/packages/arbutustide-node/src/__tests__/unit/request_relay.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/request_relay.test.ts
@@ -23,7 +23,7 @@
   RefusalError,
 } from '@arbutustide/errors';
 import {PeerError, RelayRequestResponseSchema} from '@arbutustide/membership';
-import {AnswerEnd, RequestKind} from '@arbutustide/routing';
+import {AnswerEnd} from '@arbutustide/routing';
 import {silentLogger} from '@arbutustide/telemetry';
 import {AttemptFailure} from '@arbutustide/upstream';
 import {create} from '@bufbuild/protobuf';
@@ -33,59 +33,11 @@
 import {ClusterRequestRelay} from '../../proxy/relay/cluster_request_relay.js';
 import {encodeRelayRequest} from '../../proxy/relay/relay_messages.js';
 import {RelayServer} from '../../proxy/relay/relay_server.js';
+import {createRequest, FRESH} from '../relay_fixtures.js';
 
 const ORIGIN_NODE = 'origin';
-const FRESH: RelayedProgress = {
-  attempts: 0,
-  mayHaveRun: false,
-  origin: undefined,
-  resumeAfterEventId: undefined,
-};
 const ORIGIN = {service: 'service', softwareVersion: 'v1'};
 
-function createRequest(changes: Partial<RoutedRequest> = {}): RoutedRequest {
-  const now = performance.now();
-  return {
-    requestId: 'request-1',
-    team: undefined,
-    route: {
-      name: 'route',
-      host: 'host.example',
-      pathPrefix: '/',
-      kind: RequestKind.STREAM,
-      targets: [{service: 'service', weight: 1}],
-      timeoutMilliseconds: 5_000,
-      firstByteTargetMilliseconds: 300,
-      callerTimeoutMilliseconds: 2_000,
-      priority: 1,
-      maximumAttempts: 2,
-      isResumable: true,
-      isPublic: false,
-    },
-    service: 'service',
-    configurationVersion: 7,
-    method: 'POST',
-    requestTarget: '/path?query',
-    headers: ['X-One', '1', 'x-one', '2'],
-    body: Buffer.from([0, 255, 10]),
-    modelRequest: {
-      model: 'model',
-      adapter: undefined,
-      promptTokens: 100,
-      maximumOutputTokens: 20,
-      promptSegments: [{id: 'aa', tokens: 50}],
-    },
-    lastEventId: undefined,
-    resumedRequestId: undefined,
-    arrivedAtMilliseconds: now,
-    unreadMilliseconds: 0,
-    callerSeenAtMilliseconds: now,
-    deadlineAtMilliseconds: now + 5_000,
-    disconnection: new Cancellation(),
-    ...changes,
-  };
-}
-
 function answerWith(body: ProxyAnswer['body'], status = 200): ProxyAnswer {
   const headers = ['x-answer', 'one'];
   const upstreamId = 'upstream-1';
@@ -170,8 +122,10 @@
     const request = createRequest({lastEventId: 4, resumedRequestId: 'first'});
     const progress = {...FRESH, attempts: 1, mayHaveRun: true, origin: ORIGIN};
     await send(request, progress);
-    const {arrivedAtMilliseconds, unreadMilliseconds} = request;
     const {deadlineAtMilliseconds, disconnection} = request;
+    // These times are those of the peer.
+    const {arrivedAtMilliseconds, unreadMilliseconds} = request;
+    const {callerSeenAtMilliseconds} = request;
     const {deadlineAtMilliseconds: told = 0} = received ?? {};
     expect(told).to.be.closeTo(deadlineAtMilliseconds, 500);
     expect(received?.unreadMilliseconds).to.be.at.least(0);
@@ -179,6 +133,7 @@
       ...received,
       arrivedAtMilliseconds,
       unreadMilliseconds,
+      callerSeenAtMilliseconds,
       deadlineAtMilliseconds,
       disconnection,
       body: received?.body?.toString('hex'),
--- a/packages/arbutustide-node/src/proxy/relay/cluster_request_relay.ts
+++ b/packages/arbutustide-node/src/proxy/relay/cluster_request_relay.ts
@@ -19,7 +19,7 @@
 import type {Cancellation} from '@arbutustide/errors';
 import {ExecutionStatus} from '@arbutustide/errors';
 import {PeerError} from '@arbutustide/membership';
-import {AttemptError, AttemptFailure} from '@arbutustide/upstream';
+import {AttemptError, AttemptFailure, SendCheck} from '@arbutustide/upstream';
 import {Err, Ok} from 'ts-results';
 
 import {chooseRelayPeer} from './choose_relay_peer.js';
@@ -88,6 +88,11 @@
     cancellation: Cancellation,
   ): Promise<Result<RelayedHead, RelayFailure>> {
     const {identity, transport} = this.options;
+    const unsent = await new SendCheck({
+      ...request,
+      isCancelled: () => cancellation.isCancelled,
+    }).confirm();
+    if (unsent) return Err({error: unsent, refusal: undefined});
     const call = new RelayCall(
       transport.relayRequest.bind(
         transport,
--- a/packages/arbutustide-node/src/proxy/relay/relay_messages.ts
+++ b/packages/arbutustide-node/src/proxy/relay/relay_messages.ts
@@ -81,6 +81,7 @@
   const {route, modelRequest, body, resumeAfterEventId, service} = message;
   const kind = Object.values(RequestKind).find(known => known === route?.kind);
   if (!route || !kind) return undefined;
+  const arrivedAtMilliseconds = inputMonitor.arrivedAfterMilliseconds;
   const now = performance.now();
   return {
     requestId: message.requestId,
@@ -99,10 +100,11 @@
     modelRequest: modelRequest && decodeModelRequest(modelRequest),
     lastEventId: resumeAfterEventId ?? message.lastEventId,
     resumedRequestId: message.resumedRequestId,
-    arrivedAtMilliseconds: now,
-    unreadMilliseconds: now - inputMonitor.arrivedAfterMilliseconds,
-    callerSeenAtMilliseconds: now,
-    deadlineAtMilliseconds: now + message.remainingMilliseconds,
+    arrivedAtMilliseconds,
+    unreadMilliseconds: now - arrivedAtMilliseconds,
+    callerSeenAtMilliseconds: arrivedAtMilliseconds,
+    deadlineAtMilliseconds:
+      arrivedAtMilliseconds + message.remainingMilliseconds,
     disconnection,
   };
 }
--- a/packages/arbutustide-node/src/proxy/relay/relay_server.ts
+++ b/packages/arbutustide-node/src/proxy/relay/relay_server.ts
@@ -6,6 +6,7 @@
 import type {NodeLogger} from '@arbutustide/telemetry';
 
 import {Cancellation, ErrorKind, RefusalError} from '@arbutustide/errors';
+import {turnQueue} from '@arbutustide/event-loop';
 import {AnswerEnd} from '@arbutustide/routing';
 
 import {
@@ -53,8 +54,15 @@
     signal.addEventListener('abort', disconnect, {once: true});
     this.activeRequests += 1;
     try {
+      const callerSeenAtMilliseconds = await turnQueue.nextTurn(
+        () => !signal.aborted,
+      );
+      if (signal.aborted) return;
       const progress = decodeRelayedProgress(message);
-      const answer = await this.dispatcher.dispatch(request, progress);
+      const answer = await this.dispatcher.dispatch(
+        {...request, callerSeenAtMilliseconds},
+        progress,
+      );
       if (!answer.ok) {
         yield encodeRefusal(answer.val);
         return;
--- a/packages/arbutustide-upstream/src/send_check.ts
+++ b/packages/arbutustide-upstream/src/send_check.ts
@@ -89,6 +89,20 @@
     }
   }
 
+  /**
+   * Waits until it is known that the caller is still there.
+   *
+   * @return the error of the attempt if the request must not be sent.
+   */
+  async confirm(): Promise<AttemptError | undefined> {
+    try {
+      await this.sendWhenFresh(async () => this.beforeWrite());
+      return undefined;
+    } catch (error) {
+      return this.toUnsentAttemptError(error);
+    }
+  }
+
   /** The error of an attempt that was not sent, if that is why it failed. */
   toUnsentAttemptError(error: unknown): AttemptError | undefined {
     const isOver =
