Send no request of the other interface whose caller has left unread either

It takes a turn of the event loop for each request, like the platform's server; both share the arrival times, the sign that a caller has left, and the check before writing, which moves to the package of upstreams. A request that must not be repeated still goes on once it was sent; before, it is refused as not run, so that its idempotency key is free again.

--- a/packages/arbutustide-event-loop/src/index.ts
+++ b/packages/arbutustide-event-loop/src/index.ts
@@ -2,5 +2,6 @@
 export type {EventLoop, LoopMeasurements} from './runtime_loop.js';
 export type {LoopTurn} from './input_monitor.js';
 
+export {ArrivalTimes} from './arrival_times.js';
 export {InputMonitor, inputMonitor} from './input_monitor.js';
 export {TurnQueue, turnQueue} from './turn_queue.js';
--- a/packages/arbutustide-node/src/caller_server.ts
+++ b/packages/arbutustide-node/src/caller_server.ts
@@ -14,12 +14,12 @@
 
 import {isIdempotent} from '@arbutustide/catalogue';
 import {
-  Cancellation,
   ErrorKind,
   InvariantError,
   createRefusalAnswer,
   RefusalError,
 } from '@arbutustide/errors';
+import {ArrivalTimes, turnQueue} from '@arbutustide/event-loop';
 import {App} from '@tinyhttp/app';
 import {Err, Ok} from 'ts-results';
 
@@ -30,6 +30,7 @@
 } from './read_caller_request.js';
 import {listModels} from './model_list.js';
 import {authenticateCaller, getRequestId} from './caller_authentication.js';
+import {watchDisconnection} from './watch_disconnection.js';
 
 /** Interval at which connections are checked against the header timeout. */
 const CONNECTION_CHECK_INTERVAL_MILLISECONDS = 500;
@@ -51,6 +52,7 @@
 /** HTTP server for callers: completions, services, models and health. */
 export class CallerServer {
   private readonly server: Server;
+  private readonly arrivalTimes = new ArrivalTimes();
   private activeRequests = 0;
 
   constructor(
@@ -70,6 +72,9 @@
         app.handler(request as Request, response as Response);
       },
     );
+    this.server.on('connection', socket =>
+      this.arrivalTimes.recordConnection(socket),
+    );
     this.server.on('clientError', respondToParserError);
   }
 
@@ -188,7 +193,19 @@
     if (!callerRequest.ok) {
       return this.sendRefusal(request, response, callerRequest.val);
     }
-    const answer = await this.core.dispatcher.dispatch(callerRequest.val);
+    const {disconnection} = incoming.val;
+    const callerSeenAtMilliseconds = await turnQueue.nextTurn(
+      () => !disconnection.isCancelled,
+    );
+    if (disconnection.isCancelled) {
+      const reason = 'the caller left before its request was read';
+      const refusal = new RefusalError(ErrorKind.CALLER_GONE, reason);
+      return this.sendRefusal(request, response, refusal);
+    }
+    const answer = await this.core.dispatcher.dispatch({
+      ...callerRequest.val,
+      callerSeenAtMilliseconds,
+    });
     if (!answer.ok) return this.sendRefusal(request, response, answer.val);
     const {entry, method, caller, requestClass} = callerRequest.val;
     const writer = new AnswerWriter(
@@ -220,7 +237,7 @@
     request: Request,
     response: Response,
   ): Result<AuthenticatedRequest, Refusal> {
-    const arrivedAtMilliseconds = performance.now();
+    const arrivedAtMilliseconds = this.arrivalTimes.takeArrival(request.socket);
     const catalogue = this.core.catalogueHolder.current;
     if (!catalogue) {
       return Err(
@@ -240,7 +257,7 @@
       catalogue,
       settings: this.dependencies.settings,
       arrivedAtMilliseconds,
-      disconnection: watchDisconnection(response),
+      disconnection: watchDisconnection(request.socket, response),
     });
   }
 
@@ -308,18 +325,6 @@
   }
 }
 
-/**
- * Returns a cancellation that fires when the caller's connection closes before
- * the answer has been sent completely.
- */
-function watchDisconnection(response: Response): Cancellation {
-  const cancellation = new Cancellation();
-  response.once('close', () => {
-    if (!response.writableFinished) cancellation.cancel('the caller went away');
-  });
-  return cancellation;
-}
-
 /**
  * Answers input that the HTTP parser rejects: malformed requests, and headers
  * that are too large or too slow. Written to the raw socket, because there is
--- a/packages/arbutustide-node/src/index.ts
+++ b/packages/arbutustide-node/src/index.ts
@@ -24,6 +24,7 @@
 export {createConnectionErrorLog} from './connection_error_log.js';
 export {CallerServer} from './caller_server.js';
 export {ProxyCore} from './proxy/proxy_core.js';
+export {watchDisconnection} from './watch_disconnection.js';
 export {recordLongTurns} from './proxy/record_long_turns.js';
 export {NodeCore} from './node_core.js';
 export {startNode} from './node_daemon.js';
--- a/packages/arbutustide-node/src/read_caller_request.ts
+++ b/packages/arbutustide-node/src/read_caller_request.ts
@@ -157,6 +157,7 @@
     requestClass,
     method,
     idempotencyKey,
+    callerSeenAtMilliseconds: request.arrivedAtMilliseconds,
     deadlineAtMilliseconds:
       request.arrivedAtMilliseconds + deadlineMilliseconds,
     disconnection: request.disconnection,
--- a/packages/arbutustide-routing/src/attempt_runner.ts
+++ b/packages/arbutustide-routing/src/attempt_runner.ts
@@ -18,6 +18,7 @@
   AttemptError,
   AttemptFailure,
   AttemptState,
+  SendCheck,
 } from '@arbutustide/upstream';
 import {Err, Ok} from 'ts-results';
 
@@ -259,6 +260,10 @@
       ? progressMilliseconds
       : Math.max(1, request.deadlineAtMilliseconds - performance.now()),
     signal,
+    sendCheck: new SendCheck({
+      ...request,
+      isCancelled: () => signal.aborted || request.disconnection.isCancelled,
+    }),
   };
 }
 
--- a/packages/arbutustide-routing/src/caller_request.ts
+++ b/packages/arbutustide-routing/src/caller_request.ts
@@ -24,6 +24,8 @@
   readonly idempotencyKey: string | undefined;
   /** Digest of the prompt's prefix, for prefix cache affinity. */
   readonly prefixDigest: string | undefined;
+  /** Until when it is known that the caller had not left (monotonic). */
+  readonly callerSeenAtMilliseconds: number;
   /** Deadline on the monotonic clock, in milliseconds. */
   readonly deadlineAtMilliseconds: number;
   /** Cancelled when the caller disconnects. */
--- a/packages/arbutustide-routing/src/dispatch_refusals.ts
+++ b/packages/arbutustide-routing/src/dispatch_refusals.ts
@@ -10,7 +10,7 @@
   [AttemptFailure.NOT_CONNECTED]: ErrorKind.UPSTREAM_UNREACHABLE,
   [AttemptFailure.CONNECTION_LOST]: ErrorKind.UPSTREAM_BROKEN,
   [AttemptFailure.INACTIVITY_TIMEOUT]: ErrorKind.UPSTREAM_TIMED_OUT,
-  [AttemptFailure.NOT_SENT]: ErrorKind.CALLER_GONE,
+  [AttemptFailure.NOT_SENT]: ErrorKind.DEADLINE_UNREACHABLE,
   [AttemptFailure.CANCELLED]: ErrorKind.CALLER_GONE,
   [AttemptFailure.PROTOCOL_VIOLATION]: ErrorKind.ANSWER_INCOMPLETE,
 };
@@ -21,9 +21,15 @@
   failed: FailedAttempt,
 ): RefusalError {
   if (failed.isCrash) return crashRefusal(progress);
+  const {failure} = failed.error;
+  const hasCallerLeft =
+    failure === AttemptFailure.NOT_SENT &&
+    progress.request.disconnection.isCancelled;
   const kind = failed.isRejected
     ? ErrorKind.UPSTREAM_UNREACHABLE
-    : KIND_BY_FAILURE[failed.error.failure];
+    : hasCallerLeft
+      ? ErrorKind.CALLER_GONE
+      : KIND_BY_FAILURE[failure];
   return new RefusalError(kind, failed.error.message, {
     ran: ranStatus(progress),
   });
--- a/packages/arbutustide-routing/src/dispatcher.ts
+++ b/packages/arbutustide-routing/src/dispatcher.ts
@@ -24,6 +24,7 @@
   ExecutionStatus,
   RefusalError,
 } from '@arbutustide/errors';
+import {AttemptFailure} from '@arbutustide/upstream';
 import {Err, Ok} from 'ts-results';
 
 import {AnswerRelay} from './answer_relay.js';
@@ -305,16 +306,15 @@
     failed: FailedAttempt,
   ): RefusalError | undefined {
     const {request, isRepeatable} = progress;
-    const isPastDeadline = performance.now() >= request.deadlineAtMilliseconds;
-    if (isPastDeadline || progress.cancellation.isCancelled) {
+    const isLate = performance.now() >= request.deadlineAtMilliseconds;
+    if (isLate || progress.cancellation.isCancelled) {
       return failureRefusal(progress, failed);
     }
-    if (progress.mayHaveRun && !isRepeatable) {
+    const isUnwanted = failed.error.failure === AttemptFailure.NOT_SENT;
+    if (isUnwanted || (progress.mayHaveRun && !isRepeatable))
       return failureRefusal(progress, failed);
-    }
-    if (progress.attemptCount >= this.options.maximumAttempts) {
+    if (progress.attemptCount >= this.options.maximumAttempts)
       return failureRefusal(progress, failed);
-    }
     if (!failed.error.mayHaveRun) return undefined;
     if (this.options.retryBudgetFor(request.requestClass.name).tryConsume()) {
       return undefined;
--- a/packages/arbutustide-scenarios/src/world/simulated_caller.ts
+++ b/packages/arbutustide-scenarios/src/world/simulated_caller.ts
@@ -143,6 +143,7 @@
     isStream: simulatedRequest.isStream,
     idempotencyKey: simulatedRequest.idempotencyKey,
     prefixDigest: undefined,
+    callerSeenAtMilliseconds: performance.now(),
     deadlineAtMilliseconds:
       performance.now() + requestClass.deadlineMilliseconds,
     disconnection: new Cancellation(),
--- a/packages/arbutustide-upstream/src/attempt.ts
+++ b/packages/arbutustide-upstream/src/attempt.ts
@@ -1,6 +1,7 @@
 import type {Result} from 'ts-results';
 
 import type {AttemptError} from './attempt_error.js';
+import type {SendCheck} from './send_check.js';
 
 /** One attempt to run a caller's request at one upstream. */
 export interface AttemptRequest {
@@ -18,6 +19,8 @@
   readonly inactivityTimeoutMilliseconds: number;
   /** Aborting it cancels the attempt at the upstream. */
   readonly signal: AbortSignal;
+  /** Decides whether the request may be written; it always may if absent. */
+  readonly sendCheck?: SendCheck;
 }
 
 /** Reads the body of an answer chunk by chunk. */
--- a/packages/arbutustide-upstream/src/http_engine.ts
+++ b/packages/arbutustide-upstream/src/http_engine.ts
@@ -71,6 +71,7 @@
       path: `/v1/attempts/${request.attemptId}/stream`,
       body: undefined,
       contentType: undefined,
+      sendCheck: undefined,
     };
     return this.connectionPool.sendAttempt(resumed, {
       'last-event-id': lastEventId,
--- a/packages/arbutustide-upstream/src/upstream_connection_pool.ts
+++ b/packages/arbutustide-upstream/src/upstream_connection_pool.ts
@@ -1,13 +1,15 @@
 import type {Result} from 'ts-results';
-import type {Dispatcher} from 'undici';
+import type {Client, Dispatcher} from 'undici';
 
 import type {AnswerBody, AttemptRequest, UpstreamAnswer} from './attempt.js';
+import type {WriteGuard} from './checked_client.js';
 
 import {Err, Ok} from 'ts-results';
 import {Pool} from 'undici';
 import type {z} from 'zod';
 
 import {AttemptError, AttemptFailure} from './attempt_error.js';
+import {CheckedClient} from './checked_client.js';
 
 /** Header with the id of the attempt that an answer belongs to. */
 export const ATTEMPT_ID_HEADER = 'x-attempt-id';
@@ -74,8 +76,9 @@
     request: AttemptRequest,
     headers: Readonly<Record<string, string>>,
   ): Promise<Result<UpstreamAnswer, AttemptError>> {
-    try {
-      const response = await this.pool.request({
+    const {sendCheck} = request;
+    const send = () =>
+      this.pool.request({
         method: request.method as Dispatcher.HttpMethod,
         path: request.path,
         headers: createAttemptHeaders(request, headers),
@@ -83,10 +86,15 @@
         signal: request.signal,
         headersTimeout: request.inactivityTimeoutMilliseconds,
         bodyTimeout: request.inactivityTimeoutMilliseconds,
+        opaque: sendCheck satisfies WriteGuard | undefined,
       });
+    try {
+      const response = await (sendCheck?.sendWhenFresh(send) ?? send());
       return checkAnswer(request, response);
     } catch (error) {
-      return Err(toAttemptError(error));
+      return Err(
+        sendCheck?.toUnsentAttemptError(error) ?? toAttemptError(error),
+      );
     }
   }
 
@@ -126,6 +134,8 @@
     return new Pool(this.options.url, {
       connections,
       pipelining: 1,
+      factory: (origin, options) =>
+        new CheckedClient(origin, options as Client.Options),
       keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
       keepAliveMaxTimeout: KEEP_ALIVE_MILLISECONDS,
       connect: {timeout: this.options.connectTimeoutMilliseconds},
@@ -149,7 +159,7 @@
 
 function checkAnswer(
   request: AttemptRequest,
-  response: Dispatcher.ResponseData,
+  response: Dispatcher.ResponseData<unknown>,
 ): Result<UpstreamAnswer, AttemptError> {
   const body = new HttpAnswerBody(response.body);
   const answeredId = response.headers[ATTEMPT_ID_HEADER];
