Take odd entries for no upstreams, and keep them from stopping nodes

It happened here: an entry nested 5,000 deep made each call fail that serializes what was read from the store, so that nodes behind a relay saw no changes and a node could not start from a peer; a port out of range made probes throw, which nobody caught; a start before the epoch cannot be encoded for peers, and slots without bound count as capacity.

Values nested deeper than 64 levels are dropped where they are read, from the store and from peers; addresses, slots and starts are checked; a probe that fails is logged and counts as no path.

--- a/packages/arbutustide-node/src/proxy/peer_snapshot.ts
+++ b/packages/arbutustide-node/src/proxy/peer_snapshot.ts
@@ -2,11 +2,7 @@
 
 import {z} from 'zod';
 
-const storedObjectSchema = z.object({
-  key: z.string(),
-  version: z.number().int(),
-  value: z.unknown(),
-});
+import {storedObjectSchema} from './stored_object_schema.js';
 
 /** State that a node gives to a peer that cannot read it from the store. */
 const peerSnapshotSchema = z.object({
--- a/packages/arbutustide-node/src/proxy/relay/register_relay.ts
+++ b/packages/arbutustide-node/src/proxy/relay/register_relay.ts
@@ -61,12 +61,15 @@
   return new ReachabilityMonitor({
     listServices: () => services().keys(),
     listUpstreams: service => directory.listByService(service),
-    probe: upstream => {
+    probe: async upstream => {
       const isEngine = services().get(upstream.description.service)?.engine;
-      return connector.probe(
-        upstream,
-        isEngine ? ProbeKind.REPORT : ProbeKind.CONNECTION,
-      );
+      const kind = isEngine ? ProbeKind.REPORT : ProbeKind.CONNECTION;
+      try {
+        return await connector.probe(upstream, kind);
+      } catch (error) {
+        logger.warn({upstream: upstream.id, err: error}, 'failed to probe');
+        return false;
+      }
     },
     onServiceChange: (service, change) => {
       logger.warn({service, change}, 'path to a service has changed');
--- a/packages/arbutustide-node/src/proxy/watch_relay/relayed_object_store.ts
+++ b/packages/arbutustide-node/src/proxy/watch_relay/relayed_object_store.ts
@@ -21,17 +21,12 @@
 import {Err, Ok} from 'ts-results';
 import {z} from 'zod';
 
+import {storedObjectSchema} from '../stored_object_schema.js';
 import {WatchLog} from './watch_log.js';
 
 /** Pause before a relay that failed is tried again. */
 const RELAY_RETRY_MILLISECONDS = 5_000;
 
-const storedObjectSchema = z.object({
-  key: z.string(),
-  version: z.number().int(),
-  value: z.unknown(),
-});
-
 const batchesSchema = z.array(
   z.object({
     changes: z.array(storedObjectSchema),
--- a/packages/arbutustide-object-store/src/index.ts
+++ b/packages/arbutustide-object-store/src/index.ts
@@ -15,6 +15,7 @@
 } from './store_http_client.js';
 
 export {HttpObjectStore} from './http_object_store.js';
+export {limitNesting} from './limit_nesting.js';
 export {mergeBatches} from './merge_batches.js';
 export {PrefixWatcher} from './prefix_watcher.js';
 export {StoreCallCounter} from './store_call_counter.js';
