Believe no refusal that may belong to another request of its connection

It happened here: the platform's refusals carry no id of a request, so a copy that arrives where the next answer is due was taken for that answer. A copy with an id was caught already. Engines of the project's own interface echo the id of the attempt in each answer: without it they have not answered, and the request may have run.

Requests between nodes are matched by their HTTP/2 streams.

--- a/packages/arbutustide-upstream/src/http_engine.ts
+++ b/packages/arbutustide-upstream/src/http_engine.ts
@@ -57,7 +57,10 @@
   private readonly connectionPool: UpstreamConnectionPool;
 
   constructor(options: UpstreamConnectionOptions) {
-    this.connectionPool = new UpstreamConnectionPool(options);
+    this.connectionPool = new UpstreamConnectionPool({
+      ...options,
+      requiresAttemptId: true,
+    });
   }
 
   sendAttempt(request: AttemptRequest): AttemptResult {
--- a/packages/arbutustide-upstream/src/upstream_connection_pool.ts
+++ b/packages/arbutustide-upstream/src/upstream_connection_pool.ts
@@ -33,6 +33,8 @@
 /** Options of the connections to one upstream. */
 export interface UpstreamConnectionOptions {
   readonly url: string;
+  /** Whether an answer without the id of its attempt is no answer. */
+  readonly requiresAttemptId?: boolean;
   readonly maximumConnections: number;
   readonly connectTimeoutMilliseconds: number;
   /** Default time limit of short JSON calls, such as reports. */
@@ -90,7 +92,7 @@
       });
     try {
       const response = await (sendCheck?.sendWhenFresh(send) ?? send());
-      return checkAnswer(request, response);
+      return this.checkAnswer(request, response);
     } catch (error) {
       return Err(
         sendCheck?.toUnsentAttemptError(error) ?? toAttemptError(error),
@@ -130,6 +132,34 @@
     }
   }
 
+  private checkAnswer(
+    request: AttemptRequest,
+    response: Dispatcher.ResponseData<unknown>,
+  ): Result<UpstreamAnswer, AttemptError> {
+    const body = new HttpAnswerBody(response.body);
+    const answeredId = response.headers[ATTEMPT_ID_HEADER];
+    const isExpected =
+      answeredId === request.attemptId ||
+      (answeredId === undefined && !this.options.requiresAttemptId);
+    if (!isExpected) {
+      body.cancel();
+      return Err(
+        new AttemptError(
+          AttemptFailure.PROTOCOL_VIOLATION,
+          `the answer belongs to attempt ${String(answeredId)}`,
+        ),
+      );
+    }
+    return Ok({
+      status: response.statusCode,
+      contentType: String(
+        response.headers['content-type'] ?? 'application/octet-stream',
+      ),
+      isLeaving: response.headers[UPSTREAM_LEAVING_HEADER] !== undefined,
+      body,
+    });
+  }
+
   private createPool(connections = this.options.maximumConnections): Pool {
     return new Pool(this.options.url, {
       connections,
@@ -157,31 +187,6 @@
   return headers;
 }
 
-function checkAnswer(
-  request: AttemptRequest,
-  response: Dispatcher.ResponseData<unknown>,
-): Result<UpstreamAnswer, AttemptError> {
-  const body = new HttpAnswerBody(response.body);
-  const answeredId = response.headers[ATTEMPT_ID_HEADER];
-  if (answeredId !== undefined && answeredId !== request.attemptId) {
-    body.cancel();
-    return Err(
-      new AttemptError(
-        AttemptFailure.PROTOCOL_VIOLATION,
-        `the answer belongs to attempt ${String(answeredId)}`,
-      ),
-    );
-  }
-  return Ok({
-    status: response.statusCode,
-    contentType: String(
-      response.headers['content-type'] ?? 'application/octet-stream',
-    ),
-    isLeaving: response.headers[UPSTREAM_LEAVING_HEADER] !== undefined,
-    body,
-  });
-}
-
 type ReadResult = Result<Uint8Array | undefined, AttemptError>;
 
 /** Reads the body of an undici response; undici checks its length. */
