Let a node that was out of step prove no version by what it has seen

It happened here: the proof by what a process has seen counted from its start. It counts from when the node was last out of touch, by its list of upstreams, by pauses and by suspensions. Until then the history in the store is read again and the keepers are asked, so that streams of known origin still go on.

--- a/packages/arbutustide-node/src/__tests__/unit/stream_origin_cluster.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/stream_origin_cluster.ts
@@ -43,6 +43,8 @@
   isSilent = false;
   /** Whether the list of upstreams is out of date. */
   isListStale = false;
+  /** Whether the process stands still. */
+  isFrozen = false;
   /** Bytes of the messages that this node has sent to peers. */
   sentBytes = 0;
   sentCalls = 0;
@@ -57,7 +59,7 @@
     this.failureDomain = `domain-${index % FAILURE_DOMAINS}`;
     this.origins = this.createOrigins();
     setInterval(() => {
-      if (!this.isGone) this.origins.updateVersions();
+      if (!this.isGone && !this.isFrozen) this.origins.updateVersions();
     }, UPDATE_MILLISECONDS);
   }
 
@@ -218,10 +220,15 @@
     }
   }
 
+  /** Removes nodes from the members that all nodes see. */
+  hide(nodes: readonly OriginNode[]): void {
+    for (const node of nodes) this.hidden.add(node);
+  }
+
   async call<T>(peerUrl: string, handle: (node: OriginNode) => T) {
     const callee = this.nodes.find(node => node.peerUrl === peerUrl);
     await pause(LATENCY_MILLISECONDS);
-    if (!callee || callee.isGone || callee.isSilent) {
+    if (!callee || callee.isGone || callee.isSilent || callee.isFrozen) {
       await pause(CALL_TIMEOUT_MILLISECONDS);
       return Err(new PeerError(peerUrl, 'no answer'));
     }
--- a/packages/arbutustide-node/src/proxy/stream_origin/cluster_stream_origins.ts
+++ b/packages/arbutustide-node/src/proxy/stream_origin/cluster_stream_origins.ts
@@ -22,6 +22,7 @@
 import {delay} from '@arbutustide/errors';
 import {FindStreamOriginRequestSchema} from '@arbutustide/membership';
 import {
+  listVersions,
   OriginKnowledge,
   RecentVersions,
   resolveOrigin,
@@ -39,6 +40,7 @@
 import {OriginArchiver} from './origin_archiver.js';
 import {OriginArchivers} from './origin_archivers.js';
 import {OriginRecorder} from './origin_recorder.js';
+import {TouchTracker} from './touch_tracker.js';
 import {VersionHistory} from './version_history.js';
 import {VersionHistoryWriter} from './version_history_writer.js';
 
@@ -53,6 +55,8 @@
  * A caller without an answer for longer resumes its stream elsewhere.
  */
 const STORE_MILLISECONDS = 1_000;
+/** Age up to which a history is not read again for a node out of touch. */
+const HISTORY_AGE_MILLISECONDS = 1_000;
 /** Shortest time that the archive has for its answer. */
 const ARCHIVE_MILLISECONDS = 400;
 /** Pause between two looks at whether the list of upstreams has arrived. */
@@ -96,12 +100,13 @@
   private readonly recorder: OriginRecorder;
   private readonly history: VersionHistory;
   private readonly historyWriter: VersionHistoryWriter;
-  private readonly createdAtMilliseconds = performance.now();
+  private readonly touch: TouchTracker;
   private nextHistoryReadAtMilliseconds = -Infinity;
 
   constructor(private readonly options: ClusterStreamOriginsOptions) {
     const {streamLifetimeMilliseconds, ownUrl, listNodes} = options;
     const {store, storage, logger, random} = options;
+    this.touch = new TouchTracker(options.isListCurrent);
     this.registry = new StreamOriginRegistry(streamLifetimeMilliseconds);
     this.recentVersions = new RecentVersions(streamLifetimeMilliseconds);
     this.archivers = new OriginArchivers(ownUrl, listNodes);
@@ -139,7 +144,7 @@
     this.observeVersions();
     if (!this.history.isRead) this.readHistory();
     else if (this.options.isListReceived())
-      this.historyWriter.update(this.listedVersions());
+      this.historyWriter.update(listVersions(this.options.directory.all()));
   }
 
   async resolve(request: RoutedRequest): Promise<ResolvedOrigin> {
@@ -200,9 +205,12 @@
     };
   }
 
-  /** Whether streams may go on that began before this process did. */
+  /**
+   * Whether streams may go on that began before this process did, or before it
+   * was last out of touch.
+   */
   private get isNew(): boolean {
-    const age = performance.now() - this.createdAtMilliseconds;
+    const age = performance.now() - this.touch.inTouchSinceMilliseconds;
     return age < this.options.streamLifetimeMilliseconds();
   }
 
@@ -211,6 +219,7 @@
    * the streams that go on are told to their keepers.
    */
   private observeVersions(): void {
+    this.touch.observe();
     const mixed = this.recentVersions.update(this.options.directory.all());
     for (const service of mixed) this.tellOwnStreams(service);
   }
@@ -220,16 +229,6 @@
       this.recorder.record(record);
   }
 
-  private listedVersions(): Map<string, Set<string>> {
-    const listed = new Map<string, Set<string>>();
-    for (const {description} of this.options.directory.all()) {
-      const {service, softwareVersion} = description;
-      const versions = listed.get(service) ?? new Set();
-      listed.set(service, versions.add(softwareVersion));
-    }
-    return listed;
-  }
-
   /** Reads the history once, again only if that failed. */
   private readHistory(): void {
     const now = performance.now();
@@ -324,7 +323,12 @@
   ): Promise<boolean> {
     if (!this.isNew) return true;
     const remaining = () => endAtMilliseconds - performance.now();
-    if (!(await this.history.confirm(service, remaining()))) return false;
+    const readAfter = Math.min(
+      this.touch.inTouchSinceMilliseconds,
+      performance.now() - HISTORY_AGE_MILLISECONDS,
+    );
+    if (!(await this.history.confirm(service, readAfter, remaining())))
+      return false;
     while (!this.options.isListReceived() && remaining() > 0)
       await delay(LIST_POLL_MILLISECONDS);
     this.observeVersions();
@@ -369,7 +373,8 @@
           answer,
           delay(PRECAUTION_MILLISECONDS).then(() => undefined),
         ]);
-    const isComplete = answerCount === keepers.length;
+    // Without peers, nobody tells what this node has not seen.
+    const isComplete = keepers.length > 0 && answerCount === keepers.length;
     return {origin, recentVersions, isComplete};
   }
 
--- a/packages/arbutustide-node/src/proxy/stream_origin/version_history.ts
+++ b/packages/arbutustide-node/src/proxy/stream_origin/version_history.ts
@@ -46,6 +46,8 @@
   private pendingRead: Promise<Result<void, StoreError>> | undefined;
   private hasBeenRead = false;
   private failedAtMilliseconds = -Infinity;
+  /** Begin of the latest read that has succeeded. */
+  private readAtMilliseconds = -Infinity;
 
   constructor(private readonly options: VersionHistoryOptions) {}
 
@@ -70,11 +72,19 @@
   /**
    * Waits until the history of a service is known.
    *
+   * @param readAfterMilliseconds a read that began earlier does not do.
    * @return false if it cannot be read, or not within the time.
    */
-  async confirm(service: string, milliseconds: number): Promise<boolean> {
+  async confirm(
+    service: string,
+    readAfterMilliseconds: number,
+    milliseconds: number,
+  ): Promise<boolean> {
     const endAt = performance.now() + milliseconds;
-    while (!this.entriesByService.has(service)) {
+    const isKnown = () =>
+      this.entriesByService.has(service) &&
+      this.readAtMilliseconds >= readAfterMilliseconds;
+    while (!isKnown()) {
       const remaining = endAt - performance.now();
       if (remaining <= 0 || this.hasFailedRecently) return false;
       const result = await Promise.race([this.read(), delay(remaining)]);
@@ -113,6 +123,7 @@
   }
 
   private async readOnce(): Promise<Result<void, StoreError>> {
+    const beganAtMilliseconds = performance.now();
     const {store, storage, logger} = this.options;
     const list = await store.list(storage.historyPrefix);
     if (!list.ok) {
@@ -130,6 +141,7 @@
     }
     for (const object of list.val.objects) this.apply(object);
     this.hasBeenRead = true;
+    this.readAtMilliseconds = beganAtMilliseconds;
     return Ok(undefined);
   }
 }
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -152,7 +152,10 @@
   remainingMilliseconds,
 } from './proxy/routed_request_progress.js';
 export {TokenIssuer} from './proxy/rate_limit/token_issuer.js';
-export {RecentVersions} from './proxy/stream_origin/recent_versions.js';
+export {
+  listVersions,
+  RecentVersions,
+} from './proxy/stream_origin/recent_versions.js';
 export {
   OriginKnowledge,
   resolveOrigin,
--- a/packages/arbutustide-routing/src/proxy/stream_origin/recent_versions.ts
+++ b/packages/arbutustide-routing/src/proxy/stream_origin/recent_versions.ts
@@ -1,5 +1,18 @@
 import type {ProxyUpstream} from '../proxy_upstream.js';
 
+/** Lists the versions of the upstreams of each service. */
+export function listVersions(
+  upstreams: Iterable<ProxyUpstream>,
+): Map<string, Set<string>> {
+  const listed = new Map<string, Set<string>>();
+  for (const {description} of upstreams) {
+    const {service, softwareVersion} = description;
+    const versions = listed.get(service) ?? new Set();
+    listed.set(service, versions.add(softwareVersion));
+  }
+  return listed;
+}
+
 /** Versions of the software of each service's upstreams, also of former ones. */
 export class RecentVersions {
   /** When each version was last seen, by service and version. */
@@ -14,13 +27,7 @@
    * @return services that have several versions from now on.
    */
   update(upstreams: Iterable<ProxyUpstream>): string[] {
-    const listed = new Map<string, Set<string>>();
-    for (const {description} of upstreams) {
-      const {service, softwareVersion} = description;
-      const versions = listed.get(service) ?? new Set();
-      listed.set(service, versions.add(softwareVersion));
-    }
-    return [...listed]
+    return [...listVersions(upstreams)]
       .filter(([service, versions]) => this.record(service, versions))
       .map(([service]) => service);
   }
