--- a/packages/arbutustide-event-loop/src/turn_queue.ts
+++ b/packages/arbutustide-event-loop/src/turn_queue.ts
@@ -7,10 +7,10 @@
 /** After a longer turn, the loop reads its input again first. */
 const LONG_TURN_MILLISECONDS = 50;
 /**
- * While input arrives faster than it is read, the loop reads and works by turns
- * of this length.
+ * While input arrives faster than it is read, periods of this length are for
+ * reading alone and for tasks alternately.
  */
-const SHARE_MILLISECONDS = 50;
+const PERIOD_MILLISECONDS = 50;
 
 /** A task that waits for a turn of the event loop. */
 interface WaitingTask {
@@ -60,6 +60,7 @@
     });
   }
 
+  /** Lets the first task proceed, and those before it that are not wanted. */
   private proceedWithNext(): void {
     const {pollCount, polledAtMilliseconds} = this.monitor.lastTurn;
     const isReadingFirst = this.isReadingFirst();
@@ -84,7 +85,7 @@
     }
     this.behindSinceMilliseconds ??= polledAtMilliseconds;
     const behind = polledAtMilliseconds - this.behindSinceMilliseconds;
-    return behind % (2 * SHARE_MILLISECONDS) < SHARE_MILLISECONDS;
+    return behind % (2 * PERIOD_MILLISECONDS) < PERIOD_MILLISECONDS;
   }
 }
 
--- a/packages/arbutustide-upstream/src/send_check.ts
+++ b/packages/arbutustide-upstream/src/send_check.ts
@@ -54,15 +54,6 @@
     return this.isWritten;
   }
 
-  /** Waits until input has been read, if the caller was heard of long ago. */
-  async refresh(): Promise<void> {
-    if (!this.isStale) return;
-    const {isCancelled} = this.conditions;
-    this.callerSeenAtMilliseconds = await this.turns.nextTurn(
-      () => !isCancelled(),
-    );
-  }
-
   /**
    * Called immediately before the request is written.
    *
@@ -112,6 +103,15 @@
       : undefined;
   }
 
+  /** Waits until input has been read, if the caller was heard of long ago. */
+  private async refresh(): Promise<void> {
+    if (!this.isStale) return;
+    const {isCancelled} = this.conditions;
+    this.callerSeenAtMilliseconds = await this.turns.nextTurn(
+      () => !isCancelled(),
+    );
+  }
+
   private get isStale(): boolean {
     const age = performance.now() - this.callerSeenAtMilliseconds;
     return age > FRESH_MILLISECONDS;
