--- a/packages/arbutustide-upstream/src/index.ts
+++ b/packages/arbutustide-upstream/src/index.ts
@@ -27,7 +27,7 @@
   toAttemptError,
 } from './upstream_connection_pool.js';
 export {CheckedClient} from './checked_client.js';
-export {SendCheck, UnsentError, UnsentReason} from './send_check.js';
+export {SendCheck} from './send_check.js';
 export {HttpEngine} from './http_engine.js';
 export {HttpHostList} from './http_host_list.js';
 export {HttpPlainService} from './http_plain_service.js';
