Review case 1: streams go on at another software version

A script with three nodes. The store turns node A away for 3.5 s while workers of a newer version are added, and node B is killed. A takes up streams that began at the newer version and goes on at the older one (rule ORDER).

--- a/review/harness/platform_store.mjs
+++ b/review/harness/platform_store.mjs
@@ -16,6 +16,19 @@
     /** Watches that wait for events. */
     this.waitingWatches = new Set();
     this.servers = [];
+    /** Addresses whose callers are turned away with 503. */
+    this.closedAddresses = new Set();
+  }
+
+  /** Turns the callers at an address away, or serves them again. */
+  setClosed(address, isClosed) {
+    if (isClosed) this.closedAddresses.add(address);
+    else this.closedAddresses.delete(address);
+    for (const wake of [...this.waiting]) wake();
+  }
+
+  isClosedTo({localAddress, localPort}) {
+    return this.closedAddresses.has(`${localAddress}:${localPort}`);
   }
 
   /** Listens on a further address and returns it; the first is `address`. */
@@ -92,6 +105,10 @@
     const name = rawName && decodeURIComponent(rawName);
     const chunks = [];
     for await (const chunk of request) chunks.push(chunk);
+    if (this.isClosedTo(request.socket)) {
+      response.writeHead(503, {'Store-Era': String(this.era)}).end('{}');
+      return;
+    }
     const text = Buffer.concat(chunks).toString();
     const body = text === '' ? {} : JSON.parse(text);
     const [status, answer] = await this.answer(request.method, {
@@ -103,6 +120,10 @@
       response,
     });
     if (response.destroyed) return;
+    if (request.method === 'GET' && this.isClosedTo(request.socket)) {
+      response.writeHead(503, {'Store-Era': String(this.era)}).end('{}');
+      return;
+    }
     response.writeHead(status, {
       'Content-Type': 'application/json',
       'Store-Era': String(this.era),
@@ -172,7 +193,8 @@
         event => event.kind === kind && event.revision > after,
       );
       const left = endAt - performance.now();
-      if (events.length > 0 || left <= 0 || response.destroyed)
+      const isOver = response.destroyed || this.isClosedTo(response.socket);
+      if (events.length > 0 || left <= 0 || isOver)
         return [
           200,
           {
--- a/review/harness/worker.mjs
+++ b/review/harness/worker.mjs
@@ -25,7 +25,7 @@
 /**
  * Options: service, zone, slots, models (names that are loaded), workMilliseconds
  * (of a plain request), events and eventMilliseconds (of a stream; functions of
- * the request), crashesOn (whether a request crashes the worker when it begins
+ * the request), version (of its software), crashesOn (whether a request crashes the worker when it begins
  * to run), restartMilliseconds (from a crash to the next start).
  */
 export class Worker {
@@ -50,6 +50,7 @@
     this.sequence = 0;
     this.orders = 0;
     this.fence = 0;
+    this.state = 'ready';
     this.running = 0;
     this.waiting = [];
     this.server = createServer({keepAliveTimeout: 15_000}, (request, response) => {
@@ -87,6 +88,18 @@
     this.later(() => this.start(), this.options.restartMilliseconds ?? 3_000);
   }
 
+  /** Reports `draining`, serves for that long, and exits. */
+  drain(servesMilliseconds) {
+    this.state = 'draining';
+    this.heartbeat();
+    this.later(() => {
+      clearInterval(this.beat);
+      this.store.remove('servers', this.id);
+      this.server.close();
+      for (const socket of this.sockets) socket.resetAndDestroy();
+    }, servesMilliseconds);
+  }
+
   /**
    * Leaves without reporting `draining`: its entry is removed now, it goes on
    * serving for that long, and then exits.
@@ -111,14 +124,14 @@
 
   heartbeat() {
     this.sequence += 1;
-    const {service, zone, slots, models = []} = this.options;
+    const {service, zone, slots, version = 'v1', models = []} = this.options;
     this.store.put('servers', this.id, {
       service,
       address: `127.0.0.1:${this.port}`,
       zone,
-      version: 'v1',
+      version,
       slots,
-      state: 'ready',
+      state: this.state,
       cold_remaining_ms: 0,
       sequence: this.sequence,
       born: this.born,
@@ -235,7 +248,8 @@
         request.socket.resetAndDestroy();
         return;
       }
-      response.write(`id: ${id}\ndata: ${run.requestId} ${id}/${last}\n\n`);
+      const {version = 'v1'} = this.options;
+      response.write(`id: ${id}\ndata: ${version} ${id}/${last}\n\n`);
       run.events = id;
     }
     response.end();
