--- a/review/harness/worker.mjs
+++ b/review/harness/worker.mjs
@@ -61,8 +61,7 @@
       socket.on('error', () => {});
       socket.on('close', () => this.sockets.delete(socket));
     });
-    this.server.listen(this.port, '127.0.0.1');
-    await once(this.server, 'listening');
+    await listenAt(this.server, this.port);
     this.port = this.server.address().port;
     this.heartbeat();
     this.beat = setInterval(() => this.heartbeat(), HEARTBEAT_MILLISECONDS);
@@ -282,6 +281,17 @@
   }
 }
 
+/** Listens at a port, or at another if it has been taken meanwhile. */
+async function listenAt(server, port) {
+  try {
+    server.listen(port, '127.0.0.1');
+    await once(server, 'listening');
+  } catch {
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+  }
+}
+
 function sendJson(response, status, body) {
   response.writeHead(status, {'Content-Type': 'application/json'});
   response.end(JSON.stringify(body));
