--- a/review/harness/worker.mjs
+++ b/review/harness/worker.mjs
@@ -23,10 +23,11 @@
 }
 
 /**
- * Options: service, zone, slots, models (names that are loaded), workMilliseconds
- * (of a plain request), events and eventMilliseconds (of a stream; functions of
- * the request), version (of its software), crashesOn (whether a request crashes the worker when it begins
- * to run), restartMilliseconds (from a crash to the next start).
+ * Options: service, zone, slots, models (names that are loaded), version (of its
+ * software), workMilliseconds and answerBytes (of a plain request), events (of a
+ * stream; a function of the run), eventMilliseconds, crashesOn (whether a
+ * request crashes the worker when it begins to run), restartMilliseconds (from a
+ * crash to the next start).
  */
 export class Worker {
   constructor(name, options, store, runLog) {
@@ -214,7 +215,7 @@
   }
 
   async plain(response, headers, run, deadlineAt) {
-    const {workMilliseconds} = this.options;
+    const {workMilliseconds, answerBytes = 800} = this.options;
     const left = deadlineAt - performance.now();
     await pause(Math.min(workMilliseconds, Math.max(0, left)));
     if (response.destroyed) {
@@ -222,7 +223,7 @@
       return;
     }
     const isLate = left < workMilliseconds;
-    const text = isLate ? '' : `done ${run.requestId}\n`.padEnd(800, '.');
+    const text = isLate ? '' : `done ${run.requestId}\n`.padEnd(answerBytes, '.');
     response.writeHead(isLate ? 504 : 200, {
       ...headers,
       'Content-Type': 'text/plain',
