Review: a script that fails by itself exits with 2

Node.js exits with 1 after an uncaught error, which would read as a broken rule. Tried with an error in a timer: exit 2, and the processes are ended.

--- a/review/harness/record.mjs
+++ b/review/harness/record.mjs
@@ -32,15 +32,27 @@
 export async function runCase(recordFile, body) {
   const record = new Record(recordFile);
   const cleanUps = [];
-  const cleanUp = action => cleanUps.push(action);
-  let verdict = Verdict.COULD_NOT_RUN;
+  let isEnding = false;
+  const end = async verdict => {
+    if (isEnding) return;
+    isEnding = true;
+    for (const cleanUp of cleanUps.reverse()) await cleanUp();
+    record.say(`exit ${verdict}`);
+    record.write();
+    process.exit(verdict);
+  };
+  const fail = error => {
+    record.say(`could not run: ${error?.stack ?? error}`);
+    return end(Verdict.COULD_NOT_RUN);
+  };
+  // Without a listener, Node.js would exit with 1, which means a broken rule.
+  process.on('uncaughtException', fail);
+  process.on('unhandledRejection', fail);
+  for (const signal of ['SIGINT', 'SIGTERM'])
+    process.on(signal, () => fail(new Error(signal)));
   try {
-    verdict = await body(record, cleanUp);
+    await end(await body(record, action => cleanUps.push(action)));
   } catch (error) {
-    record.say(`could not run: ${error.stack}`);
+    await fail(error);
   }
-  for (const action of cleanUps.reverse()) await action();
-  record.say(`exit ${verdict}`);
-  record.write();
-  process.exit(verdict);
 }
