Review: free ports are looked for on loopback addresses only

The stand-ins listened for a moment at all addresses of the machine to find free ports. They now listen at the nodes' own loopback addresses.

--- a/review/harness/node_process.mjs
+++ b/review/harness/node_process.mjs
@@ -53,7 +53,10 @@
 
   /** Starts all nodes; resolves once each says that it is ready. */
   async start() {
-    const [front, ready, control, peers] = await findFreePorts(4);
+    const [front, ready, control, peers] = await findFreePorts(
+      this.nodes.map(({ip}) => ip),
+      4,
+    );
     this.ports = {front, ready, control, peers};
     for (const node of this.nodes) this.startNode(node, true);
     await this.waitUntilReady();
@@ -188,15 +191,29 @@
   return /^run = "([^"]+)"$/m.exec(text)[1].split(' ');
 }
 
-/** Ports that are free on all loopback addresses; the last begins a range. */
-async function findFreePorts(count) {
+/** Ports that are free at each of the addresses. */
+async function findFreePorts(addresses, count) {
+  const ports = [];
   const servers = [];
-  for (let index = 0; index < count; index += 1) {
-    const server = createServer();
-    await new Promise(resolve => server.listen(0, '0.0.0.0', resolve));
+  while (ports.length < count) {
+    const [first, ...others] = addresses;
+    const server = await listenAt(first, 0);
     servers.push(server);
+    const {port} = server.address();
+    const rest = await Promise.all(
+      others.map(address => listenAt(address, port).catch(() => undefined)),
+    );
+    servers.push(...rest.filter(Boolean));
+    if (rest.every(Boolean)) ports.push(port);
   }
-  const ports = servers.map(server => server.address().port);
   await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
   return ports;
 }
+
+function listenAt(host, port) {
+  return new Promise((resolve, reject) => {
+    const server = createServer();
+    server.once('error', reject);
+    server.listen(port, host, () => resolve(server));
+  });
+}
