Confirm the list of upstreams before a stream of unknown origin goes on

Cause: a node took its list of upstreams for complete while the store had answered it within the last 4 s, also when its last calls had failed, and then asked no keeper. A version can appear, begin streams and break in that time. The list must be as new as the stream: it is now confirmed by an answer of the store to a call that began after the request which resumes the stream arrived, by this node or by a peer that the store answers. Else the request is refused as not run.

The same cause: a version that came and went between two looks at the directory was not recorded, batches dropped entries that were written and deleted in them, and a peer was believed whatever the age of its list.

--- a/packages/arbutustide-membership/src/peer_transport.ts
+++ b/packages/arbutustide-membership/src/peer_transport.ts
@@ -179,7 +179,7 @@
   recordStreamOrigins(request: RecordStreamOriginsRequest): void;
   findStreamOrigin(
     request: FindStreamOriginRequest,
-  ): FindStreamOriginResponseFields;
+  ): Promise<FindStreamOriginResponseFields>;
   confirmConfiguration(
     request: ConfirmConfigurationRequest,
   ): ConfirmConfigurationResponseFields;
--- a/packages/arbutustide-node/src/__tests__/integration/lease_holder_probe.test.ts
+++ b/packages/arbutustide-node/src/__tests__/integration/lease_holder_probe.test.ts
@@ -50,7 +50,7 @@
     issueToken: () => undefined,
     recordStreamOrigins: () => {},
     relayRequest: async function* () {},
-    findStreamOrigin: () => ({isKnown: false}),
+    findStreamOrigin: async () => ({isKnown: false}),
     confirmConfiguration: () => ({isKnown: false}),
     leaseQuota: () => ({grants: []}),
   };
--- a/packages/arbutustide-node/src/__tests__/unit/stream_origin_cluster.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/stream_origin_cluster.ts
@@ -4,7 +4,7 @@
   PeerTransport,
   RecordStreamOriginsRequest,
 } from '@arbutustide/membership';
-import type {RoutedRequest} from '@arbutustide/routing';
+import type {RoutedRequest, UpstreamDescription} from '@arbutustide/routing';
 
 import {
   FindStreamOriginRequestSchema,
@@ -13,6 +13,7 @@
   PeerError,
   RecordStreamOriginsRequestSchema,
 } from '@arbutustide/membership';
+import {StoreError, StoreErrorKind} from '@arbutustide/object-store';
 import {ProxyUpstreamDirectory, UpstreamState} from '@arbutustide/routing';
 import {silentLogger} from '@arbutustide/telemetry';
 import {create, toBinary} from '@bufbuild/protobuf';
@@ -43,6 +44,12 @@
   isSilent = false;
   /** Whether the list of upstreams is out of date. */
   isListStale = false;
+  /** Whether the store answers none of this node's reads of the list. */
+  isTurnedAway = false;
+  /** Versions in the store's list that the watch has not delivered yet. */
+  pendingVersions: readonly string[] = [];
+  /** Reads of the store's list beside the watch. */
+  listReads = 0;
   /** Whether the process stands still. */
   isFrozen = false;
   /** Bytes of the messages that this node has sent to peers. */
@@ -66,24 +73,18 @@
   /** Lists upstreams of these versions, and no others. */
   listVersions(...versions: readonly string[]): void {
     for (const {id} of [...this.directory.all()]) this.directory.remove(id);
-    for (const softwareVersion of versions) {
-      this.directory.upsert({
-        id: `upstream-${softwareVersion}`,
-        service: SERVICE,
-        address: '10.0.0.1:80',
-        failureDomain: 'domain-0',
-        softwareVersion,
-        state: UpstreamState.READY,
-        slots: 64,
-        startedAt: 1,
-        models: [],
-        modelsInMemory: [],
-        modelsOnDisk: [],
-      });
-    }
+    for (const softwareVersion of versions)
+      this.directory.upsert(describeUpstream(softwareVersion));
     this.origins.updateVersions();
   }
 
+  /** Lists an upstream of a version that leaves before anybody looks. */
+  listVersionBriefly(version: string): void {
+    const description = describeUpstream(version);
+    this.directory.upsert(description);
+    this.directory.remove(description.id);
+  }
+
   /**
    * Replaces the process, which then knows no stream.
    *
@@ -135,6 +136,10 @@
       directory: this.directory,
       isListReceived: () => true,
       isListCurrent: () => !this.isListStale,
+      listSource: {
+        confirmedAtMilliseconds: -Infinity,
+        readPendingEntries: () => this.readPendingEntries(),
+      },
       store: cluster.store.connect(isAlive),
       storage: TEST_STORAGE,
       transport: this.createTransport(isAlive),
@@ -162,16 +167,25 @@
         request: FindStreamOriginRequest,
       ) => {
         this.countSent(toBinary(FindStreamOriginRequestSchema, request).length);
-        return cluster.call(url, node =>
+        return cluster.call(url, async node =>
           create(
             FindStreamOriginResponseSchema,
-            node.origins.handleFind(request),
+            await node.origins.handleFind(request),
           ),
         );
       },
     } as unknown as PeerTransport;
   }
 
+  private async readPendingEntries() {
+    const {latencyMilliseconds, isDown} = this.cluster.store;
+    this.listReads += 1;
+    await pause(latencyMilliseconds);
+    return isDown || this.isTurnedAway || this.isListStale
+      ? Err(new StoreError(StoreErrorKind.UNAVAILABLE, 'turned away'))
+      : Ok(this.pendingVersions.map(describeUpstream));
+  }
+
   private countSent(bytes: number): void {
     this.sentBytes += bytes;
     this.sentCalls += 1;
@@ -225,19 +239,35 @@
     for (const node of nodes) this.hidden.add(node);
   }
 
-  async call<T>(peerUrl: string, handle: (node: OriginNode) => T) {
+  async call<T>(peerUrl: string, handle: (node: OriginNode) => T | Promise<T>) {
     const callee = this.nodes.find(node => node.peerUrl === peerUrl);
     await pause(LATENCY_MILLISECONDS);
     if (!callee || callee.isGone || callee.isSilent || callee.isFrozen) {
       await pause(CALL_TIMEOUT_MILLISECONDS);
       return Err(new PeerError(peerUrl, 'no answer'));
     }
-    const response = handle(callee);
+    const response = await handle(callee);
     await pause(LATENCY_MILLISECONDS);
     return Ok(response);
   }
 }
 
+function describeUpstream(softwareVersion: string): UpstreamDescription {
+  return {
+    id: `upstream-${softwareVersion}`,
+    service: SERVICE,
+    address: '10.0.0.1:80',
+    failureDomain: 'domain-0',
+    softwareVersion,
+    state: UpstreamState.READY,
+    slots: 64,
+    startedAt: 1,
+    models: [],
+    modelsInMemory: [],
+    modelsOnDisk: [],
+  };
+}
+
 function pause(milliseconds: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, milliseconds));
 }
--- a/packages/arbutustide-node/src/node_core.ts
+++ b/packages/arbutustide-node/src/node_core.ts
@@ -175,7 +175,7 @@
   /** Streams of the project's own interface are not resumed by callers. */
   recordStreamOrigins(): void {}
 
-  findStreamOrigin(): FindStreamOriginResponseFields {
+  async findStreamOrigin(): Promise<FindStreamOriginResponseFields> {
     return {isKnown: false};
   }
 
--- a/packages/arbutustide-node/src/proxy/proxy_peer_handler.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_peer_handler.ts
@@ -127,7 +127,7 @@
 
   findStreamOrigin(
     request: FindStreamOriginRequest,
-  ): FindStreamOriginResponseFields {
+  ): Promise<FindStreamOriginResponseFields> {
     return this.container
       .resolve(ProxyToken.STREAM_ORIGINS)
       .handleFind(request);
--- a/packages/arbutustide-node/src/proxy/stream_origin/choose_origin_keepers.ts
+++ b/packages/arbutustide-node/src/proxy/stream_origin/choose_origin_keepers.ts
@@ -7,6 +7,11 @@
  * told: one of these may be gone since, which moves the choice by one.
  */
 export const ASKED_KEEPERS = 3;
+/**
+ * Nodes that are asked while the object store does not answer the asking one, so
+ * that one of them is likely to be answered by it. Includes the keepers.
+ */
+export const CONFIRMING_PEERS = 8;
 /** Nodes that are told of the origin of a stream. */
 export const TOLD_KEEPERS = 2;
 
--- a/packages/arbutustide-node/src/proxy/stream_origin/cluster_stream_origins.ts
+++ b/packages/arbutustide-node/src/proxy/stream_origin/cluster_stream_origins.ts
@@ -1,7 +1,6 @@
 import type {
   ClusterNode,
   FindStreamOriginRequest,
-  FindStreamOriginResponse,
   FindStreamOriginResponseFields,
   PeerTransport,
   RecordStreamOriginsRequest,
@@ -14,13 +13,15 @@
   RoutedRequest,
   StreamOrigin,
   StreamOrigins,
+  UpstreamDescription,
 } from '@arbutustide/routing';
 import type {NodeLogger} from '@arbutustide/telemetry';
 
+import type {UpstreamListSource} from './list_confirmer.js';
+import type {OriginSearch} from './origin_peers.js';
 import type {StreamOriginStorage} from './stream_origin_storage.js';
 
 import {delay} from '@arbutustide/errors';
-import {FindStreamOriginRequestSchema} from '@arbutustide/membership';
 import {
   listVersions,
   OriginKnowledge,
@@ -28,39 +29,36 @@
   resolveOrigin,
   StreamOriginRegistry,
 } from '@arbutustide/routing';
-import {create} from '@bufbuild/protobuf';
 
-import {
-  ASKED_KEEPERS,
-  chooseOriginKeepers,
-  TOLD_KEEPERS,
-} from './choose_origin_keepers.js';
+import {chooseOriginKeepers, TOLD_KEEPERS} from './choose_origin_keepers.js';
+import {ListConfirmer} from './list_confirmer.js';
 import {isDecided, proofOf} from './origin_evidence.js';
 import {OriginArchive} from './origin_archive.js';
 import {OriginArchiver} from './origin_archiver.js';
 import {OriginArchivers} from './origin_archivers.js';
+import {NO_ANSWERS, OriginPeers} from './origin_peers.js';
 import {OriginRecorder} from './origin_recorder.js';
 import {TouchTracker} from './touch_tracker.js';
 import {VersionHistory} from './version_history.js';
 import {VersionHistoryWriter} from './version_history_writer.js';
+import {PROVEN, VersionProver} from './version_prover.js';
 
 /**
- * How long keepers are waited for while this node knows of one version only and
- * asks just because it is new; the archive is asked after this time too. Callers
- * give a stream up after some seconds without an event.
+ * How long keepers are waited for while this node can prove that there was one
+ * version only and asks just because it is new; also how long the object store
+ * is waited for before they are asked. The archive is asked after this time too.
+ * Callers give a stream up after some seconds without an event.
  */
 const PRECAUTION_MILLISECONDS = 250;
+/** Time that a peer has to confirm its list of upstreams for this node. */
+const PEER_CONFIRMATION_MILLISECONDS = 500;
 /**
  * How long the object store and the list of upstreams are waited for, together.
  * A caller without an answer for longer resumes its stream elsewhere.
  */
 const STORE_MILLISECONDS = 1_000;
-/** Age up to which a history is not read again for a node out of touch. */
-const HISTORY_AGE_MILLISECONDS = 1_000;
 /** Shortest time that the archive has for its answer. */
 const ARCHIVE_MILLISECONDS = 400;
-/** Pause between two looks at whether the list of upstreams has arrived. */
-const LIST_POLL_MILLISECONDS = 20;
 /** Ids of callers' requests are shorter; longer ones are never recorded. */
 const MAXIMUM_ID_LENGTH = 256;
 const HASH_RANGE = 2 ** 32;
@@ -75,6 +73,7 @@
   readonly isListReceived: () => boolean;
   /** Whether the list of upstreams was confirmed a short time ago. */
   readonly isListCurrent: () => boolean;
+  readonly listSource: UpstreamListSource;
   readonly store: ObjectStore;
   readonly storage: StreamOriginStorage;
   readonly transport: PeerTransport;
@@ -101,12 +100,16 @@
   private readonly history: VersionHistory;
   private readonly historyWriter: VersionHistoryWriter;
   private readonly touch: TouchTracker;
+  private readonly listConfirmer: ListConfirmer;
+  private readonly peers: OriginPeers;
+  private readonly prover: VersionProver;
   private nextHistoryReadAtMilliseconds = -Infinity;
 
   constructor(private readonly options: ClusterStreamOriginsOptions) {
     const {streamLifetimeMilliseconds, ownUrl, listNodes} = options;
-    const {store, storage, logger, random} = options;
+    const {store, storage, logger, random, directory} = options;
     this.touch = new TouchTracker(options.isListCurrent);
+    this.peers = new OriginPeers(options);
     this.registry = new StreamOriginRegistry(streamLifetimeMilliseconds);
     this.recentVersions = new RecentVersions(streamLifetimeMilliseconds);
     this.archivers = new OriginArchivers(ownUrl, listNodes);
@@ -125,15 +128,30 @@
     });
     this.history = new VersionHistory({
       ...options,
-      onDiscovered: (service, versions) => {
-        if (this.recentVersions.record(service, versions))
-          this.tellOwnStreams(service);
-      },
+      onDiscovered: (service, versions) =>
+        this.recordVersions(service, versions),
     });
     this.historyWriter = new VersionHistoryWriter({
       ...options,
       history: this.history,
     });
+    const onEntry = ({service, softwareVersion}: UpstreamDescription) =>
+      this.recordVersions(service, [softwareVersion]);
+    // Upstreams may join and leave between two looks at the directory.
+    directory.onEntry(onEntry);
+    this.listConfirmer = new ListConfirmer({
+      source: options.listSource,
+      onEntry,
+      logger,
+    });
+    this.prover = new VersionProver({
+      ...options,
+      touch: this.touch,
+      recentVersions: this.recentVersions,
+      history: this.history,
+      listConfirmer: this.listConfirmer,
+      observeVersions: () => this.observeVersions(),
+    });
   }
 
   /**
@@ -192,28 +210,27 @@
   }
 
   /** Answers a peer that asks for the origin of a stream. */
-  handleFind({
+  async handleFind({
     requestId,
     service,
-  }: FindStreamOriginRequest): FindStreamOriginResponseFields {
+    needsConfirmation,
+  }: FindStreamOriginRequest): Promise<FindStreamOriginResponseFields> {
     this.observeVersions();
+    const isConfirmed =
+      needsConfirmation &&
+      (await this.listConfirmer.confirm(
+        performance.now(),
+        PEER_CONFIRMATION_MILLISECONDS,
+      ));
     const origin = this.registry.find(requestId);
     return {
       isKnown: origin !== undefined,
       ...origin,
       recentVersions: [...this.recentVersions.versionsOf(service)],
+      isConfirmed: isConfirmed && !this.prover.isNew,
     };
   }
 
-  /**
-   * Whether streams may go on that began before this process did, or before it
-   * was last out of touch.
-   */
-  private get isNew(): boolean {
-    const age = performance.now() - this.touch.inTouchSinceMilliseconds;
-    return age < this.options.streamLifetimeMilliseconds();
-  }
-
   /**
    * Records the versions that are listed now. When a service gets a second one,
    * the streams that go on are told to their keepers.
@@ -224,6 +241,11 @@
     for (const service of mixed) this.tellOwnStreams(service);
   }
 
+  private recordVersions(service: string, versions: readonly string[]): void {
+    if (this.recentVersions.record(service, versions))
+      this.tellOwnStreams(service);
+  }
+
   private tellOwnStreams(service: string): void {
     for (const record of this.registry.ownRecords(service))
       this.recorder.record(record);
@@ -259,18 +281,31 @@
     service: string,
     givenId: string,
   ): Promise<OriginEvidence> {
-    const endAt = performance.now() + STORE_MILLISECONDS;
+    const beganAt = performance.now();
+    const endAt = beganAt + STORE_MILLISECONDS;
     const requestId = givenId.length <= MAXIMUM_ID_LENGTH ? givenId : '';
     const origin = this.registry.find(requestId);
+    if (origin) {
+      const recentVersions = this.recentVersions.versionsOf(service);
+      return proofOf(origin, recentVersions);
+    }
+    const isListConfirmed = await this.prover.confirmList(
+      service,
+      beganAt,
+      PRECAUTION_MILLISECONDS,
+    );
     const ownVersions = this.recentVersions.versionsOf(service);
-    if (origin) return proofOf(origin, ownVersions);
-    const isOriginNeeded =
-      ownVersions.size > 1 || this.isNew || !this.options.isListCurrent();
-    if (!isOriginNeeded)
+    if (isListConfirmed && ownVersions.size <= 1 && !this.prover.isNew)
       return {origin, recentVersions: ownVersions, isComplete: true};
-    const remembered = this.findRemembered(service, requestId, endAt);
+    const remembered = this.findRemembered({
+      service,
+      requestId,
+      isListConfirmed,
+      beganAtMilliseconds: beganAt,
+      endAtMilliseconds: endAt,
+    });
     if (requestId === '') return remembered;
-    if (!this.isNew || ownVersions.size <= 1) {
+    if (!this.prover.isNew || ownVersions.size <= 1) {
       const early = await Promise.race([
         remembered,
         delay(PRECAUTION_MILLISECONDS),
@@ -290,107 +325,32 @@
     ]);
   }
 
-  /** What keepers, the list of upstreams and the history prove. */
-  private async findRemembered(
-    service: string,
-    requestId: string,
-    endAtMilliseconds: number,
-  ): Promise<OriginEvidence> {
-    const isListCurrent = this.options.isListCurrent();
-    const ownVersions = this.recentVersions.versionsOf(service);
-    const [isConfirmed, answer] = await Promise.all([
-      this.confirmVersions(service, endAtMilliseconds),
-      this.askKeepers(service, requestId, ownVersions, isListCurrent),
+  /** What peers, the list of upstreams and the history prove. */
+  private async findRemembered(search: OriginSearch): Promise<OriginEvidence> {
+    const {service} = search;
+    const proof = this.prover.prove(search);
+    const answers = this.peers.ask(search);
+    const told = await Promise.race([
+      answers,
+      proof.then(async ({isProven}) => {
+        const {size} = this.recentVersions.versionsOf(service);
+        if (!isProven || size > 1) return answers;
+        await delay(PRECAUTION_MILLISECONDS);
+        return NO_ANSWERS;
+      }),
     ]);
+    const {origin, isConfirmed, haveKeepersAnswered} = told;
+    const isDecisive = origin !== undefined || isConfirmed;
+    const {isProven, isHistoryConfirmed} = isDecisive ? PROVEN : await proof;
     return {
-      origin: answer.origin,
+      origin,
       recentVersions: new Set([
         ...this.recentVersions.versionsOf(service),
-        ...answer.recentVersions,
+        ...told.recentVersions,
       ]),
-      // An old list lacks versions that have appeared since.
-      isComplete: isConfirmed && (isListCurrent || answer.isComplete),
-    };
-  }
-
-  /**
-   * Waits until all versions are known that a stream may have begun at: by what
-   * this node has seen for as long as a stream may last, or by the history.
-   */
-  private async confirmVersions(
-    service: string,
-    endAtMilliseconds: number,
-  ): Promise<boolean> {
-    if (!this.isNew) return true;
-    const remaining = () => endAtMilliseconds - performance.now();
-    const readAfter = Math.min(
-      this.touch.inTouchSinceMilliseconds,
-      performance.now() - HISTORY_AGE_MILLISECONDS,
-    );
-    if (!(await this.history.confirm(service, readAfter, remaining())))
-      return false;
-    while (!this.options.isListReceived() && remaining() > 0)
-      await delay(LIST_POLL_MILLISECONDS);
-    this.observeVersions();
-    return this.options.isListReceived();
-  }
-
-  /**
-   * Asks the keepers at the same time; the first that knows it decides. The
-   * answer is complete if all of them have answered.
-   */
-  private async askKeepers(
-    service: string,
-    requestId: string,
-    ownVersions: ReadonlySet<string>,
-    isListCurrent: boolean,
-  ): Promise<OriginEvidence> {
-    const {listNodes, ownUrl} = this.options;
-    const recentVersions = new Set(ownVersions);
-    let answerCount = 0;
-    const keepers = chooseOriginKeepers(
-      listNodes(),
-      requestId,
-      ASKED_KEEPERS,
-    ).filter(({peerUrl}) => peerUrl !== ownUrl);
-    const request = create(FindStreamOriginRequestSchema, {requestId, service});
-    const findAt = async ({peerUrl}: ClusterNode): Promise<StreamOrigin> => {
-      const response = await this.ask(peerUrl, request);
-      if (response) answerCount += 1;
-      for (const version of response?.recentVersions ?? [])
-        recentVersions.add(version);
-      if (!response?.isKnown) throw new Error('the origin is not known');
-      return {
-        service: response.service,
-        softwareVersion: response.softwareVersion,
-      };
+      // While the store answers none of the nodes that were asked, an old list
+      // is compared with those of all keepers.
+      isComplete: isProven || (isHistoryConfirmed && haveKeepersAnswered),
     };
-    const answer = Promise.any(keepers.map(findAt)).catch(() => undefined);
-    const isPrecaution = isListCurrent && ownVersions.size <= 1;
-    const origin = !isPrecaution
-      ? await answer
-      : await Promise.race([
-          answer,
-          delay(PRECAUTION_MILLISECONDS).then(() => undefined),
-        ]);
-    // Without peers, nobody tells what this node has not seen.
-    const isComplete = keepers.length > 0 && answerCount === keepers.length;
-    return {origin, recentVersions, isComplete};
-  }
-
-  private async ask(
-    peerUrl: string,
-    request: FindStreamOriginRequest,
-  ): Promise<FindStreamOriginResponse | undefined> {
-    const response = await this.options.transport.findStreamOrigin(
-      peerUrl,
-      request,
-    );
-    if (response.ok) return response.val;
-    this.options.logger.info(
-      {peerUrl, requestId: request.requestId, reason: response.val.message},
-      'a peer did not say where a stream began',
-    );
-    return undefined;
   }
 }
--- a/packages/arbutustide-node/src/proxy/stream_origin/register_stream_origins.ts
+++ b/packages/arbutustide-node/src/proxy/stream_origin/register_stream_origins.ts
@@ -35,6 +35,12 @@
       isListReceived: () => upstreamWatcher.isInitialized,
       isListCurrent: () =>
         upstreamWatcher.silentMilliseconds < staleMilliseconds,
+      listSource: {
+        get confirmedAtMilliseconds() {
+          return upstreamWatcher.confirmedAtMilliseconds;
+        },
+        readPendingEntries: () => upstreamWatcher.readPendingEntries(store),
+      },
       store,
       storage,
       transport,
--- a/packages/arbutustide-node/src/proxy/upstream_watcher.ts
+++ b/packages/arbutustide-node/src/proxy/upstream_watcher.ts
@@ -1,14 +1,22 @@
-import type {StoredObject} from '@arbutustide/object-store';
+import type {
+  ObjectStore,
+  StoredObject,
+  StoreError,
+} from '@arbutustide/object-store';
 import type {
   ProxyUpstreamDirectory,
   UpstreamDescription,
 } from '@arbutustide/routing';
+import type {Result} from 'ts-results';
 
 import type {ProxyDependencies} from './proxy_dependencies.js';
 
 import {delay} from '@arbutustide/errors';
 import {PrefixWatcher} from '@arbutustide/object-store';
+import {Ok} from 'ts-results';
 
+/** Makes a watch call answer at once, with the changes that there are. */
+const SHORTEST_WATCH_MILLISECONDS = 1;
 /** Delay before a failed call to the object store is retried. */
 const STORE_RETRY_DELAY_MILLISECONDS = 250;
 
@@ -31,6 +39,7 @@
   private readonly watcher: PrefixWatcher;
   private removalGraceEndMilliseconds = -Infinity;
   private hasReceivedList = false;
+  private confirmedAt = -Infinity;
   private isNextListRestored = false;
   /** Entries that could be decoded, by upstream, in their stored form. */
   private readonly storedObjectsById = new Map<string, StoredObject>();
@@ -55,6 +64,9 @@
         onChange: object => this.applyObject(object),
         onDelete: key => this.removeByKey(key, 'deleted'),
         onRestored: () => this.prepareForRestoredList(),
+        onConfirmed: ({monotonicMilliseconds}) => {
+          this.confirmedAt = monotonicMilliseconds;
+        },
         onUnavailable: error =>
           logger.warn(
             {reason: error.message},
@@ -84,6 +96,38 @@
     return this.watcher.sinceResponseMilliseconds;
   }
 
+  /** Latest time (monotonic) at which the store held exactly what is listed. */
+  get confirmedAtMilliseconds(): number {
+    return this.confirmedAt;
+  }
+
+  /**
+   * Reads from the store which entries were written that the watch has not
+   * delivered yet. They are not applied: the watch delivers them in their order.
+   *
+   * @param store the store itself; a relay may lag behind it.
+   */
+  async readPendingEntries(
+    store: ObjectStore,
+  ): Promise<Result<UpstreamDescription[], StoreError>> {
+    const {prefix, decode} = this.dependencies.upstreams;
+    const afterVersion = this.watcher.reportedVersion;
+    const read =
+      afterVersion === undefined
+        ? (await store.list(prefix)).map(({objects}) => objects)
+        : (
+            await store.watch(
+              prefix,
+              afterVersion,
+              new AbortController().signal,
+              SHORTEST_WATCH_MILLISECONDS,
+            )
+          ).map(({changes}) => changes);
+    if (!read.ok) return read;
+    const decoded = read.val.map(object => decode(object));
+    return Ok(decoded.flatMap(entry => (entry.ok ? [entry.val] : [])));
+  }
+
   /**
    * Applies the entries of a peer, unless a list was received before. Entries
    * from before the store was last restored are refused.
--- a/packages/arbutustide-object-store/src/merge_batches.ts
+++ b/packages/arbutustide-object-store/src/merge_batches.ts
@@ -2,7 +2,9 @@
 
 /**
  * Merges consecutive batches into one that leads to the same state. An object
- * that was deleted and created again counts as changed.
+ * that was deleted and created again counts as changed. One that was changed and
+ * then deleted is reported as both, in this order, so that objects which existed
+ * for a short time are seen.
  *
  * @param version version that the batches lead to.
  */
@@ -17,10 +19,7 @@
       changes.set(object.key, object);
       deletedKeys.delete(object.key);
     }
-    for (const key of batch.deletedKeys) {
-      changes.delete(key);
-      deletedKeys.add(key);
-    }
+    for (const key of batch.deletedKeys) deletedKeys.add(key);
   }
   return {
     changes: [...changes.values()],
--- a/packages/arbutustide-object-store/src/prefix_watcher.ts
+++ b/packages/arbutustide-object-store/src/prefix_watcher.ts
@@ -77,6 +77,11 @@
     return performance.now() - this.lastResponseAtMilliseconds;
   }
 
+  /** Version up to which changes were reported; undefined before the first list. */
+  get reportedVersion(): number | undefined {
+    return this.watchedVersion;
+  }
+
   /** Lists and watches until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
--- a/packages/arbutustide-routing/src/proxy/proxy_upstream_directory.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_upstream_directory.ts
@@ -10,6 +10,8 @@
  */
 const REMOVED_RETENTION_MILLISECONDS = 120_000;
 
+type EntryListener = (description: UpstreamDescription) => void;
+
 interface RemovedUpstream {
   readonly upstream: ProxyUpstream;
   readonly removedAtMilliseconds: number;
@@ -22,6 +24,7 @@
   /** By id; ordered by the time of removal. */
   private readonly removedById = new Map<string, RemovedUpstream>();
   private readonly listeners = new Set<() => void>();
+  private readonly entryListeners = new Set<EntryListener>();
   private readonly departures = new DepartedUpstreams();
 
   /** Registers a callback that is called after each change. */
@@ -29,6 +32,11 @@
     this.listeners.add(listener);
   }
 
+  /** Registers a callback for each entry, also of one that soon leaves again. */
+  onEntry(listener: EntryListener): void {
+    this.entryListeners.add(listener);
+  }
+
   get(id: string): ProxyUpstream | undefined {
     return this.byId.get(id);
   }
@@ -79,6 +87,7 @@
    * whatever the description says.
    */
   upsert(listed: UpstreamDescription): void {
+    for (const listener of this.entryListeners) listener(listed);
     if (listed.state === UpstreamState.LEAVING) {
       this.departures.record(listed, DepartureSource.REPORT);
     } else {
