Refuse what comes too late in a planned stop, and count answers until they are sent

Cause: nothing decided whether a request could still be answered, as `Connection: close` is only on answers whose head is written after the SIGTERM; and `response.end()` was taken for the end of an answer, here and by closeIdleConnections() and close() of the HTTP server of Node.js.

ShutdownAdmission refuses, as not run, what arrives after the balancer has removed the node and what may take longer than is left, also from peers. CallerConnections counts an answer until the system has its last byte.

--- a/packages/arbutustide-node/src/__tests__/integration/relay_cancellation.test.ts
+++ b/packages/arbutustide-node/src/__tests__/integration/relay_cancellation.test.ts
@@ -66,6 +66,7 @@
     relayServer = new RelayServer(
       {dispatch: request => (isRefusing ? refuse() : answer(request))},
       () => true,
+      {refuse: () => undefined},
       silentLogger(),
     );
     await listen();
--- a/packages/arbutustide-node/src/__tests__/integration/relay_left_unread.test.ts
+++ b/packages/arbutustide-node/src/__tests__/integration/relay_left_unread.test.ts
@@ -87,6 +87,7 @@
         },
       },
       () => true,
+      {refuse: () => undefined},
       silentLogger(),
     );
     const handler: Pick<PeerHandler, 'relayRequest'> = {
--- a/packages/arbutustide-node/src/__tests__/unit/request_relay.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/request_relay.test.ts
@@ -70,6 +70,7 @@
         },
       },
       identity => identity === ORIGIN_NODE,
+      {refuse: () => undefined},
       silentLogger(),
     );
     relay = createRelay(ORIGIN_NODE, server);
@@ -260,6 +261,7 @@
     const server = new RelayServer(
       {dispatch: async () => Ok(answerWith(body))},
       () => true,
+      {refuse: () => undefined},
       silentLogger(),
     );
     const message = encodeRelayRequest(ORIGIN_NODE, request, FRESH);
@@ -270,10 +272,35 @@
     expect(server.inFlightRequests).to.equal(0);
   });
 
+  it('is refused as not run by a peer that is about to stop', async () => {
+    received = undefined;
+    const server = new RelayServer(
+      {dispatch},
+      () => true,
+      {refuse: () => new RefusalError(ErrorKind.NOT_READY, 'stopping')},
+      silentLogger(),
+    );
+    const answer = await createRelay('origin', server).sendRequest(
+      peer,
+      createRequest(),
+      FRESH,
+      new Cancellation(),
+    );
+    expect(answer.err && answer.val.refusal?.ran).to.equal(
+      ExecutionStatus.NOT_EXECUTED,
+    );
+    expect(received).to.equal(undefined);
+  });
+
   it('is refused if no known node passes it on', async () => {
     dispatch = async () => Ok(answerWith(Buffer.from('whole')));
     received = undefined;
-    const server = new RelayServer({dispatch}, () => false, silentLogger());
+    const server = new RelayServer(
+      {dispatch},
+      () => false,
+      {refuse: () => undefined},
+      silentLogger(),
+    );
     const answer = await createRelay('stranger', server).sendRequest(
       peer,
       createRequest(),
--- a/packages/arbutustide-node/src/caller_server.ts
+++ b/packages/arbutustide-node/src/caller_server.ts
@@ -23,6 +23,7 @@
 import {App} from '@tinyhttp/app';
 import {Err, Ok} from 'ts-results';
 
+import {CallerConnections} from './caller_connections.js';
 import {AnswerWriter, writeRefusal} from './answer_writer.js';
 import {
   readCompletionRequest,
@@ -34,6 +35,8 @@
 
 /** Interval at which connections are checked against the header timeout. */
 const CONNECTION_CHECK_INTERVAL_MILLISECONDS = 500;
+/** Sent to callers whose requests come when this node only ends its work. */
+const STOPPING_REASON = 'this node is about to stop; another one takes it';
 const SERVICES_PREFIX = '/services/';
 
 /**
@@ -52,8 +55,8 @@
 /** HTTP server for callers: completions, services, models and health. */
 export class CallerServer {
   private readonly server: Server;
+  private readonly connections: CallerConnections;
   private readonly arrivalTimes = new ArrivalTimes();
-  private activeRequests = 0;
 
   constructor(
     private readonly core: NodeCore,
@@ -72,15 +75,16 @@
         app.handler(request as Request, response as Response);
       },
     );
+    this.connections = new CallerConnections(this.server);
     this.server.on('connection', socket =>
       this.arrivalTimes.recordConnection(socket),
     );
     this.server.on('clientError', respondToParserError);
   }
 
-  /** Number of requests whose answer has not ended yet. */
+  /** Number of requests that have arrived and are not fully answered. */
   get inFlightCount(): number {
-    return this.activeRequests;
+    return this.connections.answersInFlight;
   }
 
   /**
@@ -98,9 +102,7 @@
   /** Stops accepting connections and waits for the requests in flight. */
   async close(): Promise<void> {
     if (!this.server.listening) return;
-    const closed = once(this.server, 'close');
-    this.server.close();
-    await closed;
+    await this.connections.drain();
   }
 
   private createApp(): App {
@@ -171,12 +173,10 @@
     response: Response,
     readRequest: RequestReader,
   ): Promise<void> {
-    this.activeRequests += 1;
     this.dependencies.metrics.requestsInFlight.inc();
     try {
       await this.dispatchAndAnswer(request, response, readRequest);
     } finally {
-      this.activeRequests -= 1;
       this.dependencies.metrics.requestsInFlight.dec();
     }
   }
@@ -250,6 +250,8 @@
     const caller = authenticateCaller(request, catalogue);
     if (!caller.ok) return caller;
     if (this.core.isLeaving) response.setHeader('connection', 'close');
+    if (!this.server.listening)
+      return Err(new RefusalError(ErrorKind.NOT_READY, STOPPING_REASON));
     return Ok({
       message: request,
       requestId: getRequestId(request),
--- a/packages/arbutustide-node/src/index.ts
+++ b/packages/arbutustide-node/src/index.ts
@@ -12,6 +12,7 @@
   RevocationSettings,
   StoreLoadSettings,
   RetryBudgetSettings,
+  ShutdownTimes,
 } from './proxy/proxy_settings.js';
 export type {
   ArchivedOrigins,
@@ -22,6 +23,7 @@
 export type {NodeDependencies, NodeIdentity} from './node_dependencies.js';
 
 export {createConnectionErrorLog} from './connection_error_log.js';
+export {CallerConnections} from './caller_connections.js';
 export {CallerServer} from './caller_server.js';
 export {ProxyCore} from './proxy/proxy_core.js';
 export {watchDisconnection} from './watch_disconnection.js';
--- a/packages/arbutustide-node/src/proxy/create_slot_queue.ts
+++ b/packages/arbutustide-node/src/proxy/create_slot_queue.ts
@@ -15,7 +15,6 @@
   expectedAcceptanceMilliseconds,
   NoUpstreamReason,
   ProxyUpstream,
-  SlotHoldTimes,
   SlotQueue,
 } from '@arbutustide/routing';
 
@@ -33,7 +32,7 @@
 ): SlotQueue {
   const upstreamDirectory = container.resolve(ProxyToken.UPSTREAM_DIRECTORY);
   const holdingRequester = container.resolve(ProxyToken.HOLDING_REQUESTER);
-  const holdTimes = new SlotHoldTimes();
+  const holdTimes = container.resolve(ProxyToken.SLOT_HOLD_TIMES);
   const order = createServiceOrder(container);
   const holdBack = createHoldBack(container, order);
   return new SlotQueue({
--- a/packages/arbutustide-node/src/proxy/proxy_core.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_core.ts
@@ -1,6 +1,8 @@
+import type {RefusalError} from '@arbutustide/errors';
 import type {ClusterNode, PeerHandler} from '@arbutustide/membership';
 import type {
   ProxyDispatcher,
+  RoutedRequest,
   RouteTable,
   ServingConfiguration,
   UpstreamSignals,
@@ -92,6 +94,13 @@
     return this.status.state === NodeState.LEAVING;
   }
 
+  /** The refusal of a request that comes too late in a graceful shutdown. */
+  refuseWhileLeaving(request: RoutedRequest): RefusalError | undefined {
+    return this.container
+      .resolve(ProxyToken.SHUTDOWN_ADMISSION)
+      .refuse(request);
+  }
+
   /** Number of peers' requests that this node passes on. */
   get relayedRequestsInFlight(): number {
     return this.container.resolve(ProxyToken.RELAY_SERVER).inFlightRequests;
@@ -148,6 +157,7 @@
    */
   async leave(): Promise<void> {
     this.status.setState(NodeState.LEAVING);
+    this.container.resolve(ProxyToken.SHUTDOWN_ADMISSION).begin();
     this.scheduleQueueClose();
     this.planningStopController.abort();
     await Promise.all(this.planningTasks);
--- a/packages/arbutustide-node/src/proxy/proxy_settings.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_settings.ts
@@ -34,6 +34,17 @@
   readonly slack: number;
 }
 
+/** Times of a graceful shutdown, from its beginning. */
+export interface ShutdownTimes {
+  /** When the balancer sends this node no more connections, at the latest. */
+  readonly balancerRemovalMilliseconds: number;
+  /**
+   * When requests that are still in flight are given up, early enough for the
+   * process to end in time.
+   */
+  readonly drainMilliseconds: number;
+}
+
 /** Settings that a proxying node reads when it starts. */
 export interface ProxySettings {
   readonly nodeName: string;
@@ -53,6 +64,7 @@
   readonly upstreamBeatMilliseconds: number;
   /** Time from the request to stop until the process must have ended. */
   readonly stopMilliseconds: number;
+  readonly shutdown: ShutdownTimes;
   /**
    * Time within which a change of the configuration or of the list of upstreams
    * must be in effect.
--- a/packages/arbutustide-node/src/proxy/proxy_tokens.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tokens.ts
@@ -9,6 +9,7 @@
   DemandCounter,
   ProxyUpstreamDirectory,
   ProxyDispatcher,
+  SlotHoldTimes,
   SlotQueue,
   PoisonRequestDetector,
   PoisonSegmentDetector,
@@ -38,6 +39,7 @@
 import type {TokenRequester} from './rate_limit/token_requester.js';
 import type {ClusterStreamOrigins} from './stream_origin/cluster_stream_origins.js';
 import type {ConfigurationConfirmer} from './teams/configuration_confirmer.js';
+import type {ShutdownAdmission} from './shutdown_admission.js';
 import type {UpstreamWatcher} from './upstream_watcher.js';
 import type {RelayedObjectStore} from './watch_relay/relayed_object_store.js';
 
@@ -61,6 +63,9 @@
   CONFIGURATION_FRESHNESS:
     'fleet.configurationFreshness' as InjectionToken<ConfigurationFreshness>,
   KEY_TABLES: 'fleet.keyTables' as InjectionToken<KeyTableCache>,
+  SLOT_HOLD_TIMES: 'fleet.slotHoldTimes' as InjectionToken<SlotHoldTimes>,
+  SHUTDOWN_ADMISSION:
+    'fleet.shutdownAdmission' as InjectionToken<ShutdownAdmission>,
   REQUEST_QUEUE: 'fleet.queue' as InjectionToken<SlotQueue>,
   DISPATCHER: 'fleet.dispatcher' as InjectionToken<ProxyDispatcher>,
   MEMBER_TABLE: 'fleet.memberTable' as InjectionToken<MemberTable>,
--- a/packages/arbutustide-node/src/proxy/proxy_wiring.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_wiring.ts
@@ -32,6 +32,7 @@
 import {BrittleUpstreams} from './brittleness/brittle_upstreams.js';
 import {crashEvidenceFields} from './crash_evidence_fields.js';
 import {createSlotQueue} from './create_slot_queue.js';
+import {registerShutdownAdmission} from './register_shutdown_admission.js';
 import {createPoisonSegmentDetector} from './create_poison_segment_detector.js';
 import {ServiceRetryBudgets} from './service_retry_budgets.js';
 import {
@@ -269,6 +270,7 @@
       tuning.INITIAL_NODE_COUNT,
     );
   });
+  registerShutdownAdmission(register, dependencies);
   register(ProxyToken.REQUEST_QUEUE, container =>
     createSlotQueue(container, dependencies),
   );
--- a/packages/arbutustide-node/src/proxy/relay/register_relay.ts
+++ b/packages/arbutustide-node/src/proxy/relay/register_relay.ts
@@ -45,6 +45,7 @@
     return new RelayServer(
       container.resolve(ProxyToken.DISPATCHER),
       sender => sender !== identity && clusterView.isAlive(sender),
+      container.resolve(ProxyToken.SHUTDOWN_ADMISSION),
       logger,
     );
   });
--- a/packages/arbutustide-node/src/proxy/relay/relay_server.ts
+++ b/packages/arbutustide-node/src/proxy/relay/relay_server.ts
@@ -5,6 +5,8 @@
 import type {ProxyAnswer, ProxyDispatcher} from '@arbutustide/routing';
 import type {NodeLogger} from '@arbutustide/telemetry';
 
+import type {ShutdownAdmission} from '../shutdown_admission.js';
+
 import {Cancellation, ErrorKind, RefusalError} from '@arbutustide/errors';
 import {turnQueue} from '@arbutustide/event-loop';
 import {AnswerEnd} from '@arbutustide/routing';
@@ -27,6 +29,7 @@
   constructor(
     private readonly dispatcher: Pick<ProxyDispatcher, 'dispatch'>,
     private readonly isPeer: (identity: string) => boolean,
+    private readonly shutdownAdmission: Pick<ShutdownAdmission, 'refuse'>,
     private readonly logger: NodeLogger,
   ) {}
 
@@ -49,6 +52,11 @@
       yield encodeRefusal(new RefusalError(ErrorKind.NOT_READY, reason));
       return;
     }
+    const stopping = this.shutdownAdmission.refuse(request);
+    if (stopping) {
+      yield encodeRefusal(stopping);
+      return;
+    }
     const disconnect = () => disconnection.cancel(signal.reason);
     if (signal.aborted) disconnect();
     signal.addEventListener('abort', disconnect, {once: true});
