Defer removals only after outages in which entries can lapse

Cause: any failed call to the store began a grace period of 2 s for all removals. It is for entries that lapsed because nobody could renew them, which takes two renewal intervals without the store at least; shorter failures now defer nothing. While a removal is deferred, the upstream is chosen only where no other can take the request, as it may also have left; this holds after a restore too.

--- a/packages/arbutustide-node/src/__tests__/unit/upstream_watcher.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/upstream_watcher.test.ts
@@ -1,7 +1,8 @@
 /**
  * Guards against a list of upstreams from a restored store: it may lack live
  * upstreams and show those as ready that have left. Also against the snapshot
- * of a peer from before the restore.
+ * of a peer from before the restore, and against requests to an upstream that
+ * left while calls to the store failed.
  */
 import type {
   ObjectStore,
@@ -13,7 +14,12 @@
 import type {ProxyDependencies} from '../../proxy/proxy_dependencies.js';
 
 import {StoreError, StoreErrorKind, toVersion} from '@arbutustide/object-store';
-import {ProxyUpstreamDirectory, UpstreamState} from '@arbutustide/routing';
+import {
+  chooseUpstream,
+  ProxyUpstream,
+  ProxyUpstreamDirectory,
+  UpstreamState,
+} from '@arbutustide/routing';
 import {silentLogger} from '@arbutustide/telemetry';
 import {install} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
@@ -24,6 +30,14 @@
 const REMOVAL_GRACE_MILLISECONDS = 2_000;
 const CHANGE_BOUND_MILLISECONDS = 2_000;
 const STEP_MILLISECONDS = 300;
+const BEAT_MILLISECONDS = 1_200;
+/** Long enough for entries to lapse that could not be renewed. */
+const OUTAGE_MILLISECONDS = 3 * BEAT_MILLISECONDS;
+/** Longest pause of the watcher after a failed call. */
+const RETRY_MILLISECONDS = 1_000;
+
+const REFUSED = new StoreError(StoreErrorKind.UNAVAILABLE, 'turned away');
+const SILENT = new StoreError(StoreErrorKind.UNAVAILABLE, 'no answer', true);
 
 /** Answers lists and watches as a test sets them; watches wait for a batch. */
 class ScriptedStore implements Pick<
@@ -33,6 +47,8 @@
   era = 1;
   objects: StoredObject[] = [];
   private pendingBatches: Partial<WatchBatch>[] = [];
+  /** How watches fail; they are served if absent. */
+  failure: StoreError | undefined;
   private revision = 1;
 
   get eraStartVersion(): number {
@@ -51,6 +67,10 @@
     for (;;) {
       if (afterVersion < this.eraStartVersion)
         return Err(new StoreError(StoreErrorKind.HISTORY_GONE, 'restored'));
+      const {failure} = this;
+      if (failure?.isTimeout)
+        await new Promise(resolve => setTimeout(resolve, OUTAGE_MILLISECONDS));
+      if (failure) return Err(failure);
       const batch = this.pendingBatches.shift();
       if (batch) {
         const version = this.nextVersion();
@@ -98,6 +118,7 @@
       logger: silentLogger(),
       settings: {
         changeBoundMilliseconds: CHANGE_BOUND_MILLISECONDS,
+        upstreamBeatMilliseconds: BEAT_MILLISECONDS,
       } as ProxyDependencies['settings'],
       store: store as unknown as ObjectStore,
       upstreams: {
@@ -127,6 +148,58 @@
     await clock.tickAsync(STEP_MILLISECONDS);
   }
 
+  const chosenId = () => {
+    const choice = chooseUpstream(directory.all(), undefined, new Set(), {
+      fullShare: 1,
+      ownFailureDomain: 'near',
+      priceShare: 0,
+      requestMilliseconds: 1,
+      random: () => 0,
+    });
+    return choice instanceof ProxyUpstream ? choice.id : undefined;
+  };
+
+  /** One upstream leaves unreported while calls to the store fail. */
+  async function removeBesideFailure(
+    failure: StoreError,
+    milliseconds: number,
+  ): Promise<void> {
+    store.objects = [entry('gone'), entry('here')];
+    void watcher.run(stopController.signal);
+    await clock.tickAsync(STEP_MILLISECONDS);
+    store.failure = failure;
+    await clock.tickAsync(milliseconds);
+    store.failure = undefined;
+    store.deliver({deletedKeys: ['upstreams/gone']});
+    await clock.tickAsync(RETRY_MILLISECONDS);
+  }
+
+  it('removes at once what left while a watch was cut off', async () => {
+    await removeBesideFailure(REFUSED, STEP_MILLISECONDS);
+    expect(readyIds()).to.eql(['here']);
+  });
+
+  for (const failure of [REFUSED, SILENT]) {
+    it(`uses others while an entry may have lapsed: ${failure.message}`, async () => {
+      await removeBesideFailure(failure, OUTAGE_MILLISECONDS);
+      expect(readyIds()).to.eql(['gone', 'here']);
+      expect(chosenId()).to.equal('here');
+      directory.remove('here');
+      expect(chosenId()).to.equal('gone');
+      await clock.tickAsync(REMOVAL_GRACE_MILLISECONDS);
+      expect(chosenId()).to.equal(undefined);
+    });
+  }
+
+  it('uses an upstream as before once it has renewed its entry', async () => {
+    await removeBesideFailure(REFUSED, OUTAGE_MILLISECONDS);
+    store.deliver({changes: [entry('gone')]});
+    await clock.tickAsync(STEP_MILLISECONDS * 2);
+    expect(directory.get('gone')?.isUnlisted).to.equal(false);
+    await clock.tickAsync(REMOVAL_GRACE_MILLISECONDS);
+    expect(readyIds()).to.eql(['gone', 'here']);
+  });
+
   it('keeps upstreams that a restored list lacks until they list themselves', async () => {
     store.objects = [entry('one'), entry('two')];
     void watcher.run(stopController.signal);
--- a/packages/arbutustide-node/src/proxy/upstream_watcher.ts
+++ b/packages/arbutustide-node/src/proxy/upstream_watcher.ts
@@ -27,6 +27,13 @@
  */
 const WATCH_PAUSE_SHARE = 0.125;
 
+/**
+ * Intervals of an upstream's renewals for which the store must have been away at
+ * least for entries to lapse: they lapse three intervals after the last renewal,
+ * which can have been one interval before.
+ */
+const LAPSE_BEATS = 2;
+
 /**
  * How long removals are deferred after a store outage. Entries expire during an
  * outage because they cannot be renewed; live upstreams have written theirs
@@ -74,8 +81,9 @@
           ),
         onRecovered: silentMilliseconds => {
           logger.info({silentMilliseconds}, 'upstreams are readable again');
-          this.removalGraceEndMilliseconds =
-            performance.now() + REMOVAL_GRACE_MILLISECONDS;
+          const {upstreamBeatMilliseconds} = settings;
+          if (silentMilliseconds >= upstreamBeatMilliseconds * LAPSE_BEATS)
+            this.beginRemovalGrace();
         },
       },
     );
@@ -177,13 +185,17 @@
    */
   private prepareForRestoredList(): void {
     this.isNextListRestored = true;
-    this.removalGraceEndMilliseconds =
-      performance.now() + REMOVAL_GRACE_MILLISECONDS;
+    this.beginRemovalGrace();
     this.dependencies.logger.warn(
       'the store was restored from a copy; listing upstreams again',
     );
   }
 
+  private beginRemovalGrace(): void {
+    this.removalGraceEndMilliseconds =
+      performance.now() + REMOVAL_GRACE_MILLISECONDS;
+  }
+
   private applyList(objects: readonly StoredObject[]): void {
     this.hasReceivedList = true;
     const isRestored = this.isNextListRestored;
@@ -255,16 +267,20 @@
   }
 
   /**
-   * Removes an upstream. Shortly after a store outage the removal is deferred
-   * to the end of the grace period, and cancelled if the entry is rewritten.
+   * Removes an upstream. Shortly after a store outage in which entries may have
+   * lapsed, the removal is deferred to the end of the grace period, and cancelled
+   * if the entry is rewritten. Until then the upstream is used only where no other
+   * can serve: it may also be leaving.
    */
   private scheduleRemoval(id: string, reason: string): void {
-    if (!this.directory.get(id)) return;
+    const upstream = this.directory.get(id);
+    if (!upstream) return;
     const remainingGraceMilliseconds =
       this.removalGraceEndMilliseconds - performance.now();
     if (remainingGraceMilliseconds <= 0) {
       this.removeNow(id, reason);
     } else if (!this.pendingRemovals.has(id)) {
+      upstream.isUnlisted = true;
       const timer = setTimeout(
         () => this.removeNow(id, `${reason}, lapsed`),
         remainingGraceMilliseconds,
--- a/packages/arbutustide-object-store/src/prefix_watcher.ts
+++ b/packages/arbutustide-object-store/src/prefix_watcher.ts
@@ -22,8 +22,10 @@
   /** The store cannot be read; the known objects may be out of date. */
   onUnavailable(error: StoreError): void;
   /**
-   * The store can be read again after this time; `onList` or `onChange` follows
-   * with what changed.
+   * The store can be read again; `onList` or `onChange` follows with what changed.
+   *
+   * @param silentMilliseconds how long it may have been away: since the first call
+   *     that it refused or broke off, or since one without an answer was sent.
    */
   onRecovered(silentMilliseconds: number): void;
   /**
@@ -85,6 +87,7 @@
   /** Lists and watches until the signal is aborted. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
+      const sentAtMilliseconds = performance.now();
       const error =
         this.watchedVersion === undefined
           ? await this.list()
@@ -94,7 +97,7 @@
         this.watchedVersion = undefined;
         continue;
       }
-      this.recordUnavailable(error);
+      this.recordUnavailable(error, sentAtMilliseconds);
       const {retryDelayMilliseconds, pause} = this.options;
       await pause(retryDelayMilliseconds * this.retryFactor, signal);
       this.retryFactor = Math.min(MAXIMUM_RETRY_FACTOR, this.retryFactor * 2);
@@ -155,9 +158,14 @@
     this.listener.onRecovered(unavailableMilliseconds);
   }
 
-  private recordUnavailable(error: StoreError): void {
+  private recordUnavailable(
+    error: StoreError,
+    sentAtMilliseconds: number,
+  ): void {
     if (this.unavailableSinceMilliseconds !== undefined) return;
-    this.unavailableSinceMilliseconds = performance.now();
+    this.unavailableSinceMilliseconds = error.isTimeout
+      ? sentAtMilliseconds
+      : performance.now();
     this.listener.onUnavailable(error);
   }
 }
--- a/packages/arbutustide-object-store/src/store_error.ts
+++ b/packages/arbutustide-object-store/src/store_error.ts
@@ -20,6 +20,8 @@
   constructor(
     readonly kind: StoreErrorKind,
     message: string,
+    /** Whether the store was silent for longer than the call may take. */
+    readonly isTimeout = false,
   ) {
     super(message);
     this.name = 'StoreError';
--- a/packages/arbutustide-object-store/src/store_http_client.ts
+++ b/packages/arbutustide-object-store/src/store_http_client.ts
@@ -12,12 +12,14 @@
 /** Maximum connections to one store; each pending watch occupies one. */
 const MAXIMUM_CONNECTIONS = 64;
 
+const CONNECT_TIMEOUT_CODE = 'UND_ERR_CONNECT_TIMEOUT';
+
 /** Error codes that prove that no byte of the call was sent. */
 const NOT_CONNECTED_ERROR_CODES: ReadonlySet<string> = new Set([
   'ECONNREFUSED',
   'EHOSTUNREACH',
   'ENETUNREACH',
-  'UND_ERR_CONNECT_TIMEOUT',
+  CONNECT_TIMEOUT_CODE,
 ]);
 
 const ERROR_KIND_BY_STATUS: Readonly<Record<number, StoreErrorKind>> = {
@@ -132,7 +134,7 @@
       return Ok({value, era});
     } catch (error) {
       if (deadline.aborted) this.retire(pool);
-      return Err(toTransportError(call, error));
+      return Err(toTransportError(call, error, deadline.aborted));
     }
   }
 
@@ -193,7 +195,11 @@
   );
 }
 
-function toTransportError<T>(call: StoreCall<T>, error: unknown): StoreError {
+function toTransportError<T>(
+  call: StoreCall<T>,
+  error: unknown,
+  hasExpired: boolean,
+): StoreError {
   const code = (error as {code?: string}).code ?? '';
   const kind =
     call.method === 'GET' || NOT_CONNECTED_ERROR_CODES.has(code)
@@ -202,5 +208,6 @@
   return new StoreError(
     kind,
     `${call.operation} ${call.path}: ${String(error)}`,
+    hasExpired || code === CONNECT_TIMEOUT_CODE,
   );
 }
--- a/packages/arbutustide-routing/src/proxy/choose_upstream.ts
+++ b/packages/arbutustide-routing/src/proxy/choose_upstream.ts
@@ -51,7 +51,8 @@
 export type UpstreamChoice = ProxyUpstream | NoUpstreamReason;
 
 /**
- * Chooses an upstream that can take a request now, by `pickUpstream`.
+ * Chooses an upstream that can take a request now, by `pickUpstream`. One whose
+ * entry is missing from the list is chosen only if no other can take it.
  *
  * @param excluded upstreams already tried for this request.
  */
@@ -62,6 +63,7 @@
   settings: UpstreamChoiceSettings,
 ): UpstreamChoice {
   const eligible: ProxyUpstream[] = [];
+  const unlisted: ProxyUpstream[] = [];
   const holders: ProxyUpstream[] = [];
   let reason = NoUpstreamReason.NOT_HELD;
   for (const upstream of candidates) {
@@ -81,9 +83,10 @@
       reason = NoUpstreamReason.RATE_LIMITED;
       continue;
     }
-    eligible.push(upstream);
+    (upstream.isUnlisted ? unlisted : eligible).push(upstream);
   }
-  return pickUpstream(eligible, holders, settings) ?? reason;
+  const candidatesByRank = eligible.length > 0 ? eligible : unlisted;
+  return pickUpstream(candidatesByRank, holders, settings) ?? reason;
 }
 
 /**
--- a/packages/arbutustide-routing/src/proxy/proxy_upstream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_upstream.ts
@@ -81,6 +81,11 @@
   peersInFlight = 0;
   /** Of those, the ones of nodes in the failure domain of this node. */
   domainPeersInFlight = 0;
+  /**
+   * Whether its entry is missing from the platform's list but may return, as it
+   * may have lapsed while the upstream could not renew it.
+   */
+  isUnlisted = false;
   readonly rateLimit = new UpstreamRateLimit();
   /** Bounds its rejections while it is brittle. */
   readonly admission = new UpstreamAdmission();
@@ -163,6 +168,7 @@
   /** Applies a newer description of the same process. */
   updateDescription(description: UpstreamDescription): void {
     this.currentDescription = description;
+    this.isUnlisted = false;
     this.setListedHoldings(description.models);
   }
 
