Pass on only events as a stream, and end it as broken if it does not go on

Cause: any bytes up to a blank line with an id line were an event; any signed answer below 500 with an event stream's type continued a stream; an attempt without an event ended it as whole. Now an event consists of fields and comments without carriage returns, only answers with status 200 are streams, and a resumed attempt must bring an event.

--- a/packages/arbutustide-routing/src/__tests__/unit/proxy_decisions.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/proxy_decisions.test.ts
@@ -258,7 +258,7 @@
   it('drops events that the caller has and detects a gap', () => {
     const events = new EventSequencer(undefined);
     events.push(event(1));
-    events.discardPartialEvent();
+    events.beginAttempt();
     const resumed = events.push(Buffer.concat([event(1), event(2)]));
     expect(resumed.bytes?.toString()).to.equal(event(2).toString());
     expect(events.push(event(4)).problem).to.equal(EventOrderProblem.GAP);
@@ -268,13 +268,43 @@
     const events = new EventSequencer(undefined);
     events.push(Buffer.concat([event(1), Buffer.from('id: 2\nda')]));
     expect(events.hasPartialEvent).to.equal(true);
-    events.discardPartialEvent();
+    events.beginAttempt();
     expect(events.push(event(2)).bytes?.toString()).to.equal(
       event(2).toString(),
     );
   });
 });
 
+describe('bytes that are no event, in an event stream', () => {
+  // An error's text must not reach a caller in the middle of its stream.
+  const BROKEN_EVENT = 'id: 2\ndata: x';
+  const ERROR_HEAD =
+    'HTTP/1.1 503 Service Unavailable\r\ncontent-type: text/plain\r\n\r\n';
+  const FOREIGN_BYTES: Readonly<Record<string, string>> = {
+    'a head behind an event that broke off': `${BROKEN_EVENT}${ERROR_HEAD}overloaded\n\n`,
+    'a status line in the data of an event': `${BROKEN_EVENT}HTTP/1.1 500 Error\r\n\n\n`,
+    'lines before the id': 'upstream error\nid: 2\ndata: x\n\n',
+    'a JSON body': '{"error":\n"id: 2"}\n\n',
+  };
+
+  for (const [name, text] of Object.entries(FOREIGN_BYTES)) {
+    it(`are not passed on: ${name}`, () => {
+      const events = new EventSequencer(undefined);
+      events.push(Buffer.from('id: 1\ndata: x\n\n'));
+      const {bytes, problem} = events.push(Buffer.from(text));
+      expect(bytes).to.equal(undefined);
+      expect(problem).to.equal(EventOrderProblem.MALFORMED);
+      expect(events.lastEventId).to.equal(1);
+    });
+  }
+
+  it('are not seen in fields of other names and in comments', () => {
+    const events = new EventSequencer(undefined);
+    const text = 'weight-versions: 3\nid: 1\n: note\ndata: HTTP/1.1 200\n\n';
+    expect(events.push(Buffer.from(text)).bytes?.toString()).to.equal(text);
+  });
+});
+
 describe('cluster-wide retry budget', () => {
   let clock: ReturnType<typeof install>;
   beforeEach(() => {
--- a/packages/arbutustide-routing/src/__tests__/unit/proxy_dispatcher.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/proxy_dispatcher.test.ts
@@ -232,6 +232,33 @@
     expect(end).to.equal(AnswerEnd.BROKEN);
   });
 
+  // A resumed stream must not end with the text of an error, nor as if complete.
+  const NO_CONTINUATIONS: Readonly<Record<string, AttemptScript>> = {
+    'an error as events': () =>
+      respondWith({status: 404, isEventStream: true}, ['id: 3\ndata: x\n\n']),
+    'an error without events': () =>
+      respondWith({status: 404, isEventStream: true}),
+    'a whole body': () => respondWith({status: 404}, ['not found']),
+    'no event': () => respondWith({isEventStream: true}),
+    'the end of its connection': () =>
+      respondWith({isEventStream: true, isSelfDelimiting: false}),
+    'an event that is none': () =>
+      respondWith({isEventStream: true}, ['error\nid: 3\ndata: x\n\n']),
+  };
+
+  for (const [name, continuation] of Object.entries(NO_CONTINUATIONS)) {
+    it(`ends a stream as broken that is resumed with ${name}`, async () => {
+      const {result} = await dispatchWith(
+        createRequest(RequestKind.STREAM, true),
+        () => respondWithEvents([1, 2], false),
+        continuation,
+      );
+      const {text, end} = await readAnswer(result);
+      expect(text).to.equal('id: 1\ndata: x\n\nid: 2\ndata: x\n\n');
+      expect(end).to.equal(AnswerEnd.BROKEN);
+    });
+  }
+
   it('takes a stream without length or events for broken, and resumes it', async () => {
     const {result} = await dispatchWith(
       createRequest(RequestKind.STREAM, true),
--- a/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
@@ -65,7 +65,7 @@
     let failure: SegmentFailure | undefined;
     try {
       while (attempt) {
-        failure = yield* this.readSegment(attempt);
+        failure = yield* this.readSegment(attempt, attempt !== first);
         end = failure ? AnswerEnd.BROKEN : AnswerEnd.WHOLE;
         attempt = failure && (await this.resume(failure));
       }
@@ -78,8 +78,9 @@
   /** Yields the events of one attempt; returns why it failed, if it did. */
   private async *readSegment(
     attempt: AttemptResult,
+    isResumed: boolean,
   ): AsyncGenerator<Uint8Array, SegmentFailure | undefined, undefined> {
-    this.eventSequencer.discardPartialEvent();
+    this.eventSequencer.beginAttempt();
     try {
       for await (const chunk of attempt.head?.body ?? []) {
         const {bytes, problem} = this.eventSequencer.push(chunk);
@@ -94,7 +95,7 @@
         }
         if (problem) return {reason: `event cannot follow: ${problem}`};
       }
-      const reason = this.findTruncation(attempt);
+      const reason = this.findTruncation(attempt, isResumed);
       if (reason !== undefined) {
         attempt.observed?.recordBroken();
         return {reason};
@@ -117,12 +118,18 @@
   }
 
   /** Why a stream that ended without an error is incomplete, if it is. */
-  private findTruncation({head}: AttemptResult): string | undefined {
-    const {hasPartialEvent, lastEventId} = this.eventSequencer;
+  private findTruncation(
+    {head}: AttemptResult,
+    isResumed: boolean,
+  ): string | undefined {
+    const {hasPartialEvent, hasEventOfAttempt} = this.eventSequencer;
     if (hasPartialEvent) return 'the stream ended within an event';
+    if (hasEventOfAttempt) return undefined;
+    // Nothing shows that a stream which broke off had reached its end. A caller
+    // that resumes it itself gets the word of the upstream.
+    if (isResumed) return 'the stream did not go on after it was resumed';
     // Its end is the end of the connection, which a crash may have caused.
-    if (!head?.isSelfDelimiting && lastEventId === undefined)
-      return 'the stream ended without an event';
+    if (!head?.isSelfDelimiting) return 'the stream ended without an event';
     return undefined;
   }
 
--- a/packages/arbutustide-routing/src/proxy/run_attempt.ts
+++ b/packages/arbutustide-routing/src/proxy/run_attempt.ts
@@ -13,6 +13,8 @@
 } from './attempt_outcome.js';
 import {remainingMilliseconds} from './routed_request_progress.js';
 
+const OK_STATUS = 200;
+
 /**
  * Size up to which an answer that is no event stream is buffered. A larger one
  * counts as an answer without end.
@@ -69,7 +71,11 @@
   const head = opened.val;
   slot.target.recordHead(head, beganAtMilliseconds);
   const outcome = classifyResponseHead(head);
-  const isStreamed = head.isEventStream && outcome === AttemptOutcome.ANSWERED;
+  // Events with another status are the text of an error, not part of a stream.
+  const isStreamed =
+    head.isEventStream &&
+    head.status === OK_STATUS &&
+    outcome === AttemptOutcome.ANSWERED;
   const common = {
     slot,
     beganAtMilliseconds,
