Bound the answers to a node's own calls, and all answers together

Cause: reports, orders, the store's answers and the short calls of the other interface were read as a whole, bounded by time only; answers to callers were bounded each, but not their sum. maxResponseSize of undici bounds the former, and AnswerMemory the latter; the first 64 KiB of each answer need no room, so that usual answers pass beside endless ones.

--- a/packages/arbutustide-object-store/src/store_http_client.ts
+++ b/packages/arbutustide-object-store/src/store_http_client.ts
@@ -12,6 +12,9 @@
 /** Maximum connections to one store; each pending watch occupies one. */
 const MAXIMUM_CONNECTIONS = 64;
 
+/** Far more than a page of a list or the changes of a watch. */
+const MAXIMUM_ANSWER_BYTES = 16 * 1_024 * 1_024;
+
 const CONNECT_TIMEOUT_CODE = 'UND_ERR_CONNECT_TIMEOUT';
 
 /** Error codes that prove that no byte of the call was sent. */
@@ -142,6 +145,7 @@
     const {url, timeoutMilliseconds} = this.options;
     return new Pool(url, {
       pipelining: 1,
+      maxResponseSize: MAXIMUM_ANSWER_BYTES,
       connections: MAXIMUM_CONNECTIONS,
       // undici ignores the abort signal until the connection is established.
       connect: {timeout: timeoutMilliseconds},
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -19,6 +19,7 @@
 import {AnswerEnd} from '../caller_request.js';
 import {quarantineRefusal} from '../dispatch_refusals.js';
 import {AttemptOutcome, mayHaveRun, isRetryAllowed} from './attempt_outcome.js';
+import {AnswerMemory} from './answer_memory.js';
 import {runAttempt} from './run_attempt.js';
 import {DecisionRecorder} from './decision_recorder.js';
 import {
@@ -68,6 +69,7 @@
  */
 export class ProxyDispatcher {
   private readonly decisions: DecisionRecorder;
+  private readonly answerMemory = new AnswerMemory();
 
   constructor(
     private readonly queue: SlotQueue,
@@ -277,6 +279,7 @@
       observed: target.observe(progress.request),
       resumeAfterEventId,
       beganAtMilliseconds: performance.now(),
+      answerMemory: this.answerMemory,
     };
     const attempt = await runAttempt(progress, context);
     const isOpen = attempt.body === undefined && attempt.error === undefined;
--- a/packages/arbutustide-routing/src/proxy/run_attempt.ts
+++ b/packages/arbutustide-routing/src/proxy/run_attempt.ts
@@ -1,4 +1,5 @@
 import type {ObservedAttempt} from './crash_attribution/observed_attempt.js';
+import type {AnswerMemory, AnswerRoom} from './answer_memory.js';
 import type {AttemptSlot} from './attempt_target.js';
 import type {UpstreamResponseHead} from './proxy_connector.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
@@ -48,6 +49,7 @@
   readonly resumeAfterEventId: number | undefined;
   /** Monotonic clock, in milliseconds. */
   readonly beganAtMilliseconds: number;
+  readonly answerMemory: AnswerMemory;
 }
 
 /**
@@ -59,7 +61,7 @@
   context: AttemptContext,
 ): Promise<AttemptResult> {
   const {slot, inactivityTimeout, observed, resumeAfterEventId} = context;
-  const {beganAtMilliseconds} = context;
+  const {beganAtMilliseconds, answerMemory} = context;
   const opened = await slot.target.sendRequest(progress, {
     remainingMilliseconds: remainingMilliseconds(progress),
     resumeAfterEventId,
@@ -86,7 +88,11 @@
   };
   if (isStreamed) return {...common, body: undefined, error: undefined};
   try {
-    const body = await collectBody(head.body, inactivityTimeout);
+    const body = await collectBody(
+      head.body,
+      inactivityTimeout,
+      answerMemory.open(),
+    );
     inactivityTimeout.stop();
     return {...common, body, error: undefined};
   } catch (error) {
@@ -132,19 +138,29 @@
 async function collectBody(
   body: AsyncIterable<Uint8Array>,
   inactivityTimeout: InactivityTimeout,
+  room: AnswerRoom,
 ): Promise<Buffer> {
   const chunks: Uint8Array[] = [];
   let size = 0;
-  for await (const chunk of body) {
-    inactivityTimeout.recordActivity();
-    size += chunk.length;
-    if (size > MAXIMUM_BUFFERED_ANSWER_BYTES) {
-      throw new AttemptError(
-        AttemptFailure.PROTOCOL_VIOLATION,
-        `the answer is larger than ${MAXIMUM_BUFFERED_ANSWER_BYTES} bytes`,
-      );
+  try {
+    for await (const chunk of body) {
+      inactivityTimeout.recordActivity();
+      size += chunk.length;
+      if (size > MAXIMUM_BUFFERED_ANSWER_BYTES)
+        throw tooLarge(`more than ${MAXIMUM_BUFFERED_ANSWER_BYTES} bytes`);
+      if (!room.tryAdd(chunk.length))
+        throw tooLarge('more bytes than there is room for beside others');
+      chunks.push(chunk);
     }
-    chunks.push(chunk);
+    return chunks.length === 1 ? Buffer.from(chunks[0]) : Buffer.concat(chunks);
+  } finally {
+    room.release();
   }
-  return chunks.length === 1 ? Buffer.from(chunks[0]) : Buffer.concat(chunks);
+}
+
+function tooLarge(size: string): AttemptError {
+  return new AttemptError(
+    AttemptFailure.PROTOCOL_VIOLATION,
+    `the answer has ${size}`,
+  );
 }
--- a/packages/arbutustide-upstream/src/upstream_connection_pool.ts
+++ b/packages/arbutustide-upstream/src/upstream_connection_pool.ts
@@ -11,6 +11,11 @@
 import {AttemptError, AttemptFailure} from './attempt_error.js';
 import {CheckedClient} from './checked_client.js';
 
+/** Largest answer to a short call, whose body is kept as a whole. */
+const MAXIMUM_JSON_BYTES = 16 * 1_024 * 1_024;
+/** Answers to callers' requests are not kept as a whole; for undici. */
+const UNLIMITED = -1;
+
 /** Header with the id of the attempt that an answer belongs to. */
 export const ATTEMPT_ID_HEADER = 'x-attempt-id';
 /** Header that an upstream sends while it accepts no new requests. */
@@ -104,7 +109,7 @@
   async callJson<T>(call: JsonCall<T>): Promise<Result<T, AttemptError>> {
     const timeout =
       call.timeoutMilliseconds ?? this.options.callTimeoutMilliseconds;
-    const pool = this.createPool(1);
+    const pool = this.createPool(1, MAXIMUM_JSON_BYTES);
     try {
       const response = await pool.request({
         method: call.method,
@@ -160,9 +165,13 @@
     });
   }
 
-  private createPool(connections = this.options.maximumConnections): Pool {
+  private createPool(
+    connections = this.options.maximumConnections,
+    maximumBytes = UNLIMITED,
+  ): Pool {
     return new Pool(this.options.url, {
       connections,
+      maxResponseSize: maximumBytes,
       pipelining: 1,
       factory: (origin, options) =>
         new CheckedClient(origin, options as Client.Options),
