Take a node for new that found the store's history lost after a gap

It now reads the history of versions and asks keepers, like a node that was cut off for longer.

Measured: upstream_watcher.test.ts, after a long and a short gap.

--- a/packages/arbutustide-node/src/__tests__/unit/upstream_watcher.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/upstream_watcher.test.ts
@@ -70,6 +70,8 @@
       const {failure} = this;
       if (failure?.isTimeout)
         await new Promise(resolve => setTimeout(resolve, OUTAGE_MILLISECONDS));
+      if (failure?.kind === StoreErrorKind.HISTORY_GONE)
+        this.failure = undefined;
       if (failure) return Err(failure);
       const batch = this.pendingBatches.shift();
       if (batch) {
@@ -191,6 +193,23 @@
     });
   }
 
+  for (const isLong of [false, true]) {
+    const time = isLong ? 'long' : 'short';
+    it(`knows whether it may have missed upstreams after a ${time} gap`, async () => {
+      store.objects = [entry('one')];
+      void watcher.run(stopController.signal);
+      await clock.tickAsync(STEP_MILLISECONDS);
+      store.deliver({});
+      await clock.tickAsync(STEP_MILLISECONDS);
+      store.failure = REFUSED;
+      await clock.tickAsync(isLong ? OUTAGE_MILLISECONDS : STEP_MILLISECONDS);
+      store.failure = new StoreError(StoreErrorKind.HISTORY_GONE, 'dropped');
+      await clock.tickAsync(RETRY_MILLISECONDS);
+      const hasMissed = watcher.missedChangesAtMilliseconds > 0;
+      expect(hasMissed).to.equal(isLong);
+    });
+  }
+
   it('uses an upstream as before once it has renewed its entry', async () => {
     await removeBesideFailure(REFUSED, OUTAGE_MILLISECONDS);
     store.deliver({changes: [entry('gone')]});
--- a/packages/arbutustide-node/src/proxy/stream_origin/register_stream_origins.ts
+++ b/packages/arbutustide-node/src/proxy/stream_origin/register_stream_origins.ts
@@ -9,6 +9,9 @@
 } from '../proxy_tuning.js';
 import {ClusterStreamOrigins} from './cluster_stream_origins.js';
 
+/** For which missed changes are told; longer than between two looks at it. */
+const MISSED_CHANGES_MILLISECONDS = 1_000;
+
 /** Registers what remembers where streams began. */
 export function registerStreamOrigins(
   register: RegisterSingleton,
@@ -34,7 +37,9 @@
       directory: container.resolve(ProxyToken.UPSTREAM_DIRECTORY),
       isListReceived: () => upstreamWatcher.isInitialized,
       isListCurrent: () =>
-        upstreamWatcher.silentMilliseconds < staleMilliseconds,
+        upstreamWatcher.silentMilliseconds < staleMilliseconds &&
+        performance.now() - upstreamWatcher.missedChangesAtMilliseconds >
+          MISSED_CHANGES_MILLISECONDS,
       listSource: {
         get confirmedAtMilliseconds() {
           return upstreamWatcher.confirmedAtMilliseconds;
--- a/packages/arbutustide-node/src/proxy/upstream_watcher.ts
+++ b/packages/arbutustide-node/src/proxy/upstream_watcher.ts
@@ -47,6 +47,7 @@
   private removalGraceEndMilliseconds = -Infinity;
   private hasReceivedList = false;
   private confirmedAt = -Infinity;
+  private missedChangesAt = -Infinity;
   private isNextListRestored = false;
   /** Entries that could be decoded, by upstream, in their stored form. */
   private readonly storedObjectsById = new Map<string, StoredObject>();
@@ -109,6 +110,15 @@
     return this.confirmedAt;
   }
 
+  /**
+   * Latest time (monotonic) at which it turned out that upstreams may have come
+   * and gone unseen: the store's history was lost, and this node had not read
+   * from it for as long as an upstream takes to leave.
+   */
+  get missedChangesAtMilliseconds(): number {
+    return this.missedChangesAt;
+  }
+
   /**
    * Reads from the store which entries were written that the watch has not
    * delivered yet. They are not applied: the watch delivers them in their order.
@@ -197,6 +207,10 @@
   }
 
   private applyList(objects: readonly StoredObject[]): void {
+    const now = performance.now();
+    const {changeBoundMilliseconds} = this.dependencies.settings;
+    const hasGap = now - this.confirmedAt >= changeBoundMilliseconds;
+    if (this.hasReceivedList && hasGap) this.missedChangesAt = now;
     this.hasReceivedList = true;
     const isRestored = this.isNextListRestored;
     this.isNextListRestored = false;
