Cut a stream that has begun only when its deadline has certainly passed

Cause: a request is taken for as old as it can be, so that nothing is started for callers who have left. The loop accepts one connection a turn; on a host that is behind this bound was up to 8.8 s, the true wait 0.9 to 1.6 s, and it was also the deadline of what was under way. The logs name it: cut with "the deadline has passed", unreadMilliseconds 5828, 1.6 s after the request was sent. Now the earliest deadline decides what is started, the latest one when a begun stream is cut and how long its upstream may work.

--- a/packages/arbutustide-node/src/__tests__/unit/request_relay.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/request_relay.test.ts
@@ -327,6 +327,7 @@
         isRelayed: false,
         attempts: 0,
         mayHaveRun: false,
+        hasStreamBegun: false,
         isAnsweredWhole: false,
         origin: undefined,
         lastDeliveryAtMilliseconds: 0,
--- a/packages/arbutustide-node/src/proxy/relay/relay_messages.ts
+++ b/packages/arbutustide-node/src/proxy/relay/relay_messages.ts
@@ -15,7 +15,7 @@
 import {ErrorKind, ExecutionStatus, RefusalError} from '@arbutustide/errors';
 import {inputMonitor} from '@arbutustide/event-loop';
 import {RelayRequestRequestSchema} from '@arbutustide/membership';
-import {RequestKind} from '@arbutustide/routing';
+import {remainingForUpstream, RequestKind} from '@arbutustide/routing';
 import {create} from '@bufbuild/protobuf';
 
 type RelayedRoute = NonNullable<RelayRequestRequest['route']>;
@@ -60,7 +60,7 @@
     },
     lastEventId: request.lastEventId,
     resumedRequestId: request.resumedRequestId,
-    remainingMilliseconds: request.deadlineAtMilliseconds - performance.now(),
+    remainingMilliseconds: remainingForUpstream(request),
     attempts,
     mayHaveRun,
     origin,
--- a/packages/arbutustide-routing/src/__tests__/unit/possible_crash.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/possible_crash.test.ts
@@ -26,6 +26,7 @@
       isRelayed: false,
       attempts: 1,
       mayHaveRun: true,
+      hasStreamBegun: false,
       isAnsweredWhole: false,
       origin: undefined,
       lastDeliveryAtMilliseconds: 0,
--- a/packages/arbutustide-routing/src/__tests__/unit/proxy_decisions.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/proxy_decisions.test.ts
@@ -54,6 +54,7 @@
     isRelayed: false,
     attempts: 1,
     mayHaveRun: false,
+    hasStreamBegun: false,
     isAnsweredWhole: false,
     origin: undefined,
     lastDeliveryAtMilliseconds: performance.now(),
--- a/packages/arbutustide-routing/src/__tests__/unit/queue_cluster.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/queue_cluster.ts
@@ -331,6 +331,7 @@
     isRelayed: false,
     attempts: 0,
     mayHaveRun: false,
+    hasStreamBegun: false,
     isAnsweredWhole: false,
     origin: undefined,
     lastDeliveryAtMilliseconds: performance.now(),
--- a/packages/arbutustide-routing/src/__tests__/unit/slot_queue.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/slot_queue.test.ts
@@ -50,6 +50,7 @@
       isRelayed: false,
       attempts: 0,
       mayHaveRun: false,
+      hasStreamBegun: false,
       isAnsweredWhole: false,
       origin: undefined,
       lastDeliveryAtMilliseconds: performance.now(),
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -149,6 +149,7 @@
 export {ProxyDispatcher} from './proxy/proxy_dispatcher.js';
 export {
   ranSoFar,
+  remainingForUpstream,
   remainingMilliseconds,
 } from './proxy/routed_request_progress.js';
 export {TokenIssuer} from './proxy/rate_limit/token_issuer.js';
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -97,6 +97,7 @@
       isRelayed: relayed !== undefined,
       attempts: relayed?.attempts ?? 0,
       mayHaveRun: relayed?.mayHaveRun ?? false,
+      hasStreamBegun: false,
       isAnsweredWhole: false,
       origin: relayed?.origin,
       lastDeliveryAtMilliseconds: request.arrivedAtMilliseconds,
@@ -359,6 +360,7 @@
       this.decisions.recordEnd(progress, AnswerEnd.WHOLE, slot.target);
       return {...common, body: body ?? Buffer.alloc(0)};
     }
+    progress.hasStreamBegun = true;
     const stream = new ProxyEventStream(progress, {
       resume: after => this.attemptUntilAnswered(progress, after),
       tryConsumeRetry: () => this.tryConsumeRetry(progress, true),
--- a/packages/arbutustide-routing/src/proxy/request_cancellation.ts
+++ b/packages/arbutustide-routing/src/proxy/request_cancellation.ts
@@ -1,7 +1,10 @@
 import type {RoutedRequestProgress} from './routed_request_progress.js';
 
 import {CancelReason} from './proxy_refusals.js';
-import {remainingMilliseconds} from './routed_request_progress.js';
+import {
+  remainingMilliseconds,
+  remainingStreamMilliseconds,
+} from './routed_request_progress.js';
 
 /** Resolves when the request is cancelled. */
 export function untilCancelled({
@@ -13,7 +16,9 @@
 }
 
 /**
- * Cancels the request when the caller disconnects or the deadline passes.
+ * Cancels the request when the caller disconnects or the deadline passes. A
+ * stream that has begun by then is not cut before the deadline has certainly
+ * passed: it can be seconds later on a host that is behind.
  *
  * @return stops both triggers.
  */
@@ -21,8 +26,15 @@
   progress: RoutedRequestProgress,
 ): () => void {
   const {request, cancellation: cancel} = progress;
-  const timer = setTimeout(
-    () => cancel.cancel(CancelReason.DEADLINE),
+  const cancelAtDeadline = () => cancel.cancel(CancelReason.DEADLINE);
+  let timer = setTimeout(
+    () => {
+      const remaining = progress.hasStreamBegun
+        ? remainingStreamMilliseconds(request)
+        : 0;
+      if (remaining > 0) timer = setTimeout(cancelAtDeadline, remaining);
+      else cancelAtDeadline();
+    },
     Math.max(0, remainingMilliseconds(progress)),
   );
   const removeCancelListener = request.disconnection.onCancel(() =>
--- a/packages/arbutustide-routing/src/proxy/routed_request_progress.ts
+++ b/packages/arbutustide-routing/src/proxy/routed_request_progress.ts
@@ -7,6 +7,8 @@
 
 import {ExecutionStatus} from '@arbutustide/errors';
 
+import {RequestKind} from './route.js';
+
 /** State of one request while it is handled. */
 export interface RoutedRequestProgress {
   readonly request: RoutedRequest;
@@ -29,6 +31,8 @@
   mayHaveRun: boolean;
   /** What it has taken of its team's quota; undefined until it is admitted. */
   admission?: GateAdmission;
+  /** Whether its caller gets the events of a stream. */
+  hasStreamBegun: boolean;
   /** Whether an upstream has certainly answered it whole. */
   isAnsweredWhole: boolean;
   /**
@@ -68,7 +72,32 @@
   return queueDeadline - performance.now();
 }
 
-/** Time left until the request's deadline, in milliseconds. */
+/**
+ * Time left until the latest time at which the request's deadline can be, in
+ * milliseconds: it can have arrived just before it was read. A stream that has
+ * begun goes on until then, as its caller is there and leaves if its time is up.
+ */
+export function remainingStreamMilliseconds({
+  deadlineAtMilliseconds,
+  unreadMilliseconds,
+}: Pick<
+  RoutedRequest,
+  'deadlineAtMilliseconds' | 'unreadMilliseconds'
+>): number {
+  return deadlineAtMilliseconds + unreadMilliseconds - performance.now();
+}
+
+/** Time for which an upstream may work on the request, in milliseconds. */
+export function remainingForUpstream(request: RoutedRequest): number {
+  return request.route.kind === RequestKind.STREAM
+    ? remainingStreamMilliseconds(request)
+    : request.deadlineAtMilliseconds - performance.now();
+}
+
+/**
+ * Time left until the earliest time at which the request's deadline can be, in
+ * milliseconds.
+ */
 export function remainingMilliseconds({
   request,
 }: RoutedRequestProgress): number {
--- a/packages/arbutustide-routing/src/proxy/run_attempt.ts
+++ b/packages/arbutustide-routing/src/proxy/run_attempt.ts
@@ -12,7 +12,7 @@
   classifyAttemptError,
   classifyResponseHead,
 } from './attempt_outcome.js';
-import {remainingMilliseconds} from './routed_request_progress.js';
+import {remainingForUpstream} from './routed_request_progress.js';
 
 const OK_STATUS = 200;
 
@@ -63,7 +63,7 @@
   const {slot, inactivityTimeout, observed, resumeAfterEventId} = context;
   const {beganAtMilliseconds, answerMemory} = context;
   const opened = await slot.target.sendRequest(progress, {
-    remainingMilliseconds: remainingMilliseconds(progress),
+    remainingMilliseconds: remainingForUpstream(progress.request),
     resumeAfterEventId,
     cancellation: inactivityTimeout.cancellation,
   });
