Count a relayed request against its peer before it is checked

What was seen: request_relay.test.ts "so that the load spreads over all" failed once. Traced: a request was counted against its peer only after the send check, which waits for turns of the event loop, so all requests of one turn chose among peers without any count, that is at random.

Its bound is as it was.

--- a/packages/arbutustide-node/src/proxy/relay/cluster_request_relay.ts
+++ b/packages/arbutustide-node/src/proxy/relay/cluster_request_relay.ts
@@ -88,11 +88,16 @@
     cancellation: Cancellation,
   ): Promise<Result<RelayedHead, RelayFailure>> {
     const {identity, transport} = this.options;
+    // Before the check, so that later requests of this turn choose by it.
+    const endCount = this.countInFlight(peer);
     const unsent = await new SendCheck({
       ...request,
       isCancelled: () => cancellation.isCancelled,
     }).confirm();
-    if (unsent) return Err({error: unsent, refusal: undefined});
+    if (unsent) {
+      endCount();
+      return Err({error: unsent, refusal: undefined});
+    }
     const call = new RelayCall(
       transport.relayRequest.bind(
         transport,
@@ -100,7 +105,7 @@
         encodeRelayRequest(identity, request, progress),
       ),
       cancellation,
-      this.countInFlight(peer),
+      endCount,
     );
     const head = await call.open();
     if (head.err && !head.val.refusal && !cancellation.isCancelled) {
