--- a/packages/arbutustide-errors/src/index.ts
+++ b/packages/arbutustide-errors/src/index.ts
@@ -13,4 +13,5 @@
 export {invariant, InvariantError} from './invariant.js';
 export {createRefusalAnswer} from './refusal_answer.js';
 export {RefusalError} from './refusal_error.js';
+export {createStoppingRefusal} from './stopping_refusal.js';
 export {SuspensionDetector} from './suspension_detector.js';
--- a/packages/arbutustide-node/src/__tests__/unit/stream_origin_cluster.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/stream_origin_cluster.ts
@@ -4,7 +4,11 @@
   PeerTransport,
   RecordStreamOriginsRequest,
 } from '@arbutustide/membership';
-import type {RoutedRequest, UpstreamDescription} from '@arbutustide/routing';
+import type {
+  ResolvedOrigin,
+  RoutedRequest,
+  UpstreamDescription,
+} from '@arbutustide/routing';
 
 import {
   FindStreamOriginRequestSchema,
@@ -192,6 +196,27 @@
   }
 }
 
+/**
+ * Resumes a stream at a node.
+ *
+ * @param waitForAnswer advances the clock by the time that the node has.
+ * @return version to resume at; undefined if it is not known by then.
+ */
+export async function resumedVersion(
+  node: OriginNode,
+  requestId: string,
+  waitForAnswer: () => Promise<unknown>,
+): Promise<string | undefined> {
+  let resolved: ResolvedOrigin | undefined;
+  void node.resume(requestId).then(origin => {
+    resolved = origin;
+  });
+  await waitForAnswer();
+  return resolved && 'origin' in resolved
+    ? resolved.origin.softwareVersion
+    : undefined;
+}
+
 /** Nodes that remember where streams began, on a simulated network. */
 export class OriginCluster {
   readonly store = new OriginStore();
--- a/packages/arbutustide-node/src/__tests__/unit/stream_origins_list_behind.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/stream_origins_list_behind.test.ts
@@ -3,15 +3,13 @@
  * which it is resumed has not read of the version that began it: its watch is
  * late or refused, or the version came and went between two looks at the list.
  */
-import type {ResolvedOrigin} from '@arbutustide/routing';
-
 import type {OriginNode} from './stream_origin_cluster.js';
 
 import {install} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 
 import {ASKED_KEEPERS} from '../../proxy/stream_origin/choose_origin_keepers.js';
-import {OriginCluster} from './stream_origin_cluster.js';
+import {OriginCluster, resumedVersion} from './stream_origin_cluster.js';
 
 /** Longer than any stream lasts. */
 const SETTLED_MILLISECONDS = 31_000;
@@ -44,16 +42,8 @@
     await clock.tickAsync(TOLD_MILLISECONDS);
   }
 
-  async function resume(requestId: string): Promise<string | undefined> {
-    let resolved: ResolvedOrigin | undefined;
-    void node.resume(requestId).then(origin => {
-      resolved = origin;
-    });
-    await clock.tickAsync(ANSWER_MILLISECONDS);
-    return resolved && 'origin' in resolved
-      ? resolved.origin.softwareVersion
-      : undefined;
-  }
+  const resume = (requestId: string) =>
+    resumedVersion(node, requestId, () => clock.tickAsync(ANSWER_MILLISECONDS));
 
   for (const isTurnedAway of [false, true]) {
     const title = isTurnedAway ? 'the store refuses it' : 'its watch is late';
--- a/packages/arbutustide-node/src/__tests__/unit/stream_origins_out_of_step.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/stream_origins_out_of_step.test.ts
@@ -3,14 +3,12 @@
  * which it is resumed did not see the version that began it: it was cut off or
  * stood still while upstreams of that version joined and left.
  */
-import type {ResolvedOrigin} from '@arbutustide/routing';
-
 import type {OriginNode} from './stream_origin_cluster.js';
 
 import {install} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 
-import {OriginCluster} from './stream_origin_cluster.js';
+import {OriginCluster, resumedVersion} from './stream_origin_cluster.js';
 
 /** Longer than any stream lasts. */
 const SETTLED_MILLISECONDS = 31_000;
@@ -57,16 +55,8 @@
     await clock.tickAsync(BACK_MILLISECONDS);
   }
 
-  async function resume(requestId: string): Promise<string | undefined> {
-    let resolved: ResolvedOrigin | undefined;
-    void node.resume(requestId).then(origin => {
-      resolved = origin;
-    });
-    await clock.tickAsync(ANSWER_MILLISECONDS);
-    return resolved && 'origin' in resolved
-      ? resolved.origin.softwareVersion
-      : undefined;
-  }
+  const resume = (requestId: string) =>
+    resumedVersion(node, requestId, () => clock.tickAsync(ANSWER_MILLISECONDS));
 
   for (const way of Object.keys(WAYS)) {
     it(`goes on at the version that began it: ${way}`, async () => {
--- a/packages/arbutustide-node/src/caller_server.ts
+++ b/packages/arbutustide-node/src/caller_server.ts
@@ -17,6 +17,7 @@
   ErrorKind,
   InvariantError,
   createRefusalAnswer,
+  createStoppingRefusal,
   RefusalError,
 } from '@arbutustide/errors';
 import {ArrivalTimes, turnQueue} from '@arbutustide/event-loop';
@@ -35,8 +36,6 @@
 
 /** Interval at which connections are checked against the header timeout. */
 const CONNECTION_CHECK_INTERVAL_MILLISECONDS = 500;
-/** Sent to callers whose requests come when this node only ends its work. */
-const STOPPING_REASON = 'this node is about to stop; another one takes it';
 const SERVICES_PREFIX = '/services/';
 
 /**
@@ -250,8 +249,8 @@
     const caller = authenticateCaller(request, catalogue);
     if (!caller.ok) return caller;
     if (this.core.isLeaving) response.setHeader('connection', 'close');
-    if (!this.server.listening)
-      return Err(new RefusalError(ErrorKind.NOT_READY, STOPPING_REASON));
+    // From now on this node only ends what it has taken.
+    if (!this.server.listening) return Err(createStoppingRefusal());
     return Ok({
       message: request,
       requestId: getRequestId(request),
--- a/packages/arbutustide-node/src/proxy/register_shutdown_admission.ts
+++ b/packages/arbutustide-node/src/proxy/register_shutdown_admission.ts
@@ -6,7 +6,10 @@
 import {ProxyToken} from './proxy_tokens.js';
 import {ShutdownAdmission} from './shutdown_admission.js';
 
-/** Registers what decides which requests a node takes while it shuts down. */
+/**
+ * Registers what decides which requests a node takes while it shuts down, and the
+ * times of requests, which the queue measures and refuses by as well.
+ */
 export function registerShutdownAdmission(
   register: RegisterSingleton,
   {settings}: ProxyDependencies,
--- a/packages/arbutustide-node/src/proxy/relay/relay_messages.ts
+++ b/packages/arbutustide-node/src/proxy/relay/relay_messages.ts
@@ -60,7 +60,7 @@
     },
     lastEventId: request.lastEventId,
     resumedRequestId: request.resumedRequestId,
-    remainingMilliseconds: remainingForUpstream(request),
+    remainingMilliseconds: remainingForUpstream({request}),
     attempts,
     mayHaveRun,
     origin,
--- a/packages/arbutustide-node/src/proxy/shutdown_admission.ts
+++ b/packages/arbutustide-node/src/proxy/shutdown_admission.ts
@@ -1,11 +1,9 @@
+import type {RefusalError} from '@arbutustide/errors';
 import type {RoutedRequest} from '@arbutustide/routing';
 
 import type {ShutdownTimes} from './proxy_settings.js';
 
-import {ErrorKind, RefusalError} from '@arbutustide/errors';
-
-/** Short, because another node can take the request at once. */
-const RETRY_AFTER_MILLISECONDS = 100;
+import {createStoppingRefusal} from '@arbutustide/errors';
 
 /**
  * Requests of a service take different times; most end within this multiple of
@@ -13,6 +11,9 @@
  */
 const LONGEST_TIME_FACTOR = 2;
 
+/** What the time that a request may take depends on. */
+type TimedRequest = Pick<RoutedRequest, 'service' | 'deadlineAtMilliseconds'>;
+
 /** Dependencies of the admission of requests in a shutdown. */
 export interface ShutdownAdmissionOptions extends ShutdownTimes {
   /** Mean time of a service's requests; undefined if not yet measured. */
@@ -35,9 +36,7 @@
   }
 
   /** The refusal of a request that arrives now; undefined if it is taken. */
-  refuse(
-    request: Pick<RoutedRequest, 'service' | 'deadlineAtMilliseconds'>,
-  ): RefusalError | undefined {
+  refuse(request: TimedRequest): RefusalError | undefined {
     const {beganAtMilliseconds: beganAt} = this;
     if (beganAt === undefined) return undefined;
     const {balancerRemovalMilliseconds, drainMilliseconds} = this.options;
@@ -45,19 +44,12 @@
     const isExpected = now < beganAt + balancerRemovalMilliseconds;
     const endAt = now + this.longestMilliseconds(request, now);
     if (isExpected && endAt <= beganAt + drainMilliseconds) return undefined;
-    return new RefusalError(
-      ErrorKind.NOT_READY,
-      'this node is about to stop; another one takes the request',
-      {retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS},
-    );
+    return createStoppingRefusal();
   }
 
   /** Time that the request may take, at most until its deadline. */
   private longestMilliseconds(
-    {
-      service,
-      deadlineAtMilliseconds,
-    }: Pick<RoutedRequest, 'service' | 'deadlineAtMilliseconds'>,
+    {service, deadlineAtMilliseconds}: TimedRequest,
     now: number,
   ): number {
     const mean = this.options.meanMilliseconds(service) ?? Infinity;
--- a/packages/arbutustide-node/src/proxy/stream_origin/cluster_stream_origins.ts
+++ b/packages/arbutustide-node/src/proxy/stream_origin/cluster_stream_origins.ts
@@ -285,10 +285,7 @@
     const endAt = beganAt + STORE_MILLISECONDS;
     const requestId = givenId.length <= MAXIMUM_ID_LENGTH ? givenId : '';
     const origin = this.registry.find(requestId);
-    if (origin) {
-      const recentVersions = this.recentVersions.versionsOf(service);
-      return proofOf(origin, recentVersions);
-    }
+    if (origin) return proofOf(origin, this.recentVersions.versionsOf(service));
     const isListConfirmed = await this.prover.confirmList(
       service,
       beganAt,
--- a/packages/arbutustide-node/src/proxy/stream_origin/origin_peers.ts
+++ b/packages/arbutustide-node/src/proxy/stream_origin/origin_peers.ts
@@ -86,22 +86,24 @@
     }));
     const recentVersions = new Set<string>();
     let isConfirmed = false;
+    const answersSoFar = (): PeerAnswers => ({
+      recentVersions,
+      isConfirmed,
+      haveKeepersAnswered: hasKeepers && keepers.size === 0,
+    });
     for await (const {peer, response} of inOrderOfResolution(calls)) {
       if (!response) continue;
       keepers.delete(peer);
       for (const version of response.recentVersions)
         recentVersions.add(version);
       isConfirmed ||= response.isConfirmed;
-      const haveKeepersAnswered = hasKeepers && keepers.size === 0;
-      const answers = {recentVersions, isConfirmed, haveKeepersAnswered};
       if (response.isKnown) {
         const {service: begunAt, softwareVersion} = response;
-        return {...answers, origin: {service: begunAt, softwareVersion}};
+        return {...answersSoFar(), origin: {service: begunAt, softwareVersion}};
       }
-      if (isConfirmed && recentVersions.size <= 1) return answers;
+      if (isConfirmed && recentVersions.size <= 1) break;
     }
-    const haveKeepersAnswered = hasKeepers && keepers.size === 0;
-    return {recentVersions, isConfirmed, haveKeepersAnswered};
+    return answersSoFar();
   }
 
   private async call(
--- a/packages/arbutustide-node/src/proxy/upstream_watcher.ts
+++ b/packages/arbutustide-node/src/proxy/upstream_watcher.ts
@@ -128,21 +128,10 @@
   async readPendingEntries(
     store: ObjectStore,
   ): Promise<Result<UpstreamDescription[], StoreError>> {
-    const {prefix, decode} = this.dependencies.upstreams;
-    const afterVersion = this.watcher.reportedVersion;
-    const read =
-      afterVersion === undefined
-        ? (await store.list(prefix)).map(({objects}) => objects)
-        : (
-            await store.watch(
-              prefix,
-              afterVersion,
-              new AbortController().signal,
-              SHORTEST_WATCH_MILLISECONDS,
-            )
-          ).map(({changes}) => changes);
-    if (!read.ok) return read;
-    const decoded = read.val.map(object => decode(object));
+    const pending = await this.readPendingObjects(store);
+    if (!pending.ok) return pending;
+    const {decode} = this.dependencies.upstreams;
+    const decoded = pending.val.map(object => decode(object));
     return Ok(decoded.flatMap(entry => (entry.ok ? [entry.val] : [])));
   }
 
@@ -201,6 +190,23 @@
     );
   }
 
+  /** All objects, if the watch has delivered no list yet. */
+  private async readPendingObjects(
+    store: ObjectStore,
+  ): Promise<Result<readonly StoredObject[], StoreError>> {
+    const {prefix} = this.dependencies.upstreams;
+    const afterVersion = this.watcher.reportedVersion;
+    if (afterVersion === undefined)
+      return (await store.list(prefix)).map(({objects}) => objects);
+    const batch = await store.watch(
+      prefix,
+      afterVersion,
+      new AbortController().signal,
+      SHORTEST_WATCH_MILLISECONDS,
+    );
+    return batch.map(({changes}) => changes);
+  }
+
   private beginRemovalGrace(): void {
     this.removalGraceEndMilliseconds =
       performance.now() + REMOVAL_GRACE_MILLISECONDS;
--- a/packages/arbutustide-routing/src/__tests__/unit/proxy_decisions.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/proxy_decisions.test.ts
@@ -301,7 +301,7 @@
 
   it('are not seen in fields of other names and in comments', () => {
     const events = new EventSequencer(undefined);
-    const text = 'weight-versions: 3\nid: 1\n: note\ndata: HTTP/1.1 200\n\n';
+    const text = 'extension: 3\nid: 1\n: note\ndata: HTTP/1.1 200\n\n';
     expect(events.push(Buffer.from(text)).bytes?.toString()).to.equal(text);
   });
 });
--- a/packages/arbutustide-routing/src/proxy/choose_upstream.ts
+++ b/packages/arbutustide-routing/src/proxy/choose_upstream.ts
@@ -85,8 +85,8 @@
     }
     (upstream.isUnlisted ? unlisted : eligible).push(upstream);
   }
-  const candidatesByRank = eligible.length > 0 ? eligible : unlisted;
-  return pickUpstream(candidatesByRank, holders, settings) ?? reason;
+  const preferred = eligible.length > 0 ? eligible : unlisted;
+  return pickUpstream(preferred, holders, settings) ?? reason;
 }
 
 /**
--- a/packages/arbutustide-routing/src/proxy/request_cancellation.ts
+++ b/packages/arbutustide-routing/src/proxy/request_cancellation.ts
@@ -30,7 +30,7 @@
   let timer = setTimeout(
     () => {
       const remaining = progress.hasStreamBegun
-        ? remainingStreamMilliseconds(request)
+        ? remainingStreamMilliseconds(progress)
         : 0;
       if (remaining > 0) timer = setTimeout(cancelAtDeadline, remaining);
       else cancelAtDeadline();
--- a/packages/arbutustide-routing/src/proxy/routed_request_progress.ts
+++ b/packages/arbutustide-routing/src/proxy/routed_request_progress.ts
@@ -9,6 +9,8 @@
 
 import {RequestKind} from './route.js';
 
+type RequestHolder = Pick<RoutedRequestProgress, 'request'>;
+
 /** State of one request while it is handled. */
 export interface RoutedRequestProgress {
   readonly request: RoutedRequest;
@@ -72,34 +74,26 @@
   return queueDeadline - performance.now();
 }
 
+/**
+ * Time left until the earliest time at which the request's deadline can be, in
+ * milliseconds.
+ */
+export function remainingMilliseconds({request}: RequestHolder): number {
+  return request.deadlineAtMilliseconds - performance.now();
+}
+
 /**
  * Time left until the latest time at which the request's deadline can be, in
  * milliseconds: it can have arrived just before it was read. A stream that has
  * begun goes on until then, as its caller is there and leaves if its time is up.
  */
-export function remainingStreamMilliseconds({
-  deadlineAtMilliseconds,
-  unreadMilliseconds,
-}: Pick<
-  RoutedRequest,
-  'deadlineAtMilliseconds' | 'unreadMilliseconds'
->): number {
-  return deadlineAtMilliseconds + unreadMilliseconds - performance.now();
+export function remainingStreamMilliseconds(holder: RequestHolder): number {
+  return remainingMilliseconds(holder) + holder.request.unreadMilliseconds;
 }
 
 /** Time for which an upstream may work on the request, in milliseconds. */
-export function remainingForUpstream(request: RoutedRequest): number {
-  return request.route.kind === RequestKind.STREAM
-    ? remainingStreamMilliseconds(request)
-    : request.deadlineAtMilliseconds - performance.now();
-}
-
-/**
- * Time left until the earliest time at which the request's deadline can be, in
- * milliseconds.
- */
-export function remainingMilliseconds({
-  request,
-}: RoutedRequestProgress): number {
-  return request.deadlineAtMilliseconds - performance.now();
+export function remainingForUpstream(holder: RequestHolder): number {
+  return holder.request.route.kind === RequestKind.STREAM
+    ? remainingStreamMilliseconds(holder)
+    : remainingMilliseconds(holder);
 }
--- a/packages/arbutustide-routing/src/proxy/run_attempt.ts
+++ b/packages/arbutustide-routing/src/proxy/run_attempt.ts
@@ -63,7 +63,7 @@
   const {slot, inactivityTimeout, observed, resumeAfterEventId} = context;
   const {beganAtMilliseconds, answerMemory} = context;
   const opened = await slot.target.sendRequest(progress, {
-    remainingMilliseconds: remainingForUpstream(progress.request),
+    remainingMilliseconds: remainingForUpstream(progress),
     resumeAfterEventId,
     cancellation: inactivityTimeout.cancellation,
   });
@@ -147,9 +147,13 @@
       inactivityTimeout.recordActivity();
       size += chunk.length;
       if (size > MAXIMUM_BUFFERED_ANSWER_BYTES)
-        throw tooLarge(`more than ${MAXIMUM_BUFFERED_ANSWER_BYTES} bytes`);
+        throw createTooLargeError(
+          `more than ${MAXIMUM_BUFFERED_ANSWER_BYTES} bytes`,
+        );
       if (!room.tryAdd(chunk.length))
-        throw tooLarge('more bytes than there is room for beside others');
+        throw createTooLargeError(
+          'more bytes than there is room for beside others',
+        );
       chunks.push(chunk);
     }
     return chunks.length === 1 ? Buffer.from(chunks[0]) : Buffer.concat(chunks);
@@ -158,7 +162,7 @@
   }
 }
 
-function tooLarge(size: string): AttemptError {
+function createTooLargeError(size: string): AttemptError {
   return new AttemptError(
     AttemptFailure.PROTOCOL_VIOLATION,
     `the answer has ${size}`,
--- a/packages/arbutustide-routing/src/proxy/slot_queue.ts
+++ b/packages/arbutustide-routing/src/proxy/slot_queue.ts
@@ -13,7 +13,7 @@
 import type {Prospect, WaitingRequest} from './queue/early_refusal.js';
 import type {RefusalError} from '@arbutustide/errors';
 
-import {ErrorKind} from '@arbutustide/errors';
+import {createStoppingRefusal, ErrorKind} from '@arbutustide/errors';
 import {Err, Ok} from 'ts-results';
 
 import {NoUpstreamReason} from './choose_upstream.js';
@@ -25,11 +25,11 @@
   wantsSameSlot,
 } from './queue/queue_order.js';
 import {findPosition, Standing} from './queue/queue_position.js';
+import {createNoSlotRefusal} from './queue/slot_refusals.js';
 import {
-  createNoSlotRefusal,
-  createStoppingRefusal,
-} from './queue/slot_refusals.js';
-import {remainingQueueMilliseconds} from './routed_request_progress.js';
+  ranSoFar,
+  remainingQueueMilliseconds,
+} from './routed_request_progress.js';
 
 type SlotResult = Result<UpstreamSlot, RefusalError>;
 
@@ -111,7 +111,7 @@
   close(): void {
     this.isClosed = true;
     for (const waiter of this.waiters.splice(0)) {
-      waiter.settle(Err(createStoppingRefusal(waiter.progress)));
+      waiter.settle(Err(createStoppingRefusal(ranSoFar(waiter.progress))));
     }
   }
 
@@ -202,7 +202,7 @@
       return createNoSlotRefusal(progress, reason, undefined);
     const wait = this.options.predictWaitMilliseconds(progress, reason, ahead);
     const needed = this.options.minimumServiceMilliseconds(progress);
-    if (this.isClosed) return createStoppingRefusal(progress);
+    if (this.isClosed) return createStoppingRefusal(ranSoFar(progress));
     const total = (wait ?? Infinity) + needed;
     if (total <= remainingQueueMilliseconds(progress)) return undefined;
     return createNoSlotRefusal(progress, reason, wait);
--- a/packages/arbutustide-upstream/src/upstream_connection_pool.ts
+++ b/packages/arbutustide-upstream/src/upstream_connection_pool.ts
@@ -13,7 +13,7 @@
 
 /** Largest answer to a short call, whose body is kept as a whole. */
 const MAXIMUM_JSON_BYTES = 16 * 1_024 * 1_024;
-/** Answers to callers' requests are not kept as a whole; for undici. */
+/** No bound, for undici: answers to callers' requests are passed on as they come. */
 const UNLIMITED = -1;
 
 /** Header with the id of the attempt that an answer belongs to. */
