Say what two functions do, not only their special case

Cause: on reading the diff once more, the comment of readPendingObjects named only what it reads without a list, and that of createStoppingRefusal could be read as if it took part in the decision.

Change: two comments; no code.

--- a/packages/arbutustide-errors/src/stopping_refusal.ts
+++ b/packages/arbutustide-errors/src/stopping_refusal.ts
@@ -4,7 +4,11 @@
 /** Short, because another node can take the request at once. */
 const RETRY_AFTER_MILLISECONDS = 100;
 
-/** Refuses a request that a node which stops does not take, or lets wait. */
+/**
+ * Creates the refusal of a request by a node that is stopping.
+ *
+ * @param ran whether an attempt of it may have run before.
+ */
 export function createStoppingRefusal(
   ran = ExecutionStatus.NOT_EXECUTED,
 ): RefusalError {
--- a/packages/arbutustide-node/src/proxy/upstream_watcher.ts
+++ b/packages/arbutustide-node/src/proxy/upstream_watcher.ts
@@ -190,7 +190,10 @@
     );
   }
 
-  /** All objects, if the watch has delivered no list yet. */
+  /**
+   * Reads the objects that have changed since the watch last delivered any; all
+   * objects if it has not delivered a list yet.
+   */
   private async readPendingObjects(
     store: ObjectStore,
   ): Promise<Result<readonly StoredObject[], StoreError>> {
