--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -14,6 +14,7 @@
   bench: 'packages/arbutustide-scenarios/src/bench_main.ts',
   faults: 'packages/arbutustide-scenarios/src/faults_main.ts',
   soak: 'packages/arbutustide-scenarios/src/soak_main.ts',
+  stop_soak: 'platform/src/stop-soak/soak_main.ts',
 };
 const EXECUTABLE_FILE = 'dist/arbutustide';
 /** Marker in the Node.js binary, at which postject records the injected blob. */
