Write the last log lines before a process ends

Seen: the log of a node that has stopped lacks its last lines. They wait in BoundedLineWriter behind the write in progress, and process.exit does not wait for them. With a reader that has stalled the process never ended: the runtime's exit waits for the thread that writes (a trial: 300 kB written to a pipe that nobody reads, then process.exit(0); still there after 5 s).

All loggers of a process share one writer, so that one flush covers all of them.

Failed before: the unit tests of flush (there was none).

--- a/packages/arbutustide-cli/src/main.ts
+++ b/packages/arbutustide-cli/src/main.ts
@@ -1,5 +1,6 @@
 import {CommandError} from './command_error.js';
 import {ExitCode} from './exit_code.js';
+import {exitProcess} from './exit_process.js';
 import {createProgram} from './program.js';
 
 /** Commands that return after their start and keep the process running. */
@@ -16,7 +17,7 @@
   } catch (error) {
     exitCode = reportError(error);
   }
-  process.stdout.write('', () => process.exit(exitCode));
+  process.stdout.write('', () => void exitProcess(exitCode));
 }
 
 /** Prints an error to standard error; commander has printed its own already. */
--- a/packages/arbutustide-cli/src/node_commands.ts
+++ b/packages/arbutustide-cli/src/node_commands.ts
@@ -4,6 +4,7 @@
 
 import {CommandError} from './command_error.js';
 import {ExitCode} from './exit_code.js';
+import {exitProcess} from './exit_process.js';
 import {logUnhandledRejections} from './log_unhandled_rejections.js';
 
 /** `settings check FILE`: prints the effective settings. */
@@ -34,10 +35,11 @@
         {signal},
         'exiting without draining after a second stop signal',
       );
-      process.exit(ExitCode.INTERNAL);
+      void exitProcess(ExitCode.INTERNAL);
+      return;
     }
     isStopping = true;
-    void node.stop().then(() => process.exit(ExitCode.SUCCESS));
+    void node.stop().then(() => exitProcess(ExitCode.SUCCESS));
   };
   process.on('SIGTERM', stop);
   process.on('SIGINT', stop);
@@ -54,7 +56,7 @@
   process.on('SIGTERM', () => {
     if (isStopping) return;
     isStopping = true;
-    void node.stop().then(() => process.exit(ExitCode.SUCCESS));
+    void node.stop().then(() => exitProcess(ExitCode.SUCCESS));
   });
   process.on('SIGHUP', () => node.reload());
 }
--- a/packages/arbutustide-telemetry/src/__tests__/unit/bounded_line_writer.test.ts
+++ b/packages/arbutustide-telemetry/src/__tests__/unit/bounded_line_writer.test.ts
@@ -1,5 +1,6 @@
 import type {ByteSink} from '../../bounded_line_writer.js';
 
+import {install} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 
 import {BoundedLineWriter} from '../../bounded_line_writer.js';
@@ -54,6 +55,37 @@
     expect(text).to.equal('abcdef\n');
   });
 
+  // Guards against the last lines of a process being lost when it ends.
+  it('flushes the write in progress and the lines that wait behind it', async () => {
+    const sink = new StalledSink();
+    const writer = new BoundedLineWriter(sink.write, 1_000);
+    writer.write('one\n');
+    writer.write('last\n');
+    const flushed = writer.flush(1_000);
+    sink.completePendingWrites();
+    sink.completePendingWrites();
+    expect(await flushed).to.equal(true);
+    expect(sink.text).to.equal('one\nlast\n');
+  });
+
+  it('gives up a flush while the reader stalls', async () => {
+    const clock = install();
+    try {
+      const writer = new BoundedLineWriter(new StalledSink().write, 1_000);
+      writer.write('one\n');
+      const flushed = writer.flush(100);
+      await clock.tickAsync(100);
+      expect(await flushed).to.equal(false);
+    } finally {
+      clock.uninstall();
+    }
+  });
+
+  it('flushes nothing at once', async () => {
+    const writer = new BoundedLineWriter(new StalledSink().write, 1_000);
+    expect(await writer.flush(1_000)).to.equal(true);
+  });
+
   it('counts the lines of a failed write as dropped', () => {
     const writer = new BoundedLineWriter(
       (_bytes, done) => done(new Error('closed'), 0),
--- a/packages/arbutustide-telemetry/src/bounded_line_writer.ts
+++ b/packages/arbutustide-telemetry/src/bounded_line_writer.ts
@@ -28,6 +28,7 @@
   private writtenLineCount = 0;
   private droppedLineCount = 0;
   private unreportedDroppedLineCount = 0;
+  private readonly idleListeners = new Set<() => void>();
 
   /**
    * @param maximumPendingBytes most bytes that may wait to be written, besides
@@ -54,6 +55,26 @@
     this.flushPendingLines();
   }
 
+  /**
+   * Waits until all lines are written, for a limited time, because the reader
+   * may be stalled.
+   *
+   * @return whether no line waits any more.
+   */
+  flush(timeoutMilliseconds: number): Promise<boolean> {
+    if (!this.isWriting) return Promise.resolve(true);
+    return new Promise(resolve => {
+      const settle = (isIdle: boolean) => {
+        clearTimeout(timer);
+        this.idleListeners.delete(onIdle);
+        resolve(isIdle);
+      };
+      const onIdle = () => settle(true);
+      const timer = setTimeout(() => settle(false), timeoutMilliseconds);
+      this.idleListeners.add(onIdle);
+    });
+  }
+
   private flushPendingLines(): void {
     if (this.isWriting || this.pendingLines.length === 0) return;
     this.isWriting = true;
@@ -79,6 +100,8 @@
       else this.writtenLineCount += lineCount;
       this.isWriting = false;
       this.flushPendingLines();
+      if (this.isWriting) return;
+      for (const onIdle of [...this.idleListeners]) onIdle();
     });
   }
 }
--- a/packages/arbutustide-telemetry/src/index.ts
+++ b/packages/arbutustide-telemetry/src/index.ts
@@ -3,5 +3,5 @@
 export type {LogLevel, NodeLogger} from './logger.js';
 
 export {BoundedLineWriter} from './bounded_line_writer.js';
-export {createLogger, silentLogger} from './logger.js';
+export {createLogger, flushLog, silentLogger} from './logger.js';
 export {NodeMetrics} from './metrics.js';
--- a/packages/arbutustide-telemetry/src/logger.ts
+++ b/packages/arbutustide-telemetry/src/logger.ts
@@ -5,6 +5,12 @@
 /** Holds the lines that a busy node logs in a few seconds. */
 const MAXIMUM_PENDING_BYTES = 1_048_576;
 
+/** All loggers of the process write to standard output through it. */
+const standardOutput = new BoundedLineWriter(
+  standardOutputSink,
+  MAXIMUM_PENDING_BYTES,
+);
+
 /** Structured logger that writes one JSON object per line. */
 export type NodeLogger = Logger;
 
@@ -16,17 +22,23 @@
  * request bodies, keys or tokens.
  */
 export function createLogger(name: string, level: LogLevel): NodeLogger {
-  const writer = new BoundedLineWriter(
-    standardOutputSink,
-    MAXIMUM_PENDING_BYTES,
-  );
   return Logger.createLogger({
     name,
     level,
-    streams: [{type: 'stream', level, stream: writer as never}],
+    streams: [{type: 'stream', level, stream: standardOutput as never}],
   });
 }
 
+/**
+ * Waits until all that was logged is written, for a limited time. Call it before
+ * the process ends: lines are written asynchronously.
+ *
+ * @return false if lines still wait, as the reader of the output is stalled.
+ */
+export function flushLog(timeoutMilliseconds: number): Promise<boolean> {
+  return standardOutput.flush(timeoutMilliseconds);
+}
+
 /** Creates a logger that writes nothing, for tests. */
 export function silentLogger(): NodeLogger {
   return Logger.createLogger({name: 'silent', streams: []});
