Catch signals from the first module that a node evaluates

Seen: a SIGHUP or SIGTERM while a process starts ends it, also between "it listens" and the handler, when it may have taken requests. On the own interface a second SIGTERM cut the stop, and SIGHUP ended the process at any time.

Cause: the handlers were set after the node had started.

Signals are now caught when the first module of the program is evaluated and kept until the command runs. A SIGTERM before the node starts ends the process with 0, one during the start drains the node once it has started; SIGHUP is a reload then (the own interface logs that it reloads nothing). Further SIGTERMs and SIGHUPs leave a stop alone; SIGINT during a stop still exits without draining. A stop that fails ends the process instead of leaving it.

Failed before, on real processes, 14 of 20 tests of signals_while_starting: "the process ended: SIGHUP", "expected 'SIGTERM' to equal +0".

What remains: the runtime's own start and the compilation of the bundle, in which no handler can be set.

--- a/packages/arbutustide-cli/src/main.ts
+++ b/packages/arbutustide-cli/src/main.ts
@@ -1,19 +1,16 @@
+// Evaluated first, so that no signal meets a process without handlers.
+import {isLongRunning} from './process_signals.js';
+
 import {CommandError} from './command_error.js';
 import {ExitCode} from './exit_code.js';
 import {exitProcess} from './exit_process.js';
 import {createProgram} from './program.js';
 
-/** Commands that return after their start and keep the process running. */
-const LONG_RUNNING_COMMANDS: ReadonlySet<string> = new Set([
-  'node',
-  'platform-node',
-]);
-
 async function main(): Promise<void> {
   let exitCode = ExitCode.SUCCESS;
   try {
     await createProgram().parseAsync();
-    if (LONG_RUNNING_COMMANDS.has(process.argv[2] ?? '')) return;
+    if (isLongRunning) return;
   } catch (error) {
     exitCode = reportError(error);
   }
--- a/packages/arbutustide-cli/src/node_commands.ts
+++ b/packages/arbutustide-cli/src/node_commands.ts
@@ -1,3 +1,7 @@
+import type {SignalledNode} from './node_lifecycle.js';
+
+import {setImmediate} from 'node:timers/promises';
+
 import {startNode} from '@arbutustide/node';
 import {startPlatformNode} from '@arbutustide/platform';
 import {formatSettings, loadSettings} from '@arbutustide/settings';
@@ -6,6 +10,8 @@
 import {ExitCode} from './exit_code.js';
 import {exitProcess} from './exit_process.js';
 import {logUnhandledRejections} from './log_unhandled_rejections.js';
+import {NodeLifecycle} from './node_lifecycle.js';
+import {processSignals} from './process_signals.js';
 
 /** `settings check FILE`: prints the effective settings. */
 export function checkSettingsCommand(file: string): void {
@@ -18,7 +24,7 @@
 
 /**
  * `node --settings FILE`: runs a node until SIGTERM or SIGINT, which drains it.
- * A second signal exits without draining.
+ * SIGINT exits without draining a node that stops already.
  */
 export async function runNodeCommand(options: {
   readonly settings: string;
@@ -27,22 +33,7 @@
   if (!settings.ok) {
     throw new CommandError(ExitCode.INVALID_DOCUMENT, settings.val.message);
   }
-  const node = await startNode(settings.val);
-  let isStopping = false;
-  const stop = (signal: string) => {
-    if (isStopping) {
-      node.logger.warn(
-        {signal},
-        'exiting without draining after a second stop signal',
-      );
-      void exitProcess(ExitCode.INTERNAL);
-      return;
-    }
-    isStopping = true;
-    void node.stop().then(() => exitProcess(ExitCode.SUCCESS));
-  };
-  process.on('SIGTERM', stop);
-  process.on('SIGINT', stop);
+  await runUntilStopped(() => startNode(settings.val));
 }
 
 /**
@@ -50,13 +41,19 @@
  * names, until SIGTERM drains it. SIGHUP reloads the configuration.
  */
 export async function runPlatformNodeCommand(): Promise<void> {
-  const node = await startPlatformNode();
-  logUnhandledRejections(node.logger, process);
-  let isStopping = false;
-  process.on('SIGTERM', () => {
-    if (isStopping) return;
-    isStopping = true;
-    void node.stop().then(() => exitProcess(ExitCode.SUCCESS));
+  await runUntilStopped(async () => {
+    const node = await startPlatformNode();
+    logUnhandledRejections(node.logger, process);
+    return node;
   });
-  process.on('SIGHUP', () => node.reload());
+}
+
+async function runUntilStopped(
+  start: () => Promise<SignalledNode>,
+): Promise<void> {
+  const lifecycle = new NodeLifecycle(exitCode => void exitProcess(exitCode));
+  processSignals?.handleWith(signal => lifecycle.receive(signal));
+  // Signals that came while the modules were evaluated are emitted in this turn.
+  await setImmediate();
+  await lifecycle.run(start);
 }
