Judge a request in a planned stop by the times of its own kind

Callers saw connections that ended without a whole answer at the end of the grace period: a stopping node took a request if twice the mean time of its service fitted in what was left. A rare route with slower requests was judged by the busy route of its service, and a long tail by its mean.

Requests that were cut or left are lower bounds, not short samples; the rest of a resumed stream is no whole one. Each decision is logged with the expected and the left time, so that a later cut can be traced to it. The mean that early refusal uses stays as it was.

--- a/packages/arbutustide-node/src/proxy/create_slot_queue.ts
+++ b/packages/arbutustide-node/src/proxy/create_slot_queue.ts
@@ -33,6 +33,7 @@
   const upstreamDirectory = container.resolve(ProxyToken.UPSTREAM_DIRECTORY);
   const holdingRequester = container.resolve(ProxyToken.HOLDING_REQUESTER);
   const holdTimes = container.resolve(ProxyToken.SLOT_HOLD_TIMES);
+  const distributions = container.resolve(ProxyToken.HOLD_TIME_DISTRIBUTIONS);
   const order = createServiceOrder(container);
   const holdBack = createHoldBack(container, order);
   return new SlotQueue({
@@ -75,8 +76,9 @@
     observer: container.resolve(ProxyToken.DEMAND_COUNTER),
     order,
     earlyRefusal: createEarlyRefusal(container, holdTimes, dependencies.random),
-    onSlotReturned: ({service}, heldMilliseconds, upstream) => {
-      holdTimes.record(service, heldMilliseconds);
+    onSlotReturned: (request, heldMilliseconds, upstream, isWhole) => {
+      holdTimes.record(request.service, heldMilliseconds);
+      distributions.record(request, heldMilliseconds, isWhole);
       holdBack.recordReturned(upstream);
     },
   });
--- a/packages/arbutustide-node/src/proxy/proxy_tokens.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tokens.ts
@@ -8,6 +8,7 @@
   BrittleServices,
   DemandCounter,
   ProxyUpstreamDirectory,
+  HoldTimeDistributions,
   ProxyDispatcher,
   SlotHoldTimes,
   SlotQueue,
@@ -64,6 +65,8 @@
     'fleet.configurationFreshness' as InjectionToken<ConfigurationFreshness>,
   KEY_TABLES: 'fleet.keyTables' as InjectionToken<KeyTableCache>,
   SLOT_HOLD_TIMES: 'fleet.slotHoldTimes' as InjectionToken<SlotHoldTimes>,
+  HOLD_TIME_DISTRIBUTIONS:
+    'fleet.holdTimeDistributions' as InjectionToken<HoldTimeDistributions>,
   SHUTDOWN_ADMISSION:
     'fleet.shutdownAdmission' as InjectionToken<ShutdownAdmission>,
   REQUEST_QUEUE: 'fleet.queue' as InjectionToken<SlotQueue>,
--- a/packages/arbutustide-node/src/proxy/register_shutdown_admission.ts
+++ b/packages/arbutustide-node/src/proxy/register_shutdown_admission.ts
@@ -1,25 +1,30 @@
 import type {ProxyDependencies} from './proxy_dependencies.js';
 import type {RegisterSingleton} from './register_singleton.js';
 
-import {SlotHoldTimes} from '@arbutustide/routing';
+import {HoldTimeDistributions, SlotHoldTimes} from '@arbutustide/routing';
 
 import {ProxyToken} from './proxy_tokens.js';
 import {ShutdownAdmission} from './shutdown_admission.js';
 
 /**
  * Registers what decides which requests a node takes while it shuts down, and the
- * times of requests, which the queue measures and refuses by as well.
+ * times of requests, which the queue measures.
  */
 export function registerShutdownAdmission(
   register: RegisterSingleton,
-  {settings}: ProxyDependencies,
+  {settings, logger}: ProxyDependencies,
 ): void {
   register(ProxyToken.SLOT_HOLD_TIMES, () => new SlotHoldTimes());
+  register(
+    ProxyToken.HOLD_TIME_DISTRIBUTIONS,
+    () => new HoldTimeDistributions(),
+  );
   register(ProxyToken.SHUTDOWN_ADMISSION, container => {
-    const holdTimes = container.resolve(ProxyToken.SLOT_HOLD_TIMES);
+    const times = container.resolve(ProxyToken.HOLD_TIME_DISTRIBUTIONS);
     return new ShutdownAdmission({
       ...settings.shutdown,
-      meanMilliseconds: service => holdTimes.meanMilliseconds(service),
+      longestMilliseconds: request => times.longestMilliseconds(request),
+      onDecision: decision => logger.info(decision, 'request while stopping'),
     });
   });
 }
--- a/packages/arbutustide-node/src/proxy/shutdown_admission.ts
+++ b/packages/arbutustide-node/src/proxy/shutdown_admission.ts
@@ -5,19 +5,26 @@
 
 import {createStoppingRefusal} from '@arbutustide/errors';
 
-/**
- * Requests of a service take different times; most end within this multiple of
- * their mean.
- */
-const LONGEST_TIME_FACTOR = 2;
-
-/** What the time that a request may take depends on. */
-type TimedRequest = Pick<RoutedRequest, 'service' | 'deadlineAtMilliseconds'>;
+/** A decision on a request in a shutdown, to trace a later cut to it. */
+export interface ShutdownDecision {
+  readonly requestId: string;
+  readonly route: string;
+  readonly model?: string;
+  readonly isTaken: boolean;
+  /** Time that the request may take, at most until its deadline. */
+  readonly expectedMilliseconds: number;
+  /** Time until this node answers no more. */
+  readonly leftMilliseconds: number;
+}
 
 /** Dependencies of the admission of requests in a shutdown. */
 export interface ShutdownAdmissionOptions extends ShutdownTimes {
-  /** Mean time of a service's requests; undefined if not yet measured. */
-  readonly meanMilliseconds: (service: string) => number | undefined;
+  /**
+   * Time within which a request ends, with few exceptions, once it has a slot;
+   * undefined if that is not yet known.
+   */
+  readonly longestMilliseconds: (request: RoutedRequest) => number | undefined;
+  readonly onDecision: (decision: ShutdownDecision) => void;
 }
 
 /**
@@ -36,23 +43,43 @@
   }
 
   /** The refusal of a request that arrives now; undefined if it is taken. */
-  refuse(request: TimedRequest): RefusalError | undefined {
+  refuse(request: RoutedRequest): RefusalError | undefined {
     const {beganAtMilliseconds: beganAt} = this;
     if (beganAt === undefined) return undefined;
     const {balancerRemovalMilliseconds, drainMilliseconds} = this.options;
     const now = performance.now();
     const isExpected = now < beganAt + balancerRemovalMilliseconds;
-    const endAt = now + this.longestMilliseconds(request, now);
-    if (isExpected && endAt <= beganAt + drainMilliseconds) return undefined;
-    return createStoppingRefusal();
+    const leftMilliseconds = beganAt + drainMilliseconds - now;
+    const expectedMilliseconds = this.longestMilliseconds(request, now);
+    const isTaken = isExpected && expectedMilliseconds <= leftMilliseconds;
+    this.recordDecision(
+      request,
+      isTaken,
+      expectedMilliseconds,
+      leftMilliseconds,
+    );
+    return isTaken ? undefined : createStoppingRefusal();
   }
 
   /** Time that the request may take, at most until its deadline. */
-  private longestMilliseconds(
-    {service, deadlineAtMilliseconds}: TimedRequest,
-    now: number,
-  ): number {
-    const mean = this.options.meanMilliseconds(service) ?? Infinity;
-    return Math.min(deadlineAtMilliseconds - now, mean * LONGEST_TIME_FACTOR);
+  private longestMilliseconds(request: RoutedRequest, now: number): number {
+    const longest = this.options.longestMilliseconds(request) ?? Infinity;
+    return Math.min(request.deadlineAtMilliseconds - now, longest);
+  }
+
+  private recordDecision(
+    {requestId, route, modelRequest}: RoutedRequest,
+    isTaken: boolean,
+    expectedMilliseconds: number,
+    leftMilliseconds: number,
+  ): void {
+    this.options.onDecision({
+      requestId,
+      route: route.name,
+      ...(modelRequest && {model: modelRequest.model}),
+      isTaken,
+      expectedMilliseconds: Math.round(expectedMilliseconds),
+      leftMilliseconds: Math.round(leftMilliseconds),
+    });
   }
 }
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -170,6 +170,7 @@
 export {CompetingRequests} from './proxy/queue/competing_requests.js';
 export {EarlyRefusal} from './proxy/queue/early_refusal.js';
 export {expectedWaitMilliseconds} from './proxy/queue/expected_wait.js';
+export {HoldTimeDistributions} from './proxy/queue/hold_time_distributions.js';
 export {HoldBack} from './proxy/queue/hold_back.js';
 export {Standing} from './proxy/queue/queue_position.js';
 export {ServiceOrder} from './proxy/queue/service_order.js';
--- a/packages/arbutustide-routing/src/proxy/attempt_target.ts
+++ b/packages/arbutustide-routing/src/proxy/attempt_target.ts
@@ -58,8 +58,13 @@
   readonly target: AttemptTarget;
   /** Time that the request was queued, in milliseconds. */
   readonly waitedMilliseconds: number;
-  /** Returns the place; idempotent. */
-  release(): void;
+  /**
+   * Returns the place; idempotent.
+   *
+   * @param isWhole whether the target has answered the request from its
+   *     beginning to its end.
+   */
+  release(isWhole?: boolean): void;
 }
 
 export type AttemptSlotResult = Result<AttemptSlot, RefusalError>;
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -284,7 +284,7 @@
     };
     const attempt = await runAttempt(progress, context);
     const isOpen = attempt.body === undefined && attempt.error === undefined;
-    if (!isOpen) slot.release();
+    if (!isOpen) slot.release(attempt.outcome === AttemptOutcome.ANSWERED);
     if (mayHaveRun(attempt.outcome)) progress.mayHaveRun = true;
     // A request that was never sent does not count against maximumAttempts.
     if (attempt.outcome === AttemptOutcome.NOT_CONNECTED)
--- a/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
@@ -81,6 +81,7 @@
     isResumed: boolean,
   ): AsyncGenerator<Uint8Array, SegmentFailure | undefined, undefined> {
     this.eventSequencer.beginAttempt();
+    let isWhole = false;
     try {
       for await (const chunk of attempt.head?.body ?? []) {
         const {bytes, problem} = this.eventSequencer.push(chunk);
@@ -102,6 +103,7 @@
       }
       if (attempt.head?.isSelfDelimiting) attempt.observed?.recordWhole();
       else attempt.observed?.recordBroken(false);
+      isWhole = !isResumed;
       return undefined;
     } catch (error) {
       const {hasExpired: wasInactive} = attempt.inactivityTimeout;
@@ -113,7 +115,7 @@
     } finally {
       attempt.observed?.recordCancelled();
       attempt.inactivityTimeout.stop();
-      attempt.slot.release();
+      attempt.slot.release(isWhole);
     }
   }
 
--- a/packages/arbutustide-routing/src/proxy/queue/slot_queue_options.ts
+++ b/packages/arbutustide-routing/src/proxy/queue/slot_queue_options.ts
@@ -42,6 +42,7 @@
     request: RoutedRequest,
     heldMilliseconds: number,
     upstream: ProxyUpstream,
+    isWhole: boolean,
   ) => void;
 }
 
@@ -51,6 +52,11 @@
   readonly admission: PendingAdmission;
   /** Time that the request was queued, in milliseconds. */
   readonly waitedMilliseconds: number;
-  /** Returns the slot; idempotent. */
-  release(): void;
+  /**
+   * Returns the slot; idempotent.
+   *
+   * @param isWhole whether the upstream has answered the request from its
+   *     beginning to its end.
+   */
+  release(isWhole?: boolean): void;
 }
--- a/packages/arbutustide-routing/src/proxy/slot_queue.ts
+++ b/packages/arbutustide-routing/src/proxy/slot_queue.ts
@@ -348,7 +348,7 @@
       upstream,
       admission,
       waitedMilliseconds: takenAtMilliseconds - queuedAtMilliseconds,
-      release: () => {
+      release: (isWhole = false) => {
         if (!isReserved) return;
         isReserved = false;
         pending.settle(false);
@@ -356,7 +356,8 @@
         upstream.reachability.recordAttemptEnded();
         observer.recordEnded(request, true);
         const heldMilliseconds = performance.now() - takenAtMilliseconds;
-        if (isAccepted) onSlotReturned?.(request, heldMilliseconds, upstream);
+        if (isAccepted)
+          onSlotReturned?.(request, heldMilliseconds, upstream, isWhole);
         this.scheduleScan();
       },
     };
