Judge what waits in the queue of a stopping node by the time that is left

Requests that waited for a slot at the SIGTERM were judged by nothing until the queue was closed at half of the grace period. One that got its slot before could be cut at the end of the grace period; one that got none was held for seconds although nothing could be done for it; and a short one was refused although there was time for it.

The queue now asks when a request needs a slot, after its predicted wait, and every 100 ms in a stop, whether it could still end. If not it is refused at once: as not run, or as possibly run after an attempt that may have run. A stream that has begun goes on while there is any time: refused or cut, its caller has to resume it elsewhere. The queue is closed when nothing could be served any more.

--- a/packages/arbutustide-node/src/__tests__/unit/shutdown_admission.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/shutdown_admission.test.ts
@@ -2,9 +2,11 @@
  * Guards against requests that a node takes so late in a planned stop that it
  * cuts them off at the end of the grace period.
  */
+import type {RoutedRequestProgress} from '@arbutustide/routing';
+
 import type {ShutdownDecision} from '../../proxy/shutdown_admission.js';
 
-import {ErrorKind, ExecutionStatus} from '@arbutustide/errors';
+import {Cancellation, ErrorKind, ExecutionStatus} from '@arbutustide/errors';
 import {install} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 
@@ -15,6 +17,7 @@
 const DRAIN_MILLISECONDS = 7_440;
 const SHORT_MILLISECONDS = 500;
 const LONG_MILLISECONDS = 12_000;
+const LONGEST_MILLISECONDS = 2_000;
 
 describe('requests that arrive in a planned stop', () => {
   let clock: ReturnType<typeof install>;
@@ -85,3 +88,89 @@
     expect(refuse(SHORT_MILLISECONDS)).not.to.equal(undefined);
   });
 });
+
+describe('requests that wait for a slot in a planned stop', () => {
+  let clock: ReturnType<typeof install>;
+  let admission: ShutdownAdmission;
+  let decisions: ShutdownDecision[];
+
+  beforeEach(() => {
+    clock = install();
+    decisions = [];
+    admission = new ShutdownAdmission({
+      balancerRemovalMilliseconds: BALANCER_REMOVAL_MILLISECONDS,
+      drainMilliseconds: DRAIN_MILLISECONDS,
+      longestMilliseconds: () => LONGEST_MILLISECONDS,
+      onDecision: decision => decisions.push(decision),
+    });
+  });
+
+  afterEach(() => clock.uninstall());
+
+  const waitFor = (changes: Partial<RoutedRequestProgress> = {}) =>
+    createProgress({
+      request: createRequest({
+        deadlineAtMilliseconds: performance.now() + LONG_MILLISECONDS,
+      }),
+      ...changes,
+    });
+
+  it('wait on until what is left does not suffice any more', () => {
+    const progress = waitFor();
+    expect(admission.refuseWaiting(progress)).to.equal(undefined);
+    admission.begin();
+    clock.tick(DRAIN_MILLISECONDS - LONGEST_MILLISECONDS);
+    expect(admission.refuseWaiting(progress)).to.equal(undefined);
+    clock.tick(1);
+    const refusal = admission.refuseWaiting(progress);
+    expect(refusal?.kind).to.equal(ErrorKind.NOT_READY);
+    expect(refusal?.ran).to.equal(ExecutionStatus.NOT_EXECUTED);
+    expect(decisions.map(({isTaken}) => isTaken)).to.deep.equal([true, false]);
+  });
+
+  it('are refused if they would get their slot too late', () => {
+    admission.begin();
+    const longestWait = DRAIN_MILLISECONDS - LONGEST_MILLISECONDS;
+    const progress = waitFor();
+    expect(admission.refuseWaiting(progress, longestWait)).to.equal(undefined);
+    expect(admission.refuseWaiting(progress, longestWait + 1)).not.to.equal(
+      undefined,
+    );
+  });
+
+  it('are not called unrun if an upstream may have run them', () => {
+    admission.begin();
+    clock.tick(DRAIN_MILLISECONDS);
+    const refusal = admission.refuseWaiting(waitFor({mayHaveRun: true}));
+    expect(refusal?.ran).to.equal(ExecutionStatus.POSSIBLY_EXECUTED);
+  });
+
+  it('go on if their streams have begun, while there is time', () => {
+    admission.begin();
+    const progress = waitFor({hasStreamBegun: true, mayHaveRun: true});
+    clock.tick(DRAIN_MILLISECONDS - SHORT_MILLISECONDS);
+    expect(admission.refuseWaiting(progress)).to.equal(undefined);
+    clock.tick(SHORT_MILLISECONDS);
+    expect(admission.refuseWaiting(progress)).not.to.equal(undefined);
+  });
+});
+
+function createProgress(
+  changes: Partial<RoutedRequestProgress>,
+): RoutedRequestProgress {
+  return {
+    request: createRequest(),
+    cancellation: new Cancellation(),
+    fingerprint: 'fingerprint',
+    triedUpstreams: new Set(),
+    triedPeers: new Set(),
+    isRelayed: false,
+    attempts: 0,
+    mayHaveRun: false,
+    hasStreamBegun: false,
+    isAnsweredWhole: false,
+    origin: undefined,
+    lastDeliveryAtMilliseconds: performance.now(),
+    ...changes,
+  };
+}
--- a/packages/arbutustide-node/src/proxy/create_slot_queue.ts
+++ b/packages/arbutustide-node/src/proxy/create_slot_queue.ts
@@ -34,6 +34,7 @@
   const holdingRequester = container.resolve(ProxyToken.HOLDING_REQUESTER);
   const holdTimes = container.resolve(ProxyToken.SLOT_HOLD_TIMES);
   const distributions = container.resolve(ProxyToken.HOLD_TIME_DISTRIBUTIONS);
+  const shutdownAdmission = container.resolve(ProxyToken.SHUTDOWN_ADMISSION);
   const order = createServiceOrder(container);
   const holdBack = createHoldBack(container, order);
   return new SlotQueue({
@@ -75,6 +76,8 @@
     },
     observer: container.resolve(ProxyToken.DEMAND_COUNTER),
     order,
+    refuseLate: (progress, waitMilliseconds) =>
+      shutdownAdmission.refuseWaiting(progress, waitMilliseconds),
     earlyRefusal: createEarlyRefusal(container, holdTimes, dependencies.random),
     onSlotReturned: (request, heldMilliseconds, upstream, isWhole) => {
       holdTimes.record(request.service, heldMilliseconds);
--- a/packages/arbutustide-node/src/proxy/proxy_core.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_core.ts
@@ -28,7 +28,6 @@
   QUEUE_CHECK_INTERVAL_MILLISECONDS,
   LEASE_RENEWAL_SHARE,
   LEASE_STANDBY_NODES,
-  QUEUE_CLOSE_SHUTDOWN_SHARE,
   UPSTREAMS_STALE_SHARE,
 } from './proxy_tuning.js';
 import {createProxyContainer} from './proxy_wiring.js';
@@ -158,7 +157,7 @@
   async leave(): Promise<void> {
     this.status.setState(NodeState.LEAVING);
     this.container.resolve(ProxyToken.SHUTDOWN_ADMISSION).begin();
-    this.scheduleQueueClose();
+    void this.refuseLateRequests();
     this.planningStopController.abort();
     await Promise.all(this.planningTasks);
     await this.container.resolve(ProxyToken.PLANNER_LEASE).release();
@@ -181,14 +180,16 @@
     return this.container.resolve(ProxyToken.OWN_STATUS);
   }
 
-  /** Closes the queue while there is still time to run what was admitted. */
-  private scheduleQueueClose(): void {
-    const {stopMilliseconds} = this.dependencies.settings;
+  /** Refuses queued requests once they can no longer end before this node. */
+  private async refuseLateRequests(): Promise<void> {
     const queue = this.container.resolve(ProxyToken.REQUEST_QUEUE);
-    void delay(
-      stopMilliseconds * QUEUE_CLOSE_SHUTDOWN_SHARE,
-      this.stopController.signal,
-    ).then(() => queue.close());
+    const admission = this.container.resolve(ProxyToken.SHUTDOWN_ADMISSION);
+    const {signal} = this.stopController;
+    while (admission.hasTimeLeft && !signal.aborted) {
+      queue.refuseQueued(progress => admission.refuseWaiting(progress));
+      await delay(QUEUE_CHECK_INTERVAL_MILLISECONDS, signal);
+    }
+    queue.close();
   }
 
   private markReadyOnConfiguration(): void {
--- a/packages/arbutustide-node/src/proxy/proxy_tuning.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tuning.ts
@@ -27,12 +27,6 @@
 /** Interval at which queued requests are reconsidered without an event. */
 export const QUEUE_CHECK_INTERVAL_MILLISECONDS = 100;
 
-/**
- * Part of the shutdown time after which the queue is closed. The rest is left
- * to run the requests that were admitted.
- */
-export const QUEUE_CLOSE_SHUTDOWN_SHARE = 0.5;
-
 /** Interval of exchanges with one peer; each costs traffic and time. */
 export const GOSSIP_INTERVAL_MILLISECONDS = 700;
 export const GOSSIP_HEARTBEAT_MILLISECONDS = 700;
--- a/packages/arbutustide-node/src/proxy/shutdown_admission.ts
+++ b/packages/arbutustide-node/src/proxy/shutdown_admission.ts
@@ -1,9 +1,12 @@
 import type {RefusalError} from '@arbutustide/errors';
-import type {RoutedRequest} from '@arbutustide/routing';
+import type {RoutedRequest, RoutedRequestProgress} from '@arbutustide/routing';
 
 import type {ShutdownTimes} from './proxy_settings.js';
 
 import {createStoppingRefusal} from '@arbutustide/errors';
+import {ranSoFar} from '@arbutustide/routing';
+
+import {MINIMUM_SERVICE_MILLISECONDS} from './proxy_tuning.js';
 
 /** A decision on a request in a shutdown, to trace a later cut to it. */
 export interface ShutdownDecision {
@@ -28,12 +31,14 @@
 }
 
 /**
- * Decides which requests a node still takes while it shuts down. One that it can
+ * Decides which requests a node still takes while it shuts down, and which of
+ * those that wait for a slot go on waiting. One that it can
  * no longer answer is refused at once as not run: taken, it would be cut off at
  * the end of the grace period, and one that must run once would be lost.
  */
 export class ShutdownAdmission {
   private beganAtMilliseconds: number | undefined;
+  private readonly takenRequests = new WeakSet<RoutedRequest>();
 
   constructor(private readonly options: ShutdownAdmissionOptions) {}
 
@@ -42,37 +47,70 @@
     this.beganAtMilliseconds ??= performance.now();
   }
 
+  /** Whether a request that got a slot now could still be answered. */
+  get hasTimeLeft(): boolean {
+    return this.leftMilliseconds > MINIMUM_SERVICE_MILLISECONDS;
+  }
+
   /** The refusal of a request that arrives now; undefined if it is taken. */
   refuse(request: RoutedRequest): RefusalError | undefined {
     const {beganAtMilliseconds: beganAt} = this;
     if (beganAt === undefined) return undefined;
-    const {balancerRemovalMilliseconds, drainMilliseconds} = this.options;
-    const now = performance.now();
-    const isExpected = now < beganAt + balancerRemovalMilliseconds;
-    const leftMilliseconds = beganAt + drainMilliseconds - now;
-    const expectedMilliseconds = this.longestMilliseconds(request, now);
-    const isTaken = isExpected && expectedMilliseconds <= leftMilliseconds;
-    this.recordDecision(
-      request,
-      isTaken,
-      expectedMilliseconds,
-      leftMilliseconds,
-    );
-    return isTaken ? undefined : createStoppingRefusal();
+    const {balancerRemovalMilliseconds} = this.options;
+    const isExpected =
+      performance.now() < beganAt + balancerRemovalMilliseconds;
+    const time = this.longestMilliseconds(request);
+    return this.decide(request, time, isExpected)
+      ? undefined
+      : createStoppingRefusal();
   }
 
-  /** Time that the request may take, at most until its deadline. */
-  private longestMilliseconds(request: RoutedRequest, now: number): number {
+  /**
+   * The refusal of a request that would get a slot after this wait; undefined if
+   * it may wait. A stream that has begun may: refused or cut, its caller has to
+   * resume it elsewhere.
+   */
+  refuseWaiting(
+    progress: RoutedRequestProgress,
+    waitMilliseconds = 0,
+  ): RefusalError | undefined {
+    if (this.beganAtMilliseconds === undefined) return undefined;
+    const {request, hasStreamBegun} = progress;
+    const time = hasStreamBegun
+      ? MINIMUM_SERVICE_MILLISECONDS
+      : this.longestMilliseconds(request, waitMilliseconds);
+    return this.decide(request, time)
+      ? undefined
+      : createStoppingRefusal(ranSoFar(progress));
+  }
+
+  /** Time until this node answers no more. */
+  private get leftMilliseconds(): number {
+    const {beganAtMilliseconds: beganAt = Infinity} = this;
+    return beganAt + this.options.drainMilliseconds - performance.now();
+  }
+
+  /** Time until the request has ended, at most until its deadline. */
+  private longestMilliseconds(
+    request: RoutedRequest,
+    waitMilliseconds = 0,
+  ): number {
     const longest = this.options.longestMilliseconds(request) ?? Infinity;
-    return Math.min(request.deadlineAtMilliseconds - now, longest);
+    const untilDeadline = request.deadlineAtMilliseconds - performance.now();
+    return Math.min(untilDeadline, waitMilliseconds + longest);
   }
 
-  private recordDecision(
-    {requestId, route, modelRequest}: RoutedRequest,
-    isTaken: boolean,
+  /** Whether the request is taken; reports that once, or that it is not. */
+  private decide(
+    request: RoutedRequest,
     expectedMilliseconds: number,
-    leftMilliseconds: number,
-  ): void {
+    isExpected = true,
+  ): boolean {
+    const {leftMilliseconds, takenRequests} = this;
+    const isTaken = isExpected && expectedMilliseconds <= leftMilliseconds;
+    if (isTaken && takenRequests.has(request)) return true;
+    if (isTaken) takenRequests.add(request);
+    const {requestId, route, modelRequest} = request;
     this.options.onDecision({
       requestId,
       route: route.name,
@@ -81,5 +119,6 @@
       expectedMilliseconds: Math.round(expectedMilliseconds),
       leftMilliseconds: Math.round(leftMilliseconds),
     });
+    return isTaken;
   }
 }
--- a/packages/arbutustide-routing/src/__tests__/unit/slot_queue.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/slot_queue.test.ts
@@ -4,7 +4,12 @@
 import type {RoutedRequestProgress} from '../../proxy/routed_request_progress.js';
 import type {ProxyUpstream} from '../../proxy/proxy_upstream.js';
 
-import {Cancellation, ErrorKind, ExecutionStatus} from '@arbutustide/errors';
+import {
+  Cancellation,
+  createStoppingRefusal,
+  ErrorKind,
+  ExecutionStatus,
+} from '@arbutustide/errors';
 import {install} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 
@@ -22,20 +27,26 @@
 } from './proxy_fixtures.js';
 import {createProgress} from './queue_cluster.js';
 
+const PREDICTED_WAIT_MILLISECONDS = 50;
+
 describe('slot queue of a stopping node', () => {
   let clock: ReturnType<typeof install>;
   let upstream: ProxyUpstream | undefined;
   let queue: SlotQueue;
+  let waitsInTime: number;
 
   beforeEach(() => {
     clock = install();
     upstream = undefined;
+    waitsInTime = Infinity;
     queue = new SlotQueue({
       chooseUpstream: () => upstream ?? NoUpstreamReason.NOT_HELD,
-      predictWaitMilliseconds: () => 0,
+      predictWaitMilliseconds: () => PREDICTED_WAIT_MILLISECONDS,
       minimumServiceMilliseconds: () => 20,
       onNotHeld: () => {},
       observer: new DemandCounter(),
+      refuseLate: (_, waitMilliseconds) =>
+        waitMilliseconds <= waitsInTime ? undefined : createStoppingRefusal(),
     });
   });
   afterEach(() => clock.uninstall());
@@ -75,6 +86,22 @@
     upstream = testUpstream('one', ['m']);
     expect((await enterQueue()).ok).to.equal(true);
   });
+
+  it('refuses a request that could not end even without a wait', async () => {
+    waitsInTime = -1;
+    upstream = testUpstream('one', ['m']);
+    const result = await enterQueue();
+    expect(result.err && result.val.kind).to.equal(ErrorKind.NOT_READY);
+    expect(upstream.ownInFlight).to.equal(0);
+  });
+
+  it('refuses a request at once that could not end after its wait', async () => {
+    waitsInTime = PREDICTED_WAIT_MILLISECONDS - 1;
+    const result = await enterQueue();
+    expect(result.err && result.val.kind).to.equal(ErrorKind.NOT_READY);
+    upstream = testUpstream('one', ['m']);
+    expect((await enterQueue()).ok).to.equal(true);
+  });
 });
 
 // A newcomer that takes a slot which has just come free keeps out requests that
--- a/packages/arbutustide-routing/src/proxy/queue/slot_queue_options.ts
+++ b/packages/arbutustide-routing/src/proxy/queue/slot_queue_options.ts
@@ -1,3 +1,5 @@
+import type {RefusalError} from '@arbutustide/errors';
+
 import type {PendingAdmission} from '../brittleness/upstream_admission.js';
 import type {NoUpstreamReason, UpstreamChoice} from '../choose_upstream.js';
 import type {ProxyUpstream} from '../proxy_upstream.js';
@@ -35,6 +37,14 @@
   readonly observer: SlotQueueObserver;
   /** Undefined to serve by priority and then deadline. */
   readonly order?: ServiceOrder;
+  /**
+   * The refusal of a request that could not end before this node stops if it
+   * got a slot after this wait; undefined if it could. Always, if absent.
+   */
+  readonly refuseLate?: (
+    progress: RoutedRequestProgress,
+    waitMilliseconds: number,
+  ) => RefusalError | undefined;
   /** Undefined to let requests wait for as long as their callers do. */
   readonly earlyRefusal?: EarlyRefusal;
   /** Called when a request that an upstream accepted returns its slot. */
--- a/packages/arbutustide-routing/src/proxy/slot_queue.ts
+++ b/packages/arbutustide-routing/src/proxy/slot_queue.ts
@@ -64,6 +64,8 @@
 
   /** Waits for a slot; refuses at once if none is expected in time. */
   async acquireSlot(progress: RoutedRequestProgress): Promise<SlotResult> {
+    const late = this.options.refuseLate?.(progress, 0);
+    if (late) return Err(late);
     const {chooseUpstream: choose, observer, onNotHeld} = this.options;
     observer.recordQueued(progress.request);
     const choice = choose(progress);
@@ -105,8 +107,7 @@
 
   /**
    * Refuses all queued requests, and from now on each request that gets no slot
-   * at once. Called before this node stops, while refusals can still be sent
-   * and callers have time to retry at another node.
+   * at once. Called before this node stops, while refusals can still be sent.
    */
   close(): void {
     this.isClosed = true;
@@ -204,7 +205,8 @@
     const needed = this.options.minimumServiceMilliseconds(progress);
     if (this.isClosed) return createStoppingRefusal(ranSoFar(progress));
     const total = (wait ?? Infinity) + needed;
-    if (total <= remainingQueueMilliseconds(progress)) return undefined;
+    if (total <= remainingQueueMilliseconds(progress))
+      return this.options.refuseLate?.(progress, wait ?? 0);
     return createNoSlotRefusal(progress, reason, wait);
   }
 
@@ -219,9 +221,11 @@
     if (!earlyRefusal || reason !== NoUpstreamReason.FULL)
       return this.enqueue(progress, reason);
     const prospect = earlyRefusal.beginWait(this.describe(progress, position));
-    return prospect.ok
-      ? this.enqueue(progress, reason, prospect.val)
-      : Err(createNoSlotRefusal(progress, reason, prospect.val));
+    if (!prospect.ok)
+      return Err(createNoSlotRefusal(progress, reason, prospect.val));
+    const {expectedMilliseconds = 0} = prospect.val;
+    const late = this.options.refuseLate?.(progress, expectedMilliseconds);
+    return late ? Err(late) : this.enqueue(progress, reason, prospect.val);
   }
 
   /** Queues a request behind others for the slot that it could take. */
