Give upstreams no more time than a stopping node has left

Callers of a stopping node saw 504 or a cut for requests that had waited at an upstream all along: the upstream was handed the caller's deadline, worked or queued beyond the end of the node, and nothing said whether it had run the request. A peer that passed a request on was handed the same.

What is handed to upstreams and peers now ends 150 ms before the drain does, for requests that are sent after the stop began. A request that still waits at its upstream is turned away there as not run, which the node passes on as 503. An upstream that ends its work at that time is not blamed for a broken stream or a crash, and such an end is not taken for the end of the answer.

--- a/packages/arbutustide-node/src/__tests__/integration/relay_cancellation.test.ts
+++ b/packages/arbutustide-node/src/__tests__/integration/relay_cancellation.test.ts
@@ -5,7 +5,7 @@
 
 import {delay, ErrorKind, RefusalError} from '@arbutustide/errors';
 import {ConnectPeerServer, ConnectPeerTransport} from '@arbutustide/membership';
-import {AnswerEnd} from '@arbutustide/routing';
+import {AnswerEnd, ENDLESS_ANSWER_PERIOD} from '@arbutustide/routing';
 import {silentLogger} from '@arbutustide/telemetry';
 import {AttemptError} from '@arbutustide/upstream';
 import {expect} from 'chai';
@@ -76,6 +76,7 @@
       transport: new ConnectPeerTransport(1_000, () => {}),
       random: Math.random,
       logger: silentLogger(),
+      answerPeriod: ENDLESS_ANSWER_PERIOD,
     });
   });
 
--- a/packages/arbutustide-node/src/__tests__/integration/relay_left_unread.test.ts
+++ b/packages/arbutustide-node/src/__tests__/integration/relay_left_unread.test.ts
@@ -14,6 +14,7 @@
   ConnectPeerServer,
   RelayRequestRequestSchema,
 } from '@arbutustide/membership';
+import {ENDLESS_ANSWER_PERIOD} from '@arbutustide/routing';
 import {silentLogger} from '@arbutustide/telemetry';
 import {AttemptFailure} from '@arbutustide/upstream';
 import {toBinary} from '@bufbuild/protobuf';
@@ -110,6 +111,7 @@
           'peer',
           createRequest({requestId: `request-${index}`}),
           FRESH,
+          ENDLESS_ANSWER_PERIOD,
         ),
       ),
     );
@@ -151,6 +153,7 @@
       transport: transport as PeerTransport,
       random: Math.random,
       logger: silentLogger(),
+      answerPeriod: ENDLESS_ANSWER_PERIOD,
     });
     const peer = {name: 'peer', identity: 'peer', peerUrl: ''};
     const cancellation = new Cancellation();
--- a/packages/arbutustide-node/src/proxy/proxy_tuning.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tuning.ts
@@ -27,6 +27,9 @@
 /** Interval at which queued requests are reconsidered without an event. */
 export const QUEUE_CHECK_INTERVAL_MILLISECONDS = 100;
 
+/** Time for an answer to reach its caller before a node that stops ends. */
+export const ANSWER_MARGIN_MILLISECONDS = 150;
+
 /** Interval of exchanges with one peer; each costs traffic and time. */
 export const GOSSIP_INTERVAL_MILLISECONDS = 700;
 export const GOSSIP_HEARTBEAT_MILLISECONDS = 700;
--- a/packages/arbutustide-node/src/proxy/proxy_wiring.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_wiring.ts
@@ -304,6 +304,7 @@
       ),
       streamOrigins: container.resolve(ProxyToken.STREAM_ORIGINS),
       gate: container.resolve(ProxyToken.REQUEST_GATE),
+      answerPeriod: container.resolve(ProxyToken.SHUTDOWN_ADMISSION),
     });
   });
 }
--- a/packages/arbutustide-node/src/proxy/relay/cluster_request_relay.ts
+++ b/packages/arbutustide-node/src/proxy/relay/cluster_request_relay.ts
@@ -3,6 +3,7 @@
   RelayRequestResponse,
 } from '@arbutustide/membership';
 import type {
+  AnswerPeriod,
   RelayedHead,
   RelayedProgress,
   RelayFailure,
@@ -42,6 +43,7 @@
   /** Returns a uniformly distributed number in [0, 1). */
   readonly random: () => number;
   readonly logger: NodeLogger;
+  readonly answerPeriod: AnswerPeriod;
 }
 
 /** Passes requests on through peers that have a path to upstreams. */
@@ -87,7 +89,7 @@
     progress: RelayedProgress,
     cancellation: Cancellation,
   ): Promise<Result<RelayedHead, RelayFailure>> {
-    const {identity, transport} = this.options;
+    const {identity, transport, answerPeriod} = this.options;
     // Before the check, so that later requests of this turn choose by it.
     const endCount = this.countInFlight(peer);
     const unsent = await new SendCheck({
@@ -102,7 +104,7 @@
       transport.relayRequest.bind(
         transport,
         peer.peerUrl,
-        encodeRelayRequest(identity, request, progress),
+        encodeRelayRequest(identity, request, progress, answerPeriod),
       ),
       cancellation,
       endCount,
--- a/packages/arbutustide-node/src/proxy/relay/register_relay.ts
+++ b/packages/arbutustide-node/src/proxy/relay/register_relay.ts
@@ -38,6 +38,7 @@
         transport,
         random,
         logger,
+        answerPeriod: container.resolve(ProxyToken.SHUTDOWN_ADMISSION),
       }),
   );
   register(ProxyToken.RELAY_SERVER, container => {
--- a/packages/arbutustide-node/src/proxy/relay/relay_messages.ts
+++ b/packages/arbutustide-node/src/proxy/relay/relay_messages.ts
@@ -5,6 +5,7 @@
   RelayResponsePart,
 } from '@arbutustide/membership';
 import type {
+  AnswerPeriod,
   ModelRequest,
   ProxyAnswer,
   RelayedProgress,
@@ -30,6 +31,7 @@
   sender: string,
   request: RoutedRequest,
   {attempts, mayHaveRun, origin, resumeAfterEventId}: RelayedProgress,
+  answerPeriod: AnswerPeriod,
 ): RelayRequestRequest {
   const {route, modelRequest, headers} = request;
   return create(RelayRequestRequestSchema, {
@@ -60,7 +62,7 @@
     },
     lastEventId: request.lastEventId,
     resumedRequestId: request.resumedRequestId,
-    remainingMilliseconds: remainingForUpstream({request}),
+    remainingMilliseconds: remainingForUpstream({request}, answerPeriod),
     attempts,
     mayHaveRun,
     origin,
--- a/packages/arbutustide-node/src/proxy/shutdown_admission.ts
+++ b/packages/arbutustide-node/src/proxy/shutdown_admission.ts
@@ -1,12 +1,19 @@
 import type {RefusalError} from '@arbutustide/errors';
-import type {RoutedRequest, RoutedRequestProgress} from '@arbutustide/routing';
+import type {
+  AnswerPeriod,
+  RoutedRequest,
+  RoutedRequestProgress,
+} from '@arbutustide/routing';
 
 import type {ShutdownTimes} from './proxy_settings.js';
 
 import {createStoppingRefusal} from '@arbutustide/errors';
 import {ranSoFar} from '@arbutustide/routing';
 
-import {MINIMUM_SERVICE_MILLISECONDS} from './proxy_tuning.js';
+import {
+  ANSWER_MARGIN_MILLISECONDS,
+  MINIMUM_SERVICE_MILLISECONDS,
+} from './proxy_tuning.js';
 
 /** A decision on a request in a shutdown, to trace a later cut to it. */
 export interface ShutdownDecision {
@@ -16,7 +23,7 @@
   readonly isTaken: boolean;
   /** Time that the request may take, at most until its deadline. */
   readonly expectedMilliseconds: number;
-  /** Time until this node answers no more. */
+  /** Time until upstreams must have answered. */
   readonly leftMilliseconds: number;
 }
 
@@ -36,7 +43,7 @@
  * no longer answer is refused at once as not run: taken, it would be cut off at
  * the end of the grace period, and one that must run once would be lost.
  */
-export class ShutdownAdmission {
+export class ShutdownAdmission implements AnswerPeriod {
   private beganAtMilliseconds: number | undefined;
   private readonly takenRequests = new WeakSet<RoutedRequest>();
 
@@ -47,6 +54,13 @@
     this.beganAtMilliseconds ??= performance.now();
   }
 
+  /** When upstreams must have answered at the latest, once it has begun. */
+  get endsAtMilliseconds(): number {
+    const {beganAtMilliseconds: beganAt = Infinity} = this;
+    const {drainMilliseconds} = this.options;
+    return beganAt + drainMilliseconds - ANSWER_MARGIN_MILLISECONDS;
+  }
+
   /** Whether a request that got a slot now could still be answered. */
   get hasTimeLeft(): boolean {
     return this.leftMilliseconds > MINIMUM_SERVICE_MILLISECONDS;
@@ -84,10 +98,8 @@
       : createStoppingRefusal(ranSoFar(progress));
   }
 
-  /** Time until this node answers no more. */
   private get leftMilliseconds(): number {
-    const {beganAtMilliseconds: beganAt = Infinity} = this;
-    return beganAt + this.options.drainMilliseconds - performance.now();
+    return this.endsAtMilliseconds - performance.now();
   }
 
   /** Time until the request has ended, at most until its deadline. */
--- a/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
@@ -17,6 +17,7 @@
   PoisonSegmentDetector,
   ProcessState,
 } from '../../proxy/crash_attribution/poison_segment_detector.js';
+import {ENDLESS_ANSWER_PERIOD} from '../../proxy/answer_period.js';
 import {DemandCounter} from '../../proxy/demand_counter.js';
 import {
   chooseUpstream,
@@ -125,6 +126,7 @@
   streamOrigins = NO_ORIGINS,
   relay = NO_RELAY,
   gate = OPEN_GATE,
+  answerPeriod = ENDLESS_ANSWER_PERIOD,
 ): ProxyDispatcher {
   const settings = {
     ownFailureDomain: 'near',
@@ -179,6 +181,7 @@
     onDecision,
     streamOrigins,
     gate,
+    answerPeriod,
     poisonRequestDetector: new PoisonRequestDetector(
       10_000,
       {crashes: () => 0, runsOtherSuspects: () => false},
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -1,4 +1,5 @@
 /** Routing of requests: admission, choice of upstream, retries and answers. */
+export type {AnswerPeriod} from './proxy/answer_period.js';
 export type {
   AdmissionOptions,
   EntryLoad,
@@ -146,6 +147,7 @@
 export {BrittleServices} from './proxy/brittleness/brittle_services.js';
 export {ProbeKind} from './proxy/proxy_connector.js';
 export {ProxyUpstreamDirectory} from './proxy/proxy_upstream_directory.js';
+export {ENDLESS_ANSWER_PERIOD} from './proxy/answer_period.js';
 export {ProxyDispatcher} from './proxy/proxy_dispatcher.js';
 export {
   ranSoFar,
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -1,6 +1,7 @@
 import type {RefusalError} from '@arbutustide/errors';
 import type {Result} from 'ts-results';
 
+import type {AnswerPeriod} from './answer_period.js';
 import type {AttemptSlot, AttemptSlotResult} from './attempt_target.js';
 import type {AttemptResult} from './run_attempt.js';
 import type {ProxyAnswer} from './proxy_answer.js';
@@ -26,7 +27,11 @@
   cancelOnDisconnectOrDeadline,
   untilCancelled,
 } from './request_cancellation.js';
-import {ranSoFar, remainingMilliseconds} from './routed_request_progress.js';
+import {
+  ranSoFar,
+  remainingForUpstream,
+  remainingMilliseconds,
+} from './routed_request_progress.js';
 import {
   cancelledRefusal,
   failedAttemptRefusal,
@@ -51,6 +56,7 @@
   readonly onDecision: (decision: RequestDecision) => void;
   readonly streamOrigins: StreamOrigins;
   readonly gate: RequestGate;
+  readonly answerPeriod: AnswerPeriod;
 }
 
 /**
@@ -281,6 +287,9 @@
       resumeAfterEventId,
       beganAtMilliseconds: performance.now(),
       answerMemory: this.answerMemory,
+      dueAtMilliseconds:
+        performance.now() +
+        remainingForUpstream(progress, this.options.answerPeriod),
     };
     const attempt = await runAttempt(progress, context);
     const isOpen = attempt.body === undefined && attempt.error === undefined;
--- a/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
@@ -42,6 +42,14 @@
   readonly wasInactive?: boolean;
 }
 
+/** By how much the clock of an upstream may be ahead within an attempt. */
+const CLOCK_TOLERANCE_MILLISECONDS = 2;
+
+/** Whether the upstream was to have ended its work. */
+function isOverdue({dueAtMilliseconds}: AttemptResult): boolean {
+  return performance.now() >= dueAtMilliseconds - CLOCK_TOLERANCE_MILLISECONDS;
+}
+
 /** Forwards an event stream, resumed at other upstreams after failures. */
 export class ProxyEventStream {
   private readonly eventSequencer: EventSequencer;
@@ -96,6 +104,8 @@
         }
         if (problem) return {reason: `event cannot follow: ${problem}`};
       }
+      // An upstream whose time is over may end what it has not completed.
+      if (isOverdue(attempt)) return {reason: 'the time to answer is over'};
       const reason = this.findTruncation(attempt, isResumed);
       if (reason !== undefined) {
         attempt.observed?.recordBroken();
@@ -107,7 +117,7 @@
       return undefined;
     } catch (error) {
       const {hasExpired: wasInactive} = attempt.inactivityTimeout;
-      if (!this.progress.cancellation.isCancelled) {
+      if (!this.progress.cancellation.isCancelled && !isOverdue(attempt)) {
         attempt.slot.target.recordBrokenStream(this.progress, wasInactive);
         attempt.observed?.recordBroken();
       }
--- a/packages/arbutustide-routing/src/proxy/routed_request_progress.ts
+++ b/packages/arbutustide-routing/src/proxy/routed_request_progress.ts
@@ -1,5 +1,6 @@
 import type {Cancellation} from '@arbutustide/errors';
 
+import type {AnswerPeriod} from './answer_period.js';
 import type {ProxyUpstream} from './proxy_upstream.js';
 import type {GateAdmission} from './request_gate.js';
 import type {RoutedRequest} from './routed_request.js';
@@ -91,9 +92,17 @@
   return remainingMilliseconds(holder) + holder.request.unreadMilliseconds;
 }
 
-/** Time for which an upstream may work on the request, in milliseconds. */
-export function remainingForUpstream(holder: RequestHolder): number {
-  return holder.request.route.kind === RequestKind.STREAM
-    ? remainingStreamMilliseconds(holder)
-    : remainingMilliseconds(holder);
+/**
+ * Time for which an upstream may work on the request, in milliseconds. Ends with
+ * the period in which this node can pass the answer on.
+ */
+export function remainingForUpstream(
+  holder: RequestHolder,
+  {endsAtMilliseconds}: AnswerPeriod,
+): number {
+  const remaining =
+    holder.request.route.kind === RequestKind.STREAM
+      ? remainingStreamMilliseconds(holder)
+      : remainingMilliseconds(holder);
+  return Math.min(remaining, endsAtMilliseconds - performance.now());
 }
--- a/packages/arbutustide-routing/src/proxy/run_attempt.ts
+++ b/packages/arbutustide-routing/src/proxy/run_attempt.ts
@@ -12,7 +12,6 @@
   classifyAttemptError,
   classifyResponseHead,
 } from './attempt_outcome.js';
-import {remainingForUpstream} from './routed_request_progress.js';
 
 const OK_STATUS = 200;
 
@@ -27,6 +26,8 @@
   readonly slot: AttemptSlot;
   /** Monotonic clock, in milliseconds. */
   readonly beganAtMilliseconds: number;
+  /** When the upstream was to end its work, by the monotonic clock. */
+  readonly dueAtMilliseconds: number;
   /** Aborts the attempt when its upstream is inactive. */
   readonly inactivityTimeout: InactivityTimeout;
   /** Undefined if the request shares no prompt segments. */
@@ -50,6 +51,8 @@
   /** Monotonic clock, in milliseconds. */
   readonly beganAtMilliseconds: number;
   readonly answerMemory: AnswerMemory;
+  /** When the upstream is to end its work, by the monotonic clock. */
+  readonly dueAtMilliseconds: number;
 }
 
 /**
@@ -61,9 +64,9 @@
   context: AttemptContext,
 ): Promise<AttemptResult> {
   const {slot, inactivityTimeout, observed, resumeAfterEventId} = context;
-  const {beganAtMilliseconds, answerMemory} = context;
+  const {beganAtMilliseconds, answerMemory, dueAtMilliseconds} = context;
   const opened = await slot.target.sendRequest(progress, {
-    remainingMilliseconds: remainingForUpstream(progress),
+    remainingMilliseconds: dueAtMilliseconds - performance.now(),
     resumeAfterEventId,
     cancellation: inactivityTimeout.cancellation,
   });
@@ -81,6 +84,7 @@
   const common = {
     slot,
     beganAtMilliseconds,
+    dueAtMilliseconds,
     inactivityTimeout,
     observed,
     outcome,
@@ -116,16 +120,19 @@
 }
 
 function failedAttempt(
-  {slot, beganAtMilliseconds, inactivityTimeout, observed}: AttemptContext,
+  context: AttemptContext,
   head: UpstreamResponseHead | undefined,
   cause: AttemptError,
 ): AttemptResult {
+  const {slot, inactivityTimeout, observed} = context;
+  const {beganAtMilliseconds, dueAtMilliseconds} = context;
   inactivityTimeout.stop();
   const error = inactivityTimeout.translateError(cause);
   const outcome = classifyAttemptError(error);
   return {
     slot,
     beganAtMilliseconds,
+    dueAtMilliseconds,
     inactivityTimeout,
     observed,
     outcome,
