--- a/packages/arbutustide-node/src/proxy/create_slot_queue.ts
+++ b/packages/arbutustide-node/src/proxy/create_slot_queue.ts
@@ -33,6 +33,8 @@
   const upstreamDirectory = container.resolve(ProxyToken.UPSTREAM_DIRECTORY);
   const holdingRequester = container.resolve(ProxyToken.HOLDING_REQUESTER);
   const holdTimes = container.resolve(ProxyToken.SLOT_HOLD_TIMES);
+  const distributions = container.resolve(ProxyToken.HOLD_TIME_DISTRIBUTIONS);
+  const shutdownAdmission = container.resolve(ProxyToken.SHUTDOWN_ADMISSION);
   const order = createServiceOrder(container);
   const holdBack = createHoldBack(container, order);
   return new SlotQueue({
@@ -74,9 +76,12 @@
     },
     observer: container.resolve(ProxyToken.DEMAND_COUNTER),
     order,
+    refuseLate: (progress, waitMilliseconds) =>
+      shutdownAdmission.refuseWaiting(progress, waitMilliseconds),
     earlyRefusal: createEarlyRefusal(container, holdTimes, dependencies.random),
-    onSlotReturned: ({service}, heldMilliseconds, upstream) => {
-      holdTimes.record(service, heldMilliseconds);
+    onSlotReturned: (request, heldMilliseconds, upstream, isWhole) => {
+      holdTimes.record(request.service, heldMilliseconds);
+      distributions.record(request, heldMilliseconds, isWhole);
       holdBack.recordReturned(upstream);
     },
   });
--- a/packages/arbutustide-node/src/proxy/proxy_tuning.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tuning.ts
@@ -27,11 +27,8 @@
 /** Interval at which queued requests are reconsidered without an event. */
 export const QUEUE_CHECK_INTERVAL_MILLISECONDS = 100;
 
-/**
- * Part of the shutdown time after which the queue is closed. The rest is left
- * to run the requests that were admitted.
- */
-export const QUEUE_CLOSE_SHUTDOWN_SHARE = 0.5;
+/** Time for an answer to reach its caller before a node that stops ends. */
+export const ANSWER_MARGIN_MILLISECONDS = 150;
 
 /** Interval of exchanges with one peer; each costs traffic and time. */
 export const GOSSIP_INTERVAL_MILLISECONDS = 700;
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -1,4 +1,5 @@
 /** Routing of requests: admission, choice of upstream, retries and answers. */
+export type {AnswerPeriod} from './proxy/answer_period.js';
 export type {
   AdmissionOptions,
   EntryLoad,
@@ -146,6 +147,7 @@
 export {BrittleServices} from './proxy/brittleness/brittle_services.js';
 export {ProbeKind} from './proxy/proxy_connector.js';
 export {ProxyUpstreamDirectory} from './proxy/proxy_upstream_directory.js';
+export {ENDLESS_ANSWER_PERIOD} from './proxy/answer_period.js';
 export {ProxyDispatcher} from './proxy/proxy_dispatcher.js';
 export {
   ranSoFar,
@@ -170,6 +172,7 @@
 export {CompetingRequests} from './proxy/queue/competing_requests.js';
 export {EarlyRefusal} from './proxy/queue/early_refusal.js';
 export {expectedWaitMilliseconds} from './proxy/queue/expected_wait.js';
+export {HoldTimeDistributions} from './proxy/queue/hold_time_distributions.js';
 export {HoldBack} from './proxy/queue/hold_back.js';
 export {Standing} from './proxy/queue/queue_position.js';
 export {ServiceOrder} from './proxy/queue/service_order.js';
--- a/packages/arbutustide-routing/src/proxy/queue/slot_queue_options.ts
+++ b/packages/arbutustide-routing/src/proxy/queue/slot_queue_options.ts
@@ -1,3 +1,5 @@
+import type {RefusalError} from '@arbutustide/errors';
+
 import type {PendingAdmission} from '../brittleness/upstream_admission.js';
 import type {NoUpstreamReason, UpstreamChoice} from '../choose_upstream.js';
 import type {ProxyUpstream} from '../proxy_upstream.js';
@@ -35,6 +37,14 @@
   readonly observer: SlotQueueObserver;
   /** Undefined to serve by priority and then deadline. */
   readonly order?: ServiceOrder;
+  /**
+   * The refusal of a request that could not end before this node stops if it
+   * got a slot after this wait; undefined if it could. Always, if absent.
+   */
+  readonly refuseLate?: (
+    progress: RoutedRequestProgress,
+    waitMilliseconds: number,
+  ) => RefusalError | undefined;
   /** Undefined to let requests wait for as long as their callers do. */
   readonly earlyRefusal?: EarlyRefusal;
   /** Called when a request that an upstream accepted returns its slot. */
@@ -42,6 +52,7 @@
     request: RoutedRequest,
     heldMilliseconds: number,
     upstream: ProxyUpstream,
+    isWhole: boolean,
   ) => void;
 }
 
@@ -51,6 +62,11 @@
   readonly admission: PendingAdmission;
   /** Time that the request was queued, in milliseconds. */
   readonly waitedMilliseconds: number;
-  /** Returns the slot; idempotent. */
-  release(): void;
+  /**
+   * Returns the slot; idempotent.
+   *
+   * @param isWhole whether the upstream has answered the request from its
+   *     beginning to its end.
+   */
+  release(isWhole?: boolean): void;
 }
