--- a/packages/arbutustide-node/src/proxy/shutdown_admission.ts
+++ b/packages/arbutustide-node/src/proxy/shutdown_admission.ts
@@ -39,9 +39,9 @@
 
 /**
  * Decides which requests a node still takes while it shuts down, and which of
- * those that wait for a slot go on waiting. One that it can
- * no longer answer is refused at once as not run: taken, it would be cut off at
- * the end of the grace period, and one that must run once would be lost.
+ * those that wait for a slot go on waiting. One that it can no longer answer is
+ * refused at once as not run: taken, it would be cut off at the end of the grace
+ * period, and one that must run once would be lost.
  */
 export class ShutdownAdmission implements AnswerPeriod {
   private beganAtMilliseconds: number | undefined;
