Answer a stream with its head only when its first event has come

Callers saw a status 200 and then a closed connection, without one event. An upstream sends the head of a stream before it works on the request, and the node passed the head on at once. If the request then waited at the upstream until the grace period of a planned stop ended, or the connection broke, it could not be refused any more.

The dispatcher now resolves to a streamed answer once its first event has come, so the head goes to the caller with that event. A stream that is whole without events is answered as it is; one that breaks off before its first event is refused: 504 if its time is up, 502 if it broke, always as one that may have run. This holds for the relay between peers too, which got the same head early. The project's own interface has no such fault: its attempts read the first event before they succeed.

A stream that was given up before it was read kept its slot, as a generator that has not begun runs no finally block; the stream has begun now.

Failed before, in planned_stop.test.ts: expected 'HTTP/1.1 200 OK\r\n Instance-Load: 1,0…' to match /^HTTP\/1.1 504 /. In first_event.test.ts, on the dispatcher as it was: "is not answered before its first event: expected true to equal false", "gives its slot back if nothing of it is read: expected 1 to equal +0" and three more.

--- a/packages/arbutustide-errors/src/cancellation.ts
+++ b/packages/arbutustide-errors/src/cancellation.ts
@@ -15,6 +15,11 @@
     return this.cancelled;
   }
 
+  /** The reason that was passed to `cancel`; undefined until then. */
+  get cancelReason(): unknown {
+    return this.reason;
+  }
+
   /**
    * The same token as an `AbortSignal`, for APIs that accept no other type.
    * Always returns the same signal.
--- a/packages/arbutustide-routing/src/proxy/proxy_answer.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_answer.ts
@@ -12,6 +12,9 @@
   readonly origin: StreamOrigin;
   /** Attempts made until the answer began. */
   readonly attempts: number;
-  /** Complete body, or a stream of chunks that returns how it ended. */
+  /**
+   * Complete body, or a stream of chunks that returns how it ended. Its first
+   * chunk has come, unless it is whole without any.
+   */
   readonly body: Buffer | AsyncGenerator<Uint8Array, AnswerEnd, undefined>;
 }
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -20,6 +20,7 @@
 import {quarantineRefusal} from '../dispatch_refusals.js';
 import {AttemptOutcome, mayHaveRun, isRetryAllowed} from './attempt_outcome.js';
 import {AnswerMemory} from './answer_memory.js';
+import {awaitFirstEvent} from './first_event.js';
 import {runAttempt} from './run_attempt.js';
 import {DecisionRecorder} from './decision_recorder.js';
 import {
@@ -79,7 +80,8 @@
   }
 
   /**
-   * Resolves to the answer of an upstream, or to a refusal.
+   * Resolves to the answer of an upstream, once its body is complete or its
+   * first event has come, or to a refusal.
    *
    * @param relayed what the request has been through, if a peer passes it on.
    */
@@ -119,7 +121,8 @@
       this.decisions.recordRefusal(progress, attempt.val);
       return attempt;
     }
-    return Ok(this.createAnswer(progress, attempt.val, stopCancellation));
+    const answer = this.createAnswer(progress, attempt.val, stopCancellation);
+    return awaitFirstEvent(progress, answer);
   }
 
   /** The refusal of a request that must not be attempted at all, if so. */
--- a/packages/arbutustide-routing/src/proxy/proxy_refusals.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_refusals.ts
@@ -65,6 +65,25 @@
   });
 }
 
+/**
+ * Refuses a stream that its upstream has broken off before its first event,
+ * although the head of its answer had come.
+ */
+export function unbegunStreamRefusal(
+  progress: RoutedRequestProgress,
+): RefusalError {
+  const {request, cancellation} = progress;
+  const ran = ExecutionStatus.POSSIBLY_EXECUTED;
+  if (request.disconnection.isCancelled)
+    return new RefusalError(ErrorKind.CALLER_GONE, CancelReason.CALLER_GONE);
+  if (cancellation.isCancelled) {
+    const reason = String(cancellation.cancelReason);
+    return new RefusalError(ErrorKind.UPSTREAM_TIMED_OUT, reason, {ran});
+  }
+  const reason = 'the stream broke off before its first event';
+  return new RefusalError(ErrorKind.UPSTREAM_BROKEN, reason, {ran});
+}
+
 /** Refuses a request that was cancelled before it was sent. */
 export function cancelledRefusal({
   request,
