Close callers' connections when they are quiet, without resets

What callers saw: around a planned stop a request ended with a closed or reset connection; no log line of the node names it, and a caller can't tell whether it ran. Callers that still sent a body lost the refusal that had been written for them.

Cause: 0 to 20 ms after an answer that had begun before the stop, the connection was destroyed; a caller in a closed loop sends its next request in this moment. Input that lies unread in a destroyed socket makes the system reset the connection, and a reset discards what the caller has not read. The same crossing occurred at the keep-alive timeout of the HTTP server, when the loop was late.

Now answers whose head is not sent yet announce the end of the connection; of pipelined ones only the last does. Connections stay open for the next request, and only those that have been quiet for a second are closed, after the event loop has read its input. Closing sends a FIN and discards input until the caller has closed its side, for two seconds at most.

The test on pipelined answers passed before; it guards the announcement.

--- /dev/null
+++ b/packages/arbutustide-node/src/caller_connection.ts
@@ -0,0 +1,112 @@
+import type {ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
+
+/** How a connection of a caller ended. */
+export enum ConnectionEnd {
+  /** The caller closed it while it waited for no answer. */
+  CALLER = 'caller',
+  /** It was closed because nothing had come on it for some time. */
+  IDLE = 'idle',
+  /** It was closed after an answer that announced this. */
+  ANNOUNCED = 'announced',
+  /** It was closed although the caller had not closed its side in time. */
+  LINGERED = 'lingered',
+  /** It ended, from either side, with an answer that was not all sent. */
+  UNSENT = 'unsent',
+}
+
+/** A connection of a caller and the answers that it still waits for. */
+export class CallerConnection {
+  /** Times at which the requests of the open answers arrived. */
+  private readonly answers = new Map<ServerResponse, number>();
+  private quietSinceMilliseconds = performance.now();
+  /** Bytes that had been read when the last answer ended. */
+  private answeredBytes = 0;
+  private isUsed = false;
+  private end = ConnectionEnd.CALLER;
+  private lingerTimer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly socket: Socket) {
+    socket.once('close', () => {
+      clearTimeout(this.lingerTimer);
+      if (this.answers.size > 0) this.end = ConnectionEnd.UNSENT;
+    });
+  }
+
+  /** Answers that are not yet with the system, in the order of requests. */
+  get openAnswers(): readonly ServerResponse[] {
+    return [...this.answers.keys()];
+  }
+
+  /** Whether it waits for an answer. */
+  get isWaiting(): boolean {
+    return this.answers.size > 0;
+  }
+
+  /** Whether it has carried a request. */
+  get hasCarriedRequest(): boolean {
+    return this.isUsed;
+  }
+
+  /** Whether this side has closed it or has begun to. */
+  get isClosing(): boolean {
+    return this.end !== ConnectionEnd.CALLER || this.socket.destroyed;
+  }
+
+  /** How it ended; call it after the socket has closed. */
+  get endReason(): ConnectionEnd {
+    return this.end;
+  }
+
+  /**
+   * Time since the last answer or, without one, since it was opened; zero while
+   * an answer is in flight or a request has come in part.
+   */
+  get quietMilliseconds(): number {
+    const isBusy =
+      this.answers.size > 0 || this.socket.bytesRead > this.answeredBytes;
+    return isBusy ? 0 : performance.now() - this.quietSinceMilliseconds;
+  }
+
+  /** Whether it waits for the answer to a request that came by then. */
+  isWaitingSince(milliseconds: number): boolean {
+    return [...this.answers.values()].some(cameAt => cameAt <= milliseconds);
+  }
+
+  addAnswer(response: ServerResponse): void {
+    this.isUsed = true;
+    this.answers.set(response, performance.now());
+    response.once('close', () => {
+      this.answers.delete(response);
+      this.answeredBytes = this.socket.bytesRead;
+      this.quietSinceMilliseconds = performance.now();
+    });
+  }
+
+  /**
+   * Sends a FIN and discards what still comes until the caller has closed its
+   * side. Closed at once, a socket with unread input resets the connection, and
+   * a reset discards what the caller has not read yet of an answer.
+   */
+  closeLingering(end: ConnectionEnd, lingerMilliseconds: number): void {
+    const {socket} = this;
+    if (this.isClosing) return;
+    this.end = end;
+    socket.setTimeout(0);
+    // A listener of `data` also takes the input from the HTTP parser.
+    socket.removeAllListeners('data');
+    socket.on('data', () => {});
+    socket.resume();
+    socket.end();
+    this.lingerTimer = setTimeout(() => {
+      this.end = ConnectionEnd.LINGERED;
+      socket.destroy();
+    }, lingerMilliseconds);
+  }
+
+  destroy(): void {
+    if (this.end === ConnectionEnd.CALLER) this.end = ConnectionEnd.IDLE;
+    else if (!this.socket.destroyed) this.end = ConnectionEnd.LINGERED;
+    this.socket.destroy();
+  }
+}
--- a/packages/arbutustide-node/src/caller_server.ts
+++ b/packages/arbutustide-node/src/caller_server.ts
@@ -78,7 +78,9 @@
     this.server.on('connection', socket =>
       this.arrivalTimes.recordConnection(socket),
     );
-    this.server.on('clientError', respondToParserError);
+    this.server.on('clientError', (error, socket) =>
+      this.respondToParserError(error, socket as Socket),
+    );
   }
 
   /** Number of requests that have arrived and are not fully answered. */
@@ -324,20 +326,28 @@
       ),
     );
   }
-}
 
-/**
- * Answers input that the HTTP parser rejects: malformed requests, and headers
- * that are too large or too slow. Written to the raw socket, because there is
- * no response object.
- */
-function respondToParserError(error: Error & {code?: string}, socket: Socket) {
-  if (!socket.writable || error.code === 'ECONNRESET') {
-    socket.destroy();
-    return;
+  /**
+   * Answers input that the HTTP parser rejects: malformed requests, and headers
+   * that are too large or too slow. Written to the raw socket, because there is
+   * no response object.
+   */
+  private respondToParserError(
+    error: Error & {code?: string},
+    socket: Socket,
+  ): void {
+    if (!socket.writable || error.code === 'ECONNRESET') {
+      socket.destroy();
+      return;
+    }
+    socket.write(formatParserErrorAnswer(error.code));
+    this.connections.closeAfterAnswer(socket);
   }
-  const kind =
-    ERROR_KIND_BY_PARSER_CODE[error.code ?? ''] ?? ErrorKind.BAD_REQUEST;
+}
+
+/** Formats the answer to input that the HTTP parser rejects. */
+function formatParserErrorAnswer(code = ''): string {
+  const kind = ERROR_KIND_BY_PARSER_CODE[code] ?? ErrorKind.BAD_REQUEST;
   const refusal = new RefusalError(
     kind,
     'the request is not valid HTTP or exceeds the limits on headers',
@@ -352,5 +362,5 @@
     '',
     text,
   ];
-  socket.end(lines.join('\r\n'));
+  return lines.join('\r\n');
 }
