Refuse late requests on the project's own interface until the drain ends

What callers saw: when a node stopped, requests on connections that the system had opened and the node had not accepted yet were reset. The stop did not end while a connection without a request was open, or while an answer was not read.

Cause: `close` closed the listener first; the loop accepts one connection a turn, so on a node that is behind whole requests lie in the backlog. It then waited, without a bound, for all connections to close.

Now the server refuses what comes (503, not run, `Connection: close`) and listens on until the requests in flight have ended and, over a few whole turns of the event loop, nothing is in flight and no connection came. One line of the log tells how the connections ended.

--- a/packages/arbutustide-node/src/__tests__/integration/caller_left_unread.test.ts
+++ b/packages/arbutustide-node/src/__tests__/integration/caller_left_unread.test.ts
@@ -4,25 +4,18 @@
 import type {Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 
-import type {NodeCore} from '../../node_core.js';
-import type {NodeDependencies} from '../../node_dependencies.js';
+import type {CallerServer} from '../../caller_server.js';
 
 import {createServer} from 'node:http';
 import {once} from 'node:events';
 import {Worker} from 'node:worker_threads';
 
-import {
-  CatalogueRevision,
-  catalogueSchema,
-  EntryKind,
-} from '@arbutustide/catalogue';
 import {
   Cancellation,
   delay,
   ErrorKind,
   RefusalError,
 } from '@arbutustide/errors';
-import {NodeMetrics, silentLogger} from '@arbutustide/telemetry';
 import {
   AttemptFailure,
   HttpPlainService,
@@ -31,7 +24,7 @@
 import {expect} from 'chai';
 import {Err} from 'ts-results';
 
-import {CallerServer} from '../../caller_server.js';
+import {createCallerServer} from './caller_server_fixtures.js';
 
 const CALLERS = 20;
 const BLOCKED_MILLISECONDS = 600;
@@ -56,31 +49,6 @@
   Atomics.wait(memory, 0, 0, BLOCKED_MILLISECONDS);
 }
 
-function createCatalogue(): CatalogueRevision {
-  const document = catalogueSchema.parse({
-    classes: [
-      {
-        name: 'class',
-        deadlineMilliseconds: DEADLINE_MILLISECONDS,
-        firstTokenMilliseconds: 1_000,
-        progressMilliseconds: 1_000,
-        priority: 1,
-      },
-    ],
-    entries: [
-      {
-        name: 'lookup',
-        kind: EntryKind.SERVICE,
-        owner: 'owner',
-        class: 'class',
-        hostGroup: 'group',
-        idempotent: true,
-      },
-    ],
-  });
-  return new CatalogueRevision(1, document);
-}
-
 describe('requests of callers that arrived while the loop was blocked', () => {
   let server: CallerServer;
   let callers: Worker | undefined;
@@ -91,35 +59,13 @@
   beforeEach(async () => {
     dispatched = [];
     remainingMilliseconds = [];
-    const core = {
-      isLeaving: false,
-      catalogueHolder: {current: createCatalogue()},
-      dispatcher: {
-        dispatch: async (request: CallerRequest) => {
-          dispatched.push(request);
-          remainingMilliseconds.push(
-            request.deadlineAtMilliseconds - performance.now(),
-          );
-          return Err(new RefusalError(ErrorKind.NOT_READY, 'stand-in'));
-        },
-      },
-    };
-    const dependencies = {
-      settings: {
-        callers: {
-          headerLimitBytes: 16_384,
-          headerTimeoutMilliseconds: 5_000,
-          bodyLimitBytes: 1_024,
-          bodyTimeoutMilliseconds: 5_000,
-        },
-      },
-      logger: silentLogger(),
-      metrics: new NodeMetrics(),
-    };
-    server = new CallerServer(
-      core as unknown as NodeCore,
-      dependencies as unknown as NodeDependencies,
-    );
+    server = createCallerServer(DEADLINE_MILLISECONDS, async request => {
+      dispatched.push(request);
+      remainingMilliseconds.push(
+        request.deadlineAtMilliseconds - performance.now(),
+      );
+      return Err(new RefusalError(ErrorKind.NOT_READY, 'stand-in'));
+    });
     port = await server.listen('127.0.0.1', 0);
   });
 
--- a/packages/arbutustide-node/src/caller_connections.ts
+++ b/packages/arbutustide-node/src/caller_connections.ts
@@ -1,7 +1,6 @@
 import type {Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
-import {once} from 'node:events';
 import {Server as NetServer} from 'node:net';
 
 import {delay} from '@arbutustide/errors';
@@ -127,15 +126,6 @@
     connection?.closeLingering(ConnectionEnd.ANNOUNCED, LINGER_MILLISECONDS);
   }
 
-  /** Stops accepting connections and waits until the callers' have closed. */
-  async drain(): Promise<void> {
-    this.beginClosingIdle();
-    const closed = once(this.server, 'close');
-    this.stopListening();
-    await closed;
-    clearInterval(this.closingTimer);
-  }
-
   /**
    * Closes all connections that have no request in flight, waits until the
    * callers have closed theirs, and closes what is left.
--- a/packages/arbutustide-node/src/caller_server.ts
+++ b/packages/arbutustide-node/src/caller_server.ts
@@ -32,6 +32,7 @@
 } from './read_caller_request.js';
 import {listModels} from './model_list.js';
 import {authenticateCaller, getRequestId} from './caller_authentication.js';
+import {drainCallers} from './drain_callers.js';
 import {watchDisconnection} from './watch_disconnection.js';
 
 /** Interval at which connections are checked against the header timeout. */
@@ -56,6 +57,8 @@
   private readonly server: Server;
   private readonly connections: CallerConnections;
   private readonly arrivalTimes = new ArrivalTimes();
+  /** Whether this node only ends what it has taken. */
+  private isRefusing = false;
 
   constructor(
     private readonly core: NodeCore,
@@ -100,10 +103,29 @@
     return (this.server.address() as AddressInfo).port;
   }
 
-  /** Stops accepting connections and waits for the requests in flight. */
-  async close(): Promise<void> {
-    if (!this.server.listening) return;
-    await this.connections.drain();
+  /** From now on answers announce the end of their connections. */
+  beginClosingIdle(): void {
+    this.connections.beginClosingIdle();
+  }
+
+  /**
+   * Refuses new requests and waits for those in flight, then closes all
+   * connections. New ones are accepted meanwhile, so that what comes on them is
+   * refused rather than reset.
+   *
+   * @param drainMilliseconds time after which answers are cut off.
+   */
+  async close(drainMilliseconds = Infinity): Promise<void> {
+    if (!this.server.listening || this.isRefusing) return;
+    this.isRefusing = true;
+    const {connections} = this;
+    connections.beginClosingIdle();
+    const deadlineAtMilliseconds = performance.now() + drainMilliseconds;
+    await drainCallers({connections, deadlineAtMilliseconds});
+    connections.stopListening();
+    await connections.closeAll();
+    const {summary} = connections;
+    this.dependencies.logger.info(summary, 'connections of callers closed');
   }
 
   private createApp(): App {
@@ -250,9 +272,7 @@
     }
     const caller = authenticateCaller(request, catalogue);
     if (!caller.ok) return caller;
-    if (this.core.isLeaving) response.setHeader('connection', 'close');
-    // From now on this node only ends what it has taken.
-    if (!this.server.listening) return Err(createStoppingRefusal());
+    if (this.isRefusing) return Err(createStoppingRefusal());
     return Ok({
       message: request,
       requestId: getRequestId(request),
--- a/packages/arbutustide-node/src/node_daemon.ts
+++ b/packages/arbutustide-node/src/node_daemon.ts
@@ -36,8 +36,8 @@
   readonly logger: NodeLogger;
   /**
    * Shuts down gracefully: announces that the node leaves, keeps accepting
-   * requests for `shutdown.listenMilliseconds`, then waits for the requests in
-   * flight before it closes.
+   * requests for `shutdown.listenMilliseconds`, then refuses new ones and waits
+   * for those in flight for up to `shutdown.drainMilliseconds`.
    */
   stop(): Promise<void>;
 }
@@ -68,9 +68,10 @@
     logger,
     async stop() {
       logger.info({inFlight: callerServer.inFlightCount}, 'leaving');
+      callerServer.beginClosingIdle();
       await core.announceLeaving();
       await delay(shutdown.listenMilliseconds);
-      await callerServer.close();
+      await callerServer.close(shutdown.drainMilliseconds);
       await core.stop();
       await controlServer.close();
       await peerServer.close();
--- a/packages/arbutustide-settings/src/settings_schema.ts
+++ b/packages/arbutustide-settings/src/settings_schema.ts
@@ -111,6 +111,8 @@
 const shutdownSchema = z.strictObject({
   /** How long new requests are still accepted after a stop was requested. */
   listenMilliseconds: milliseconds.default(5_000),
+  /** How long the requests in flight may take after that. */
+  drainMilliseconds: milliseconds.default(60_000),
 });
 
 /** The settings of one node; docs/OPERATIONS.md describes each key. */
