--- a/packages/arbutustide-node/src/__tests__/integration/connection_closing.test.ts
+++ b/packages/arbutustide-node/src/__tests__/integration/connection_closing.test.ts
@@ -80,6 +80,19 @@
     }
   });
 
+  it('stay open for a request that comes soon after an answer', async () => {
+    answer = (_request, response) => response.end('answer');
+    const socket = await open();
+    socket.write(REQUEST);
+    await once(socket, 'data');
+    connections.beginClosingIdle();
+    await delay(SETTLE_MILLISECONDS);
+    socket.write(REQUEST);
+    const [text] = (await once(socket, 'data')) as [Buffer];
+    expect(text.toString()).to.match(/^connection: close/im);
+    socket.destroy();
+  });
+
   it('announce their end in answers whose head is not sent yet', async () => {
     answer = (_request, response) =>
       void delay(SETTLE_MILLISECONDS).then(() => response.end('answer'));
