Leave connections open for callers that may still read an answer

What callers saw: a caller that reads slowly had its last answer whole, sent the next request and met a closed connection.

Cause: an answer counts as ended once the system has its last byte. Of a large one megabytes may then wait in the buffers; the connection seemed quiet for a second while the caller still read.

Now a connection whose answer waited for room in the buffers counts as quiet after five seconds, and a drain waits for that, within its deadline.

Evidence: connection_closing.test.ts, "stay open for the next request of a caller that reads slowly", failed on the commit before with "expected '' to match /next answer$/".

--- a/packages/arbutustide-node/src/__tests__/integration/connection_closing.test.ts
+++ b/packages/arbutustide-node/src/__tests__/integration/connection_closing.test.ts
@@ -22,6 +22,10 @@
 const STOP_MILLISECONDS = 900;
 const ANSWER_BYTES = 1_024;
 const BODY_BYTES = 65_536;
+/** More than the buffers of a loopback connection take. */
+const LARGE_BYTES = 16 * 1_024 * 1_024;
+/** Until the caller reads what is left in the buffers. */
+const TAIL_MILLISECONDS = 1_500;
 const KEEP_ALIVE_MILLISECONDS = 100;
 /** Longer than the server keeps an idle connection. */
 const BLOCKED_MILLISECONDS = 1_300;
@@ -93,6 +97,29 @@
     socket.destroy();
   });
 
+  it('stay open for the next request of a caller that reads slowly', async () => {
+    answer = (_request, response) => response.end(Buffer.alloc(LARGE_BYTES));
+    const socket = await open();
+    socket.pause();
+    socket.write(REQUEST);
+    await once(server, 'request');
+    connections.beginClosingIdle();
+    await delay(SETTLE_MILLISECONDS);
+    let bytes = 0;
+    const read = async () => {
+      bytes += (socket.read() as Buffer | null)?.length ?? 0;
+      await delay(1);
+    };
+    while (connections.answersInFlight > 0) await read();
+    await delay(TAIL_MILLISECONDS);
+    while (bytes < LARGE_BYTES) await read();
+    answer = (_request, response) => response.end('next answer');
+    socket.write(REQUEST);
+    let text = '';
+    for await (const chunk of socket) text += String(chunk).slice(-100);
+    expect(text).to.match(/next answer$/);
+  });
+
   it('announce their end in answers whose head is not sent yet', async () => {
     answer = (_request, response) =>
       void delay(SETTLE_MILLISECONDS).then(() => response.end('answer'));
--- a/packages/arbutustide-node/src/caller_connection.ts
+++ b/packages/arbutustide-node/src/caller_connection.ts
@@ -1,6 +1,16 @@
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
+/**
+ * A caller that uses its connection in a closed loop sends its next request
+ * sooner after an answer.
+ */
+const QUIET_MILLISECONDS = 1_000;
+/** The same for callers that may still read the answer from the buffers. */
+const SLOW_QUIET_MILLISECONDS = 5_000;
+/** An answer that waits longer for room in the buffers is read slowly. */
+const SLOW_FLUSH_MILLISECONDS = 20;
+
 /** How a connection of a caller ended. */
 export enum ConnectionEnd {
   /** The caller closed it while it waited for no answer. */
@@ -23,6 +33,8 @@
   /** Bytes that had been read when the last answer ended. */
   private answeredBytes = 0;
   private isUsed = false;
+  /** Whether the end of the last answer waited for the caller to read. */
+  private isReadSlowly = false;
   private end = ConnectionEnd.CALLER;
   private lingerTimer: NodeJS.Timeout | undefined;
 
@@ -68,16 +80,32 @@
     return isBusy ? 0 : performance.now() - this.quietSinceMilliseconds;
   }
 
-  /** Whether it waits for the answer to a request that came by then. */
-  isWaitingSince(milliseconds: number): boolean {
+  /** Whether nothing is likely to come on it soon. */
+  get isQuiet(): boolean {
+    const enough = this.isReadSlowly
+      ? SLOW_QUIET_MILLISECONDS
+      : QUIET_MILLISECONDS;
+    return this.quietMilliseconds >= enough;
+  }
+
+  /**
+   * Whether the caller waits for the answer to a request that came by then, or
+   * may still be reading one.
+   */
+  isServingSince(milliseconds: number): boolean {
+    if (this.isReadSlowly && !this.isClosing && !this.isQuiet) return true;
     return [...this.answers.values()].some(cameAt => cameAt <= milliseconds);
   }
 
   addAnswer(response: ServerResponse): void {
     this.isUsed = true;
     this.answers.set(response, performance.now());
+    let endedAt = Infinity;
+    response.once('prefinish', () => (endedAt = performance.now()));
     response.once('close', () => {
       this.answers.delete(response);
+      const flushMilliseconds = performance.now() - endedAt;
+      this.isReadSlowly = flushMilliseconds > SLOW_FLUSH_MILLISECONDS;
       this.answeredBytes = this.socket.bytesRead;
       this.quietSinceMilliseconds = performance.now();
     });
--- a/packages/arbutustide-node/src/caller_connections.ts
+++ b/packages/arbutustide-node/src/caller_connections.ts
@@ -10,11 +10,6 @@
 
 /** Interval at which connections that became quiet are closed. */
 const CLOSE_INTERVAL_MILLISECONDS = 100;
-/**
- * A caller that uses its connection in a closed loop sends its next request
- * sooner after an answer.
- */
-const QUIET_MILLISECONDS = 1_000;
 /** How long a caller may take to close its side of a connection. */
 const LINGER_MILLISECONDS = 2_000;
 const CLOSED_POLL_MILLISECONDS = 10;
@@ -65,16 +60,15 @@
   get isBusy(): boolean {
     for (const connection of this.connections.values()) {
       if (connection.isWaiting) return true;
-      if (connection.isClosing) continue;
-      if (connection.quietMilliseconds < QUIET_MILLISECONDS) return true;
+      if (!connection.isClosing && !connection.isQuiet) return true;
     }
     return false;
   }
 
-  /** Whether an answer to a request that came by then is in flight. */
-  hasAnswersSince(milliseconds: number): boolean {
+  /** Whether answers to requests that came by then may not have been read. */
+  isServingSince(milliseconds: number): boolean {
     for (const connection of this.connections.values())
-      if (connection.isWaitingSince(milliseconds)) return true;
+      if (connection.isServingSince(milliseconds)) return true;
     return false;
   }
 
@@ -150,9 +144,8 @@
   private async closeQuiet(): Promise<void> {
     await turnQueue.nextTurn();
     for (const connection of this.connections.values()) {
-      const {hasCarriedRequest, quietMilliseconds} = connection;
-      if (hasCarriedRequest && quietMilliseconds >= QUIET_MILLISECONDS)
-        this.closeIdle(connection);
+      const {hasCarriedRequest, isQuiet} = connection;
+      if (hasCarriedRequest && isQuiet) this.closeIdle(connection);
     }
   }
 
--- a/packages/arbutustide-node/src/drain_callers.ts
+++ b/packages/arbutustide-node/src/drain_callers.ts
@@ -4,7 +4,7 @@
 
 import {waitUntilIdle} from './wait_until_idle.js';
 
-/** Longer than a connection counts as busy after an answer. */
+/** Longer than most connections count as busy after an answer. */
 const SETTLE_MILLISECONDS = 1_500;
 const POLL_MILLISECONDS = 20;
 
@@ -28,7 +28,7 @@
 }: CallerDrain): Promise<void> {
   const beganAt = performance.now();
   while (
-    (connections.hasAnswersSince(beganAt) || isBusyElsewhere()) &&
+    (connections.isServingSince(beganAt) || isBusyElsewhere()) &&
     performance.now() < deadlineAtMilliseconds
   ) {
     await delay(POLL_MILLISECONDS);
