Count only connections that ended since the stop in its log line

The shortest idle time was kept from before the stop, from connections that were closed at the keep-alive timeout. Found by reading; no test failed. The new test checks how connections are counted by their ends.

--- a/packages/arbutustide-node/src/__tests__/integration/connection_closing.test.ts
+++ b/packages/arbutustide-node/src/__tests__/integration/connection_closing.test.ts
@@ -120,6 +120,21 @@
     expect(text).to.match(/next answer$/);
   });
 
+  it('are counted by how they ended', async () => {
+    answer = (_request, response) => response.flushHeaders();
+    connections.beginClosingIdle();
+    const [waiting, leaving, idle] = [await open(), await open(), await open()];
+    waiting.on('error', () => {}).write(REQUEST);
+    leaving.end();
+    idle.resume();
+    await delay(SETTLE_MILLISECONDS);
+    await connections.closeAll(SETTLE_MILLISECONDS);
+    await delay(SETTLE_MILLISECONDS);
+    const {ends, shortestIdleMilliseconds} = connections.summary;
+    expect(ends).to.eql({caller: 1, idle: 1, unsent: 1});
+    expect(shortestIdleMilliseconds).to.be.at.least(SETTLE_MILLISECONDS / 2);
+  });
+
   it('announce their end in answers whose head is not sent yet', async () => {
     answer = (_request, response) =>
       void delay(SETTLE_MILLISECONDS).then(() => response.end('answer'));
--- a/packages/arbutustide-node/src/caller_connections.ts
+++ b/packages/arbutustide-node/src/caller_connections.ts
@@ -94,6 +94,7 @@
     if (this.isEnding) return;
     this.isEnding = true;
     this.ends.clear();
+    this.shortestIdleMilliseconds = undefined;
     for (const connection of this.connections.values())
       announceEnd(connection.openAnswers);
     this.closingTimer = setInterval(
