Judge a stream in a stop by its latest deadline, as it may go on until then

A host that is behind takes a request for as old as it can be. A stream whose earliest deadline fitted in what was left of a stop was taken, but may go on until its latest one, seconds later, and was then cut.

Evidence: "are refused if a stream that was read late may outlast the node" failed before: expected undefined to not equal undefined. The commit also shows that a request which is turned away by its upstream when its time is over is refused with 503 as not run.

--- a/packages/arbutustide-node/src/__tests__/unit/shutdown_admission.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/shutdown_admission.test.ts
@@ -68,6 +68,16 @@
     expect(refuse(LONG_MILLISECONDS)).not.to.equal(undefined);
   });
 
+  it('are refused if a stream that was read late may outlast the node', () => {
+    admission.begin();
+    const deadlineAtMilliseconds = performance.now() + SHORT_MILLISECONDS;
+    const request = createRequest({
+      deadlineAtMilliseconds,
+      unreadMilliseconds: LONG_MILLISECONDS,
+    });
+    expect(admission.refuse(request)).not.to.equal(undefined);
+  });
+
   it('are recorded with what they may take and what is left', () => {
     admission.begin();
     longestMilliseconds = 1_000;
--- a/packages/arbutustide-node/src/proxy/shutdown_admission.ts
+++ b/packages/arbutustide-node/src/proxy/shutdown_admission.ts
@@ -8,7 +8,11 @@
 import type {ShutdownTimes} from './proxy_settings.js';
 
 import {createStoppingRefusal} from '@arbutustide/errors';
-import {ranSoFar} from '@arbutustide/routing';
+import {
+  ENDLESS_ANSWER_PERIOD,
+  ranSoFar,
+  remainingForUpstream,
+} from '@arbutustide/routing';
 
 import {
   ANSWER_MARGIN_MILLISECONDS,
@@ -102,13 +106,16 @@
     return this.endsAtMilliseconds - performance.now();
   }
 
-  /** Time until the request has ended, at most until its deadline. */
+  /** Time until the request has ended, at most until its latest deadline. */
   private longestMilliseconds(
     request: RoutedRequest,
     waitMilliseconds = 0,
   ): number {
     const longest = this.options.longestMilliseconds(request) ?? Infinity;
-    const untilDeadline = request.deadlineAtMilliseconds - performance.now();
+    const untilDeadline = remainingForUpstream(
+      {request},
+      ENDLESS_ANSWER_PERIOD,
+    );
     return Math.min(untilDeadline, waitMilliseconds + longest);
   }
 
--- a/packages/arbutustide-routing/src/__tests__/unit/stop_deadline.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/stop_deadline.test.ts
@@ -6,7 +6,7 @@
 
 import type {AttemptScript} from './scripted_connector.js';
 
-import {delay} from '@arbutustide/errors';
+import {createRefusalAnswer, delay, ExecutionStatus} from '@arbutustide/errors';
 import {install} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 
@@ -78,6 +78,21 @@
     });
   }
 
+  it('is refused as not run if it waited there until its time was over', async () => {
+    const turnAway: AttemptScript = async (_, {remainingMilliseconds}) => {
+      await delay(remainingMilliseconds);
+      return respondWith({status: 503, isNotRun: true});
+    };
+    const request = createRequest(RequestKind.NON_IDEMPOTENT);
+    const playing = dispatchWith(turnAway, request);
+    await clock.tickAsync(LEFT_MILLISECONDS);
+    const result = await playing;
+    expect(result.err && result.val.ran).to.equal(ExecutionStatus.NOT_EXECUTED);
+    expect(result.err && createRefusalAnswer(result.val, '').status).to.equal(
+      503,
+    );
+  });
+
   it('has until its deadline while the node does not stop', async () => {
     endsAtMilliseconds = Infinity;
     const request = createRequest(RequestKind.NON_IDEMPOTENT);
