Let a node that leaves issue tokens while there is no other

Requests of a lone node that stops (or of nodes that all stop) and wait at an upstream which limits its rate got no token any more and waited until they were refused: an issuer that leaves was never chosen, unlike the issuers of quotas, which are chosen among those that leave if all do.

Evidence: "is a node that leaves if all do" failed before: expected undefined to equal 'one'.

--- a/packages/arbutustide-node/src/proxy/rate_limit/choose_token_issuer.ts
+++ b/packages/arbutustide-node/src/proxy/rate_limit/choose_token_issuer.ts
@@ -5,16 +5,18 @@
 
 /**
  * Chooses the nodes that issue what a key stands for, in an order that depends
- * on the key. Nodes with the same members choose the same ones.
+ * on the key. Nodes with the same members choose the same ones; those that leave
+ * are chosen only while there are no others.
  */
 export function chooseIssuers(
   nodes: readonly ClusterNode[],
   key: string,
   count: number,
 ): ClusterNode[] {
+  const staying = nodes.filter(({state}) => state !== NodeState.LEAVING);
   return selectByRendezvousHash(
     key,
-    nodes.filter(({state}) => state !== NodeState.LEAVING),
+    staying.length > 0 ? staying : nodes,
     ({peerUrl}) => peerUrl,
     count,
   );
