Give up each request at the end of a stop with what is true of it

At the end of a planned stop all requests without an answer got 504, which promises nothing: callers of requests that must run once could not repeat even those that had never been sent, such as one whose body was not whole yet. The dispatcher did not know that they were given up, so the work at the upstreams went on, and requests that peers had relayed ended with a broken call.

The dispatcher now gives up all requests with a reason of their own (CancelReason.STOPPING). One that was never sent, in the queue or before it, is refused as not run; one that was sent gets 504; a stream that has begun is broken off and resumed nowhere; the upstreams' work is cancelled. For a relayed request the peer is told that this node stops and whether the request may have run; it may send a repeatable one elsewhere.

--- a/packages/arbutustide-node/src/proxy/proxy_core.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_core.ts
@@ -166,6 +166,11 @@
     await this.container.resolve(ProxyToken.GOSSIP).exchangeNow();
   }
 
+  /** Refuses or breaks off all requests that are still in flight. */
+  giveUpRequests(): void {
+    this.dispatcher.giveUp();
+  }
+
   /** Stops the background tasks. Call it after the last request has ended. */
   async stop(): Promise<void> {
     this.stopController.abort();
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -147,6 +147,7 @@
 export {ProbeKind} from './proxy/proxy_connector.js';
 export {ProxyUpstreamDirectory} from './proxy/proxy_upstream_directory.js';
 export {ProxyDispatcher} from './proxy/proxy_dispatcher.js';
+export {CancelReason} from './proxy/proxy_refusals.js';
 export {
   ranSoFar,
   remainingForUpstream,
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -23,13 +23,11 @@
 import {awaitFirstEvent} from './first_event.js';
 import {runAttempt} from './run_attempt.js';
 import {DecisionRecorder} from './decision_recorder.js';
-import {
-  cancelOnDisconnectOrDeadline,
-  untilCancelled,
-} from './request_cancellation.js';
+import {cancelOnTriggers, untilCancelled} from './request_cancellation.js';
 import {ranSoFar, remainingMilliseconds} from './routed_request_progress.js';
 import {
   cancelledRefusal,
+  CancelReason,
   failedAttemptRefusal,
   unknownOriginRefusal,
   withRanSoFar,
@@ -71,6 +69,7 @@
 export class ProxyDispatcher {
   private readonly decisions: DecisionRecorder;
   private readonly answerMemory = new AnswerMemory();
+  private readonly shutdown = new Cancellation();
 
   constructor(
     private readonly queue: SlotQueue,
@@ -110,7 +109,7 @@
       this.decisions.recordRefusal(progress, hopeless);
       return Err(hopeless);
     }
-    const stopCancellation = cancelOnDisconnectOrDeadline(progress);
+    const stopCancellation = cancelOnTriggers(progress, this.shutdown);
     const attempt = await this.admitAndAttempt(
       progress,
       relayed?.resumeAfterEventId,
@@ -125,6 +124,15 @@
     return awaitFirstEvent(progress, answer);
   }
 
+  /**
+   * Refuses all requests, those that wait and those to come, and breaks off the
+   * streams that have begun. Called when this node stops and its time is up.
+   */
+  giveUp(): void {
+    this.queue.close();
+    this.shutdown.cancel(CancelReason.STOPPING);
+  }
+
   /** The refusal of a request that must not be attempted at all, if so. */
   private refuseHopeless(
     progress: RoutedRequestProgress,
@@ -249,6 +257,8 @@
   private async acquireSlot(
     progress: RoutedRequestProgress,
   ): Promise<AttemptSlotResult> {
+    if (progress.cancellation.isCancelled)
+      return Err(withRanSoFar(progress, cancelledRefusal(progress)));
     const slot = await this.queue.acquireSlot(progress);
     if (slot.ok) {
       const {upstream, admission} = slot.val;
--- a/packages/arbutustide-routing/src/proxy/proxy_refusals.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_refusals.ts
@@ -2,7 +2,12 @@
 import type {RoutedRequest} from './routed_request.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
 
-import {ErrorKind, ExecutionStatus, RefusalError} from '@arbutustide/errors';
+import {
+  createStoppingRefusal,
+  ErrorKind,
+  ExecutionStatus,
+  RefusalError,
+} from '@arbutustide/errors';
 import {AttemptFailure} from '@arbutustide/upstream';
 
 import {ranSoFar} from './routed_request_progress.js';
@@ -12,6 +17,7 @@
 export enum CancelReason {
   CALLER_GONE = 'the caller went away',
   DEADLINE = 'the deadline has passed',
+  STOPPING = 'this node stops and cannot wait for the upstream any longer',
 }
 
 /** Time until nodes know which upstreams can serve the request. */
@@ -38,6 +44,7 @@
       ran,
     });
   }
+  if (isGivenUp(progress)) return givenUpRefusal(progress);
   if (attempt.error) {
     const kind = REFUSAL_KIND_BY_FAILURE[attempt.error.failure];
     return new RefusalError(kind, attempt.error.message, {ran});
@@ -65,6 +72,23 @@
   });
 }
 
+/** Whether the request was cancelled because this node stops. */
+export function isGivenUp({cancellation}: RoutedRequestProgress): boolean {
+  return cancellation.cancelReason === CancelReason.STOPPING;
+}
+
+/**
+ * Refuses a request that was cancelled because this node stops. A peer that has
+ * passed it on is told so, as it may send a repeatable one elsewhere.
+ */
+export function givenUpRefusal(progress: RoutedRequestProgress): RefusalError {
+  const ran = ranSoFar(progress);
+  if (ran === ExecutionStatus.NOT_EXECUTED || progress.isRelayed)
+    return createStoppingRefusal(ran);
+  const {STOPPING} = CancelReason;
+  return new RefusalError(ErrorKind.UPSTREAM_TIMED_OUT, STOPPING, {ran});
+}
+
 /**
  * Refuses a stream that its upstream has broken off before its first event,
  * although the head of its answer had come.
@@ -76,6 +100,7 @@
   const ran = ExecutionStatus.POSSIBLY_EXECUTED;
   if (request.disconnection.isCancelled)
     return new RefusalError(ErrorKind.CALLER_GONE, CancelReason.CALLER_GONE);
+  if (isGivenUp(progress)) return givenUpRefusal(progress);
   if (cancellation.isCancelled) {
     const reason = String(cancellation.cancelReason);
     return new RefusalError(ErrorKind.UPSTREAM_TIMED_OUT, reason, {ran});
@@ -85,9 +110,11 @@
 }
 
 /** Refuses a request that was cancelled before it was sent. */
-export function cancelledRefusal({
-  request,
-}: RoutedRequestProgress): RefusalError {
+export function cancelledRefusal(
+  progress: RoutedRequestProgress,
+): RefusalError {
+  const {request} = progress;
+  if (isGivenUp(progress)) return givenUpRefusal(progress);
   const [kind, message] = request.disconnection.isCancelled
     ? [ErrorKind.CALLER_GONE, CancelReason.CALLER_GONE]
     : [ErrorKind.DEADLINE_UNREACHABLE, CancelReason.DEADLINE];
--- a/packages/arbutustide-routing/src/proxy/queue/slot_refusals.ts
+++ b/packages/arbutustide-routing/src/proxy/queue/slot_refusals.ts
@@ -3,6 +3,7 @@
 import {ErrorKind, RefusalError} from '@arbutustide/errors';
 
 import {NoUpstreamReason} from '../choose_upstream.js';
+import {givenUpRefusal, isGivenUp} from '../proxy_refusals.js';
 import {ranSoFar} from '../routed_request_progress.js';
 
 /** Retry-after of a refusal when the wait cannot be predicted. */
@@ -25,6 +26,7 @@
   reason: NoUpstreamReason,
   wait: number | undefined,
 ): RefusalError {
+  if (isGivenUp(progress)) return givenUpRefusal(progress);
   const {request} = progress;
   return new RefusalError(
     ERROR_KIND_BY_REASON[reason],
--- a/packages/arbutustide-routing/src/proxy/relay/peer_target.ts
+++ b/packages/arbutustide-routing/src/proxy/relay/peer_target.ts
@@ -102,9 +102,11 @@
   }
 
   private applyRefusal(refusal: RefusalError): void {
+    // A peer that stops may have sent it; a repeatable one is sent elsewhere.
     const mayTryAnother =
-      refusal.ran === ExecutionStatus.NOT_EXECUTED &&
-      REFUSALS_TO_TRY_ANOTHER_PEER.has(refusal.kind);
+      refusal.kind === ErrorKind.NOT_READY ||
+      (refusal.ran === ExecutionStatus.NOT_EXECUTED &&
+        REFUSALS_TO_TRY_ANOTHER_PEER.has(refusal.kind));
     if (mayTryAnother) this.relay.recordNoPath(this.peer, this.service);
     else this.refusal = refusal;
   }
--- a/packages/arbutustide-routing/src/proxy/request_cancellation.ts
+++ b/packages/arbutustide-routing/src/proxy/request_cancellation.ts
@@ -1,3 +1,5 @@
+import type {Cancellation} from '@arbutustide/errors';
+
 import type {RoutedRequestProgress} from './routed_request_progress.js';
 
 import {CancelReason} from './proxy_refusals.js';
@@ -16,14 +18,16 @@
 }
 
 /**
- * Cancels the request when the caller disconnects or the deadline passes. A
- * stream that has begun by then is not cut before the deadline has certainly
+ * Cancels the request when the caller disconnects, the deadline passes or this
+ * node gives its requests up. A stream that has begun by then is not cut before the deadline has certainly
  * passed: it can be seconds later on a host that is behind.
  *
- * @return stops both triggers.
+ * @param shutdown cancelled when this node cannot wait any longer.
+ * @return stops all triggers.
  */
-export function cancelOnDisconnectOrDeadline(
+export function cancelOnTriggers(
   progress: RoutedRequestProgress,
+  shutdown: Cancellation,
 ): () => void {
   const {request, cancellation: cancel} = progress;
   const cancelAtDeadline = () => cancel.cancel(CancelReason.DEADLINE);
@@ -40,8 +44,12 @@
   const removeCancelListener = request.disconnection.onCancel(() =>
     cancel.cancel(CancelReason.CALLER_GONE),
   );
+  const removeShutdownListener = shutdown.onCancel(() =>
+    cancel.cancel(CancelReason.STOPPING),
+  );
   return () => {
     clearTimeout(timer);
+    removeShutdownListener();
     removeCancelListener();
   };
 }
--- a/packages/arbutustide-telemetry/src/metrics.ts
+++ b/packages/arbutustide-telemetry/src/metrics.ts
@@ -55,6 +55,12 @@
     labelNames: ['kind', 'ran'] as const,
     registers: [this.registry],
   });
+  readonly requestsAtStop = new Counter({
+    name: 'arbutustide_requests_at_stop_total',
+    help: 'Requests that a stop could not wait for, by stage of the answer.',
+    labelNames: ['stage'] as const,
+    registers: [this.registry],
+  });
   readonly teamRefusals = new Counter({
     name: 'arbutustide_team_refusals_total',
     help: 'Refusals of requests with a valid key, by tenant and kind.',
