--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -149,6 +149,7 @@
 export {ProxyUpstreamDirectory} from './proxy/proxy_upstream_directory.js';
 export {ENDLESS_ANSWER_PERIOD} from './proxy/answer_period.js';
 export {ProxyDispatcher} from './proxy/proxy_dispatcher.js';
+export {CancelReason} from './proxy/proxy_refusals.js';
 export {
   ranSoFar,
   remainingForUpstream,
