Test that what a stopping peer gave up is repeated elsewhere if it may be

With the peer's target as it was before the fix, a repeatable request that a stopping peer had sent on got that peer's refusal as its last word: "expected false to equal true".

--- a/packages/arbutustide-routing/src/__tests__/unit/cut_off_dispatch.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/cut_off_dispatch.test.ts
@@ -173,6 +173,20 @@
     expect(askedPeers).to.deep.equal(['one', 'two']);
   });
 
+  it('sends only what may be repeated elsewhere if a peer stops under it', async () => {
+    cutOff();
+    const {POSSIBLY_EXECUTED} = ExecutionStatus;
+    const stopping = refused(ErrorKind.NOT_READY, POSSIBLY_EXECUTED);
+    answers = [stopping, relayed(respondWith({}, ['whole']))];
+    const repeated = await dispatch(RequestKind.IDEMPOTENT);
+    expect(repeated.ok).to.equal(true);
+    expect(askedPeers).to.deep.equal(['one', 'two']);
+    answers = [stopping];
+    const once = await dispatch(RequestKind.NON_IDEMPOTENT);
+    expect(once.err && once.val.ran).to.equal(POSSIBLY_EXECUTED);
+    expect(askedPeers).to.have.length(3);
+  });
+
   it('refuses at once, as not run, if no peer has a path', async () => {
     cutOff();
     peers = [];
