Tell a reset answer from a whole one on the own interface too

Seen: an engine or service resets its connection in an answer without a length, midway or before its first byte, and the caller gets a 200 with a short or empty body that is framed as whole.

Cause: undici tells a reset as the regular end of such an answer. UpstreamConnection detects it, but only the platform's connector used it.

It is in @arbutustide/upstream now and carries the attempts of both. How the connection ended is kept with the request, as the connection may have been opened anew when the answer is read. A transfer coding other than chunked does not show an answer's end; 204 and 304 do.

The table breaks off 14 forms of answers after each byte, by a close, a reset and a late reset, on new and kept connections, and checks that the next request gets its own answer.

--- a/packages/arbutustide-stand-ins/src/index.ts
+++ b/packages/arbutustide-stand-ins/src/index.ts
@@ -9,6 +9,11 @@
   RecordedRun,
   WeightFetcher,
 } from './stand_in_engine.js';
+export type {
+  AnswerContent,
+  BreakableClient,
+  ReceivedAnswer,
+} from './answer_breaker.js';
 export type {FaultRule} from './fault_injector.js';
 export type {GenerationRequest} from './generation.js';
 export type {RecordedWrite} from './object_table.js';
@@ -24,6 +29,7 @@
   DEFAULT_ENGINE_OPTIONS,
   StandInEngine,
 } from './stand_in_engine.js';
+export {findAnswersTakenForWhole} from './answer_breaker.js';
 export {createEngineServer} from './engine_server.js';
 export {FaultKind, FaultInjector} from './fault_injector.js';
 export {
--- a/packages/arbutustide-upstream/src/index.ts
+++ b/packages/arbutustide-upstream/src/index.ts
@@ -14,7 +14,7 @@
   ResidentItem,
 } from './engine.js';
 export type {SendConditions} from './send_check.js';
-export type {WriteGuard} from './checked_client.js';
+export type {ConnectionHolder} from './upstream_connection.js';
 export type {UpstreamConnectionOptions} from './upstream_connection_pool.js';
 export type {PlainService, ServiceReport} from './plain_service.js';
 export type {HostList, PlatformHost} from './platform_host.js';
@@ -26,7 +26,11 @@
   UPSTREAM_LEAVING_HEADER,
   toAttemptError,
 } from './upstream_connection_pool.js';
-export {CheckedClient} from './checked_client.js';
+export {
+  createConnectionHolder,
+  isSelfDelimiting,
+  UpstreamConnection,
+} from './upstream_connection.js';
 export {SendCheck} from './send_check.js';
 export {HttpEngine} from './http_engine.js';
 export {HttpHostList} from './http_host_list.js';
--- a/platform/src/upstream_connection.ts
+++ b/packages/arbutustide-upstream/src/upstream_connection.ts
@@ -1,12 +1,9 @@
 import type {Socket} from 'node:net';
-import type {WriteGuard} from '@arbutustide/upstream';
-import type {Client, Dispatcher} from 'undici';
+import type {Client, Dispatcher, buildConnector} from 'undici';
 
-import {CheckedClient} from '@arbutustide/upstream';
-import {buildConnector} from 'undici';
+import type {WriteGuard} from './checked_client.js';
 
-/** Connecting to another failure domain takes 12 ms; allows one lost packet. */
-const CONNECT_TIMEOUT_MILLISECONDS = 1_200;
+import {CheckedClient} from './checked_client.js';
 
 /**
  * Bytes of an answer that may be no payload: its head, framing as large as the
@@ -14,14 +11,42 @@
  */
 const MAXIMUM_OVERHEAD_BYTES = 256 * 1_024;
 
-const openSocket = buildConnector({timeout: CONNECT_TIMEOUT_MILLISECONDS});
+/** Answers with these statuses have no body. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 /**
- * Receives the connection that carries a request. The request passes it to
- * undici as its `opaque` value.
+ * Receives the connection that carries a request, and how it ended. The request
+ * passes it to undici as its `opaque` value.
  */
 export interface ConnectionHolder extends WriteGuard {
   connection: UpstreamConnection | undefined;
+  /** Whether the connection was reset before another request was sent on it. */
+  wasReset: boolean;
+}
+
+/** Returns what a request passes to undici as its `opaque` value. */
+export function createConnectionHolder(guard?: WriteGuard): ConnectionHolder {
+  return {
+    connection: undefined,
+    wasReset: false,
+    beforeWrite: () => guard?.beforeWrite(),
+  };
+}
+
+/**
+ * Whether an answer shows its own end. If it does not, it ends with its
+ * connection, and is whole only if that ends regularly.
+ *
+ * @param header value of a header, by its lower-case name.
+ */
+export function isSelfDelimiting(
+  status: number,
+  header: (name: string) => string | undefined,
+): boolean {
+  if (BODILESS_STATUSES.has(status)) return true;
+  const codings = header('transfer-encoding');
+  if (codings === undefined) return header('content-length') !== undefined;
+  return /(^|,)\s*chunked\s*$/i.test(codings);
 }
 
 /**
@@ -29,20 +54,16 @@
  * reports a reset as the regular end of an answer that has no length.
  */
 export class UpstreamConnection extends CheckedClient {
-  private isReset = false;
+  private holder: ConnectionHolder | undefined;
   private socket: Socket | undefined;
   private bytesReadBeforeResponse = 0;
   private payloadBytes = 0;
 
-  /** @param localAddress address to connect from; any if absent. */
-  constructor(
-    origin: string | URL,
-    options: Client.Options,
-    localAddress?: string,
-  ) {
+  /** @param options as a pool passes them, with `connect` as a function. */
+  constructor(origin: string | URL, options: Client.Options) {
+    const openSocket = options.connect as buildConnector.connector;
     super(origin, {
       ...options,
-      localAddress,
       connect: (connectOptions, callback) => {
         openSocket(connectOptions, (...result) => {
           const [error, socket] = result;
@@ -53,11 +74,6 @@
     });
   }
 
-  /** Whether the connection ended with a reset. */
-  get wasReset(): boolean {
-    return this.isReset;
-  }
-
   /** Counts bytes of the answer's body as received. */
   recordPayload(bytes: number): void {
     this.payloadBytes += bytes;
@@ -75,16 +91,16 @@
     options: Dispatcher.DispatchOptions & {opaque?: unknown},
     handler: Dispatcher.DispatchHandler,
   ): boolean {
-    const connectionHolder = options.opaque as ConnectionHolder | undefined;
-    if (connectionHolder) connectionHolder.connection = this;
+    this.holder = options.opaque as ConnectionHolder | undefined;
+    if (this.holder) this.holder.connection = this;
     this.bytesReadBeforeResponse = this.socket?.bytesRead ?? 0;
     this.payloadBytes = 0;
     return super.dispatch(options, handler);
   }
 
   private watchSocket(socket: Socket): void {
-    this.isReset = false;
     this.socket = socket;
+    if (this.holder) this.holder.wasReset = false;
     this.bytesReadBeforeResponse = 0;
     socket.on('readable', () => this.limitOverhead(socket));
     this.detectResets(socket);
@@ -110,13 +126,17 @@
     // reports an error.
     socket.on('error', (cause: NodeJS.ErrnoException) => {
       if (cause.code !== 'ECONNRESET') return;
-      this.isReset = true;
+      this.recordReset();
       cause.code = 'UPSTREAM_RESET';
     });
     // A reset right after the last bytes is emitted as 'end'; unlike a regular
     // end it leaves the socket without a remote address.
     socket.on('end', () => {
-      if (socket.remoteAddress === undefined) this.isReset = true;
+      if (socket.remoteAddress === undefined) this.recordReset();
     });
   }
+
+  private recordReset(): void {
+    if (this.holder) this.holder.wasReset = true;
+  }
 }
--- a/packages/arbutustide-upstream/src/upstream_connection_pool.ts
+++ b/packages/arbutustide-upstream/src/upstream_connection_pool.ts
@@ -2,14 +2,18 @@
 import type {Client, Dispatcher} from 'undici';
 
 import type {AnswerBody, AttemptRequest, UpstreamAnswer} from './attempt.js';
-import type {WriteGuard} from './checked_client.js';
+import type {ConnectionHolder} from './upstream_connection.js';
 
 import {Err, Ok} from 'ts-results';
 import {Pool} from 'undici';
 import type {z} from 'zod';
 
 import {AttemptError, AttemptFailure} from './attempt_error.js';
-import {CheckedClient} from './checked_client.js';
+import {
+  createConnectionHolder,
+  isSelfDelimiting,
+  UpstreamConnection,
+} from './upstream_connection.js';
 
 /** Largest answer to a short call, whose body is kept as a whole. */
 const MAXIMUM_JSON_BYTES = 16 * 1_024 * 1_024;
@@ -93,7 +97,7 @@
         signal: request.signal,
         headersTimeout: request.inactivityTimeoutMilliseconds,
         bodyTimeout: request.inactivityTimeoutMilliseconds,
-        opaque: sendCheck satisfies WriteGuard | undefined,
+        opaque: createConnectionHolder(sendCheck),
       });
     try {
       const response = await (sendCheck?.sendWhenFresh(send) ?? send());
@@ -105,11 +109,18 @@
     }
   }
 
-  /** Makes a short call on a connection of its own; validates the answer. */
+  /**
+   * Makes a short call on a connection of its own; validates the answer. A part
+   * of an answer does not pass for a whole one, as its JSON does not end.
+   */
   async callJson<T>(call: JsonCall<T>): Promise<Result<T, AttemptError>> {
     const timeout =
       call.timeoutMilliseconds ?? this.options.callTimeoutMilliseconds;
-    const pool = this.createPool(1, MAXIMUM_JSON_BYTES);
+    const pool = new Pool(this.options.url, {
+      ...this.poolOptions,
+      connections: 1,
+      maxResponseSize: MAXIMUM_JSON_BYTES,
+    });
     try {
       const response = await pool.request({
         method: call.method,
@@ -139,9 +150,9 @@
 
   private checkAnswer(
     request: AttemptRequest,
-    response: Dispatcher.ResponseData<unknown>,
+    response: Dispatcher.ResponseData<ConnectionHolder>,
   ): Result<UpstreamAnswer, AttemptError> {
-    const body = new HttpAnswerBody(response.body);
+    const body = new HttpAnswerBody(response);
     const answeredId = response.headers[ATTEMPT_ID_HEADER];
     const isExpected =
       answeredId === request.attemptId ||
@@ -165,20 +176,23 @@
     });
   }
 
-  private createPool(
-    connections = this.options.maximumConnections,
-    maximumBytes = UNLIMITED,
-  ): Pool {
+  private createPool(): Pool {
     return new Pool(this.options.url, {
-      connections,
-      maxResponseSize: maximumBytes,
-      pipelining: 1,
+      ...this.poolOptions,
+      connections: this.options.maximumConnections,
+      maxResponseSize: UNLIMITED,
       factory: (origin, options) =>
-        new CheckedClient(origin, options as Client.Options),
+        new UpstreamConnection(origin, options as Client.Options),
+    });
+  }
+
+  private get poolOptions(): Pool.Options {
+    return {
+      pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
       keepAliveMaxTimeout: KEEP_ALIVE_MILLISECONDS,
       connect: {timeout: this.options.connectTimeoutMilliseconds},
-    });
+    };
   }
 }
 
@@ -198,14 +212,22 @@
 
 type ReadResult = Result<Uint8Array | undefined, AttemptError>;
 
-/** Reads the body of an undici response; undici checks its length. */
+/**
+ * Reads the body of an undici response. undici checks its length; without a
+ * length it is whole only if its connection was not reset.
+ */
 class HttpAnswerBody implements AnswerBody {
+  private readonly body: Dispatcher.ResponseData['body'];
   private endResult: ReadResult | undefined;
   private pendingRead: ((result: ReadResult) => void) | undefined;
 
-  constructor(private readonly body: Dispatcher.ResponseData['body']) {
+  constructor(
+    private readonly response: Dispatcher.ResponseData<ConnectionHolder>,
+  ) {
+    const {body} = response;
+    this.body = body;
     body.on('readable', () => this.resolvePendingReadWithChunk());
-    body.on('end', () => this.finish(Ok(undefined)));
+    body.on('end', () => this.finish(this.checkEnd()));
     body.on('error', error => this.finish(Err(toAttemptError(error))));
     body.on('close', () => {
       if (!this.endResult) this.finish(Err(createClosedEarlyError()));
@@ -213,8 +235,8 @@
   }
 
   async readChunk(): Promise<ReadResult> {
-    const chunk = this.body.read() as Uint8Array | null;
-    if (chunk !== null) return Ok(chunk);
+    const chunk = this.readBuffered();
+    if (chunk) return Ok(chunk);
     if (this.endResult) return this.endResult;
     return new Promise(resolve => {
       this.pendingRead = resolve;
@@ -227,8 +249,25 @@
 
   private resolvePendingReadWithChunk(): void {
     if (!this.pendingRead) return;
+    const chunk = this.readBuffered();
+    if (chunk) this.resolvePendingRead(Ok(chunk));
+  }
+
+  private readBuffered(): Uint8Array | undefined {
     const chunk = this.body.read() as Uint8Array | null;
-    if (chunk !== null) this.resolvePendingRead(Ok(chunk));
+    if (chunk === null) return undefined;
+    this.response.opaque.connection?.recordPayload(chunk.length);
+    return chunk;
+  }
+
+  private checkEnd(): ReadResult {
+    const {statusCode, headers, opaque} = this.response;
+    const showsItsEnd = isSelfDelimiting(statusCode, name =>
+      headers[name]?.toString(),
+    );
+    return showsItsEnd || !opaque.wasReset
+      ? Ok(undefined)
+      : Err(createResetError());
   }
 
   private finish(endResult: ReadResult): void {
@@ -250,6 +289,13 @@
   );
 }
 
+function createResetError(): AttemptError {
+  return new AttemptError(
+    AttemptFailure.CONNECTION_LOST,
+    'the connection was reset during an answer without length',
+  );
+}
+
 /** Converts an error of the HTTP client into an AttemptError. */
 export function toAttemptError(error: unknown): AttemptError {
   if (error instanceof AttemptError) return error;
