Break off answers on each path of the platform's stack that reads them

The table of broken answers runs over the connector, reports, orders and the store's client. None took a part for a whole answer: the connector detects resets, reports and objects are JSON objects, of which no part parses, and orders and deletions are answered by the status, for which the head must be whole.

--- a/packages/arbutustide-scenarios/src/__tests__/integration/broken_answers.test.ts
+++ b/packages/arbutustide-scenarios/src/__tests__/integration/broken_answers.test.ts
@@ -188,4 +188,26 @@
       expect(problems).to.deep.equal([]);
     });
   }
+
+  it('of the object store, to a deletion, which the head alone confirms', async () => {
+    const problems = await findAnswersTakenForWhole(
+      address => {
+        const store = new HttpObjectStore({
+          url: `http://${address}`,
+          timeoutMilliseconds: TIMEOUT_MILLISECONDS,
+          watchMilliseconds: TIMEOUT_MILLISECONDS,
+        });
+        return {
+          close: () => store.close(),
+          send: async () => {
+            const deleted = await store.delete('key', 1);
+            return {isWhole: deleted.ok, body: ''};
+          },
+        };
+      },
+      {headers: () => [], body: () => '', showsItsEnd: true},
+      STRIDE,
+    );
+    expect(problems).to.deep.equal([]);
+  });
 });
--- a/packages/arbutustide-stand-ins/src/broken_answers.ts
+++ b/packages/arbutustide-stand-ins/src/broken_answers.ts
@@ -37,9 +37,9 @@
 function formatChunks(body: string, end: string): string {
   const middle = Math.ceil(body.length / 2);
   const chunks = [body.slice(0, middle), body.slice(middle)];
-  const formatted = chunks.map(
-    chunk => `${chunk.length.toString(16)}\r\n${chunk}\r\n`,
-  );
+  const formatted = chunks
+    .filter(chunk => chunk !== '')
+    .map(chunk => `${chunk.length.toString(16)}\r\n${chunk}\r\n`);
   return formatted.join('') + end;
 }
 
