--- a/packages/arbutustide-node/src/__tests__/integration/broken_peer_answers.test.ts
+++ b/packages/arbutustide-node/src/__tests__/integration/broken_peer_answers.test.ts
@@ -8,6 +8,7 @@
   ConnectPeerServer,
   ConnectPeerTransport,
 } from '@arbutustide/membership';
+import {ENDLESS_ANSWER_PERIOD} from '@arbutustide/routing';
 import {silentLogger} from '@arbutustide/telemetry';
 import {create} from '@bufbuild/protobuf';
 import {expect} from 'chai';
@@ -77,6 +78,7 @@
     transport,
     random: Math.random,
     logger: silentLogger(),
+    answerPeriod: ENDLESS_ANSWER_PERIOD,
   });
   const answer = await relay.sendRequest(
     {identity: 'peer', name: 'peer', peerUrl},
