--- a/packages/arbutustide-scenarios/src/__tests__/integration/signals_while_starting.test.ts
+++ b/packages/arbutustide-scenarios/src/__tests__/integration/signals_while_starting.test.ts
@@ -69,6 +69,7 @@
         peerPort: 0,
         controlPort: 0,
       },
+      shutdown: {listenMilliseconds: 100},
       platform: {
         objectStoreUrl: `http://127.0.0.1:${await findFreePort()}`,
         hostListUrl: `http://127.0.0.1:${await findFreePort()}`,
--- a/packages/arbutustide-telemetry/src/__tests__/unit/bounded_line_writer.test.ts
+++ b/packages/arbutustide-telemetry/src/__tests__/unit/bounded_line_writer.test.ts
@@ -61,8 +61,14 @@
     const writer = new BoundedLineWriter(sink.write, 1_000);
     writer.write('one\n');
     writer.write('last\n');
-    const flushed = writer.flush(1_000);
+    let isFlushed = false;
+    const flushed = writer.flush(1_000).then(isIdle => {
+      isFlushed = true;
+      return isIdle;
+    });
     sink.completePendingWrites();
+    await Promise.resolve();
+    expect(isFlushed).to.equal(false);
     sink.completePendingWrites();
     expect(await flushed).to.equal(true);
     expect(sink.text).to.equal('one\nlast\n');
