Pass on a stream whole that ends after the earliest time its deadline can be

The check for upstreams that end their work because a node that stops gave them less time was made for every attempt; the time of one that counts from its connection's opening ends early. It now holds only where the stop has shortened the time.

Failed before: stop_deadline.test.ts "is whole if it ends regularly while the node does not stop: expected 'broken' to equal 'whole'". The options of the dispatcher move to a file of their own.

--- a/packages/arbutustide-routing/src/__tests__/unit/stop_deadline.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/stop_deadline.test.ts
@@ -102,6 +102,26 @@
     ]);
   });
 
+  it('is whole if it ends regularly while the node does not stop', async () => {
+    endsAtMilliseconds = Infinity;
+    const request = {
+      ...createRequest(RequestKind.NON_IDEMPOTENT),
+      deadlineAtMilliseconds: performance.now() + LEFT_MILLISECONDS,
+      unreadMilliseconds: LEFT_MILLISECONDS,
+    };
+    const endLater: AttemptScript = () =>
+      respondWith({
+        isEventStream: true,
+        body: (async function* () {
+          yield Buffer.from('id: 1\ndata: x\n\n');
+          await delay(LEFT_MILLISECONDS * 1.5);
+        })(),
+      });
+    const answer = readAnswer(await dispatchWith(endLater, request));
+    await clock.tickAsync(LEFT_MILLISECONDS * 2);
+    expect((await answer).end).to.equal(AnswerEnd.WHOLE);
+  });
+
   for (const isClean of [true, false]) {
     it(`is broken when its time is over, clean end: ${isClean}`, async () => {
       const used = upstream();
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -58,7 +58,7 @@
   LeavingInput,
 } from './proxy/balance/leaving_the_domain.js';
 export type {PickSettings} from './proxy/balance/pick_upstream.js';
-export type {ProxyDispatcherOptions} from './proxy/proxy_dispatcher.js';
+export type {ProxyDispatcherOptions} from './proxy/proxy_dispatcher_options.js';
 export type {RoutedRequestProgress} from './proxy/routed_request_progress.js';
 export type {ClusterRetryBudgetSettings} from './proxy/cluster_retry_budget.js';
 export type {
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -1,23 +1,20 @@
 import type {RefusalError} from '@arbutustide/errors';
 import type {Result} from 'ts-results';
 
-import type {AnswerPeriod} from './answer_period.js';
 import type {AttemptSlot, AttemptSlotResult} from './attempt_target.js';
 import type {AttemptResult} from './run_attempt.js';
 import type {ProxyAnswer} from './proxy_answer.js';
-import type {RequestDecision} from './request_decision.js';
-import type {RequestGate} from './request_gate.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
-import type {RelayedProgress, RequestRelay} from './relay/request_relay.js';
+import type {ProxyDispatcherOptions} from './proxy_dispatcher_options.js';
+import type {RelayedProgress} from './relay/request_relay.js';
 import type {SlotQueue} from './slot_queue.js';
 import type {RoutedRequest} from './routed_request.js';
-import type {StreamOrigins} from './stream_origin/stream_origin.js';
-import type {UpstreamTargetOptions} from './upstream_target.js';
 
 import {Cancellation, ErrorKind, ExecutionStatus} from '@arbutustide/errors';
 import {Err, Ok} from 'ts-results';
 
 import {AnswerEnd} from '../caller_request.js';
+import {ENDLESS_ANSWER_PERIOD} from './answer_period.js';
 import {quarantineRefusal} from '../dispatch_refusals.js';
 import {AttemptOutcome, mayHaveRun, isRetryAllowed} from './attempt_outcome.js';
 import {AnswerMemory} from './answer_memory.js';
@@ -45,19 +42,6 @@
 import {UpstreamTarget} from './upstream_target.js';
 import {OriginKnowledge} from './stream_origin/stream_origin.js';
 
-/** Retry budget and callbacks of a dispatcher. */
-export interface ProxyDispatcherOptions extends UpstreamTargetOptions {
-  /** Counts a request against its service's retry budget. */
-  readonly recordRequest: (service: string) => void;
-  /** Consumes one retry of the service's budget; false if none is left. */
-  readonly tryConsumeRetry: (service: string) => boolean;
-  readonly relay: RequestRelay;
-  readonly onDecision: (decision: RequestDecision) => void;
-  readonly streamOrigins: StreamOrigins;
-  readonly gate: RequestGate;
-  readonly answerPeriod: AnswerPeriod;
-}
-
 /**
  * A request that was queued for longer takes its team's quota again: requests
  * that were admitted over a long time and run together would exceed the quota of
@@ -293,6 +277,8 @@
       target,
       tryReserveReplacement,
     );
+    const {answerPeriod} = this.options;
+    const remaining = remainingForUpstream(progress, answerPeriod);
     const context = {
       slot,
       inactivityTimeout,
@@ -300,9 +286,9 @@
       resumeAfterEventId,
       beganAtMilliseconds: performance.now(),
       answerMemory: this.answerMemory,
-      dueAtMilliseconds:
-        performance.now() +
-        remainingForUpstream(progress, this.options.answerPeriod),
+      dueAtMilliseconds: performance.now() + remaining,
+      isCurtailed:
+        remaining < remainingForUpstream(progress, ENDLESS_ANSWER_PERIOD),
     };
     const attempt = await runAttempt(progress, context);
     const isOpen = attempt.body === undefined && attempt.error === undefined;
--- /dev/null
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher_options.ts
@@ -0,0 +1,19 @@
+import type {AnswerPeriod} from './answer_period.js';
+import type {RequestRelay} from './relay/request_relay.js';
+import type {RequestDecision} from './request_decision.js';
+import type {RequestGate} from './request_gate.js';
+import type {StreamOrigins} from './stream_origin/stream_origin.js';
+import type {UpstreamTargetOptions} from './upstream_target.js';
+
+/** Retry budget and callbacks of a dispatcher. */
+export interface ProxyDispatcherOptions extends UpstreamTargetOptions {
+  /** Counts a request against its service's retry budget. */
+  readonly recordRequest: (service: string) => void;
+  /** Consumes one retry of the service's budget; false if none is left. */
+  readonly tryConsumeRetry: (service: string) => boolean;
+  readonly relay: RequestRelay;
+  readonly onDecision: (decision: RequestDecision) => void;
+  readonly streamOrigins: StreamOrigins;
+  readonly gate: RequestGate;
+  readonly answerPeriod: AnswerPeriod;
+}
--- a/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
@@ -45,9 +45,10 @@
 /** By how much the clock of an upstream may be ahead within an attempt. */
 const CLOCK_TOLERANCE_MILLISECONDS = 2;
 
-/** Whether the upstream was to have ended its work. */
-function isOverdue({dueAtMilliseconds}: AttemptResult): boolean {
-  return performance.now() >= dueAtMilliseconds - CLOCK_TOLERANCE_MILLISECONDS;
+/** Whether the upstream was to have ended its work before the deadline. */
+function isOverdue({dueAtMilliseconds, isCurtailed}: AttemptResult): boolean {
+  const endsAt = dueAtMilliseconds - CLOCK_TOLERANCE_MILLISECONDS;
+  return isCurtailed && performance.now() >= endsAt;
 }
 
 /** Forwards an event stream, resumed at other upstreams after failures. */
--- a/packages/arbutustide-routing/src/proxy/run_attempt.ts
+++ b/packages/arbutustide-routing/src/proxy/run_attempt.ts
@@ -28,6 +28,8 @@
   readonly beganAtMilliseconds: number;
   /** When the upstream was to end its work, by the monotonic clock. */
   readonly dueAtMilliseconds: number;
+  /** Whether that is before the deadline, as this node stops. */
+  readonly isCurtailed: boolean;
   /** Aborts the attempt when its upstream is inactive. */
   readonly inactivityTimeout: InactivityTimeout;
   /** Undefined if the request shares no prompt segments. */
@@ -53,6 +55,8 @@
   readonly answerMemory: AnswerMemory;
   /** When the upstream is to end its work, by the monotonic clock. */
   readonly dueAtMilliseconds: number;
+  /** Whether that is before the deadline, as this node stops. */
+  readonly isCurtailed: boolean;
 }
 
 /**
@@ -64,7 +68,8 @@
   context: AttemptContext,
 ): Promise<AttemptResult> {
   const {slot, inactivityTimeout, observed, resumeAfterEventId} = context;
-  const {beganAtMilliseconds, answerMemory, dueAtMilliseconds} = context;
+  const {beganAtMilliseconds, answerMemory} = context;
+  const {dueAtMilliseconds, isCurtailed} = context;
   const opened = await slot.target.sendRequest(progress, {
     remainingMilliseconds: dueAtMilliseconds - performance.now(),
     resumeAfterEventId,
@@ -85,6 +90,7 @@
     slot,
     beganAtMilliseconds,
     dueAtMilliseconds,
+    isCurtailed,
     inactivityTimeout,
     observed,
     outcome,
@@ -125,7 +131,7 @@
   cause: AttemptError,
 ): AttemptResult {
   const {slot, inactivityTimeout, observed} = context;
-  const {beganAtMilliseconds, dueAtMilliseconds} = context;
+  const {beganAtMilliseconds, dueAtMilliseconds, isCurtailed} = context;
   inactivityTimeout.stop();
   const error = inactivityTimeout.translateError(cause);
   const outcome = classifyAttemptError(error);
@@ -133,6 +139,7 @@
     slot,
     beganAtMilliseconds,
     dueAtMilliseconds,
+    isCurtailed,
     inactivityTimeout,
     observed,
     outcome,
