--- a/packages/arbutustide-routing/src/proxy/request_cancellation.ts
+++ b/packages/arbutustide-routing/src/proxy/request_cancellation.ts
@@ -19,8 +19,9 @@
 
 /**
  * Cancels the request when the caller disconnects, the deadline passes or this
- * node gives its requests up. A stream that has begun by then is not cut before the deadline has certainly
- * passed: it can be seconds later on a host that is behind.
+ * node gives its requests up. A stream that has begun by the deadline is not cut
+ * before it has certainly passed: it can be seconds later on a host that is
+ * behind.
  *
  * @param shutdown cancelled when this node cannot wait any longer.
  * @return stops all triggers.
