Answer what a stopping node of the own interface cannot wait for

Callers of the project's own interface saw a closed connection without an answer when the drain of a planned stop ended before their requests did. The caller server destroyed the connections; unlike the platform's it told nobody.

It now answers each request that has no answer with 504, as one that may have run, before it closes the connections.

Failed before: "tells callers that it cannot wait for their answers": expected '' to match /^HTTP\/1.1 504 /.

--- a/packages/arbutustide-node/src/__tests__/integration/caller_server_stop.test.ts
+++ b/packages/arbutustide-node/src/__tests__/integration/caller_server_stop.test.ts
@@ -114,4 +114,17 @@
     await delay(SETTLE_MILLISECONDS);
     expect(await isClosed(server.close(SETTLE_MILLISECONDS))).to.equal(true);
   });
+
+  it('tells callers that it cannot wait for their answers', async () => {
+    serviceMilliseconds = DEADLINE_MILLISECONDS;
+    const socket = await open();
+    socket.write(REQUEST);
+    await delay(SETTLE_MILLISECONDS);
+    const closed = server.close(SETTLE_MILLISECONDS);
+    let text = '';
+    for await (const chunk of socket) text += String(chunk);
+    await closed;
+    expect(text).to.match(/^HTTP\/1.1 504 /);
+    expect(text).to.match(/^connection: close/im);
+  });
 });
--- a/packages/arbutustide-node/src/caller_server.ts
+++ b/packages/arbutustide-node/src/caller_server.ts
@@ -1,7 +1,7 @@
 import type {Request, Response} from '@tinyhttp/app';
 import type {RefusalError as Refusal} from '@arbutustide/errors';
 import type {CallerRequest} from '@arbutustide/routing';
-import type {Server} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {AddressInfo, Socket} from 'node:net';
 import type {Result} from 'ts-results';
 
@@ -122,12 +122,22 @@
     connections.beginClosingIdle();
     const deadlineAtMilliseconds = performance.now() + drainMilliseconds;
     await drainCallers({connections, deadlineAtMilliseconds});
+    this.refuseUnanswered();
     connections.stopListening();
     await connections.closeAll();
     const {summary} = connections;
     this.dependencies.logger.info(summary, 'connections of callers closed');
   }
 
+  /** Tells callers that the requests in flight will have no answer. */
+  private refuseUnanswered(): void {
+    const reason = 'this node stops and cannot wait for the answer any longer';
+    const refusal = new RefusalError(ErrorKind.UPSTREAM_TIMED_OUT, reason);
+    for (const response of this.connections.openAnswers())
+      if (!response.headersSent)
+        this.sendRefusal(response.req, response, refusal);
+  }
+
   private createApp(): App {
     const app = new App({
       applyExtensions: (_request, _response, next) => next(),
@@ -312,8 +322,8 @@
   }
 
   private sendRefusal(
-    request: Request,
-    response: Response,
+    request: IncomingMessage,
+    response: ServerResponse,
     refusal: Refusal,
   ): void {
     const requestId = getRequestId(request);
