Take requests that may be repeated in a stop by a laxer bound than others

A request that is cut and may be repeated costs its caller time only, so one in ten may exceed what it is expected to take, from 9 samples on. What must run once keeps the bound of one in a hundred.

--- a/packages/arbutustide-routing/src/proxy/queue/hold_time_distributions.ts
+++ b/packages/arbutustide-routing/src/proxy/queue/hold_time_distributions.ts
@@ -2,16 +2,14 @@
 
 import {createHistogram} from 'node:perf_hooks';
 
-/** Chance that a request takes longer than its kind is expected to. */
-const EXCESS_CHANCE = 0.01;
+import {isRepeatable} from '../route.js';
 
 /**
- * Samples of a kind from which its longest times are known: the next one exceeds
- * all of them with a chance of 1 in one more.
+ * Chance that a request takes longer than expected: one that is cut off then and
+ * may be repeated costs its caller time, another one is lost.
  */
-const MINIMUM_SAMPLES = Math.ceil(1 / EXCESS_CHANCE) - 1;
-
-const PERCENTILE = 100 * (1 - EXCESS_CHANCE);
+const EXCESS_CHANCE_IF_REPEATABLE = 0.1;
+const EXCESS_CHANCE = 0.01;
 
 /** Samples fade after one to two of these periods. */
 const PERIOD_MILLISECONDS = 300_000;
@@ -56,15 +54,19 @@
   }
 
   /**
-   * Time within which a request ends, but for a chance of one in a hundred, once
-   * it has a slot; undefined if that is not yet known.
+   * Time within which a request ends, but for a small chance, once it has a
+   * slot; undefined if that is not yet known.
    */
   longestMilliseconds(request: TimedRequest): number | undefined {
     this.fadeIfDue();
+    const excessChance = isRepeatable(request.route)
+      ? EXCESS_CHANCE_IF_REPEATABLE
+      : EXCESS_CHANCE;
     let longestOfFew = 0;
     for (const kind of kindsOf(request).reverse()) {
       const times = this.timesByKind.get(kind);
-      if (times?.isKnown) return Math.max(times.percentile, longestOfFew);
+      const longest = times?.boundExceededBy(excessChance);
+      if (longest !== undefined) return Math.max(longest, longestOfFew);
       longestOfFew = times?.maximum ?? 0;
     }
     return undefined;
@@ -107,16 +109,17 @@
   private both = createTimes();
   private latest = createTimes();
 
-  get isKnown(): boolean {
-    return this.both.count >= MINIMUM_SAMPLES;
-  }
-
   get isEmpty(): boolean {
     return this.both.count === 0;
   }
 
-  get percentile(): number {
-    return this.both.percentile(PERCENTILE);
+  /**
+   * Time that the next request exceeds with this chance; undefined if there are
+   * too few samples: it exceeds all of them with a chance of 1 in one more.
+   */
+  boundExceededBy(chance: number): number | undefined {
+    if (this.both.count < Math.ceil(1 / chance) - 1) return undefined;
+    return this.both.percentile(100 * (1 - chance));
   }
 
   get maximum(): number {
@@ -134,8 +137,9 @@
 
   /** A time that is not exceptionally long tells nothing as a lower bound. */
   recordLowerBound(milliseconds: number): void {
-    if (!this.isEmpty && milliseconds > this.percentile)
-      this.record(milliseconds);
+    if (this.isEmpty) return;
+    const usual = this.both.percentile(100 * (1 - EXCESS_CHANCE));
+    if (milliseconds > usual) this.record(milliseconds);
   }
 
   beginPeriod(): void {
