--- a/packages/arbutustide-node/src/index.ts
+++ b/packages/arbutustide-node/src/index.ts
@@ -27,7 +27,6 @@
 export {drainCallers} from './drain_callers.js';
 export {CallerServer} from './caller_server.js';
 export {ProxyCore} from './proxy/proxy_core.js';
-export {waitUntilIdle} from './wait_until_idle.js';
 export {watchDisconnection} from './watch_disconnection.js';
 export {recordLongTurns} from './proxy/record_long_turns.js';
 export {NodeCore} from './node_core.js';
