--- a/packages/arbutustide-routing/src/__tests__/unit/give_up.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/give_up.test.ts
@@ -3,6 +3,7 @@
  * run although they were never sent, or leaves the work on them running.
  */
 import type {ProxyUpstream} from '../../proxy/proxy_upstream.js';
+import type {RequestDecision} from '../../proxy/request_decision.js';
 import type {AttemptScript} from './scripted_connector.js';
 
 import {ErrorKind, ExecutionStatus} from '@arbutustide/errors';
@@ -20,6 +21,7 @@
   neverRespond,
   readAnswer,
   respondWith,
+  respondWithEvents,
   ScriptedConnector,
 } from './scripted_connector.js';
 
@@ -34,9 +36,11 @@
 describe('requests that a node gives up as it stops', () => {
   let clock: ReturnType<typeof install>;
   let upstreams: ProxyUpstream[];
+  let decisions: RequestDecision[];
 
   beforeEach(() => {
     clock = install();
+    decisions = [];
     upstreams = [testUpstream('one', ['m'])];
   });
   afterEach(() => clock.uninstall());
@@ -46,7 +50,7 @@
     const dispatcher = createDispatcher(
       connector,
       () => upstreams,
-      () => {},
+      decision => decisions.push(decision),
     );
     return {connector, dispatcher};
   }
@@ -115,6 +119,34 @@
     expect(connector.upstreamIds).to.have.length(1);
   });
 
+  it('logs where a stream that is cut stood still, and since when', async () => {
+    upstreams.push(testUpstream('two', ['m']));
+    const breakOff: AttemptScript = () => respondWithEvents([1], false);
+    const standStill: AttemptScript = (_upstream, {cancellation}) =>
+      respondWith({
+        isEventStream: true,
+        body: (async function* () {
+          yield Buffer.from('id: 2\ndata: x\n\n');
+          await new Promise(resolve => cancellation.onCancel(resolve));
+          throw connectionLostError();
+        })(),
+      });
+    const {connector, dispatcher} = createTestDispatcher(breakOff, standStill);
+    const request = createRequest(RequestKind.STREAM, true);
+    const reading = readAnswer(await dispatcher.dispatch(request));
+    await clock.tickAsync(WAIT_MILLISECONDS);
+    dispatcher.giveUp();
+    await reading;
+    expect(decisions.at(-1)).to.include({
+      end: AnswerEnd.BROKEN,
+      upstream: connector.upstreamIds.at(-1),
+      attempts: 2,
+      eventCount: 2,
+      sinceLastEventMilliseconds: WAIT_MILLISECONDS,
+      priority: 1,
+    });
+  });
+
   it('sends none that come after that', async () => {
     const {connector, dispatcher} = createTestDispatcher();
     dispatcher.giveUp();
--- a/packages/arbutustide-routing/src/proxy/decision_recorder.ts
+++ b/packages/arbutustide-routing/src/proxy/decision_recorder.ts
@@ -3,17 +3,18 @@
 import type {AttemptResult} from './run_attempt.js';
 import type {RequestDecision} from './request_decision.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
-import type {StreamTiming} from './proxy_event_stream.js';
+import type {StreamTiming} from './stream_timeline.js';
 import type {AttemptSlot, AttemptTarget} from './attempt_target.js';
-import type {AnswerEnd} from '../caller_request.js';
 
+import {AnswerEnd} from '../caller_request.js';
 import {AttemptOutcome} from './attempt_outcome.js';
 import {DecisionStep} from './request_decision.js';
-import {sharedSegmentIds} from './routed_request.js';
+import {effectivePriority, sharedSegmentIds} from './routed_request.js';
 
 /** What is recorded of a stream's end besides the kind of end. */
 interface StreamOutcome {
   readonly timing?: StreamTiming;
+  readonly eventCount?: number;
   /** Why its last attempt failed, if it did. */
   readonly reason?: string;
 }
@@ -82,9 +83,11 @@
     progress: RoutedRequestProgress,
     end: AnswerEnd,
     target: AttemptTarget,
-    {timing, reason}: StreamOutcome = {},
+    {timing, eventCount, reason}: StreamOutcome = {},
   ): void {
     const firstEvent = timing?.firstEventMilliseconds;
+    const sinceLastEvent = timing?.sinceLastEventMilliseconds;
+    const isWhole = end === AnswerEnd.WHOLE;
     this.recordDecision(progress, {
       step: DecisionStep.ENDED,
       end,
@@ -95,6 +98,14 @@
       ...(timing && {
         longestPauseMilliseconds: Math.round(timing.longestPauseMilliseconds),
       }),
+      ...(!isWhole && {
+        eventCount,
+        priority: effectivePriority(progress.request),
+      }),
+      ...(!isWhole &&
+        sinceLastEvent !== undefined && {
+          sinceLastEventMilliseconds: Math.round(sinceLastEvent),
+        }),
       attempts: progress.attempts,
       elapsedMilliseconds: millisecondsSinceArrival(progress),
       ...(reason && {reason}),
--- a/packages/arbutustide-routing/src/proxy/event_sequencer.ts
+++ b/packages/arbutustide-routing/src/proxy/event_sequencer.ts
@@ -37,6 +37,7 @@
   private splitter = new ServerSentEventParser();
   private lastPassedId: number | undefined;
   private isAttemptEmpty = true;
+  private passed = 0;
 
   /** @param after id of the last event that the caller has, if it resumes. */
   constructor(after: number | undefined) {
@@ -48,6 +49,11 @@
     return this.lastPassedId;
   }
 
+  /** Number of events that were passed on. */
+  get passedCount(): number {
+    return this.passed;
+  }
+
   /** Whether the attempt has brought an event, also one that was dropped. */
   get hasEventOfAttempt(): boolean {
     return !this.isAttemptEmpty;
@@ -82,6 +88,7 @@
         return {bytes: join(complete), problem: EventOrderProblem.GAP};
       }
       this.lastPassedId = number;
+      this.passed += 1;
       complete.push(bytes);
     }
     const problem =
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -375,14 +375,15 @@
       onFirstEvent: first => this.recordOrigin(progress, first),
       onResume: (reason, next) =>
         this.decisions.recordResume(progress, reason, next),
-      onEnd: (end, timing, reason) => {
+      onEnd: (end, {attempt: last, timing, eventCount, reason}) => {
         stopCancellation();
         if (end === AnswerEnd.WHOLE && head.isSelfDelimiting)
           this.recordWholeAnswer(progress);
         if (end === AnswerEnd.WHOLE && !progress.isRelayed)
           this.options.streamOrigins.recordComplete(progress.request);
-        this.decisions.recordEnd(progress, end, slot.target, {
+        this.decisions.recordEnd(progress, end, last.slot.target, {
           timing,
+          eventCount,
           reason,
         });
       },
--- a/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
@@ -3,11 +3,13 @@
 
 import type {AttemptResult} from './run_attempt.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
+import type {StreamTiming} from './stream_timeline.js';
 
 import {AnswerEnd} from '../caller_request.js';
 import {AttemptOutcome} from './attempt_outcome.js';
 import {EventSequencer} from './event_sequencer.js';
 import {isRepeatable} from './route.js';
+import {StreamTimeline} from './stream_timeline.js';
 
 /** Callbacks of a stream to the dispatcher. */
 export interface ProxyEventStreamOptions {
@@ -20,19 +22,18 @@
   /** Called before the caller gets its first event of the stream. */
   readonly onFirstEvent: (attempt: AttemptResult) => void;
   readonly onResume: (reason: string, next: AttemptResult | undefined) => void;
-  /** `reason` is why the last attempt failed, if it did. */
-  readonly onEnd: (
-    end: AnswerEnd,
-    timing: StreamTiming,
-    reason: string | undefined,
-  ) => void;
+  readonly onEnd: (end: AnswerEnd, state: StreamEndState) => void;
 }
 
-/** Timing of a stream's events, in milliseconds. */
-export interface StreamTiming {
-  /** From the request's arrival to the first event; undefined if none came. */
-  readonly firstEventMilliseconds: number | undefined;
-  readonly longestPauseMilliseconds: number;
+/** What is known of a stream when it ends. */
+export interface StreamEndState {
+  /** The attempt that ended it. */
+  readonly attempt: AttemptResult;
+  readonly timing: StreamTiming;
+  /** Number of events that were passed on. */
+  readonly eventCount: number;
+  /** Why the last attempt failed, if it did. */
+  readonly reason: string | undefined;
 }
 
 /** Why an attempt ended before its stream was complete. */
@@ -54,15 +55,15 @@
 /** Forwards an event stream, resumed at other upstreams after failures. */
 export class ProxyEventStream {
   private readonly eventSequencer: EventSequencer;
-  private firstEventAtMilliseconds: number | undefined;
-  private lastEventAtMilliseconds = 0;
-  private longestPauseMilliseconds = 0;
+  private readonly timeline: StreamTimeline;
 
   constructor(
     private readonly progress: RoutedRequestProgress,
     private readonly options: ProxyEventStreamOptions,
   ) {
-    this.eventSequencer = new EventSequencer(progress.request.lastEventId);
+    const {lastEventId, arrivedAtMilliseconds} = progress.request;
+    this.eventSequencer = new EventSequencer(lastEventId);
+    this.timeline = new StreamTimeline(arrivedAtMilliseconds);
   }
 
   /** Yields chunks of complete events; returns how the stream ended. */
@@ -70,17 +71,24 @@
     first: AttemptResult,
   ): AsyncGenerator<Uint8Array, AnswerEnd, undefined> {
     let end = AnswerEnd.ABANDONED;
+    let latest = first;
     let attempt: AttemptResult | undefined = first;
     let failure: SegmentFailure | undefined;
     try {
       while (attempt) {
+        latest = attempt;
         failure = yield* this.readSegment(attempt, attempt !== first);
         end = failure ? AnswerEnd.BROKEN : AnswerEnd.WHOLE;
         attempt = failure && (await this.resume(failure));
       }
       return end;
     } finally {
-      this.options.onEnd(end, this.timing(), failure?.reason);
+      this.options.onEnd(end, {
+        attempt: latest,
+        timing: this.timeline.timing,
+        eventCount: this.eventSequencer.passedCount,
+        reason: failure?.reason,
+      });
     }
   }
 
@@ -98,9 +106,9 @@
           // Bytes that complete no new event are no progress.
           attempt.inactivityTimeout.recordActivity();
           attempt.observed?.recordData();
-          if (this.firstEventAtMilliseconds === undefined)
-            this.options.onFirstEvent(attempt);
-          this.recordDelivery();
+          if (!this.timeline.hasEvents) this.options.onFirstEvent(attempt);
+          this.timeline.recordEvents();
+          this.progress.lastDeliveryAtMilliseconds = performance.now();
           yield bytes;
         }
         if (problem) return {reason: `event cannot follow: ${problem}`};
@@ -146,29 +154,6 @@
     return undefined;
   }
 
-  private recordDelivery(): void {
-    const now = performance.now();
-    if (this.firstEventAtMilliseconds === undefined)
-      this.firstEventAtMilliseconds = now;
-    else
-      this.longestPauseMilliseconds = Math.max(
-        this.longestPauseMilliseconds,
-        now - this.lastEventAtMilliseconds,
-      );
-    this.lastEventAtMilliseconds = now;
-    this.progress.lastDeliveryAtMilliseconds = now;
-  }
-
-  private timing(): StreamTiming {
-    const {arrivedAtMilliseconds} = this.progress.request;
-    return {
-      firstEventMilliseconds:
-        this.firstEventAtMilliseconds &&
-        this.firstEventAtMilliseconds - arrivedAtMilliseconds,
-      longestPauseMilliseconds: this.longestPauseMilliseconds,
-    };
-  }
-
   /** Resumes the stream in another attempt, if a retry is allowed. */
   private async resume(
     failure: SegmentFailure,
--- a/packages/arbutustide-routing/src/proxy/request_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/request_decision.ts
@@ -50,5 +50,9 @@
   readonly elapsedMilliseconds?: number;
   readonly firstEventMilliseconds?: number;
   readonly longestPauseMilliseconds?: number;
+  /** Of a stream that did not end whole. */
+  readonly sinceLastEventMilliseconds?: number;
+  readonly eventCount?: number;
+  readonly priority?: number;
   readonly reason?: string;
 }
