--- a/packages/arbutustide-node/src/proxy/create_slot_queue.ts
+++ b/packages/arbutustide-node/src/proxy/create_slot_queue.ts
@@ -2,7 +2,7 @@
   HoldBack,
   ProxyUpstreamDirectory,
   RoutedRequestProgress,
-  UpstreamChoice,
+  SlotQueueOptions,
 } from '@arbutustide/routing';
 
 import type {ProxyDependencies} from './proxy_dependencies.js';
@@ -127,7 +127,7 @@
   container: DependencyContainer,
   dependencies: ProxyDependencies,
   holdBack: HoldBack,
-): (progress: RoutedRequestProgress) => UpstreamChoice {
+): SlotQueueOptions['chooseUpstream'] {
   const upstreamDirectory = container.resolve(ProxyToken.UPSTREAM_DIRECTORY);
   const tokenRequester = container.resolve(ProxyToken.TOKEN_REQUESTER);
   const brittleUpstreams = container.resolve(ProxyToken.BRITTLE_UPSTREAMS);
@@ -139,12 +139,12 @@
     !progress.isRelayed &&
     !monitor.isCutOff(progress.request.service) &&
     relay.choosePeer(progress) === undefined;
-  return progress => {
+  return (progress, isUrgent = false) => {
     const {request, triedUpstreams} = progress;
     const {service, modelRequest} = request;
     const brittleTerms = brittleUpstreams.termsFor(service);
     const settings = {
-      ...createPickSettings(service, modelRequest !== undefined),
+      ...createPickSettings(service, modelRequest !== undefined, isUrgent),
       brittleTerms,
       maySend: (upstream: ProxyUpstream) =>
         brittleUpstreams.maySend(upstream, brittleTerms),
@@ -172,7 +172,7 @@
     if (limited)
       tokenRequester.request(limited, !(choice instanceof ProxyUpstream));
     if (choice === NoUpstreamReason.FULL) holdBack.recordFull(progress);
-    if (!(choice instanceof ProxyUpstream)) return choice;
+    if (!(choice instanceof ProxyUpstream) || isUrgent) return choice;
     if (holdBack.withholds(progress, candidates, settings.fullShare))
       return NoUpstreamReason.FULL;
     return choice;
--- a/packages/arbutustide-node/src/proxy/proxy_core.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_core.ts
@@ -18,6 +18,7 @@
 import {DepartureSource} from '@arbutustide/routing';
 
 import {readPeerCrashEvidence} from './crash_evidence_fields.js';
+import {handOverStalledStreams} from './hand_over_stalled_streams.js';
 import {PeerBootstrap} from './peer_bootstrap.js';
 import {PeerStateRefresher} from './peer_state_refresher.js';
 import {createPeerIdentity, peerUrlFromIdentity} from './peer_identity.js';
@@ -158,6 +159,7 @@
     this.status.setState(NodeState.LEAVING);
     this.container.resolve(ProxyToken.SHUTDOWN_ADMISSION).begin();
     void this.refuseLateRequests();
+    void handOverStalledStreams(this.dispatcher, this.stopController.signal);
     this.planningStopController.abort();
     await Promise.all(this.planningTasks);
     await this.container.resolve(ProxyToken.PLANNER_LEASE).release();
--- a/packages/arbutustide-node/src/proxy/proxy_tuning.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tuning.ts
@@ -18,6 +18,11 @@
  * little.
  */
 export const SERVICE_IN_FLIGHT_SLOT_SHARE = 3;
+/**
+ * Factor on the requests in flight at which an upstream counts as full for an
+ * urgent request, which it serves before those that wait there.
+ */
+export const URGENT_SLOT_FACTOR = 1.5;
 /** Lower bound on the time to answer a request once it has a slot. */
 export const MINIMUM_SERVICE_MILLISECONDS = 20;
 /** Service time assumed before any request was measured. */
--- a/packages/arbutustide-node/src/proxy/proxy_wiring.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_wiring.ts
@@ -22,7 +22,6 @@
   BrittleServices,
   DemandCounter,
   ProxyUpstreamDirectory,
-  ProxyDispatcher,
   PoisonRequestDetector,
 } from '@arbutustide/routing';
 import {container as rootContainer, instanceCachingFactory} from 'tsyringe';
@@ -32,19 +31,16 @@
 import {BrittleUpstreams} from './brittleness/brittle_upstreams.js';
 import {crashEvidenceFields} from './crash_evidence_fields.js';
 import {createSlotQueue} from './create_slot_queue.js';
+import {registerDispatcher} from './register_dispatcher.js';
 import {registerShutdownAdmission} from './register_shutdown_admission.js';
 import {createPoisonSegmentDetector} from './create_poison_segment_detector.js';
 import {ServiceRetryBudgets} from './service_retry_budgets.js';
-import {
-  recordPlannerMetrics,
-  recordRequestMetrics,
-} from './decision_metrics.js';
+import {recordPlannerMetrics} from './decision_metrics.js';
 import {NodeEnginePlannerEnvironment} from './node_engine_planner_environment.js';
 import {ProxyToken} from './proxy_tokens.js';
 import * as tuning from './proxy_tuning.js';
 import {lostUpstreamsFields} from './relay/lost_upstreams.js';
 import {registerRelay} from './relay/register_relay.js';
-import {recordPlacement} from './leaving_metrics.js';
 import {LeaseHolderProbe} from './lease_holder_probe.js';
 import {HoldingRequester} from './holding_requester.js';
 import {PlannerClient} from './planner_client.js';
@@ -261,7 +257,7 @@
   register: RegisterSingleton,
   dependencies: ProxyDependencies,
 ): void {
-  const {settings, connector, logger, metrics} = dependencies;
+  const {settings} = dependencies;
   register(ProxyToken.RETRY_BUDGETS, container => {
     const clusterView = container.resolve(ProxyToken.CLUSTER_VIEW);
     return new ServiceRetryBudgets(
@@ -274,39 +270,7 @@
   register(ProxyToken.REQUEST_QUEUE, container =>
     createSlotQueue(container, dependencies),
   );
-  register(ProxyToken.DISPATCHER, container => {
-    const retryBudgets = container.resolve(ProxyToken.RETRY_BUDGETS);
-    return new ProxyDispatcher(container.resolve(ProxyToken.REQUEST_QUEUE), {
-      connector,
-      relay: container.resolve(ProxyToken.REQUEST_RELAY),
-      paths: container.resolve(ProxyToken.REACHABILITY_MONITOR),
-      recordRequest: service =>
-        retryBudgets.forService(service).recordRequest(),
-      tryConsumeRetry: service => retryBudgets.forService(service).tryConsume(),
-      onModelMissing: (upstream, model) =>
-        upstream.recordObservedHolding(model, false),
-      onSignals: container.resolve(ProxyToken.SIGNALS_HANDLER),
-      onDecision: decision => {
-        logger.info(decision, 'request');
-        recordRequestMetrics(decision, metrics);
-        recordPlacement(
-          decision,
-          metrics,
-          container.resolve(ProxyToken.UPSTREAM_DIRECTORY),
-          settings.failureDomain,
-        );
-      },
-      poisonRequestDetector: container.resolve(
-        ProxyToken.POISON_REQUEST_DETECTOR,
-      ),
-      poisonSegmentDetector: container.resolve(
-        ProxyToken.POISON_SEGMENT_DETECTOR,
-      ),
-      streamOrigins: container.resolve(ProxyToken.STREAM_ORIGINS),
-      gate: container.resolve(ProxyToken.REQUEST_GATE),
-      answerPeriod: container.resolve(ProxyToken.SHUTDOWN_ADMISSION),
-    });
-  });
+  registerDispatcher(register, dependencies);
 }
 
 function registerLease(
--- /dev/null
+++ b/packages/arbutustide-routing/src/__tests__/unit/handover_decision.test.ts
@@ -0,0 +1,136 @@
+/**
+ * Guards against streams that wait at their upstreams until their node has
+ * stopped, and against handing over those that run.
+ */
+import type {HandoverInput} from '../../proxy/handover/handover_decision.js';
+
+import {expect} from 'chai';
+
+import {
+  decideHandover,
+  HandoverMeans,
+  StayReason,
+} from '../../proxy/handover/handover_decision.js';
+import {RequestKind} from '../../proxy/route.js';
+import {testRoute} from './proxy_fixtures.js';
+
+const RESUMABLE = testRoute({
+  kind: RequestKind.STREAM,
+  isResumable: true,
+  callerTimeoutMilliseconds: 2_400,
+});
+const SINGLE = testRoute({...RESUMABLE, isResumable: false});
+
+const STALLED: HandoverInput = {
+  route: RESUMABLE,
+  attempts: 1,
+  handoverCount: 0,
+  hasEvents: true,
+  isUrgent: false,
+  expectedMilliseconds: 3_000,
+  isMovable: false,
+  stalledMilliseconds: 600,
+  usualPauseMilliseconds: 40,
+  leftMilliseconds: 7_000,
+};
+
+const UNBEGUN: Partial<HandoverInput> = {
+  hasEvents: false,
+  usualPauseMilliseconds: undefined,
+  stalledMilliseconds: 1_200,
+};
+
+const CASES: readonly {
+  readonly name: string;
+  readonly changes: Partial<HandoverInput>;
+  readonly expected: HandoverMeans | StayReason;
+}[] = [
+  {
+    name: 'resumes a stream that may be resumed',
+    changes: {},
+    expected: HandoverMeans.RESUME_ELSEWHERE,
+  },
+  {
+    name: 'resumes one without an attempt left where it is',
+    changes: {attempts: 2},
+    expected: HandoverMeans.RESUME_URGENTLY,
+  },
+  {
+    name: 'moves memory rather than run a stream once more',
+    changes: {isMovable: true},
+    expected: HandoverMeans.MOVE_MEMORY,
+  },
+  {
+    name: 'moves the memory of a stream that must not run again',
+    changes: {route: SINGLE, isMovable: true},
+    expected: HandoverMeans.MOVE_MEMORY,
+  },
+  {
+    name: 'never runs once more what must not run again',
+    changes: {route: SINGLE},
+    expected: StayReason.NOT_MOVABLE,
+  },
+  {
+    name: 'leaves streams alone while the node does not stop',
+    changes: {leftMilliseconds: Infinity, stalledMilliseconds: 60_000},
+    expected: StayReason.NOT_STOPPING,
+  },
+  {
+    name: 'leaves a stream that has not begun and may still end in time',
+    changes: UNBEGUN,
+    expected: StayReason.NOT_BEGUN,
+  },
+  {
+    name: 'refuses one that has not begun and can hardly end in time',
+    changes: {...UNBEGUN, leftMilliseconds: 2_900},
+    expected: HandoverMeans.REFUSE,
+  },
+  {
+    name: 'awaits one that must not be repeated, although it has not begun',
+    changes: {...UNBEGUN, leftMilliseconds: 2_900, route: SINGLE},
+    expected: StayReason.NOT_BEGUN,
+  },
+  {
+    name: 'gives up no urgent place without an attempt for another',
+    changes: {attempts: 2, isUrgent: true},
+    expected: StayReason.NO_ATTEMPT_LEFT,
+  },
+  {
+    name: 'waits longer for a stream whose pace is not known',
+    changes: {usualPauseMilliseconds: undefined, stalledMilliseconds: 1_190},
+    expected: StayReason.NOT_STALLED,
+  },
+  {
+    name: 'waits for the next event for a share of what callers do',
+    changes: {stalledMilliseconds: 599},
+    expected: StayReason.NOT_STALLED,
+  },
+  {
+    name: 'does not take the usual pace of a stream for a stall',
+    changes: {usualPauseMilliseconds: 200, stalledMilliseconds: 790},
+    expected: StayReason.NOT_STALLED,
+  },
+  {
+    name: 'waits less as less time is left',
+    changes: {leftMilliseconds: 1_200, stalledMilliseconds: 300},
+    expected: HandoverMeans.RESUME_ELSEWHERE,
+  },
+  {
+    name: 'begins nothing that cannot get under way',
+    changes: {leftMilliseconds: 200},
+    expected: StayReason.TOO_LATE,
+  },
+  {
+    name: 'does not hand a stream over again and again',
+    changes: {handoverCount: 3},
+    expected: StayReason.HANDED_OVER_BEFORE,
+  },
+];
+
+describe('decision on a stream of a node that stops', () => {
+  for (const {name, changes, expected} of CASES) {
+    it(name, () => {
+      expect(decideHandover({...STALLED, ...changes})).to.equal(expected);
+    });
+  }
+});
--- a/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
@@ -127,6 +127,7 @@
   relay = NO_RELAY,
   gate = OPEN_GATE,
   answerPeriod = ENDLESS_ANSWER_PERIOD,
+  movesMemory?: (service: string) => boolean,
 ): ProxyDispatcher {
   const settings = {
     ownFailureDomain: 'near',
@@ -182,6 +183,7 @@
     streamOrigins,
     gate,
     answerPeriod,
+    movesMemory,
     poisonRequestDetector: new PoisonRequestDetector(
       10_000,
       {crashes: () => 0, runsOtherSuspects: () => false},
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -33,6 +33,7 @@
 } from './proxy/choose_upstream.js';
 export type {
   AttemptOptions,
+  MemoryMove,
   ProxyConnector,
   UpstreamResponseHead,
   UpstreamSignals,
@@ -145,7 +146,7 @@
   GATEKEEPERS_PER_UPSTREAM,
 } from './proxy/brittleness/brittle_terms.js';
 export {BrittleServices} from './proxy/brittleness/brittle_services.js';
-export {ProbeKind} from './proxy/proxy_connector.js';
+export {MemoryMoveOutcome, ProbeKind} from './proxy/proxy_connector.js';
 export {ProxyUpstreamDirectory} from './proxy/proxy_upstream_directory.js';
 export {ENDLESS_ANSWER_PERIOD} from './proxy/answer_period.js';
 export {ProxyDispatcher} from './proxy/proxy_dispatcher.js';
--- /dev/null
+++ b/packages/arbutustide-routing/src/proxy/attempt_maker.ts
@@ -0,0 +1,162 @@
+import type {RefusalError} from '@arbutustide/errors';
+import type {Result} from 'ts-results';
+
+import type {AttemptSlot, AttemptSlotResult} from './attempt_target.js';
+import type {DecisionRecorder} from './decision_recorder.js';
+import type {OpenStream} from './handover/open_stream.js';
+import type {AttemptStart} from './proxy_connector.js';
+import type {ProxyDispatcherOptions} from './proxy_dispatcher_options.js';
+import type {ProxyUpstream} from './proxy_upstream.js';
+import type {UpstreamSlot} from './queue/slot_queue_options.js';
+import type {RoutedRequestProgress} from './routed_request_progress.js';
+import type {AttemptResult} from './run_attempt.js';
+import type {SlotQueue} from './slot_queue.js';
+
+import {ErrorKind} from '@arbutustide/errors';
+import {Err, Ok} from 'ts-results';
+
+import {AnswerMemory} from './answer_memory.js';
+import {ENDLESS_ANSWER_PERIOD} from './answer_period.js';
+import {AttemptOutcome, mayHaveRun} from './attempt_outcome.js';
+import {InactivityTimeout} from './inactivity_timeout.js';
+import {cancelledRefusal, withRanSoFar} from './proxy_refusals.js';
+import {PeerTarget} from './relay/peer_target.js';
+import {isRepeatable} from './route.js';
+import {remainingForUpstream} from './routed_request_progress.js';
+import {runAttempt} from './run_attempt.js';
+import {UpstreamTarget} from './upstream_target.js';
+
+/** Finds places for the attempts of requests and makes them. */
+export class AttemptMaker {
+  private readonly answerMemory = new AnswerMemory();
+
+  constructor(
+    private readonly queue: SlotQueue,
+    private readonly options: ProxyDispatcherOptions,
+    private readonly decisions: DecisionRecorder,
+  ) {}
+
+  /**
+   * A slot at an upstream or, if none can be reached, a place at a peer.
+   *
+   * @param reserved slot that was taken before; undefined to find one.
+   */
+  async acquireSlot(
+    progress: RoutedRequestProgress,
+    reserved?: AttemptSlot,
+  ): Promise<AttemptSlotResult> {
+    if (progress.cancellation.isCancelled) {
+      reserved?.release();
+      return Err(withRanSoFar(progress, cancelledRefusal(progress)));
+    }
+    if (reserved) return Ok(reserved);
+    const slot: Result<UpstreamSlot, RefusalError> =
+      await this.queue.acquireSlot(progress);
+    if (slot.ok) return Ok(this.withTarget(slot.val));
+    if (slot.val.kind !== ErrorKind.UPSTREAM_UNREACHABLE) return slot;
+    const {relay} = this.options;
+    const peer = relay.choosePeer(progress);
+    if (!peer) return slot;
+    const target = new PeerTarget(peer, progress.request.service, relay);
+    return Ok({target, waitedMilliseconds: 0, release: () => {}});
+  }
+
+  /** A slot that is free now, ahead of queued requests; undefined if none is. */
+  tryTakeSlot(progress: RoutedRequestProgress): AttemptSlot | undefined {
+    const slot = this.queue.tryTakeSlot(progress);
+    return slot && this.withTarget(slot);
+  }
+
+  /** A slot at this upstream, whether it has a free one or not. */
+  takeSlotAt(
+    progress: RoutedRequestProgress,
+    upstream: ProxyUpstream,
+  ): AttemptSlot {
+    return this.withTarget(this.queue.takeSlotAt(progress, upstream));
+  }
+
+  /**
+   * Sends the request to the place of the slot.
+   *
+   * @param stream told of the attempt if the answer is to be a stream.
+   */
+  async makeAttempt(
+    progress: RoutedRequestProgress,
+    slot: AttemptSlot,
+    start: AttemptStart,
+    stream?: OpenStream,
+  ): Promise<AttemptResult> {
+    const {target} = slot;
+    target.recordChosen(progress);
+    progress.attempts += 1;
+    const tryReserveReplacement = () => this.tryReserveReplacement(progress);
+    const inactivityTimeout = new InactivityTimeout(
+      progress,
+      target,
+      tryReserveReplacement,
+    );
+    stream?.beginAttempt(slot, inactivityTimeout);
+    const {answerPeriod} = this.options;
+    const remaining = remainingForUpstream(progress, answerPeriod);
+    const attempt = await runAttempt(progress, {
+      slot,
+      start,
+      inactivityTimeout,
+      observed: target.observe(progress.request),
+      beganAtMilliseconds: performance.now(),
+      answerMemory: this.answerMemory,
+      dueAtMilliseconds: performance.now() + remaining,
+      isCurtailed:
+        remaining < remainingForUpstream(progress, ENDLESS_ANSWER_PERIOD),
+    });
+    const isOpen = attempt.body === undefined && attempt.error === undefined;
+    if (!isOpen) {
+      slot.release(attempt.outcome === AttemptOutcome.ANSWERED);
+      stream?.endAttempt();
+    }
+    if (mayHaveRun(attempt.outcome)) progress.mayHaveRun = true;
+    // A request that was never sent does not count against maximumAttempts.
+    if (attempt.outcome === AttemptOutcome.NOT_CONNECTED)
+      progress.attempts -= 1;
+    target.recordAttempt(progress, attempt);
+    this.decisions.recordAttempt(progress, attempt);
+    return attempt;
+  }
+
+  /** Consumes a retry, unless it would probably crash another upstream. */
+  tryConsumeRetry(
+    {request}: RoutedRequestProgress,
+    mayHaveRunBefore: boolean,
+  ): boolean {
+    const {poisonSegmentDetector, tryConsumeRetry} = this.options;
+    if (mayHaveRunBefore && poisonSegmentDetector.isSuspected(request))
+      return false;
+    return tryConsumeRetry(request.service);
+  }
+
+  private withTarget(slot: UpstreamSlot): AttemptSlot {
+    const {upstream, admission} = slot;
+    const target = new UpstreamTarget(upstream, admission, this.options);
+    return {...slot, target};
+  }
+
+  /** Consumes a retry to replace an inactive upstream, if that is allowed. */
+  private tryReserveReplacement(progress: RoutedRequestProgress): boolean {
+    const {route, service} = progress.request;
+    return (
+      isRepeatable(route) &&
+      progress.attempts < route.maximumAttempts &&
+      this.canPlace(progress) &&
+      this.options.tryConsumeRetry(service)
+    );
+  }
+
+  /** Whether another attempt could begin now, here or at a peer. */
+  private canPlace(progress: RoutedRequestProgress): boolean {
+    if (this.queue.hasFreeSlot(progress)) return true;
+    return (
+      this.queue.isUnreachable(progress) &&
+      this.options.relay.choosePeer(progress) !== undefined
+    );
+  }
+}
--- a/packages/arbutustide-routing/src/proxy/attempt_target.ts
+++ b/packages/arbutustide-routing/src/proxy/attempt_target.ts
@@ -5,6 +5,7 @@
 import type {ObservedAttempt} from './crash_attribution/observed_attempt.js';
 import type {AttemptResult} from './run_attempt.js';
 import type {AttemptOptions, UpstreamResponseHead} from './proxy_connector.js';
+import type {ProxyUpstream} from './proxy_upstream.js';
 import type {RequestDecision} from './request_decision.js';
 import type {RoutedRequest} from './routed_request.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
@@ -14,6 +15,8 @@
 export interface AttemptTarget {
   /** Id of the upstream that answers; empty while a peer has not named it. */
   readonly upstreamId: string;
+  /** The upstream, if this node sends to it itself. */
+  readonly upstream: ProxyUpstream | undefined;
   /** Service and software version of the upstream that answers. */
   readonly origin: StreamOrigin;
   /** What a decision tells of the target. */
--- a/packages/arbutustide-routing/src/proxy/choose_upstream.ts
+++ b/packages/arbutustide-routing/src/proxy/choose_upstream.ts
@@ -50,6 +50,13 @@
 /** The chosen upstream, or why there is none. */
 export type UpstreamChoice = ProxyUpstream | NoUpstreamReason;
 
+/** Whether no upstream was chosen. */
+export function isNoUpstreamReason(
+  choice: UpstreamChoice,
+): choice is NoUpstreamReason {
+  return typeof choice === 'string';
+}
+
 /**
  * Chooses an upstream that can take a request now, by `pickUpstream`. One whose
  * entry is missing from the list is chosen only if no other can take it.
--- a/packages/arbutustide-routing/src/proxy/decision_recorder.ts
+++ b/packages/arbutustide-routing/src/proxy/decision_recorder.ts
@@ -1,5 +1,7 @@
 import type {RefusalError} from '@arbutustide/errors';
 
+import type {StayReason} from './handover/handover_decision.js';
+import type {HandoverRecord} from './handover/stream_handovers.js';
 import type {AttemptResult} from './run_attempt.js';
 import type {RequestDecision} from './request_decision.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
@@ -17,6 +19,8 @@
   readonly eventCount?: number;
   /** Why its last attempt failed, if it did. */
   readonly reason?: string;
+  /** Why it was not handed over, if this node stops. */
+  readonly stayReason?: StayReason;
 }
 
 /** Reports each step of a request with the inputs that decided it. */
@@ -83,7 +87,7 @@
     progress: RoutedRequestProgress,
     end: AnswerEnd,
     target: AttemptTarget,
-    {timing, eventCount, reason}: StreamOutcome = {},
+    {timing, eventCount, reason, stayReason}: StreamOutcome = {},
   ): void {
     const firstEvent = timing?.firstEventMilliseconds;
     const sinceLastEvent = timing?.sinceLastEventMilliseconds;
@@ -109,6 +113,20 @@
       attempts: progress.attempts,
       elapsedMilliseconds: millisecondsSinceArrival(progress),
       ...(reason && {reason}),
+      ...(!isWhole && stayReason && {stayReason}),
+    });
+  }
+
+  recordHandover(
+    progress: RoutedRequestProgress,
+    {means, stalledMilliseconds, leftMilliseconds}: HandoverRecord,
+  ): void {
+    this.recordDecision(progress, {
+      step: DecisionStep.HANDOVER,
+      means,
+      attempts: progress.attempts,
+      stalledMilliseconds: Math.round(stalledMilliseconds),
+      leftMilliseconds: Math.round(leftMilliseconds),
     });
   }
 
--- /dev/null
+++ b/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
@@ -0,0 +1,123 @@
+import type {Route} from '../route.js';
+
+import {isRepeatable} from '../route.js';
+
+/** What is done for a stream that stands still. */
+export enum HandoverMeans {
+  /** Runs once more after its last event, at another upstream. */
+  RESUME_ELSEWHERE = 'resume_elsewhere',
+  /** Runs once more after its last event, more urgently, where it was. */
+  RESUME_URGENTLY = 'resume_urgently',
+  /** Goes on as the same run, from a copy of its memory. */
+  MOVE_MEMORY = 'move_memory',
+  /** Is refused at once, for its caller to repeat it. */
+  REFUSE = 'refuse',
+}
+
+/** Why a stream is left where it is. */
+export enum StayReason {
+  /** This node does not stop. */
+  NOT_STOPPING = 'not_stopping',
+  /** It has not begun, and may still end in time or must not be repeated. */
+  NOT_BEGUN = 'not_begun',
+  /** Its events come, or its caller does not take them. */
+  NOT_STALLED = 'not_stalled',
+  /** It could not begin anywhere else in the time that is left. */
+  TOO_LATE = 'too_late',
+  /** It was handed over as often as that is done for one stream. */
+  HANDED_OVER_BEFORE = 'handed_over_before',
+  /** It must not run again, and its memory cannot be moved. */
+  NOT_MOVABLE = 'not_movable',
+  /** It has no attempt left and is as urgent as it can be. */
+  NO_ATTEMPT_LEFT = 'no_attempt_left',
+  /** No retry is left in the budget of its service. */
+  NO_RETRY_LEFT = 'no_retry_left',
+  /** No upstream could take it. */
+  NO_UPSTREAM = 'no_upstream',
+}
+
+/** What the decision on one stream depends on; times are in milliseconds. */
+export interface HandoverInput {
+  readonly route: Route;
+  readonly attempts: number;
+  readonly handoverCount: number;
+  /** Whether its caller has events. */
+  readonly hasEvents: boolean;
+  /** Whether its upstream was told to serve it before others. */
+  readonly isUrgent: boolean;
+  /** Time in which streams of its kind end; Infinity if that is unknown. */
+  readonly expectedMilliseconds: number;
+  /** Whether the memory of its run may be moved, as far as is known. */
+  readonly isMovable: boolean;
+  /** How long its upstream has kept this node waiting. */
+  readonly stalledMilliseconds: number;
+  /** Median of its latest pauses; undefined if it has had none. */
+  readonly usualPauseMilliseconds: number | undefined;
+  /** Until the answers of this node end; Infinity unless it stops. */
+  readonly leftMilliseconds: number;
+}
+
+/**
+ * Share of the time after which callers leave a stream that stands still, and of
+ * the time left in the stop, that an upstream may take for its next event.
+ */
+const PATIENCE_SHARE = 0.25;
+/** Factor on that time while the pace of a stream is not known. */
+const UNKNOWN_PACE_FACTOR = 2;
+/** Pauses as long as this, relative to the usual one, are no stall. */
+const USUAL_PAUSES = 4;
+/** Below it, a pause may come from the network or the event loop. */
+const MINIMUM_PATIENCE_MILLISECONDS = 150;
+/** For another upstream to read the prompt and make an event. */
+const MINIMUM_LEFT_MILLISECONDS = 250;
+const MAXIMUM_HANDOVERS = 3;
+
+/**
+ * Decides whether a stream of a node that stops is handed over, and how. Its
+ * upstream may hold it back for more urgent work until it is too late: the
+ * upstream does not know that the node ends before the deadline.
+ */
+export function decideHandover(
+  input: HandoverInput,
+): HandoverMeans | StayReason {
+  const {route, attempts, handoverCount, leftMilliseconds} = input;
+  if (leftMilliseconds === Infinity) return StayReason.NOT_STOPPING;
+  if (!isStalled(input)) return StayReason.NOT_STALLED;
+  if (!input.hasEvents) return decideUnbegun(input);
+  if (leftMilliseconds < MINIMUM_LEFT_MILLISECONDS) return StayReason.TOO_LATE;
+  if (handoverCount >= MAXIMUM_HANDOVERS) return StayReason.HANDED_OVER_BEFORE;
+  if (input.isMovable) return HandoverMeans.MOVE_MEMORY;
+  if (!isRepeatable(route)) return StayReason.NOT_MOVABLE;
+  if (attempts < route.maximumAttempts) return HandoverMeans.RESUME_ELSEWHERE;
+  return input.isUrgent
+    ? StayReason.NO_ATTEMPT_LEFT
+    : HandoverMeans.RESUME_URGENTLY;
+}
+
+/** Passed on too late, its first events would commit the node to the rest. */
+function decideUnbegun({
+  route,
+  leftMilliseconds,
+  expectedMilliseconds,
+}: HandoverInput): HandoverMeans | StayReason {
+  return isRepeatable(route) && leftMilliseconds < expectedMilliseconds
+    ? HandoverMeans.REFUSE
+    : StayReason.NOT_BEGUN;
+}
+
+function isStalled({
+  route,
+  stalledMilliseconds,
+  usualPauseMilliseconds: usualPause,
+  leftMilliseconds,
+}: HandoverInput): boolean {
+  const bound = Math.min(route.callerTimeoutMilliseconds, leftMilliseconds);
+  const share = PATIENCE_SHARE * bound;
+  const patience =
+    usualPause === undefined
+      ? UNKNOWN_PACE_FACTOR * share
+      : Math.max(share, USUAL_PAUSES * usualPause);
+  return (
+    stalledMilliseconds >= Math.max(MINIMUM_PATIENCE_MILLISECONDS, patience)
+  );
+}
--- /dev/null
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -0,0 +1,211 @@
+import type {AnswerPeriod} from '../answer_period.js';
+import type {AttemptMaker} from '../attempt_maker.js';
+import type {AttemptSlot} from '../attempt_target.js';
+import type {ProxyConnector} from '../proxy_connector.js';
+import type {ProxyUpstream} from '../proxy_upstream.js';
+import type {RoutedRequest} from '../routed_request.js';
+import type {RoutedRequestProgress} from '../routed_request_progress.js';
+import type {Handover} from './open_stream.js';
+
+import {RequestKind} from '../route.js';
+import {StreamTimeline} from '../stream_timeline.js';
+import {MemoryMoveOutcome} from '../proxy_connector.js';
+import {
+  decideHandover,
+  HandoverMeans,
+  StayReason,
+} from './handover_decision.js';
+import {OpenStream} from './open_stream.js';
+
+/** A handover that has begun, as it is logged and counted. */
+export interface HandoverRecord {
+  readonly means: HandoverMeans;
+  readonly stalledMilliseconds: number;
+  readonly leftMilliseconds: number;
+}
+
+/** What handovers need of the dispatcher. */
+export interface StreamHandoversOptions {
+  readonly answerPeriod: AnswerPeriod;
+  readonly connector: Pick<ProxyConnector, 'moveMemory'>;
+  readonly movesMemory?: (service: string) => boolean;
+  readonly longestMilliseconds?: (request: RoutedRequest) => number | undefined;
+  readonly attempts: Pick<
+    AttemptMaker,
+    'tryTakeSlot' | 'takeSlotAt' | 'tryConsumeRetry'
+  >;
+  readonly onHandover: (
+    progress: RoutedRequestProgress,
+    record: HandoverRecord,
+  ) => void;
+}
+
+/** Begins a handover; returns why the stream stays instead, if it does. */
+type HandoverStarter = (stream: OpenStream) => StayReason | undefined;
+
+/**
+ * Hands streams of a node that stops over from upstreams at which they stand
+ * still to others. A stream that is not complete when the node ends is cut.
+ */
+export class StreamHandovers {
+  private readonly streams = new Set<OpenStream>();
+  private readonly starters: Readonly<Record<HandoverMeans, HandoverStarter>> =
+    {
+      [HandoverMeans.RESUME_ELSEWHERE]: stream =>
+        this.startResuming(
+          stream,
+          this.options.attempts.tryTakeSlot(stream.progress) ??
+            this.takeSlotAgain(stream),
+        ),
+      [HandoverMeans.RESUME_URGENTLY]: stream =>
+        this.startResuming(stream, this.takeSlotAgain(stream)),
+      [HandoverMeans.MOVE_MEMORY]: stream => this.startMoving(stream),
+      [HandoverMeans.REFUSE]: stream => {
+        stream.refuse();
+        return undefined;
+      },
+    };
+
+  constructor(private readonly options: StreamHandoversOptions) {}
+
+  /** Tracks the answer to a request until it is closed, if it is a stream. */
+  open(progress: RoutedRequestProgress): OpenStream {
+    const timeline = new StreamTimeline(progress.request.arrivedAtMilliseconds);
+    const stream: OpenStream = new OpenStream(progress, timeline, () =>
+      this.streams.delete(stream),
+    );
+    const {kind} = progress.request.route;
+    if (kind === RequestKind.STREAM) this.streams.add(stream);
+    return stream;
+  }
+
+  /** Begins the handovers that are due now. */
+  review(): void {
+    for (const stream of this.streams) {
+      if (stream.isBeingHandedOver) continue;
+      const stayReason = this.reviewStream(stream);
+      if (stayReason) stream.recordStayReason(stayReason);
+    }
+  }
+
+  private reviewStream(stream: OpenStream): StayReason | undefined {
+    const leftMilliseconds =
+      this.options.answerPeriod.endsAtMilliseconds - performance.now();
+    const {handoverInput} = stream;
+    const {request} = stream.progress;
+    const {movesMemory, longestMilliseconds} = this.options;
+    const input = {
+      ...handoverInput,
+      isMovable:
+        handoverInput.isMovable && Boolean(movesMemory?.(request.service)),
+      leftMilliseconds,
+      expectedMilliseconds: longestMilliseconds?.(request) ?? Infinity,
+    };
+    const decision = decideHandover(input);
+    if (!isMeans(decision)) return decision;
+    const stayReason = this.starters[decision](stream);
+    if (stayReason) return stayReason;
+    const {stalledMilliseconds} = input;
+    const record = {means: decision, stalledMilliseconds, leftMilliseconds};
+    this.options.onHandover(stream.progress, record);
+    return undefined;
+  }
+
+  private startResuming(
+    stream: OpenStream,
+    slot: AttemptSlot | undefined,
+  ): StayReason | undefined {
+    const {progress, upstream} = stream;
+    if (!slot) return StayReason.NO_UPSTREAM;
+    if (!this.consumeRetry(progress, slot)) return StayReason.NO_RETRY_LEFT;
+    stream.handOver(this.createHandover(progress, slot, upstream));
+    return undefined;
+  }
+
+  private startMoving(stream: OpenStream): StayReason | undefined {
+    const {progress, upstream: source} = stream;
+    const slot = this.options.attempts.tryTakeSlot(progress);
+    const target = slot?.target.upstream;
+    if (!source || !slot || !target) {
+      slot?.release();
+      return source ? StayReason.NO_UPSTREAM : StayReason.NOT_MOVABLE;
+    }
+    if (!this.consumeRetry(progress, slot)) return StayReason.NO_RETRY_LEFT;
+    stream.handOver(this.moveMemory(stream, source, target, slot));
+    return undefined;
+  }
+
+  /** Resolves to undefined if the run stays at its upstream. */
+  private async moveMemory(
+    stream: OpenStream,
+    source: ProxyUpstream,
+    target: ProxyUpstream,
+    slot: AttemptSlot,
+  ): Promise<Handover | undefined> {
+    const {progress} = stream;
+    const {outcome, location} = (await this.options.connector.moveMemory?.(
+      source,
+      target,
+      progress.request,
+    )) ?? {outcome: MemoryMoveOutcome.IMPOSSIBLE};
+    if (outcome === MemoryMoveOutcome.MOVED)
+      return this.createHandover(progress, slot, source, location);
+    slot.release();
+    if (outcome === MemoryMoveOutcome.KEPT_AT_SOURCE) {
+      const ownSlot = this.options.attempts.takeSlotAt(progress, source);
+      return this.createHandover(progress, ownSlot, undefined, location);
+    }
+    stream.recordMoveFailed(outcome);
+    return undefined;
+  }
+
+  /** @param fallback upstream that takes the stream if the slot's does not. */
+  private createHandover(
+    progress: RoutedRequestProgress,
+    slot: AttemptSlot,
+    fallback: ProxyUpstream | undefined,
+    memoryLocation?: string,
+  ): Handover {
+    const hasFallback = fallback && fallback !== slot.target.upstream;
+    return {
+      slot,
+      memoryLocation,
+      takeFallback: () => {
+        if (!hasFallback) return undefined;
+        const ownSlot = this.options.attempts.takeSlotAt(progress, fallback);
+        return this.createHandover(
+          progress,
+          ownSlot,
+          undefined,
+          memoryLocation,
+        );
+      },
+    };
+  }
+
+  /** A slot where the stream is, unless it is urgent there or at a peer. */
+  private takeSlotAgain({
+    progress,
+    upstream,
+    handoverInput,
+  }: OpenStream): AttemptSlot | undefined {
+    if (!upstream || handoverInput.isUrgent) return undefined;
+    return this.options.attempts.takeSlotAt(progress, upstream);
+  }
+
+  /** Consumes a retry of the budget; returns the slot if there is none. */
+  private consumeRetry(
+    progress: RoutedRequestProgress,
+    slot: AttemptSlot,
+  ): boolean {
+    if (this.options.attempts.tryConsumeRetry(progress, true)) return true;
+    slot.release();
+    return false;
+  }
+}
+
+function isMeans(
+  decision: HandoverMeans | StayReason,
+): decision is HandoverMeans {
+  return Object.values<string>(HandoverMeans).includes(decision);
+}
--- a/packages/arbutustide-routing/src/proxy/inactivity_timeout.ts
+++ b/packages/arbutustide-routing/src/proxy/inactivity_timeout.ts
@@ -30,6 +30,7 @@
   private readonly removeLossListener: () => void = () => {};
   private timer: NodeJS.Timeout | undefined;
   private isExpired = false;
+  private isAborted = false;
   private hasReceived = false;
 
   /**
@@ -55,6 +56,11 @@
     return this.isExpired;
   }
 
+  /** Whether the attempt was ended for another reason. */
+  get wasAborted(): boolean {
+    return this.isAborted;
+  }
+
   /** Restarts the timeout because the upstream has sent data. */
   recordActivity(): void {
     this.hasReceived = true;
@@ -62,6 +68,13 @@
     if (this.timer) this.startTimer(this.timeoutMilliseconds);
   }
 
+  /** Ends the attempt for another reason than inactivity. */
+  abort(reason: unknown): void {
+    this.isAborted = true;
+    this.stop();
+    this.cancellation.cancel(reason);
+  }
+
   /** Stops the timeout. */
   stop(): void {
     clearTimeout(this.timer);
--- a/packages/arbutustide-routing/src/proxy/proxy_connector.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_connector.ts
@@ -61,12 +61,20 @@
   readonly body: AsyncIterable<Uint8Array>;
 }
 
+/** Where an attempt takes a request up, and how urgent it is. */
+export interface AttemptStart {
+  /** Id of the event after which a stream resumes; undefined to start it. */
+  readonly resumeAfterEventId: number | undefined;
+  /** Whether the upstream is to serve it before requests of all priorities. */
+  readonly isUrgent?: boolean;
+  /** Copy of memory that the run goes on from; undefined to run it anew. */
+  readonly memoryLocation?: string;
+}
+
 /** Options that differ between the attempts of one request. */
-export interface AttemptOptions {
+export interface AttemptOptions extends AttemptStart {
   /** Time until the request's deadline, in milliseconds. */
   readonly remainingMilliseconds: number;
-  /** Id of the event after which a stream resumes; undefined to start it. */
-  readonly resumeAfterEventId: number | undefined;
   /** Aborts the attempt, also while its body is read. */
   readonly cancellation: Cancellation;
 }
@@ -79,6 +87,27 @@
   CONNECTION = 'connection',
 }
 
+/** What became of a run whose memory was to be moved. */
+export enum MemoryMoveOutcome {
+  /** The run has stopped and can go on from the copy at the target. */
+  MOVED = 'moved',
+  /** The run has stopped, and only its source holds the memory. */
+  KEPT_AT_SOURCE = 'kept_at_source',
+  /** The source moves it already. */
+  BUSY = 'busy',
+  /** The run goes on: the source does not know it or moves no memory. */
+  IMPOSSIBLE = 'impossible',
+  /** There was no answer, so the run may have stopped. */
+  UNKNOWN = 'unknown',
+}
+
+/** Result of moving the memory of a run. */
+export interface MemoryMove {
+  readonly outcome: MemoryMoveOutcome;
+  /** Where the run can go on from, if it has stopped. */
+  readonly location?: string;
+}
+
 /** Sends requests to upstreams over HTTP. */
 export interface ProxyConnector {
   /** Sends a request; resolves when the head of the answer has arrived. */
@@ -87,6 +116,15 @@
     request: RoutedRequest,
     terms: AttemptOptions,
   ): Promise<Result<UpstreamResponseHead, AttemptError>>;
+  /**
+   * Stops the run of a request and copies its memory to another upstream.
+   * Undefined if upstreams move no memory.
+   */
+  moveMemory?(
+    source: ProxyUpstream,
+    target: ProxyUpstream,
+    request: RoutedRequest,
+  ): Promise<MemoryMove>;
   /** Whether the upstream can be reached on a new connection. */
   probe(upstream: ProxyUpstream, kind: ProbeKind): Promise<boolean>;
   /** Closes the connections to a removed upstream as they become idle. */
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -1,7 +1,8 @@
 import type {RefusalError} from '@arbutustide/errors';
 import type {Result} from 'ts-results';
 
-import type {AttemptSlot, AttemptSlotResult} from './attempt_target.js';
+import type {Handover, OpenStream} from './handover/open_stream.js';
+import type {AttemptStart} from './proxy_connector.js';
 import type {AttemptResult} from './run_attempt.js';
 import type {ProxyAnswer} from './proxy_answer.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
@@ -10,23 +11,18 @@
 import type {SlotQueue} from './slot_queue.js';
 import type {RoutedRequest} from './routed_request.js';
 
-import {Cancellation, ErrorKind, ExecutionStatus} from '@arbutustide/errors';
+import {Cancellation, ExecutionStatus} from '@arbutustide/errors';
 import {Err, Ok} from 'ts-results';
 
 import {AnswerEnd} from '../caller_request.js';
-import {ENDLESS_ANSWER_PERIOD} from './answer_period.js';
 import {quarantineRefusal} from '../dispatch_refusals.js';
+import {AttemptMaker} from './attempt_maker.js';
 import {AttemptOutcome, mayHaveRun, isRetryAllowed} from './attempt_outcome.js';
-import {AnswerMemory} from './answer_memory.js';
 import {awaitFirstEvent} from './first_event.js';
-import {runAttempt} from './run_attempt.js';
 import {DecisionRecorder} from './decision_recorder.js';
+import {StreamHandovers} from './handover/stream_handovers.js';
 import {cancelOnTriggers, untilCancelled} from './request_cancellation.js';
-import {
-  ranSoFar,
-  remainingForUpstream,
-  remainingMilliseconds,
-} from './routed_request_progress.js';
+import {ranSoFar, remainingMilliseconds} from './routed_request_progress.js';
 import {
   cancelledRefusal,
   CancelReason,
@@ -35,11 +31,7 @@
   withRanSoFar,
 } from './proxy_refusals.js';
 import {ProxyEventStream} from './proxy_event_stream.js';
-import {isRepeatable} from './route.js';
 import {fingerprintRoutedRequest} from './routed_request.js';
-import {InactivityTimeout} from './inactivity_timeout.js';
-import {PeerTarget} from './relay/peer_target.js';
-import {UpstreamTarget} from './upstream_target.js';
 import {OriginKnowledge} from './stream_origin/stream_origin.js';
 
 /**
@@ -58,7 +50,8 @@
  */
 export class ProxyDispatcher {
   private readonly decisions: DecisionRecorder;
-  private readonly answerMemory = new AnswerMemory();
+  private readonly attempts: AttemptMaker;
+  private readonly handovers: StreamHandovers;
   private readonly shutdown = new Cancellation();
 
   constructor(
@@ -66,6 +59,16 @@
     private readonly options: ProxyDispatcherOptions,
   ) {
     this.decisions = new DecisionRecorder(options.onDecision);
+    this.attempts = new AttemptMaker(queue, options, this.decisions);
+    this.handovers = new StreamHandovers({
+      answerPeriod: options.answerPeriod,
+      connector: options.connector,
+      movesMemory: options.movesMemory,
+      longestMilliseconds: options.longestMilliseconds,
+      attempts: this.attempts,
+      onHandover: (progress, record) =>
+        this.decisions.recordHandover(progress, record),
+    });
   }
 
   /**
@@ -100,17 +103,25 @@
       return Err(hopeless);
     }
     const stopCancellation = cancelOnTriggers(progress, this.shutdown);
-    const attempt = await this.admitAndAttempt(
-      progress,
-      relayed?.resumeAfterEventId,
-    );
+    const resumeAfterEventId = relayed?.resumeAfterEventId;
+    const stream = this.handovers.open(progress);
+    const start = {resumeAfterEventId};
+    const attempt = await this.admitAndAttempt(progress, start, stream);
     const isOver = !attempt.ok || attempt.val.body !== undefined;
-    if (isOver) stopCancellation();
+    if (isOver) {
+      stopCancellation();
+      stream.close();
+    }
     if (!attempt.ok) {
       this.decisions.recordRefusal(progress, attempt.val);
       return attempt;
     }
-    const answer = this.createAnswer(progress, attempt.val, stopCancellation);
+    const answer = this.createAnswer(
+      progress,
+      attempt.val,
+      stream,
+      stopCancellation,
+    );
     return awaitFirstEvent(progress, answer);
   }
 
@@ -123,6 +134,14 @@
     this.shutdown.cancel(CancelReason.STOPPING);
   }
 
+  /**
+   * Hands streams over that stand still at their upstreams. Called often while
+   * this node stops.
+   */
+  handOverStalledStreams(): void {
+    this.handovers.review();
+  }
+
   /** The refusal of a request that must not be attempted at all, if so. */
   private refuseHopeless(
     progress: RoutedRequestProgress,
@@ -143,7 +162,8 @@
    */
   private async admitAndAttempt(
     progress: RoutedRequestProgress,
-    resumeAfterEventId: number | undefined,
+    start: AttemptStart,
+    stream: OpenStream,
   ): AttemptOrRefusal {
     const originRefusal = await this.resolveOrigin(progress);
     if (originRefusal) return Err(originRefusal);
@@ -151,10 +171,7 @@
       ? undefined
       : await this.takeQuota(progress);
     if (quotaRefusal) return Err(quotaRefusal);
-    const attempt = await this.attemptUntilAnswered(
-      progress,
-      resumeAfterEventId,
-    );
+    const attempt = await this.attemptUntilAnswered(progress, start, stream);
     if (!attempt.ok && ranSoFar(progress) === ExecutionStatus.NOT_EXECUTED)
       progress.admission?.giveBack();
     return attempt;
@@ -197,14 +214,21 @@
   /**
    * Sends the request to one upstream after another until one answers or no
    * retry is allowed. Falls back to the last error answer of an upstream.
+   *
+   * A stream may be handed over while it waits.
+   *
+   * @param firstHandover where the first attempt is made; found if absent.
    */
   private async attemptUntilAnswered(
     progress: RoutedRequestProgress,
-    resumeAfterEventId: number | undefined,
+    start: AttemptStart,
+    stream: OpenStream,
+    firstHandover?: Handover,
   ): AttemptOrRefusal {
     let lastFailure: AttemptResult | undefined;
+    let handover = firstHandover;
     for (;;) {
-      const slot = await this.acquireSlot(progress);
+      const slot = await this.attempts.acquireSlot(progress, handover?.slot);
       if (!slot.ok) return lastFailure?.body ? Ok(lastFailure) : slot;
       // The quarantine may have begun while the request was queued.
       if (this.options.poisonSegmentDetector.isQuarantined(progress.request)) {
@@ -223,17 +247,20 @@
         return Err(withRanSoFar(progress, gateRefusal));
       }
       this.decisions.recordSlotTaken(progress, slot.val);
-      const attempt = await this.makeAttempt(
+      const attempt = await this.attempts.makeAttempt(
         progress,
         slot.val,
-        resumeAfterEventId,
+        handover ? urgentStart(start, handover) : start,
+        stream,
       );
       if (attempt.outcome === AttemptOutcome.ANSWERED) return Ok(attempt);
+      handover = (await stream.takeHandover()) ?? handover?.takeFallback();
+      if (handover) continue;
       if (attempt.outcome === AttemptOutcome.FAILED) lastFailure = attempt;
       const budget = {
         tryConsumeRetry: () =>
           attempt.inactivityTimeout.hasExpired ||
-          this.tryConsumeRetry(progress, mayHaveRun(attempt.outcome)),
+          this.attempts.tryConsumeRetry(progress, mayHaveRun(attempt.outcome)),
       };
       const {finalRefusal} = attempt.slot.target;
       if (finalRefusal) return Err(withRanSoFar(progress, finalRefusal));
@@ -243,96 +270,6 @@
     }
   }
 
-  /** A slot at an upstream or, if none can be reached, a place at a peer. */
-  private async acquireSlot(
-    progress: RoutedRequestProgress,
-  ): Promise<AttemptSlotResult> {
-    if (progress.cancellation.isCancelled)
-      return Err(withRanSoFar(progress, cancelledRefusal(progress)));
-    const slot = await this.queue.acquireSlot(progress);
-    if (slot.ok) {
-      const {upstream, admission} = slot.val;
-      const target = new UpstreamTarget(upstream, admission, this.options);
-      return Ok({...slot.val, target});
-    }
-    if (slot.val.kind !== ErrorKind.UPSTREAM_UNREACHABLE) return slot;
-    const {relay} = this.options;
-    const peer = relay.choosePeer(progress);
-    if (!peer) return slot;
-    const target = new PeerTarget(peer, progress.request.service, relay);
-    return Ok({target, waitedMilliseconds: 0, release: () => {}});
-  }
-
-  private async makeAttempt(
-    progress: RoutedRequestProgress,
-    slot: AttemptSlot,
-    resumeAfterEventId: number | undefined,
-  ): Promise<AttemptResult> {
-    const {target} = slot;
-    target.recordChosen(progress);
-    progress.attempts += 1;
-    const tryReserveReplacement = () => this.tryReserveReplacement(progress);
-    const inactivityTimeout = new InactivityTimeout(
-      progress,
-      target,
-      tryReserveReplacement,
-    );
-    const {answerPeriod} = this.options;
-    const remaining = remainingForUpstream(progress, answerPeriod);
-    const context = {
-      slot,
-      inactivityTimeout,
-      observed: target.observe(progress.request),
-      resumeAfterEventId,
-      beganAtMilliseconds: performance.now(),
-      answerMemory: this.answerMemory,
-      dueAtMilliseconds: performance.now() + remaining,
-      isCurtailed:
-        remaining < remainingForUpstream(progress, ENDLESS_ANSWER_PERIOD),
-    };
-    const attempt = await runAttempt(progress, context);
-    const isOpen = attempt.body === undefined && attempt.error === undefined;
-    if (!isOpen) slot.release(attempt.outcome === AttemptOutcome.ANSWERED);
-    if (mayHaveRun(attempt.outcome)) progress.mayHaveRun = true;
-    // A request that was never sent does not count against maximumAttempts.
-    if (attempt.outcome === AttemptOutcome.NOT_CONNECTED)
-      progress.attempts -= 1;
-    target.recordAttempt(progress, attempt);
-    this.decisions.recordAttempt(progress, attempt);
-    return attempt;
-  }
-
-  /** Consumes a retry, unless it would probably crash another upstream. */
-  private tryConsumeRetry(
-    {request}: RoutedRequestProgress,
-    mayHaveRunBefore: boolean,
-  ): boolean {
-    const {poisonSegmentDetector, tryConsumeRetry} = this.options;
-    if (mayHaveRunBefore && poisonSegmentDetector.isSuspected(request))
-      return false;
-    return tryConsumeRetry(request.service);
-  }
-
-  /** Consumes a retry to replace an inactive upstream, if that is allowed. */
-  private tryReserveReplacement(progress: RoutedRequestProgress): boolean {
-    const {route, service} = progress.request;
-    return (
-      isRepeatable(route) &&
-      progress.attempts < route.maximumAttempts &&
-      this.canPlace(progress) &&
-      this.options.tryConsumeRetry(service)
-    );
-  }
-
-  /** Whether another attempt could begin now, here or at a peer. */
-  private canPlace(progress: RoutedRequestProgress): boolean {
-    if (this.queue.hasFreeSlot(progress)) return true;
-    return (
-      this.queue.isUnreachable(progress) &&
-      this.options.relay.choosePeer(progress) !== undefined
-    );
-  }
-
   /** Records where a stream began whose first event is about to be sent. */
   private recordOrigin(
     progress: RoutedRequestProgress,
@@ -353,6 +290,7 @@
   private createAnswer(
     progress: RoutedRequestProgress,
     attempt: AttemptResult,
+    openStream: OpenStream,
     stopCancellation: () => void,
   ): ProxyAnswer {
     const {head, slot, body} = attempt;
@@ -369,25 +307,30 @@
       return {...common, body: body ?? Buffer.alloc(0)};
     }
     progress.hasStreamBegun = true;
-    const stream = new ProxyEventStream(progress, {
-      resume: after => this.attemptUntilAnswered(progress, after),
-      tryConsumeRetry: () => this.tryConsumeRetry(progress, true),
+    const stream = new ProxyEventStream(progress, openStream, {
+      resume: (start, handover) =>
+        this.attemptUntilAnswered(progress, start, openStream, handover),
+      tryConsumeRetry: () => this.attempts.tryConsumeRetry(progress, true),
       onFirstEvent: first => this.recordOrigin(progress, first),
       onResume: (reason, next) =>
         this.decisions.recordResume(progress, reason, next),
-      onEnd: (end, {attempt: last, timing, eventCount, reason}) => {
+      onEnd: (end, {attempt: last, ...outcome}) => {
         stopCancellation();
         if (end === AnswerEnd.WHOLE && head.isSelfDelimiting)
           this.recordWholeAnswer(progress);
         if (end === AnswerEnd.WHOLE && !progress.isRelayed)
           this.options.streamOrigins.recordComplete(progress.request);
-        this.decisions.recordEnd(progress, end, last.slot.target, {
-          timing,
-          eventCount,
-          reason,
-        });
+        this.decisions.recordEnd(progress, end, last.slot.target, outcome);
       },
     });
     return {...common, body: stream.readChunks(attempt)};
   }
 }
+
+/** The start of an attempt at the place that a stream is handed over to. */
+function urgentStart(
+  {resumeAfterEventId}: AttemptStart,
+  {memoryLocation}: Handover,
+): AttemptStart {
+  return {resumeAfterEventId, isUrgent: true, memoryLocation};
+}
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher_options.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher_options.ts
@@ -2,6 +2,7 @@
 import type {RequestRelay} from './relay/request_relay.js';
 import type {RequestDecision} from './request_decision.js';
 import type {RequestGate} from './request_gate.js';
+import type {RoutedRequest} from './routed_request.js';
 import type {StreamOrigins} from './stream_origin/stream_origin.js';
 import type {UpstreamTargetOptions} from './upstream_target.js';
 
@@ -16,4 +17,11 @@
   readonly streamOrigins: StreamOrigins;
   readonly gate: RequestGate;
   readonly answerPeriod: AnswerPeriod;
+  /** Whether the upstreams of a service move memory; none do if absent. */
+  readonly movesMemory?: (service: string) => boolean;
+  /**
+   * Time within which requests like this one end, with few exceptions, once they
+   * have a slot; undefined if that is not known.
+   */
+  readonly longestMilliseconds?: (request: RoutedRequest) => number | undefined;
 }
--- a/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
@@ -1,6 +1,9 @@
 import type {RefusalError} from '@arbutustide/errors';
 import type {Result} from 'ts-results';
 
+import type {StayReason} from './handover/handover_decision.js';
+import type {Handover, OpenStream} from './handover/open_stream.js';
+import type {AttemptStart} from './proxy_connector.js';
 import type {AttemptResult} from './run_attempt.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
 import type {StreamTiming} from './stream_timeline.js';
@@ -9,13 +12,17 @@
 import {AttemptOutcome} from './attempt_outcome.js';
 import {EventSequencer} from './event_sequencer.js';
 import {isRepeatable} from './route.js';
-import {StreamTimeline} from './stream_timeline.js';
 
 /** Callbacks of a stream to the dispatcher. */
 export interface ProxyEventStreamOptions {
-  /** Makes an attempt at another upstream that continues after the event. */
+  /**
+   * Makes an attempt at another upstream that continues after the event.
+   *
+   * @param handover where it is handed over to; undefined after a failure.
+   */
   readonly resume: (
-    after: number | undefined,
+    start: AttemptStart,
+    handover: Handover | undefined,
   ) => Promise<Result<AttemptResult, RefusalError>>;
   /** Consumes one retry of the cluster-wide budget; false if none is left. */
   readonly tryConsumeRetry: () => boolean;
@@ -34,6 +41,8 @@
   readonly eventCount: number;
   /** Why the last attempt failed, if it did. */
   readonly reason: string | undefined;
+  /** Why it was not handed over, if this node stops. */
+  readonly stayReason: StayReason | undefined;
 }
 
 /** Why an attempt ended before its stream was complete. */
@@ -41,6 +50,8 @@
   readonly reason: string;
   /** Whether it ended by inactivity timeout, which has consumed the retry. */
   readonly wasInactive?: boolean;
+  /** Where the stream goes on; undefined unless this node ended the attempt. */
+  readonly handover?: Handover;
 }
 
 /** By how much the clock of an upstream may be ahead within an attempt. */
@@ -55,15 +66,13 @@
 /** Forwards an event stream, resumed at other upstreams after failures. */
 export class ProxyEventStream {
   private readonly eventSequencer: EventSequencer;
-  private readonly timeline: StreamTimeline;
 
   constructor(
     private readonly progress: RoutedRequestProgress,
+    private readonly openStream: OpenStream,
     private readonly options: ProxyEventStreamOptions,
   ) {
-    const {lastEventId, arrivedAtMilliseconds} = progress.request;
-    this.eventSequencer = new EventSequencer(lastEventId);
-    this.timeline = new StreamTimeline(arrivedAtMilliseconds);
+    this.eventSequencer = new EventSequencer(progress.request.lastEventId);
   }
 
   /** Yields chunks of complete events; returns how the stream ended. */
@@ -83,11 +92,13 @@
       }
       return end;
     } finally {
+      this.openStream.close();
       this.options.onEnd(end, {
         attempt: latest,
-        timing: this.timeline.timing,
+        timing: this.openStream.timeline.timing,
         eventCount: this.eventSequencer.passedCount,
         reason: failure?.reason,
+        stayReason: this.openStream.stayReason,
       });
     }
   }
@@ -98,6 +109,7 @@
     isResumed: boolean,
   ): AsyncGenerator<Uint8Array, SegmentFailure | undefined, undefined> {
     this.eventSequencer.beginAttempt();
+    this.openStream.beginAttempt(attempt.slot, attempt.inactivityTimeout);
     let isWhole = false;
     try {
       for await (const chunk of attempt.head?.body ?? []) {
@@ -106,13 +118,17 @@
           // Bytes that complete no new event are no progress.
           attempt.inactivityTimeout.recordActivity();
           attempt.observed?.recordData();
-          if (!this.timeline.hasEvents) this.options.onFirstEvent(attempt);
-          this.timeline.recordEvents();
+          if (!this.openStream.timeline.hasEvents)
+            this.options.onFirstEvent(attempt);
+          this.openStream.recordEvents();
           this.progress.lastDeliveryAtMilliseconds = performance.now();
           yield bytes;
+          this.openStream.recordWaiting();
         }
         if (problem) return {reason: `event cannot follow: ${problem}`};
       }
+      const handedOver = await this.findHandover();
+      if (handedOver) return handedOver;
       // An upstream whose time is over may end what it has not completed.
       if (isOverdue(attempt)) return {reason: 'the time to answer is over'};
       const reason = this.findTruncation(attempt, isResumed);
@@ -125,6 +141,8 @@
       isWhole = !isResumed;
       return undefined;
     } catch (error) {
+      const handedOver = await this.findHandover();
+      if (handedOver) return handedOver;
       const {hasExpired: wasInactive} = attempt.inactivityTimeout;
       if (!this.progress.cancellation.isCancelled && !isOverdue(attempt)) {
         attempt.slot.target.recordBrokenStream(this.progress, wasInactive);
@@ -138,6 +156,14 @@
     }
   }
 
+  /** Whether the attempt has ended as its stream goes on at another place. */
+  private async findHandover(): Promise<SegmentFailure | undefined> {
+    const handover = await this.openStream.takeHandover();
+    if (handover) return {reason: 'the stream was handed over', handover};
+    if (!this.openStream.mayHaveMoved) return undefined;
+    return {reason: 'its memory may have been moved'};
+  }
+
   /** Why a stream that ended without an error is incomplete, if it is. */
   private findTruncation(
     {head}: AttemptResult,
@@ -160,19 +186,22 @@
   ): Promise<AttemptResult | undefined> {
     const {request, cancellation, attempts} = this.progress;
     const {route} = request;
+    const {handover, wasInactive, reason} = failure;
     const isAllowed =
-      isRepeatable(route) &&
-      !cancellation.isCancelled &&
-      attempts < route.maximumAttempts &&
-      (failure.wasInactive || this.options.tryConsumeRetry());
+      handover !== undefined ||
+      (isRepeatable(route) &&
+        !cancellation.isCancelled &&
+        attempts < route.maximumAttempts &&
+        (wasInactive || this.options.tryConsumeRetry()));
     if (!isAllowed) return undefined;
-    const next = await this.options.resume(this.eventSequencer.lastEventId);
+    const resumeAfterEventId = this.eventSequencer.lastEventId;
+    const next = await this.options.resume({resumeAfterEventId}, handover);
     const attempt = next.ok ? next.val : undefined;
     const isStream =
       attempt?.outcome === AttemptOutcome.ANSWERED &&
       attempt.body === undefined;
     const resumed = isStream ? attempt : undefined;
-    this.options.onResume(failure.reason, resumed);
+    this.options.onResume(reason, resumed);
     return resumed;
   }
 }
--- a/packages/arbutustide-routing/src/proxy/queue/slot_queue_options.ts
+++ b/packages/arbutustide-routing/src/proxy/queue/slot_queue_options.ts
@@ -17,8 +17,14 @@
 
 /** Policies and callbacks of a slot queue. */
 export interface SlotQueueOptions {
-  /** Chooses among the upstreams as they are now. */
-  readonly chooseUpstream: (progress: RoutedRequestProgress) => UpstreamChoice;
+  /**
+   * Chooses among the upstreams as they are now. An urgent request may go to one
+   * whose slots are taken.
+   */
+  readonly chooseUpstream: (
+    progress: RoutedRequestProgress,
+    isUrgent?: boolean,
+  ) => UpstreamChoice;
   /**
    * Predicted time until a slot is free, in milliseconds; undefined if none is
    * expected. `ahead` is the number of requests that are served before.
--- a/packages/arbutustide-routing/src/proxy/relay/peer_target.ts
+++ b/packages/arbutustide-routing/src/proxy/relay/peer_target.ts
@@ -21,6 +21,7 @@
 
 /** A peer that makes the attempt in this node's place. */
 export class PeerTarget implements AttemptTarget {
+  readonly upstream = undefined;
   private head: RelayedHead | undefined;
   private refusal: RefusalError | undefined;
   private lastDataAtMilliseconds = performance.now();
--- a/packages/arbutustide-routing/src/proxy/request_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/request_decision.ts
@@ -1,12 +1,15 @@
 import type {ErrorKind, ExecutionStatus} from '@arbutustide/errors';
 
 import type {AttemptOutcome} from './attempt_outcome.js';
+import type {HandoverMeans, StayReason} from './handover/handover_decision.js';
 
 /** Step of a request's handling that is recorded as a decision. */
 export enum DecisionStep {
   PLACED = 'placed',
   ATTEMPT_ENDED = 'attempt_ended',
   STREAM_RESUMED = 'stream_resumed',
+  /** A stream is handed over to another place, as this node stops. */
+  HANDOVER = 'handover',
   REFUSED = 'refused',
   ENDED = 'ended',
 }
@@ -54,5 +57,10 @@
   readonly sinceLastEventMilliseconds?: number;
   readonly eventCount?: number;
   readonly priority?: number;
+  readonly stayReason?: StayReason;
+  /** Of a handover. */
+  readonly means?: HandoverMeans;
+  readonly stalledMilliseconds?: number;
+  readonly leftMilliseconds?: number;
   readonly reason?: string;
 }
--- a/packages/arbutustide-routing/src/proxy/route.ts
+++ b/packages/arbutustide-routing/src/proxy/route.ts
@@ -107,6 +107,8 @@
   /** Disk space of the engine for copies of weights. */
   readonly diskCapacityMegabytes: number;
   readonly models: ReadonlyMap<string, ModelDescription>;
+  /** Whether engines copy the memory of their runs to each other. */
+  readonly movesMemory: boolean;
 }
 
 /** A group of interchangeable upstreams. */
--- a/packages/arbutustide-routing/src/proxy/run_attempt.ts
+++ b/packages/arbutustide-routing/src/proxy/run_attempt.ts
@@ -1,7 +1,7 @@
 import type {ObservedAttempt} from './crash_attribution/observed_attempt.js';
 import type {AnswerMemory, AnswerRoom} from './answer_memory.js';
 import type {AttemptSlot} from './attempt_target.js';
-import type {UpstreamResponseHead} from './proxy_connector.js';
+import type {AttemptStart, UpstreamResponseHead} from './proxy_connector.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
 import type {InactivityTimeout} from './inactivity_timeout.js';
 
@@ -43,13 +43,12 @@
   readonly error: AttemptError | undefined;
 }
 
-/** Slot, timeout and resume position of one attempt. */
+/** Slot, timeout and start of one attempt. */
 export interface AttemptContext {
   readonly slot: AttemptSlot;
   readonly inactivityTimeout: InactivityTimeout;
   readonly observed: ObservedAttempt | undefined;
-  /** Id of the event after which a stream resumes; undefined to start it. */
-  readonly resumeAfterEventId: number | undefined;
+  readonly start: AttemptStart;
   /** Monotonic clock, in milliseconds. */
   readonly beganAtMilliseconds: number;
   readonly answerMemory: AnswerMemory;
@@ -67,12 +66,12 @@
   progress: RoutedRequestProgress,
   context: AttemptContext,
 ): Promise<AttemptResult> {
-  const {slot, inactivityTimeout, observed, resumeAfterEventId} = context;
+  const {slot, start, inactivityTimeout, observed} = context;
   const {beganAtMilliseconds, answerMemory} = context;
   const {dueAtMilliseconds, isCurtailed} = context;
   const opened = await slot.target.sendRequest(progress, {
+    ...start,
     remainingMilliseconds: dueAtMilliseconds - performance.now(),
-    resumeAfterEventId,
     cancellation: inactivityTimeout.cancellation,
   });
   if (!opened.ok) return failedAttempt(context, undefined, opened.val);
--- a/packages/arbutustide-routing/src/proxy/slot_queue.ts
+++ b/packages/arbutustide-routing/src/proxy/slot_queue.ts
@@ -1,7 +1,6 @@
 import type {Result} from 'ts-results';
 
 import type {PendingAdmission} from './brittleness/upstream_admission.js';
-import type {UpstreamChoice} from './choose_upstream.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
 import type {ProxyUpstream} from './proxy_upstream.js';
 import type {QueuePosition} from './queue/queue_position.js';
@@ -16,7 +15,7 @@
 import {createStoppingRefusal, ErrorKind} from '@arbutustide/errors';
 import {Err, Ok} from 'ts-results';
 
-import {NoUpstreamReason} from './choose_upstream.js';
+import {isNoUpstreamReason, NoUpstreamReason} from './choose_upstream.js';
 import {
   hasEarlierRequest,
   insertInOrder,
@@ -94,6 +93,26 @@
     return kind === ErrorKind.DEADLINE_UNREACHABLE;
   }
 
+  /** Takes a slot now, ahead of queued requests; undefined if none has room. */
+  tryTakeSlot(progress: RoutedRequestProgress): UpstreamSlot | undefined {
+    const {chooseUpstream} = this.options;
+    const free = chooseUpstream(progress);
+    const choice = isNoUpstreamReason(free)
+      ? chooseUpstream(progress, true)
+      : free;
+    if (isNoUpstreamReason(choice)) return undefined;
+    return this.takeSlotAt(progress, choice);
+  }
+
+  /** Takes a slot at an upstream, whether one is free or not. */
+  takeSlotAt(
+    progress: RoutedRequestProgress,
+    upstream: ProxyUpstream,
+  ): UpstreamSlot {
+    this.options.observer.recordQueued(progress.request);
+    return this.takeSlot(progress, upstream, performance.now());
+  }
+
   /** Whether this node has no path to any upstream that could take it. */
   isUnreachable(progress: RoutedRequestProgress): boolean {
     const choice = this.options.chooseUpstream(progress);
@@ -375,9 +394,3 @@
     return true;
   }
 }
-
-function isNoUpstreamReason(
-  choice: UpstreamChoice,
-): choice is NoUpstreamReason {
-  return typeof choice === 'string';
-}
--- a/packages/arbutustide-routing/src/proxy/stream_timeline.ts
+++ b/packages/arbutustide-routing/src/proxy/stream_timeline.ts
@@ -7,11 +7,16 @@
   readonly sinceLastEventMilliseconds: number | undefined;
 }
 
-/** When the events of a stream came. */
+/** Pauses from which the usual one is taken. */
+const RECENT_PAUSES = 9;
+
+/** When the events of a stream came, and how long its upstream was awaited. */
 export class StreamTimeline {
   private firstEventAtMilliseconds: number | undefined;
   private lastEventAtMilliseconds = 0;
   private longestPauseMilliseconds = 0;
+  private waitingSinceMilliseconds: number | undefined;
+  private readonly recentPauses: number[] = [];
 
   constructor(private readonly arrivedAtMilliseconds: number) {}
 
@@ -19,17 +24,39 @@
     return this.firstEventAtMilliseconds !== undefined;
   }
 
+  /**
+   * How long the upstream has kept this node waiting; zero while the caller has
+   * not taken the events that came.
+   */
+  get stalledMilliseconds(): number {
+    const {waitingSinceMilliseconds: waitingSince} = this;
+    return waitingSince === undefined ? 0 : performance.now() - waitingSince;
+  }
+
+  /** Median of the latest pauses between events; undefined if there are none. */
+  get usualPauseMilliseconds(): number | undefined {
+    const sorted = [...this.recentPauses].sort((left, right) => left - right);
+    return sorted[Math.floor(sorted.length / 2)];
+  }
+
+  /** Records that the next data of the upstream is awaited from now on. */
+  recordWaiting(): void {
+    this.waitingSinceMilliseconds = performance.now();
+  }
+
+  /** Records that no upstream is awaited. */
+  recordIdle(): void {
+    this.waitingSinceMilliseconds = undefined;
+  }
+
   /** Records that events have come. */
   recordEvents(): void {
     const now = performance.now();
     if (this.firstEventAtMilliseconds === undefined)
       this.firstEventAtMilliseconds = now;
-    else
-      this.longestPauseMilliseconds = Math.max(
-        this.longestPauseMilliseconds,
-        now - this.lastEventAtMilliseconds,
-      );
+    else this.recordPause(now - this.lastEventAtMilliseconds);
     this.lastEventAtMilliseconds = now;
+    this.waitingSinceMilliseconds = undefined;
   }
 
   get timing(): StreamTiming {
@@ -45,4 +72,13 @@
         : undefined,
     };
   }
+
+  private recordPause(milliseconds: number): void {
+    this.longestPauseMilliseconds = Math.max(
+      this.longestPauseMilliseconds,
+      milliseconds,
+    );
+    this.recentPauses.push(milliseconds);
+    if (this.recentPauses.length > RECENT_PAUSES) this.recentPauses.shift();
+  }
 }
--- a/packages/arbutustide-telemetry/src/metrics.ts
+++ b/packages/arbutustide-telemetry/src/metrics.ts
@@ -61,6 +61,12 @@
     labelNames: ['stage'] as const,
     registers: [this.registry],
   });
+  readonly handovers = new Counter({
+    name: 'arbutustide_stream_handovers_total',
+    help: 'Streams that a stop took from where they stood still, by entry and means.',
+    labelNames: ['entry', 'means'] as const,
+    registers: [this.registry],
+  });
   readonly teamRefusals = new Counter({
     name: 'arbutustide_team_refusals_total',
     help: 'Refusals of requests with a valid key, by tenant and kind.',
