Refuse a stream that has not begun only if its time is known

In a stop, a request that stood still at its upstream without an event was refused where too few requests of its kind had been measured. That is no knowledge that it cannot end in time. Tested in handover_decision.test.ts.

--- a/packages/arbutustide-routing/src/__tests__/unit/handover_decision.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/handover_decision.test.ts
@@ -85,6 +85,11 @@
     changes: {...UNBEGUN, leftMilliseconds: 2_900},
     expected: HandoverMeans.REFUSE,
   },
+  {
+    name: 'awaits one that has not begun and whose time is not known',
+    changes: {...UNBEGUN, expectedMilliseconds: undefined},
+    expected: StayReason.NOT_BEGUN,
+  },
   {
     name: 'awaits one that must not be repeated, although it has not begun',
     changes: {...UNBEGUN, leftMilliseconds: 2_900, route: SINGLE},
--- a/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
@@ -4,6 +4,7 @@
   UpstreamResponseHead,
 } from '../../proxy/proxy_connector.js';
 import type {RequestDecision} from '../../proxy/request_decision.js';
+import type {ProxyDispatcherOptions} from '../../proxy/proxy_dispatcher_options.js';
 import type {ProxyAnswer} from '../../proxy/proxy_answer.js';
 import type {ProxyUpstream} from '../../proxy/proxy_upstream.js';
 import type {RoutedRequest} from '../../proxy/routed_request.js';
@@ -127,7 +128,10 @@
   relay = NO_RELAY,
   gate = OPEN_GATE,
   answerPeriod = ENDLESS_ANSWER_PERIOD,
-  movesMemory?: (service: string) => boolean,
+  handovers: Pick<
+    ProxyDispatcherOptions,
+    'movesMemory' | 'longestMilliseconds'
+  > = {},
 ): ProxyDispatcher {
   const settings = {
     ownFailureDomain: 'near',
@@ -183,7 +187,7 @@
     streamOrigins,
     gate,
     answerPeriod,
-    movesMemory,
+    ...handovers,
     poisonRequestDetector: new PoisonRequestDetector(
       10_000,
       {crashes: () => 0, runsOtherSuspects: () => false},
--- a/packages/arbutustide-routing/src/__tests__/unit/stream_handovers.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/stream_handovers.test.ts
@@ -110,7 +110,10 @@
       undefined,
       undefined,
       answerPeriod,
-      () => movesMemory,
+      {
+        movesMemory: () => movesMemory,
+        longestMilliseconds: () => LEFT_MILLISECONDS / 2,
+      },
     );
     return {connector, dispatcher};
   }
--- a/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
@@ -45,8 +45,8 @@
   readonly hasEvents: boolean;
   /** Whether its upstream was told to serve it before others. */
   readonly isUrgent: boolean;
-  /** Time in which streams of its kind end; Infinity if that is unknown. */
-  readonly expectedMilliseconds: number;
+  /** Time in which streams of its kind end; undefined if that is not known. */
+  readonly expectedMilliseconds: number | undefined;
   /** Whether the memory of its run may be moved, as far as is known. */
   readonly isMovable: boolean;
   /** How long its upstream has kept this node waiting. */
@@ -98,9 +98,10 @@
 function decideUnbegun({
   route,
   leftMilliseconds,
-  expectedMilliseconds,
+  expectedMilliseconds = 0,
 }: HandoverInput): HandoverMeans | StayReason {
-  return isRepeatable(route) && leftMilliseconds < expectedMilliseconds
+  const isHopeless = leftMilliseconds < expectedMilliseconds;
+  return isHopeless && isRepeatable(route)
     ? HandoverMeans.REFUSE
     : StayReason.NOT_BEGUN;
 }
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -99,7 +99,7 @@
       isMovable:
         handoverInput.isMovable && Boolean(movesMemory?.(request.service)),
       leftMilliseconds,
-      expectedMilliseconds: longestMilliseconds?.(request) ?? Infinity,
+      expectedMilliseconds: longestMilliseconds?.(request),
     };
     const decision = decideHandover(input);
     if (!isMeans(decision)) return decision;
