--- a/packages/arbutustide-routing/src/__tests__/unit/stream_handovers.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/stream_handovers.test.ts
@@ -278,14 +278,17 @@
   it('stays while its caller does not take its events', async () => {
     const {dispatcher} = createTestDispatcher(false, [standStill()]);
     const request = createRequest(RequestKind.STREAM, true);
-    const answer = (await dispatcher.dispatch(request)).unwrap();
+    const {body} = (await dispatcher.dispatch(request)).unwrap();
+    if (Buffer.isBuffer(body)) throw new Error('the answer is no stream');
+    await body.next();
+    const second = body.next();
+    await clock.tickAsync(EVENT_MILLISECONDS);
+    await second;
     answerPeriod.endsAtMilliseconds = performance.now() + LEFT_MILLISECONDS;
     await clock.tickAsync(PATIENCE_MILLISECONDS);
     dispatcher.handOverStalledStreams();
     expect(decisions.map(({step}) => step)).not.to.include('handover');
-    if (Buffer.isBuffer(answer.body))
-      throw new Error('the answer is no stream');
-    void answer.body.return(AnswerEnd.ABANDONED);
+    void body.return(AnswerEnd.ABANDONED);
   });
 
   it('stays while its node does not stop', async () => {
