--- a/packages/arbutustide-node/src/proxy/hand_over_stalled_streams.ts
+++ b/packages/arbutustide-node/src/proxy/hand_over_stalled_streams.ts
@@ -2,10 +2,10 @@
 
 import {delay} from '@arbutustide/errors';
 
-/** Interval at which a node that stops looks for streams that stand still. */
+/** Interval at which a node that stops looks for stalled streams. */
 const CHECK_INTERVAL_MILLISECONDS = 50;
 
-/** Hands streams over that stand still at their upstreams, until the signal. */
+/** Hands stalled streams over to other upstreams, until the signal. */
 export async function handOverStalledStreams(
   dispatcher: Pick<ProxyDispatcher, 'handOverStalledStreams'>,
   signal: AbortSignal,
--- a/packages/arbutustide-routing/src/__tests__/unit/give_up.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/give_up.test.ts
@@ -119,10 +119,10 @@
     expect(connector.upstreamIds).to.have.length(1);
   });
 
-  it('logs where a stream that is cut stood still, and since when', async () => {
+  it('logs where a stream that is cut was stalled, and since when', async () => {
     upstreams.push(testUpstream('two', ['m']));
     const breakOff: AttemptScript = () => respondWithEvents([1], false);
-    const standStill: AttemptScript = (_upstream, {cancellation}) =>
+    const stall: AttemptScript = (_upstream, {cancellation}) =>
       respondWith({
         isEventStream: true,
         body: (async function* () {
@@ -131,7 +131,7 @@
           throw connectionLostError();
         })(),
       });
-    const {connector, dispatcher} = createTestDispatcher(breakOff, standStill);
+    const {connector, dispatcher} = createTestDispatcher(breakOff, stall);
     const request = createRequest(RequestKind.STREAM, true);
     const reading = readAnswer(await dispatcher.dispatch(request));
     await clock.tickAsync(WAIT_MILLISECONDS);
--- a/packages/arbutustide-routing/src/__tests__/unit/stream_handovers.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/stream_handovers.test.ts
@@ -74,8 +74,8 @@
   });
   afterEach(() => clock.uninstall());
 
-  /** A stream of two events that stands still until it is cancelled or ends. */
-  function standStill(ending = new Cancellation()): AttemptScript {
+  /** A stream that stalls after two events until it is cancelled or ends. */
+  function stall(ending = new Cancellation()): AttemptScript {
     return (_upstream, {cancellation}) =>
       respondWith({
         isEventStream: true,
@@ -118,7 +118,7 @@
     return {connector, dispatcher};
   }
 
-  /** Plays a stop in which the stream of the first script stands still. */
+  /** Plays a stop in which the stream of the first script is stalled. */
   async function play(
     isResumable: boolean,
     movesMemory: boolean,
@@ -142,7 +142,7 @@
   }
 
   it('goes on after its last event, more urgently, at another one', async () => {
-    const {connector, reading} = await play(true, false, [standStill(), goOn]);
+    const {connector, reading} = await play(true, false, [stall(), goOn]);
     const {text, end} = await reading;
     expect(eventIdsIn(text)).to.eql([1, 2, 3, 4]);
     expect(end).to.equal(AnswerEnd.WHOLE);
@@ -156,7 +156,7 @@
 
   it('takes no retry again from what it was handed over from', async () => {
     await (
-      await play(true, false, [standStill(), goOn])
+      await play(true, false, [stall(), goOn])
     ).reading;
     expect(upstreams[0].isEjected).to.equal(false);
     expect(decisions.map(({step}) => step)).to.include('handover');
@@ -164,7 +164,7 @@
 
   it('goes on where it was if there is no other', async () => {
     upstreams.pop();
-    const {connector, reading} = await play(true, false, [standStill(), goOn]);
+    const {connector, reading} = await play(true, false, [stall(), goOn]);
     const {text, end} = await reading;
     expect(eventIdsIn(text)).to.eql([1, 2, 3, 4]);
     expect(end).to.equal(AnswerEnd.WHOLE);
@@ -173,7 +173,7 @@
   });
 
   it('goes on where it was if the other one does not take it', async () => {
-    const scripts = [standStill(), refuse, goOn];
+    const scripts = [stall(), refuse, goOn];
     const {connector, reading} = await play(true, false, scripts);
     const {text, end} = await reading;
     expect(eventIdsIn(text)).to.eql([1, 2, 3, 4]);
@@ -183,7 +183,7 @@
   });
 
   it('goes on from a copy of its memory if it must not run again', async () => {
-    const {connector, reading} = await play(false, true, [standStill(), goOn]);
+    const {connector, reading} = await play(false, true, [stall(), goOn]);
     const {text, end} = await reading;
     expect(eventIdsIn(text)).to.eql([1, 2, 3, 4]);
     expect(end).to.equal(AnswerEnd.WHOLE);
@@ -200,7 +200,7 @@
     const {connector, reading} = await play(
       false,
       true,
-      [standStill(), goOn],
+      [stall(), goOn],
       moving => {
         moving.move = async () => ({
           outcome: MemoryMoveOutcome.KEPT_AT_SOURCE,
@@ -215,7 +215,7 @@
   });
 
   it('goes on from the memory at its source if the other refuses', async () => {
-    const scripts = [standStill(), refuse, goOn];
+    const scripts = [stall(), refuse, goOn];
     const {connector, reading} = await play(false, true, scripts);
     expect((await reading).end).to.equal(AnswerEnd.WHOLE);
     expect(connector.upstreamIds).to.eql(['one', 'two', 'one']);
@@ -228,7 +228,7 @@
     const {connector, reading} = await play(
       false,
       true,
-      [standStill(ending)],
+      [stall(ending)],
       moving => {
         moving.move = async () => ({outcome: MemoryMoveOutcome.IMPOSSIBLE});
       },
@@ -243,7 +243,7 @@
 
   it('is never whole if it may have been stopped for a lost move', async () => {
     const ending = new Cancellation();
-    const {reading} = await play(false, true, [standStill(ending)], moving => {
+    const {reading} = await play(false, true, [stall(ending)], moving => {
       moving.move = async () => ({outcome: MemoryMoveOutcome.UNKNOWN});
     });
     ending.cancel(undefined);
@@ -257,7 +257,7 @@
     const {connector, reading} = await play(
       false,
       true,
-      [standStill(ending)],
+      [stall(ending)],
       moving => {
         moving.move = () =>
           new Promise(resolve =>
@@ -276,7 +276,7 @@
   });
 
   it('stays while its caller does not take its events', async () => {
-    const {dispatcher} = createTestDispatcher(false, [standStill()]);
+    const {dispatcher} = createTestDispatcher(false, [stall()]);
     const request = createRequest(RequestKind.STREAM, true);
     const {body} = (await dispatcher.dispatch(request)).unwrap();
     if (Buffer.isBuffer(body)) throw new Error('the answer is no stream');
@@ -292,7 +292,7 @@
   });
 
   it('stays while its node does not stop', async () => {
-    const {dispatcher} = createTestDispatcher(false, [standStill()]);
+    const {dispatcher} = createTestDispatcher(false, [stall()]);
     const request = createRequest(RequestKind.STREAM, true);
     void readAnswer(await dispatcher.dispatch(request));
     await clock.tickAsync(EVENT_MILLISECONDS + PATIENCE_MILLISECONDS);
--- a/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
@@ -2,7 +2,7 @@
 
 import {isRepeatable} from '../route.js';
 
-/** What is done for a stream that stands still. */
+/** What is done for a stalled stream. */
 export enum HandoverMeans {
   /** Runs once more after its last event, at another upstream. */
   RESUME_ELSEWHERE = 'resume_elsewhere',
@@ -45,7 +45,10 @@
   readonly hasEvents: boolean;
   /** Whether its upstream was told to serve it before others. */
   readonly isUrgent: boolean;
-  /** Time in which streams of its kind end; undefined if that is not known. */
+  /**
+   * Time in which most streams of its kind end, of one without events; undefined
+   * if that is not known.
+   */
   readonly expectedMilliseconds: number | undefined;
   /** Whether the memory of its run may be moved, as far as is known. */
   readonly isMovable: boolean;
@@ -58,8 +61,8 @@
 }
 
 /**
- * Share of the time after which callers leave a stream that stands still, and of
- * the time left in the stop, that an upstream may take for its next event.
+ * Time that an upstream may take for the next event, as a share of the time after
+ * which callers leave, and of the time left in the stop.
  */
 const PATIENCE_SHARE = 0.25;
 /** Factor on that time while the pace of a stream is not known. */
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -7,9 +7,9 @@
 import type {RoutedRequestProgress} from '../routed_request_progress.js';
 import type {Handover} from './open_stream.js';
 
+import {MemoryMoveOutcome} from '../proxy_connector.js';
 import {RequestKind} from '../route.js';
 import {StreamTimeline} from '../stream_timeline.js';
-import {MemoryMoveOutcome} from '../proxy_connector.js';
 import {
   decideHandover,
   HandoverMeans,
@@ -44,8 +44,8 @@
 type HandoverStarter = (stream: OpenStream) => StayReason | undefined;
 
 /**
- * Hands streams of a node that stops over from upstreams at which they stand
- * still to others. A stream that is not complete when the node ends is cut.
+ * Hands stalled streams of a node that stops over to other upstreams. A stream
+ * that is not complete when the node ends is cut.
  */
 export class StreamHandovers {
   private readonly streams = new Set<OpenStream>();
@@ -99,7 +99,9 @@
       isMovable:
         handoverInput.isMovable && Boolean(movesMemory?.(request.service)),
       leftMilliseconds,
-      expectedMilliseconds: longestMilliseconds?.(request),
+      expectedMilliseconds: handoverInput.hasEvents
+        ? undefined
+        : longestMilliseconds?.(request),
     };
     const decision = decideHandover(input);
     if (!isMeans(decision)) return decision;
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -135,8 +135,8 @@
   }
 
   /**
-   * Hands streams over that stand still at their upstreams. Called often while
-   * this node stops.
+   * Hands stalled streams over to other upstreams. Called often while this node
+   * stops.
    */
   handOverStalledStreams(): void {
     this.handovers.review();
--- a/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
@@ -156,7 +156,7 @@
     }
   }
 
-  /** Whether the attempt has ended as its stream goes on at another place. */
+  /** The end of an attempt whose stream goes on elsewhere, or may have to. */
   private async findHandover(): Promise<SegmentFailure | undefined> {
     const handover = await this.openStream.takeHandover();
     if (handover) return {reason: 'the stream was handed over', handover};
--- a/packages/arbutustide-telemetry/src/metrics.ts
+++ b/packages/arbutustide-telemetry/src/metrics.ts
@@ -63,7 +63,7 @@
   });
   readonly handovers = new Counter({
     name: 'arbutustide_stream_handovers_total',
-    help: 'Streams that a stop took from where they stood still, by entry and means.',
+    help: 'Stalled streams that were handed over in a stop, by entry and means.',
     labelNames: ['entry', 'means'] as const,
     registers: [this.registry],
   });
