--- a/packages/arbutustide-node/src/proxy/decision_metrics.ts
+++ b/packages/arbutustide-node/src/proxy/decision_metrics.ts
@@ -30,8 +30,8 @@
     metrics.retries.inc({entry: service}),
   [DecisionStep.STREAM_RESUMED]: ({service}, metrics) =>
     metrics.retries.inc({entry: service}),
-  [DecisionStep.HANDOVER]: ({service, means = ''}, metrics) =>
-    metrics.handovers.inc({entry: service, means}),
+  [DecisionStep.HANDOVER]: ({service, action = ''}, metrics) =>
+    metrics.handovers.inc({entry: service, action}),
   [DecisionStep.REFUSED]: ({kind = '', ran = '', team = NO_TEAM}, metrics) => {
     metrics.refusals.inc({kind, ran});
     if (team !== NO_TEAM) metrics.teamRefusals.inc({tenant: team, kind});
--- a/packages/arbutustide-routing/src/__tests__/unit/handover_decision.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/handover_decision.test.ts
@@ -8,7 +8,7 @@
 
 import {
   decideHandover,
-  HandoverMeans,
+  HandoverAction,
   StayReason,
 } from '../../proxy/handover/handover_decision.js';
 import {RequestKind} from '../../proxy/route.js';
@@ -43,27 +43,27 @@
 const CASES: readonly {
   readonly name: string;
   readonly changes: Partial<HandoverInput>;
-  readonly expected: HandoverMeans | StayReason;
+  readonly expected: HandoverAction | StayReason;
 }[] = [
   {
     name: 'resumes a stream that may be resumed',
     changes: {},
-    expected: HandoverMeans.RESUME_ELSEWHERE,
+    expected: HandoverAction.RESUME_ELSEWHERE,
   },
   {
     name: 'resumes one without an attempt left where it is',
     changes: {attempts: 2},
-    expected: HandoverMeans.RESUME_URGENTLY,
+    expected: HandoverAction.RESUME_URGENTLY,
   },
   {
     name: 'moves memory rather than run a stream once more',
     changes: {isMovable: true},
-    expected: HandoverMeans.MOVE_MEMORY,
+    expected: HandoverAction.MOVE_MEMORY,
   },
   {
     name: 'moves the memory of a stream that must not run again',
     changes: {route: SINGLE, isMovable: true},
-    expected: HandoverMeans.MOVE_MEMORY,
+    expected: HandoverAction.MOVE_MEMORY,
   },
   {
     name: 'never runs once more what must not run again',
@@ -83,7 +83,7 @@
   {
     name: 'refuses one that has not begun and can hardly end in time',
     changes: {...UNBEGUN, leftMilliseconds: 2_900},
-    expected: HandoverMeans.REFUSE,
+    expected: HandoverAction.REFUSE,
   },
   {
     name: 'awaits one that has not begun and whose time is not known',
@@ -118,7 +118,7 @@
   {
     name: 'waits less as less time is left',
     changes: {leftMilliseconds: 1_200, stalledMilliseconds: 300},
-    expected: HandoverMeans.RESUME_ELSEWHERE,
+    expected: HandoverAction.RESUME_ELSEWHERE,
   },
   {
     name: 'begins nothing that cannot get under way',
--- a/packages/arbutustide-routing/src/proxy/decision_recorder.ts
+++ b/packages/arbutustide-routing/src/proxy/decision_recorder.ts
@@ -119,11 +119,11 @@
 
   recordHandover(
     progress: RoutedRequestProgress,
-    {means, stalledMilliseconds, leftMilliseconds}: HandoverRecord,
+    {action, stalledMilliseconds, leftMilliseconds}: HandoverRecord,
   ): void {
     this.recordDecision(progress, {
       step: DecisionStep.HANDOVER,
-      means,
+      action,
       attempts: progress.attempts,
       stalledMilliseconds: Math.round(stalledMilliseconds),
       leftMilliseconds: Math.round(leftMilliseconds),
--- a/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
@@ -3,7 +3,7 @@
 import {isRepeatable} from '../route.js';
 
 /** What is done for a stalled stream. */
-export enum HandoverMeans {
+export enum HandoverAction {
   /** Runs once more after its last event, at another upstream. */
   RESUME_ELSEWHERE = 'resume_elsewhere',
   /** Runs once more after its last event, more urgently, where it was. */
@@ -82,19 +82,19 @@
  */
 export function decideHandover(
   input: HandoverInput,
-): HandoverMeans | StayReason {
+): HandoverAction | StayReason {
   const {route, attempts, handoverCount, leftMilliseconds} = input;
   if (leftMilliseconds === Infinity) return StayReason.NOT_STOPPING;
   if (!isStalled(input)) return StayReason.NOT_STALLED;
   if (!input.hasEvents) return decideUnbegun(input);
   if (leftMilliseconds < MINIMUM_LEFT_MILLISECONDS) return StayReason.TOO_LATE;
   if (handoverCount >= MAXIMUM_HANDOVERS) return StayReason.HANDED_OVER_BEFORE;
-  if (input.isMovable) return HandoverMeans.MOVE_MEMORY;
+  if (input.isMovable) return HandoverAction.MOVE_MEMORY;
   if (!isRepeatable(route)) return StayReason.NOT_MOVABLE;
-  if (attempts < route.maximumAttempts) return HandoverMeans.RESUME_ELSEWHERE;
+  if (attempts < route.maximumAttempts) return HandoverAction.RESUME_ELSEWHERE;
   return input.isUrgent
     ? StayReason.NO_ATTEMPT_LEFT
-    : HandoverMeans.RESUME_URGENTLY;
+    : HandoverAction.RESUME_URGENTLY;
 }
 
 /** Passed on too late, its first events would commit the node to the rest. */
@@ -102,10 +102,10 @@
   route,
   leftMilliseconds,
   expectedMilliseconds = 0,
-}: HandoverInput): HandoverMeans | StayReason {
+}: HandoverInput): HandoverAction | StayReason {
   const isHopeless = leftMilliseconds < expectedMilliseconds;
   return isHopeless && isRepeatable(route)
-    ? HandoverMeans.REFUSE
+    ? HandoverAction.REFUSE
     : StayReason.NOT_BEGUN;
 }
 
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -12,14 +12,14 @@
 import {StreamTimeline} from '../stream_timeline.js';
 import {
   decideHandover,
-  HandoverMeans,
+  HandoverAction,
   StayReason,
 } from './handover_decision.js';
 import {OpenStream} from './open_stream.js';
 
 /** A handover that has begun, as it is logged and counted. */
 export interface HandoverRecord {
-  readonly means: HandoverMeans;
+  readonly action: HandoverAction;
   readonly stalledMilliseconds: number;
   readonly leftMilliseconds: number;
 }
@@ -49,18 +49,18 @@
  */
 export class StreamHandovers {
   private readonly streams = new Set<OpenStream>();
-  private readonly starters: Readonly<Record<HandoverMeans, HandoverStarter>> =
+  private readonly starters: Readonly<Record<HandoverAction, HandoverStarter>> =
     {
-      [HandoverMeans.RESUME_ELSEWHERE]: stream =>
+      [HandoverAction.RESUME_ELSEWHERE]: stream =>
         this.startResuming(
           stream,
           this.options.attempts.tryTakeSlot(stream.progress) ??
             this.takeSlotAgain(stream),
         ),
-      [HandoverMeans.RESUME_URGENTLY]: stream =>
+      [HandoverAction.RESUME_URGENTLY]: stream =>
         this.startResuming(stream, this.takeSlotAgain(stream)),
-      [HandoverMeans.MOVE_MEMORY]: stream => this.startMoving(stream),
-      [HandoverMeans.REFUSE]: stream => {
+      [HandoverAction.MOVE_MEMORY]: stream => this.startMoving(stream),
+      [HandoverAction.REFUSE]: stream => {
         stream.refuse();
         return undefined;
       },
@@ -104,11 +104,11 @@
         : longestMilliseconds?.(request),
     };
     const decision = decideHandover(input);
-    if (!isMeans(decision)) return decision;
+    if (!isAction(decision)) return decision;
     const stayReason = this.starters[decision](stream);
     if (stayReason) return stayReason;
     const {stalledMilliseconds} = input;
-    const record = {means: decision, stalledMilliseconds, leftMilliseconds};
+    const record = {action: decision, stalledMilliseconds, leftMilliseconds};
     this.options.onHandover(stream.progress, record);
     return undefined;
   }
@@ -206,8 +206,8 @@
   }
 }
 
-function isMeans(
-  decision: HandoverMeans | StayReason,
-): decision is HandoverMeans {
-  return Object.values<string>(HandoverMeans).includes(decision);
+function isAction(
+  decision: HandoverAction | StayReason,
+): decision is HandoverAction {
+  return Object.values<string>(HandoverAction).includes(decision);
 }
--- a/packages/arbutustide-routing/src/proxy/request_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/request_decision.ts
@@ -1,7 +1,7 @@
 import type {ErrorKind, ExecutionStatus} from '@arbutustide/errors';
 
 import type {AttemptOutcome} from './attempt_outcome.js';
-import type {HandoverMeans, StayReason} from './handover/handover_decision.js';
+import type {HandoverAction, StayReason} from './handover/handover_decision.js';
 
 /** Step of a request's handling that is recorded as a decision. */
 export enum DecisionStep {
@@ -59,7 +59,7 @@
   readonly priority?: number;
   readonly stayReason?: StayReason;
   /** Of a handover. */
-  readonly means?: HandoverMeans;
+  readonly action?: HandoverAction;
   readonly stalledMilliseconds?: number;
   readonly leftMilliseconds?: number;
   readonly reason?: string;
--- a/packages/arbutustide-telemetry/src/metrics.ts
+++ b/packages/arbutustide-telemetry/src/metrics.ts
@@ -63,8 +63,8 @@
   });
   readonly handovers = new Counter({
     name: 'arbutustide_stream_handovers_total',
-    help: 'Stalled streams that were handed over in a stop, by entry and means.',
-    labelNames: ['entry', 'means'] as const,
+    help: 'Stalled streams that were handed over in a stop, by entry and action.',
+    labelNames: ['entry', 'action'] as const,
     registers: [this.registry],
   });
   readonly teamRefusals = new Counter({
