Count a stream's own deadline as the end of what is left in a stop

Callers of streams whose deadline came within 50 ms of a stall in a stop saw them cut that much before it: the memory of the run was moved, and the request could not be sent any more. The time left counted to the end of the node's answers only. The new case of stream_handovers.test.ts failed before.

--- a/packages/arbutustide-routing/src/__tests__/unit/stream_handovers.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/stream_handovers.test.ts
@@ -31,6 +31,7 @@
 /** A quarter of the time after which the callers of the route leave. */
 const PATIENCE_MILLISECONDS = 500;
 const EVENT_MILLISECONDS = 10;
+const NEAR_MILLISECONDS = 100;
 const LOCATION = 'one:1/handle';
 
 /** A connector whose upstreams move memory as it is told. */
@@ -291,6 +292,20 @@
     void body.return(AnswerEnd.ABANDONED);
   });
 
+  it('stays if its own deadline is near', async () => {
+    const {connector, dispatcher} = createTestDispatcher(true, [stall()]);
+    const request = createRequest(RequestKind.STREAM);
+    const reading = readAnswer(await dispatcher.dispatch(request));
+    await clock.tickAsync(
+      request.deadlineAtMilliseconds - performance.now() - NEAR_MILLISECONDS,
+    );
+    answerPeriod.endsAtMilliseconds = performance.now() + LEFT_MILLISECONDS;
+    dispatcher.handOverStalledStreams();
+    expect(connector.moves).to.eql([]);
+    dispatcher.giveUp();
+    await reading;
+  });
+
   it('stays while its node does not stop', async () => {
     const {dispatcher} = createTestDispatcher(false, [stall()]);
     const request = createRequest(RequestKind.STREAM, true);
--- a/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
@@ -56,7 +56,10 @@
   readonly stalledMilliseconds: number;
   /** Median of its latest pauses; undefined if it has had none. */
   readonly usualPauseMilliseconds: number | undefined;
-  /** Until the answers of this node end; Infinity unless it stops. */
+  /**
+   * Until the answers of this node, or the request's deadline, end; Infinity
+   * unless the node stops.
+   */
   readonly leftMilliseconds: number;
 }
 
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -9,6 +9,7 @@
 
 import {MemoryMoveOutcome} from '../proxy_connector.js';
 import {RequestKind} from '../route.js';
+import {remainingForUpstream} from '../routed_request_progress.js';
 import {StreamTimeline} from '../stream_timeline.js';
 import {
   decideHandover,
@@ -89,8 +90,11 @@
   }
 
   private reviewStream(stream: OpenStream): StayReason | undefined {
-    const leftMilliseconds =
-      this.options.answerPeriod.endsAtMilliseconds - performance.now();
+    const {answerPeriod} = this.options;
+    const isStopping = answerPeriod.endsAtMilliseconds !== Infinity;
+    const leftMilliseconds = isStopping
+      ? remainingForUpstream(stream.progress, answerPeriod)
+      : Infinity;
     const {handoverInput} = stream;
     const {request} = stream.progress;
     const {movesMemory, longestMilliseconds} = this.options;
