Move memory by the client that calls engines; log moves that fail

The call that moves the memory of a run stood in the connector for callers' requests and wrote again what the engine client has: the call, its timeout and limit, the parsing of JSON. It is a call of that client now (MemoryMover). Its failures were swallowed without a line; there is a line move_failed with the reason. Dropped: an unused getter of the inactivity timeout, an optional parameter that is always given, a slot that was returned in a case that cannot occur.

--- a/packages/arbutustide-node/src/proxy/decision_metrics.ts
+++ b/packages/arbutustide-node/src/proxy/decision_metrics.ts
@@ -32,6 +32,7 @@
     metrics.retries.inc({entry: service}),
   [DecisionStep.HANDOVER]: ({service, action = ''}, metrics) =>
     metrics.handovers.inc({entry: service, action}),
+  [DecisionStep.MOVE_FAILED]: () => {},
   [DecisionStep.REFUSED]: ({kind = '', ran = '', team = NO_TEAM}, metrics) => {
     metrics.refusals.inc({kind, ran});
     if (team !== NO_TEAM) metrics.teamRefusals.inc({tenant: team, kind});
--- a/packages/arbutustide-node/src/proxy/proxy_dependencies.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_dependencies.ts
@@ -2,6 +2,7 @@
 import type {ObjectStore, StoredObject} from '@arbutustide/object-store';
 import type {EngineClient} from '@arbutustide/placement';
 import type {
+  MemoryMover,
   ProxyConnector,
   ServingConfiguration,
   UpstreamDescription,
@@ -38,7 +39,7 @@
   readonly metrics: NodeMetrics;
   readonly store: ObjectStore;
   readonly connector: ProxyConnector;
-  readonly engineClient: EngineClient;
+  readonly engineClient: EngineClient & MemoryMover;
   readonly transport: PeerTransport;
   readonly configuration: ConfigurationSource;
   readonly upstreams: UpstreamSource;
--- a/packages/arbutustide-node/src/proxy/register_dispatcher.ts
+++ b/packages/arbutustide-node/src/proxy/register_dispatcher.ts
@@ -10,7 +10,7 @@
 /** Registers what sends requests to upstreams and logs how they went. */
 export function registerDispatcher(
   register: RegisterSingleton,
-  {settings, connector, logger, metrics}: ProxyDependencies,
+  {settings, connector, engineClient, logger, metrics}: ProxyDependencies,
 ): void {
   register(ProxyToken.DISPATCHER, container => {
     const retryBudgets = container.resolve(ProxyToken.RETRY_BUDGETS);
@@ -48,6 +48,7 @@
       gate: container.resolve(ProxyToken.REQUEST_GATE),
       answerPeriod: container.resolve(ProxyToken.SHUTDOWN_ADMISSION),
       longestMilliseconds: request => holdTimes.longestMilliseconds(request),
+      memoryMover: engineClient,
       movesMemory: service =>
         configurationWatcher.routes?.configuration.services.get(service)?.engine
           ?.movesMemory ?? false,
--- a/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
@@ -130,7 +130,7 @@
   answerPeriod = ENDLESS_ANSWER_PERIOD,
   handovers: Pick<
     ProxyDispatcherOptions,
-    'movesMemory' | 'longestMilliseconds'
+    'memoryMover' | 'movesMemory' | 'longestMilliseconds'
   > = {},
 ): ProxyDispatcher {
   const settings = {
--- a/packages/arbutustide-routing/src/__tests__/unit/stream_handovers.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/stream_handovers.test.ts
@@ -4,7 +4,11 @@
  */
 import type {RequestDecision} from '../../proxy/request_decision.js';
 import type {ProxyUpstream} from '../../proxy/proxy_upstream.js';
-import type {AttemptOptions, MemoryMove} from '../../proxy/proxy_connector.js';
+import type {
+  MemoryMove,
+  MemoryMover,
+} from '../../proxy/handover/memory_mover.js';
+import type {AttemptOptions} from '../../proxy/proxy_connector.js';
 import type {AttemptScript} from './scripted_connector.js';
 
 import {Cancellation, delay, ErrorKind} from '@arbutustide/errors';
@@ -12,7 +16,7 @@
 import {expect} from 'chai';
 
 import {AnswerEnd} from '../../caller_request.js';
-import {MemoryMoveOutcome} from '../../proxy/proxy_connector.js';
+import {MemoryMoveOutcome} from '../../proxy/handover/memory_mover.js';
 import {RequestKind} from '../../proxy/route.js';
 import {testUpstream} from './proxy_fixtures.js';
 import {
@@ -35,7 +39,7 @@
 const LOCATION = 'one:1/handle';
 
 /** A connector whose upstreams move memory as it is told. */
-class MovingConnector extends ScriptedConnector {
+class MovingConnector extends ScriptedConnector implements MemoryMover {
   readonly terms: AttemptOptions[] = [];
   readonly moves: string[] = [];
   move: () => Promise<MemoryMove> = async () => ({
@@ -112,6 +116,7 @@
       undefined,
       answerPeriod,
       {
+        memoryMover: connector,
         movesMemory: () => movesMemory,
         longestMilliseconds: () => LEFT_MILLISECONDS / 2,
       },
@@ -239,6 +244,7 @@
     expect(eventIdsIn(text)).to.eql([1, 2]);
     expect(end).to.equal(AnswerEnd.WHOLE);
     expect(connector.upstreamIds).to.eql(['one']);
+    expect(decisions.map(({step}) => step)).to.include('move_failed');
     expectNoSlotTaken();
   });
 
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -26,6 +26,7 @@
 } from './proxy/relay/request_relay.js';
 export type {BrittleTerms} from './proxy/brittleness/brittle_terms.js';
 export type {ReachabilityMonitorOptions} from './proxy/reachability/reachability_monitor.js';
+export type {MemoryMove, MemoryMover} from './proxy/handover/memory_mover.js';
 export type {ProxyAnswer} from './proxy/proxy_answer.js';
 export type {
   UpstreamChoice,
@@ -33,7 +34,6 @@
 } from './proxy/choose_upstream.js';
 export type {
   AttemptOptions,
-  MemoryMove,
   ProxyConnector,
   UpstreamResponseHead,
   UpstreamSignals,
@@ -146,7 +146,8 @@
   GATEKEEPERS_PER_UPSTREAM,
 } from './proxy/brittleness/brittle_terms.js';
 export {BrittleServices} from './proxy/brittleness/brittle_services.js';
-export {MemoryMoveOutcome, ProbeKind} from './proxy/proxy_connector.js';
+export {MemoryMoveOutcome} from './proxy/handover/memory_mover.js';
+export {ProbeKind} from './proxy/proxy_connector.js';
 export {ProxyUpstreamDirectory} from './proxy/proxy_upstream_directory.js';
 export {ENDLESS_ANSWER_PERIOD} from './proxy/answer_period.js';
 export {ProxyDispatcher} from './proxy/proxy_dispatcher.js';
--- a/packages/arbutustide-routing/src/proxy/attempt_maker.ts
+++ b/packages/arbutustide-routing/src/proxy/attempt_maker.ts
@@ -1,6 +1,3 @@
-import type {RefusalError} from '@arbutustide/errors';
-import type {Result} from 'ts-results';
-
 import type {AttemptSlot, AttemptSlotResult} from './attempt_target.js';
 import type {DecisionRecorder} from './decision_recorder.js';
 import type {OpenStream} from './handover/open_stream.js';
@@ -50,8 +47,7 @@
       return Err(withRanSoFar(progress, cancelledRefusal(progress)));
     }
     if (reserved) return Ok(reserved);
-    const slot: Result<UpstreamSlot, RefusalError> =
-      await this.queue.acquireSlot(progress);
+    const slot = await this.queue.acquireSlot(progress);
     if (slot.ok) return Ok(this.withTarget(slot.val));
     if (slot.val.kind !== ErrorKind.UPSTREAM_UNREACHABLE) return slot;
     const {relay} = this.options;
@@ -78,13 +74,13 @@
   /**
    * Sends the request to the place of the slot.
    *
-   * @param stream told of the attempt if the answer is to be a stream.
+   * @param stream told of the attempt.
    */
   async makeAttempt(
     progress: RoutedRequestProgress,
     slot: AttemptSlot,
     start: AttemptStart,
-    stream?: OpenStream,
+    stream: OpenStream,
   ): Promise<AttemptResult> {
     const {target} = slot;
     target.recordChosen(progress);
@@ -95,7 +91,7 @@
       target,
       tryReserveReplacement,
     );
-    stream?.beginAttempt(slot, inactivityTimeout);
+    stream.beginAttempt(slot, inactivityTimeout);
     const {answerPeriod} = this.options;
     const remaining = remainingForUpstream(progress, answerPeriod);
     const attempt = await runAttempt(progress, {
@@ -112,7 +108,7 @@
     const isOpen = attempt.body === undefined && attempt.error === undefined;
     if (!isOpen) {
       slot.release(attempt.outcome === AttemptOutcome.ANSWERED);
-      stream?.endAttempt();
+      stream.endAttempt();
     }
     if (mayHaveRun(attempt.outcome)) progress.mayHaveRun = true;
     // A request that was never sent does not count against maximumAttempts.
--- a/packages/arbutustide-routing/src/proxy/decision_recorder.ts
+++ b/packages/arbutustide-routing/src/proxy/decision_recorder.ts
@@ -130,6 +130,10 @@
     });
   }
 
+  recordMoveFailed(progress: RoutedRequestProgress, reason: string): void {
+    this.recordDecision(progress, {step: DecisionStep.MOVE_FAILED, reason});
+  }
+
   private recordDecision(
     {request}: RoutedRequestProgress,
     decision: Omit<
--- a/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
@@ -5,9 +5,9 @@
 import type {StreamTimeline} from '../stream_timeline.js';
 import type {HandoverInput} from './handover_decision.js';
 
-import {MemoryMoveOutcome} from '../proxy_connector.js';
 import {CancelReason} from '../proxy_refusals.js';
 import {StayReason} from './handover_decision.js';
+import {MemoryMoveOutcome} from './memory_mover.js';
 
 /** Where a stream goes on that is handed over. */
 export interface Handover {
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -1,13 +1,12 @@
 import type {AnswerPeriod} from '../answer_period.js';
 import type {AttemptMaker} from '../attempt_maker.js';
 import type {AttemptSlot} from '../attempt_target.js';
-import type {ProxyConnector} from '../proxy_connector.js';
 import type {ProxyUpstream} from '../proxy_upstream.js';
 import type {RoutedRequest} from '../routed_request.js';
 import type {RoutedRequestProgress} from '../routed_request_progress.js';
+import type {MemoryMove, MemoryMover} from './memory_mover.js';
 import type {Handover} from './open_stream.js';
 
-import {MemoryMoveOutcome} from '../proxy_connector.js';
 import {RequestKind} from '../route.js';
 import {remainingForUpstream} from '../routed_request_progress.js';
 import {StreamTimeline} from '../stream_timeline.js';
@@ -16,6 +15,7 @@
   HandoverAction,
   StayReason,
 } from './handover_decision.js';
+import {MemoryMoveOutcome} from './memory_mover.js';
 import {OpenStream} from './open_stream.js';
 
 /** A handover that has begun, as it is logged and counted. */
@@ -28,7 +28,8 @@
 /** What handovers need of the dispatcher. */
 export interface StreamHandoversOptions {
   readonly answerPeriod: AnswerPeriod;
-  readonly connector: Pick<ProxyConnector, 'moveMemory'>;
+  /** Undefined if no upstream moves memory. */
+  readonly memoryMover?: MemoryMover;
   readonly movesMemory?: (service: string) => boolean;
   readonly longestMilliseconds?: (request: RoutedRequest) => number | undefined;
   readonly attempts: Pick<
@@ -39,6 +40,10 @@
     progress: RoutedRequestProgress,
     record: HandoverRecord,
   ) => void;
+  readonly onMoveFailed: (
+    progress: RoutedRequestProgress,
+    reason: string,
+  ) => void;
 }
 
 /** Begins a handover; returns why the stream stays instead, if it does. */
@@ -130,30 +135,27 @@
 
   private startMoving(stream: OpenStream): StayReason | undefined {
     const {progress, upstream: source} = stream;
-    const slot = this.options.attempts.tryTakeSlot(progress);
+    const {memoryMover, attempts} = this.options;
+    if (!source || !memoryMover) return StayReason.NOT_MOVABLE;
+    const slot = attempts.tryTakeSlot(progress);
     const target = slot?.target.upstream;
-    if (!source || !slot || !target) {
-      slot?.release();
-      return source ? StayReason.NO_UPSTREAM : StayReason.NOT_MOVABLE;
-    }
+    if (!slot || !target) return StayReason.NO_UPSTREAM;
     if (!this.consumeRetry(progress, slot)) return StayReason.NO_RETRY_LEFT;
-    stream.handOver(this.moveMemory(stream, source, target, slot));
+    const {requestId} = progress.request;
+    const move = memoryMover.moveMemory(source, target, requestId);
+    stream.handOver(this.awaitMove(stream, source, slot, move));
     return undefined;
   }
 
   /** Resolves to undefined if the run stays at its upstream. */
-  private async moveMemory(
+  private async awaitMove(
     stream: OpenStream,
     source: ProxyUpstream,
-    target: ProxyUpstream,
     slot: AttemptSlot,
+    move: Promise<MemoryMove>,
   ): Promise<Handover | undefined> {
     const {progress} = stream;
-    const {outcome, location} = (await this.options.connector.moveMemory?.(
-      source,
-      target,
-      progress.request,
-    )) ?? {outcome: MemoryMoveOutcome.IMPOSSIBLE};
+    const {outcome, location, reason = outcome} = await move;
     if (outcome === MemoryMoveOutcome.MOVED)
       return this.createHandover(progress, slot, source, location);
     slot.release();
@@ -162,6 +164,7 @@
       return this.createHandover(progress, ownSlot, undefined, location);
     }
     stream.recordMoveFailed(outcome);
+    this.options.onMoveFailed(progress, reason);
     return undefined;
   }
 
@@ -210,8 +213,10 @@
   }
 }
 
+const ACTIONS: ReadonlySet<string> = new Set(Object.values(HandoverAction));
+
 function isAction(
   decision: HandoverAction | StayReason,
 ): decision is HandoverAction {
-  return Object.values<string>(HandoverAction).includes(decision);
+  return ACTIONS.has(decision);
 }
--- a/packages/arbutustide-routing/src/proxy/inactivity_timeout.ts
+++ b/packages/arbutustide-routing/src/proxy/inactivity_timeout.ts
@@ -30,7 +30,6 @@
   private readonly removeLossListener: () => void = () => {};
   private timer: NodeJS.Timeout | undefined;
   private isExpired = false;
-  private isAborted = false;
   private hasReceived = false;
 
   /**
@@ -56,11 +55,6 @@
     return this.isExpired;
   }
 
-  /** Whether the attempt was ended for another reason. */
-  get wasAborted(): boolean {
-    return this.isAborted;
-  }
-
   /** Restarts the timeout because the upstream has sent data. */
   recordActivity(): void {
     this.hasReceived = true;
@@ -70,7 +64,6 @@
 
   /** Ends the attempt for another reason than inactivity. */
   abort(reason: unknown): void {
-    this.isAborted = true;
     this.stop();
     this.cancellation.cancel(reason);
   }
--- a/packages/arbutustide-routing/src/proxy/proxy_connector.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_connector.ts
@@ -87,27 +87,6 @@
   CONNECTION = 'connection',
 }
 
-/** What became of a run whose memory was to be moved. */
-export enum MemoryMoveOutcome {
-  /** The run has stopped and can go on from the copy at the target. */
-  MOVED = 'moved',
-  /** The run has stopped, and only its source holds the memory. */
-  KEPT_AT_SOURCE = 'kept_at_source',
-  /** The source moves it already. */
-  BUSY = 'busy',
-  /** The run goes on: the source does not know it or moves no memory. */
-  IMPOSSIBLE = 'impossible',
-  /** There was no answer, so the run may have stopped. */
-  UNKNOWN = 'unknown',
-}
-
-/** Result of moving the memory of a run. */
-export interface MemoryMove {
-  readonly outcome: MemoryMoveOutcome;
-  /** Where the run can go on from, if it has stopped. */
-  readonly location?: string;
-}
-
 /** Sends requests to upstreams over HTTP. */
 export interface ProxyConnector {
   /** Sends a request; resolves when the head of the answer has arrived. */
@@ -116,15 +95,6 @@
     request: RoutedRequest,
     terms: AttemptOptions,
   ): Promise<Result<UpstreamResponseHead, AttemptError>>;
-  /**
-   * Stops the run of a request and copies its memory to another upstream.
-   * Undefined if upstreams move no memory.
-   */
-  moveMemory?(
-    source: ProxyUpstream,
-    target: ProxyUpstream,
-    request: RoutedRequest,
-  ): Promise<MemoryMove>;
   /** Whether the upstream can be reached on a new connection. */
   probe(upstream: ProxyUpstream, kind: ProbeKind): Promise<boolean>;
   /** Closes the connections to a removed upstream as they become idle. */
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -62,12 +62,14 @@
     this.attempts = new AttemptMaker(queue, options, this.decisions);
     this.handovers = new StreamHandovers({
       answerPeriod: options.answerPeriod,
-      connector: options.connector,
+      memoryMover: options.memoryMover,
       movesMemory: options.movesMemory,
       longestMilliseconds: options.longestMilliseconds,
       attempts: this.attempts,
       onHandover: (progress, record) =>
         this.decisions.recordHandover(progress, record),
+      onMoveFailed: (progress, reason) =>
+        this.decisions.recordMoveFailed(progress, reason),
     });
   }
 
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher_options.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher_options.ts
@@ -1,4 +1,5 @@
 import type {AnswerPeriod} from './answer_period.js';
+import type {MemoryMover} from './handover/memory_mover.js';
 import type {RequestRelay} from './relay/request_relay.js';
 import type {RequestDecision} from './request_decision.js';
 import type {RequestGate} from './request_gate.js';
@@ -17,6 +18,8 @@
   readonly streamOrigins: StreamOrigins;
   readonly gate: RequestGate;
   readonly answerPeriod: AnswerPeriod;
+  /** Undefined if no upstream moves memory. */
+  readonly memoryMover?: MemoryMover;
   /** Whether the upstreams of a service move memory; none do if absent. */
   readonly movesMemory?: (service: string) => boolean;
   /**
--- a/packages/arbutustide-routing/src/proxy/request_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/request_decision.ts
@@ -10,6 +10,8 @@
   STREAM_RESUMED = 'stream_resumed',
   /** A stream is handed over to another place, as this node stops. */
   HANDOVER = 'handover',
+  /** The memory of a run was to be moved, and the run does not go on from it. */
+  MOVE_FAILED = 'move_failed',
   REFUSED = 'refused',
   ENDED = 'ended',
 }
