Name the upstream in the log line of a handover

Cause: a stream that was cut after a handover could not be told from one that was handed over to an engine that never began it: the line named no place. Change: the line of step handover has the target's upstream and load.

--- a/packages/arbutustide-routing/src/__tests__/unit/stream_handovers.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/stream_handovers.test.ts
@@ -168,6 +168,14 @@
     expect(decisions.map(({step}) => step)).to.include('handover');
   });
 
+  it('names in the log where it is handed over to', async () => {
+    await (
+      await play(true, false, [stall(), goOn])
+    ).reading;
+    const handover = decisions.find(({step}) => step === 'handover');
+    expect(handover).to.include({upstream: 'two'});
+  });
+
   it('goes on where it was if there is no other', async () => {
     upstreams.pop();
     const {connector, reading} = await play(true, false, [stall(), goOn]);
--- a/packages/arbutustide-routing/src/proxy/decision_recorder.ts
+++ b/packages/arbutustide-routing/src/proxy/decision_recorder.ts
@@ -119,11 +119,12 @@
 
   recordHandover(
     progress: RoutedRequestProgress,
-    {action, stalledMilliseconds, leftMilliseconds}: HandoverRecord,
+    {action, target, stalledMilliseconds, leftMilliseconds}: HandoverRecord,
   ): void {
     this.recordDecision(progress, {
       step: DecisionStep.HANDOVER,
       action,
+      ...target?.decisionFields,
       attempts: progress.attempts,
       stalledMilliseconds: Math.round(stalledMilliseconds),
       leftMilliseconds: Math.round(leftMilliseconds),
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -1,12 +1,16 @@
+import type {Result} from 'ts-results';
+
 import type {AnswerPeriod} from '../answer_period.js';
 import type {AttemptMaker} from '../attempt_maker.js';
-import type {AttemptSlot} from '../attempt_target.js';
+import type {AttemptSlot, AttemptTarget} from '../attempt_target.js';
 import type {ProxyUpstream} from '../proxy_upstream.js';
 import type {RoutedRequest} from '../routed_request.js';
 import type {RoutedRequestProgress} from '../routed_request_progress.js';
 import type {MemoryMove, MemoryMover} from './memory_mover.js';
 import type {Handover} from './open_stream.js';
 
+import {Err, Ok} from 'ts-results';
+
 import {RequestKind} from '../route.js';
 import {remainingForUpstream} from '../routed_request_progress.js';
 import {StreamTimeline} from '../stream_timeline.js';
@@ -21,6 +25,8 @@
 /** A handover that has begun, as it is logged and counted. */
 export interface HandoverRecord {
   readonly action: HandoverAction;
+  /** Where the stream is to go on; undefined if it is refused. */
+  readonly target: AttemptTarget | undefined;
   readonly stalledMilliseconds: number;
   readonly leftMilliseconds: number;
 }
@@ -46,8 +52,10 @@
   ) => void;
 }
 
-/** Begins a handover; returns why the stream stays instead, if it does. */
-type HandoverStarter = (stream: OpenStream) => StayReason | undefined;
+/** Where a stream is to go on, or why it stays. */
+type HandoverStart = Result<AttemptTarget | undefined, StayReason>;
+
+type HandoverStarter = (stream: OpenStream) => HandoverStart;
 
 /**
  * Hands stalled streams of a node that stops over to other upstreams. A stream
@@ -68,7 +76,7 @@
       [HandoverAction.MOVE_MEMORY]: stream => this.startMoving(stream),
       [HandoverAction.REFUSE]: stream => {
         stream.refuse();
-        return undefined;
+        return Ok(undefined);
       },
     };
 
@@ -114,37 +122,43 @@
     };
     const decision = decideHandover(input);
     if (!isAction(decision)) return decision;
-    const stayReason = this.starters[decision](stream);
-    if (stayReason) return stayReason;
+    const started = this.starters[decision](stream);
+    if (!started.ok) return started.val;
     const {stalledMilliseconds} = input;
-    const record = {action: decision, stalledMilliseconds, leftMilliseconds};
-    this.options.onHandover(stream.progress, record);
+    this.options.onHandover(stream.progress, {
+      action: decision,
+      target: started.val,
+      stalledMilliseconds,
+      leftMilliseconds,
+    });
     return undefined;
   }
 
   private startResuming(
     stream: OpenStream,
     slot: AttemptSlot | undefined,
-  ): StayReason | undefined {
+  ): HandoverStart {
     const {progress, upstream} = stream;
-    if (!slot) return StayReason.NO_UPSTREAM;
-    if (!this.consumeRetry(progress, slot)) return StayReason.NO_RETRY_LEFT;
+    if (!slot) return Err(StayReason.NO_UPSTREAM);
+    if (!this.consumeRetry(progress, slot))
+      return Err(StayReason.NO_RETRY_LEFT);
     stream.handOver(this.createHandover(progress, slot, upstream));
-    return undefined;
+    return Ok(slot.target);
   }
 
-  private startMoving(stream: OpenStream): StayReason | undefined {
+  private startMoving(stream: OpenStream): HandoverStart {
     const {progress, upstream: source} = stream;
     const {memoryMover, attempts} = this.options;
-    if (!source || !memoryMover) return StayReason.NOT_MOVABLE;
+    if (!source || !memoryMover) return Err(StayReason.NOT_MOVABLE);
     const slot = attempts.tryTakeSlot(progress);
     const target = slot?.target.upstream;
-    if (!slot || !target) return StayReason.NO_UPSTREAM;
-    if (!this.consumeRetry(progress, slot)) return StayReason.NO_RETRY_LEFT;
+    if (!slot || !target) return Err(StayReason.NO_UPSTREAM);
+    if (!this.consumeRetry(progress, slot))
+      return Err(StayReason.NO_RETRY_LEFT);
     const {requestId} = progress.request;
     const move = memoryMover.moveMemory(source, target, requestId);
     stream.handOver(this.awaitMove(stream, source, slot, move));
-    return undefined;
+    return Ok(slot.target);
   }
 
   /** Resolves to undefined if the run stays at its upstream. */
