Show that streams are let go before another upstream goes on with them (failing)

Cause: a timeout of inactivity and a handover in a stop both cancel a stream's run and only then learn whether another upstream goes on with it.

--- a/packages/arbutustide-routing/src/__tests__/unit/inactivity_timeout.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/inactivity_timeout.test.ts
@@ -4,6 +4,7 @@
 import type {ProxyUpstream} from '../../proxy/proxy_upstream.js';
 import type {AttemptScript} from './scripted_connector.js';
 
+import {Cancellation} from '@arbutustide/errors';
 import {AttemptError, AttemptFailure} from '@arbutustide/upstream';
 import {install} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
@@ -128,6 +129,35 @@
     expect(connector.resumedAfterIds).to.eql([undefined, 1]);
   });
 
+  it('keeps a silent stream whose replacement is refused', async () => {
+    const going = new Cancellation();
+    const pause: AttemptScript = (_upstream, {cancellation: cancel}) => {
+      const body = (async function* () {
+        yield Buffer.from('id: 1\ndata: x\n\n');
+        await new Promise<void>((resolve, reject) => {
+          cancel.onCancel(() =>
+            reject(new AttemptError(AttemptFailure.CANCELLED, 'given up')),
+          );
+          going.onCancel(() => resolve());
+        });
+        yield Buffer.from('id: 2\ndata: x\n\n');
+      })();
+      return respondWith({isEventStream: true, body});
+    };
+    const connector = new ScriptedConnector([
+      pause,
+      () => respondWith({status: 503, isNotRun: true}),
+    ]);
+    const answer = await dispatch(connector, RequestKind.STREAM);
+    const reading = readAnswer(answer);
+    await clock.tickAsync(1_500);
+    expect(connector.upstreamIds).to.have.length(2);
+    going.cancel(undefined);
+    const {text, end} = await reading;
+    expect(eventIdsIn(text)).to.eql([1, 2]);
+    expect(end).to.equal(AnswerEnd.WHOLE);
+  });
+
   it('ejects no upstream for a single silence, however many requests met it', () => {
     const [upstream] = upstreams;
     const beganAt = performance.now();
--- a/packages/arbutustide-routing/src/__tests__/unit/stream_handovers.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/stream_handovers.test.ts
@@ -99,6 +99,17 @@
   }
 
   const goOn: AttemptScript = () => respondWithEvents([3, 4], true);
+  /** Sends the head of a stream, and no event until it is cancelled. */
+  const holdBack: AttemptScript = (_upstream, {cancellation}) =>
+    respondWith({
+      isEventStream: true,
+      body: (async function* () {
+        await new Promise((_resolve, reject) =>
+          cancellation.onCancel(() => reject(connectionLostError())),
+        );
+        yield Buffer.alloc(0);
+      })(),
+    });
   const refuse: AttemptScript = () =>
     respondWith({status: 503, isNotRun: true});
 
@@ -196,6 +207,39 @@
     expectNoSlotTaken();
   });
 
+  it('keeps its place until the other one goes on with it', async () => {
+    const ending = new Cancellation();
+    const scripts = [stall(ending), holdBack];
+    const {connector, reading} = await play(true, false, scripts);
+    expect(connector.upstreamIds).to.eql(['one', 'two']);
+    ending.cancel(undefined);
+    const {text, end} = await reading;
+    expect(eventIdsIn(text)).to.eql([1, 2]);
+    expect(end).to.equal(AnswerEnd.WHOLE);
+    expectNoSlotTaken();
+  });
+
+  it('goes on where it was if that one is the first with an event', async () => {
+    const going = new Cancellation();
+    const pauseOnce: AttemptScript = () =>
+      respondWith({
+        isEventStream: true,
+        body: (async function* () {
+          yield Buffer.from('id: 1\ndata: x\n\n');
+          await delay(EVENT_MILLISECONDS);
+          yield Buffer.from('id: 2\ndata: x\n\n');
+          await new Promise<void>(resolve => going.onCancel(() => resolve()));
+          yield Buffer.from('id: 3\ndata: x\n\nid: 4\ndata: x\n\n');
+        })(),
+      });
+    const {reading} = await play(true, false, [pauseOnce, holdBack]);
+    going.cancel(undefined);
+    const {text, end} = await reading;
+    expect(eventIdsIn(text)).to.eql([1, 2, 3, 4]);
+    expect(end).to.equal(AnswerEnd.WHOLE);
+    expectNoSlotTaken();
+  });
+
   it('goes on from a copy of its memory if it must not run again', async () => {
     const {connector, reading} = await play(false, true, [stall(), goOn]);
     const {text, end} = await reading;
