Do not count a caller's slow reading as inactivity of its upstream

Cause: the timeout of inactivity ran on while the node waited for the caller to take events, so that a sound stream was cancelled at its upstream and sent to another one, with a retry, because its caller read slowly. Change: the timeout counts only while data of the upstream is awaited.

--- a/packages/arbutustide-routing/src/__tests__/unit/inactivity_timeout.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/inactivity_timeout.test.ts
@@ -158,6 +158,23 @@
     expect(end).to.equal(AnswerEnd.WHOLE);
   });
 
+  it('does not take a caller that reads slowly for an inactive upstream', async () => {
+    const cancelled: unknown[] = [];
+    const paced: AttemptScript = (_upstream, {cancellation: cancel}) => {
+      cancel.onCancel(reason => cancelled.push(reason));
+      return respondWithEvents([1, 2], true);
+    };
+    const connector = new ScriptedConnector([paced]);
+    const answer = await dispatch(connector, RequestKind.STREAM);
+    const {body} = answer.unwrap();
+    if (Buffer.isBuffer(body)) throw new Error('the answer is no stream');
+    await body.next();
+    await clock.tickAsync(1_500);
+    expect(cancelled).to.eql([]);
+    expect((await body.next()).done).to.equal(false);
+    expect((await body.next()).value).to.equal(AnswerEnd.WHOLE);
+  });
+
   it('ejects no upstream for a single silence, however many requests met it', () => {
     const [upstream] = upstreams;
     const beganAt = performance.now();
--- a/packages/arbutustide-routing/src/proxy/inactivity_timeout.ts
+++ b/packages/arbutustide-routing/src/proxy/inactivity_timeout.ts
@@ -30,6 +30,7 @@
   private readonly removeLossListener: () => void = () => {};
   private timer: NodeJS.Timeout | undefined;
   private isExpired = false;
+  private isStopped = false;
   private hasReceived = false;
 
   /**
@@ -59,7 +60,17 @@
   recordActivity(): void {
     this.hasReceived = true;
     this.target.recordActivity();
-    if (this.timer) this.startTimer(this.timeoutMilliseconds);
+    if (!this.isStopped) this.startTimer(this.timeoutMilliseconds);
+  }
+
+  /** Stops counting while the caller takes what the upstream has sent. */
+  suspend(): void {
+    clearTimeout(this.timer);
+  }
+
+  /** Counts from now on, as data of the upstream is awaited. */
+  resume(): void {
+    if (!this.isStopped) this.startTimer(this.timeoutMilliseconds);
   }
 
   /** Ends the attempt for another reason than inactivity. */
@@ -71,7 +82,7 @@
   /** Stops the timeout. */
   stop(): void {
     clearTimeout(this.timer);
-    this.timer = undefined;
+    this.isStopped = true;
     this.removeCancelListener?.();
     this.removeLossListener();
   }
@@ -109,7 +120,7 @@
 
   /** Ends the attempt if another one may be made; returns whether it has. */
   private replaceIfPossible(): boolean {
-    if (this.timer === undefined || !this.tryReserveReplacement()) return false;
+    if (this.isStopped || !this.tryReserveReplacement()) return false;
     this.isExpired = true;
     this.stop();
     this.cancellation.cancel(AttemptFailure.INACTIVITY_TIMEOUT);
--- a/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
@@ -122,7 +122,9 @@
             this.options.onFirstEvent(attempt);
           this.openStream.recordEvents();
           this.progress.lastDeliveryAtMilliseconds = performance.now();
+          attempt.inactivityTimeout.suspend();
           yield bytes;
+          attempt.inactivityTimeout.resume();
           this.openStream.recordWaiting();
         }
         if (problem) return {reason: `event cannot follow: ${problem}`};
