Keep a stream at its upstream until another attempt goes on with it

Callers saw: a stream around a planned stop, and sometimes without one, ended with a closed connection although its upstream still held it. Cause: a timeout of inactivity and a handover in a stop cancelled the run first and learnt then whether another upstream took it. One that refused it, or held it back behind more urgent work, left the stream with no place. The timeout also looked for a free slot, cancelled, and asked for the slot again, which could be gone. Change: a replacement is an attempt of its own. The stream changes over once it has the next event; if the first run goes on before, the replacement is withdrawn. A request without an answer gives its place up only for one that is reserved, with its retry. A fallback to the first upstream consumes a retry, as it reaches an upstream. Works because at each moment some upstream holds the stream.

--- a/packages/arbutustide-node/src/proxy/decision_metrics.ts
+++ b/packages/arbutustide-node/src/proxy/decision_metrics.ts
@@ -33,6 +33,8 @@
   [DecisionStep.HANDOVER]: ({service, action = ''}, metrics) =>
     metrics.handovers.inc({entry: service, action}),
   [DecisionStep.MOVE_FAILED]: () => {},
+  [DecisionStep.REPLACEMENT_FAILED]: ({service}, metrics) =>
+    metrics.retries.inc({entry: service}),
   [DecisionStep.REFUSED]: ({kind = '', ran = '', team = NO_TEAM}, metrics) => {
     metrics.refusals.inc({kind, ran});
     if (team !== NO_TEAM) metrics.teamRefusals.inc({tenant: team, kind});
--- a/packages/arbutustide-routing/src/__tests__/unit/stream_handovers.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/stream_handovers.test.ts
@@ -4,11 +4,6 @@
  */
 import type {RequestDecision} from '../../proxy/request_decision.js';
 import type {ProxyUpstream} from '../../proxy/proxy_upstream.js';
-import type {
-  MemoryMove,
-  MemoryMover,
-} from '../../proxy/handover/memory_mover.js';
-import type {AttemptOptions} from '../../proxy/proxy_connector.js';
 import type {AttemptScript} from './scripted_connector.js';
 
 import {Cancellation, delay, ErrorKind} from '@arbutustide/errors';
@@ -18,6 +13,7 @@
 import {AnswerEnd} from '../../caller_request.js';
 import {MemoryMoveOutcome} from '../../proxy/handover/memory_mover.js';
 import {RequestKind} from '../../proxy/route.js';
+import {MEMORY_LOCATION, MovingConnector} from './moving_connector.js';
 import {testUpstream} from './proxy_fixtures.js';
 import {
   connectionLostError,
@@ -28,7 +24,6 @@
   readAnswer,
   respondWith,
   respondWithEvents,
-  ScriptedConnector,
 } from './scripted_connector.js';
 
 const LEFT_MILLISECONDS = 4_000;
@@ -36,34 +31,6 @@
 const PATIENCE_MILLISECONDS = 500;
 const EVENT_MILLISECONDS = 10;
 const NEAR_MILLISECONDS = 100;
-const LOCATION = 'one:1/handle';
-
-/** A connector whose upstreams move memory as it is told. */
-class MovingConnector extends ScriptedConnector implements MemoryMover {
-  readonly terms: AttemptOptions[] = [];
-  readonly moves: string[] = [];
-  move: () => Promise<MemoryMove> = async () => ({
-    outcome: MemoryMoveOutcome.MOVED,
-    location: LOCATION,
-  });
-
-  constructor(scripts: AttemptScript[]) {
-    super(
-      scripts.map(script => (upstream, terms) => {
-        this.terms.push(terms);
-        return script(upstream, terms);
-      }),
-    );
-  }
-
-  moveMemory(
-    source: ProxyUpstream,
-    target: ProxyUpstream,
-  ): Promise<MemoryMove> {
-    this.moves.push(`${source.id} to ${target.id}`);
-    return this.move();
-  }
-}
 
 describe('stream that is handed over as its node stops', () => {
   let clock: ReturnType<typeof install>;
@@ -220,22 +187,39 @@
   });
 
   it('goes on where it was if that one is the first with an event', async () => {
-    const going = new Cancellation();
-    const pauseOnce: AttemptScript = () =>
+    const steps = [new Cancellation(), new Cancellation(), new Cancellation()];
+    const [going, late, ending] = steps.map(
+      step => new Promise<void>(resolve => step.onCancel(() => resolve())),
+    );
+    const first: AttemptScript = () =>
       respondWith({
         isEventStream: true,
         body: (async function* () {
           yield Buffer.from('id: 1\ndata: x\n\n');
           await delay(EVENT_MILLISECONDS);
           yield Buffer.from('id: 2\ndata: x\n\n');
-          await new Promise<void>(resolve => going.onCancel(() => resolve()));
-          yield Buffer.from('id: 3\ndata: x\n\nid: 4\ndata: x\n\n');
+          await going;
+          yield Buffer.from('id: 3\ndata: x\n\n');
+          await ending;
+          yield Buffer.from('id: 4\ndata: x\n\n');
+        })(),
+      });
+    const second: AttemptScript = () =>
+      respondWith({
+        isEventStream: true,
+        body: (async function* () {
+          await late;
+          yield Buffer.from('id: 3\ndata: y\n\nid: 4\ndata: y\n\n');
         })(),
       });
-    const {reading} = await play(true, false, [pauseOnce, holdBack]);
-    going.cancel(undefined);
+    const {reading} = await play(true, false, [first, second]);
+    for (const step of steps) {
+      step.cancel(undefined);
+      await clock.tickAsync(0);
+    }
     const {text, end} = await reading;
     expect(eventIdsIn(text)).to.eql([1, 2, 3, 4]);
+    expect(text).not.to.include('data: y');
     expect(end).to.equal(AnswerEnd.WHOLE);
     expectNoSlotTaken();
   });
@@ -249,7 +233,7 @@
     expect(connector.upstreamIds).to.eql(['one', 'two']);
     expect(connector.terms[1]).to.include({
       resumeAfterEventId: 2,
-      memoryLocation: LOCATION,
+      memoryLocation: MEMORY_LOCATION,
     });
     expectNoSlotTaken();
   });
@@ -262,13 +246,13 @@
       moving => {
         moving.move = async () => ({
           outcome: MemoryMoveOutcome.KEPT_AT_SOURCE,
-          location: LOCATION,
+          location: MEMORY_LOCATION,
         });
       },
     );
     expect((await reading).end).to.equal(AnswerEnd.WHOLE);
     expect(connector.upstreamIds).to.eql(['one', 'one']);
-    expect(connector.terms[1].memoryLocation).to.equal(LOCATION);
+    expect(connector.terms[1].memoryLocation).to.equal(MEMORY_LOCATION);
     expectNoSlotTaken();
   });
 
@@ -277,7 +261,7 @@
     const {connector, reading} = await play(false, true, scripts);
     expect((await reading).end).to.equal(AnswerEnd.WHOLE);
     expect(connector.upstreamIds).to.eql(['one', 'two', 'one']);
-    expect(connector.terms[2].memoryLocation).to.equal(LOCATION);
+    expect(connector.terms[2].memoryLocation).to.equal(MEMORY_LOCATION);
     expectNoSlotTaken();
   });
 
--- a/packages/arbutustide-routing/src/proxy/attempt_maker.ts
+++ b/packages/arbutustide-routing/src/proxy/attempt_maker.ts
@@ -1,12 +1,12 @@
 import type {AttemptSlot, AttemptSlotResult} from './attempt_target.js';
 import type {DecisionRecorder} from './decision_recorder.js';
-import type {OpenStream} from './handover/open_stream.js';
 import type {AttemptStart} from './proxy_connector.js';
 import type {ProxyDispatcherOptions} from './proxy_dispatcher_options.js';
 import type {ProxyUpstream} from './proxy_upstream.js';
 import type {UpstreamSlot} from './queue/slot_queue_options.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
 import type {AttemptResult} from './run_attempt.js';
+import type {RelayPeer} from './relay/request_relay.js';
 import type {SlotQueue} from './slot_queue.js';
 
 import {ErrorKind} from '@arbutustide/errors';
@@ -19,10 +19,26 @@
 import {cancelledRefusal, withRanSoFar} from './proxy_refusals.js';
 import {PeerTarget} from './relay/peer_target.js';
 import {isRepeatable} from './route.js';
-import {remainingForUpstream} from './routed_request_progress.js';
+import {
+  remainingForUpstream,
+  remainingMilliseconds,
+} from './routed_request_progress.js';
 import {runAttempt} from './run_attempt.js';
 import {UpstreamTarget} from './upstream_target.js';
 
+/** Is told of an attempt while it is made. */
+export interface AttemptFollower {
+  /** The attempt is about to be sent. */
+  beginAttempt(slot: AttemptSlot, inactivityTimeout: InactivityTimeout): void;
+  /** The attempt has ended without a stream to read. */
+  endAttempt(): void;
+  /**
+   * The upstream is inactive. Returns whether the attempt is to end, as the
+   * next one has its place and its retry.
+   */
+  onInactive(): boolean;
+}
+
 /** Finds places for the attempts of requests and makes them. */
 export class AttemptMaker {
   private readonly answerMemory = new AnswerMemory();
@@ -53,8 +69,7 @@
     const {relay} = this.options;
     const peer = relay.choosePeer(progress);
     if (!peer) return slot;
-    const target = new PeerTarget(peer, progress.request.service, relay);
-    return Ok({target, waitedMilliseconds: 0, release: () => {}});
+    return Ok(this.createPeerSlot(progress, peer));
   }
 
   /** A slot that is free now, ahead of queued requests; undefined if none is. */
@@ -71,27 +86,20 @@
     return this.withTarget(this.queue.takeSlotAt(progress, upstream));
   }
 
-  /**
-   * Sends the request to the place of the slot.
-   *
-   * @param stream told of the attempt.
-   */
+  /** Sends the request to the place of the slot. */
   async makeAttempt(
     progress: RoutedRequestProgress,
     slot: AttemptSlot,
     start: AttemptStart,
-    stream: OpenStream,
+    follower: AttemptFollower,
   ): Promise<AttemptResult> {
     const {target} = slot;
     target.recordChosen(progress);
     progress.attempts += 1;
-    const tryReserveReplacement = () => this.tryReserveReplacement(progress);
-    const inactivityTimeout = new InactivityTimeout(
-      progress,
-      target,
-      tryReserveReplacement,
+    const inactivityTimeout = new InactivityTimeout(progress, target, () =>
+      follower.onInactive(),
     );
-    stream.beginAttempt(slot, inactivityTimeout);
+    follower.beginAttempt(slot, inactivityTimeout);
     const {answerPeriod} = this.options;
     const remaining = remainingForUpstream(progress, answerPeriod);
     const attempt = await runAttempt(progress, {
@@ -108,7 +116,7 @@
     const isOpen = attempt.body === undefined && attempt.error === undefined;
     if (!isOpen) {
       slot.release(attempt.outcome === AttemptOutcome.ANSWERED);
-      stream.endAttempt();
+      follower.endAttempt();
     }
     if (mayHaveRun(attempt.outcome)) progress.mayHaveRun = true;
     // A request that was never sent does not count against maximumAttempts.
@@ -130,29 +138,41 @@
     return tryConsumeRetry(request.service);
   }
 
-  private withTarget(slot: UpstreamSlot): AttemptSlot {
-    const {upstream, admission} = slot;
-    const target = new UpstreamTarget(upstream, admission, this.options);
-    return {...slot, target};
-  }
-
-  /** Consumes a retry to replace an inactive upstream, if that is allowed. */
-  private tryReserveReplacement(progress: RoutedRequestProgress): boolean {
+  /**
+   * The place of an attempt that replaces one at an inactive upstream, with its
+   * retry; undefined if none may be made now.
+   */
+  tryReservePlace(progress: RoutedRequestProgress): AttemptSlot | undefined {
     const {route, service} = progress.request;
-    return (
+    const isAllowed =
       isRepeatable(route) &&
-      progress.attempts < route.maximumAttempts &&
-      this.canPlace(progress) &&
-      this.options.tryConsumeRetry(service)
-    );
+      !progress.cancellation.isCancelled &&
+      remainingMilliseconds(progress) > 0 &&
+      progress.attempts < route.maximumAttempts;
+    if (!isAllowed) return undefined;
+    const hasFreeSlot = this.queue.hasFreeSlot(progress);
+    const peer =
+      !hasFreeSlot && this.queue.isUnreachable(progress)
+        ? this.options.relay.choosePeer(progress)
+        : undefined;
+    const canPlace = hasFreeSlot || peer !== undefined;
+    if (!canPlace || !this.options.tryConsumeRetry(service)) return undefined;
+    return peer
+      ? this.createPeerSlot(progress, peer)
+      : this.tryTakeSlot(progress);
   }
 
-  /** Whether another attempt could begin now, here or at a peer. */
-  private canPlace(progress: RoutedRequestProgress): boolean {
-    if (this.queue.hasFreeSlot(progress)) return true;
-    return (
-      this.queue.isUnreachable(progress) &&
-      this.options.relay.choosePeer(progress) !== undefined
-    );
+  private createPeerSlot(
+    {request}: RoutedRequestProgress,
+    peer: RelayPeer,
+  ): AttemptSlot {
+    const target = new PeerTarget(peer, request.service, this.options.relay);
+    return {target, waitedMilliseconds: 0, release: () => {}};
+  }
+
+  private withTarget(slot: UpstreamSlot): AttemptSlot {
+    const {upstream, admission} = slot;
+    const target = new UpstreamTarget(upstream, admission, this.options);
+    return {...slot, target};
   }
 }
--- a/packages/arbutustide-routing/src/proxy/decision_recorder.ts
+++ b/packages/arbutustide-routing/src/proxy/decision_recorder.ts
@@ -135,6 +135,19 @@
     this.recordDecision(progress, {step: DecisionStep.MOVE_FAILED, reason});
   }
 
+  recordReplacementFailed(
+    progress: RoutedRequestProgress,
+    target: AttemptTarget,
+    reason: string,
+  ): void {
+    this.recordDecision(progress, {
+      step: DecisionStep.REPLACEMENT_FAILED,
+      ...target.decisionFields,
+      attempts: progress.attempts,
+      reason,
+    });
+  }
+
   private recordDecision(
     {request}: RoutedRequestProgress,
     decision: Omit<
--- /dev/null
+++ b/packages/arbutustide-routing/src/proxy/handover/handover.ts
@@ -0,0 +1,21 @@
+import type {AttemptSlot} from '../attempt_target.js';
+import type {AttemptResult} from '../run_attempt.js';
+
+/** Where a request goes on whose attempt this node ends. */
+export interface Handover {
+  readonly slot: AttemptSlot;
+  /** Why this node ends the attempt. */
+  readonly reason: string;
+  /** Whether this node ends it because its upstream was inactive. */
+  readonly isAfterInactivity: boolean;
+  /** Whether its next upstream is told to serve it before others. */
+  readonly isUrgent: boolean;
+  /** The attempt that goes on with it; undefined if it is yet to be made. */
+  readonly attempt?: AttemptResult;
+  /** Copy of memory that the run goes on from; undefined to read it anew. */
+  readonly memoryLocation?: string;
+  /** Where the stream was, for when the other place does not take it. */
+  readonly takeFallback: () => Handover | undefined;
+  /** Gives up the place, and the attempt if there is one. */
+  readonly release: () => void;
+}
--- a/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
@@ -1,28 +1,29 @@
+import type {AttemptFollower} from '../attempt_maker.js';
 import type {AttemptSlot} from '../attempt_target.js';
 import type {InactivityTimeout} from '../inactivity_timeout.js';
 import type {ProxyUpstream} from '../proxy_upstream.js';
 import type {RoutedRequestProgress} from '../routed_request_progress.js';
 import type {StreamTimeline} from '../stream_timeline.js';
+import type {Handover} from './handover.js';
 import type {HandoverInput} from './handover_decision.js';
+import type {ReplacementAttempt} from './replacement_attempt.js';
 
 import {CancelReason} from '../proxy_refusals.js';
 import {StayReason} from './handover_decision.js';
 import {MemoryMoveOutcome} from './memory_mover.js';
 
-/** Where a stream goes on that is handed over. */
-export interface Handover {
-  readonly slot: AttemptSlot;
-  /** Copy of memory that the run goes on from; undefined to read it anew. */
-  readonly memoryLocation: string | undefined;
-  /** Where the stream was, for when the other place does not take it. */
-  readonly takeFallback: () => Handover | undefined;
+/** What a stream needs of the handovers of its node. */
+export interface OpenStreamOptions {
+  readonly onClose: () => void;
+  /**
+   * Called when an upstream is inactive. Returns whether the attempt is to end
+   * at once, as the next one has its place and its retry.
+   */
+  readonly onInactive: () => boolean;
 }
 
-/** Why a node ended an attempt whose stream goes on at another place. */
-const HANDED_OVER = 'the stream is handed over as this node stops';
-
 /** A stream that was sent to an upstream, and its handover if there is one. */
-export class OpenStream {
+export class OpenStream implements AttemptFollower {
   private lastStayReason: StayReason | undefined;
   private slot: AttemptSlot | undefined;
   private inactivityTimeout: InactivityTimeout | undefined;
@@ -31,12 +32,15 @@
   private isMovable = true;
   private hasUncertainMove = false;
   private pending: Promise<Handover | undefined> | undefined;
+  private replacement: ReplacementAttempt | undefined;
   private isBetweenAttempts = false;
+  private isBeingRead = false;
+  private latestEventId: number | undefined;
 
   constructor(
     readonly progress: RoutedRequestProgress,
     readonly timeline: StreamTimeline,
-    private readonly onClose: () => void,
+    private readonly options: OpenStreamOptions,
   ) {}
 
   /** Where it is; undefined at a peer. */
@@ -53,6 +57,26 @@
     return this.pending !== undefined || this.isBetweenAttempts;
   }
 
+  /** Whether the head of its answer has come, so that its events are awaited. */
+  get isAnswered(): boolean {
+    return this.isBeingRead;
+  }
+
+  /** Id of the last event that its caller has; undefined if it has none. */
+  get lastEventId(): number | undefined {
+    return this.latestEventId ?? this.progress.request.lastEventId;
+  }
+
+  /** Whether another attempt goes on with it, so that this one must not. */
+  get isReplaced(): boolean {
+    return this.replacement?.goesOn ?? false;
+  }
+
+  /** Whether another attempt has begun and may yet go on with it. */
+  get isReplacementAwaited(): boolean {
+    return this.replacement !== undefined && !this.isReplaced;
+  }
+
   /**
    * Whether an end of the attempt may come from a move of its memory whose
    * answer was lost.
@@ -78,41 +102,80 @@
     };
   }
 
-  /** An attempt has begun that is to go on with the stream, or has its head. */
+  /** An attempt has begun that is to go on with the stream. */
   beginAttempt(slot: AttemptSlot, inactivityTimeout: InactivityTimeout): void {
     this.slot = slot;
     this.inactivityTimeout = inactivityTimeout;
     this.isBetweenAttempts = false;
+    this.isBeingRead = false;
     this.timeline.recordWaiting();
   }
 
+  /** The head of the attempt's answer has come, and its events are read. */
+  beginReading(slot: AttemptSlot, inactivityTimeout: InactivityTimeout): void {
+    this.beginAttempt(slot, inactivityTimeout);
+    this.isBeingRead = true;
+  }
+
   /** The attempt has ended, and its stream does not go on from it. */
   endAttempt(): void {
     this.timeline.recordIdle();
   }
 
+  onInactive(): boolean {
+    return this.options.onInactive();
+  }
+
+  /** Records that the upstream of the attempt was inactive. */
+  recordInactive(): void {
+    this.slot?.target.recordBrokenStream(this.progress, true);
+  }
+
   /** Records that the next data of the upstream is awaited from now on. */
   recordWaiting(): void {
     this.timeline.recordWaiting();
   }
 
-  /** Records that events have come, so that the run has not been stopped. */
-  recordEvents(): void {
+  /**
+   * Records that events have come, so that the run has not been stopped and
+   * needs no replacement.
+   */
+  recordEvents(lastEventId: number | undefined): void {
+    this.latestEventId = lastEventId;
     this.timeline.recordEvents();
     this.hasUncertainMove = false;
+    this.withdrawReplacement('the stream went on where it was');
+  }
+
+  /** Records that the attempt has ended, and the stream with it. */
+  recordWhole(): void {
+    this.withdrawReplacement('the stream ended where it was');
   }
 
-  /** Ends the attempt once it is certain that the stream goes on elsewhere. */
-  handOver(handover: Handover | Promise<Handover | undefined>): void {
+  /**
+   * Ends the attempt once the handover is settled, if there is one.
+   *
+   * @param replacement the attempt that the handover waits for, if it does.
+   */
+  handOver(
+    handover: Handover | Promise<Handover | undefined>,
+    replacement?: ReplacementAttempt,
+  ): void {
     const {inactivityTimeout} = this;
     this.handoverCount += 1;
+    this.replacement = replacement;
     this.pending = Promise.resolve(handover).then(settled => {
-      if (settled) inactivityTimeout?.abort(HANDED_OVER);
+      if (settled) inactivityTimeout?.abort(settled.reason);
       else this.recordStayed();
       return settled;
     });
   }
 
+  /** Records that a replacement goes to another place than it was to. */
+  changeReplacement(replacement: ReplacementAttempt): void {
+    this.replacement = replacement;
+  }
+
   /** Refuses a stream that has not begun. */
   refuse(): void {
     this.progress.cancellation.cancel(CancelReason.STOPPING);
@@ -127,26 +190,39 @@
   recordMoveFailed(outcome: MemoryMoveOutcome): void {
     if (outcome !== MemoryMoveOutcome.BUSY) this.isMovable = false;
     if (outcome === MemoryMoveOutcome.UNKNOWN) this.hasUncertainMove = true;
+    this.handoverCount -= 1;
+  }
+
+  /** Records that an attempt with the highest priority was made for it. */
+  recordUrgent(): void {
+    this.isUrgent = true;
   }
 
   /** Takes the handover; resolves to undefined if there is none. */
   async takeHandover(): Promise<Handover | undefined> {
     const handover = await this.pending;
     this.pending = undefined;
+    this.replacement = undefined;
     this.isBetweenAttempts = handover !== undefined;
-    if (handover) this.isUrgent = true;
+    if (handover?.isUrgent) this.recordUrgent();
     return handover;
   }
 
   /** Ends the tracking, and gives up a handover that was not taken. */
   close(): void {
-    this.onClose();
-    void this.pending?.then(handover => handover?.slot.release());
+    this.options.onClose();
+    this.withdrawReplacement('the stream was given up');
+    void this.pending?.then(handover => handover?.release());
     this.pending = undefined;
+    this.replacement = undefined;
+  }
+
+  private withdrawReplacement(reason: string): void {
+    this.replacement?.withdraw(reason);
   }
 
   private recordStayed(): void {
     this.pending = undefined;
-    this.handoverCount -= 1;
+    this.replacement = undefined;
   }
 }
--- /dev/null
+++ b/packages/arbutustide-routing/src/proxy/handover/replacement_attempt.ts
@@ -0,0 +1,139 @@
+import type {AttemptFollower, AttemptMaker} from '../attempt_maker.js';
+import type {AttemptSlot} from '../attempt_target.js';
+import type {InactivityTimeout} from '../inactivity_timeout.js';
+import type {AttemptResult} from '../run_attempt.js';
+import type {OpenStream} from './open_stream.js';
+
+import {AttemptOutcome} from '../attempt_outcome.js';
+import {EventSequencer} from '../event_sequencer.js';
+
+/** Place of an attempt that is to replace another. */
+export interface ReplacementOptions {
+  readonly stream: OpenStream;
+  readonly slot: AttemptSlot;
+  readonly isUrgent: boolean;
+  readonly attempts: Pick<AttemptMaker, 'makeAttempt'>;
+}
+
+type Chunks = AsyncIterator<Uint8Array>;
+
+/**
+ * An attempt to go on with a stream, made while the one before it still runs.
+ * The stream changes over once this attempt has the next event; until then its
+ * upstream may refuse it, or hold it back for longer than the one before it.
+ */
+export class ReplacementAttempt implements AttemptFollower {
+  private inactivityTimeout: InactivityTimeout | undefined;
+  private reason: string | undefined;
+  private hasNextEvent = false;
+  private hasBeenWithdrawn = false;
+
+  constructor(private readonly options: ReplacementOptions) {}
+
+  /** Whether it has the next event, and the stream is to go on with it. */
+  get goesOn(): boolean {
+    return this.hasNextEvent;
+  }
+
+  /** Whether it was given up although its upstream might have gone on. */
+  get isWithdrawn(): boolean {
+    return this.hasBeenWithdrawn;
+  }
+
+  /** Why the stream does not go on with it; undefined while it may. */
+  get failureReason(): string | undefined {
+    return this.reason;
+  }
+
+  /** Resolves to the attempt once it goes on; to undefined if it will not. */
+  async start(): Promise<AttemptResult | undefined> {
+    const {stream, slot, isUrgent, attempts} = this.options;
+    const {progress, lastEventId: resumeAfterEventId} = stream;
+    const start = {resumeAfterEventId, isUrgent};
+    const attempt = await attempts.makeAttempt(progress, slot, start, this);
+    const {outcome, head, body, error} = attempt;
+    const isStream = outcome === AttemptOutcome.ANSWERED && body === undefined;
+    if (!isStream || !head) {
+      this.reason ??= error?.message ?? `status ${head?.status}`;
+      slot.release();
+      return undefined;
+    }
+    const chunks = head.body[Symbol.asyncIterator]();
+    const read: Uint8Array[] = [];
+    try {
+      const problem = await this.readNextEvent(chunks, read);
+      if (problem === undefined && this.reason === undefined) {
+        this.hasNextEvent = true;
+        return {...attempt, head: {...head, body: replay(read, chunks)}};
+      }
+      this.reason ??= problem;
+    } catch (error) {
+      if (this.reason === undefined && !progress.cancellation.isCancelled) {
+        slot.target.recordBrokenStream(progress, false);
+        attempt.observed?.recordBroken();
+      }
+      this.reason ??= String(error);
+    }
+    this.abandon(attempt);
+    return undefined;
+  }
+
+  /** Gives the attempt up, unless the stream goes on with it. */
+  withdraw(reason: string): void {
+    if (this.hasNextEvent || this.reason !== undefined) return;
+    this.reason = reason;
+    this.hasBeenWithdrawn = true;
+    this.inactivityTimeout?.abort(reason);
+  }
+
+  beginAttempt(_slot: AttemptSlot, inactivityTimeout: InactivityTimeout): void {
+    this.inactivityTimeout = inactivityTimeout;
+    if (this.reason !== undefined) inactivityTimeout.abort(this.reason);
+  }
+
+  endAttempt(): void {}
+
+  onInactive(): boolean {
+    return this.hasNextEvent && this.options.stream.onInactive();
+  }
+
+  /** Ends an attempt that the stream does not go on with. */
+  abandon(attempt: AttemptResult): void {
+    attempt.inactivityTimeout.abort(this.reason);
+    attempt.observed?.recordCancelled();
+    attempt.slot.release();
+  }
+
+  /** Reads up to the next event; returns why it cannot follow, if so. */
+  private async readNextEvent(
+    chunks: Chunks,
+    read: Uint8Array[],
+  ): Promise<string | undefined> {
+    const sequencer = new EventSequencer(this.options.stream.lastEventId);
+    for (;;) {
+      const chunk = await chunks.next();
+      if (chunk.done) return 'the stream ended before its next event';
+      read.push(chunk.value);
+      const {bytes, problem} = sequencer.push(chunk.value);
+      if (problem) return `event cannot follow: ${problem}`;
+      if (bytes) return undefined;
+    }
+  }
+}
+
+/** The chunks that were read and those that are still to come. */
+async function* replay(
+  read: readonly Uint8Array[],
+  rest: Chunks,
+): AsyncGenerator<Uint8Array, void, undefined> {
+  try {
+    yield* read;
+    for (;;) {
+      const chunk = await rest.next();
+      if (chunk.done) return;
+      yield chunk.value;
+    }
+  } finally {
+    await rest.return?.();
+  }
+}
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -6,8 +6,8 @@
 import type {ProxyUpstream} from '../proxy_upstream.js';
 import type {RoutedRequest} from '../routed_request.js';
 import type {RoutedRequestProgress} from '../routed_request_progress.js';
+import type {Handover} from './handover.js';
 import type {MemoryMove, MemoryMover} from './memory_mover.js';
-import type {Handover} from './open_stream.js';
 
 import {Err, Ok} from 'ts-results';
 
@@ -21,6 +21,11 @@
 } from './handover_decision.js';
 import {MemoryMoveOutcome} from './memory_mover.js';
 import {OpenStream} from './open_stream.js';
+import {ReplacementAttempt} from './replacement_attempt.js';
+
+/** Why a node ends an attempt whose stream goes on at another place. */
+const HANDED_OVER = 'the stream is handed over as this node stops';
+const INACTIVE = 'its upstream was inactive';
 
 /** A handover that has begun, as it is logged and counted. */
 export interface HandoverRecord {
@@ -40,7 +45,11 @@
   readonly longestMilliseconds?: (request: RoutedRequest) => number | undefined;
   readonly attempts: Pick<
     AttemptMaker,
-    'tryTakeSlot' | 'takeSlotAt' | 'tryConsumeRetry'
+    | 'tryTakeSlot'
+    | 'takeSlotAt'
+    | 'tryConsumeRetry'
+    | 'tryReservePlace'
+    | 'makeAttempt'
   >;
   readonly onHandover: (
     progress: RoutedRequestProgress,
@@ -50,6 +59,20 @@
     progress: RoutedRequestProgress,
     reason: string,
   ) => void;
+  readonly onReplacementFailed: (
+    progress: RoutedRequestProgress,
+    target: AttemptTarget,
+    reason: string,
+  ) => void;
+}
+
+/** Where a replacement is made, and where if that place does not take it. */
+interface ReplacementPlace {
+  readonly slot: AttemptSlot;
+  readonly reason: string;
+  readonly isUrgent: boolean;
+  readonly isAfterInactivity?: boolean;
+  readonly takeNextSlot: () => AttemptSlot | undefined;
 }
 
 /** Where a stream is to go on, or why it stays. */
@@ -58,8 +81,9 @@
 type HandoverStarter = (stream: OpenStream) => HandoverStart;
 
 /**
- * Hands stalled streams of a node that stops over to other upstreams. A stream
- * that is not complete when the node ends is cut.
+ * Hands streams over to other upstreams: stalled ones of a node that stops, which
+ * are cut if they are not complete when it ends, and those whose upstreams are
+ * inactive. A stream keeps its place until another attempt goes on with it.
  */
 export class StreamHandovers {
   private readonly streams = new Set<OpenStream>();
@@ -85,9 +109,10 @@
   /** Tracks the answer to a request until it is closed, if it is a stream. */
   open(progress: RoutedRequestProgress): OpenStream {
     const timeline = new StreamTimeline(progress.request.arrivedAtMilliseconds);
-    const stream: OpenStream = new OpenStream(progress, timeline, () =>
-      this.streams.delete(stream),
-    );
+    const stream: OpenStream = new OpenStream(progress, timeline, {
+      onClose: () => this.streams.delete(stream),
+      onInactive: () => this.replaceInactive(stream),
+    });
     const {kind} = progress.request.route;
     if (kind === RequestKind.STREAM) this.streams.add(stream);
     return stream;
@@ -142,10 +167,94 @@
     if (!slot) return Err(StayReason.NO_UPSTREAM);
     if (!this.consumeRetry(progress, slot))
       return Err(StayReason.NO_RETRY_LEFT);
-    stream.handOver(this.createHandover(progress, slot, upstream));
+    stream.recordUrgent();
+    this.replace(stream, {
+      slot,
+      reason: HANDED_OVER,
+      isUrgent: true,
+      takeNextSlot: () =>
+        slot.target.upstream === upstream
+          ? undefined
+          : this.takeSlotWithRetry(stream),
+    });
     return Ok(slot.target);
   }
 
+  /**
+   * Begins to replace an attempt whose upstream is inactive. Returns whether it
+   * is to end at once: one whose answer has begun goes on until another has the
+   * next event, any other one until the next has its place.
+   */
+  private replaceInactive(stream: OpenStream): boolean {
+    const {progress} = stream;
+    if (stream.isBeingHandedOver) return false;
+    const slot = this.options.attempts.tryReservePlace(progress);
+    if (!slot) return false;
+    const place = {
+      slot,
+      reason: INACTIVE,
+      isUrgent: false,
+      isAfterInactivity: true,
+      takeNextSlot: () => undefined,
+    };
+    if (!stream.isAnswered) {
+      stream.handOver(this.createHandover(progress, place));
+      return true;
+    }
+    stream.recordInactive();
+    this.replace(stream, place);
+    return false;
+  }
+
+  private replace(stream: OpenStream, place: ReplacementPlace): void {
+    const first = this.createReplacement(stream, place, place.slot);
+    stream.handOver(this.awaitReplacement(stream, place, first), first);
+  }
+
+  /** Resolves to undefined if the stream stays at its upstream. */
+  private async awaitReplacement(
+    stream: OpenStream,
+    place: ReplacementPlace,
+    first: ReplacementAttempt,
+  ): Promise<Handover | undefined> {
+    const {progress} = stream;
+    let replacement = first;
+    let {slot} = place;
+    for (;;) {
+      const attempt = await replacement.start();
+      if (attempt) {
+        const {isUrgent, isAfterInactivity = false, reason} = place;
+        return {
+          slot,
+          reason,
+          isUrgent,
+          isAfterInactivity,
+          attempt,
+          takeFallback: () => undefined,
+          release: () => replacement.abandon(attempt),
+        };
+      }
+      const {failureReason = '', isWithdrawn} = replacement;
+      this.options.onReplacementFailed(progress, slot.target, failureReason);
+      const isOver = isWithdrawn || progress.cancellation.isCancelled;
+      const next =
+        isOver || slot !== place.slot ? undefined : place.takeNextSlot();
+      if (!next) return undefined;
+      slot = next;
+      replacement = this.createReplacement(stream, place, slot);
+      stream.changeReplacement(replacement);
+    }
+  }
+
+  private createReplacement(
+    stream: OpenStream,
+    {isUrgent}: ReplacementPlace,
+    slot: AttemptSlot,
+  ): ReplacementAttempt {
+    const {attempts} = this.options;
+    return new ReplacementAttempt({stream, slot, isUrgent, attempts});
+  }
+
   private startMoving(stream: OpenStream): HandoverStart {
     const {progress, upstream: source} = stream;
     const {memoryMover, attempts} = this.options;
@@ -171,38 +280,50 @@
     const {progress} = stream;
     const {outcome, location, reason = outcome} = await move;
     if (outcome === MemoryMoveOutcome.MOVED)
-      return this.createHandover(progress, slot, source, location);
+      return this.createMovedHandover(progress, slot, location, source);
     slot.release();
     if (outcome === MemoryMoveOutcome.KEPT_AT_SOURCE) {
       const ownSlot = this.options.attempts.takeSlotAt(progress, source);
-      return this.createHandover(progress, ownSlot, undefined, location);
+      return this.createMovedHandover(progress, ownSlot, location);
     }
     stream.recordMoveFailed(outcome);
     this.options.onMoveFailed(progress, reason);
     return undefined;
   }
 
-  /** @param fallback upstream that takes the stream if the slot's does not. */
-  private createHandover(
+  /** A handover of a run that has stopped, to be continued from its memory. */
+  private createMovedHandover(
     progress: RoutedRequestProgress,
     slot: AttemptSlot,
-    fallback: ProxyUpstream | undefined,
+    memoryLocation: string | undefined,
+    source?: ProxyUpstream,
+  ): Handover {
+    const takeNextSlot = () =>
+      source && this.options.attempts.takeSlotAt(progress, source);
+    const place = {slot, reason: HANDED_OVER, isUrgent: true, takeNextSlot};
+    return this.createHandover(progress, place, memoryLocation);
+  }
+
+  /** A handover whose attempt is yet to be made. */
+  private createHandover(
+    progress: RoutedRequestProgress,
+    place: ReplacementPlace,
     memoryLocation?: string,
   ): Handover {
-    const hasFallback = fallback && fallback !== slot.target.upstream;
+    const {slot, reason, isUrgent, isAfterInactivity = false} = place;
     return {
       slot,
+      reason,
+      isUrgent,
+      isAfterInactivity,
       memoryLocation,
       takeFallback: () => {
-        if (!hasFallback) return undefined;
-        const ownSlot = this.options.attempts.takeSlotAt(progress, fallback);
-        return this.createHandover(
-          progress,
-          ownSlot,
-          undefined,
-          memoryLocation,
-        );
+        const next = place.takeNextSlot();
+        if (!next) return undefined;
+        const nextPlace = {...place, slot: next, takeNextSlot: () => undefined};
+        return this.createHandover(progress, nextPlace, memoryLocation);
       },
+      release: () => slot.release(),
     };
   }
 
@@ -216,6 +337,16 @@
     return this.options.attempts.takeSlotAt(progress, upstream);
   }
 
+  /** A slot where the stream is, with the retry for an attempt there. */
+  private takeSlotWithRetry({
+    progress,
+    upstream,
+  }: OpenStream): AttemptSlot | undefined {
+    if (!upstream) return undefined;
+    const slot = this.options.attempts.takeSlotAt(progress, upstream);
+    return this.consumeRetry(progress, slot) ? slot : undefined;
+  }
+
   /** Consumes a retry of the budget; returns the slot if there is none. */
   private consumeRetry(
     progress: RoutedRequestProgress,
--- a/packages/arbutustide-routing/src/proxy/inactivity_timeout.ts
+++ b/packages/arbutustide-routing/src/proxy/inactivity_timeout.ts
@@ -34,28 +34,26 @@
   private hasReceived = false;
 
   /**
-   * @param tryReserveReplacement whether another attempt may be made now; has
-   * consumed its retry if so.
+   * @param tryReplace whether the attempt is to end, as another one may be made
+   *     now; has reserved its place and consumed its retry if so.
    */
   constructor(
     private readonly progress: RoutedRequestProgress,
     private readonly target: AttemptTarget,
-    private readonly tryReserveReplacement: () => boolean,
+    private readonly tryReplace: () => boolean,
   ) {
     this.removeCancelListener = progress.cancellation.onCancel(reason => {
       this.stop();
       this.cancellation.cancel(reason);
     });
     if (progress.cancellation.isCancelled) return;
-    this.removeLossListener = target.onLost(() => this.replaceIfPossible());
+    // Others may be lost in the same turn of the event loop.
+    this.removeLossListener = target.onLost(() =>
+      queueMicrotask(() => this.replaceIfPossible()),
+    );
     this.startTimer(this.timeoutMilliseconds);
   }
 
-  /** Whether the attempt was aborted because its upstream was inactive. */
-  get hasExpired(): boolean {
-    return this.isExpired;
-  }
-
   /** Restarts the timeout because the upstream has sent data. */
   recordActivity(): void {
     this.hasReceived = true;
@@ -120,7 +118,7 @@
 
   /** Ends the attempt if another one may be made; returns whether it has. */
   private replaceIfPossible(): boolean {
-    if (this.isStopped || !this.tryReserveReplacement()) return false;
+    if (this.isStopped || !this.tryReplace()) return false;
     this.isExpired = true;
     this.stop();
     this.cancellation.cancel(AttemptFailure.INACTIVITY_TIMEOUT);
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -1,7 +1,8 @@
 import type {RefusalError} from '@arbutustide/errors';
 import type {Result} from 'ts-results';
 
-import type {Handover, OpenStream} from './handover/open_stream.js';
+import type {Handover} from './handover/handover.js';
+import type {OpenStream} from './handover/open_stream.js';
 import type {AttemptStart} from './proxy_connector.js';
 import type {AttemptResult} from './run_attempt.js';
 import type {ProxyAnswer} from './proxy_answer.js';
@@ -70,6 +71,8 @@
         this.decisions.recordHandover(progress, record),
       onMoveFailed: (progress, reason) =>
         this.decisions.recordMoveFailed(progress, reason),
+      onReplacementFailed: (progress, target, reason) =>
+        this.decisions.recordReplacementFailed(progress, target, reason),
     });
   }
 
@@ -252,7 +255,7 @@
       const attempt = await this.attempts.makeAttempt(
         progress,
         slot.val,
-        handover ? urgentStart(start, handover) : start,
+        handover ? handoverStart(start, handover) : start,
         stream,
       );
       if (attempt.outcome === AttemptOutcome.ANSWERED) return Ok(attempt);
@@ -261,7 +264,6 @@
       if (attempt.outcome === AttemptOutcome.FAILED) lastFailure = attempt;
       const budget = {
         tryConsumeRetry: () =>
-          attempt.inactivityTimeout.hasExpired ||
           this.attempts.tryConsumeRetry(progress, mayHaveRun(attempt.outcome)),
       };
       const {finalRefusal} = attempt.slot.target;
@@ -330,9 +332,9 @@
 }
 
 /** The start of an attempt at the place that a stream is handed over to. */
-function urgentStart(
+function handoverStart(
   {resumeAfterEventId}: AttemptStart,
-  {memoryLocation}: Handover,
+  {isUrgent, memoryLocation}: Handover,
 ): AttemptStart {
-  return {resumeAfterEventId, isUrgent: true, memoryLocation};
+  return {resumeAfterEventId, isUrgent, memoryLocation};
 }
--- a/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
@@ -2,7 +2,8 @@
 import type {Result} from 'ts-results';
 
 import type {StayReason} from './handover/handover_decision.js';
-import type {Handover, OpenStream} from './handover/open_stream.js';
+import type {Handover} from './handover/handover.js';
+import type {OpenStream} from './handover/open_stream.js';
 import type {AttemptStart} from './proxy_connector.js';
 import type {AttemptResult} from './run_attempt.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
@@ -48,8 +49,6 @@
 /** Why an attempt ended before its stream was complete. */
 interface SegmentFailure {
   readonly reason: string;
-  /** Whether it ended by inactivity timeout, which has consumed the retry. */
-  readonly wasInactive?: boolean;
   /** Where the stream goes on; undefined unless this node ended the attempt. */
   readonly handover?: Handover;
 }
@@ -109,10 +108,11 @@
     isResumed: boolean,
   ): AsyncGenerator<Uint8Array, SegmentFailure | undefined, undefined> {
     this.eventSequencer.beginAttempt();
-    this.openStream.beginAttempt(attempt.slot, attempt.inactivityTimeout);
+    this.openStream.beginReading(attempt.slot, attempt.inactivityTimeout);
     let isWhole = false;
     try {
       for await (const chunk of attempt.head?.body ?? []) {
+        if (this.openStream.isReplaced) break;
         const {bytes, problem} = this.eventSequencer.push(chunk);
         if (bytes) {
           // Bytes that complete no new event are no progress.
@@ -120,22 +120,27 @@
           attempt.observed?.recordData();
           if (!this.openStream.timeline.hasEvents)
             this.options.onFirstEvent(attempt);
-          this.openStream.recordEvents();
+          this.openStream.recordEvents(this.eventSequencer.lastEventId);
           this.progress.lastDeliveryAtMilliseconds = performance.now();
           attempt.inactivityTimeout.suspend();
           yield bytes;
           attempt.inactivityTimeout.resume();
           this.openStream.recordWaiting();
         }
-        if (problem) return {reason: `event cannot follow: ${problem}`};
+        if (problem) {
+          const reason = `event cannot follow: ${problem}`;
+          return (await this.findHandover(attempt)) ?? {reason};
+        }
       }
-      const handedOver = await this.findHandover();
+      const reason = this.findProblem(attempt, isResumed);
+      const {isReplacementAwaited, mayHaveMoved} = this.openStream;
+      const isKept =
+        isReplacementAwaited && !mayHaveMoved && reason === undefined;
+      if (isKept) this.openStream.recordWhole();
+      const handedOver = isKept ? undefined : await this.findHandover(attempt);
       if (handedOver) return handedOver;
-      // An upstream whose time is over may end what it has not completed.
-      if (isOverdue(attempt)) return {reason: 'the time to answer is over'};
-      const reason = this.findTruncation(attempt, isResumed);
       if (reason !== undefined) {
-        attempt.observed?.recordBroken();
+        if (!isOverdue(attempt)) attempt.observed?.recordBroken();
         return {reason};
       }
       if (attempt.head?.isSelfDelimiting) attempt.observed?.recordWhole();
@@ -143,14 +148,12 @@
       isWhole = !isResumed;
       return undefined;
     } catch (error) {
-      const handedOver = await this.findHandover();
+      const isBrokenOff = this.openStream.isReplacementAwaited;
+      if (isBrokenOff) this.recordBroken(attempt);
+      const handedOver = await this.findHandover(attempt);
       if (handedOver) return handedOver;
-      const {hasExpired: wasInactive} = attempt.inactivityTimeout;
-      if (!this.progress.cancellation.isCancelled && !isOverdue(attempt)) {
-        attempt.slot.target.recordBrokenStream(this.progress, wasInactive);
-        attempt.observed?.recordBroken();
-      }
-      return {reason: String(error), wasInactive};
+      if (!isBrokenOff) this.recordBroken(attempt);
+      return {reason: String(error)};
     } finally {
       attempt.observed?.recordCancelled();
       attempt.inactivityTimeout.stop();
@@ -159,13 +162,34 @@
   }
 
   /** The end of an attempt whose stream goes on elsewhere, or may have to. */
-  private async findHandover(): Promise<SegmentFailure | undefined> {
+  private async findHandover({
+    observed,
+  }: AttemptResult): Promise<SegmentFailure | undefined> {
     const handover = await this.openStream.takeHandover();
-    if (handover) return {reason: 'the stream was handed over', handover};
+    if (handover?.isAfterInactivity) observed?.recordBroken();
+    if (handover) return {reason: handover.reason, handover};
     if (!this.openStream.mayHaveMoved) return undefined;
     return {reason: 'its memory may have been moved'};
   }
 
+  /** Records that the upstream has broken off, if its time was not over. */
+  private recordBroken(attempt: AttemptResult): void {
+    if (this.progress.cancellation.isCancelled || isOverdue(attempt)) return;
+    attempt.slot.target.recordBrokenStream(this.progress, false);
+    attempt.observed?.recordBroken();
+  }
+
+  /** Why a stream that ended without an error is no answer, if so. */
+  private findProblem(
+    attempt: AttemptResult,
+    isResumed: boolean,
+  ): string | undefined {
+    // An upstream whose time is over may end what it has not completed.
+    return isOverdue(attempt)
+      ? 'the time to answer is over'
+      : this.findTruncation(attempt, isResumed);
+  }
+
   /** Why a stream that ended without an error is incomplete, if it is. */
   private findTruncation(
     {head}: AttemptResult,
@@ -188,13 +212,17 @@
   ): Promise<AttemptResult | undefined> {
     const {request, cancellation, attempts} = this.progress;
     const {route} = request;
-    const {handover, wasInactive, reason} = failure;
+    const {handover, reason} = failure;
+    if (handover?.attempt) {
+      this.options.onResume(reason, handover.attempt);
+      return handover.attempt;
+    }
     const isAllowed =
       handover !== undefined ||
       (isRepeatable(route) &&
         !cancellation.isCancelled &&
         attempts < route.maximumAttempts &&
-        (wasInactive || this.options.tryConsumeRetry()));
+        this.options.tryConsumeRetry());
     if (!isAllowed) return undefined;
     const resumeAfterEventId = this.eventSequencer.lastEventId;
     const next = await this.options.resume({resumeAfterEventId}, handover);
--- a/packages/arbutustide-routing/src/proxy/request_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/request_decision.ts
@@ -12,6 +12,8 @@
   HANDOVER = 'handover',
   /** The memory of a run was to be moved, and the run does not go on from it. */
   MOVE_FAILED = 'move_failed',
+  /** Another attempt was to go on with a stream, and the stream stays. */
+  REPLACEMENT_FAILED = 'replacement_failed',
   REFUSED = 'refused',
   ENDED = 'ended',
 }
