Begin a stream in a stop only if it is likely to end

Callers saw: a stream that had waited at its engine began seconds after the SIGTERM, and was cut with some events when the node ended. Cause: the first event commits the node to the rest, and nothing asked whether the rest could come. What waits without an event was judged by the whole time of its kind, its wait included, or not at all if fewer than nine were known. Change: the node measures how long streams take from the first event to the end. One whose first event comes when that is likely to be more than what is left is answered 504 instead; one that waits is refused when it could not end even if it began at once, no sooner. Of a kind with few samples the longest counts.

--- a/packages/arbutustide-node/src/proxy/register_dispatcher.ts
+++ b/packages/arbutustide-node/src/proxy/register_dispatcher.ts
@@ -1,7 +1,7 @@
 import type {ProxyDependencies} from './proxy_dependencies.js';
 import type {RegisterSingleton} from './register_singleton.js';
 
-import {ProxyDispatcher} from '@arbutustide/routing';
+import {HoldTimeDistributions, ProxyDispatcher} from '@arbutustide/routing';
 
 import {recordRequestMetrics} from './decision_metrics.js';
 import {recordPlacement} from './leaving_metrics.js';
@@ -17,7 +17,6 @@
     const configurationWatcher = container.resolve(
       ProxyToken.CONFIGURATION_WATCHER,
     );
-    const holdTimes = container.resolve(ProxyToken.HOLD_TIME_DISTRIBUTIONS);
     return new ProxyDispatcher(container.resolve(ProxyToken.REQUEST_QUEUE), {
       connector,
       relay: container.resolve(ProxyToken.REQUEST_RELAY),
@@ -47,7 +46,7 @@
       streamOrigins: container.resolve(ProxyToken.STREAM_ORIGINS),
       gate: container.resolve(ProxyToken.REQUEST_GATE),
       answerPeriod: container.resolve(ProxyToken.SHUTDOWN_ADMISSION),
-      longestMilliseconds: request => holdTimes.longestMilliseconds(request),
+      streamTimes: new HoldTimeDistributions(),
       memoryMover: engineClient,
       movesMemory: service =>
         configurationWatcher.routes?.configuration.services.get(service)?.engine
--- a/packages/arbutustide-routing/src/__tests__/unit/hold_time_distributions.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/hold_time_distributions.test.ts
@@ -123,6 +123,26 @@
     expectAbout(times.longestMilliseconds(request), SHORT_MILLISECONDS);
   });
 
+  it('is likely to be that of half, or of nine in ten that may be repeated', () => {
+    const single = requestOf('route');
+    const repeatable = {
+      ...single,
+      route: testRoute({name: 'route', kind: RequestKind.IDEMPOTENT}),
+    };
+    record(single, SHORT_MILLISECONDS, 6);
+    record(single, LONG_MILLISECONDS, 4);
+    expectAbout(times.likelyMilliseconds(single), SHORT_MILLISECONDS);
+    expectAbout(times.likelyMilliseconds(repeatable), LONG_MILLISECONDS);
+  });
+
+  it('is likely to be the longest of few, and not known of none', () => {
+    const request = requestOf('route', 'rare');
+    expect(times.likelyMilliseconds(request)).to.equal(undefined);
+    record(request, SHORT_MILLISECONDS, 2);
+    record(request, LONG_MILLISECONDS, 1);
+    expectAbout(times.likelyMilliseconds(request), LONG_MILLISECONDS);
+  });
+
   it('is measured for a bounded number of kinds', () => {
     for (let model = 0; model < 1_000; model += 1)
       record(requestOf('route', `model-${model}`), SHORT_MILLISECONDS, 1);
--- a/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
@@ -130,7 +130,7 @@
   answerPeriod = ENDLESS_ANSWER_PERIOD,
   handovers: Pick<
     ProxyDispatcherOptions,
-    'memoryMover' | 'movesMemory' | 'longestMilliseconds'
+    'memoryMover' | 'movesMemory' | 'streamTimes'
   > = {},
 ): ProxyDispatcher {
   const settings = {
--- a/packages/arbutustide-routing/src/__tests__/unit/stream_handovers.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/stream_handovers.test.ts
@@ -96,7 +96,10 @@
       {
         memoryMover: connector,
         movesMemory: () => movesMemory,
-        longestMilliseconds: () => LEFT_MILLISECONDS / 2,
+        streamTimes: {
+          record: () => {},
+          likelyMilliseconds: () => LEFT_MILLISECONDS / 2,
+        },
       },
     );
     return {connector, dispatcher};
--- a/packages/arbutustide-routing/src/proxy/first_event.ts
+++ b/packages/arbutustide-routing/src/proxy/first_event.ts
@@ -16,16 +16,25 @@
  * Waits for the first event of a streamed answer, or for the end of a stream
  * that has none. Upstreams send the head of a stream before they work on it; a
  * caller that has a head can no longer be told that nothing followed it.
+ *
+ * @param refuseToBegin the refusal that the caller gets instead of the first
+ *     event; undefined if the stream begins.
  */
 export async function awaitFirstEvent(
   progress: RoutedRequestProgress,
   answer: ProxyAnswer,
+  refuseToBegin: () => RefusalError | undefined = () => undefined,
 ): Promise<Result<ProxyAnswer, RefusalError>> {
   const {body} = answer;
   if (Buffer.isBuffer(body)) return Ok(answer);
   const first = await body.next();
   if (first.done && first.value !== AnswerEnd.WHOLE)
     return Err(unbegunStreamRefusal(progress));
+  const refusal = first.done ? undefined : refuseToBegin();
+  if (refusal) {
+    await body.return(AnswerEnd.ABANDONED);
+    return Err(refusal);
+  }
   const {attempts} = progress;
   return Ok({...answer, attempts, body: new BegunStream(first, body)});
 }
--- a/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
@@ -46,8 +46,8 @@
   /** Whether its upstream was told to serve it before others. */
   readonly isUrgent: boolean;
   /**
-   * Time in which most streams of its kind end, of one without events; undefined
-   * if that is not known.
+   * Time that a stream of its kind is likely to take once it has begun, of one
+   * without events; undefined if that is not known.
    */
   readonly expectedMilliseconds: number | undefined;
   /** Whether the memory of its run may be moved, as far as is known. */
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -3,8 +3,8 @@
 import type {AnswerPeriod} from '../answer_period.js';
 import type {AttemptMaker} from '../attempt_maker.js';
 import type {AttemptSlot, AttemptTarget} from '../attempt_target.js';
+import type {StreamTimes} from '../proxy_dispatcher_options.js';
 import type {ProxyUpstream} from '../proxy_upstream.js';
-import type {RoutedRequest} from '../routed_request.js';
 import type {RoutedRequestProgress} from '../routed_request_progress.js';
 import type {Handover} from './handover.js';
 import type {MemoryMove, MemoryMover} from './memory_mover.js';
@@ -42,7 +42,7 @@
   /** Undefined if no upstream moves memory. */
   readonly memoryMover?: MemoryMover;
   readonly movesMemory?: (service: string) => boolean;
-  readonly longestMilliseconds?: (request: RoutedRequest) => number | undefined;
+  readonly streamTimes?: Pick<StreamTimes, 'likelyMilliseconds'>;
   readonly attempts: Pick<
     AttemptMaker,
     | 'tryTakeSlot'
@@ -135,7 +135,7 @@
       : Infinity;
     const {handoverInput} = stream;
     const {request} = stream.progress;
-    const {movesMemory, longestMilliseconds} = this.options;
+    const {movesMemory, streamTimes} = this.options;
     const input = {
       ...handoverInput,
       isMovable:
@@ -143,7 +143,7 @@
       leftMilliseconds,
       expectedMilliseconds: handoverInput.hasEvents
         ? undefined
-        : longestMilliseconds?.(request),
+        : streamTimes?.likelyMilliseconds(request),
     };
     const decision = decideHandover(input);
     if (!isAction(decision)) return decision;
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -21,6 +21,7 @@
 import {AttemptOutcome, mayHaveRun, isRetryAllowed} from './attempt_outcome.js';
 import {awaitFirstEvent} from './first_event.js';
 import {DecisionRecorder} from './decision_recorder.js';
+import {canStillEnd} from './handover/can_still_end.js';
 import {StreamHandovers} from './handover/stream_handovers.js';
 import {cancelOnTriggers, untilCancelled} from './request_cancellation.js';
 import {ranSoFar, remainingMilliseconds} from './routed_request_progress.js';
@@ -28,6 +29,7 @@
   cancelledRefusal,
   CancelReason,
   failedAttemptRefusal,
+  tooLateRefusal,
   unknownOriginRefusal,
   withRanSoFar,
 } from './proxy_refusals.js';
@@ -65,7 +67,7 @@
       answerPeriod: options.answerPeriod,
       memoryMover: options.memoryMover,
       movesMemory: options.movesMemory,
-      longestMilliseconds: options.longestMilliseconds,
+      streamTimes: options.streamTimes,
       attempts: this.attempts,
       onHandover: (progress, record) =>
         this.decisions.recordHandover(progress, record),
@@ -127,7 +129,9 @@
       stream,
       stopCancellation,
     );
-    return awaitFirstEvent(progress, answer);
+    return awaitFirstEvent(progress, answer, () =>
+      this.refuseToBegin(progress),
+    );
   }
 
   /**
@@ -161,6 +165,18 @@
       : undefined;
   }
 
+  /** The refusal of a stream that begins too late, if so. */
+  private refuseToBegin(
+    progress: RoutedRequestProgress,
+  ): RefusalError | undefined {
+    const {answerPeriod, streamTimes} = this.options;
+    const likely = streamTimes?.likelyMilliseconds(progress.request);
+    if (canStillEnd(progress, answerPeriod, likely)) return undefined;
+    const refusal = tooLateRefusal();
+    this.decisions.recordRefusal(progress, refusal);
+    return refusal;
+  }
+
   /**
    * Admits the request, unless a peer has done so, and attempts it. What it
    * took of its team's quota is given back if it has certainly not run.
@@ -320,6 +336,13 @@
         this.decisions.recordResume(progress, reason, next),
       onEnd: (end, {attempt: last, ...outcome}) => {
         stopCancellation();
+        const {sinceFirstEventMilliseconds} = outcome.timing;
+        if (sinceFirstEventMilliseconds !== undefined)
+          this.options.streamTimes?.record(
+            progress.request,
+            sinceFirstEventMilliseconds,
+            end === AnswerEnd.WHOLE,
+          );
         if (end === AnswerEnd.WHOLE && head.isSelfDelimiting)
           this.recordWholeAnswer(progress);
         if (end === AnswerEnd.WHOLE && !progress.isRelayed)
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher_options.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher_options.ts
@@ -22,9 +22,13 @@
   readonly memoryMover?: MemoryMover;
   /** Whether the upstreams of a service move memory; none do if absent. */
   readonly movesMemory?: (service: string) => boolean;
-  /**
-   * Time within which requests like this one end, with few exceptions, once they
-   * have a slot; undefined if that is not known.
-   */
-  readonly longestMilliseconds?: (request: RoutedRequest) => number | undefined;
+  /** Times of streams from the first event to the end; none are kept if absent. */
+  readonly streamTimes?: StreamTimes;
+}
+
+/** How long streams take from the first event to the end. */
+export interface StreamTimes {
+  record(request: RoutedRequest, milliseconds: number, isWhole: boolean): void;
+  /** Time that one is likely to take; undefined if that is not known. */
+  likelyMilliseconds(request: RoutedRequest): number | undefined;
 }
--- a/packages/arbutustide-routing/src/proxy/proxy_refusals.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_refusals.ts
@@ -89,6 +89,13 @@
   return new RefusalError(ErrorKind.UPSTREAM_TIMED_OUT, STOPPING, {ran});
 }
 
+/** Refuses a stream that begins too late to end before its node does. */
+export function tooLateRefusal(): RefusalError {
+  const reason = 'this node stops before the stream is likely to end';
+  const ran = ExecutionStatus.POSSIBLY_EXECUTED;
+  return new RefusalError(ErrorKind.UPSTREAM_TIMED_OUT, reason, {ran});
+}
+
 /**
  * Refuses a stream that its upstream has broken off before its first event,
  * although the head of its answer had come.
--- a/packages/arbutustide-routing/src/proxy/queue/hold_time_distributions.ts
+++ b/packages/arbutustide-routing/src/proxy/queue/hold_time_distributions.ts
@@ -11,6 +11,15 @@
 const EXCESS_CHANCE_IF_REPEATABLE = 0.1;
 const EXCESS_CHANCE = 0.01;
 
+/**
+ * Chance that a stream takes longer than it is likely to. One that may be repeated
+ * can end elsewhere instead, another one can't.
+ */
+const UNLIKELY_CHANCE_IF_REPEATABLE = 0.1;
+const UNLIKELY_CHANCE = 0.5;
+/** Of fewer samples the longest counts. */
+const MINIMUM_SAMPLES = 9;
+
 /** Samples fade after one to two of these periods. */
 const PERIOD_MILLISECONDS = 300_000;
 
@@ -26,8 +35,9 @@
 >;
 
 /**
- * Measures how long requests hold a slot, as a distribution for each route and,
- * where requests name models, for each model of a route.
+ * Measures how long requests take, such as the time for which they hold a slot,
+ * as a distribution for each route and, where requests name models, for each
+ * model of a route.
  */
 export class HoldTimeDistributions {
   private readonly timesByKind = new Map<string, FadingTimes>();
@@ -36,20 +46,17 @@
   /**
    * Records a request that an upstream accepted and that has ended.
    *
+   * @param milliseconds the time that it took.
    * @param isWhole whether it was answered whole; if not, it would have taken
    *     longer than it has.
    */
-  record(
-    request: TimedRequest,
-    heldMilliseconds: number,
-    isWhole: boolean,
-  ): void {
+  record(request: TimedRequest, milliseconds: number, isWhole: boolean): void {
     this.fadeIfDue();
     const isSample = isWhole && request.lastEventId === undefined;
     for (const kind of kindsOf(request)) {
       const times = this.timesOf(kind);
-      if (isSample) times?.record(heldMilliseconds);
-      else times?.recordLowerBound(heldMilliseconds);
+      if (isSample) times?.record(milliseconds);
+      else times?.recordLowerBound(milliseconds);
     }
   }
 
@@ -72,6 +79,26 @@
     return undefined;
   }
 
+  /**
+   * Time within which a request is likely to end; the longest of few, undefined
+   * if none is known.
+   */
+  likelyMilliseconds(request: TimedRequest): number | undefined {
+    this.fadeIfDue();
+    const unlikelyChance = isRepeatable(request.route)
+      ? UNLIKELY_CHANCE_IF_REPEATABLE
+      : UNLIKELY_CHANCE;
+    let longestOfFew: number | undefined;
+    for (const kind of kindsOf(request).reverse()) {
+      const times = this.timesByKind.get(kind);
+      if (!times || times.isEmpty) continue;
+      if (times.count >= MINIMUM_SAMPLES)
+        return times.percentile(unlikelyChance);
+      longestOfFew ??= times.maximum;
+    }
+    return longestOfFew;
+  }
+
   /** Number of kinds that are measured. */
   get kindCount(): number {
     return this.timesByKind.size;
@@ -110,7 +137,7 @@
   private latest = createTimes();
 
   get isEmpty(): boolean {
-    return this.both.count === 0;
+    return this.count === 0;
   }
 
   /**
@@ -118,8 +145,17 @@
    * too few samples: it exceeds all of them with a chance of 1 in one more.
    */
   boundExceededBy(chance: number): number | undefined {
-    if (this.both.count < Math.ceil(1 / chance) - 1) return undefined;
-    return this.both.percentile(100 * (1 - chance));
+    if (this.count < Math.ceil(1 / chance) - 1) return undefined;
+    return this.percentile(chance);
+  }
+
+  get count(): number {
+    return this.both.count;
+  }
+
+  /** Time that this share of the samples exceeds. */
+  percentile(excessShare: number): number {
+    return this.both.percentile(100 * (1 - excessShare));
   }
 
   get maximum(): number {
@@ -138,7 +174,7 @@
   /** A time that is not exceptionally long tells nothing as a lower bound. */
   recordLowerBound(milliseconds: number): void {
     if (this.isEmpty) return;
-    const usual = this.both.percentile(100 * (1 - EXCESS_CHANCE));
+    const usual = this.percentile(EXCESS_CHANCE);
     if (milliseconds > usual) this.record(milliseconds);
   }
 
--- a/packages/arbutustide-routing/src/proxy/stream_timeline.ts
+++ b/packages/arbutustide-routing/src/proxy/stream_timeline.ts
@@ -2,6 +2,8 @@
 export interface StreamTiming {
   /** From the request's arrival to the first event; undefined if none came. */
   readonly firstEventMilliseconds: number | undefined;
+  /** From the first event to the end; undefined if none came. */
+  readonly sinceFirstEventMilliseconds: number | undefined;
   readonly longestPauseMilliseconds: number;
   /** From the last event to the end; undefined if none came. */
   readonly sinceLastEventMilliseconds: number | undefined;
@@ -62,13 +64,15 @@
   get timing(): StreamTiming {
     const {firstEventAtMilliseconds: firstEventAt} = this;
     const hasEvents = firstEventAt !== undefined;
+    const now = performance.now();
     return {
       firstEventMilliseconds: hasEvents
         ? firstEventAt - this.arrivedAtMilliseconds
         : undefined,
+      sinceFirstEventMilliseconds: hasEvents ? now - firstEventAt : undefined,
       longestPauseMilliseconds: this.longestPauseMilliseconds,
       sinceLastEventMilliseconds: hasEvents
-        ? performance.now() - this.lastEventAtMilliseconds
+        ? now - this.lastEventAtMilliseconds
         : undefined,
     };
   }
