Begin handovers with the streams that lose most

Callers saw: streams near their end cut in a stop (stayReason no_retry_left) while others that had hardly begun were handed over. Cause: whichever stream came first in the list took the place and the retry. Change: handovers that are due at once begin in the order of the events that their callers have; a retry saves most there, and least is left to be done.

--- a/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
@@ -128,9 +128,11 @@
   relay = NO_RELAY,
   gate = OPEN_GATE,
   answerPeriod = ENDLESS_ANSWER_PERIOD,
-  handovers: Pick<
-    ProxyDispatcherOptions,
-    'memoryMover' | 'movesMemory' | 'streamTimes'
+  handovers: Partial<
+    Pick<
+      ProxyDispatcherOptions,
+      'memoryMover' | 'movesMemory' | 'streamTimes' | 'tryConsumeRetry'
+    >
   > = {},
 ): ProxyDispatcher {
   const settings = {
--- a/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
@@ -22,6 +22,12 @@
   readonly onInactive: () => boolean;
 }
 
+/** How far a stream has come. */
+interface EventCount {
+  readonly lastEventId: number | undefined;
+  readonly passedCount: number;
+}
+
 /** A stream that was sent to an upstream, and its handover if there is one. */
 export class OpenStream implements AttemptFollower {
   private lastStayReason: StayReason | undefined;
@@ -36,6 +42,7 @@
   private isBetweenAttempts = false;
   private isBeingRead = false;
   private latestEventId: number | undefined;
+  private passedEvents = 0;
 
   constructor(
     readonly progress: RoutedRequestProgress,
@@ -67,6 +74,11 @@
     return this.latestEventId ?? this.progress.request.lastEventId;
   }
 
+  /** Number of events that its caller has from this node. */
+  get eventCount(): number {
+    return this.passedEvents;
+  }
+
   /** Whether another attempt goes on with it, so that this one must not. */
   get isReplaced(): boolean {
     return this.replacement?.goesOn ?? false;
@@ -140,8 +152,9 @@
    * Records that events have come, so that the run has not been stopped and
    * needs no replacement.
    */
-  recordEvents(lastEventId: number | undefined): void {
+  recordEvents({lastEventId, passedCount}: EventCount): void {
     this.latestEventId = lastEventId;
+    this.passedEvents = passedCount;
     this.timeline.recordEvents();
     this.hasUncertainMove = false;
     this.withdrawReplacement('the stream went on where it was');
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -7,6 +7,7 @@
 import type {ProxyUpstream} from '../proxy_upstream.js';
 import type {RoutedRequestProgress} from '../routed_request_progress.js';
 import type {Handover} from './handover.js';
+import type {HandoverInput} from './handover_decision.js';
 import type {MemoryMove, MemoryMover} from './memory_mover.js';
 
 import {Err, Ok} from 'ts-results';
@@ -66,6 +67,13 @@
   ) => void;
 }
 
+/** A handover that is to begin. */
+interface DueHandover {
+  readonly stream: OpenStream;
+  readonly input: HandoverInput;
+  readonly action: HandoverAction;
+}
+
 /** Where a replacement is made, and where if that place does not take it. */
 interface ReplacementPlace {
   readonly slot: AttemptSlot;
@@ -118,45 +126,54 @@
     return stream;
   }
 
-  /** Begins the handovers that are due now. */
+  /**
+   * Begins the handovers that are due now. Places and retries may not suffice for
+   * all of them: the streams come first that lose most if they are cut.
+   */
   review(): void {
+    const due: DueHandover[] = [];
     for (const stream of this.streams) {
       if (stream.isBeingHandedOver) continue;
-      const stayReason = this.reviewStream(stream);
-      if (stayReason) stream.recordStayReason(stayReason);
+      const input = this.createInput(stream);
+      const decision = decideHandover(input);
+      if (isAction(decision)) due.push({stream, input, action: decision});
+      else stream.recordStayReason(decision);
     }
+    due.sort((left, right) => right.stream.eventCount - left.stream.eventCount);
+    for (const handover of due) this.start(handover);
   }
 
-  private reviewStream(stream: OpenStream): StayReason | undefined {
-    const {answerPeriod} = this.options;
+  private createInput(stream: OpenStream): HandoverInput {
+    const {answerPeriod, movesMemory, streamTimes} = this.options;
+    const {handoverInput, progress} = stream;
+    const {request} = progress;
     const isStopping = answerPeriod.endsAtMilliseconds !== Infinity;
-    const leftMilliseconds = isStopping
-      ? remainingForUpstream(stream.progress, answerPeriod)
-      : Infinity;
-    const {handoverInput} = stream;
-    const {request} = stream.progress;
-    const {movesMemory, streamTimes} = this.options;
-    const input = {
+    return {
       ...handoverInput,
       isMovable:
         handoverInput.isMovable && Boolean(movesMemory?.(request.service)),
-      leftMilliseconds,
+      leftMilliseconds: isStopping
+        ? remainingForUpstream(progress, answerPeriod)
+        : Infinity,
       expectedMilliseconds: handoverInput.hasEvents
         ? undefined
         : streamTimes?.likelyMilliseconds(request),
     };
-    const decision = decideHandover(input);
-    if (!isAction(decision)) return decision;
-    const started = this.starters[decision](stream);
-    if (!started.ok) return started.val;
-    const {stalledMilliseconds} = input;
+  }
+
+  private start({stream, input, action}: DueHandover): void {
+    const started = this.starters[action](stream);
+    if (!started.ok) {
+      stream.recordStayReason(started.val);
+      return;
+    }
+    const {stalledMilliseconds, leftMilliseconds} = input;
     this.options.onHandover(stream.progress, {
-      action: decision,
+      action,
       target: started.val,
       stalledMilliseconds,
       leftMilliseconds,
     });
-    return undefined;
   }
 
   private startResuming(
--- a/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
@@ -120,7 +120,7 @@
           attempt.observed?.recordData();
           if (!this.openStream.timeline.hasEvents)
             this.options.onFirstEvent(attempt);
-          this.openStream.recordEvents(this.eventSequencer.lastEventId);
+          this.openStream.recordEvents(this.eventSequencer);
           this.progress.lastDeliveryAtMilliseconds = performance.now();
           attempt.inactivityTimeout.suspend();
           yield bytes;
