Name the bounds on what callers can make a process hold

Change: the bounds as shares of a process's memory and descriptors, the counter arbutustide_bounds_reached_total and a log line that callers cannot fill. No server keeps the bounds yet.

--- a/packages/arbutustide-node/src/index.ts
+++ b/packages/arbutustide-node/src/index.ts
@@ -22,6 +22,13 @@
 export type {NodePorts, RunningNode} from './node_daemon.js';
 export type {NodeDependencies, NodeIdentity} from './node_dependencies.js';
 
+export type {ProcessBounds, ProcessResources} from './bounds/process_bounds.js';
+
+export {BoundName, BoundRecorder, ServerName} from './bounds/bound_recorder.js';
+export {
+  createProcessBounds,
+  DEFAULT_RESOURCES,
+} from './bounds/process_bounds.js';
 export {createConnectionErrorLog} from './connection_error_log.js';
 export {CallerConnections} from './caller_connections.js';
 export {drainCallers} from './drain_callers.js';
--- a/packages/arbutustide-telemetry/src/metrics.ts
+++ b/packages/arbutustide-telemetry/src/metrics.ts
@@ -61,6 +61,12 @@
     labelNames: ['stage'] as const,
     registers: [this.registry],
   });
+  readonly boundsReached = new Counter({
+    name: 'arbutustide_bounds_reached_total',
+    help: 'Refusals and closed connections because of a bound, by server and bound.',
+    labelNames: ['server', 'bound'] as const,
+    registers: [this.registry],
+  });
   readonly handovers = new Counter({
     name: 'arbutustide_stream_handovers_total',
     help: 'Stalled streams that were handed over in a stop, by entry and action.',
