Answer first requests that come while a node closes its last connections

Callers saw: a request on a connection just opened, 7.46 and 7.55 s after a SIGTERM, ended with a closed connection and no answer; no log line named it. Cause: at the end of a stop all connections without a request in flight were closed at once and their input discarded, also those that had never had a request, whose callers had no sign that none is read any more. The new test, which plays this on one connection, timed out.

--- a/packages/arbutustide-node/src/__tests__/integration/caller_connections.test.ts
+++ b/packages/arbutustide-node/src/__tests__/integration/caller_connections.test.ts
@@ -85,4 +85,21 @@
     expect(answer.toString()).to.match(/^HTTP\/1.1 200/);
     socket.destroy();
   });
+
+  it('answer a first request that comes while the last ones are closed', async () => {
+    answerBytes = 1;
+    const socket = await open();
+    connections.beginClosingIdle();
+    connections.stopListening();
+    const closed = connections.closeAll();
+    await delay(PAUSE_MILLISECONDS);
+    socket.write(REQUEST);
+    const answer = await Promise.race([
+      once(socket, 'data').then(([chunk]) => String(chunk)),
+      once(socket, 'end').then(() => 'the end'),
+    ]);
+    expect(answer).to.match(/^HTTP\/1.1 200/);
+    socket.destroy();
+    await closed;
+  });
 });
--- a/packages/arbutustide-node/src/caller_connections.ts
+++ b/packages/arbutustide-node/src/caller_connections.ts
@@ -122,14 +122,17 @@
   }
 
   /**
-   * Closes all connections that have no request in flight, waits until the
-   * callers have closed theirs, and closes what is left.
+   * Closes all connections that have had a request and have none in flight, waits
+   * until the callers have closed theirs, and closes what is left. The caller of
+   * one that has had no request was given no sign that none is read any more.
    */
   async closeAll(lingerMilliseconds = LINGER_MILLISECONDS): Promise<void> {
     const endsAt = performance.now() + lingerMilliseconds;
     while (this.connections.size > 0 && performance.now() < endsAt) {
+      // What has arrived by now is read, and answered, first.
+      await turnQueue.nextTurn();
       for (const connection of this.connections.values())
-        this.closeIdle(connection);
+        if (connection.hasCarriedRequest) this.closeIdle(connection);
       await delay(CLOSED_POLL_MILLISECONDS);
     }
     this.destroyAll();
