Show streams that nothing is done for after a replacement (failing)

Cause: a pending replacement that brings neither an event nor an error blocks every other handover; one that failed or was withdrawn counts as a handover and marks the stream as urgent; one that begins while the stream waits to be resumed is not used.

--- /dev/null
+++ b/packages/arbutustide-routing/src/__tests__/unit/replacement_that_does_not_go_on.test.ts
@@ -0,0 +1,213 @@
+/**
+ * Guards against streams that nothing else is done for while, or after, another
+ * attempt was to go on with them and does not.
+ */
+import type {RequestDecision} from '../../proxy/request_decision.js';
+import type {ProxyUpstream} from '../../proxy/proxy_upstream.js';
+import type {AttemptScript} from './scripted_connector.js';
+
+import {Cancellation, delay} from '@arbutustide/errors';
+import {AttemptError, AttemptFailure} from '@arbutustide/upstream';
+import {install} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {Err} from 'ts-results';
+
+import {RequestKind} from '../../proxy/route.js';
+import {MovingConnector} from './moving_connector.js';
+import {testUpstream} from './proxy_fixtures.js';
+import {
+  connectionLostError,
+  createDispatcher,
+  createRequest,
+  eventIdsIn,
+  readAnswer,
+  respondWith,
+  respondWithEvents,
+} from './scripted_connector.js';
+
+const LEFT_MILLISECONDS = 4_000;
+const PATIENCE_MILLISECONDS = 500;
+const INACTIVITY_MILLISECONDS = 1_000;
+const REVIEW_MILLISECONDS = 50;
+const EVENT_MILLISECONDS = 10;
+
+describe('stream whose replacement does not go on with it', () => {
+  let clock: ReturnType<typeof install>;
+  let upstreams: ProxyUpstream[];
+  let decisions: RequestDecision[];
+  let answerPeriod: {endsAtMilliseconds: number};
+
+  beforeEach(() => {
+    clock = install();
+    upstreams = ['one', 'two'].map(id => testUpstream(id, ['m']));
+    decisions = [];
+    answerPeriod = {endsAtMilliseconds: Infinity};
+  });
+  afterEach(() => clock.uninstall());
+
+  /** A stream that waits before each event from the third one, then for ever. */
+  const stall =
+    (...steps: Cancellation[]): AttemptScript =>
+    (_upstream, {cancellation}) =>
+      respondWith({
+        isEventStream: true,
+        body: (async function* () {
+          yield Buffer.from('id: 1\ndata: x\n\n');
+          await delay(EVENT_MILLISECONDS);
+          yield Buffer.from('id: 2\ndata: x\n\n');
+          let id = 2;
+          for (const step of [...steps, new Cancellation()]) {
+            await new Promise<void>((resolve, reject) => {
+              cancellation.onCancel(() => reject(connectionLostError()));
+              step.onCancel(reason =>
+                reason === undefined ? resolve() : reject(reason),
+              );
+            });
+            id += 1;
+            yield Buffer.from(`id: ${id}\ndata: x\n\n`);
+          }
+        })(),
+      });
+
+  /** Sends the head of a stream, and no event until it is cancelled. */
+  const holdBack: AttemptScript = (_upstream, {cancellation}) =>
+    respondWith({
+      isEventStream: true,
+      body: (async function* () {
+        await new Promise((_resolve, reject) =>
+          cancellation.onCancel(() => reject(connectionLostError())),
+        );
+        yield Buffer.alloc(0);
+      })(),
+    });
+  const goOnFrom =
+    (id: number): AttemptScript =>
+    () =>
+      respondWithEvents([id, id + 1], true);
+  const failToConnect: AttemptScript = () =>
+    Err(new AttemptError(AttemptFailure.NOT_CONNECTED, 'refused'));
+
+  function createTestDispatcher(
+    movesMemory: boolean,
+    scripts: AttemptScript[],
+  ) {
+    const connector = new MovingConnector(scripts);
+    const dispatcher = createDispatcher(
+      connector,
+      () => upstreams,
+      decision => decisions.push(decision),
+      undefined,
+      undefined,
+      undefined,
+      answerPeriod,
+      {memoryMover: connector, movesMemory: () => movesMemory},
+    );
+    return {connector, dispatcher};
+  }
+
+  type TestDispatcher = ReturnType<typeof createTestDispatcher>['dispatcher'];
+
+  /** Reads a stream whose two events have come. */
+  async function begin(dispatcher: TestDispatcher) {
+    const request = createRequest(RequestKind.STREAM, true);
+    const reading = readAnswer(await dispatcher.dispatch(request));
+    await clock.tickAsync(EVENT_MILLISECONDS);
+    return {reading};
+  }
+
+  function beginStop(): void {
+    answerPeriod.endsAtMilliseconds = performance.now() + LEFT_MILLISECONDS;
+  }
+
+  /** Lets time pass in a stop. */
+  async function review(
+    dispatcher: TestDispatcher,
+    milliseconds: number,
+  ): Promise<void> {
+    for (let at = 0; at < milliseconds; at += REVIEW_MILLISECONDS) {
+      dispatcher.handOverStalledStreams();
+      await clock.tickAsync(REVIEW_MILLISECONDS);
+    }
+  }
+
+  /** Ids of the events that the caller has when its node ends. */
+  async function textAtEnd(
+    dispatcher: TestDispatcher,
+    reading: ReturnType<typeof readAnswer>,
+  ): Promise<number[]> {
+    dispatcher.giveUp();
+    return eventIdsIn((await reading).text);
+  }
+
+  it('goes on urgently if the one that is held back began before the stop', async () => {
+    const scripts = [stall(), holdBack, goOnFrom(3)];
+    const {connector, dispatcher} = createTestDispatcher(false, scripts);
+    const {reading} = await begin(dispatcher);
+    await clock.tickAsync(INACTIVITY_MILLISECONDS);
+    expect(connector.upstreamIds).to.eql(['one', 'two']);
+    beginStop();
+    await review(dispatcher, 3 * INACTIVITY_MILLISECONDS);
+    expect(await textAtEnd(dispatcher, reading)).to.eql([1, 2, 3, 4]);
+  });
+
+  it('goes on urgently where it was if the other one holds it back', async () => {
+    const scripts = [stall(), holdBack, goOnFrom(3)];
+    const {connector, dispatcher} = createTestDispatcher(false, scripts);
+    const {reading} = await begin(dispatcher);
+    beginStop();
+    await review(dispatcher, PATIENCE_MILLISECONDS + REVIEW_MILLISECONDS);
+    expect(connector.upstreamIds).to.eql(['one', 'two']);
+    await review(dispatcher, 2_500);
+    expect(await textAtEnd(dispatcher, reading)).to.eql([1, 2, 3, 4]);
+  });
+
+  it('goes on urgently where it was if it stalls again after an event', async () => {
+    const step = new Cancellation();
+    const scripts = [stall(step), holdBack, goOnFrom(4)];
+    const {connector, dispatcher} = createTestDispatcher(false, scripts);
+    const {reading} = await begin(dispatcher);
+    beginStop();
+    await review(dispatcher, PATIENCE_MILLISECONDS + REVIEW_MILLISECONDS);
+    expect(connector.upstreamIds).to.eql(['one', 'two']);
+    step.cancel(undefined);
+    await clock.tickAsync(0);
+    await review(dispatcher, 2_500);
+    expect(await textAtEnd(dispatcher, reading)).to.eql([1, 2, 3, 4, 5]);
+  });
+
+  it('may still be moved after replacements that were never sent', async () => {
+    const scripts = [
+      stall(),
+      failToConnect,
+      failToConnect,
+      failToConnect,
+      goOnFrom(3),
+    ];
+    upstreams = ['one', 'two', 'three', 'four', 'five'].map(id =>
+      testUpstream(id, ['m']),
+    );
+    const {connector, dispatcher} = createTestDispatcher(true, scripts);
+    const {reading} = await begin(dispatcher);
+    await clock.tickAsync(INACTIVITY_MILLISECONDS + 500);
+    expect(connector.upstreamIds.length).to.equal(4);
+    beginStop();
+    await review(dispatcher, INACTIVITY_MILLISECONDS);
+    expect(connector.moves.length).to.equal(1);
+    expect(await textAtEnd(dispatcher, reading)).to.eql([1, 2, 3, 4]);
+  });
+
+  it('goes on with one that began while it waited to be resumed', async () => {
+    const breaking = new Cancellation();
+    const scripts = [stall(breaking), goOnFrom(3)];
+    const {connector, dispatcher} = createTestDispatcher(false, scripts);
+    const {reading} = await begin(dispatcher);
+    beginStop();
+    upstreams[1].ownInFlight += 100;
+    breaking.cancel(connectionLostError());
+    await clock.tickAsync(0);
+    await review(dispatcher, LEFT_MILLISECONDS);
+    // Made at most once, and not in vain.
+    expect(connector.upstreamIds).to.eql(['one', 'one']);
+    expect(await textAtEnd(dispatcher, reading)).to.eql([1, 2, 3, 4]);
+  });
+});
