Show what replacements of streams skip and leave open (failing)

Three more cases: a replacement is sent although the gate refuses the request; the body of one whose events cannot follow is never ended; a stream that a peer resumes after event 47 is refused as too long by the time of a whole one.

--- a/packages/arbutustide-routing/src/__tests__/unit/replacement_that_does_not_go_on.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/replacement_that_does_not_go_on.test.ts
@@ -6,12 +6,18 @@
 import type {ProxyUpstream} from '../../proxy/proxy_upstream.js';
 import type {AttemptScript} from './scripted_connector.js';
 
-import {Cancellation, delay} from '@arbutustide/errors';
+import {
+  Cancellation,
+  delay,
+  ErrorKind,
+  RefusalError,
+} from '@arbutustide/errors';
 import {AttemptError, AttemptFailure} from '@arbutustide/upstream';
 import {install} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import {Err} from 'ts-results';
 
+import {OPEN_GATE} from '../../proxy/request_gate.js';
 import {RequestKind} from '../../proxy/route.js';
 import {MovingConnector} from './moving_connector.js';
 import {testUpstream} from './proxy_fixtures.js';
@@ -210,4 +216,81 @@
     expect(connector.upstreamIds).to.eql(['one', 'one']);
     expect(await textAtEnd(dispatcher, reading)).to.eql([1, 2, 3, 4]);
   });
+
+  it('ends the body of one whose events cannot follow', async () => {
+    let isEnded = false;
+    const skipEvents: AttemptScript = () =>
+      respondWith({
+        isEventStream: true,
+        body: (async function* () {
+          try {
+            yield Buffer.from('id: 7\ndata: x\n\n');
+          } finally {
+            isEnded = true;
+          }
+        })(),
+      });
+    const scripts = [stall(), skipEvents];
+    const {connector, dispatcher} = createTestDispatcher(false, scripts);
+    const {reading} = await begin(dispatcher);
+    await clock.tickAsync(INACTIVITY_MILLISECONDS);
+    expect(connector.upstreamIds).to.eql(['one', 'two']);
+    expect(await textAtEnd(dispatcher, reading)).to.eql([1, 2]);
+    expect(isEnded).to.equal(true);
+  });
+
+  it('is begun for a peer whose caller has all but its last events', async () => {
+    answerPeriod.endsAtMilliseconds = performance.now() + LEFT_MILLISECONDS / 2;
+    const connector = new MovingConnector([goOnFrom(48)]);
+    const dispatcher = createDispatcher(
+      connector,
+      () => upstreams,
+      decision => decisions.push(decision),
+      undefined,
+      undefined,
+      undefined,
+      answerPeriod,
+      {
+        streamTimes: {
+          record: () => {},
+          likelyMilliseconds: () => LEFT_MILLISECONDS,
+        },
+      },
+    );
+    const answer = await dispatcher.dispatch(
+      createRequest(RequestKind.STREAM, true),
+      {
+        attempts: 1,
+        mayHaveRun: true,
+        origin: {service: 'service', softwareVersion: 'v1'},
+        resumeAfterEventId: 47,
+      },
+    );
+    expect(answer.ok).to.equal(true);
+  });
+
+  it('is not made once the gate refuses the request', async () => {
+    let isRevoked = false;
+    const connector = new MovingConnector([stall(), goOnFrom(3)]);
+    const dispatcher = createDispatcher(
+      connector,
+      () => upstreams,
+      decision => decisions.push(decision),
+      undefined,
+      undefined,
+      {
+        ...OPEN_GATE,
+        check: () =>
+          isRevoked
+            ? new RefusalError(ErrorKind.NOT_READY, 'revoked')
+            : undefined,
+      },
+      answerPeriod,
+    );
+    const {reading} = await begin(dispatcher);
+    isRevoked = true;
+    await clock.tickAsync(INACTIVITY_MILLISECONDS);
+    expect(connector.upstreamIds).to.eql(['one']);
+    await textAtEnd(dispatcher, reading);
+  });
 });
