Begin streams in a stop whose callers have the events before

Callers would see: a stream with 47 of its 49 events, taken up by a stopping node, ended, as it was judged by the time of a whole one; its origin node broke it. Cause: the check before the first event also judged what a peer or a caller resumes, and the rest of a resumed stream counted as the time of a whole one. Change: a continuation is always begun, and is no sample. A relayed stream that is not begun is refused as by a node that stops, so that it may go to another peer.

--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -12,7 +12,11 @@
 import type {SlotQueue} from './slot_queue.js';
 import type {RoutedRequest} from './routed_request.js';
 
-import {Cancellation, ExecutionStatus} from '@arbutustide/errors';
+import {
+  Cancellation,
+  createStoppingRefusal,
+  ExecutionStatus,
+} from '@arbutustide/errors';
 import {Err, Ok} from 'ts-results';
 
 import {AnswerEnd} from '../caller_request.js';
@@ -96,6 +100,8 @@
       triedUpstreams: new Set(),
       triedPeers: new Set(),
       isRelayed: relayed !== undefined,
+      isContinuation:
+        (relayed?.resumeAfterEventId ?? request.lastEventId) !== undefined,
       attempts: relayed?.attempts ?? 0,
       mayHaveRun: relayed?.mayHaveRun ?? false,
       hasStreamBegun: false,
@@ -169,10 +175,14 @@
   private refuseToBegin(
     progress: RoutedRequestProgress,
   ): RefusalError | undefined {
+    if (progress.isContinuation) return undefined;
     const {answerPeriod, streamTimes} = this.options;
     const likely = streamTimes?.likelyMilliseconds(progress.request);
     if (canStillEnd(progress, answerPeriod, likely)) return undefined;
-    const refusal = tooLateRefusal();
+    // A peer that passed it to this node may pass it to another one.
+    const refusal = progress.isRelayed
+      ? createStoppingRefusal(ExecutionStatus.POSSIBLY_EXECUTED)
+      : tooLateRefusal();
     this.decisions.recordRefusal(progress, refusal);
     return refusal;
   }
@@ -341,7 +351,7 @@
           this.options.streamTimes?.record(
             progress.request,
             sinceFirstEventMilliseconds,
-            end === AnswerEnd.WHOLE,
+            end === AnswerEnd.WHOLE && !progress.isContinuation,
           );
         if (end === AnswerEnd.WHOLE && head.isSelfDelimiting)
           this.recordWholeAnswer(progress);
--- a/packages/arbutustide-routing/src/proxy/routed_request_progress.ts
+++ b/packages/arbutustide-routing/src/proxy/routed_request_progress.ts
@@ -28,6 +28,8 @@
    * on again.
    */
   readonly isRelayed: boolean;
+  /** Whether its caller has events of the stream from before. */
+  readonly isContinuation?: boolean;
   /** Attempts sent, including those that the upstream did not run. */
   attempts: number;
   /** Whether an upstream may have started to run the request. */
