--- a/packages/arbutustide-routing/src/proxy/attempt_maker.ts
+++ b/packages/arbutustide-routing/src/proxy/attempt_maker.ts
@@ -1,3 +1,5 @@
+import type {RefusalError} from '@arbutustide/errors';
+
 import type {AttemptSlot, AttemptSlotResult} from './attempt_target.js';
 import type {DecisionRecorder} from './decision_recorder.js';
 import type {AttemptStart} from './proxy_connector.js';
@@ -12,6 +14,7 @@
 import {ErrorKind} from '@arbutustide/errors';
 import {Err, Ok} from 'ts-results';
 
+import {quarantineRefusal} from '../dispatch_refusals.js';
 import {AnswerMemory} from './answer_memory.js';
 import {ENDLESS_ANSWER_PERIOD} from './answer_period.js';
 import {AttemptOutcome, mayHaveRun} from './attempt_outcome.js';
@@ -20,6 +23,7 @@
 import {PeerTarget} from './relay/peer_target.js';
 import {isRepeatable} from './route.js';
 import {
+  ranSoFar,
   remainingForUpstream,
   remainingMilliseconds,
 } from './routed_request_progress.js';
@@ -127,6 +131,16 @@
     return attempt;
   }
 
+  /** Why the request must not be sent to any upstream now, if so. */
+  refuseToSend(progress: RoutedRequestProgress): RefusalError | undefined {
+    const {poisonSegmentDetector, gate} = this.options;
+    const {request} = progress;
+    // The quarantine may have begun while the request was queued.
+    if (poisonSegmentDetector.isQuarantined(request))
+      return quarantineRefusal(ranSoFar(progress));
+    return gate.check(request);
+  }
+
   /** Consumes a retry, unless it would probably crash another upstream. */
   tryConsumeRetry(
     {request}: RoutedRequestProgress,
@@ -143,7 +157,7 @@
    * retry; undefined if none may be made now.
    */
   tryReservePlace(progress: RoutedRequestProgress): AttemptSlot | undefined {
-    const {route, service} = progress.request;
+    const {route} = progress.request;
     const isAllowed =
       isRepeatable(route) &&
       !progress.cancellation.isCancelled &&
@@ -156,7 +170,7 @@
         ? this.options.relay.choosePeer(progress)
         : undefined;
     const canPlace = hasFreeSlot || peer !== undefined;
-    if (!canPlace || !this.options.tryConsumeRetry(service)) return undefined;
+    if (!canPlace || !this.tryConsumeRetry(progress, true)) return undefined;
     return peer
       ? this.createPeerSlot(progress, peer)
       : this.tryTakeSlot(progress);
--- a/packages/arbutustide-routing/src/proxy/handover/replacement_attempt.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/replacement_attempt.ts
@@ -12,7 +12,7 @@
   readonly stream: OpenStream;
   readonly slot: AttemptSlot;
   readonly isUrgent: boolean;
-  readonly attempts: Pick<AttemptMaker, 'makeAttempt'>;
+  readonly attempts: Pick<AttemptMaker, 'makeAttempt' | 'refuseToSend'>;
 }
 
 type Chunks = AsyncIterator<Uint8Array>;
@@ -54,6 +54,12 @@
     const {outcome, head, body, error} = attempt;
     const isStream = outcome === AttemptOutcome.ANSWERED && body === undefined;
     if (!isStream || !head) {
+    const refusal = attempts.refuseToSend(progress);
+    if (refusal) {
+      this.reason = refusal.message;
+      slot.release();
+      return undefined;
+    }
       this.reason ??= error?.message ?? `status ${head?.status}`;
       slot.release();
       return undefined;
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -51,6 +51,7 @@
     | 'tryConsumeRetry'
     | 'tryReservePlace'
     | 'makeAttempt'
+    | 'refuseToSend'
   >;
   readonly onHandover: (
     progress: RoutedRequestProgress,
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -261,21 +261,17 @@
     for (;;) {
       const slot = await this.attempts.acquireSlot(progress, handover?.slot);
       if (!slot.ok) return lastFailure?.body ? Ok(lastFailure) : slot;
-      // The quarantine may have begun while the request was queued.
-      if (this.options.poisonSegmentDetector.isQuarantined(progress.request)) {
-        slot.val.release();
-        return Err(quarantineRefusal(ranSoFar(progress)));
-      }
       const isQuotaStale =
         progress.admission !== undefined &&
         progress.attempts === 0 &&
         slot.val.waitedMilliseconds > QUOTA_VALID_MILLISECONDS;
-      const gateRefusal =
-        (isQuotaStale ? await this.takeQuota(progress) : undefined) ??
-        this.options.gate.check(progress.request);
-      if (gateRefusal) {
+      const quotaRefusal = isQuotaStale
+        ? await this.takeQuota(progress)
+        : undefined;
+      const refusal = quotaRefusal ?? this.attempts.refuseToSend(progress);
+      if (refusal) {
         slot.val.release();
-        return Err(withRanSoFar(progress, gateRefusal));
+        return Err(withRanSoFar(progress, refusal));
       }
       this.decisions.recordSlotTaken(progress, slot.val);
       const attempt = await this.attempts.makeAttempt(
