Let no replacement that is held back keep a stream from other help

Callers would see: a stream of a stopping node cut although another engine, or its own one, would have gone on with it. Cause: while a replacement waited, or after one had failed, the stream counted as handed over, as urgent, or as handed over often enough. One that had been begun in line, or held back, was never given up; one that began while the stream waited in the queue was not used; the body of one that was given up was not ended. Evidence: review of the fix; six tests of replacement_that_does_not_go_on.test.ts failed. Change: a replacement without an event whose upstream is inactive or lost makes room for the next place; a stop withdraws one that waits in line. Only handovers of a stop count, and a stream is urgent once an urgent attempt goes on with it. A stream that breaks off in a stop gets an urgent place instead of the queue, if there is one. StreamReplacements holds what StreamHandovers had of it.

--- a/packages/arbutustide-routing/src/proxy/handover/handover.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/handover.ts
@@ -19,3 +19,12 @@
   /** Gives up the place, and the attempt if there is one. */
   readonly release: () => void;
 }
+
+/** Where a replacement is made, and where if that place does not take it. */
+export interface ReplacementPlace {
+  readonly slot: AttemptSlot;
+  readonly reason: string;
+  readonly isUrgent: boolean;
+  readonly isAfterInactivity?: boolean;
+  readonly takeNextSlot: () => AttemptSlot | undefined;
+}
--- a/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
@@ -41,6 +41,7 @@
   private replacement: ReplacementAttempt | undefined;
   private isBetweenAttempts = false;
   private isBeingRead = false;
+  private hasEnded = false;
   private latestEventId: number | undefined;
   private passedEvents = 0;
 
@@ -84,6 +85,11 @@
     return this.replacement?.goesOn ?? false;
   }
 
+  /** Whether it awaits an attempt that others are served before. */
+  get awaitsInLine(): boolean {
+    return this.isReplacementAwaited && this.replacement?.isUrgent === false;
+  }
+
   /** Whether another attempt has begun and may yet go on with it. */
   get isReplacementAwaited(): boolean {
     return this.replacement !== undefined && !this.isReplaced;
@@ -134,6 +140,12 @@
     this.timeline.recordIdle();
   }
 
+  /** The attempt has broken off, and the next one is being placed. */
+  recordBrokenOff(): void {
+    this.isBetweenAttempts = true;
+    this.timeline.recordIdle();
+  }
+
   onInactive(): boolean {
     return this.options.onInactive();
   }
@@ -175,7 +187,6 @@
     replacement?: ReplacementAttempt,
   ): void {
     const {inactivityTimeout} = this;
-    this.handoverCount += 1;
     this.replacement = replacement;
     this.pending = Promise.resolve(handover).then(settled => {
       if (settled) inactivityTimeout?.abort(settled.reason);
@@ -184,6 +195,16 @@
     });
   }
 
+  /** Counts a handover of a node that stops. */
+  countHandover(): void {
+    this.handoverCount += 1;
+  }
+
+  /** Gives up the attempt that is awaited, for the stream to be handed over. */
+  withdrawReplacement(reason: string): void {
+    this.replacement?.withdraw(reason);
+  }
+
   /** Records that a replacement goes to another place than it was to. */
   changeReplacement(replacement: ReplacementAttempt): void {
     this.replacement = replacement;
@@ -206,23 +227,24 @@
     this.handoverCount -= 1;
   }
 
-  /** Records that an attempt with the highest priority was made for it. */
-  recordUrgent(): void {
-    this.isUrgent = true;
-  }
-
   /** Takes the handover; resolves to undefined if there is none. */
   async takeHandover(): Promise<Handover | undefined> {
     const handover = await this.pending;
     this.pending = undefined;
     this.replacement = undefined;
     this.isBetweenAttempts = handover !== undefined;
-    if (handover?.isUrgent) this.recordUrgent();
+    if (handover?.isUrgent) this.isUrgent = true;
     return handover;
   }
 
+  /** Whether its answer has ended. */
+  get isClosed(): boolean {
+    return this.hasEnded;
+  }
+
   /** Ends the tracking, and gives up a handover that was not taken. */
   close(): void {
+    this.hasEnded = true;
     this.options.onClose();
     this.withdrawReplacement('the stream was given up');
     void this.pending?.then(handover => handover?.release());
@@ -230,10 +252,6 @@
     this.replacement = undefined;
   }
 
-  private withdrawReplacement(reason: string): void {
-    this.replacement?.withdraw(reason);
-  }
-
   private recordStayed(): void {
     this.pending = undefined;
     this.replacement = undefined;
--- a/packages/arbutustide-routing/src/proxy/handover/replacement_attempt.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/replacement_attempt.ts
@@ -27,6 +27,7 @@
   private reason: string | undefined;
   private hasNextEvent = false;
   private hasBeenWithdrawn = false;
+  private chunks: Chunks | undefined;
 
   constructor(private readonly options: ReplacementOptions) {}
 
@@ -35,6 +36,10 @@
     return this.hasNextEvent;
   }
 
+  get isUrgent(): boolean {
+    return this.options.isUrgent;
+  }
+
   /** Whether it was given up although its upstream might have gone on. */
   get isWithdrawn(): boolean {
     return this.hasBeenWithdrawn;
@@ -49,22 +54,23 @@
   async start(): Promise<AttemptResult | undefined> {
     const {stream, slot, isUrgent, attempts} = this.options;
     const {progress, lastEventId: resumeAfterEventId} = stream;
-    const start = {resumeAfterEventId, isUrgent};
-    const attempt = await attempts.makeAttempt(progress, slot, start, this);
-    const {outcome, head, body, error} = attempt;
-    const isStream = outcome === AttemptOutcome.ANSWERED && body === undefined;
-    if (!isStream || !head) {
     const refusal = attempts.refuseToSend(progress);
     if (refusal) {
       this.reason = refusal.message;
       slot.release();
       return undefined;
     }
+    const start = {resumeAfterEventId, isUrgent};
+    const attempt = await attempts.makeAttempt(progress, slot, start, this);
+    const {outcome, head, body, error} = attempt;
+    const isStream = outcome === AttemptOutcome.ANSWERED && body === undefined;
+    if (!isStream || !head) {
       this.reason ??= error?.message ?? `status ${head?.status}`;
       slot.release();
       return undefined;
     }
     const chunks = head.body[Symbol.asyncIterator]();
+    this.chunks = chunks;
     const read: Uint8Array[] = [];
     try {
       const problem = await this.readNextEvent(chunks, read);
@@ -99,8 +105,11 @@
 
   endAttempt(): void {}
 
+  /** One without an event that is held back, or lost, makes room for another. */
   onInactive(): boolean {
-    return this.hasNextEvent && this.options.stream.onInactive();
+    if (this.hasNextEvent) return this.options.stream.onInactive();
+    this.reason ??= 'its upstream was inactive';
+    return true;
   }
 
   /** Ends an attempt that the stream does not go on with. */
@@ -108,6 +117,8 @@
     attempt.inactivityTimeout.abort(this.reason);
     attempt.observed?.recordCancelled();
     attempt.slot.release();
+    // The generator that replays them runs no `finally` if it was not read.
+    void this.chunks?.return?.().catch(() => {});
   }
 
   /** Reads up to the next event; returns why it cannot follow, if so. */
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -6,9 +6,10 @@
 import type {StreamTimes} from '../proxy_dispatcher_options.js';
 import type {ProxyUpstream} from '../proxy_upstream.js';
 import type {RoutedRequestProgress} from '../routed_request_progress.js';
-import type {Handover} from './handover.js';
+import type {Handover, ReplacementPlace} from './handover.js';
 import type {HandoverInput} from './handover_decision.js';
 import type {MemoryMove, MemoryMover} from './memory_mover.js';
+import type {StreamReplacementsOptions} from './stream_replacements.js';
 
 import {Err, Ok} from 'ts-results';
 
@@ -22,7 +23,7 @@
 } from './handover_decision.js';
 import {MemoryMoveOutcome} from './memory_mover.js';
 import {OpenStream} from './open_stream.js';
-import {ReplacementAttempt} from './replacement_attempt.js';
+import {StreamReplacements} from './stream_replacements.js';
 
 /** Why a node ends an attempt whose stream goes on at another place. */
 const HANDED_OVER = 'the stream is handed over as this node stops';
@@ -38,21 +39,17 @@
 }
 
 /** What handovers need of the dispatcher. */
-export interface StreamHandoversOptions {
+export interface StreamHandoversOptions extends StreamReplacementsOptions {
   readonly answerPeriod: AnswerPeriod;
   /** Undefined if no upstream moves memory. */
   readonly memoryMover?: MemoryMover;
   readonly movesMemory?: (service: string) => boolean;
   readonly streamTimes?: Pick<StreamTimes, 'likelyMilliseconds'>;
-  readonly attempts: Pick<
-    AttemptMaker,
-    | 'tryTakeSlot'
-    | 'takeSlotAt'
-    | 'tryConsumeRetry'
-    | 'tryReservePlace'
-    | 'makeAttempt'
-    | 'refuseToSend'
-  >;
+  readonly attempts: StreamReplacementsOptions['attempts'] &
+    Pick<
+      AttemptMaker,
+      'tryTakeSlot' | 'takeSlotAt' | 'tryConsumeRetry' | 'tryReservePlace'
+    >;
   readonly onHandover: (
     progress: RoutedRequestProgress,
     record: HandoverRecord,
@@ -61,11 +58,6 @@
     progress: RoutedRequestProgress,
     reason: string,
   ) => void;
-  readonly onReplacementFailed: (
-    progress: RoutedRequestProgress,
-    target: AttemptTarget,
-    reason: string,
-  ) => void;
 }
 
 /** A handover that is to begin. */
@@ -75,15 +67,6 @@
   readonly action: HandoverAction;
 }
 
-/** Where a replacement is made, and where if that place does not take it. */
-interface ReplacementPlace {
-  readonly slot: AttemptSlot;
-  readonly reason: string;
-  readonly isUrgent: boolean;
-  readonly isAfterInactivity?: boolean;
-  readonly takeNextSlot: () => AttemptSlot | undefined;
-}
-
 /** Where a stream is to go on, or why it stays. */
 type HandoverStart = Result<AttemptTarget | undefined, StayReason>;
 
@@ -96,6 +79,7 @@
  */
 export class StreamHandovers {
   private readonly streams = new Set<OpenStream>();
+  private readonly replacements: StreamReplacements;
   private readonly starters: Readonly<Record<HandoverAction, HandoverStarter>> =
     {
       [HandoverAction.RESUME_ELSEWHERE]: stream =>
@@ -113,7 +97,9 @@
       },
     };
 
-  constructor(private readonly options: StreamHandoversOptions) {}
+  constructor(private readonly options: StreamHandoversOptions) {
+    this.replacements = new StreamReplacements(options);
+  }
 
   /** Tracks the answer to a request until it is closed, if it is a stream. */
   open(progress: RoutedRequestProgress): OpenStream {
@@ -134,10 +120,12 @@
   review(): void {
     const due: DueHandover[] = [];
     for (const stream of this.streams) {
-      if (stream.isBeingHandedOver) continue;
+      if (stream.isBeingHandedOver && !stream.awaitsInLine) continue;
       const input = this.createInput(stream);
       const decision = decideHandover(input);
-      if (isAction(decision)) due.push({stream, input, action: decision});
+      if (isAction(decision) && stream.awaitsInLine)
+        stream.withdrawReplacement('an urgent one is to be made');
+      else if (isAction(decision)) due.push({stream, input, action: decision});
       else stream.recordStayReason(decision);
     }
     due.sort((left, right) => right.stream.eventCount - left.stream.eventCount);
@@ -185,8 +173,8 @@
     if (!slot) return Err(StayReason.NO_UPSTREAM);
     if (!this.consumeRetry(progress, slot))
       return Err(StayReason.NO_RETRY_LEFT);
-    stream.recordUrgent();
-    this.replace(stream, {
+    stream.countHandover();
+    this.replacements.begin(stream, {
       slot,
       reason: HANDED_OVER,
       isUrgent: true,
@@ -220,57 +208,24 @@
       return true;
     }
     stream.recordInactive();
-    this.replace(stream, place);
+    this.replacements.begin(stream, place);
     return false;
   }
 
-  private replace(stream: OpenStream, place: ReplacementPlace): void {
-    const first = this.createReplacement(stream, place, place.slot);
-    stream.handOver(this.awaitReplacement(stream, place, first), first);
-  }
-
-  /** Resolves to undefined if the stream stays at its upstream. */
-  private async awaitReplacement(
-    stream: OpenStream,
-    place: ReplacementPlace,
-    first: ReplacementAttempt,
-  ): Promise<Handover | undefined> {
+  /**
+   * An urgent place for a stream of a node that stops, whose attempt has broken
+   * off; undefined if it is to wait for its turn.
+   */
+  takeUrgentPlace(stream: OpenStream): Handover | undefined {
     const {progress} = stream;
-    let replacement = first;
-    let {slot} = place;
-    for (;;) {
-      const attempt = await replacement.start();
-      if (attempt) {
-        const {isUrgent, isAfterInactivity = false, reason} = place;
-        return {
-          slot,
-          reason,
-          isUrgent,
-          isAfterInactivity,
-          attempt,
-          takeFallback: () => undefined,
-          release: () => replacement.abandon(attempt),
-        };
-      }
-      const {failureReason = '', isWithdrawn} = replacement;
-      this.options.onReplacementFailed(progress, slot.target, failureReason);
-      const isOver = isWithdrawn || progress.cancellation.isCancelled;
-      const next =
-        isOver || slot !== place.slot ? undefined : place.takeNextSlot();
-      if (!next) return undefined;
-      slot = next;
-      replacement = this.createReplacement(stream, place, slot);
-      stream.changeReplacement(replacement);
-    }
-  }
-
-  private createReplacement(
-    stream: OpenStream,
-    {isUrgent}: ReplacementPlace,
-    slot: AttemptSlot,
-  ): ReplacementAttempt {
-    const {attempts} = this.options;
-    return new ReplacementAttempt({stream, slot, isUrgent, attempts});
+    if (this.options.answerPeriod.endsAtMilliseconds === Infinity)
+      return undefined;
+    const slot =
+      this.options.attempts.tryTakeSlot(progress) ?? this.takeSlotAgain(stream);
+    if (!slot) return undefined;
+    const takeNextSlot = () => undefined;
+    const place = {slot, reason: HANDED_OVER, isUrgent: true, takeNextSlot};
+    return this.createHandover(progress, place);
   }
 
   private startMoving(stream: OpenStream): HandoverStart {
@@ -284,6 +239,7 @@
       return Err(StayReason.NO_RETRY_LEFT);
     const {requestId} = progress.request;
     const move = memoryMover.moveMemory(source, target, requestId);
+    stream.countHandover();
     stream.handOver(this.awaitMove(stream, source, slot, move));
     return Ok(slot.target);
   }
--- a/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
@@ -224,6 +224,7 @@
         attempts < route.maximumAttempts &&
         this.options.tryConsumeRetry());
     if (!isAllowed) return undefined;
+    this.openStream.recordBrokenOff();
     const resumeAfterEventId = this.eventSequencer.lastEventId;
     const next = await this.options.resume({resumeAfterEventId}, handover);
     const attempt = next.ok ? next.val : undefined;
