Withdraw a waiting replacement only if an urgent one has its retry

Callers saw: a stream of a stopping node cut that had stood in line at a second engine: that place was given up for an urgent one, for which no retry was left. Change: the retry is consumed first and kept for the urgent attempt. Result: the new test fails without the change (2 of 3 events) and passes with it.

--- a/packages/arbutustide-routing/src/__tests__/unit/replacement_that_does_not_go_on.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/replacement_that_does_not_go_on.test.ts
@@ -96,6 +96,7 @@
   function createTestDispatcher(
     movesMemory: boolean,
     scripts: AttemptScript[],
+    tryConsumeRetry = () => true,
   ) {
     const connector = new MovingConnector(scripts);
     const dispatcher = createDispatcher(
@@ -106,7 +107,11 @@
       undefined,
       undefined,
       answerPeriod,
-      {memoryMover: connector, movesMemory: () => movesMemory},
+      {
+        memoryMover: connector,
+        movesMemory: () => movesMemory,
+        tryConsumeRetry,
+      },
     );
     return {connector, dispatcher};
   }
@@ -156,6 +161,33 @@
     expect(await textAtEnd(dispatcher, reading)).to.eql([1, 2, 3, 4]);
   });
 
+  it('stays in line if no retry is left for an urgent one', async () => {
+    const late = new Cancellation();
+    const scripts: AttemptScript[] = [
+      stall(),
+      () =>
+        respondWith({
+          isEventStream: true,
+          body: (async function* () {
+            await new Promise<void>(resolve => late.onCancel(() => resolve()));
+            yield Buffer.from('id: 3\ndata: x\n\n');
+          })(),
+        }),
+    ];
+    let retries = 1;
+    const {dispatcher} = createTestDispatcher(false, scripts, () => {
+      retries -= 1;
+      return retries >= 0;
+    });
+    const {reading} = await begin(dispatcher);
+    await clock.tickAsync(INACTIVITY_MILLISECONDS);
+    beginStop();
+    await review(dispatcher, PATIENCE_MILLISECONDS);
+    late.cancel(undefined);
+    await clock.tickAsync(0);
+    expect(await textAtEnd(dispatcher, reading)).to.eql([1, 2, 3]);
+  });
+
   it('goes on urgently where it was if the other one holds it back', async () => {
     const scripts = [stall(), holdBack, goOnFrom(3)];
     const {connector, dispatcher} = createTestDispatcher(false, scripts);
--- a/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
@@ -42,6 +42,7 @@
   private isBetweenAttempts = false;
   private isBeingRead = false;
   private hasEnded = false;
+  private hasReservedRetry = false;
   private latestEventId: number | undefined;
   private passedEvents = 0;
 
@@ -195,6 +196,18 @@
     });
   }
 
+  /** Records that a retry was consumed for its next attempt. */
+  reserveRetry(): void {
+    this.hasReservedRetry = true;
+  }
+
+  /** Whether a retry was reserved; it is no more. */
+  takeReservedRetry(): boolean {
+    const hasReserved = this.hasReservedRetry;
+    this.hasReservedRetry = false;
+    return hasReserved;
+  }
+
   /** Counts a handover of a node that stops. */
   countHandover(): void {
     this.handoverCount += 1;
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -123,15 +123,22 @@
       if (stream.isBeingHandedOver && !stream.awaitsInLine) continue;
       const input = this.createInput(stream);
       const decision = decideHandover(input);
-      if (isAction(decision) && stream.awaitsInLine)
-        stream.withdrawReplacement('an urgent one is to be made');
-      else if (isAction(decision)) due.push({stream, input, action: decision});
-      else stream.recordStayReason(decision);
+      if (!isAction(decision)) stream.recordStayReason(decision);
+      else if (stream.awaitsInLine && decision !== HandoverAction.REFUSE)
+        this.makeWayForUrgent(stream);
+      else due.push({stream, input, action: decision});
     }
     due.sort((left, right) => right.stream.eventCount - left.stream.eventCount);
     for (const handover of due) this.start(handover);
   }
 
+  /** Gives up the attempt that waits in line, if an urgent one has its retry. */
+  private makeWayForUrgent(stream: OpenStream): void {
+    if (!this.options.attempts.tryConsumeRetry(stream.progress, true)) return;
+    stream.reserveRetry();
+    stream.withdrawReplacement('an urgent one is to be made');
+  }
+
   private createInput(stream: OpenStream): HandoverInput {
     const {answerPeriod, movesMemory, streamTimes} = this.options;
     const {handoverInput, progress} = stream;
@@ -169,10 +176,9 @@
     stream: OpenStream,
     slot: AttemptSlot | undefined,
   ): HandoverStart {
-    const {progress, upstream} = stream;
+    const {upstream} = stream;
     if (!slot) return Err(StayReason.NO_UPSTREAM);
-    if (!this.consumeRetry(progress, slot))
-      return Err(StayReason.NO_RETRY_LEFT);
+    if (!this.consumeRetry(stream, slot)) return Err(StayReason.NO_RETRY_LEFT);
     stream.countHandover();
     this.replacements.begin(stream, {
       slot,
@@ -235,8 +241,7 @@
     const slot = attempts.tryTakeSlot(progress);
     const target = slot?.target.upstream;
     if (!slot || !target) return Err(StayReason.NO_UPSTREAM);
-    if (!this.consumeRetry(progress, slot))
-      return Err(StayReason.NO_RETRY_LEFT);
+    if (!this.consumeRetry(stream, slot)) return Err(StayReason.NO_RETRY_LEFT);
     const {requestId} = progress.request;
     const move = memoryMover.moveMemory(source, target, requestId);
     stream.countHandover();
@@ -312,21 +317,18 @@
   }
 
   /** A slot where the stream is, with the retry for an attempt there. */
-  private takeSlotWithRetry({
-    progress,
-    upstream,
-  }: OpenStream): AttemptSlot | undefined {
+  private takeSlotWithRetry(stream: OpenStream): AttemptSlot | undefined {
+    const {progress, upstream} = stream;
     if (!upstream) return undefined;
     const slot = this.options.attempts.takeSlotAt(progress, upstream);
-    return this.consumeRetry(progress, slot) ? slot : undefined;
+    return this.consumeRetry(stream, slot) ? slot : undefined;
   }
 
   /** Consumes a retry of the budget; returns the slot if there is none. */
-  private consumeRetry(
-    progress: RoutedRequestProgress,
-    slot: AttemptSlot,
-  ): boolean {
-    if (this.options.attempts.tryConsumeRetry(progress, true)) return true;
+  private consumeRetry(stream: OpenStream, slot: AttemptSlot): boolean {
+    const {attempts} = this.options;
+    if (stream.takeReservedRetry()) return true;
+    if (attempts.tryConsumeRetry(stream.progress, true)) return true;
     slot.release();
     return false;
   }
