Test nodes against crowds of clients outside the limits

Change: stand-ins: Crowd (clients that write, never read, and come back), MeasuredProcess (VmHWM and descriptors from /proc), meetCrowd.

--- a/packages/arbutustide-stand-ins/src/index.ts
+++ b/packages/arbutustide-stand-ins/src/index.ts
@@ -14,6 +14,13 @@
   BreakableClient,
   ReceivedAnswer,
 } from './answer_breaker.js';
+export type {CrowdOptions} from './crowd.js';
+export type {
+  CrowdMeeting,
+  CrowdReport,
+  CrowdResources,
+  OrdinaryRequest,
+} from './meet_crowd.js';
 export type {FaultRule} from './fault_injector.js';
 export type {GenerationRequest} from './generation.js';
 export type {RecordedWrite} from './object_table.js';
@@ -30,6 +37,9 @@
   StandInEngine,
 } from './stand_in_engine.js';
 export {findAnswersTakenForWhole} from './answer_breaker.js';
+export {Crowd} from './crowd.js';
+export {askUntilOk, findCrowdFaults, meetCrowd} from './meet_crowd.js';
+export {MeasuredProcess} from './measured_process.js';
 export {createEngineServer} from './engine_server.js';
 export {FaultKind, FaultInjector} from './fault_injector.js';
 export {
