Close the last connections of a stop without waiting for a turn

Callers would see: the last answers cut by SIGKILL, as a stop takes too long. Cause: the end of a stop waited for a turn of the event loop's queue, behind all requests that wait for one. Result: the four tests of connections in a stop pass.

--- a/packages/arbutustide-node/src/caller_connections.ts
+++ b/packages/arbutustide-node/src/caller_connections.ts
@@ -129,11 +129,10 @@
   async closeAll(lingerMilliseconds = LINGER_MILLISECONDS): Promise<void> {
     const endsAt = performance.now() + lingerMilliseconds;
     while (this.connections.size > 0 && performance.now() < endsAt) {
-      // What has arrived by now is read, and answered, first.
-      await turnQueue.nextTurn();
+      // What has arrived by now is read, and answered, meanwhile.
+      await delay(CLOSED_POLL_MILLISECONDS);
       for (const connection of this.connections.values())
         if (connection.hasCarriedRequest) this.closeIdle(connection);
-      await delay(CLOSED_POLL_MILLISECONDS);
     }
     this.destroyAll();
   }
