Let connections take turns in the queue of the event loop

Cause: TurnQueue had one order for all tasks, so that many requests on a few connections held up the request of every other caller. `shift()` of a long array costs time as well. Change: nextTurn takes an optional key. Keys take turns; the tasks of one key stay in order. A task without a key has a key of its own, so that callers without one keep their order.

--- a/packages/arbutustide-event-loop/src/__tests__/unit/turn_queue.test.ts
+++ b/packages/arbutustide-event-loop/src/__tests__/unit/turn_queue.test.ts
@@ -20,8 +20,8 @@
 
   afterEach(() => loop.uninstall());
 
-  function add(name: string, isWanted = () => true): void {
-    void queue.nextTurn(isWanted).then(() => done.push(name));
+  function add(name: string, isWanted = () => true, key?: object): void {
+    void queue.nextTurn(isWanted, key).then(() => done.push(name));
   }
 
   /** Runs one turn, whose poll reads input for a time. */
@@ -90,6 +90,35 @@
     expect(done).to.eql(['one', 'left', 'left too', 'two']);
   });
 
+  it('lets keys take turns', async () => {
+    const crowd = {};
+    const caller = {};
+    for (const name of ['crowd 1', 'crowd 2', 'crowd 3'])
+      add(name, () => true, crowd);
+    for (const name of ['caller 1', 'caller 2']) add(name, () => true, caller);
+    add('other');
+    for (let count = 0; count < 6; count += 1) await turn();
+    expect(done).to.eql([
+      'crowd 1',
+      'caller 1',
+      'other',
+      'crowd 2',
+      'caller 2',
+      'crowd 3',
+    ]);
+  });
+
+  it('keeps the turn of a key whose tasks are not wanted any more', async () => {
+    const key = {};
+    add('left', () => false, key);
+    add('one', () => true, key);
+    add('two');
+    await turn();
+    expect(done).to.eql(['left', 'one']);
+    await turn();
+    expect(done).to.eql(['left', 'one', 'two']);
+  });
+
   it('tells until when input has been read', async () => {
     loop.poll(500);
     loop.endPoll();
--- a/packages/arbutustide-event-loop/src/turn_queue.ts
+++ b/packages/arbutustide-event-loop/src/turn_queue.ts
@@ -26,7 +26,8 @@
  * between, connections would wait, with their requests and their ends.
  */
 export class TurnQueue {
-  private readonly tasks: WaitingTask[] = [];
+  /** By key, in the order in which the keys take their turns. */
+  private readonly tasks = new Map<object, WaitingTask[]>();
   private isScheduled = false;
   private behindSinceMilliseconds: number | undefined;
 
@@ -37,15 +38,23 @@
 
   /**
    * Waits until the input that has arrived by now has been read, and for the
-   * tasks that came before.
+   * tasks that came before with this key. Keys take turns.
    *
    * @param isWanted a task that is not wanted any more needs no turn.
+   * @param key what tasks have in common, such as a connection; a task without
+   *     one has a key of its own.
    * @return end of the latest poll for input, by the monotonic clock.
    */
-  nextTurn(isWanted: () => boolean = () => true): Promise<number> {
+  nextTurn(
+    isWanted: () => boolean = () => true,
+    key: object = {},
+  ): Promise<number> {
     return new Promise(resolve => {
       const {pollCount} = this.monitor;
-      this.tasks.push({pollCount, isWanted, proceed: resolve});
+      const task = {pollCount, isWanted, proceed: resolve};
+      const tasks = this.tasks.get(key);
+      if (tasks) tasks.push(task);
+      else this.tasks.set(key, [task]);
       this.schedule();
     });
   }
@@ -56,7 +65,7 @@
     this.loop.afterPoll(() => {
       this.isScheduled = false;
       this.proceedWithNext();
-      if (this.tasks.length > 0) this.schedule();
+      if (this.tasks.size > 0) this.schedule();
     });
   }
 
@@ -64,14 +73,19 @@
   private proceedWithNext(): void {
     const {pollCount, polledAtMilliseconds} = this.monitor.lastTurn;
     const isReadingFirst = this.isReadingFirst();
-    for (;;) {
-      const task = this.tasks.at(0);
-      if (!task || task.pollCount === pollCount) return;
-      const isWanted = task.isWanted();
-      if (isWanted && isReadingFirst) return;
-      this.tasks.shift();
-      task.proceed(polledAtMilliseconds);
-      if (isWanted) return;
+    for (const [key, tasks] of this.tasks) {
+      for (;;) {
+        const [task] = tasks;
+        if (task.pollCount === pollCount) return;
+        const isWanted = task.isWanted();
+        if (isWanted && isReadingFirst) return;
+        tasks.shift();
+        if (isWanted || tasks.length === 0) this.tasks.delete(key);
+        task.proceed(polledAtMilliseconds);
+        if (isWanted && tasks.length > 0) this.tasks.set(key, tasks);
+        if (isWanted) return;
+        if (tasks.length === 0) break;
+      }
     }
   }
 
