Bound the connections and requests that callers make a process hold

Cause: the HTTP server of Node.js parses all requests of a chunk at once and reads on while their answers are not written, and no server bounded its connections. Clients that sent requests ahead or opened thousands of connections ended a process. Change: ConnectionBounds bounds connections (the quietest without a request are replaced), requests of a connection (it is not read while more than four answers are open; beyond 32, nothing more is created and it closes after the answers that are owed), requests of all connections (refused as not run) and unread bytes. It serves the caller, readiness and control servers of both interfaces. Answers that waited behind another when their connection broke are let go. /metrics is rendered once for all that wait. Requests take turns by connection.

--- a/packages/arbutustide-errors/src/index.ts
+++ b/packages/arbutustide-errors/src/index.ts
@@ -15,3 +15,4 @@
 export {RefusalError} from './refusal_error.js';
 export {createStoppingRefusal} from './stopping_refusal.js';
 export {SuspensionDetector} from './suspension_detector.js';
+export {createBusyRefusal} from './busy_refusal.js';
--- a/packages/arbutustide-node/src/bounds/process_bounds.ts
+++ b/packages/arbutustide-node/src/bounds/process_bounds.ts
@@ -1,3 +1,5 @@
+import type {ServerBounds} from './connection_bounds.js';
+
 /** Resources that a process may use. */
 export interface ProcessResources {
   readonly memoryBytes: number;
@@ -30,6 +32,8 @@
 const CALLER_CONNECTION_SHARE = 0.5;
 const STATUS_CONNECTIONS = 64;
 const REQUESTS_PER_CONNECTION = 32;
+const STATUS_REQUESTS_PER_CONNECTION = 8;
+const STATUS_UNREAD_SHARE = 0.25;
 /** Memory that a request takes beside its body. */
 const REQUEST_BYTES = 32 * 1_024;
 const REQUESTS_SHARE = 0.15;
@@ -50,3 +54,29 @@
     unreadBytes: Math.floor(UNREAD_SHARE * memoryBytes),
   };
 }
+
+/** Bounds of the server for callers. */
+export function boundCallerServer({
+  callerConnections: connections,
+  requestsPerConnection,
+  requests,
+  unreadBytes,
+}: ProcessBounds): ServerBounds {
+  return {connections, requestsPerConnection, requests, unreadBytes};
+}
+
+/**
+ * Bounds of a server for readiness checks or for metrics. The requests of some
+ * connections never keep others from an answer.
+ */
+export function boundStatusServer({
+  statusConnections: connections,
+  unreadBytes,
+}: ProcessBounds): ServerBounds {
+  return {
+    connections,
+    requestsPerConnection: STATUS_REQUESTS_PER_CONNECTION,
+    requests: connections * STATUS_REQUESTS_PER_CONNECTION,
+    unreadBytes: Math.floor(STATUS_UNREAD_SHARE * unreadBytes),
+  };
+}
--- a/packages/arbutustide-node/src/caller_server.ts
+++ b/packages/arbutustide-node/src/caller_server.ts
@@ -10,13 +10,13 @@
 import type {NodeDependencies} from './node_dependencies.js';
 
 import {once} from 'node:events';
-import {createServer, STATUS_CODES} from 'node:http';
+import {createServer} from 'node:http';
 
 import {isIdempotent} from '@arbutustide/catalogue';
 import {
   ErrorKind,
   InvariantError,
-  createRefusalAnswer,
+  createBusyRefusal,
   createStoppingRefusal,
   RefusalError,
 } from '@arbutustide/errors';
@@ -24,6 +24,13 @@
 import {App} from '@tinyhttp/app';
 import {Err, Ok} from 'ts-results';
 
+import {BoundRecorder, ServerName} from './bounds/bound_recorder.js';
+import {ConnectionBounds} from './bounds/connection_bounds.js';
+import {
+  boundCallerServer,
+  createProcessBounds,
+  DEFAULT_RESOURCES,
+} from './bounds/process_bounds.js';
 import {CallerConnections} from './caller_connections.js';
 import {AnswerWriter, writeRefusal} from './answer_writer.js';
 import {
@@ -33,21 +40,13 @@
 import {listModels} from './model_list.js';
 import {authenticateCaller, getRequestId} from './caller_authentication.js';
 import {drainCallers} from './drain_callers.js';
+import {formatParserErrorAnswer} from './parser_error_answer.js';
 import {watchDisconnection} from './watch_disconnection.js';
 
 /** Interval at which connections are checked against the header timeout. */
 const CONNECTION_CHECK_INTERVAL_MILLISECONDS = 500;
 const SERVICES_PREFIX = '/services/';
 
-/**
- * Refusal for each `clientError` code of Node's HTTP server; any other code is
- * answered as a bad request.
- */
-const ERROR_KIND_BY_PARSER_CODE: Readonly<Record<string, ErrorKind>> = {
-  HPE_HEADER_OVERFLOW: ErrorKind.HEADERS_TOO_LARGE,
-  ERR_HTTP_REQUEST_TIMEOUT: ErrorKind.REQUEST_TIMEOUT,
-};
-
 type RequestReader = (
   request: AuthenticatedRequest,
 ) => Promise<Result<CallerRequest, Refusal>>;
@@ -56,6 +55,7 @@
 export class CallerServer {
   private readonly server: Server;
   private readonly connections: CallerConnections;
+  private readonly bounds: ConnectionBounds;
   private readonly arrivalTimes = new ArrivalTimes();
   /** Whether this node only ends what it has taken. */
   private isRefusing = false;
@@ -74,10 +74,21 @@
         connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MILLISECONDS,
       },
       (request, response) => {
+        if (!this.bounds.admit(request, response)) return;
         app.handler(request as Request, response as Response);
       },
     );
     this.connections = new CallerConnections(this.server);
+    this.bounds = new ConnectionBounds(this.server, {
+      name: ServerName.CALLERS,
+      bounds: boundCallerServer(createProcessBounds(DEFAULT_RESOURCES)),
+      recorder: new BoundRecorder(dependencies.metrics, dependencies.logger),
+      close: socket => this.connections.closeAfterAnswer(socket),
+      refuse: (request, response) => {
+        response.setHeader('connection', 'close');
+        this.sendRefusal(request, response, createBusyRefusal());
+      },
+    });
     this.server.on('connection', socket =>
       this.arrivalTimes.recordConnection(socket),
     );
@@ -229,6 +240,7 @@
     const {disconnection} = incoming.val;
     const callerSeenAtMilliseconds = await turnQueue.nextTurn(
       () => !disconnection.isCancelled,
+      request.socket,
     );
     if (disconnection.isCancelled) {
       const reason = 'the caller left before its request was read';
@@ -374,23 +386,3 @@
     this.connections.closeAfterAnswer(socket);
   }
 }
-
-/** Formats the answer to input that the HTTP parser rejects. */
-function formatParserErrorAnswer(code = ''): string {
-  const kind = ERROR_KIND_BY_PARSER_CODE[code] ?? ErrorKind.BAD_REQUEST;
-  const refusal = new RefusalError(
-    kind,
-    'the request is not valid HTTP or exceeds the limits on headers',
-  );
-  const {status, headers, body} = createRefusalAnswer(refusal, '');
-  const text = JSON.stringify(body);
-  const lines = [
-    `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`,
-    ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`),
-    `content-length: ${Buffer.byteLength(text)}`,
-    'connection: close',
-    '',
-    text,
-  ];
-  return lines.join('\r\n');
-}
--- a/packages/arbutustide-node/src/control_server.ts
+++ b/packages/arbutustide-node/src/control_server.ts
@@ -12,6 +12,15 @@
 import {App} from '@tinyhttp/app';
 
 import {writeRefusal} from './answer_writer.js';
+import {BoundRecorder, ServerName} from './bounds/bound_recorder.js';
+import {ConnectionBounds} from './bounds/connection_bounds.js';
+import {
+  boundStatusServer,
+  createProcessBounds,
+  DEFAULT_RESOURCES,
+} from './bounds/process_bounds.js';
+import {shareWhilePending} from './bounds/share_while_pending.js';
+import {CallerConnections} from './caller_connections.js';
 import {explainEntry} from './explain_entry.js';
 
 /**
@@ -27,9 +36,10 @@
       applyExtensions: (_request, _response, next) => next(),
       settings: {xPoweredBy: false},
     });
+    const renderMetrics = shareWhilePending(() => metrics.registry.metrics());
     app.get('/metrics', async (_request, response) => {
       response.setHeader('content-type', metrics.registry.contentType);
-      response.end(await metrics.registry.metrics());
+      response.end(await renderMetrics());
     });
     app.get('/explain/:entry', (request, response) => {
       const name = request.params['entry'];
@@ -45,8 +55,17 @@
       response.end(JSON.stringify(explainEntry(entry, core, settings)));
     });
     this.server = createServer((request, response) => {
+      if (!bounds.admit(request, response)) return;
       app.handler(request as Request, response as Response);
     });
+    const connections = new CallerConnections(this.server);
+    const bounds = new ConnectionBounds(this.server, {
+      name: ServerName.CONTROL,
+      bounds: boundStatusServer(createProcessBounds(DEFAULT_RESOURCES)),
+      recorder: new BoundRecorder(metrics, dependencies.logger),
+      close: socket => connections.closeAfterAnswer(socket),
+      replacesWaiting: true,
+    });
   }
 
   /**
--- a/packages/arbutustide-node/src/index.ts
+++ b/packages/arbutustide-node/src/index.ts
@@ -22,10 +22,18 @@
 export type {NodePorts, RunningNode} from './node_daemon.js';
 export type {NodeDependencies, NodeIdentity} from './node_dependencies.js';
 
+export type {
+  ConnectionBoundsOptions,
+  ServerBounds,
+} from './bounds/connection_bounds.js';
 export type {ProcessBounds, ProcessResources} from './bounds/process_bounds.js';
 
 export {BoundName, BoundRecorder, ServerName} from './bounds/bound_recorder.js';
+export {ConnectionBounds} from './bounds/connection_bounds.js';
+export {shareWhilePending} from './bounds/share_while_pending.js';
 export {
+  boundCallerServer,
+  boundStatusServer,
   createProcessBounds,
   DEFAULT_RESOURCES,
 } from './bounds/process_bounds.js';
