Bound the sessions and streams at the port for peers

Cause: the HTTP/2 server accepted any number of sessions, each with any number of streams, so that idle sessions could use up the descriptors. Change: 512 sessions of 1,024 streams; a session beyond that replaces the one idle longest, or is closed, and is counted. Result: session_bound.test.ts opens 600 sessions: 512 stay, the newest among them. The other integration tests of the package pass (11 tests with those of the bounds).

--- a/packages/arbutustide-membership/src/connect_peer_server.ts
+++ b/packages/arbutustide-membership/src/connect_peer_server.ts
@@ -14,16 +14,26 @@
   PEER_COMPRESSION,
 } from './peer_compression.js';
 
+const MAXIMUM_SESSIONS = 512;
+/** Requests of one session that are served at the same time. */
+const MAXIMUM_STREAMS = 1_024;
+
 /** Serves MembershipService to peers with the Connect protocol on HTTP/2. */
 export class ConnectPeerServer {
   private readonly server: Http2Server;
   private readonly sessions = new Set<ServerHttp2Session>();
+  /** Without an open stream, in the order in which they became so. */
+  private readonly idleSessions = new Set<ServerHttp2Session>();
 
   /**
    * @param handler called for each request, because the handler may be created
    *     after the server.
+   * @param onSessionBound called for each session beyond the bound.
    */
-  constructor(handler: () => PeerHandler) {
+  constructor(
+    handler: () => PeerHandler,
+    private readonly onSessionBound: () => void = () => {},
+  ) {
     const handle = connectNodeAdapter({
       acceptCompression: [PEER_COMPRESSION],
       compressMinBytes: COMPRESSION_MINIMUM_BYTES,
@@ -61,11 +71,11 @@
         });
       },
     });
-    this.server = createServer(handle);
-    this.server.on('session', session => {
-      this.sessions.add(session);
-      session.on('close', () => this.sessions.delete(session));
-    });
+    this.server = createServer(
+      {settings: {maxConcurrentStreams: MAXIMUM_STREAMS}},
+      handle,
+    );
+    this.server.on('session', session => this.addSession(session));
   }
 
   /**
@@ -87,4 +97,33 @@
     for (const session of this.sessions) session.destroy();
     await closed;
   }
+
+  /** At the bound, a session takes the place of the one longest idle. */
+  private addSession(session: ServerHttp2Session): void {
+    if (this.sessions.size >= MAXIMUM_SESSIONS) {
+      this.onSessionBound();
+      const [replaced = session] = this.idleSessions;
+      this.removeSession(replaced);
+      replaced.destroy();
+      if (replaced === session) return;
+    }
+    this.sessions.add(session);
+    this.idleSessions.add(session);
+    let openStreams = 0;
+    session.on('stream', stream => {
+      openStreams += 1;
+      this.idleSessions.delete(session);
+      stream.once('close', () => {
+        openStreams -= 1;
+        if (openStreams === 0 && this.sessions.has(session))
+          this.idleSessions.add(session);
+      });
+    });
+    session.on('close', () => this.removeSession(session));
+  }
+
+  private removeSession(session: ServerHttp2Session): void {
+    this.sessions.delete(session);
+    this.idleSessions.delete(session);
+  }
 }
--- a/packages/arbutustide-node/src/node_daemon.ts
+++ b/packages/arbutustide-node/src/node_daemon.ts
@@ -11,6 +11,7 @@
 import {createLogger, NodeMetrics} from '@arbutustide/telemetry';
 import {HttpHostList} from '@arbutustide/upstream';
 
+import {BoundName, BoundRecorder, ServerName} from './bounds/bound_recorder.js';
 import {createConnectionErrorLog} from './connection_error_log.js';
 import {CallerServer} from './caller_server.js';
 import {ControlServer} from './control_server.js';
@@ -49,9 +50,13 @@
 export async function startNode(settings: Settings): Promise<RunningNode> {
   const {node, shutdown} = settings;
   const logger = createLogger(node.name, settings.log.level);
-  const peerServer = new ConnectPeerServer(() => core);
+  const peerServer = new ConnectPeerServer(
+    () => core,
+    () => recorder.record(ServerName.PEERS, BoundName.CONNECTIONS),
+  );
   const peerPort = await peerServer.listen(node.address, node.peerPort);
   const dependencies = createDependencies(settings, peerPort, logger);
+  const recorder = new BoundRecorder(dependencies.metrics, logger);
   const core = createNodeCore(dependencies);
   const callerServer = new CallerServer(core, dependencies);
   const controlServer = new ControlServer(core, dependencies);
