Keep room for callers that wait for one answer

Cause: a crowd with requests ahead on many connections took all requests that a server holds, and every other caller got 503. Refusals that waited behind other answers counted as well. Change: requests on connections with open answers get three quarters of the bound; refusals don't count. The number of listeners that is expected of a socket follows its bound. Result: "keeps room for connections that wait for one answer" failed with refusals counted and passes now (16 tests of the file).

--- a/packages/arbutustide-node/src/bounds/bounded_connection.ts
+++ b/packages/arbutustide-node/src/bounds/bounded_connection.ts
@@ -43,6 +43,8 @@
     private readonly maximumAnswers: number,
     private readonly listener: ConnectionListener,
   ) {
+    // Each request listens for the end of the connection.
+    socket.setMaxListeners(socket.getMaxListeners() + 2 * maximumAnswers);
     this.interceptRequests(socket);
     this.interceptReading(socket);
   }
--- a/packages/arbutustide-node/src/bounds/connection_bounds.ts
+++ b/packages/arbutustide-node/src/bounds/connection_bounds.ts
@@ -14,6 +14,11 @@
 const STALL_MILLISECONDS = 5_000;
 /** A connection opened more recently may just have no request yet. */
 const UNUSED_MILLISECONDS = 1_000;
+/**
+ * Share of the requests that may come on connections with open answers; the
+ * rest is for those that wait for one answer.
+ */
+const AHEAD_SHARE = 0.75;
 /** Replaced connections that may wait for their callers to close. */
 const MAXIMUM_LINGERING = 32;
 
@@ -78,13 +83,13 @@
     return this.connections.size;
   }
 
-  /** Number of requests whose answers are not sent. */
+  /** Number of admitted requests whose answers are not sent. */
   get requestCount(): number {
     return this.openRequests;
   }
 
   /**
-   * Counts a request until its answer is sent; call it before anything else is
+   * Tracks a request until its answer is sent; call it before anything else is
    * done with it.
    *
    * @return whether to serve the request; if not, it has been refused.
@@ -93,9 +98,17 @@
     const {bounds, recorder, name, refuse} = this.options;
     const connection = this.connections.get(message.socket);
     if (!connection) return false;
-    const isAdmitted = this.openRequests < bounds.requests;
+    const maximum =
+      connection.openCount > 0
+        ? AHEAD_SHARE * bounds.requests
+        : bounds.requests;
+    const isAdmitted = this.openRequests < maximum;
     this.addAnswer(connection, response);
-    if (isAdmitted) return true;
+    if (isAdmitted) {
+      this.openRequests += 1;
+      response.once('close', () => (this.openRequests -= 1));
+      return true;
+    }
     recorder.record(name, BoundName.REQUESTS);
     connection.stop();
     if (refuse) refuse(message, response);
@@ -110,9 +123,7 @@
     this.unused.delete(connection);
     this.idle.delete(connection);
     this.waiting.add(connection);
-    this.openRequests += 1;
     connection.addAnswer(response, () => {
-      this.openRequests -= 1;
       if (connection.openCount > 0) return;
       this.waiting.delete(connection);
       if (!connection.socket.destroyed) this.idle.add(connection);
@@ -188,7 +199,7 @@
   private sweep(): void {
     const {bounds, recorder, name} = this.options;
     const isFull =
-      this.openRequests >= bounds.requests ||
+      this.openRequests >= AHEAD_SHARE * bounds.requests ||
       this.connections.size >= bounds.connections;
     let unreadBytes = 0;
     for (const connection of this.connections.values()) {
