Bound what request bodies make a process hold

What callers saw: the process ended. Cause: each body was counted alone, kept as an object for each chunk, and on the platform without any time limit; a body that was announced over the limit was read, and asked for with 100 Continue. Change: one BodyReader for both interfaces. An announced body over the limit is refused first; chunks are copied into one buffer; all bodies of a process share BodyMemory, until their requests are answered, and the unfinished body that holds most gives way; a body that stops coming is refused. 100 Continue is sent when a body is to be read. The answer to parser errors moves to a file of its own. Result: before, request_body_bounds.test.ts failed: no answer to an announced body over the limit, none to a body that stopped coming, and 2,621,440 bytes held by 40 bodies where 262,144 are allowed. It passes, with body_memory.test.ts and the tests of connections, stops and stop admission of the two interfaces that were run.

--- a/packages/arbutustide-node/src/bounds/process_bounds.ts
+++ b/packages/arbutustide-node/src/bounds/process_bounds.ts
@@ -40,7 +40,7 @@
 export function createProcessBounds({
   memoryBytes,
   fileDescriptors,
-}: ProcessResources): ProcessBounds {
+}: ProcessResources = DEFAULT_RESOURCES): ProcessBounds {
   return {
     callerConnections: Math.floor(CALLER_CONNECTION_SHARE * fileDescriptors),
     statusConnections: STATUS_CONNECTIONS,
--- a/packages/arbutustide-node/src/caller_server.ts
+++ b/packages/arbutustide-node/src/caller_server.ts
@@ -5,18 +5,18 @@
 import type {AddressInfo, Socket} from 'node:net';
 import type {Result} from 'ts-results';
 
+import type {BodyLimits} from './bounds/arriving_body.js';
 import type {AuthenticatedRequest} from './read_caller_request.js';
 import type {NodeCore} from './node_core.js';
 import type {NodeDependencies} from './node_dependencies.js';
 
 import {once} from 'node:events';
-import {createServer, STATUS_CODES} from 'node:http';
+import {createServer} from 'node:http';
 
 import {isIdempotent} from '@arbutustide/catalogue';
 import {
   ErrorKind,
   InvariantError,
-  createRefusalAnswer,
   createStoppingRefusal,
   RefusalError,
 } from '@arbutustide/errors';
@@ -24,6 +24,11 @@
 import {App} from '@tinyhttp/app';
 import {Err, Ok} from 'ts-results';
 
+import {BodyTimeout} from './bounds/arriving_body.js';
+import {BodyMemory} from './bounds/body_memory.js';
+import {BodyReader} from './bounds/body_reader.js';
+import {BoundRecorder} from './bounds/bound_recorder.js';
+import {createProcessBounds} from './bounds/process_bounds.js';
 import {CallerConnections} from './caller_connections.js';
 import {AnswerWriter, writeRefusal} from './answer_writer.js';
 import {
@@ -31,6 +36,7 @@
   readServiceRequest,
 } from './read_caller_request.js';
 import {listModels} from './model_list.js';
+import {formatParserErrorAnswer} from './parser_error_answer.js';
 import {authenticateCaller, getRequestId} from './caller_authentication.js';
 import {drainCallers} from './drain_callers.js';
 import {watchDisconnection} from './watch_disconnection.js';
@@ -39,15 +45,6 @@
 const CONNECTION_CHECK_INTERVAL_MILLISECONDS = 500;
 const SERVICES_PREFIX = '/services/';
 
-/**
- * Refusal for each `clientError` code of Node's HTTP server; any other code is
- * answered as a bad request.
- */
-const ERROR_KIND_BY_PARSER_CODE: Readonly<Record<string, ErrorKind>> = {
-  HPE_HEADER_OVERFLOW: ErrorKind.HEADERS_TOO_LARGE,
-  ERR_HTTP_REQUEST_TIMEOUT: ErrorKind.REQUEST_TIMEOUT,
-};
-
 type RequestReader = (
   request: AuthenticatedRequest,
 ) => Promise<Result<CallerRequest, Refusal>>;
@@ -56,6 +53,7 @@
 export class CallerServer {
   private readonly server: Server;
   private readonly connections: CallerConnections;
+  private readonly bodies: BodyReader;
   private readonly arrivalTimes = new ArrivalTimes();
   /** Whether this node only ends what it has taken. */
   private isRefusing = false;
@@ -78,6 +76,11 @@
       },
     );
     this.connections = new CallerConnections(this.server);
+    this.bodies = new BodyReader(
+      this.server,
+      new BodyMemory(createProcessBounds().bodyBytes),
+      new BoundRecorder(dependencies.metrics, dependencies.logger),
+    );
     this.server.on('connection', socket =>
       this.arrivalTimes.recordConnection(socket),
     );
@@ -86,6 +89,15 @@
     );
   }
 
+  private get bodyLimits(): BodyLimits {
+    const {callers} = this.dependencies.settings;
+    return {
+      lengthBytes: callers.bodyLimitBytes,
+      timeout: BodyTimeout.WHOLE_BODY,
+      timeoutMilliseconds: callers.bodyTimeoutMilliseconds,
+    };
+  }
+
   /** Number of requests that have arrived and are not fully answered. */
   get inFlightCount(): number {
     return this.connections.answersInFlight;
@@ -291,6 +303,7 @@
       settings: this.dependencies.settings,
       arrivedAtMilliseconds,
       disconnection: watchDisconnection(request.socket, response),
+      readBody: () => this.bodies.read(request, response, this.bodyLimits),
     });
   }
 
@@ -374,23 +387,3 @@
     this.connections.closeAfterAnswer(socket);
   }
 }
-
-/** Formats the answer to input that the HTTP parser rejects. */
-function formatParserErrorAnswer(code = ''): string {
-  const kind = ERROR_KIND_BY_PARSER_CODE[code] ?? ErrorKind.BAD_REQUEST;
-  const refusal = new RefusalError(
-    kind,
-    'the request is not valid HTTP or exceeds the limits on headers',
-  );
-  const {status, headers, body} = createRefusalAnswer(refusal, '');
-  const text = JSON.stringify(body);
-  const lines = [
-    `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`,
-    ...Object.entries(headers).map(([name, value]) => `${name}: ${value}`),
-    `content-length: ${Buffer.byteLength(text)}`,
-    'connection: close',
-    '',
-    text,
-  ];
-  return lines.join('\r\n');
-}
--- a/packages/arbutustide-node/src/index.ts
+++ b/packages/arbutustide-node/src/index.ts
@@ -22,8 +22,12 @@
 export type {NodePorts, RunningNode} from './node_daemon.js';
 export type {NodeDependencies, NodeIdentity} from './node_dependencies.js';
 
+export type {BodyLimits} from './bounds/arriving_body.js';
 export type {ProcessBounds, ProcessResources} from './bounds/process_bounds.js';
 
+export {BodyTimeout} from './bounds/arriving_body.js';
+export {BodyMemory} from './bounds/body_memory.js';
+export {BodyReader} from './bounds/body_reader.js';
 export {BoundName, BoundRecorder, ServerName} from './bounds/bound_recorder.js';
 export {
   createProcessBounds,
--- a/packages/arbutustide-node/src/read_caller_request.ts
+++ b/packages/arbutustide-node/src/read_caller_request.ts
@@ -5,6 +5,7 @@
 import type {IncomingMessage} from 'node:http';
 import type {Result} from 'ts-results';
 
+import type {BodyResult} from './bounds/arriving_body.js';
 import type {AuthenticatedCaller} from './caller_authentication.js';
 
 import {EntryKind, isIdempotencyKeyRequired} from '@arbutustide/catalogue';
@@ -12,7 +13,6 @@
 import {Err, Ok} from 'ts-results';
 
 import {parseCompletionBody} from './completion_body.js';
-import {readBody} from './request_body.js';
 import {chooseRequestClass} from './request_class.js';
 import {canUseEntry} from './caller_authentication.js';
 
@@ -31,6 +31,7 @@
   readonly arrivedAtMilliseconds: number;
   /** Cancelled when the caller disconnects before its answer ended. */
   readonly disconnection: Cancellation;
+  readonly readBody: () => Promise<BodyResult>;
 }
 
 type ReadRequestResult = Promise<Result<CallerRequest, RefusalError>>;
@@ -43,7 +44,7 @@
 export async function readCompletionRequest(
   request: AuthenticatedRequest,
 ): ReadRequestResult {
-  const {message, catalogue, settings} = request;
+  const {message, catalogue} = request;
   const contentType = message.headers['content-type'];
   if (!contentType?.toLowerCase().startsWith(JSON_CONTENT_TYPE)) {
     return refusalResult(
@@ -51,7 +52,7 @@
       `content-type "${contentType ?? ''}" is not ${JSON_CONTENT_TYPE}`,
     );
   }
-  const body = await readBody(message, settings.callers);
+  const body = await request.readBody();
   if (!body.ok) return body;
   const completion = parseCompletionBody(body.val);
   if (!completion.ok) return completion;
@@ -86,7 +87,7 @@
   entryName: string,
   path: string,
 ): ReadRequestResult {
-  const {message, catalogue, settings} = request;
+  const {message, catalogue} = request;
   const entry = catalogue.findEntry(entryName);
   if (entry?.kind !== EntryKind.SERVICE) {
     return refusalResult(
@@ -94,7 +95,7 @@
       `there is no service "${entryName}"`,
     );
   }
-  const body = await readBody(message, settings.callers);
+  const body = await request.readBody();
   if (!body.ok) return body;
   const isBodyless =
     body.val.length === 0 && BODYLESS_METHODS.has(message.method ?? '');
