Bound what is discarded after a refusal

Cause: after a refusal the rest of a body was read and thrown away for 2 s as fast as it came, and cost the time of ordinary callers. Change: after 8 MiB the rest stays unread until the connection closes. A caller of a body within the limits of both interfaces can still send all of it before it reads.

--- a/packages/arbutustide-node/src/caller_connection.ts
+++ b/packages/arbutustide-node/src/caller_connection.ts
@@ -11,6 +11,12 @@
 /** An answer that waits longer for room in the buffers is read slowly. */
 const SLOW_FLUSH_MILLISECONDS = 20;
 
+/**
+ * Input that is discarded after the last answer. The caller of a longer body may
+ * have to stop sending before it can read the answer.
+ */
+const MOST_DISCARDED_BYTES = 8 * 1_024 * 1_024;
+
 /** How a connection of a caller ended. */
 export enum ConnectionEnd {
   /** The caller closed it while it waited for no answer. */
@@ -113,7 +119,7 @@
 
   /**
    * Sends a FIN and discards what still comes until the caller has closed its
-   * side. Closed at once, a socket with unread input resets the connection, and
+   * side; what is more than a longest body stays unread. Closed at once, a socket with unread input resets the connection, and
    * a reset discards what the caller has not read yet of an answer.
    */
   closeLingering(end: ConnectionEnd, lingerMilliseconds: number): void {
@@ -123,7 +129,11 @@
     socket.setTimeout(0);
     // A listener of `data` also takes the input from the HTTP parser.
     socket.removeAllListeners('data');
-    socket.on('data', () => {});
+    let discardedBytes = 0;
+    socket.on('data', (chunk: Buffer) => {
+      discardedBytes += chunk.length;
+      if (discardedBytes > MOST_DISCARDED_BYTES) socket.pause();
+    });
     socket.resume();
     socket.end();
     this.lingerTimer = setTimeout(() => {
--- a/packages/arbutustide-node/src/caller_server.ts
+++ b/packages/arbutustide-node/src/caller_server.ts
@@ -300,7 +300,6 @@
       requestId: getRequestId(request),
       caller: caller.val,
       catalogue,
-      settings: this.dependencies.settings,
       arrivedAtMilliseconds,
       disconnection: watchDisconnection(request.socket, response),
       readBody: () => this.bodies.read(request, response, this.bodyLimits),
--- a/packages/arbutustide-node/src/read_caller_request.ts
+++ b/packages/arbutustide-node/src/read_caller_request.ts
@@ -1,7 +1,6 @@
 import type {CatalogueEntry, CatalogueRevision} from '@arbutustide/catalogue';
 import type {Cancellation} from '@arbutustide/errors';
 import type {CallerRequest} from '@arbutustide/routing';
-import type {Settings} from '@arbutustide/settings';
 import type {IncomingMessage} from 'node:http';
 import type {Result} from 'ts-results';
 
@@ -27,7 +26,6 @@
   readonly requestId: string;
   readonly caller: AuthenticatedCaller;
   readonly catalogue: CatalogueRevision;
-  readonly settings: Settings;
   readonly arrivedAtMilliseconds: number;
   /** Cancelled when the caller disconnects before its answer ended. */
   readonly disconnection: Cancellation;
