Refuse bodies in a great many short chunks

Cause: each chunk costs the event loop some microseconds, so that 40 bodies of one-byte chunks within the limit kept all others from an answer, also after their callers had left (their input lay in the buffers of the system). Change: a body of more than 16,384 chunks with less than 16 bytes on average is refused with 413 as not run.

--- a/packages/arbutustide-node/src/bounds/arriving_body.ts
+++ b/packages/arbutustide-node/src/bounds/arriving_body.ts
@@ -9,6 +9,10 @@
 
 import {BodyBuffer} from './body_buffer.js';
 
+/** Each chunk costs time, however short it is. */
+const MOST_SHORT_CHUNKS = 16_384;
+const SHORT_CHUNK_BYTES = 16;
+
 /** What the timeout of a body counts. */
 export enum BodyTimeout {
   /** The time until the body is whole. */
@@ -33,6 +37,7 @@
   private readonly buffer: BodyBuffer;
   private readonly timer: NodeJS.Timeout;
   private isFinished = false;
+  private chunkCount = 0;
 
   /** @param onFinished called once: when the body is whole or refused. */
   constructor(
@@ -58,12 +63,20 @@
     response.once('close', this.refuseClosed);
   }
 
+  private get lengthBytes(): number {
+    return this.buffer.lengthBytes;
+  }
+
   private readonly addChunk = (chunk: Buffer): void => {
     const {lengthBytes, timeout} = this.limits;
     if (timeout === BodyTimeout.SILENCE) this.timer.refresh();
     if (this.buffer.lengthBytes + chunk.length > lengthBytes)
       this.finish(Err(createTooLongRefusal(lengthBytes)));
     else if (!this.buffer.tryAppend(chunk)) this.refuseWithoutRoom();
+    this.chunkCount += 1;
+    const leastBytes = SHORT_CHUNK_BYTES * this.chunkCount;
+    if (this.chunkCount > MOST_SHORT_CHUNKS && this.lengthBytes < leastBytes)
+      this.finish(Err(createShortChunksRefusal()));
   };
 
   private readonly finishWhole = (): void => {
@@ -121,3 +134,8 @@
   const reason = `the body is longer than ${lengthBytes} bytes`;
   return new RefusalError(ErrorKind.BODY_TOO_LARGE, reason);
 }
+
+function createShortChunksRefusal(): RefusalError {
+  const reason = `the body has more than ${MOST_SHORT_CHUNKS} short chunks`;
+  return new RefusalError(ErrorKind.BODY_TOO_LARGE, reason);
+}
