--- a/packages/arbutustide-node/src/caller_server.ts
+++ b/packages/arbutustide-node/src/caller_server.ts
@@ -6,6 +6,7 @@
 import type {Result} from 'ts-results';
 
 import type {AuthenticatedRequest} from './read_caller_request.js';
+import type {BoundedCallers} from './bounds/bound_callers.js';
 import type {NodeCore} from './node_core.js';
 import type {NodeDependencies} from './node_dependencies.js';
 
@@ -24,10 +25,10 @@
 import {App} from '@tinyhttp/app';
 import {Err, Ok} from 'ts-results';
 
-import {BoundRecorder, ServerName} from './bounds/bound_recorder.js';
-import {ConnectionBounds} from './bounds/connection_bounds.js';
+import {createBodyLimits} from './body_limits.js';
+import {boundCallers} from './bounds/bound_callers.js';
+import {BoundRecorder} from './bounds/bound_recorder.js';
 import {
-  boundCallerServer,
   createProcessBounds,
   DEFAULT_RESOURCES,
 } from './bounds/process_bounds.js';
@@ -38,9 +39,9 @@
   readServiceRequest,
 } from './read_caller_request.js';
 import {listModels} from './model_list.js';
+import {formatParserErrorAnswer} from './parser_error_answer.js';
 import {authenticateCaller, getRequestId} from './caller_authentication.js';
 import {drainCallers} from './drain_callers.js';
-import {formatParserErrorAnswer} from './parser_error_answer.js';
 import {watchDisconnection} from './watch_disconnection.js';
 
 /** Interval at which connections are checked against the header timeout. */
@@ -55,7 +56,7 @@
 export class CallerServer {
   private readonly server: Server;
   private readonly connections: CallerConnections;
-  private readonly bounds: ConnectionBounds;
+  private readonly bounded: BoundedCallers;
   private readonly arrivalTimes = new ArrivalTimes();
   /** Whether this node only ends what it has taken. */
   private isRefusing = false;
@@ -74,21 +75,22 @@
         connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MILLISECONDS,
       },
       (request, response) => {
-        if (!this.bounds.admit(request, response)) return;
+        if (!this.bounded.connectionBounds.admit(request, response)) return;
         app.handler(request as Request, response as Response);
       },
     );
     this.connections = new CallerConnections(this.server);
-    this.bounds = new ConnectionBounds(this.server, {
-      name: ServerName.CALLERS,
-      bounds: boundCallerServer(createProcessBounds(DEFAULT_RESOURCES)),
-      recorder: new BoundRecorder(dependencies.metrics, dependencies.logger),
-      close: socket => this.connections.closeAfterAnswer(socket),
-      refuse: (request, response) => {
-        response.setHeader('connection', 'close');
-        this.sendRefusal(request, response, createBusyRefusal());
+    const {metrics, logger} = dependencies;
+    const bounds = createProcessBounds(DEFAULT_RESOURCES);
+    const recorder = new BoundRecorder(metrics, logger);
+    this.bounded = boundCallers(
+      this.server,
+      {bounds, recorder},
+      {
+        close: socket => this.connections.closeAfterAnswer(socket),
+        refuse: (request, response) => this.refuseBusy(request, response),
       },
-    });
+    );
     this.server.on('connection', socket =>
       this.arrivalTimes.recordConnection(socket),
     );
@@ -300,9 +302,12 @@
       requestId: getRequestId(request),
       caller: caller.val,
       catalogue,
-      settings: this.dependencies.settings,
       arrivedAtMilliseconds,
       disconnection: watchDisconnection(request.socket, response),
+      readBody: () => {
+        const limits = createBodyLimits(this.dependencies.settings);
+        return this.bounded.bodies.read(request, response, limits);
+      },
     });
   }
 
@@ -348,6 +353,11 @@
     writeRefusal(response, refusal, requestId, metrics);
   }
 
+  private refuseBusy(request: IncomingMessage, response: ServerResponse): void {
+    response.setHeader('connection', 'close');
+    this.sendRefusal(request, response, createBusyRefusal());
+  }
+
   /** Logs an error that no refusal covers and answers it as internal. */
   private handleUnexpectedError(
     error: unknown,
--- a/packages/arbutustide-node/src/index.ts
+++ b/packages/arbutustide-node/src/index.ts
@@ -26,8 +26,15 @@
   ConnectionBoundsOptions,
   ServerBounds,
 } from './bounds/connection_bounds.js';
+export type {BodyLimits} from './bounds/arriving_body.js';
 export type {ProcessBounds, ProcessResources} from './bounds/process_bounds.js';
 
+export type {BoundedCallers, CallerBounds} from './bounds/bound_callers.js';
+
+export {boundCallers} from './bounds/bound_callers.js';
+export {BodyTimeout} from './bounds/arriving_body.js';
+export {BodyMemory} from './bounds/body_memory.js';
+export {BodyReader} from './bounds/body_reader.js';
 export {BoundName, BoundRecorder, ServerName} from './bounds/bound_recorder.js';
 export {ConnectionBounds} from './bounds/connection_bounds.js';
 export {shareWhilePending} from './bounds/share_while_pending.js';
