Bound the input that is read in one turn of the event loop

Callers saw: a process of 256 MiB grow to 603 MiB under 200 connections that sent chunked bodies without an end, although each was refused at its limit. Cause: the system reads up to 2 MiB of a connection in a turn, hundreds of MiB over all, which the garbage collector can't free meanwhile; what is discarded after a refusal likewise. Bodies take a tenth of the memory together, not 0.15.

--- a/packages/arbutustide-node/src/bounds/arriving_body.ts
+++ b/packages/arbutustide-node/src/bounds/arriving_body.ts
@@ -8,6 +8,7 @@
 import {Err, Ok} from 'ts-results';
 
 import {BodyBuffer} from './body_buffer.js';
+import {readingPace} from './reading_pace.js';
 
 /** Each chunk costs time, however short it is. */
 const MOST_SHORT_CHUNKS = 16_384;
@@ -68,6 +69,7 @@
   }
 
   private readonly addChunk = (chunk: Buffer): void => {
+    readingPace.record(this.message, chunk.length);
     const {lengthBytes, timeout} = this.limits;
     if (timeout === BodyTimeout.SILENCE) this.timer.refresh();
     if (this.buffer.lengthBytes + chunk.length > lengthBytes)
@@ -116,6 +118,7 @@
     this.isFinished = true;
     clearTimeout(this.timer);
     const {message, response, room} = this;
+    readingPace.forget(message);
     message.off('data', this.addChunk).off('end', this.finishWhole);
     message.off('close', this.refuseClosed);
     response.off('close', this.refuseClosed);
--- a/packages/arbutustide-node/src/bounds/process_bounds.ts
+++ b/packages/arbutustide-node/src/bounds/process_bounds.ts
@@ -37,7 +37,7 @@
 /** Memory that a request takes beside its body. */
 const REQUEST_BYTES = 32 * 1_024;
 const REQUESTS_SHARE = 0.15;
-const BODIES_SHARE = 0.15;
+const BODIES_SHARE = 0.1;
 const UNREAD_SHARE = 0.1;
 
 /** The bounds that keep a process within its resources. */
--- a/packages/arbutustide-node/src/caller_connection.ts
+++ b/packages/arbutustide-node/src/caller_connection.ts
@@ -1,6 +1,8 @@
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
+import {readingPace} from './bounds/reading_pace.js';
+
 /**
  * A caller that uses its connection in a closed loop sends its next request
  * sooner after an answer.
@@ -119,8 +121,9 @@
 
   /**
    * Sends a FIN and discards what still comes until the caller has closed its
-   * side; what is more than a longest body stays unread. Closed at once, a socket with unread input resets the connection, and
-   * a reset discards what the caller has not read yet of an answer.
+   * side; what is more than a longest body stays unread. Closed at once, a socket
+   * with unread input resets the connection, and a reset discards what the caller
+   * has not read yet of an answer.
    */
   closeLingering(end: ConnectionEnd, lingerMilliseconds: number): void {
     const {socket} = this;
@@ -132,7 +135,10 @@
     let discardedBytes = 0;
     socket.on('data', (chunk: Buffer) => {
       discardedBytes += chunk.length;
-      if (discardedBytes > MOST_DISCARDED_BYTES) socket.pause();
+      readingPace.record(socket, chunk.length);
+      if (discardedBytes <= MOST_DISCARDED_BYTES) return;
+      readingPace.forget(socket);
+      socket.pause();
     });
     socket.resume();
     socket.end();
