Use the memory of request bodies again

Callers saw: a process of 256 MiB grow to 293 MiB and more under 120 unfinished bodies within the limit. Cause: each body's buffer doubled as it grew; the buffers it had outgrown, and those of bodies that gave way, waited for the garbage collector beside those in use.

--- a/packages/arbutustide-node/src/bounds/arriving_body.ts
+++ b/packages/arbutustide-node/src/bounds/arriving_body.ts
@@ -82,7 +82,7 @@
   };
 
   private readonly finishWhole = (): void => {
-    this.finish(Ok(this.buffer.bytes));
+    this.finish(Ok(this.buffer.takeBytes()));
   };
 
   private readonly refuseClosed = (): void => {
@@ -126,6 +126,7 @@
       room.keep();
     } else {
       room.release();
+      this.buffer.clear();
       // The rest stays with the system until the refusal has been written.
       message.pause();
     }
