Count connections that had no request among those closed as idle

Cause: since first requests are awaited to the end of a stop, a connection that had none is closed with the last ones, and its quiet time was no more in the summary. Change: the summary takes their quiet time too before the last close. Result: the 12 tests of connection_closing and caller_connections pass; types and lint are clean.

--- a/packages/arbutustide-node/src/caller_connections.ts
+++ b/packages/arbutustide-node/src/caller_connections.ts
@@ -134,6 +134,8 @@
       for (const connection of this.connections.values())
         if (connection.hasCarriedRequest) this.closeIdle(connection);
     }
+    for (const connection of this.connections.values())
+      if (!connection.isClosing) this.recordIdle(connection);
     this.destroyAll();
   }
 
@@ -161,13 +163,18 @@
   }
 
   private closeIdle(connection: CallerConnection): void {
-    const {quietMilliseconds, isWaiting, isClosing} = connection;
+    const {isWaiting, isClosing} = connection;
     if (isClosing || isWaiting) return;
+    this.recordIdle(connection);
+    connection.closeLingering(ConnectionEnd.IDLE, LINGER_MILLISECONDS);
+  }
+
+  private recordIdle({quietMilliseconds, isWaiting}: CallerConnection): void {
+    if (isWaiting) return;
     this.shortestIdleMilliseconds = Math.min(
       this.shortestIdleMilliseconds ?? Infinity,
       quietMilliseconds,
     );
-    connection.closeLingering(ConnectionEnd.IDLE, LINGER_MILLISECONDS);
   }
 
   private trackSocket(socket: Socket): void {
