--- a/packages/arbutustide-routing/src/proxy/decision_recorder.ts
+++ b/packages/arbutustide-routing/src/proxy/decision_recorder.ts
@@ -105,6 +105,7 @@
       ...(!isWhole && {
         eventCount,
         priority: effectivePriority(progress.request),
+        triedUpstreams: [...progress.triedUpstreams].map(({id}) => id),
       }),
       ...(!isWhole &&
         sinceLastEvent !== undefined && {
--- a/packages/arbutustide-routing/src/proxy/request_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/request_decision.ts
@@ -61,6 +61,8 @@
   readonly sinceLastEventMilliseconds?: number;
   readonly eventCount?: number;
   readonly priority?: number;
+  /** Ids of the upstreams to which it was sent, in order. */
+  readonly triedUpstreams?: readonly string[];
   readonly stayReason?: StayReason;
   /** Of a handover. */
   readonly action?: HandoverAction;
