Count requests that a stopping node refuses for its retries

Cause: the retries of a service follow from the requests that callers send. Those refused as their node stops were counted nowhere, so that the node had the fewest retries when it needs the most: streams were cut with stayReason no_retry_left. Evidence: the new case of shutdown_admission.test.ts does not compile against the code before, which has no place that counts them. Change: ShutdownAdmission reports what it refuses before it is dispatched.

--- a/packages/arbutustide-node/src/__tests__/unit/shutdown_admission.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/shutdown_admission.test.ts
@@ -25,16 +25,19 @@
   let clock: ReturnType<typeof install>;
   let longestMilliseconds: number | undefined;
   let decisions: ShutdownDecision[];
+  let refusedServices: string[];
   let admission: ShutdownAdmission;
 
   beforeEach(() => {
     clock = install();
     longestMilliseconds = undefined;
     decisions = [];
+    refusedServices = [];
     admission = new ShutdownAdmission({
       balancerRemovalMilliseconds: BALANCER_REMOVAL_MILLISECONDS,
       drainMilliseconds: DRAIN_MILLISECONDS,
       longestMilliseconds: () => longestMilliseconds,
+      recordRefused: ({service}) => refusedServices.push(service),
       onDecision: decision => decisions.push(decision),
     });
   });
@@ -59,6 +62,15 @@
     expect(refuse(LONG_MILLISECONDS)).to.equal(undefined);
   });
 
+  it('allow retries by their number also if they are refused', () => {
+    admission.begin();
+    refuse(SHORT_MILLISECONDS);
+    expect(refusedServices).to.eql([]);
+    refuse(LONG_MILLISECONDS);
+    refuse(LONG_MILLISECONDS);
+    expect(refusedServices).to.have.lengthOf(2);
+  });
+
   it('are refused as not run if they may take longer than the node', () => {
     admission.begin();
     const refusal = refuse(LONG_MILLISECONDS);
@@ -113,6 +125,7 @@
       balancerRemovalMilliseconds: BALANCER_REMOVAL_MILLISECONDS,
       drainMilliseconds: DRAIN_MILLISECONDS,
       longestMilliseconds: () => LONGEST_MILLISECONDS,
+      recordRefused: () => {},
       onDecision: decision => decisions.push(decision),
     });
   });
--- a/packages/arbutustide-node/src/proxy/register_shutdown_admission.ts
+++ b/packages/arbutustide-node/src/proxy/register_shutdown_admission.ts
@@ -21,8 +21,10 @@
   );
   register(ProxyToken.SHUTDOWN_ADMISSION, container => {
     const times = container.resolve(ProxyToken.HOLD_TIME_DISTRIBUTIONS);
+    const budgets = container.resolve(ProxyToken.RETRY_BUDGETS);
     return new ShutdownAdmission({
       ...settings.shutdown,
+      recordRefused: ({service}) => budgets.forService(service).recordRequest(),
       longestMilliseconds: request => times.longestMilliseconds(request),
       onDecision: decision => logger.info(decision, 'request while stopping'),
     });
--- a/packages/arbutustide-node/src/proxy/shutdown_admission.ts
+++ b/packages/arbutustide-node/src/proxy/shutdown_admission.ts
@@ -38,6 +38,8 @@
    * undefined if that is not yet known.
    */
   readonly longestMilliseconds: (request: RoutedRequest) => number | undefined;
+  /** Called for a request that is refused before anything else counts it. */
+  readonly recordRefused: (request: RoutedRequest) => void;
   readonly onDecision: (decision: ShutdownDecision) => void;
 }
 
@@ -78,9 +80,9 @@
     const isExpected =
       performance.now() < beganAt + balancerRemovalMilliseconds;
     const time = this.longestMilliseconds(request);
-    return this.decide(request, time, isExpected)
-      ? undefined
-      : createStoppingRefusal();
+    if (this.decide(request, time, isExpected)) return undefined;
+    this.options.recordRefused(request);
+    return createStoppingRefusal();
   }
 
   /**
