--- a/packages/arbutustide-membership/src/connect_peer_server.ts
+++ b/packages/arbutustide-membership/src/connect_peer_server.ts
@@ -64,6 +64,7 @@
           confirmConfiguration: request =>
             handler().confirmConfiguration(request),
           leaseQuota: request => handler().leaseQuota(request),
+          lendRetries: request => ({lent: handler().lendRetries(request)}),
           requestToken: request => {
             const response = handler().issueToken(request);
             return response ? {isIssuer: true, ...response} : {isIssuer: false};
--- a/packages/arbutustide-membership/src/connect_peer_transport.ts
+++ b/packages/arbutustide-membership/src/connect_peer_transport.ts
@@ -11,6 +11,8 @@
   HoldingRequest,
   LeaseQuotaRequest,
   LeaseQuotaResponse,
+  LendRetriesRequest,
+  LendRetriesResponse,
   RecordStreamOriginsRequest,
   RelayRequestRequest,
   RelayRequestResponse,
@@ -161,6 +163,15 @@
     );
   }
 
+  lendRetries(
+    peerUrl: string,
+    request: LendRetriesRequest,
+  ): Promise<Result<LendRetriesResponse, PeerError>> {
+    return this.call(peerUrl, client =>
+      client.lendRetries(request, this.callOptions()),
+    );
+  }
+
   async *relayRequest(
     peerUrl: string,
     request: RelayRequestRequest,
--- a/packages/arbutustide-membership/src/peer_transport.ts
+++ b/packages/arbutustide-membership/src/peer_transport.ts
@@ -14,6 +14,8 @@
   LeaseQuotaRequest,
   LeaseQuotaResponse,
   LeaseQuotaResponseSchema,
+  LendRetriesRequest,
+  LendRetriesResponse,
   RecordStreamOriginsRequest,
   RelayRequestRequest,
   RelayRequestResponse,
@@ -108,6 +110,11 @@
     peerUrl: string,
     request: LeaseQuotaRequest,
   ): Promise<Result<LeaseQuotaResponse, PeerError>>;
+  /** Asks a peer for a part of its unspent retries. */
+  lendRetries(
+    peerUrl: string,
+    request: LendRetriesRequest,
+  ): Promise<Result<LendRetriesResponse, PeerError>>;
   /**
    * Has a peer pass a caller's request on. The iteration throws a PeerError if
    * the peer does not answer or its answer breaks off.
@@ -184,6 +191,8 @@
     request: ConfirmConfigurationRequest,
   ): ConfirmConfigurationResponseFields;
   leaseQuota(request: LeaseQuotaRequest): LeaseQuotaResponseFields;
+  /** Gives up retries for a peer; returns how many. */
+  lendRetries(request: LendRetriesRequest): number;
   /**
    * Passes a request on for a peer that cannot reach the upstreams.
    *
--- a/packages/arbutustide-membership/src/protocol_level.ts
+++ b/packages/arbutustide-membership/src/protocol_level.ts
@@ -4,4 +4,6 @@
   INITIAL = 0,
   /** Teams in relayed requests, ConfirmConfiguration and LeaseQuota. */
   TEAMS = 1,
+  /** LendRetries. */
+  RETRY_LOANS = 2,
 }
--- a/packages/arbutustide-node/src/__tests__/integration/lease_holder_probe.test.ts
+++ b/packages/arbutustide-node/src/__tests__/integration/lease_holder_probe.test.ts
@@ -53,6 +53,7 @@
     findStreamOrigin: async () => ({isKnown: false}),
     confirmConfiguration: () => ({isKnown: false}),
     leaseQuota: () => ({grants: []}),
+    lendRetries: () => 0,
   };
 }
 
--- a/packages/arbutustide-node/src/node_core.ts
+++ b/packages/arbutustide-node/src/node_core.ts
@@ -196,6 +196,11 @@
     return {grants: []};
   }
 
+  /** Retries on the project's own interface are not shared. */
+  lendRetries(): number {
+    return 0;
+  }
+
   /** Upstreams on the project's own interface name no rate limits. */
   issueToken(): undefined {
     return undefined;
--- a/packages/arbutustide-node/src/node_status_publisher.ts
+++ b/packages/arbutustide-node/src/node_status_publisher.ts
@@ -101,7 +101,7 @@
       state: this.currentState,
       catalogueRevision: this.getCatalogueRevision(),
       plannerEpoch: this.getPlannerEpoch(),
-      protocolLevel: ProtocolLevel.TEAMS,
+      protocolLevel: ProtocolLevel.RETRY_LOANS,
     });
     this.memberTable.ownRecord.set(NODE_STATUS_KEY, {case: 'status', value});
   }
--- a/packages/arbutustide-node/src/proxy/proxy_peer_handler.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_peer_handler.ts
@@ -8,6 +8,7 @@
   HoldingRequest,
   LeaseQuotaRequest,
   LeaseQuotaResponseFields,
+  LendRetriesRequest,
   PeerHandler,
   PromisedHolding,
   RecordStreamOriginsRequest,
@@ -125,6 +126,15 @@
     return this.container.resolve(ProxyToken.TEAM_QUOTAS).handleClaims(request);
   }
 
+  lendRetries({service, wanted}: LendRetriesRequest): number {
+    const {endsAtMilliseconds} = this.container.resolve(
+      ProxyToken.SHUTDOWN_ADMISSION,
+    );
+    const isStopping = endsAtMilliseconds < Infinity;
+    const budgets = this.container.resolve(ProxyToken.RETRY_BUDGETS);
+    return isStopping ? 0 : budgets.forService(service).lend(wanted);
+  }
+
   findStreamOrigin(
     request: FindStreamOriginRequest,
   ): Promise<FindStreamOriginResponseFields> {
--- a/packages/arbutustide-node/src/proxy/proxy_tokens.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tokens.ts
@@ -30,7 +30,8 @@
 import type {BrittleUpstreams} from './brittleness/brittle_upstreams.js';
 import type {ConfigurationWatcher} from './configuration_watcher.js';
 import type {ProxyDependencies} from './proxy_dependencies.js';
-import type {ServiceRetryBudgets} from './service_retry_budgets.js';
+import type {RetryBorrower} from './retries/retry_borrower.js';
+import type {ServiceRetryBudgets} from './retries/service_retry_budgets.js';
 import type {LeaseHolderProbe} from './lease_holder_probe.js';
 import type {HoldingRequester} from './holding_requester.js';
 import type {ClusterRequestRelay} from './relay/cluster_request_relay.js';
@@ -57,6 +58,7 @@
     'fleet.signalsHandler' as InjectionToken<UpstreamSignalsHandler>,
   DEMAND_COUNTER: 'fleet.counter' as InjectionToken<DemandCounter>,
   RETRY_BUDGETS: 'fleet.budgets' as InjectionToken<ServiceRetryBudgets>,
+  RETRY_BORROWER: 'fleet.retryBorrower' as InjectionToken<RetryBorrower>,
   REQUEST_GATE: 'fleet.requestGate' as InjectionToken<RequestGate>,
   AUTHENTICATOR: 'fleet.authenticator' as InjectionToken<Authenticator>,
   CONFIGURATION_CONFIRMER:
--- a/packages/arbutustide-node/src/proxy/proxy_wiring.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_wiring.ts
@@ -34,7 +34,8 @@
 import {registerDispatcher} from './register_dispatcher.js';
 import {registerShutdownAdmission} from './register_shutdown_admission.js';
 import {createPoisonSegmentDetector} from './create_poison_segment_detector.js';
-import {ServiceRetryBudgets} from './service_retry_budgets.js';
+import {RetryBorrower} from './retries/retry_borrower.js';
+import {ServiceRetryBudgets} from './retries/service_retry_budgets.js';
 import {recordPlannerMetrics} from './decision_metrics.js';
 import {NodeEnginePlannerEnvironment} from './node_engine_planner_environment.js';
 import {ProxyToken} from './proxy_tokens.js';
@@ -81,7 +82,7 @@
   registerStreamOrigins(register, dependencies, identity);
   registerTeams(register, dependencies, identity);
   registerRelay(register, dependencies, identity);
-  registerRouting(register, dependencies);
+  registerRouting(register, dependencies, identity);
   registerLease(register, dependencies, identity);
   registerPlacement(register, dependencies);
   return container;
@@ -256,8 +257,9 @@
 function registerRouting(
   register: RegisterSingleton,
   dependencies: ProxyDependencies,
+  {identity}: PeerIdentity,
 ): void {
-  const {settings} = dependencies;
+  const {settings, transport, random, logger} = dependencies;
   register(ProxyToken.RETRY_BUDGETS, container => {
     const clusterView = container.resolve(ProxyToken.CLUSTER_VIEW);
     return new ServiceRetryBudgets(
@@ -266,6 +268,18 @@
       tuning.INITIAL_NODE_COUNT,
     );
   });
+  register(ProxyToken.RETRY_BORROWER, container => {
+    const clusterView = container.resolve(ProxyToken.CLUSTER_VIEW);
+    return new RetryBorrower({
+      identity,
+      nodes: () => clusterView.nodes(),
+      budgets: container.resolve(ProxyToken.RETRY_BUDGETS),
+      transport,
+      answerPeriod: container.resolve(ProxyToken.SHUTDOWN_ADMISSION),
+      random,
+      logger,
+    });
+  });
   registerShutdownAdmission(register, dependencies);
   register(ProxyToken.REQUEST_QUEUE, container =>
     createSlotQueue(container, dependencies),
--- a/packages/arbutustide-node/src/proxy/register_dispatcher.ts
+++ b/packages/arbutustide-node/src/proxy/register_dispatcher.ts
@@ -14,6 +14,7 @@
 ): void {
   register(ProxyToken.DISPATCHER, container => {
     const retryBudgets = container.resolve(ProxyToken.RETRY_BUDGETS);
+    const retryBorrower = container.resolve(ProxyToken.RETRY_BORROWER);
     const configurationWatcher = container.resolve(
       ProxyToken.CONFIGURATION_WATCHER,
     );
@@ -23,7 +24,11 @@
       paths: container.resolve(ProxyToken.REACHABILITY_MONITOR),
       recordRequest: service =>
         retryBudgets.forService(service).recordRequest(),
-      tryConsumeRetry: service => retryBudgets.forService(service).tryConsume(),
+      tryConsumeRetry: service => {
+        if (retryBudgets.forService(service).tryConsume()) return true;
+        retryBorrower.request(service);
+        return false;
+      },
       onModelMissing: (upstream, model) =>
         upstream.recordObservedHolding(model, false),
       onSignals: container.resolve(ProxyToken.SIGNALS_HANDLER),
--- a/packages/arbutustide-node/src/proxy/retries/service_retry_budgets.ts
+++ b/packages/arbutustide-node/src/proxy/retries/service_retry_budgets.ts
@@ -1,4 +1,4 @@
-import type {RetryBudgetSettings} from './proxy_settings.js';
+import type {RetryBudgetSettings} from '../proxy_settings.js';
 
 import {ClusterRetryBudget} from '@arbutustide/routing';
 
--- a/packages/arbutustide-routing/src/proxy/cluster_retry_budget.ts
+++ b/packages/arbutustide-routing/src/proxy/cluster_retry_budget.ts
@@ -14,6 +14,13 @@
  * that restart within a window and lose their record of consumed retries.
  */
 const SPENDABLE_SHARE = 0.6;
+/** Share of its unspent retries that a node gives up for one peer. */
+const LENDABLE_SHARE = 0.5;
+/**
+ * Time for which borrowed retries may be consumed. Short against the window, in
+ * which the lender counts them as consumed from the loan on.
+ */
+const LOAN_MILLISECONDS = 1_000;
 /** Resolution of the sliding window. */
 const BUCKETS_PER_WINDOW = 20;
 
@@ -27,10 +34,13 @@
  * This node's share of the cluster-wide retry budget of one service, counted
  * over a sliding window. It needs no coordination: each node may retry the
  * given ratio of its own requests, plus an equal share of the allowance, so
- * that the sum stays within the budget while nodes are partitioned.
+ * that the sum stays within the budget while nodes are partitioned. A node may
+ * borrow what another one gives up, which leaves the sum as it is.
  */
 export class ClusterRetryBudget {
   private readonly buckets: Bucket[] = [];
+  private borrowedRetries = 0;
+  private loanEndsAtMilliseconds = -Infinity;
 
   constructor(private readonly settings: ClusterRetryBudgetSettings) {}
 
@@ -41,19 +51,52 @@
 
   /** Consumes one retry; returns false if the window has none left. */
   tryConsume(): boolean {
+    const current = this.currentBucket();
+    if (this.countUnspent() < 1) return this.tryConsumeBorrowed();
+    current.retries += 1;
+    return true;
+  }
+
+  /**
+   * Gives up unspent retries for a peer, which may consume them instead.
+   *
+   * @param wanted number of retries that the peer needs.
+   * @return the number of retries given up.
+   */
+  lend(wanted: number): number {
+    const current = this.currentBucket();
+    const lendable = Math.floor(LENDABLE_SHARE * this.countUnspent());
+    const lent = Math.max(0, Math.min(wanted, lendable));
+    current.retries += lent;
+    return lent;
+  }
+
+  /** Takes retries that a peer has given up, to be consumed soon. */
+  borrow(retries: number): void {
+    const isOpen = performance.now() < this.loanEndsAtMilliseconds;
+    this.borrowedRetries = (isOpen ? this.borrowedRetries : 0) + retries;
+    this.loanEndsAtMilliseconds = performance.now() + LOAN_MILLISECONDS;
+  }
+
+  private tryConsumeBorrowed(): boolean {
+    const isOpen = performance.now() < this.loanEndsAtMilliseconds;
+    if (!isOpen || this.borrowedRetries < 1) return false;
+    this.borrowedRetries -= 1;
+    return true;
+  }
+
+  /** Retries of the own share that the window has left. */
+  private countUnspent(): number {
     const {ratio, allowance, nodeCount} = this.settings;
     const ownAllowance =
       (allowance * SPENDABLE_SHARE) / Math.max(1, nodeCount());
-    const current = this.currentBucket();
     let requests = 0;
     let retries = 0;
     for (const bucket of this.buckets) {
       requests += bucket.requests;
       retries += bucket.retries;
     }
-    if (retries + 1 > ratio * requests + ownAllowance) return false;
-    current.retries += 1;
-    return true;
+    return ratio * requests + ownAllowance - retries;
   }
 
   /** The bucket for the current time; drops buckets older than the window. */
--- a/packages/arbutustide-scenarios/src/world/simulated_peer_transport.ts
+++ b/packages/arbutustide-scenarios/src/world/simulated_peer_transport.ts
@@ -8,6 +8,8 @@
   HoldingRequest,
   LeaseQuotaRequest,
   LeaseQuotaResponse,
+  LendRetriesRequest,
+  LendRetriesResponse,
   PeerHandler,
   PeerTransport,
   PromisedHolding,
@@ -27,6 +29,7 @@
   ConfirmConfigurationResponseSchema,
   FindStreamOriginResponseSchema,
   LeaseQuotaResponseSchema,
+  LendRetriesResponseSchema,
   PeerError,
   RequestTokenResponseSchema,
   WatchResponseSchema,
@@ -143,6 +146,16 @@
     return response.map(fields => create(LeaseQuotaResponseSchema, fields));
   }
 
+  async lendRetries(
+    peerUrl: string,
+    request: LendRetriesRequest,
+  ): Promise<Result<LendRetriesResponse, PeerError>> {
+    const response = await this.callPeer(peerUrl, undefined, handler =>
+      handler.lendRetries(request),
+    );
+    return response.map(lent => create(LendRetriesResponseSchema, {lent}));
+  }
+
   recordStreamOrigins(
     peerUrl: string,
     request: RecordStreamOriginsRequest,
