Return a stream of a stopping node to an upstream where it was before

What callers saw: status 200, events, then a closed connection around the SIGTERM of a host, of streams of the most urgent kind that may be resumed. Cause: a route bounds the number of upstreams that a request reaches; the node counted attempts instead. A stream that fell silent at its second, last upstream was left there for the rest of the grace period, though an earlier one would have gone on with it. Why it works: the return reaches no new upstream, takes a retry of the budget, and the stream changes over only once the earlier upstream has its next event.

--- a/packages/arbutustide-node/src/proxy/create_slot_queue.ts
+++ b/packages/arbutustide-node/src/proxy/create_slot_queue.ts
@@ -25,6 +25,8 @@
 import {createHoldBack} from './queue/create_hold_back.js';
 import {createServiceOrder} from './queue/create_service_order.js';
 
+const NONE_EXCLUDED: ReadonlySet<ProxyUpstream> = new Set();
+
 /** Creates the queue of requests that wait for a slot at an upstream. */
 export function createSlotQueue(
   container: DependencyContainer,
@@ -139,8 +141,9 @@
     !progress.isRelayed &&
     !monitor.isCutOff(progress.request.service) &&
     relay.choosePeer(progress) === undefined;
-  return (progress, isUrgent = false) => {
+  return (progress, {isUrgent = false, isCandidate} = {}) => {
     const {request, triedUpstreams} = progress;
+    const excluded = isCandidate ? NONE_EXCLUDED : triedUpstreams;
     const {service, modelRequest} = request;
     const brittleTerms = brittleUpstreams.termsFor(service);
     const settings = {
@@ -149,22 +152,20 @@
       maySend: (upstream: ProxyUpstream) =>
         brittleUpstreams.maySend(upstream, brittleTerms),
     };
-    const candidates = [
+    const compatible = [
       ...compatibleUpstreams(
         upstreamDirectory.listByService(service),
         progress,
       ),
     ];
-    const choice = chooseUpstream(
-      candidates,
-      modelRequest,
-      triedUpstreams,
-      settings,
-    );
+    const candidates = isCandidate
+      ? compatible.filter(isCandidate)
+      : compatible;
+    const choice = chooseUpstream(candidates, modelRequest, excluded, settings);
     const limited = chooseRateLimited(
       candidates,
       modelRequest,
-      triedUpstreams,
+      excluded,
       settings,
     );
     if (choice === NoUpstreamReason.UNREACHABLE && mayWait(progress))
--- a/packages/arbutustide-routing/src/__tests__/unit/handover_decision.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/handover_decision.test.ts
@@ -27,6 +27,7 @@
   handoverCount: 0,
   hasEvents: true,
   isUrgent: false,
+  hasEarlierUpstream: false,
   expectedMilliseconds: 3_000,
   isMovable: false,
   stalledMilliseconds: 600,
@@ -55,6 +56,16 @@
     changes: {attempts: 2},
     expected: HandoverAction.RESUME_URGENTLY,
   },
+  {
+    name: 'returns one without an attempt left to where it was before',
+    changes: {attempts: 2, isUrgent: true, hasEarlierUpstream: true},
+    expected: HandoverAction.RETURN_TO_EARLIER,
+  },
+  {
+    name: 'resumes one elsewhere while it has an attempt left',
+    changes: {attempts: 1, hasEarlierUpstream: true},
+    expected: HandoverAction.RESUME_ELSEWHERE,
+  },
   {
     name: 'moves memory rather than run a stream once more',
     changes: {isMovable: true},
--- /dev/null
+++ b/packages/arbutustide-routing/src/__tests__/unit/last_upstream_stalls.test.ts
@@ -0,0 +1,181 @@
+/**
+ * Guards against streams of a stopping node that are cut because their last
+ * upstream falls silent as well, while an earlier one would go on with them.
+ */
+import type {RequestDecision} from '../../proxy/request_decision.js';
+import type {ProxyUpstream} from '../../proxy/proxy_upstream.js';
+import type {AttemptScript} from './scripted_connector.js';
+
+import {delay} from '@arbutustide/errors';
+import {install} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+
+import {AnswerEnd} from '../../caller_request.js';
+import {StayReason} from '../../proxy/handover/handover_decision.js';
+import {UpstreamState} from '../../proxy/proxy_upstream.js';
+import {RequestKind} from '../../proxy/route.js';
+import {testUpstream} from './proxy_fixtures.js';
+import {
+  connectionLostError,
+  createDispatcher,
+  createRequest,
+  eventIdsIn,
+  readAnswer,
+  respondWith,
+  respondWithEvents,
+  ScriptedConnector,
+} from './scripted_connector.js';
+
+const LEFT_MILLISECONDS = 7_000;
+const REVIEW_MILLISECONDS = 50;
+const EVENT_MILLISECONDS = 10;
+const SECOND = 1_000;
+
+describe('stream whose last upstream stalls in a stop', () => {
+  let clock: ReturnType<typeof install>;
+  let upstreams: ProxyUpstream[];
+  let decisions: RequestDecision[];
+  let answerPeriod: {endsAtMilliseconds: number};
+  let retries: number;
+
+  beforeEach(() => {
+    clock = install();
+    upstreams = ['one', 'two'].map(id => testUpstream(id, ['m']));
+    decisions = [];
+    answerPeriod = {endsAtMilliseconds: Infinity};
+    retries = 10;
+  });
+  afterEach(() => clock.uninstall());
+
+  /** A stream that stalls after these events until it is cancelled. */
+  const stallAfter =
+    (...ids: number[]): AttemptScript =>
+    (_upstream, {cancellation}) =>
+      respondWith({
+        isEventStream: true,
+        body: (async function* () {
+          for (const id of ids) {
+            yield Buffer.from(`id: ${id}\ndata: x\n\n`);
+            await delay(EVENT_MILLISECONDS);
+          }
+          await new Promise((_resolve, reject) =>
+            cancellation.onCancel(() => reject(connectionLostError())),
+          );
+        })(),
+      });
+  const endWith =
+    (...ids: number[]): AttemptScript =>
+    () =>
+      respondWithEvents(ids, true);
+
+  /** Plays a stop that begins as the stream has events. */
+  async function play(
+    scripts: AttemptScript[],
+    atHalf: () => void = () => {},
+  ): Promise<{connector: ScriptedConnector; ids: number[]; end?: AnswerEnd}> {
+    const connector = new ScriptedConnector(scripts);
+    const dispatcher = createDispatcher(
+      connector,
+      () => upstreams,
+      decision => decisions.push(decision),
+      undefined,
+      undefined,
+      undefined,
+      answerPeriod,
+      {tryConsumeRetry: () => (retries -= 1) >= 0},
+    );
+    const request = createRequest(RequestKind.STREAM, true);
+    const reading = readAnswer(
+      await dispatcher.dispatch({
+        ...request,
+        deadlineAtMilliseconds: performance.now() + 2 * LEFT_MILLISECONDS,
+      }),
+    );
+    await clock.tickAsync(EVENT_MILLISECONDS);
+    answerPeriod.endsAtMilliseconds = performance.now() + LEFT_MILLISECONDS;
+    for (let at = 0; at < LEFT_MILLISECONDS; at += REVIEW_MILLISECONDS) {
+      dispatcher.handOverStalledStreams();
+      await clock.tickAsync(REVIEW_MILLISECONDS);
+      if (at === SECOND) atHalf();
+    }
+    dispatcher.giveUp();
+    const {text, end} = await reading;
+    return {connector, ids: eventIdsIn(text), end};
+  }
+
+  it('goes on at the one before', async () => {
+    const {connector, ids, end} = await play([
+      stallAfter(1, 2),
+      stallAfter(3, 4),
+      endWith(5, 6),
+    ]);
+    expect(connector.upstreamIds).to.eql(['one', 'two', 'one']);
+    expect(connector.resumedAfterIds).to.eql([undefined, 2, 4]);
+    expect(ids).to.eql([1, 2, 3, 4, 5, 6]);
+    expect(end).to.equal(AnswerEnd.WHOLE);
+    expect(upstreams.map(({ownInFlight}) => ownInFlight)).to.eql([0, 0]);
+  });
+
+  it('keeps its place there until the one before goes on', async () => {
+    const goingOn: AttemptScript = () =>
+      respondWith({
+        isEventStream: true,
+        body: (async function* () {
+          yield Buffer.from('id: 3\ndata: x\n\n');
+          await delay(EVENT_MILLISECONDS);
+          yield Buffer.from('id: 4\ndata: x\n\n');
+          await delay(1.2 * SECOND);
+          yield Buffer.from('id: 5\ndata: x\n\n');
+        })(),
+      });
+    const {connector, ids, end} = await play([
+      stallAfter(1, 2),
+      goingOn,
+      stallAfter(),
+    ]);
+    expect(connector.upstreamIds).to.eql(['one', 'two', 'one']);
+    expect(ids).to.eql([1, 2, 3, 4, 5]);
+    expect(end).to.equal(AnswerEnd.WHOLE);
+  });
+
+  it('does not go back to one that is leaving', async () => {
+    const {connector, ids} = await play(
+      [stallAfter(1, 2), stallAfter(3, 4)],
+      () => {
+        const [{description}] = upstreams;
+        upstreams[0].updateDescription({
+          ...description,
+          state: UpstreamState.LEAVING,
+        });
+      },
+    );
+    expect(connector.upstreamIds).to.eql(['one', 'two']);
+    expect(ids).to.eql([1, 2, 3, 4]);
+    expect(decisions.at(-1)).to.include({
+      stayReason: StayReason.NO_UPSTREAM,
+    });
+  });
+
+  it('does not go back without a retry', async () => {
+    retries = 1;
+    const {connector, ids} = await play([stallAfter(1, 2), stallAfter(3, 4)]);
+    expect(connector.upstreamIds).to.eql(['one', 'two']);
+    expect(ids).to.eql([1, 2, 3, 4]);
+    expect(decisions.at(-1)).to.deep.include({
+      stayReason: StayReason.NO_RETRY_LEFT,
+      triedUpstreams: ['one', 'two'],
+    });
+  });
+
+  it('reaches no more upstreams than its route allows', async () => {
+    upstreams.push(testUpstream('three', ['m']));
+    const {connector} = await play([
+      stallAfter(1, 2),
+      stallAfter(3, 4),
+      stallAfter(5, 6),
+      stallAfter(7, 8),
+    ]);
+    expect(new Set(connector.upstreamIds).size).to.equal(2);
+    expect(connector.upstreamIds).to.have.lengthOf(4);
+  });
+});
--- a/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
@@ -142,11 +142,16 @@
     random: () => 0,
   };
   const queue = new SlotQueue({
-    chooseUpstream: ({request, triedUpstreams: tried, origin}) =>
+    chooseUpstream: (
+      {request, triedUpstreams: tried, origin},
+      {isCandidate} = {},
+    ) =>
       chooseUpstream(
-        compatibleUpstreams(upstreams(), {origin}),
+        [...compatibleUpstreams(upstreams(), {origin})].filter(
+          upstream => isCandidate?.(upstream) ?? true,
+        ),
         request.modelRequest,
-        tried,
+        isCandidate ? new Set() : tried,
         settings,
       ),
     predictWaitMilliseconds: ({request}, reason, ahead) =>
--- a/packages/arbutustide-routing/src/proxy/attempt_maker.ts
+++ b/packages/arbutustide-routing/src/proxy/attempt_maker.ts
@@ -82,6 +82,18 @@
     return slot && this.withTarget(slot);
   }
 
+  /**
+   * A slot at one of the upstreams that the request was sent to before, except
+   * the one where it is; undefined if none of them has room.
+   */
+  tryTakeEarlierSlot(
+    progress: RoutedRequestProgress,
+    current: ProxyUpstream | undefined,
+  ): AttemptSlot | undefined {
+    const slot = this.queue.tryTakeEarlierSlot(progress, current);
+    return slot && this.withTarget(slot);
+  }
+
   /** A slot at this upstream, whether it has a free one or not. */
   takeSlotAt(
     progress: RoutedRequestProgress,
--- a/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
@@ -8,6 +8,8 @@
   RESUME_ELSEWHERE = 'resume_elsewhere',
   /** Runs once more after its last event, more urgently, where it was. */
   RESUME_URGENTLY = 'resume_urgently',
+  /** Runs once more after its last event, at an upstream it was at before. */
+  RETURN_TO_EARLIER = 'return_to_earlier',
   /** Goes on as the same run, from a copy of its memory. */
   MOVE_MEMORY = 'move_memory',
   /** Is refused at once, for its caller to repeat it. */
@@ -28,7 +30,7 @@
   HANDED_OVER_BEFORE = 'handed_over_before',
   /** It must not run again, and its memory cannot be moved. */
   NOT_MOVABLE = 'not_movable',
-  /** It has no attempt left and is as urgent as it can be. */
+  /** It has no attempt left, is as urgent as it can be, and was nowhere else. */
   NO_ATTEMPT_LEFT = 'no_attempt_left',
   /** No retry is left in the budget of its service. */
   NO_RETRY_LEFT = 'no_retry_left',
@@ -45,6 +47,8 @@
   readonly hasEvents: boolean;
   /** Whether its upstream was told to serve it before others. */
   readonly isUrgent: boolean;
+  /** Whether it was at another upstream before. */
+  readonly hasEarlierUpstream: boolean;
   /**
    * Time that a stream of its kind is likely to take once it has begun, of one
    * without events; undefined if that is not known.
@@ -95,6 +99,8 @@
   if (input.isMovable) return HandoverAction.MOVE_MEMORY;
   if (!isRepeatable(route)) return StayReason.NOT_MOVABLE;
   if (attempts < route.maximumAttempts) return HandoverAction.RESUME_ELSEWHERE;
+  // The route bounds the number of upstreams, not of attempts at one of them.
+  if (input.hasEarlierUpstream) return HandoverAction.RETURN_TO_EARLIER;
   return input.isUrgent
     ? StayReason.NO_ATTEMPT_LEFT
     : HandoverAction.RESUME_URGENTLY;
--- a/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
@@ -108,14 +108,17 @@
     HandoverInput,
     'leftMilliseconds' | 'expectedMilliseconds'
   > {
-    const {progress, timeline, handoverCount, isUrgent} = this;
+    const {progress, timeline, handoverCount, isUrgent, upstream} = this;
     return {
       route: progress.request.route,
       attempts: progress.attempts,
       handoverCount,
       isUrgent,
+      hasEarlierUpstream: [...progress.triedUpstreams].some(
+        tried => tried !== upstream,
+      ),
       hasEvents: timeline.hasEvents,
-      isMovable: this.isMovable && this.upstream !== undefined,
+      isMovable: this.isMovable && upstream !== undefined,
       stalledMilliseconds: timeline.stalledMilliseconds,
       usualPauseMilliseconds: timeline.usualPauseMilliseconds,
     };
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -48,7 +48,11 @@
   readonly attempts: StreamReplacementsOptions['attempts'] &
     Pick<
       AttemptMaker,
-      'tryTakeSlot' | 'takeSlotAt' | 'tryConsumeRetry' | 'tryReservePlace'
+      | 'tryTakeSlot'
+      | 'tryTakeEarlierSlot'
+      | 'takeSlotAt'
+      | 'tryConsumeRetry'
+      | 'tryReservePlace'
     >;
   readonly onHandover: (
     progress: RoutedRequestProgress,
@@ -90,6 +94,11 @@
         ),
       [HandoverAction.RESUME_URGENTLY]: stream =>
         this.startResuming(stream, this.takeSlotAgain(stream)),
+      [HandoverAction.RETURN_TO_EARLIER]: stream =>
+        this.startResuming(
+          stream,
+          this.takeEarlierSlot(stream) ?? this.takeSlotAgain(stream),
+        ),
       [HandoverAction.MOVE_MEMORY]: stream => this.startMoving(stream),
       [HandoverAction.REFUSE]: stream => {
         stream.refuse();
@@ -306,6 +315,14 @@
     };
   }
 
+  /** A slot at an upstream where the stream was before. */
+  private takeEarlierSlot({
+    progress,
+    upstream,
+  }: OpenStream): AttemptSlot | undefined {
+    return this.options.attempts.tryTakeEarlierSlot(progress, upstream);
+  }
+
   /** A slot where the stream is, unless it is urgent there or at a peer. */
   private takeSlotAgain({
     progress,
--- a/packages/arbutustide-routing/src/proxy/queue/slot_queue_options.ts
+++ b/packages/arbutustide-routing/src/proxy/queue/slot_queue_options.ts
@@ -15,15 +15,20 @@
   recordEnded(request: RoutedRequest, hadSlot: boolean): void;
 }
 
+/** Terms of the choice of an upstream for one request. */
+export interface ChoiceTerms {
+  /** An urgent request may go to an upstream whose slots are taken. */
+  readonly isUrgent?: boolean;
+  /** The upstreams that it may go to; those not yet tried if absent. */
+  readonly isCandidate?: (upstream: ProxyUpstream) => boolean;
+}
+
 /** Policies and callbacks of a slot queue. */
 export interface SlotQueueOptions {
-  /**
-   * Chooses among the upstreams as they are now. An urgent request may go to one
-   * whose slots are taken.
-   */
+  /** Chooses among the upstreams as they are now. */
   readonly chooseUpstream: (
     progress: RoutedRequestProgress,
-    isUrgent?: boolean,
+    terms?: ChoiceTerms,
   ) => UpstreamChoice;
   /**
    * Predicted time until a slot is free, in milliseconds; undefined if none is
--- a/packages/arbutustide-routing/src/proxy/slot_queue.ts
+++ b/packages/arbutustide-routing/src/proxy/slot_queue.ts
@@ -1,5 +1,3 @@
-import type {Result} from 'ts-results';
-
 import type {PendingAdmission} from './brittleness/upstream_admission.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
 import type {ProxyUpstream} from './proxy_upstream.js';
@@ -9,6 +7,7 @@
   UpstreamSlot,
 } from './queue/slot_queue_options.js';
 import type {Blocked} from './queue/queue_order.js';
+import type {BlockedRequests, SlotResult, Waiter} from './queue/waiter.js';
 import type {Prospect, WaitingRequest} from './queue/early_refusal.js';
 import type {RefusalError} from '@arbutustide/errors';
 
@@ -30,25 +29,6 @@
   remainingQueueMilliseconds,
 } from './routed_request_progress.js';
 
-type SlotResult = Result<UpstreamSlot, RefusalError>;
-
-interface Waiter {
-  readonly progress: RoutedRequestProgress;
-  readonly queuedAtMilliseconds: number;
-  /** Undefined until its wait depends on slots that come free. */
-  prospect: Prospect | undefined;
-  isQueued: boolean;
-  /** Why it got no slot when it last looked for one. */
-  reason: NoUpstreamReason;
-  readonly settle: (result: SlotResult) => void;
-}
-
-/** Requests with the same requirements that found no slot in a scan. */
-interface BlockedRequests {
-  count: number;
-  readonly reason: NoUpstreamReason;
-}
-
 /**
  * Queue of requests that wait for a slot at an upstream. It absorbs bursts and
  * lost upstreams. Requests queue here and not at the upstreams, because here a
@@ -98,12 +78,31 @@
     const {chooseUpstream} = this.options;
     const free = chooseUpstream(progress);
     const choice = isNoUpstreamReason(free)
-      ? chooseUpstream(progress, true)
+      ? chooseUpstream(progress, {isUrgent: true})
       : free;
     if (isNoUpstreamReason(choice)) return undefined;
     return this.takeSlotAt(progress, choice);
   }
 
+  /**
+   * Takes a slot now at one of the upstreams that the request was sent to before,
+   * except the one where it is; undefined if none of them has room.
+   */
+  tryTakeEarlierSlot(
+    progress: RoutedRequestProgress,
+    current: ProxyUpstream | undefined,
+  ): UpstreamSlot | undefined {
+    const {triedUpstreams} = progress;
+    const choice = this.options.chooseUpstream(progress, {
+      isUrgent: true,
+      isCandidate: upstream =>
+        triedUpstreams.has(upstream) && upstream !== current,
+    });
+    return isNoUpstreamReason(choice)
+      ? undefined
+      : this.takeSlotAt(progress, choice);
+  }
+
   /** Takes a slot at an upstream, whether one is free or not. */
   takeSlotAt(
     progress: RoutedRequestProgress,
