Publish the requests of a node in one field of its record

Cause: a node publishes a field for each upstream and each model or adapter it has requests at or for. Under load most of them change between two exchanges, and each node writes and reads those of all peers by reflection, several times a second: work that grows with the fleet and with trouble. Removed fields stay in the peers' records as tombstones. Change: message NodeActivity, two texts of lines, read once by each node; the form before while a node of a lower protocol level is known. The summary over the records moves to a file of its own. published_load.test.ts looked for the field's key; it now plays both forms and judges by what a peer's view has after an exchange, with three more cases.

--- a/packages/arbutustide-membership/src/cluster_view.ts
+++ b/packages/arbutustide-membership/src/cluster_view.ts
@@ -1,16 +1,18 @@
 import type {
-  Field,
   LostUpstreams,
   SegmentQuarantine,
   SegmentSurvivals,
   UpstreamCrash,
   UpstreamHoldings,
 } from './gen/arbutustide/membership/v1/membership_pb.js';
+import type {ClusterSummary} from './cluster_summary.js';
 import type {MemberTable} from './member_table.js';
 import type {PeerObservation, PeerRateLimit} from './peer_observation.js';
+import type {ProtocolLevel} from './protocol_level.js';
 
 import {NodeState} from './gen/arbutustide/membership/v1/membership_pb.js';
-import {findNodeStatus, NODE_STATUS_KEY} from './member_record.js';
+import {emptyDemand, summarizePeers} from './cluster_summary.js';
+import {NODE_STATUS_KEY} from './member_record.js';
 
 /** A summary older than this is recomputed when it is read. */
 const MAXIMUM_SUMMARY_AGE_MILLISECONDS = 100;
@@ -38,136 +40,6 @@
   readonly queuedByPriority: number[];
 }
 
-/** What the records of all peers add up to. */
-interface ClusterSummary {
-  readonly computedAtMilliseconds: number;
-  /** Changes of the peers' records that it covers. */
-  readonly peerChanges: number;
-  readonly peers: ClusterNode[];
-  /** Number of peers that serve callers. */
-  readyPeerCount: number;
-  readonly requestsInFlightByUpstream: Map<string, number>;
-  /** The same by the failure domain of the peers. */
-  readonly requestsInFlightByDomain: Map<string, Map<string, number>>;
-  readonly demandByEntry: Map<string, DemandSummary>;
-  readonly observations: PeerObservation[];
-  /** Upstream crashes counted by peers, by request fingerprint. */
-  readonly crashCountByFingerprint: Map<string, number>;
-  /** Fingerprints of suspected requests that some peer is running. */
-  readonly runningSuspects: Set<string>;
-  readonly crashes: UpstreamCrash[];
-  readonly quarantines: SegmentQuarantine[];
-  readonly rateLimits: PeerRateLimit[];
-  /** Survivals of suspected prompt segments, by the peer's identity. */
-  readonly survivalsByPeer: Map<string, SegmentSurvivals>;
-  /** Services and upstreams that peers cannot reach, by peer and service. */
-  readonly lostUpstreamsByPeer: Map<string, Map<string, LostUpstreams>>;
-  readonly requestsInFlightByPeer: Map<string, number>;
-  /** Least rejections a second that upstreams survive, by brittle service. */
-  readonly rejectionsByBrittleService: Map<string, number>;
-  /** Start times of leaving upstream processes, by upstream. */
-  readonly departuresByUpstream: Map<string, number>;
-  /** Holdings published by the planner with the highest epoch. */
-  readonly holdingsByUpstream: Map<string, UpstreamHoldings>;
-  holdingsEpoch: number;
-}
-
-type FieldCase = NonNullable<Field['value']['case']>;
-/** Adds one field of a peer's record to the summary. */
-type FieldCollector = (
-  field: Field,
-  writer: string,
-  summary: ClusterSummary,
-) => void;
-
-const COLLECTORS: Readonly<Record<FieldCase, FieldCollector>> = {
-  status: () => {},
-  load: (field, writer, summary) => {
-    if (field.value.case !== 'load') return;
-    const {upstreamId, inFlight} = field.value.value;
-    summary.requestsInFlightByPeer.set(
-      writer,
-      (summary.requestsInFlightByPeer.get(writer) ?? 0) + inFlight,
-    );
-    summary.requestsInFlightByUpstream.set(
-      upstreamId,
-      (summary.requestsInFlightByUpstream.get(upstreamId) ?? 0) + inFlight,
-    );
-  },
-  demand: (field, _writer, summary) => {
-    if (field.value.case !== 'demand') return;
-    const {entry, inFlight, queued, queuedByPriority} = field.value.value;
-    const sum = summary.demandByEntry.get(entry) ?? emptyDemand();
-    sum.inFlight += inFlight;
-    sum.queued += queued;
-    for (const [priority, count] of queuedByPriority.entries()) {
-      sum.queuedByPriority[priority] =
-        (sum.queuedByPriority[priority] ?? 0) + count;
-    }
-    summary.demandByEntry.set(entry, sum);
-  },
-  observation: (field, writer, summary) => {
-    if (field.value.case !== 'observation') return;
-    const {sequence} = field;
-    summary.observations.push({
-      observation: field.value.value,
-      sequence,
-      writer,
-    });
-  },
-  suspicion: (field, _writer, summary) => {
-    if (field.value.case !== 'suspicion') return;
-    const {fingerprint, crashes, running} = field.value.value;
-    if (running) summary.runningSuspects.add(fingerprint);
-    const known = summary.crashCountByFingerprint.get(fingerprint) ?? 0;
-    summary.crashCountByFingerprint.set(fingerprint, known + crashes);
-  },
-  brittleService: (field, _writer, summary) => {
-    if (field.value.case !== 'brittleService') return;
-    const {service, rejectionsPerSecond} = field.value.value;
-    const known = summary.rejectionsByBrittleService.get(service) ?? Infinity;
-    summary.rejectionsByBrittleService.set(
-      service,
-      Math.min(known, rejectionsPerSecond),
-    );
-  },
-  lostUpstreams: (field, writer, summary) => {
-    if (field.value.case !== 'lostUpstreams') return;
-    const lost = summary.lostUpstreamsByPeer.get(writer) ?? new Map();
-    lost.set(field.value.value.service, field.value.value);
-    summary.lostUpstreamsByPeer.set(writer, lost);
-  },
-  crash: (field, _writer, summary) => {
-    if (field.value.case === 'crash') summary.crashes.push(field.value.value);
-  },
-  quarantine: (field, _writer, summary) => {
-    if (field.value.case === 'quarantine')
-      summary.quarantines.push(field.value.value);
-  },
-  survivals: (field, writer, summary) => {
-    if (field.value.case === 'survivals')
-      summary.survivalsByPeer.set(writer, field.value.value);
-  },
-  rateLimit: (field, writer, summary) => {
-    if (field.value.case !== 'rateLimit') return;
-    const {sequence} = field;
-    summary.rateLimits.push({limit: field.value.value, sequence, writer});
-  },
-  departure: (field, _writer, summary) => {
-    if (field.value.case !== 'departure') return;
-    const {upstreamId, upstreamStartedAt} = field.value.value;
-    summary.departuresByUpstream.set(upstreamId, Number(upstreamStartedAt));
-  },
-  holdings: (field, _writer, summary) => {
-    if (field.value.case !== 'holdings') return;
-    const {epoch, upstreamId} = field.value.value;
-    if (epoch < summary.holdingsEpoch) return;
-    if (epoch > summary.holdingsEpoch) summary.holdingsByUpstream.clear();
-    summary.holdingsEpoch = epoch;
-    summary.holdingsByUpstream.set(upstreamId, field.value.value);
-  },
-};
-
 /**
  * Read access to what all nodes published. Values that cover the peers are
  * summed over their records and cached, so they may be up to
@@ -190,6 +62,11 @@
     return this.nodes().filter(node => node.state === NodeState.READY);
   }
 
+  /** Whether the builds of all known nodes have at least this level. */
+  haveAllLevel(level: ProtocolLevel): boolean {
+    return this.nodes().every(({protocolLevel}) => protocolLevel >= level);
+  }
+
   /** The node that publishes the highest epoch of the planner's lease. */
   findPlanner(): ClusterNode | undefined {
     let planner: ClusterNode | undefined;
@@ -335,55 +212,3 @@
     return this.summary;
   }
 }
-
-function summarizePeers(table: MemberTable, now: number): ClusterSummary {
-  const summary: ClusterSummary = {
-    computedAtMilliseconds: now,
-    peerChanges: table.peerChanges,
-    peers: [],
-    readyPeerCount: 0,
-    requestsInFlightByUpstream: new Map(),
-    requestsInFlightByDomain: new Map(),
-    demandByEntry: new Map(),
-    observations: [],
-    crashCountByFingerprint: new Map(),
-    runningSuspects: new Set(),
-    crashes: [],
-    quarantines: [],
-    rateLimits: [],
-    survivalsByPeer: new Map(),
-    lostUpstreamsByPeer: new Map(),
-    requestsInFlightByPeer: new Map(),
-    rejectionsByBrittleService: new Map(),
-    departuresByUpstream: new Map(),
-    holdingsByUpstream: new Map(),
-    holdingsEpoch: 0,
-  };
-  for (const record of table.peerRecords()) {
-    const status = findNodeStatus(record);
-    if (status) summary.peers.push({...status, identity: record.identity});
-    if (status?.state === NodeState.READY) summary.readyPeerCount += 1;
-    for (const field of record.fields.values()) {
-      const {case: fieldCase} = field.value;
-      if (status) addLoadOfDomain(field, status.failureDomain, summary);
-      if (fieldCase) COLLECTORS[fieldCase](field, record.identity, summary);
-    }
-  }
-  return summary;
-}
-
-function addLoadOfDomain(
-  {value}: Field,
-  failureDomain: string,
-  {requestsInFlightByDomain}: ClusterSummary,
-): void {
-  if (value.case !== 'load') return;
-  const {upstreamId, inFlight} = value.value;
-  const counts = requestsInFlightByDomain.get(failureDomain) ?? new Map();
-  counts.set(upstreamId, (counts.get(upstreamId) ?? 0) + inFlight);
-  requestsInFlightByDomain.set(failureDomain, counts);
-}
-
-function emptyDemand(): DemandSummary {
-  return {inFlight: 0, queued: 0, queuedByPriority: []};
-}
--- a/packages/arbutustide-membership/src/index.ts
+++ b/packages/arbutustide-membership/src/index.ts
@@ -30,6 +30,7 @@
 export type {GossipOptions, PeerAddress} from './gossip.js';
 export type {MemberRecord} from './member_record.js';
 export type {FieldValue} from './own_record.js';
+export type {PublishedDemand, PublishedLoad} from './node_activity.js';
 export type {PeerObservation, PeerRateLimit} from './peer_observation.js';
 export type {
   ConfirmConfigurationResponseFields,
@@ -44,6 +45,7 @@
 } from './peer_transport.js';
 
 export {ClusterView} from './cluster_view.js';
+export {formatDemands, formatLoads} from './node_activity.js';
 export {ProtocolLevel} from './protocol_level.js';
 export {ConnectPeerServer} from './connect_peer_server.js';
 export {ConnectPeerTransport} from './connect_peer_transport.js';
@@ -64,6 +66,7 @@
   LostRequestsSchema,
   LostUpstreamsSchema,
   NodeState,
+  NodeActivitySchema,
   NodeStatusSchema,
   RecordStreamOriginsRequestSchema,
   RelayRequestRequestSchema,
--- a/packages/arbutustide-membership/src/protocol_level.ts
+++ b/packages/arbutustide-membership/src/protocol_level.ts
@@ -4,6 +4,6 @@
   INITIAL = 0,
   /** Teams in relayed requests, ConfirmConfiguration and LeaseQuota. */
   TEAMS = 1,
-  /** LendRetries. */
+  /** LendRetries, and all requests of a node in one field. */
   RETRY_LOANS = 2,
 }
--- a/packages/arbutustide-node/src/__tests__/unit/published_load.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/published_load.test.ts
@@ -15,11 +15,11 @@
 import {NodeStatusPublisher} from '../../node_status_publisher.js';
 
 const EXPIRY_MILLISECONDS = 3_500;
-const LOAD_KEY = 'load/upstream-1';
+const UPSTREAM_ID = 'upstream-1';
 
-function createUpstream(): ProxyUpstream {
+function createUpstream(id = UPSTREAM_ID): ProxyUpstream {
   return new ProxyUpstream({
-    id: 'upstream-1',
+    id,
     service: 'service',
     address: '10.0.0.1:80',
     failureDomain: 'near',
@@ -40,76 +40,112 @@
   return {service: 'service', route, modelRequest} as RoutedRequest;
 }
 
-describe('load that a node publishes', () => {
-  let upstream: ProxyUpstream;
-  let table: MemberTable;
-  let publisher: NodeStatusPublisher;
-  let demand: DemandCounter;
-
-  /** What a peer knows of the demand after an exchange. */
-  function readByPeer(entry: string) {
-    const ownRecord = new OwnRecord('peer', EXPIRY_MILLISECONDS);
-    const peerTable = new MemberTable(ownRecord, EXPIRY_MILLISECONDS);
-    peerTable.merge(table.deltasSince(peerTable.sequences()));
-    return new ClusterView(peerTable).peerDemands().get(entry);
-  }
-
-  beforeEach(() => {
-    demand = new DemandCounter();
-    upstream = createUpstream();
-    upstream.ownInFlight = 3;
-    const ownRecord = new OwnRecord('node', EXPIRY_MILLISECONDS);
-    table = new MemberTable(ownRecord, EXPIRY_MILLISECONDS);
-    publisher = new NodeStatusPublisher(
-      table,
-      {name: 'node', peerUrl: '', region: '', failureDomain: 'near'},
-      {all: () => [upstream]},
-      demand,
-      new PoisonRequestDetector(
-        1_000,
-        {crashes: () => 0, runsOtherSuspects: () => false},
+const FORMS = [
+  {form: 'in one field', isUnderstood: true},
+  {form: 'in fields that older builds understand', isUnderstood: false},
+];
+
+for (const {form, isUnderstood} of FORMS)
+  describe(`load that a node publishes ${form}`, () => {
+    let areActivitiesUnderstood: boolean;
+    let upstreams: ProxyUpstream[];
+    let upstream: ProxyUpstream;
+    let table: MemberTable;
+    let publisher: NodeStatusPublisher;
+    let demand: DemandCounter;
+
+    /** What a peer knows after an exchange. */
+    function viewOfPeer(): ClusterView {
+      const ownRecord = new OwnRecord('peer', EXPIRY_MILLISECONDS);
+      const peerTable = new MemberTable(ownRecord, EXPIRY_MILLISECONDS);
+      peerTable.merge(table.deltasSince(peerTable.sequences()));
+      return new ClusterView(peerTable);
+    }
+
+    const readByPeer = (entry: string) => viewOfPeer().peerDemands().get(entry);
+    const loadByPeer = () => viewOfPeer().peerRequestsInFlight(UPSTREAM_ID);
+
+    beforeEach(() => {
+      demand = new DemandCounter();
+      areActivitiesUnderstood = isUnderstood;
+      upstream = createUpstream();
+      upstream.ownInFlight = 3;
+      upstreams = [upstream];
+      const ownRecord = new OwnRecord('node', EXPIRY_MILLISECONDS);
+      table = new MemberTable(ownRecord, EXPIRY_MILLISECONDS);
+      publisher = new NodeStatusPublisher(
+        table,
+        {name: 'node', peerUrl: '', region: '', failureDomain: 'near'},
+        {all: () => upstreams},
+        demand,
+        new PoisonRequestDetector(
+          1_000,
+          {crashes: () => 0, runsOtherSuspects: () => false},
+          3,
+        ),
+        () => 1,
+        () => 0,
+        () => [],
+        () => areActivitiesUnderstood,
+      );
+    });
+
+    it('counts requests at an upstream that it reaches', () => {
+      publisher.publish();
+      expect(loadByPeer()).to.equal(3);
+      expect(viewOfPeer().requestsInFlightAt('node')).to.equal(3);
+      expect(viewOfPeer().peerRequestsInFlight(UPSTREAM_ID, 'near')).to.equal(
         3,
-      ),
-      () => 1,
-    );
-  });
+      );
+      expect(viewOfPeer().peerRequestsInFlight(UPSTREAM_ID, 'far')).to.equal(0);
+    });
 
-  it('counts requests at an upstream that it reaches', () => {
-    publisher.publish();
-    const value = table.ownRecord.get(LOAD_KEY);
-    expect(value?.case === 'load' && value.value.inFlight).to.equal(3);
-  });
+    it('counts none at an upstream that it has lost, until it is back', () => {
+      upstream.reachability.recordNoPath(performance.now());
+      publisher.publish();
+      expect(loadByPeer()).to.equal(0);
+      upstream.reachability.recordAnswer(performance.now() + 1);
+      publisher.publish();
+      expect(loadByPeer()).to.equal(3);
+    });
 
-  it('counts none at an upstream that it has lost, until it is back', () => {
-    upstream.reachability.recordNoPath(performance.now());
-    publisher.publish();
-    expect(table.ownRecord.get(LOAD_KEY)).to.equal(undefined);
-    upstream.reachability.recordAnswer(performance.now() + 1);
-    publisher.publish();
-    expect(table.ownRecord.get(LOAD_KEY)?.case).to.equal('load');
-  });
+    it('counts none any more once they have ended', () => {
+      publisher.publish();
+      upstream.ownInFlight = 0;
+      publisher.publish();
+      expect(loadByPeer()).to.equal(0);
+    });
 
-  it('tells peers what is queued for a model, by priority, until it is not', () => {
-    demand.recordQueued(createRequest(2, 'm'));
-    demand.recordQueued(createRequest(0, 'm'));
-    demand.recordQueued(createRequest(2, 'm'));
-    demand.recordSlotTaken(createRequest(2, 'm'));
-    publisher.publish();
-    expect(readByPeer('service/m')?.queuedByPriority).to.deep.equal([1, 0, 1]);
-    demand.recordSlotTaken(createRequest(0, 'm'));
-    demand.recordEnded(createRequest(2, 'm'), false);
-    publisher.publish();
-    expect(readByPeer('service/m')?.queuedByPriority).to.deep.equal([]);
-  });
+    it('counts each request once as the form changes', () => {
+      publisher.publish();
+      areActivitiesUnderstood = !isUnderstood;
+      publisher.publish();
+      expect(loadByPeer()).to.equal(3);
+    });
+
+    it('tells peers what is queued for a model, by priority, until it is not', () => {
+      demand.recordQueued(createRequest(2, 'm'));
+      demand.recordQueued(createRequest(0, 'm'));
+      demand.recordQueued(createRequest(2, 'm'));
+      demand.recordSlotTaken(createRequest(2, 'm'));
+      publisher.publish();
+      expect(readByPeer('service/m')?.queuedByPriority).to.deep.equal([
+        1, 0, 1,
+      ]);
+      demand.recordSlotTaken(createRequest(0, 'm'));
+      demand.recordEnded(createRequest(2, 'm'), false);
+      publisher.publish();
+      expect(readByPeer('service/m')?.queuedByPriority).to.deep.equal([]);
+    });
 
-  it('tells peers what is queued for a plain service, and nothing without', () => {
-    demand.recordQueued(createRequest(1, undefined));
-    publisher.publish();
-    const published = readByPeer('service/');
-    expect(published?.queuedByPriority).to.deep.equal([0, 1]);
-    expect(published?.inFlight).to.equal(0);
-    demand.recordSlotTaken(createRequest(1, undefined));
-    publisher.publish();
-    expect(readByPeer('service/')).to.equal(undefined);
+    it('tells peers what is queued for a plain service, and nothing without', () => {
+      demand.recordQueued(createRequest(1, undefined));
+      publisher.publish();
+      const published = readByPeer('service/');
+      expect(published?.queuedByPriority).to.deep.equal([0, 1]);
+      expect(published?.inFlight).to.equal(0);
+      demand.recordSlotTaken(createRequest(1, undefined));
+      publisher.publish();
+      expect(readByPeer('service/')).to.equal(undefined);
+    });
   });
-});
--- a/packages/arbutustide-node/src/create_node_core.ts
+++ b/packages/arbutustide-node/src/create_node_core.ts
@@ -14,6 +14,7 @@
   Gossip,
   MemberTable,
   OwnRecord,
+  ProtocolLevel,
 } from '@arbutustide/membership';
 import {Planner, PlannerLease} from '@arbutustide/placement';
 import {
@@ -83,6 +84,25 @@
   return container.resolve(NodeCore);
 }
 
+function createStatusPublisher(
+  container: DependencyContainer,
+): NodeStatusPublisher {
+  const {settings, identity} = container.resolve(NODE_DEPENDENCIES);
+  const {name, region, failureDomain} = settings.node;
+  const clusterView = container.resolve(CLUSTER_VIEW);
+  return new NodeStatusPublisher(
+    container.resolve(MEMBER_TABLE),
+    {name, peerUrl: identity.peerUrl, region, failureDomain},
+    container.resolve(UPSTREAM_DIRECTORY),
+    container.resolve(ADMISSION_CONTROLLER),
+    container.resolve(POISON_REQUEST_DETECTOR),
+    () => container.resolve(CATALOGUE_HOLDER).revision,
+    () => 0,
+    () => [],
+    () => clusterView.haveAllLevel(ProtocolLevel.RETRY_LOANS),
+  );
+}
+
 function registerMembership(
   register: RegisterFactory,
   {settings, identity, transport, random}: NodeDependencies,
@@ -109,23 +129,7 @@
         random,
       }),
   );
-  register(
-    NODE_STATUS_PUBLISHER,
-    container =>
-      new NodeStatusPublisher(
-        container.resolve(MEMBER_TABLE),
-        {
-          name: node.name,
-          peerUrl: identity.peerUrl,
-          region: node.region,
-          failureDomain: node.failureDomain,
-        },
-        container.resolve(UPSTREAM_DIRECTORY),
-        container.resolve(ADMISSION_CONTROLLER),
-        container.resolve(POISON_REQUEST_DETECTOR),
-        () => container.resolve(CATALOGUE_HOLDER).revision,
-      ),
-  );
+  register(NODE_STATUS_PUBLISHER, createStatusPublisher);
   register(
     REPORT_POLLER,
     container =>
--- a/packages/arbutustide-node/src/node_status_publisher.ts
+++ b/packages/arbutustide-node/src/node_status_publisher.ts
@@ -1,8 +1,16 @@
-import type {FieldValue, MemberTable} from '@arbutustide/membership';
+import type {
+  FieldValue,
+  MemberTable,
+  PublishedDemand,
+  PublishedLoad,
+} from '@arbutustide/membership';
 import type {EntryLoad, PoisonRequestDetector} from '@arbutustide/routing';
 
 import {
   EntryDemandSchema,
+  formatDemands,
+  formatLoads,
+  NodeActivitySchema,
   NodeState,
   NodeStatusSchema,
   NODE_STATUS_KEY,
@@ -13,6 +21,9 @@
 } from '@arbutustide/membership';
 import {create} from '@bufbuild/protobuf';
 
+/** Key of the field with all requests of the node. */
+const ACTIVITY_KEY = 'activity';
+
 /** Fields of the node status that do not change while the process runs. */
 export interface StaticNodeStatus {
   readonly name: string;
@@ -60,6 +71,8 @@
     private readonly listOtherFields: () => Iterable<
       readonly [string, FieldValue]
     > = () => [],
+    /** Whether all nodes read the requests of a node from one field. */
+    private readonly areActivitiesUnderstood: () => boolean = () => true,
   ) {
     this.publishStatus();
   }
@@ -81,8 +94,10 @@
   publish(): void {
     this.publishStatus();
     const keys = new Set<string>();
-    for (const key of this.publishLoads()) keys.add(key);
-    for (const key of this.publishDemands()) keys.add(key);
+    const publishRequests = this.areActivitiesUnderstood()
+      ? this.publishActivity()
+      : this.publishByKey();
+    for (const key of publishRequests) keys.add(key);
     for (const key of this.publishSuspicions()) keys.add(key);
     for (const key of this.publishDepartures()) keys.add(key);
     for (const [key, value] of this.listOtherFields()) {
@@ -106,36 +121,49 @@
     this.memberTable.ownRecord.set(NODE_STATUS_KEY, {case: 'status', value});
   }
 
-  private *publishLoads(): Generator<string> {
+  private *publishActivity(): Generator<string> {
+    const loads = formatLoads(this.listLoads());
+    const demands = formatDemands(this.listDemands());
+    if (loads === '' && demands === '') return;
+    const value = create(NodeActivitySchema, {loads, demands});
+    this.memberTable.ownRecord.set(ACTIVITY_KEY, {case: 'activity', value});
+    yield ACTIVITY_KEY;
+  }
+
+  /** Publishes a field for each load and demand, as older builds need them. */
+  private *publishByKey(): Generator<string> {
+    const {ownRecord} = this.memberTable;
+    for (const load of this.listLoads()) {
+      const key = `load/${load.upstreamId}`;
+      const value = create(UpstreamLoadSchema, load);
+      ownRecord.set(key, {case: 'load', value});
+      yield key;
+    }
+    for (const demand of this.listDemands()) {
+      const key = `demand/${demand.entry}`;
+      const queuedByPriority = [...demand.queuedByPriority];
+      const value = create(EntryDemandSchema, {...demand, queuedByPriority});
+      ownRecord.set(key, {case: 'demand', value});
+      yield key;
+    }
+  }
+
+  private *listLoads(): Generator<PublishedLoad> {
     for (const upstream of this.loadSource.all()) {
       const {id, ownInFlight, publishedInFlight = ownInFlight} = upstream;
       if (publishedInFlight === 0) continue;
-      const key = `load/${id}`;
-      const value = create(UpstreamLoadSchema, {
-        upstreamId: id,
-        inFlight: publishedInFlight,
-      });
-      this.memberTable.ownRecord.set(key, {case: 'load', value});
-      yield key;
+      yield {upstreamId: id, inFlight: publishedInFlight};
     }
   }
 
-  private *publishDemands(): Generator<string> {
+  private *listDemands(): Generator<PublishedDemand> {
     for (const load of this.demandSource.loads()) {
-      const {entryName, inFlight, queued, queuedByPriority = []} = load;
+      const {entryName: entry, inFlight, queued} = load;
       if (inFlight + queued === 0) continue;
-      const key = `demand/${entryName}`;
-      const value = create(EntryDemandSchema, {
-        entry: entryName,
-        inFlight,
-        queued,
-        // Absent while none is queued, so that the field changes less often.
-        queuedByPriority: queuedByPriority.some(count => count > 0)
-          ? [...queuedByPriority]
-          : [],
-      });
-      this.memberTable.ownRecord.set(key, {case: 'demand', value});
-      yield key;
+      // Absent while none is queued, so that the field changes less often.
+      const {queuedByPriority: counts = []} = load;
+      const queuedByPriority = counts.some(count => count > 0) ? counts : [];
+      yield {entry, inFlight, queued, queuedByPriority};
     }
   }
 
--- a/packages/arbutustide-node/src/proxy/proxy_wiring.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_wiring.ts
@@ -12,6 +12,7 @@
   Gossip,
   MemberTable,
   OwnRecord,
+  ProtocolLevel,
 } from '@arbutustide/membership';
 import {
   EnginePlanner,
@@ -201,6 +202,7 @@
       }),
   );
   register(ProxyToken.OWN_STATUS, container => {
+    const clusterView = container.resolve(ProxyToken.CLUSTER_VIEW);
     const leadership = container.resolve(ProxyToken.PLANNER_LEADERSHIP);
     const {nodeName: name, region, failureDomain} = settings;
     return new NodeStatusPublisher(
@@ -214,6 +216,7 @@
           ?.configuration.version ?? 0,
       () => (leadership.checkLeadership() ? leadership.epoch : 0),
       () => listSharedFields(container),
+      () => clusterView.haveAllLevel(ProtocolLevel.RETRY_LOANS),
     );
   });
 }
