--- a/packages/arbutustide-node/src/proxy/proxy_core.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_core.ts
@@ -205,27 +205,25 @@
   }
 
   private createBootstrap(): PeerBootstrap {
-    const {container} = this;
-    return new PeerBootstrap(
-      this.dependencies.transport,
-      () => [...this.knownPeerUrls()],
-      container.resolve(ProxyToken.CONFIGURATION_WATCHER),
-      container.resolve(ProxyToken.UPSTREAM_WATCHER),
-      this.logger,
-    );
+    const {container, logger} = this;
+    const {transport, random} = this.dependencies;
+    return new PeerBootstrap({
+      transport,
+      listPeers: () => this.listPeers(),
+      configurationWatcher: container.resolve(ProxyToken.CONFIGURATION_WATCHER),
+      upstreamWatcher: container.resolve(ProxyToken.UPSTREAM_WATCHER),
+      random,
+      logger,
+    });
   }
 
   private createPeerStateRefresher(): PeerStateRefresher {
     const {container} = this;
     const {transport, settings, random} = this.dependencies;
     const {changeBoundMilliseconds, failureDomain} = settings;
-    const clusterView = container.resolve(ProxyToken.CLUSTER_VIEW);
     return new PeerStateRefresher({
       transport,
-      listPeers: () =>
-        clusterView
-          .nodes()
-          .filter(({identity}) => identity !== this.self.identity),
+      listPeers: () => this.listPeers(),
       configurationWatcher: container.resolve(ProxyToken.CONFIGURATION_WATCHER),
       upstreamWatcher: container.resolve(ProxyToken.UPSTREAM_WATCHER),
       chooser: new SnapshotSourceChooser({
@@ -253,13 +251,12 @@
     this.container.resolve(ProxyToken.GOSSIP).setListedPeers(peers);
   }
 
-  /** URLs of all known peers; seeds come first, this node is left out. */
-  private knownPeerUrls(): Set<string> {
-    const urls = this.seedPeerUrls();
-    const clusterView = this.container.resolve(ProxyToken.CLUSTER_VIEW);
-    for (const {peerUrl} of clusterView.nodes()) urls.add(peerUrl);
-    urls.delete(this.self.peerUrl);
-    return urls;
+  /** All known nodes without this one. */
+  private listPeers(): ClusterNode[] {
+    return this.container
+      .resolve(ProxyToken.CLUSTER_VIEW)
+      .nodes()
+      .filter(({identity}) => identity !== this.self.identity);
   }
 
   private seedPeerUrls(): Set<string> {
