Take no list without upstreams from a peer for the one of the store

What callers get: 503 for lack of an upstream at a host that started beside others while the store was away, until the store answers. Cause: a peer that has a configuration and no list of upstreams yet answers with an empty one; the node took it for the store's, asked no one else, and passed it on in turn. Change: an empty list from a peer is ignored; the node goes on asking.

--- a/packages/arbutustide-node/src/__tests__/unit/peer_bootstrap.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/peer_bootstrap.test.ts
@@ -1,6 +1,6 @@
 /**
  * Guards against nodes that ask all others for what none has when they start
- * together.
+ * together, and against a list without upstreams that is taken for the store's.
  */
 import type {ClusterNode} from '@arbutustide/membership';
 
@@ -124,6 +124,16 @@
     expect(calls).to.eql(['http://node-11']);
   });
 
+  it('does not take a list without upstreams for the one of the store', async () => {
+    setPeers(7, NodeState.READY);
+    answer = serializeSnapshot(OBJECT, [], Infinity);
+    await run(FIRST_ROUND_MILLISECONDS);
+    expect([hasConfiguration, hasUpstreams]).to.eql([true, false]);
+    answer = serializeSnapshot(OBJECT, [OBJECT], 0);
+    await clock.tickAsync(ROUND_MILLISECONDS);
+    expect(hasUpstreams).to.equal(true);
+  });
+
   it('asks nobody once the store has answered', async () => {
     setPeers(7, NodeState.READY);
     hasConfiguration = true;
--- a/packages/arbutustide-node/src/proxy/peer_bootstrap.ts
+++ b/packages/arbutustide-node/src/proxy/peer_bootstrap.ts
@@ -101,6 +101,7 @@
       'received a snapshot from a peer',
     );
     if (configuration) configurationWatcher.applyObject(configuration, url);
-    upstreamWatcher.initializeFromPeer(upstreams);
+    // A peer without a list of its own sends an empty one.
+    if (upstreams.length > 0) upstreamWatcher.initializeFromPeer(upstreams);
   }
 }
