--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -15,6 +15,7 @@
   faults: 'packages/arbutustide-scenarios/src/faults_main.ts',
   soak: 'packages/arbutustide-scenarios/src/soak_main.ts',
   stop_soak: 'platform/src/stop-soak/soak_main.ts',
+  fleet_bench: 'platform/src/fleet-bench/fleet_bench_main.ts',
 };
 const EXECUTABLE_FILE = 'dist/arbutustide';
 /** Marker in the Node.js binary, at which postject records the injected blob. */
