--- a/packages/arbutustide-node/src/__tests__/unit/published_load.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/published_load.test.ts
@@ -100,6 +100,16 @@
       expect(viewOfPeer().peerRequestsInFlight(UPSTREAM_ID, 'far')).to.equal(0);
     });
 
+    it('uses fields that all nodes understand', () => {
+      publisher.publish();
+      const {ownRecord} = table;
+      const load = ownRecord.get(`load/${UPSTREAM_ID}`);
+      const ofLoad = load?.case === 'load' ? load.value.inFlight : undefined;
+      expect(ofLoad).to.equal(isUnderstood ? undefined : 3);
+      const hasActivity = ownRecord.get('activity')?.case === 'activity';
+      expect(hasActivity).to.equal(isUnderstood);
+    });
+
     it('counts none at an upstream that it has lost, until it is back', () => {
       upstream.reachability.recordNoPath(performance.now());
       publisher.publish();
