--- a/packages/arbutustide-membership/src/cluster_summary.ts
+++ b/packages/arbutustide-membership/src/cluster_summary.ts
@@ -51,12 +51,14 @@
 }
 
 type FieldCase = NonNullable<Field['value']['case']>;
-/** The peer whose record a field is of. */
+
+/** The peer whose record a field belongs to. */
 interface FieldWriter {
   readonly identity: string;
   /** Undefined until its status has come. */
   readonly failureDomain: string | undefined;
 }
+
 /** Adds one field of a peer's record to the summary. */
 type FieldCollector = (
   field: Field,
