Hand a stalled stream over as often as time is left

Callers saw streams of the most urgent kind, which may be resumed, cut at the end of a planned stop: each of four runs at two engines gave a few events and fell silent, and nothing was tried for the last 3 s. Cause: the number of handovers of one stream was bounded by three, whatever was left of the stop.

A stream that has stalled again is handed over while another run could still get under way; each handover takes a stall and a retry of the service's budget, which bound them. Where retries or places do not suffice, streams that were handed over least often come first, so that repeated ones do not use up those of others.

Failed before: 'goes on after it has stalled in four runs', 'reaches no more upstreams than its route allows', which asks for more than four runs now, and 'begin with the one that was not handed over yet'.

--- a/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
@@ -26,8 +26,6 @@
   NOT_STALLED = 'not_stalled',
   /** It could not begin anywhere else in the time that is left. */
   TOO_LATE = 'too_late',
-  /** It was handed over as often as that is done for one stream. */
-  HANDED_OVER_BEFORE = 'handed_over_before',
   /** It must not run again, and its memory cannot be moved. */
   NOT_MOVABLE = 'not_movable',
   /** It has no attempt left, is as urgent as it can be, and was nowhere else. */
@@ -42,7 +40,6 @@
 export interface HandoverInput {
   readonly route: Route;
   readonly attempts: number;
-  readonly handoverCount: number;
   /** Whether its caller has events. */
   readonly hasEvents: boolean;
   /** Whether its upstream was told to serve it before others. */
@@ -80,7 +77,6 @@
 const MINIMUM_PATIENCE_MILLISECONDS = 150;
 /** For another upstream to read the prompt and make an event. */
 const MINIMUM_LEFT_MILLISECONDS = 250;
-const MAXIMUM_HANDOVERS = 3;
 
 /**
  * Decides whether a stream of a node that stops is handed over, and how. Its
@@ -90,12 +86,11 @@
 export function decideHandover(
   input: HandoverInput,
 ): HandoverAction | StayReason {
-  const {route, attempts, handoverCount, leftMilliseconds} = input;
+  const {route, attempts, leftMilliseconds} = input;
   if (leftMilliseconds === Infinity) return StayReason.NOT_STOPPING;
   if (!isStalled(input)) return StayReason.NOT_STALLED;
   if (!input.hasEvents) return decideUnbegun(input);
   if (leftMilliseconds < MINIMUM_LEFT_MILLISECONDS) return StayReason.TOO_LATE;
-  if (handoverCount >= MAXIMUM_HANDOVERS) return StayReason.HANDED_OVER_BEFORE;
   if (input.isMovable) return HandoverAction.MOVE_MEMORY;
   if (!isRepeatable(route)) return StayReason.NOT_MOVABLE;
   if (attempts < route.maximumAttempts) return HandoverAction.RESUME_ELSEWHERE;
--- a/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
@@ -33,7 +33,7 @@
   private lastStayReason: StayReason | undefined;
   private slot: AttemptSlot | undefined;
   private inactivityTimeout: InactivityTimeout | undefined;
-  private handoverCount = 0;
+  private handoversBegun = 0;
   private isUrgent = false;
   private isMovable = true;
   private hasUncertainMove = false;
@@ -81,6 +81,11 @@
     return this.passedEvents;
   }
 
+  /** Number of its handovers by a node that stops. */
+  get handoverCount(): number {
+    return this.handoversBegun;
+  }
+
   /** Whether another attempt goes on with it, so that this one must not. */
   get isReplaced(): boolean {
     return this.replacement?.goesOn ?? false;
@@ -108,11 +113,10 @@
     HandoverInput,
     'leftMilliseconds' | 'expectedMilliseconds'
   > {
-    const {progress, timeline, handoverCount, isUrgent, upstream} = this;
+    const {progress, timeline, isUrgent, upstream} = this;
     return {
       route: progress.request.route,
       attempts: progress.attempts,
-      handoverCount,
       isUrgent,
       hasEarlierUpstream: [...progress.triedUpstreams].some(
         tried => tried !== upstream,
@@ -213,7 +217,7 @@
 
   /** Counts a handover of a node that stops. */
   countHandover(): void {
-    this.handoverCount += 1;
+    this.handoversBegun += 1;
   }
 
   /** Gives up the attempt that is awaited, for the stream to be handed over. */
@@ -240,7 +244,7 @@
   recordMoveFailed(outcome: MemoryMoveOutcome): void {
     if (outcome !== MemoryMoveOutcome.BUSY) this.isMovable = false;
     if (outcome === MemoryMoveOutcome.UNKNOWN) this.hasUncertainMove = true;
-    this.handoverCount -= 1;
+    this.handoversBegun -= 1;
   }
 
   /** Takes the handover; resolves to undefined if there is none. */
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -124,7 +124,8 @@
 
   /**
    * Begins the handovers that are due now. Places and retries may not suffice for
-   * all of them: the streams come first that lose most if they are cut.
+   * all of them: the streams come first that were handed over least often, then
+   * those that lose most if they are cut.
    */
   review(): void {
     const due: DueHandover[] = [];
@@ -137,7 +138,11 @@
         this.makeWayForUrgent(stream);
       else due.push({stream, input, action: decision});
     }
-    due.sort((left, right) => right.stream.eventCount - left.stream.eventCount);
+    due.sort(
+      ({stream: left}, {stream: right}) =>
+        left.handoverCount - right.handoverCount ||
+        right.eventCount - left.eventCount,
+    );
     for (const handover of due) this.start(handover);
   }
 
