Follow a move of memory that finds no place by the other ways

Cause: one way was chosen for a stalled stream, and a move of memory without an untried upstream that has room was not followed by any other.

The decision gives all ways, the best one first, and the first one that finds a place is begun: a move, a run elsewhere, at an earlier upstream, or more urgently where the stream is. Memory is also moved to an earlier upstream, for what must not run again has no other way.

Failed before: 'is resumed if no other has room for its memory', 'goes on from its memory at an earlier one if no other has room'. The table of decisions asks for the first way as before.

--- a/packages/arbutustide-routing/src/__tests__/unit/handover_decision.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/handover_decision.test.ts
@@ -140,7 +140,25 @@
 describe('decision on a stream of a node that stops', () => {
   for (const {name, changes, expected} of CASES) {
     it(name, () => {
-      expect(decideHandover({...STALLED, ...changes})).to.equal(expected);
+      const decision = decideHandover({...STALLED, ...changes});
+      expect(decision.ok ? decision.val[0] : decision.val).to.equal(expected);
     });
   }
+
+  it('tries all other ways after a move of memory', () => {
+    const changes = {isMovable: true, hasEarlierUpstream: true};
+    const decision = decideHandover({...STALLED, ...changes});
+    expect(decision.val).to.eql([
+      HandoverAction.MOVE_MEMORY,
+      HandoverAction.RESUME_ELSEWHERE,
+      HandoverAction.RETURN_TO_EARLIER,
+      HandoverAction.RESUME_URGENTLY,
+    ]);
+  });
+
+  it('has no other way than a move for what must not run again', () => {
+    const changes = {route: SINGLE, isMovable: true, hasEarlierUpstream: true};
+    const decision = decideHandover({...STALLED, ...changes});
+    expect(decision.val).to.eql([HandoverAction.MOVE_MEMORY]);
+  });
 });
--- a/packages/arbutustide-routing/src/__tests__/unit/stream_handovers.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/stream_handovers.test.ts
@@ -47,14 +47,14 @@
   afterEach(() => clock.uninstall());
 
   /** A stream that stalls after two events until it is cancelled or ends. */
-  function stall(ending = new Cancellation()): AttemptScript {
+  function stall(ending = new Cancellation(), firstId = 1): AttemptScript {
     return (_upstream, {cancellation}) =>
       respondWith({
         isEventStream: true,
         body: (async function* () {
-          yield Buffer.from('id: 1\ndata: x\n\n');
+          yield Buffer.from(`id: ${firstId}\ndata: x\n\n`);
           await delay(EVENT_MILLISECONDS);
-          yield Buffer.from('id: 2\ndata: x\n\n');
+          yield Buffer.from(`id: ${firstId + 1}\ndata: x\n\n`);
           await new Promise<void>((resolve, reject) => {
             cancellation.onCancel(() => reject(connectionLostError()));
             ending.onCancel(reason =>
@@ -66,6 +66,7 @@
   }
 
   const goOn: AttemptScript = () => respondWithEvents([3, 4], true);
+  const goOnLater: AttemptScript = () => respondWithEvents([5, 6], true);
   /** Sends the head of a stream, and no event until it is cancelled. */
   const holdBack: AttemptScript = (_upstream, {cancellation}) =>
     respondWith({
@@ -268,6 +269,28 @@
     expectNoSlotTaken();
   });
 
+  it('is resumed if no other has room for its memory', async () => {
+    upstreams = [testUpstream('one', ['m'])];
+    const {connector, reading} = await play(true, true, [stall(), goOn]);
+    const {text, end} = await reading;
+    expect(eventIdsIn(text)).to.eql([1, 2, 3, 4]);
+    expect(end).to.equal(AnswerEnd.WHOLE);
+    expect(connector.upstreamIds).to.eql(['one', 'one']);
+  });
+
+  it('goes on from its memory at an earlier one if no other has room', async () => {
+    const scripts = [stall(), stall(new Cancellation(), 3), goOnLater];
+    const {connector, dispatcher, reading} = await play(false, true, scripts);
+    await clock.tickAsync(EVENT_MILLISECONDS + PATIENCE_MILLISECONDS);
+    dispatcher.handOverStalledStreams();
+    await clock.tickAsync(0);
+    const {text, end} = await reading;
+    expect(eventIdsIn(text)).to.eql([1, 2, 3, 4, 5, 6]);
+    expect(end).to.equal(AnswerEnd.WHOLE);
+    expect(connector.moves).to.eql(['one to two', 'two to one']);
+    expectNoSlotTaken();
+  });
+
   it('stays if its memory cannot be moved, and ends there whole', async () => {
     const ending = new Cancellation();
     const {connector, reading} = await play(
--- a/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
@@ -1,5 +1,9 @@
+import type {Result} from 'ts-results';
+
 import type {Route} from '../route.js';
 
+import {Err, Ok} from 'ts-results';
+
 import {isRepeatable} from '../route.js';
 
 /** What is done for a stalled stream. */
@@ -82,23 +86,39 @@
  * Decides whether a stream of a node that stops is handed over, and how. Its
  * upstream may hold it back for more urgent work until it is too late: the
  * upstream does not know that the node ends before the deadline.
+ *
+ * @return the ways to hand it over, the best one first.
  */
 export function decideHandover(
   input: HandoverInput,
-): HandoverAction | StayReason {
-  const {route, attempts, leftMilliseconds} = input;
-  if (leftMilliseconds === Infinity) return StayReason.NOT_STOPPING;
-  if (!isStalled(input)) return StayReason.NOT_STALLED;
+): Result<readonly HandoverAction[], StayReason> {
+  const {route, leftMilliseconds} = input;
+  if (leftMilliseconds === Infinity) return Err(StayReason.NOT_STOPPING);
+  if (!isStalled(input)) return Err(StayReason.NOT_STALLED);
   if (!input.hasEvents) return decideUnbegun(input);
-  if (leftMilliseconds < MINIMUM_LEFT_MILLISECONDS) return StayReason.TOO_LATE;
-  if (input.isMovable) return HandoverAction.MOVE_MEMORY;
-  if (!isRepeatable(route)) return StayReason.NOT_MOVABLE;
-  if (attempts < route.maximumAttempts) return HandoverAction.RESUME_ELSEWHERE;
+  if (leftMilliseconds < MINIMUM_LEFT_MILLISECONDS)
+    return Err(StayReason.TOO_LATE);
+  const ways = [...waysToGoOn(input)];
+  if (ways.length > 0) return Ok(ways);
+  return Err(
+    isRepeatable(route) ? StayReason.NO_ATTEMPT_LEFT : StayReason.NOT_MOVABLE,
+  );
+}
+
+/** The ways for a stream to go on, the best one first. */
+function* waysToGoOn({
+  route,
+  attempts,
+  isMovable,
+  isUrgent,
+  hasEarlierUpstream,
+}: HandoverInput): Generator<HandoverAction, void, undefined> {
+  if (isMovable) yield HandoverAction.MOVE_MEMORY;
+  if (!isRepeatable(route)) return;
+  if (attempts < route.maximumAttempts) yield HandoverAction.RESUME_ELSEWHERE;
   // The route bounds the number of upstreams, not of attempts at one of them.
-  if (input.hasEarlierUpstream) return HandoverAction.RETURN_TO_EARLIER;
-  return input.isUrgent
-    ? StayReason.NO_ATTEMPT_LEFT
-    : HandoverAction.RESUME_URGENTLY;
+  if (hasEarlierUpstream) yield HandoverAction.RETURN_TO_EARLIER;
+  if (!isUrgent) yield HandoverAction.RESUME_URGENTLY;
 }
 
 /** Passed on too late, its first events would commit the node to the rest. */
@@ -106,11 +126,11 @@
   route,
   leftMilliseconds,
   expectedMilliseconds = 0,
-}: HandoverInput): HandoverAction | StayReason {
+}: HandoverInput): Result<readonly HandoverAction[], StayReason> {
   const isHopeless = leftMilliseconds < expectedMilliseconds;
   return isHopeless && isRepeatable(route)
-    ? HandoverAction.REFUSE
-    : StayReason.NOT_BEGUN;
+    ? Ok([HandoverAction.REFUSE])
+    : Err(StayReason.NOT_BEGUN);
 }
 
 function isStalled({
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -68,7 +68,8 @@
 interface DueHandover {
   readonly stream: OpenStream;
   readonly input: HandoverInput;
-  readonly action: HandoverAction;
+  /** Ways to hand it over, the best one first. */
+  readonly ways: readonly HandoverAction[];
 }
 
 /** Where a stream is to go on, or why it stays. */
@@ -89,16 +90,12 @@
       [HandoverAction.RESUME_ELSEWHERE]: stream =>
         this.startResuming(
           stream,
-          this.options.attempts.tryTakeSlot(stream.progress) ??
-            this.takeSlotAgain(stream),
+          this.options.attempts.tryTakeSlot(stream.progress),
         ),
       [HandoverAction.RESUME_URGENTLY]: stream =>
         this.startResuming(stream, this.takeSlotAgain(stream)),
       [HandoverAction.RETURN_TO_EARLIER]: stream =>
-        this.startResuming(
-          stream,
-          this.takeEarlierSlot(stream) ?? this.takeSlotAgain(stream),
-        ),
+        this.startResuming(stream, this.takeEarlierSlot(stream)),
       [HandoverAction.MOVE_MEMORY]: stream => this.startMoving(stream),
       [HandoverAction.REFUSE]: stream => {
         stream.refuse();
@@ -133,10 +130,10 @@
       if (stream.isBeingHandedOver && !stream.awaitsInLine) continue;
       const input = this.createInput(stream);
       const decision = decideHandover(input);
-      if (!isAction(decision)) stream.recordStayReason(decision);
-      else if (stream.awaitsInLine && decision !== HandoverAction.REFUSE)
+      if (!decision.ok) stream.recordStayReason(decision.val);
+      else if (stream.awaitsInLine && input.hasEvents)
         this.makeWayForUrgent(stream);
-      else due.push({stream, input, action: decision});
+      else due.push({stream, input, ways: decision.val});
     }
     due.sort(
       ({stream: left}, {stream: right}) =>
@@ -171,19 +168,25 @@
     };
   }
 
-  private start({stream, input, action}: DueHandover): void {
-    const started = this.starters[action](stream);
-    if (!started.ok) {
-      stream.recordStayReason(started.val);
+  /** Begins the handover in the first way that is possible now. */
+  private start({stream, input, ways}: DueHandover): void {
+    const {stalledMilliseconds, leftMilliseconds} = input;
+    for (const action of ways) {
+      const started = this.starters[action](stream);
+      if (!started.ok) {
+        stream.recordStayReason(started.val);
+        // Each way needs a retry.
+        if (started.val === StayReason.NO_RETRY_LEFT) return;
+        continue;
+      }
+      this.options.onHandover(stream.progress, {
+        action,
+        target: started.val,
+        stalledMilliseconds,
+        leftMilliseconds,
+      });
       return;
     }
-    const {stalledMilliseconds, leftMilliseconds} = input;
-    this.options.onHandover(stream.progress, {
-      action,
-      target: started.val,
-      stalledMilliseconds,
-      leftMilliseconds,
-    });
   }
 
   private startResuming(
@@ -252,7 +255,7 @@
     const {progress, upstream: source} = stream;
     const {memoryMover, attempts} = this.options;
     if (!source || !memoryMover) return Err(StayReason.NOT_MOVABLE);
-    const slot = attempts.tryTakeSlot(progress);
+    const slot = attempts.tryTakeSlot(progress) ?? this.takeEarlierSlot(stream);
     const target = slot?.target.upstream;
     if (!slot || !target) return Err(StayReason.NO_UPSTREAM);
     if (!this.consumeRetry(stream, slot)) return Err(StayReason.NO_RETRY_LEFT);
@@ -355,11 +358,3 @@
     return false;
   }
 }
-
-const ACTIONS: ReadonlySet<string> = new Set(Object.values(HandoverAction));
-
-function isAction(
-  decision: HandoverAction | StayReason,
-): decision is HandoverAction {
-  return ACTIONS.has(decision);
-}
