Bound the upstreams of a stream, not its attempts, when it breaks off in a stop

Cause: a route bounds the upstreams that a request may reach, but the resume of a stream that broke off, the replacement of a silent one and a handover elsewhere counted attempts, so that two runs at one engine left none for another, and a stream that broke off at its last engine was not returned to the one before.

One check counts the upstreams of a request; behind peers each attempt still counts.

Failed before: 'goes on at the one before if the last one breaks off', 'goes on at another one though it ran twice at the first'. 'does not go back if the last one breaks off before the stop' passed before and passes.

--- a/packages/arbutustide-routing/src/__tests__/unit/handover_decision.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/handover_decision.test.ts
@@ -23,7 +23,7 @@
 
 const STALLED: HandoverInput = {
   route: RESUMABLE,
-  attempts: 1,
+  mayReachFurther: true,
   hasEvents: true,
   isUrgent: false,
   hasEarlierUpstream: false,
@@ -52,17 +52,17 @@
   },
   {
     name: 'resumes one without an attempt left where it is',
-    changes: {attempts: 2},
+    changes: {mayReachFurther: false},
     expected: HandoverAction.RESUME_URGENTLY,
   },
   {
     name: 'returns one without an attempt left to where it was before',
-    changes: {attempts: 2, isUrgent: true, hasEarlierUpstream: true},
+    changes: {mayReachFurther: false, isUrgent: true, hasEarlierUpstream: true},
     expected: HandoverAction.RETURN_TO_EARLIER,
   },
   {
     name: 'resumes one elsewhere while it has an attempt left',
-    changes: {attempts: 1, hasEarlierUpstream: true},
+    changes: {mayReachFurther: true, hasEarlierUpstream: true},
     expected: HandoverAction.RESUME_ELSEWHERE,
   },
   {
@@ -107,7 +107,7 @@
   },
   {
     name: 'gives up no urgent place without an attempt for another',
-    changes: {attempts: 2, isUrgent: true},
+    changes: {mayReachFurther: false, isUrgent: true},
     expected: StayReason.NO_ATTEMPT_LEFT,
   },
   {
--- a/packages/arbutustide-routing/src/__tests__/unit/last_upstream_stalls.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/last_upstream_stalls.test.ts
@@ -161,6 +161,44 @@
     expect(end).to.equal(AnswerEnd.WHOLE);
   });
 
+  it('goes on at the one before if the last one breaks off', async () => {
+    const {connector, ids, end} = await play([
+      stallAfter(1, 2),
+      () => respondWithEvents([3, 4], false),
+      endWith(5, 6),
+    ]);
+    expect(connector.upstreamIds).to.eql(['one', 'two', 'one']);
+    expect(ids).to.eql([1, 2, 3, 4, 5, 6]);
+    expect(end).to.equal(AnswerEnd.WHOLE);
+    expect(upstreams.map(({ownInFlight}) => ownInFlight)).to.eql([0, 0]);
+  });
+
+  it('goes on at another one though it ran twice at the first', async () => {
+    const [one, two] = upstreams;
+    upstreams.pop();
+    const {connector, ids, end} = await play([
+      stallAfter(1, 2),
+      () => {
+        upstreams.push(two);
+        return respondWithEvents([3, 4], false);
+      },
+      endWith(5, 6),
+    ]);
+    expect(connector.upstreamIds).to.eql([one.id, one.id, two.id]);
+    expect(ids).to.eql([1, 2, 3, 4, 5, 6]);
+    expect(end).to.equal(AnswerEnd.WHOLE);
+  });
+
+  it('does not go back if the last one breaks off before the stop', async () => {
+    const {connector, ids, end} = await play([
+      () => respondWithEvents([1, 2], false),
+      () => respondWithEvents([3, 4], false),
+    ]);
+    expect(connector.upstreamIds).to.eql(['one', 'two']);
+    expect(ids).to.eql([1, 2, 3, 4]);
+    expect(end).to.equal(AnswerEnd.BROKEN);
+  });
+
   it('does not go back to one that is leaving', async () => {
     const {connector, ids} = await play(
       [stallAfter(1, 2), stallAfter(3, 4)],
--- a/packages/arbutustide-routing/src/proxy/attempt_maker.ts
+++ b/packages/arbutustide-routing/src/proxy/attempt_maker.ts
@@ -23,6 +23,7 @@
 import {PeerTarget} from './relay/peer_target.js';
 import {isRepeatable} from './route.js';
 import {
+  mayReachFurtherUpstream,
   ranSoFar,
   remainingForUpstream,
   remainingMilliseconds,
@@ -174,7 +175,7 @@
       isRepeatable(route) &&
       !progress.cancellation.isCancelled &&
       remainingMilliseconds(progress) > 0 &&
-      progress.attempts < route.maximumAttempts;
+      mayReachFurtherUpstream(progress);
     if (!isAllowed) return undefined;
     const hasFreeSlot = this.queue.hasFreeSlot(progress);
     const peer =
--- a/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
@@ -43,7 +43,8 @@
 /** What the decision on one stream depends on; times are in milliseconds. */
 export interface HandoverInput {
   readonly route: Route;
-  readonly attempts: number;
+  /** Whether its route allows one more upstream. */
+  readonly mayReachFurther: boolean;
   /** Whether its caller has events. */
   readonly hasEvents: boolean;
   /** Whether its upstream was told to serve it before others. */
@@ -108,14 +109,14 @@
 /** The ways for a stream to go on, the best one first. */
 function* waysToGoOn({
   route,
-  attempts,
+  mayReachFurther,
   isMovable,
   isUrgent,
   hasEarlierUpstream,
 }: HandoverInput): Generator<HandoverAction, void, undefined> {
   if (isMovable) yield HandoverAction.MOVE_MEMORY;
   if (!isRepeatable(route)) return;
-  if (attempts < route.maximumAttempts) yield HandoverAction.RESUME_ELSEWHERE;
+  if (mayReachFurther) yield HandoverAction.RESUME_ELSEWHERE;
   // The route bounds the number of upstreams, not of attempts at one of them.
   if (hasEarlierUpstream) yield HandoverAction.RETURN_TO_EARLIER;
   if (!isUrgent) yield HandoverAction.RESUME_URGENTLY;
--- a/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
@@ -9,6 +9,7 @@
 import type {ReplacementAttempt} from './replacement_attempt.js';
 
 import {CancelReason} from '../proxy_refusals.js';
+import {mayReachFurtherUpstream} from '../routed_request_progress.js';
 import {StayReason} from './handover_decision.js';
 import {MemoryMoveOutcome} from './memory_mover.js';
 
@@ -116,7 +117,7 @@
     const {progress, timeline, isUrgent, upstream} = this;
     return {
       route: progress.request.route,
-      attempts: progress.attempts,
+      mayReachFurther: mayReachFurtherUpstream(progress),
       isUrgent,
       hasEarlierUpstream: [...progress.triedUpstreams].some(
         tried => tried !== upstream,
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -14,7 +14,10 @@
 import {Err, Ok} from 'ts-results';
 
 import {RequestKind} from '../route.js';
-import {remainingForUpstream} from '../routed_request_progress.js';
+import {
+  mayReachFurtherUpstream,
+  remainingForUpstream,
+} from '../routed_request_progress.js';
 import {StreamTimeline} from '../stream_timeline.js';
 import {
   decideHandover,
@@ -244,7 +247,9 @@
     if (this.options.answerPeriod.endsAtMilliseconds === Infinity)
       return undefined;
     const slot =
-      this.options.attempts.tryTakeSlot(progress) ?? this.takeSlotAgain(stream);
+      this.tryTakeFurtherSlot(progress) ??
+      this.takeEarlierSlot(stream) ??
+      this.takeSlotAgain(stream);
     if (!slot) return undefined;
     const takeNextSlot = () => undefined;
     const place = {slot, reason: HANDED_OVER, isUrgent: true, takeNextSlot};
@@ -323,6 +328,15 @@
     };
   }
 
+  /** A slot at one more upstream, if the route allows it. */
+  private tryTakeFurtherSlot(
+    progress: RoutedRequestProgress,
+  ): AttemptSlot | undefined {
+    return mayReachFurtherUpstream(progress)
+      ? this.options.attempts.tryTakeSlot(progress)
+      : undefined;
+  }
+
   /** A slot at an upstream where the stream was before. */
   private takeEarlierSlot({
     progress,
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -335,12 +335,8 @@
     progress.hasStreamBegun = true;
     const stream = new ProxyEventStream(progress, openStream, {
       resume: (start, handover) =>
-        this.attemptUntilAnswered(
-          progress,
-          start,
-          openStream,
-          handover ?? this.handovers.takeUrgentPlace(openStream),
-        ),
+        this.attemptUntilAnswered(progress, start, openStream, handover),
+      takeUrgentPlace: () => this.handovers.takeUrgentPlace(openStream),
       tryConsumeRetry: () => this.attempts.tryConsumeRetry(progress, true),
       onFirstEvent: first => this.recordOrigin(progress, first),
       onResume: (reason, next) =>
--- a/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
@@ -13,6 +13,7 @@
 import {AttemptOutcome} from './attempt_outcome.js';
 import {EventSequencer} from './event_sequencer.js';
 import {isRepeatable} from './route.js';
+import {mayReachFurtherUpstream} from './routed_request_progress.js';
 
 /** Callbacks of a stream to the dispatcher. */
 export interface ProxyEventStreamOptions {
@@ -25,6 +26,11 @@
     start: AttemptStart,
     handover: Handover | undefined,
   ) => Promise<Result<AttemptResult, RefusalError>>;
+  /**
+   * An urgent place for a stream of a node that stops, whose attempt has broken
+   * off; undefined if there is none.
+   */
+  readonly takeUrgentPlace: () => Handover | undefined;
   /** Consumes one retry of the cluster-wide budget; false if none is left. */
   readonly tryConsumeRetry: () => boolean;
   /** Called before the caller gets its first event of the stream. */
@@ -210,20 +216,19 @@
   private async resume(
     failure: SegmentFailure,
   ): Promise<AttemptResult | undefined> {
-    const {request, cancellation, attempts} = this.progress;
-    const {route} = request;
-    const {handover, reason} = failure;
-    if (handover?.attempt) {
-      this.options.onResume(reason, handover.attempt);
-      return handover.attempt;
+    const {reason} = failure;
+    if (failure.handover?.attempt) {
+      this.options.onResume(reason, failure.handover.attempt);
+      return failure.handover.attempt;
     }
-    const isAllowed =
-      handover !== undefined ||
-      (isRepeatable(route) &&
-        !cancellation.isCancelled &&
-        attempts < route.maximumAttempts &&
-        this.options.tryConsumeRetry());
+    const handover = failure.handover ?? this.takeUrgentPlace();
+    const isAllowed = handover !== undefined || this.mayWaitForPlace();
     if (!isAllowed) return undefined;
+    const needsRetry = failure.handover === undefined;
+    if (needsRetry && !this.options.tryConsumeRetry()) {
+      handover?.release();
+      return undefined;
+    }
     this.openStream.recordBrokenOff();
     const resumeAfterEventId = this.eventSequencer.lastEventId;
     const next = await this.options.resume({resumeAfterEventId}, handover);
@@ -235,4 +240,18 @@
     this.options.onResume(reason, resumed);
     return resumed;
   }
+
+  private get isResumable(): boolean {
+    const {request, cancellation} = this.progress;
+    return isRepeatable(request.route) && !cancellation.isCancelled;
+  }
+
+  private takeUrgentPlace(): Handover | undefined {
+    return this.isResumable ? this.options.takeUrgentPlace() : undefined;
+  }
+
+  /** Whether the stream may wait for a place at one more upstream. */
+  private mayWaitForPlace(): boolean {
+    return this.isResumable && mayReachFurtherUpstream(this.progress);
+  }
 }
--- a/packages/arbutustide-routing/src/proxy/routed_request_progress.ts
+++ b/packages/arbutustide-routing/src/proxy/routed_request_progress.ts
@@ -56,6 +56,27 @@
     : ExecutionStatus.NOT_EXECUTED;
 }
 
+/**
+ * Whether the route allows the request to reach one more upstream. It may run
+ * several times at one of them, but each attempt of a peer may be at another.
+ */
+export function mayReachFurtherUpstream({
+  request: {route},
+  attempts,
+  triedUpstreams,
+  triedPeers,
+  isRelayed,
+}: Pick<
+  RoutedRequestProgress,
+  'request' | 'attempts' | 'triedUpstreams' | 'triedPeers' | 'isRelayed'
+>): boolean {
+  const isAtPeers = isRelayed || triedPeers.size > 0;
+  const upstreamCount = isAtPeers
+    ? attempts
+    : Math.min(attempts, triedUpstreams.size);
+  return upstreamCount < route.maximumAttempts;
+}
+
 /**
  * Share of the caller's timeout that a request may spend in the queue. The rest
  * is for the answer, and lets a refusal arrive before the caller gives up.
