Wait for another stall before a stream is handed over again

Since handovers of one stream are no longer bounded by number, a stream whose replacements are refused at once was handed over at each review, every 50 ms, and used up the retries of the others. A failed urgent replacement now starts the wait for the next one anew; what waits in line and makes way for an urgent one does not count, nor does what was replaced before the stop.

--- a/packages/arbutustide-routing/src/__tests__/unit/last_upstream_stalls.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/last_upstream_stalls.test.ts
@@ -235,6 +235,19 @@
     expect(connector.upstreamIds.length).to.be.greaterThan(4);
   });
 
+  it('waits for another stall if all upstreams refuse it at once', async () => {
+    const refuse: AttemptScript = () =>
+      respondWith({status: 503, isNotRun: true});
+    const runs = createStallingRuns();
+    await play([runs[0], ...runs.map(() => refuse)]);
+    const times = decisions
+      .filter(({step}) => step === DecisionStep.HANDOVER)
+      .map(({leftMilliseconds = 0}) => leftMilliseconds);
+    expect(times.length).to.be.greaterThan(3);
+    for (const [index, left] of times.slice(1).entries())
+      expect(times[index] - left).to.be.at.least(SHORTEST_STALL_MILLISECONDS);
+  });
+
   it('is handed over only after a stall, however often', async () => {
     const {connector} = await play(createStallingRuns());
     const handovers = decisions.filter(
--- a/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
@@ -35,6 +35,7 @@
   private slot: AttemptSlot | undefined;
   private inactivityTimeout: InactivityTimeout | undefined;
   private handoversBegun = 0;
+  private replacementFailedAtMilliseconds = -Infinity;
   private isUrgent = false;
   private isMovable = true;
   private hasUncertainMove = false;
@@ -124,7 +125,10 @@
       ),
       hasEvents: timeline.hasEvents,
       isMovable: this.isMovable && upstream !== undefined,
-      stalledMilliseconds: timeline.stalledMilliseconds,
+      stalledMilliseconds: Math.min(
+        timeline.stalledMilliseconds,
+        performance.now() - this.replacementFailedAtMilliseconds,
+      ),
       usualPauseMilliseconds: timeline.usualPauseMilliseconds,
     };
   }
@@ -231,6 +235,15 @@
     this.replacement = replacement;
   }
 
+  /**
+   * Records that an urgent attempt failed to replace this one. The next one waits
+   * for as long as the first: upstreams that refuse at once would use up the
+   * retries of all streams.
+   */
+  recordReplacementFailed(): void {
+    this.replacementFailedAtMilliseconds = performance.now();
+  }
+
   /** Refuses a stream that has not begun. */
   refuse(): void {
     this.progress.cancellation.cancel(CancelReason.STOPPING);
--- a/packages/arbutustide-routing/src/proxy/handover/stream_replacements.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_replacements.ts
@@ -56,7 +56,10 @@
         isWithdrawn || stream.isClosed || progress.cancellation.isCancelled;
       const next =
         isOver || slot !== place.slot ? undefined : place.takeNextSlot();
-      if (!next) return undefined;
+      if (!next) {
+        if (place.isUrgent && !isWithdrawn) stream.recordReplacementFailed();
+        return undefined;
+      }
       slot = next;
       replacement = this.createReplacement(stream, place, slot);
       stream.changeReplacement(replacement);
