Keep the place of a replacement in the line of a busy upstream

Cause: the timeout of inactivity took an upstream that had sent the head at once, or nothing yet, for lost, and the node gave the place up although the other place was no better.

The replacement of a stream that is served no more urgently anywhere keeps its place while its upstream sends data to other requests. A less urgent stream still changes to an urgent place where it was.

Failed before: 'keeps its place while the upstream serves others'.

--- /dev/null
+++ b/packages/arbutustide-routing/src/__tests__/unit/replacement_in_line.test.ts
@@ -0,0 +1,126 @@
+/**
+ * Guards against streams of a stopping node that change from the line of one
+ * busy upstream to the end of another line until their node ends.
+ */
+import type {ProxyUpstream} from '../../proxy/proxy_upstream.js';
+import type {AttemptScript} from './scripted_connector.js';
+
+import {delay} from '@arbutustide/errors';
+import {install} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+
+import {RequestKind} from '../../proxy/route.js';
+import {testRoute, testUpstream} from './proxy_fixtures.js';
+import {
+  connectionLostError,
+  createDispatcher,
+  createRequest,
+  eventIdsIn,
+  readAnswer,
+  respondWith,
+  respondWithEvents,
+  ScriptedConnector,
+} from './scripted_connector.js';
+
+const LEFT_MILLISECONDS = 7_000;
+const REVIEW_MILLISECONDS = 50;
+const EVENT_MILLISECONDS = 10;
+const WAIT_MILLISECONDS = 3_000;
+const LOWER_PRIORITY = 1;
+
+describe('replacement that waits in line at an upstream', () => {
+  let clock: ReturnType<typeof install>;
+  let upstreams: ProxyUpstream[];
+  let connector: ScriptedConnector;
+
+  beforeEach(() => {
+    clock = install();
+    upstreams = ['one', 'two'].map(id => testUpstream(id, ['m']));
+  });
+  afterEach(() => clock.uninstall());
+
+  const stall: AttemptScript = (_upstream, {cancellation}) =>
+    respondWith({
+      isEventStream: true,
+      body: (async function* () {
+        for (const id of [1, 2]) {
+          yield Buffer.from(`id: ${id}\ndata: x\n\n`);
+          await delay(EVENT_MILLISECONDS);
+        }
+        await new Promise((_resolve, reject) =>
+          cancellation.onCancel(() => reject(connectionLostError())),
+        );
+      })(),
+    });
+  /** Sends its head at once and its events when it has waited. */
+  const waitInLine: AttemptScript = (_upstream, {cancellation}) =>
+    respondWith({
+      isEventStream: true,
+      body: (async function* () {
+        await Promise.race([
+          delay(WAIT_MILLISECONDS),
+          new Promise((_resolve, reject) =>
+            cancellation.onCancel(() => reject(connectionLostError())),
+          ),
+        ]);
+        yield Buffer.from('id: 3\ndata: x\n\n');
+        yield Buffer.from('id: 4\ndata: x\n\n');
+      })(),
+    });
+
+  /** Ids of the events of a stream that stalls in a stop. */
+  async function play(
+    scripts: AttemptScript[],
+    priority: number,
+    isServingOthers: boolean,
+  ): Promise<number[]> {
+    connector = new ScriptedConnector(scripts);
+    const answerPeriod = {endsAtMilliseconds: Infinity};
+    const dispatcher = createDispatcher(
+      connector,
+      () => upstreams,
+      () => {},
+      undefined,
+      undefined,
+      undefined,
+      answerPeriod,
+    );
+    const request = createRequest(RequestKind.STREAM, true);
+    const reading = readAnswer(
+      await dispatcher.dispatch({
+        ...request,
+        route: testRoute({...request.route, priority}),
+        deadlineAtMilliseconds: performance.now() + 2 * LEFT_MILLISECONDS,
+      }),
+    );
+    answerPeriod.endsAtMilliseconds = performance.now() + LEFT_MILLISECONDS;
+    for (let at = 0; at < LEFT_MILLISECONDS; at += REVIEW_MILLISECONDS) {
+      dispatcher.handOverStalledStreams();
+      await clock.tickAsync(REVIEW_MILLISECONDS);
+      if (isServingOthers) upstreams[1].reachability.recordData();
+    }
+    dispatcher.giveUp();
+    return eventIdsIn((await reading).text);
+  }
+
+  it('keeps its place while the upstream serves others', async () => {
+    const ids = await play([stall, waitInLine], 0, true);
+    expect(connector.upstreamIds).to.eql(['one', 'two']);
+    expect(ids).to.eql([1, 2, 3, 4]);
+  });
+
+  it('gives it up if the upstream is silent', async () => {
+    const goOn: AttemptScript = () => respondWithEvents([3, 4], true);
+    const ids = await play([stall, waitInLine, goOn], 0, false);
+    expect(connector.upstreamIds).to.eql(['one', 'two', 'one']);
+    expect(ids).to.eql([1, 2, 3, 4]);
+  });
+
+  it('gives it up for a more urgent place where it was', async () => {
+    const goOn: AttemptScript = () => respondWithEvents([3, 4], true);
+    const scripts = [stall, waitInLine, goOn];
+    const ids = await play(scripts, LOWER_PRIORITY, true);
+    expect(connector.upstreamIds).to.eql(['one', 'two', 'one']);
+    expect(ids).to.eql([1, 2, 3, 4]);
+  });
+});
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -183,7 +183,7 @@
 export {SlotQueue} from './proxy/slot_queue.js';
 export {OPEN_GATE} from './proxy/request_gate.js';
 export {isRepeatable, QuotaUnit, RequestKind} from './proxy/route.js';
-export {effectivePriority} from './proxy/routed_request.js';
+export {effectivePriority, HIGHEST_PRIORITY} from './proxy/routed_request.js';
 export {pickTarget, RouteTable} from './proxy/route_table.js';
 export {clusterShare} from './cluster_share.js';
 export {MovingAverage} from './moving_average.js';
--- a/packages/arbutustide-routing/src/proxy/attempt_maker.ts
+++ b/packages/arbutustide-routing/src/proxy/attempt_maker.ts
@@ -40,8 +40,11 @@
   /**
    * The upstream is inactive. Returns whether the attempt is to end, as the
    * next one has its place and its retry.
+   *
+   * @param isTargetSilent whether the upstream is lost or sends nothing to other
+   *     requests either.
    */
-  onInactive(): boolean;
+  onInactive(isTargetSilent: boolean): boolean;
 }
 
 /** Finds places for the attempts of requests and makes them. */
@@ -113,8 +116,10 @@
     const {target} = slot;
     target.recordChosen(progress);
     progress.attempts += 1;
-    const inactivityTimeout = new InactivityTimeout(progress, target, () =>
-      follower.onInactive(),
+    const inactivityTimeout = new InactivityTimeout(
+      progress,
+      target,
+      isTargetSilent => follower.onInactive(isTargetSilent),
     );
     follower.beginAttempt(slot, inactivityTimeout);
     const {answerPeriod} = this.options;
--- a/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
@@ -9,6 +9,7 @@
 import type {ReplacementAttempt} from './replacement_attempt.js';
 
 import {CancelReason} from '../proxy_refusals.js';
+import {effectivePriority, HIGHEST_PRIORITY} from '../routed_request.js';
 import {mayReachFurtherUpstream} from '../routed_request_progress.js';
 import {StayReason} from './handover_decision.js';
 import {MemoryMoveOutcome} from './memory_mover.js';
@@ -88,6 +89,12 @@
     return this.handoversBegun;
   }
 
+  /** Whether its upstream serves no request before it because of its urgency. */
+  get isMostUrgent(): boolean {
+    const priority = effectivePriority(this.progress.request);
+    return this.isUrgent || priority === HIGHEST_PRIORITY;
+  }
+
   /** Whether another attempt goes on with it, so that this one must not. */
   get isReplaced(): boolean {
     return this.replacement?.goesOn ?? false;
--- a/packages/arbutustide-routing/src/proxy/handover/replacement_attempt.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/replacement_attempt.ts
@@ -12,6 +12,8 @@
   readonly stream: OpenStream;
   readonly slot: AttemptSlot;
   readonly isUrgent: boolean;
+  /** Whether its stream could be served no more urgently elsewhere. */
+  readonly isMostUrgent: boolean;
   readonly attempts: Pick<AttemptMaker, 'makeAttempt' | 'refuseToSend'>;
 }
 
@@ -105,9 +107,14 @@
 
   endAttempt(): void {}
 
-  /** One without an event that is held back, or lost, makes room for another. */
-  onInactive(): boolean {
+  /**
+   * One without an event that is held back, or lost, makes room for another. It
+   * keeps its place in the line of an upstream that serves others if it would
+   * only change to the end of another line.
+   */
+  onInactive(isTargetSilent: boolean): boolean {
     if (this.hasNextEvent) return this.options.stream.onInactive();
+    if (this.options.isMostUrgent && !isTargetSilent) return false;
     this.reason ??= 'its upstream was inactive';
     return true;
   }
--- a/packages/arbutustide-routing/src/proxy/handover/stream_replacements.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_replacements.ts
@@ -86,6 +86,12 @@
     slot: AttemptSlot,
   ): ReplacementAttempt {
     const {attempts} = this.options;
-    return new ReplacementAttempt({stream, slot, isUrgent, attempts});
+    return new ReplacementAttempt({
+      stream,
+      slot,
+      isUrgent,
+      isMostUrgent: isUrgent && stream.isMostUrgent,
+      attempts,
+    });
   }
 }
--- a/packages/arbutustide-routing/src/proxy/inactivity_timeout.ts
+++ b/packages/arbutustide-routing/src/proxy/inactivity_timeout.ts
@@ -35,12 +35,13 @@
 
   /**
    * @param tryReplace whether the attempt is to end, as another one may be made
-   *     now; has reserved its place and consumed its retry if so.
+   *     now; has reserved its place and consumed its retry if so. It is told
+   *     whether the target is lost or sends nothing to other requests either.
    */
   constructor(
     private readonly progress: RoutedRequestProgress,
     private readonly target: AttemptTarget,
-    private readonly tryReplace: () => boolean,
+    private readonly tryReplace: (isTargetSilent: boolean) => boolean,
   ) {
     this.removeCancelListener = progress.cancellation.onCancel(reason => {
       this.stop();
@@ -49,7 +50,7 @@
     if (progress.cancellation.isCancelled) return;
     // Others may be lost in the same turn of the event loop.
     this.removeLossListener = target.onLost(() =>
-      queueMicrotask(() => this.replaceIfPossible()),
+      queueMicrotask(() => this.replaceIfPossible(true)),
     );
     this.startTimer(this.timeoutMilliseconds);
   }
@@ -101,9 +102,11 @@
 
   private get isPresumedLost(): boolean {
     const isStream = this.progress.request.route.kind === RequestKind.STREAM;
-    const isInactive =
-      this.target.silentMilliseconds > this.timeoutMilliseconds;
-    return isInactive || this.hasReceived || !isStream;
+    return this.isTargetSilent || this.hasReceived || !isStream;
+  }
+
+  private get isTargetSilent(): boolean {
+    return this.target.silentMilliseconds > this.timeoutMilliseconds;
   }
 
   private startTimer(milliseconds: number): void {
@@ -112,13 +115,14 @@
   }
 
   private expireIfReplaceable(): void {
-    if (this.isPresumedLost && this.replaceIfPossible()) return;
+    if (this.isPresumedLost && this.replaceIfPossible(this.isTargetSilent))
+      return;
     this.startTimer(this.timeoutMilliseconds / RECHECKS_PER_TIMEOUT);
   }
 
   /** Ends the attempt if another one may be made; returns whether it has. */
-  private replaceIfPossible(): boolean {
-    if (this.isStopped || !this.tryReplace()) return false;
+  private replaceIfPossible(isTargetSilent: boolean): boolean {
+    if (this.isStopped || !this.tryReplace(isTargetSilent)) return false;
     this.isExpired = true;
     this.stop();
     this.cancellation.cancel(AttemptFailure.INACTIVITY_TIMEOUT);
--- a/packages/arbutustide-routing/src/proxy/routed_request.ts
+++ b/packages/arbutustide-routing/src/proxy/routed_request.ts
@@ -85,6 +85,9 @@
   readonly disconnection: Cancellation;
 }
 
+/** Requests of this priority are served before all others. */
+export const HIGHEST_PRIORITY = 0;
+
 /** Priority of a request; lower numbers are served first. */
 export function effectivePriority({
   team,
