Probe a silent upstream before a replacement gives up its place there

A silent upstream is probed, which the reachability of upstreams counts as an answer, and the place is given up if the next check finds it silent still.

Failed before: 'keeps its place while the upstream answers probes'. 'gives it up if the upstream is silent' passed before and passes.

--- a/packages/arbutustide-routing/src/__tests__/unit/replacement_in_line.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/replacement_in_line.test.ts
@@ -28,6 +28,13 @@
 const WAIT_MILLISECONDS = 3_000;
 const LOWER_PRIORITY = 1;
 
+/** What an upstream does while a stream waits in its line. */
+enum Liveness {
+  SERVES_OTHERS,
+  ANSWERS_PROBES,
+  SILENT,
+}
+
 describe('replacement that waits in line at an upstream', () => {
   let clock: ReturnType<typeof install>;
   let upstreams: ProxyUpstream[];
@@ -72,7 +79,7 @@
   async function play(
     scripts: AttemptScript[],
     priority: number,
-    isServingOthers: boolean,
+    liveness: Liveness,
   ): Promise<number[]> {
     connector = new ScriptedConnector(scripts);
     const answerPeriod = {endsAtMilliseconds: Infinity};
@@ -84,6 +91,16 @@
       undefined,
       undefined,
       answerPeriod,
+      {
+        paths: {
+          recordNoPath: () => {},
+          whenOthersAnswer: () => {},
+          suspect: ({reachability}) => {
+            if (liveness === Liveness.ANSWERS_PROBES)
+              reachability.recordAnswer(performance.now());
+          },
+        },
+      },
     );
     const request = createRequest(RequestKind.STREAM, true);
     const reading = readAnswer(
@@ -97,21 +114,29 @@
     for (let at = 0; at < LEFT_MILLISECONDS; at += REVIEW_MILLISECONDS) {
       dispatcher.handOverStalledStreams();
       await clock.tickAsync(REVIEW_MILLISECONDS);
-      if (isServingOthers) upstreams[1].reachability.recordData();
+      if (liveness === Liveness.SERVES_OTHERS)
+        upstreams[1].reachability.recordData();
     }
     dispatcher.giveUp();
     return eventIdsIn((await reading).text);
   }
 
   it('keeps its place while the upstream serves others', async () => {
-    const ids = await play([stall, waitInLine], 0, true);
+    const ids = await play([stall, waitInLine], 0, Liveness.SERVES_OTHERS);
+    expect(connector.upstreamIds).to.eql(['one', 'two']);
+    expect(ids).to.eql([1, 2, 3, 4]);
+  });
+
+  it('keeps its place while the upstream answers probes', async () => {
+    const scripts = [stall, waitInLine];
+    const ids = await play(scripts, 0, Liveness.ANSWERS_PROBES);
     expect(connector.upstreamIds).to.eql(['one', 'two']);
     expect(ids).to.eql([1, 2, 3, 4]);
   });
 
   it('gives it up if the upstream is silent', async () => {
     const goOn: AttemptScript = () => respondWithEvents([3, 4], true);
-    const ids = await play([stall, waitInLine, goOn], 0, false);
+    const ids = await play([stall, waitInLine, goOn], 0, Liveness.SILENT);
     expect(connector.upstreamIds).to.eql(['one', 'two', 'one']);
     expect(ids).to.eql([1, 2, 3, 4]);
   });
@@ -119,7 +144,7 @@
   it('gives it up for a more urgent place where it was', async () => {
     const goOn: AttemptScript = () => respondWithEvents([3, 4], true);
     const scripts = [stall, waitInLine, goOn];
-    const ids = await play(scripts, LOWER_PRIORITY, true);
+    const ids = await play(scripts, LOWER_PRIORITY, Liveness.SERVES_OTHERS);
     expect(connector.upstreamIds).to.eql(['one', 'two', 'one']);
     expect(ids).to.eql([1, 2, 3, 4]);
   });
--- a/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
@@ -131,7 +131,11 @@
   handovers: Partial<
     Pick<
       ProxyDispatcherOptions,
-      'memoryMover' | 'movesMemory' | 'streamTimes' | 'tryConsumeRetry'
+      | 'memoryMover'
+      | 'movesMemory'
+      | 'paths'
+      | 'streamTimes'
+      | 'tryConsumeRetry'
     >
   > = {},
 ): ProxyDispatcher {
--- a/packages/arbutustide-routing/src/proxy/attempt_target.ts
+++ b/packages/arbutustide-routing/src/proxy/attempt_target.ts
@@ -39,6 +39,8 @@
   ): Promise<Result<UpstreamResponseHead, AttemptError>>;
   /** Records the head of the answer to a request sent at this time. */
   recordHead(head: UpstreamResponseHead, sentAtMilliseconds: number): void;
+  /** Finds out soon whether the target can still be reached. */
+  probePath(): void;
   /** Records that the target has sent data. */
   recordActivity(): void;
   /** Records an attempt that is over, or whose stream has begun. */
--- a/packages/arbutustide-routing/src/proxy/handover/replacement_attempt.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/replacement_attempt.ts
@@ -29,6 +29,8 @@
   private reason: string | undefined;
   private hasNextEvent = false;
   private hasBeenWithdrawn = false;
+  /** Whether its upstream was silent at the last check, and was probed. */
+  private isProbed = false;
   private chunks: Chunks | undefined;
 
   constructor(private readonly options: ReplacementOptions) {}
@@ -109,16 +111,25 @@
 
   /**
    * One without an event that is held back, or lost, makes room for another. It
-   * keeps its place in the line of an upstream that serves others if it would
-   * only change to the end of another line.
+   * keeps its place in the line of an upstream that is alive if it would only
+   * change to the end of another line.
    */
   onInactive(isTargetSilent: boolean): boolean {
     if (this.hasNextEvent) return this.options.stream.onInactive();
-    if (this.options.isMostUrgent && !isTargetSilent) return false;
+    if (this.options.isMostUrgent && this.isTargetAlive(isTargetSilent))
+      return false;
     this.reason ??= 'its upstream was inactive';
     return true;
   }
 
+  /** Whether its upstream sends anything; a silent one has to answer a probe. */
+  private isTargetAlive(isTargetSilent: boolean): boolean {
+    const isAlive = !isTargetSilent || !this.isProbed;
+    if (isTargetSilent && !this.isProbed) this.options.slot.target.probePath();
+    this.isProbed = isTargetSilent;
+    return isAlive;
+  }
+
   /** Ends an attempt that the stream does not go on with. */
   abandon(attempt: AttemptResult): void {
     attempt.inactivityTimeout.abort(this.reason);
--- a/packages/arbutustide-routing/src/proxy/relay/peer_target.ts
+++ b/packages/arbutustide-routing/src/proxy/relay/peer_target.ts
@@ -89,6 +89,9 @@
     this.recordActivity();
   }
 
+  /** Sessions with peers are checked anyway. */
+  probePath(): void {}
+
   recordActivity(): void {
     this.lastDataAtMilliseconds = performance.now();
   }
--- a/packages/arbutustide-routing/src/proxy/upstream_target.ts
+++ b/packages/arbutustide-routing/src/proxy/upstream_target.ts
@@ -118,6 +118,10 @@
     return this.options.connector.sendRequest(this.upstream, request, options);
   }
 
+  probePath(): void {
+    this.options.paths.suspect(this.upstream);
+  }
+
   recordHead(head: UpstreamResponseHead, sentAtMilliseconds: number): void {
     const {upstream} = this;
     upstream.reachability.recordAnswer(sentAtMilliseconds);
