Take an answer whose status does not exist for none

On other systems a client got a status 000 of an upstream as an answer. Here 600 to 999 reached the caller under the upstream's signature, and 000 to 099 did not only because the HTTP library holds an assertion; the log had its text.

Each connection of both front doors checks the first bytes of an answer before the HTTP parser does: a status outside 100 to 599, or one that is no number of three digits, breaks the protocol. The connection is closed, the failure counts against the health of the upstream, the request is tried again where its route allows it, and else answered 502 without a signature. Reports, orders, moves and short calls, which use other connections, check their final status. An interim answer with nothing after it is silence, as before. Reachability probes take any answer for a sign of life; the store takes what is above 299 for an error.

--- a/packages/arbutustide-upstream/src/upstream_connection.ts
+++ b/packages/arbutustide-upstream/src/upstream_connection.ts
@@ -3,6 +3,7 @@
 
 import type {WriteGuard} from './checked_client.js';
 
+import {INVALID_STATUS_CODE, StatusLineCheck} from './answer_status.js';
 import {CheckedClient} from './checked_client.js';
 
 /**
@@ -58,6 +59,7 @@
   private socket: Socket | undefined;
   private bytesReadBeforeResponse = 0;
   private payloadBytes = 0;
+  private statusLineCheck = new StatusLineCheck();
 
   /** @param options as a pool passes them, with `connect` as a function. */
   constructor(origin: string | URL, options: Client.Options) {
@@ -95,6 +97,7 @@
     if (this.holder) this.holder.connection = this;
     this.bytesReadBeforeResponse = this.socket?.bytesRead ?? 0;
     this.payloadBytes = 0;
+    this.statusLineCheck = new StatusLineCheck();
     return super.dispatch(options, handler);
   }
 
@@ -103,9 +106,24 @@
     if (this.holder) this.holder.wasReset = false;
     this.bytesReadBeforeResponse = 0;
     socket.on('readable', () => this.limitOverhead(socket));
+    this.checkStatusLines(socket);
     this.detectResets(socket);
   }
 
+  /** Checks what undici reads before its HTTP parser sees it. */
+  private checkStatusLines(socket: Socket): void {
+    const read = socket.read.bind(socket);
+    socket.read = (size?: number) => {
+      const bytes = read(size) as Buffer | null;
+      const problem = bytes && this.statusLineCheck.push(bytes);
+      if (!problem) return bytes;
+      const cause: NodeJS.ErrnoException = new Error(problem);
+      cause.code = INVALID_STATUS_CODE;
+      socket.destroy(cause);
+      return null;
+    };
+  }
+
   /**
    * Ends an answer without end whose bytes reach nobody: status lines, interim
    * answers and chunk extensions are skipped by the HTTP parser.
--- a/packages/arbutustide-upstream/src/upstream_connection_pool.ts
+++ b/packages/arbutustide-upstream/src/upstream_connection_pool.ts
@@ -8,6 +8,7 @@
 import {Pool} from 'undici';
 import type {z} from 'zod';
 
+import {findInvalidStatus, INVALID_STATUS_CODE} from './answer_status.js';
 import {AttemptError, AttemptFailure} from './attempt_error.js';
 import {
   createConnectionHolder,
@@ -37,6 +38,7 @@
   UND_ERR_BODY_TIMEOUT: AttemptFailure.INACTIVITY_TIMEOUT,
   UND_ERR_ABORTED: AttemptFailure.CANCELLED,
   ABORT_ERR: AttemptFailure.CANCELLED,
+  [INVALID_STATUS_CODE]: AttemptFailure.PROTOCOL_VIOLATION,
 };
 
 /** Options of the connections to one upstream. */
@@ -131,6 +133,11 @@
         bodyTimeout: timeout,
         signal: AbortSignal.timeout(timeout),
       });
+      const invalid = findInvalidStatus(response.statusCode);
+      if (invalid) {
+        response.body.on('error', () => {}).destroy();
+        return Err(invalid);
+      }
       const value = await response.body.json();
       const parsed = call.schema.safeParse(value);
       if (parsed.success) return Ok(parsed.data);
