Return no stream that breaks off when no time is left to begin elsewhere

A place is taken only while another run could get under way.

Failed before: 'does not go back if the last one breaks off at the end'.

--- a/packages/arbutustide-routing/src/__tests__/unit/last_upstream_stalls.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/last_upstream_stalls.test.ts
@@ -189,6 +189,23 @@
     expect(end).to.equal(AnswerEnd.WHOLE);
   });
 
+  it('does not go back if the last one breaks off at the end', async () => {
+    const breakAtEnd: AttemptScript = () =>
+      respondWith({
+        isEventStream: true,
+        body: (async function* () {
+          for (let id = 3; id <= 71; id += 1) {
+            yield Buffer.from(`id: ${id}\ndata: x\n\n`);
+            await delay(LEFT_MILLISECONDS / 75);
+          }
+          throw connectionLostError();
+        })(),
+      });
+    const {connector, end} = await play([stallAfter(1, 2), breakAtEnd]);
+    expect(connector.upstreamIds).to.eql(['one', 'two']);
+    expect(end).to.equal(AnswerEnd.BROKEN);
+  });
+
   it('does not go back if the last one breaks off before the stop', async () => {
     const {connector, ids, end} = await play([
       () => respondWithEvents([1, 2], false),
--- a/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
@@ -81,7 +81,7 @@
 /** Below it, a pause may come from the network or the event loop. */
 const MINIMUM_PATIENCE_MILLISECONDS = 150;
 /** For another upstream to read the prompt and make an event. */
-const MINIMUM_LEFT_MILLISECONDS = 250;
+export const MINIMUM_LEFT_MILLISECONDS = 250;
 
 /**
  * Decides whether a stream of a node that stops is handed over, and how. Its
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -22,6 +22,7 @@
 import {
   decideHandover,
   HandoverAction,
+  MINIMUM_LEFT_MILLISECONDS,
   StayReason,
 } from './handover_decision.js';
 import {MemoryMoveOutcome} from './memory_mover.js';
@@ -240,12 +241,14 @@
 
   /**
    * An urgent place for a stream of a node that stops, whose attempt has broken
-   * off; undefined if it is to wait for its turn.
+   * off; undefined if there is none, or no time to begin there.
    */
   takeUrgentPlace(stream: OpenStream): Handover | undefined {
     const {progress} = stream;
-    if (this.options.answerPeriod.endsAtMilliseconds === Infinity)
-      return undefined;
+    const {answerPeriod} = this.options;
+    if (answerPeriod.endsAtMilliseconds === Infinity) return undefined;
+    const left = remainingForUpstream(progress, answerPeriod);
+    if (left < MINIMUM_LEFT_MILLISECONDS) return undefined;
     const slot =
       this.tryTakeFurtherSlot(progress) ??
       this.takeEarlierSlot(stream) ??
