Check the status of an answer behind empty lines

HTTP parsers skip empty lines before a status line; the check of the status took them for a status that does not exist. Failed before: 'may follow an empty line'.

--- a/packages/arbutustide-upstream/src/__tests__/unit/answer_status.test.ts
+++ b/packages/arbutustide-upstream/src/__tests__/unit/answer_status.test.ts
@@ -92,6 +92,13 @@
     expect(problems).to.have.lengthOf(1);
   });
 
+  it('may follow an empty line', () => {
+    const bytes = Buffer.from('\r\nHTTP/1.1 200 OK\r\n');
+    expect(new StatusLineCheck().push(bytes)).to.equal(undefined);
+    const invalid = Buffer.from('\r\nHTTP/1.1 000 OK\r\n');
+    expect(new StatusLineCheck().push(invalid)).to.include('no valid status');
+  });
+
   for (const valid of VALID_STATUSES) {
     it(`may be ${valid}`, () => {
       const bytes = Buffer.from(`HTTP/1.1 ${valid}\r\nA: b\r\n`);
--- a/packages/arbutustide-upstream/src/answer_status.ts
+++ b/packages/arbutustide-upstream/src/answer_status.ts
@@ -9,6 +9,8 @@
 
 /** `HTTP/1.1 200 ` up to what follows the status. */
 const STATUS_LINE_START_LENGTH = 13;
+/** Bytes of each piece that are looked at. */
+const MAXIMUM_INSPECTED_BYTES = 64;
 const STATUS_LINE_PATTERN = /^HTTP\/1\.[01] (\d{3})(?=[ \r\n])/;
 
 /**
@@ -33,13 +35,17 @@
   /** Reads more bytes; returns what is wrong with the status, if so. */
   push(bytes: Uint8Array): string | undefined {
     if (this.isOver) return undefined;
-    const missing = STATUS_LINE_START_LENGTH - this.start.length;
-    this.start += Buffer.from(bytes.subarray(0, missing)).toString('latin1');
+    const inspected = bytes.subarray(0, MAXIMUM_INSPECTED_BYTES);
+    const text = Buffer.from(inspected).toString('latin1');
+    // HTTP parsers skip empty lines before a status line.
+    this.start = (this.start + text).trimStart();
     if (this.start.length < STATUS_LINE_START_LENGTH) return undefined;
     this.isOver = true;
     const status = Number(STATUS_LINE_PATTERN.exec(this.start)?.[1]);
     const isValid = status >= LOWEST_STATUS && status <= HIGHEST_STATUS;
-    return isValid ? undefined : describeInvalidStatus(this.start);
+    return isValid
+      ? undefined
+      : describeInvalidStatus(this.start.slice(0, STATUS_LINE_START_LENGTH));
   }
 }
 
