--- a/packages/arbutustide-upstream/src/__tests__/unit/answer_status.test.ts
+++ b/packages/arbutustide-upstream/src/__tests__/unit/answer_status.test.ts
@@ -69,6 +69,12 @@
     });
   }
 
+  it('is no answer to an attempt if HTTP parsers pass it on', async () => {
+    status = '600';
+    const {val} = await sendAttempt();
+    expect(val).to.include({failure: AttemptFailure.PROTOCOL_VIOLATION});
+  });
+
   it('ends the connection if it does not exist', async () => {
     status = '000';
     await sendAttempt();
