--- a/packages/arbutustide-upstream/src/answer_status.ts
+++ b/packages/arbutustide-upstream/src/answer_status.ts
@@ -1,3 +1,5 @@
+import type {Dispatcher} from 'undici';
+
 import {AttemptError, AttemptFailure} from './attempt_error.js';
 
 const LOWEST_STATUS = 100;
@@ -14,13 +16,20 @@
 const STATUS_LINE_PATTERN = /^HTTP\/1\.[01] (\d{3})(?=[ \r\n])/;
 
 /**
- * The error of a final answer whose status does not exist, which is no answer of
- * the upstream; undefined if the status is valid.
+ * Destroys a final answer whose status does not exist, which is no answer of the
+ * upstream. Returns what is wrong with it; undefined if the status is valid.
  */
-export function findInvalidStatus(status: number): AttemptError | undefined {
-  const isValid = status >= LOWEST_FINAL_STATUS && status <= HIGHEST_STATUS;
+export function discardIfInvalid({
+  statusCode,
+  body,
+}: Pick<Dispatcher.ResponseData, 'statusCode' | 'body'>):
+  AttemptError | undefined {
+  const isValid =
+    statusCode >= LOWEST_FINAL_STATUS && statusCode <= HIGHEST_STATUS;
   if (isValid) return undefined;
-  const reason = describeInvalidStatus(String(status));
+  // Destroying the body emits an error, which would be uncaught otherwise.
+  body.on('error', () => {}).destroy();
+  const reason = describeInvalidStatus(String(statusCode));
   return new AttemptError(AttemptFailure.PROTOCOL_VIOLATION, reason);
 }
 
--- a/packages/arbutustide-upstream/src/index.ts
+++ b/packages/arbutustide-upstream/src/index.ts
@@ -19,7 +19,7 @@
 export type {PlainService, ServiceReport} from './plain_service.js';
 export type {HostList, PlatformHost} from './platform_host.js';
 
-export {findInvalidStatus} from './answer_status.js';
+export {discardIfInvalid} from './answer_status.js';
 export {AttemptError, AttemptFailure} from './attempt_error.js';
 export {AttemptState, OrderKind, OrderOutcome} from './engine.js';
 export {
--- a/packages/arbutustide-upstream/src/upstream_connection_pool.ts
+++ b/packages/arbutustide-upstream/src/upstream_connection_pool.ts
@@ -8,7 +8,7 @@
 import {Pool} from 'undici';
 import type {z} from 'zod';
 
-import {findInvalidStatus, INVALID_STATUS_CODE} from './answer_status.js';
+import {discardIfInvalid, INVALID_STATUS_CODE} from './answer_status.js';
 import {AttemptError, AttemptFailure} from './attempt_error.js';
 import {
   createConnectionHolder,
@@ -133,11 +133,8 @@
         bodyTimeout: timeout,
         signal: AbortSignal.timeout(timeout),
       });
-      const invalid = findInvalidStatus(response.statusCode);
-      if (invalid) {
-        response.body.on('error', () => {}).destroy();
-        return Err(invalid);
-      }
+      const invalid = discardIfInvalid(response);
+      if (invalid) return Err(invalid);
       const value = await response.body.json();
       const parsed = call.schema.safeParse(value);
       if (parsed.success) return Ok(parsed.data);
