Say what the check of a replacement's upstream does; drop a count that no test reads

A method named like a property probed the upstream, and two comments said the same of urgency in other words. A test counted retries that it did not compare.

--- a/packages/arbutustide-routing/src/__tests__/unit/replacement_that_does_not_go_on.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/replacement_that_does_not_go_on.test.ts
@@ -236,15 +236,7 @@
   });
 
   it('waits for another stall if its engine is busy with another move', async () => {
-    let retries = 100;
-    const {connector, dispatcher} = createTestDispatcher(
-      true,
-      [stall()],
-      () => {
-        retries -= 1;
-        return retries >= 0;
-      },
-    );
+    const {connector, dispatcher} = createTestDispatcher(true, [stall()]);
     connector.move = async () => ({outcome: MemoryMoveOutcome.BUSY});
     const {reading} = await begin(dispatcher);
     beginStop();
--- a/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
@@ -89,7 +89,7 @@
     return this.handoversBegun;
   }
 
-  /** Whether its upstream serves no request before it because of its urgency. */
+  /** Whether no upstream would serve it more urgently. */
   get isMostUrgent(): boolean {
     const priority = effectivePriority(this.progress.request);
     return this.isUrgent || priority === HIGHEST_PRIORITY;
--- a/packages/arbutustide-routing/src/proxy/handover/replacement_attempt.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/replacement_attempt.ts
@@ -12,7 +12,7 @@
   readonly stream: OpenStream;
   readonly slot: AttemptSlot;
   readonly isUrgent: boolean;
-  /** Whether its stream could be served no more urgently elsewhere. */
+  /** Whether no upstream would serve its stream more urgently. */
   readonly isMostUrgent: boolean;
   readonly attempts: Pick<AttemptMaker, 'makeAttempt' | 'refuseToSend'>;
 }
@@ -116,14 +116,17 @@
    */
   onInactive(isTargetSilent: boolean): boolean {
     if (this.hasNextEvent) return this.options.stream.onInactive();
-    if (this.options.isMostUrgent && this.isTargetAlive(isTargetSilent))
+    if (this.options.isMostUrgent && this.checkTarget(isTargetSilent))
       return false;
     this.reason ??= 'its upstream was inactive';
     return true;
   }
 
-  /** Whether its upstream sends anything; a silent one has to answer a probe. */
-  private isTargetAlive(isTargetSilent: boolean): boolean {
+  /**
+   * Returns whether its upstream may be alive. A silent one is probed, and is not
+   * alive if the next check finds it silent still.
+   */
+  private checkTarget(isTargetSilent: boolean): boolean {
     const isAlive = !isTargetSilent || !this.isProbed;
     if (isTargetSilent && !this.isProbed) this.options.slot.target.probePath();
     this.isProbed = isTargetSilent;
