Log and count the outcome and the duration of moves of memory

A move whose target had no room stops its run as one that succeeds does, but had no line, so that a stream lost after it could not be told from one that was resumed. The line memory_moved tells the outcome and the time until it was known, move_failed as well, and arbutustide_memory_moves_total counts them.

--- a/packages/arbutustide-node/src/proxy/decision_metrics.ts
+++ b/packages/arbutustide-node/src/proxy/decision_metrics.ts
@@ -32,7 +32,8 @@
     metrics.retries.inc({entry: service}),
   [DecisionStep.HANDOVER]: ({service, action = ''}, metrics) =>
     metrics.handovers.inc({entry: service, action}),
-  [DecisionStep.MOVE_FAILED]: () => {},
+  [DecisionStep.MEMORY_MOVED]: recordMove,
+  [DecisionStep.MOVE_FAILED]: recordMove,
   [DecisionStep.REPLACEMENT_FAILED]: ({service}, metrics) =>
     metrics.retries.inc({entry: service}),
   [DecisionStep.REFUSED]: ({kind = '', ran = '', team = NO_TEAM}, metrics) => {
@@ -62,6 +63,13 @@
   },
 };
 
+function recordMove(
+  {service, moveOutcome}: RequestDecision,
+  metrics: NodeMetrics,
+): void {
+  metrics.memoryMoves.inc({entry: service, outcome: moveOutcome ?? ''});
+}
+
 /** Updates the request metrics from one decision of the dispatcher. */
 export function recordRequestMetrics(
   decision: RequestDecision,
--- a/packages/arbutustide-routing/src/proxy/decision_recorder.ts
+++ b/packages/arbutustide-routing/src/proxy/decision_recorder.ts
@@ -1,7 +1,7 @@
 import type {RefusalError} from '@arbutustide/errors';
 
 import type {StayReason} from './handover/handover_decision.js';
-import type {HandoverRecord} from './handover/stream_handovers.js';
+import type {HandoverRecord, MoveRecord} from './handover/stream_handovers.js';
 import type {AttemptResult} from './run_attempt.js';
 import type {RequestDecision} from './request_decision.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
@@ -10,6 +10,7 @@
 
 import {AnswerEnd} from '../caller_request.js';
 import {AttemptOutcome} from './attempt_outcome.js';
+import {hasRunStopped} from './handover/memory_mover.js';
 import {DecisionStep} from './request_decision.js';
 import {effectivePriority, sharedSegmentIds} from './routed_request.js';
 
@@ -132,8 +133,19 @@
     });
   }
 
-  recordMoveFailed(progress: RoutedRequestProgress, reason: string): void {
-    this.recordDecision(progress, {step: DecisionStep.MOVE_FAILED, reason});
+  recordMove(
+    progress: RoutedRequestProgress,
+    {outcome, reason, milliseconds, target}: MoveRecord,
+  ): void {
+    this.recordDecision(progress, {
+      step: hasRunStopped(outcome)
+        ? DecisionStep.MEMORY_MOVED
+        : DecisionStep.MOVE_FAILED,
+      ...target.decisionFields,
+      moveOutcome: outcome,
+      moveMilliseconds: Math.round(milliseconds),
+      ...(reason && {reason}),
+    });
   }
 
   recordReplacementFailed(
--- a/packages/arbutustide-routing/src/proxy/handover/memory_mover.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/memory_mover.ts
@@ -14,6 +14,14 @@
   UNKNOWN = 'unknown',
 }
 
+/** Whether a run has stopped for a move, and goes on from its memory. */
+export function hasRunStopped(outcome: MemoryMoveOutcome): boolean {
+  return (
+    outcome === MemoryMoveOutcome.MOVED ||
+    outcome === MemoryMoveOutcome.KEPT_AT_SOURCE
+  );
+}
+
 /** Result of moving the memory of a run. */
 export interface MemoryMove {
   readonly outcome: MemoryMoveOutcome;
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -42,6 +42,15 @@
   readonly leftMilliseconds: number;
 }
 
+/** What became of a move of memory, as it is logged and counted. */
+export interface MoveRecord {
+  readonly outcome: MemoryMoveOutcome;
+  readonly reason: string | undefined;
+  /** Time until the outcome was known. */
+  readonly milliseconds: number;
+  readonly target: AttemptTarget;
+}
+
 /** What handovers need of the dispatcher. */
 export interface StreamHandoversOptions extends StreamReplacementsOptions {
   readonly answerPeriod: AnswerPeriod;
@@ -62,9 +71,9 @@
     progress: RoutedRequestProgress,
     record: HandoverRecord,
   ) => void;
-  readonly onMoveFailed: (
+  readonly onMove: (
     progress: RoutedRequestProgress,
-    reason: string,
+    record: MoveRecord,
   ) => void;
 }
 
@@ -282,7 +291,14 @@
     move: Promise<MemoryMove>,
   ): Promise<Handover | undefined> {
     const {progress} = stream;
-    const {outcome, location, reason = outcome} = await move;
+    const beganAtMilliseconds = performance.now();
+    const {outcome, location, reason} = await move;
+    this.options.onMove(progress, {
+      outcome,
+      reason,
+      milliseconds: performance.now() - beganAtMilliseconds,
+      target: slot.target,
+    });
     if (outcome === MemoryMoveOutcome.MOVED)
       return this.createMovedHandover(progress, slot, location, source);
     slot.release();
@@ -291,7 +307,6 @@
       return this.createMovedHandover(progress, ownSlot, location);
     }
     stream.recordMoveFailed(outcome);
-    this.options.onMoveFailed(progress, reason);
     return undefined;
   }
 
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -75,8 +75,7 @@
       attempts: this.attempts,
       onHandover: (progress, record) =>
         this.decisions.recordHandover(progress, record),
-      onMoveFailed: (progress, reason) =>
-        this.decisions.recordMoveFailed(progress, reason),
+      onMove: (progress, record) => this.decisions.recordMove(progress, record),
       onReplacementFailed: (progress, target, reason) =>
         this.decisions.recordReplacementFailed(progress, target, reason),
     });
--- a/packages/arbutustide-routing/src/proxy/request_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/request_decision.ts
@@ -2,6 +2,7 @@
 
 import type {AttemptOutcome} from './attempt_outcome.js';
 import type {HandoverAction, StayReason} from './handover/handover_decision.js';
+import type {MemoryMoveOutcome} from './handover/memory_mover.js';
 
 /** Step of a request's handling that is recorded as a decision. */
 export enum DecisionStep {
@@ -10,6 +11,8 @@
   STREAM_RESUMED = 'stream_resumed',
   /** A stream is handed over to another place, as this node stops. */
   HANDOVER = 'handover',
+  /** A run has stopped, and goes on from a copy of its memory. */
+  MEMORY_MOVED = 'memory_moved',
   /** The memory of a run was to be moved, and the run does not go on from it. */
   MOVE_FAILED = 'move_failed',
   /** Another attempt was to go on with a stream, and the stream stays. */
@@ -67,6 +70,9 @@
   /** Of a handover. */
   readonly action?: HandoverAction;
   readonly stalledMilliseconds?: number;
+  /** Of a move of memory. */
+  readonly moveOutcome?: MemoryMoveOutcome;
+  readonly moveMilliseconds?: number;
   readonly leftMilliseconds?: number;
   readonly reason?: string;
 }
--- a/packages/arbutustide-telemetry/src/metrics.ts
+++ b/packages/arbutustide-telemetry/src/metrics.ts
@@ -73,6 +73,12 @@
     labelNames: ['entry', 'action'] as const,
     registers: [this.registry],
   });
+  readonly memoryMoves = new Counter({
+    name: 'arbutustide_memory_moves_total',
+    help: 'Moves of the memory of runs in a stop, by entry and outcome.',
+    labelNames: ['entry', 'outcome'] as const,
+    registers: [this.registry],
+  });
   readonly teamRefusals = new Counter({
     name: 'arbutustide_team_refusals_total',
     help: 'Refusals of requests with a valid key, by tenant and kind.',
