Stop a run for a move only once another upstream has a copy of it

Callers saw streams of a stopping node go on at their source as new attempts, or end there, since a move stopped the run before anyone knew whether the target had room. A move that was refused also made its stream unmovable for good: a run that its engine had preempted (404) or that found no room once was never moved again, and one that must run once had no way out (not_movable).

Now the memory is copied first, without last, while the run goes on; an upstream without room is followed by another; the run is stopped only with a copy elsewhere, and not at all if its events came meanwhile (the copy is dropped). What failed is tried again after another stall, other ways come first, and its retry is kept for them.

--- a/packages/arbutustide-routing/src/__tests__/unit/handover_decision.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/handover_decision.test.ts
@@ -29,6 +29,7 @@
   hasEarlierUpstream: false,
   expectedMilliseconds: 3_000,
   isMovable: false,
+  sinceMoveFailedMilliseconds: Infinity,
   stalledMilliseconds: 600,
   usualPauseMilliseconds: 40,
   leftMilliseconds: 7_000,
--- a/packages/arbutustide-routing/src/__tests__/unit/moving_connector.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/moving_connector.ts
@@ -1,4 +1,5 @@
 import type {
+  MemoryCopy,
   MemoryMove,
   MemoryMover,
 } from '../../proxy/handover/memory_mover.js';
@@ -15,7 +16,13 @@
 /** A connector whose upstreams move memory as it is told. */
 export class MovingConnector extends ScriptedConnector implements MemoryMover {
   readonly terms: AttemptOptions[] = [];
+  /** Copies of runs that went on. */
+  readonly copies: string[] = [];
+  readonly droppedHandles: string[] = [];
   readonly moves: string[] = [];
+  copy: (target: ProxyUpstream) => Promise<MemoryCopy> = async () => ({
+    handle: 'handle',
+  });
   move: () => Promise<MemoryMove> = async () => ({
     outcome: MemoryMoveOutcome.MOVED,
     location: MEMORY_LOCATION,
@@ -30,6 +37,18 @@
     );
   }
 
+  copyMemory(
+    source: ProxyUpstream,
+    target: ProxyUpstream,
+  ): Promise<MemoryCopy> {
+    this.copies.push(`${source.id} to ${target.id}`);
+    return this.copy(target);
+  }
+
+  async dropCopy(_source: ProxyUpstream, handle: string): Promise<void> {
+    this.droppedHandles.push(handle);
+  }
+
   moveMemory(
     source: ProxyUpstream,
     target: ProxyUpstream,
--- /dev/null
+++ b/packages/arbutustide-routing/src/__tests__/unit/run_moves.test.ts
@@ -0,0 +1,200 @@
+/** Guards against runs that are stopped for a move that cannot take place. */
+import type {MemoryCopy} from '../../proxy/handover/memory_mover.js';
+import type {RequestDecision} from '../../proxy/request_decision.js';
+import type {ProxyUpstream} from '../../proxy/proxy_upstream.js';
+import type {AttemptScript} from './scripted_connector.js';
+
+import {Cancellation} from '@arbutustide/errors';
+import {install} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+
+import {AnswerEnd} from '../../caller_request.js';
+import {MemoryMoveOutcome} from '../../proxy/handover/memory_mover.js';
+import {RequestKind} from '../../proxy/route.js';
+import {MovingConnector} from './moving_connector.js';
+import {testUpstream} from './proxy_fixtures.js';
+import {
+  connectionLostError,
+  createDispatcher,
+  createRequest,
+  eventIdsIn,
+  readAnswer,
+  respondWith,
+  respondWithEvents,
+} from './scripted_connector.js';
+
+const LEFT_MILLISECONDS = 4_000;
+const REVIEW_MILLISECONDS = 50;
+/** Longer than the next event of a stream is awaited. */
+const STALL_MILLISECONDS = 1_100;
+
+const NO_ROOM: MemoryCopy = {failure: MemoryMoveOutcome.NO_ROOM};
+const NOT_RUNNING: MemoryCopy = {failure: MemoryMoveOutcome.IMPOSSIBLE};
+
+describe('run that is moved as its node stops', () => {
+  let clock: ReturnType<typeof install>;
+  let upstreams: ProxyUpstream[];
+  let decisions: RequestDecision[];
+
+  beforeEach(() => {
+    clock = install();
+    upstreams = ['one', 'two', 'three'].map(id => testUpstream(id, ['m']));
+    decisions = [];
+  });
+  afterEach(() => clock.uninstall());
+
+  const goOn: AttemptScript = () => respondWithEvents([3, 4], true);
+
+  /** A stream that stalls after two events until it is told to go on or end. */
+  function createStall() {
+    const goesOn = new Cancellation();
+    const ends = new Cancellation();
+    const wait = (step: Cancellation, cancellation: Cancellation) =>
+      new Promise<void>((resolve, reject) => {
+        step.onCancel(() => resolve());
+        cancellation.onCancel(() => reject(connectionLostError()));
+      });
+    const script: AttemptScript = (_upstream, {cancellation}) =>
+      respondWith({
+        isEventStream: true,
+        body: (async function* () {
+          yield Buffer.from('id: 1\ndata: x\n\nid: 2\ndata: x\n\n');
+          await wait(goesOn, cancellation);
+          yield Buffer.from('id: 3\ndata: x\n\n');
+          await wait(ends, cancellation);
+        })(),
+      });
+    return {script, goesOn, ends};
+  }
+
+  /** Begins a stream at `one`, and a stop in which it stalls. */
+  async function play(
+    isResumable: boolean,
+    scripts: AttemptScript[],
+    copy: MovingConnector['copy'],
+    tryConsumeRetry = () => true,
+  ) {
+    const connector = new MovingConnector(scripts);
+    connector.copy = copy;
+    const answerPeriod = {endsAtMilliseconds: Infinity};
+    const dispatcher = createDispatcher(
+      connector,
+      () => upstreams,
+      decision => decisions.push(decision),
+      undefined,
+      undefined,
+      undefined,
+      answerPeriod,
+      {memoryMover: connector, movesMemory: () => true, tryConsumeRetry},
+    );
+    const request = createRequest(RequestKind.STREAM, isResumable);
+    const reading = readAnswer(await dispatcher.dispatch(request));
+    await clock.tickAsync(0);
+    answerPeriod.endsAtMilliseconds = performance.now() + LEFT_MILLISECONDS;
+    const review = async (milliseconds: number) => {
+      for (let at = 0; at < milliseconds; at += REVIEW_MILLISECONDS) {
+        dispatcher.handOverStalledStreams();
+        await clock.tickAsync(REVIEW_MILLISECONDS);
+      }
+    };
+    return {connector, reading, review};
+  }
+
+  function expectNoSlotTaken(): void {
+    const inFlight = upstreams.map(({ownInFlight}) => ownInFlight);
+    expect(inFlight).to.eql([0, 0, 0]);
+  }
+
+  it('goes on while no other upstream has room for it', async () => {
+    const {script, goesOn, ends} = createStall();
+    const {connector, reading, review} = await play(
+      false,
+      [script],
+      async () => NO_ROOM,
+    );
+    await review(STALL_MILLISECONDS);
+    expect(connector.copies).to.include.members(['one to two', 'one to three']);
+    expect(connector.moves).to.eql([]);
+    goesOn.cancel(undefined);
+    ends.cancel(undefined);
+    const {text, end} = await reading;
+    expect(eventIdsIn(text)).to.eql([1, 2, 3]);
+    expect(end).to.equal(AnswerEnd.WHOLE);
+    expect(connector.upstreamIds).to.eql(['one']);
+    const move = decisions.find(({step}) => step === 'move_failed');
+    expect(move?.moveOutcome).to.equal(MemoryMoveOutcome.NO_ROOM);
+    expectNoSlotTaken();
+  });
+
+  it('is moved to the upstream that has room', async () => {
+    const {connector, reading, review} = await play(
+      false,
+      [createStall().script, goOn],
+      async ({id}) => (id === 'two' ? NO_ROOM : {handle: 'handle'}),
+    );
+    await review(STALL_MILLISECONDS);
+    const {text, end} = await reading;
+    expect(eventIdsIn(text)).to.eql([1, 2, 3, 4]);
+    expect(end).to.equal(AnswerEnd.WHOLE);
+    expect(connector.moves).to.eql(['one to three']);
+    expect(connector.upstreamIds).to.eql(['one', 'three']);
+    expectNoSlotTaken();
+  });
+
+  it('stays if its events come while it is copied', async () => {
+    const {script, goesOn, ends} = createStall();
+    const {connector, reading, review} = await play(
+      false,
+      [script],
+      async () => {
+        goesOn.cancel(undefined);
+        await clock.tickAsync(0);
+        return {handle: 'unused'};
+      },
+    );
+    await review(STALL_MILLISECONDS);
+    ends.cancel(undefined);
+    const {text, end} = await reading;
+    expect(eventIdsIn(text)).to.eql([1, 2, 3]);
+    expect(end).to.equal(AnswerEnd.WHOLE);
+    expect(connector.moves).to.eql([]);
+    expect(connector.droppedHandles).to.include('unused');
+    expectNoSlotTaken();
+  });
+
+  it('is moved after another stall if it did not run at first', async () => {
+    let isRunning = false;
+    const {connector, reading, review} = await play(
+      false,
+      [createStall().script, goOn],
+      async () => (isRunning ? {handle: 'handle'} : NOT_RUNNING),
+    );
+    await review(STALL_MILLISECONDS);
+    expect(connector.copies.length).to.be.within(1, 2);
+    isRunning = true;
+    await review(STALL_MILLISECONDS);
+    const {text, end} = await reading;
+    expect(eventIdsIn(text)).to.eql([1, 2, 3, 4]);
+    expect(end).to.equal(AnswerEnd.WHOLE);
+    expectNoSlotTaken();
+  });
+
+  it('is resumed with the retry of a move that found no room', async () => {
+    let retries = 1;
+    const {connector, reading, review} = await play(
+      true,
+      [createStall().script, goOn],
+      async () => NO_ROOM,
+      () => {
+        retries -= 1;
+        return retries >= 0;
+      },
+    );
+    await review(STALL_MILLISECONDS);
+    const {text, end} = await reading;
+    expect(eventIdsIn(text)).to.eql([1, 2, 3, 4]);
+    expect(end).to.equal(AnswerEnd.WHOLE);
+    expect(connector.upstreamIds).to.have.length(2);
+    expectNoSlotTaken();
+  });
+});
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -26,7 +26,11 @@
 } from './proxy/relay/request_relay.js';
 export type {BrittleTerms} from './proxy/brittleness/brittle_terms.js';
 export type {ReachabilityMonitorOptions} from './proxy/reachability/reachability_monitor.js';
-export type {MemoryMove, MemoryMover} from './proxy/handover/memory_mover.js';
+export type {
+  MemoryCopy,
+  MemoryMove,
+  MemoryMover,
+} from './proxy/handover/memory_mover.js';
 export type {ProxyAnswer} from './proxy/proxy_answer.js';
 export type {
   UpstreamChoice,
@@ -146,7 +150,10 @@
   GATEKEEPERS_PER_UPSTREAM,
 } from './proxy/brittleness/brittle_terms.js';
 export {BrittleServices} from './proxy/brittleness/brittle_services.js';
-export {MemoryMoveOutcome} from './proxy/handover/memory_mover.js';
+export {
+  hasRunStopped,
+  MemoryMoveOutcome,
+} from './proxy/handover/memory_mover.js';
 export {ProbeKind} from './proxy/proxy_connector.js';
 export {ProxyUpstreamDirectory} from './proxy/proxy_upstream_directory.js';
 export {ENDLESS_ANSWER_PERIOD} from './proxy/answer_period.js';
--- a/packages/arbutustide-routing/src/proxy/attempt_maker.ts
+++ b/packages/arbutustide-routing/src/proxy/attempt_maker.ts
@@ -94,7 +94,19 @@
     progress: RoutedRequestProgress,
     current: ProxyUpstream | undefined,
   ): AttemptSlot | undefined {
-    const slot = this.queue.tryTakeEarlierSlot(progress, current);
+    const {triedUpstreams} = progress;
+    return this.tryTakeSlotAmong(
+      progress,
+      upstream => triedUpstreams.has(upstream) && upstream !== current,
+    );
+  }
+
+  /** A slot at one of the candidates; undefined if none of them has room. */
+  tryTakeSlotAmong(
+    progress: RoutedRequestProgress,
+    isCandidate: (upstream: ProxyUpstream) => boolean,
+  ): AttemptSlot | undefined {
+    const slot = this.queue.tryTakeSlotAmong(progress, isCandidate);
     return slot && this.withTarget(slot);
   }
 
--- a/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
@@ -58,6 +58,8 @@
   readonly expectedMilliseconds: number | undefined;
   /** Whether the memory of its run may be moved, as far as is known. */
   readonly isMovable: boolean;
+  /** Since a move failed whose run went on; Infinity if none has. */
+  readonly sinceMoveFailedMilliseconds: number;
   /** How long its upstream has kept this node waiting. */
   readonly stalledMilliseconds: number;
   /** Median of its latest pauses; undefined if it has had none. */
@@ -107,14 +109,14 @@
 }
 
 /** The ways for a stream to go on, the best one first. */
-function* waysToGoOn({
-  route,
-  mayReachFurther,
-  isMovable,
-  isUrgent,
-  hasEarlierUpstream,
-}: HandoverInput): Generator<HandoverAction, void, undefined> {
-  if (isMovable) yield HandoverAction.MOVE_MEMORY;
+function* waysToGoOn(
+  input: HandoverInput,
+): Generator<HandoverAction, void, undefined> {
+  const {route, mayReachFurther, isUrgent, hasEarlierUpstream} = input;
+  const {isMovable, sinceMoveFailedMilliseconds} = input;
+  // Other ways come before another try to move it.
+  if (isMovable && sinceMoveFailedMilliseconds >= patienceOf(input))
+    yield HandoverAction.MOVE_MEMORY;
   if (!isRepeatable(route)) return;
   if (mayReachFurther) yield HandoverAction.RESUME_ELSEWHERE;
   // The route bounds the number of upstreams, not of attempts at one of them.
@@ -134,19 +136,21 @@
     : Err(StayReason.NOT_BEGUN);
 }
 
-function isStalled({
+function isStalled(input: HandoverInput): boolean {
+  return input.stalledMilliseconds >= patienceOf(input);
+}
+
+/** For how long the next event of a stream is awaited. */
+function patienceOf({
   route,
-  stalledMilliseconds,
   usualPauseMilliseconds: usualPause,
   leftMilliseconds,
-}: HandoverInput): boolean {
+}: HandoverInput): number {
   const bound = Math.min(route.callerTimeoutMilliseconds, leftMilliseconds);
   const share = PATIENCE_SHARE * bound;
   const patience =
     usualPause === undefined
       ? UNKNOWN_PACE_FACTOR * share
       : Math.max(share, USUAL_PAUSES * usualPause);
-  return (
-    stalledMilliseconds >= Math.max(MINIMUM_PATIENCE_MILLISECONDS, patience)
-  );
+  return Math.max(MINIMUM_PATIENCE_MILLISECONDS, patience);
 }
--- a/packages/arbutustide-routing/src/proxy/handover/memory_mover.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/memory_mover.ts
@@ -6,10 +6,14 @@
   MOVED = 'moved',
   /** The run has stopped, and only its source holds the memory. */
   KEPT_AT_SOURCE = 'kept_at_source',
+  /** The run goes on: no target has room for it. */
+  NO_ROOM = 'no_room',
   /** The source moves it already. */
   BUSY = 'busy',
-  /** The run goes on: the source does not know it or moves no memory. */
+  /** The run goes on: the source does not run it now or moves no memory. */
   IMPOSSIBLE = 'impossible',
+  /** The run goes on, and has made events since. */
+  NOT_NEEDED = 'not_needed',
   /** There was no answer, so the run may have stopped. */
   UNKNOWN = 'unknown',
 }
@@ -31,12 +35,32 @@
   readonly reason?: string;
 }
 
+/** Result of copying the memory of a run that goes on. */
+export interface MemoryCopy {
+  /** Undefined if there is a copy. */
+  readonly failure?: MemoryMoveOutcome;
+  /** Names the copy at its source. */
+  readonly handle?: string;
+  readonly reason?: string;
+}
+
 /** Moves the memory of runs from one upstream to another. */
 export interface MemoryMover {
-  /** Stops the run of a request and copies its memory to another upstream. */
+  /**
+   * Copies the memory of the run of a request to another upstream, which keeps
+   * a place for it. The run goes on whatever comes of it.
+   */
+  copyMemory(
+    source: ProxyUpstream,
+    target: ProxyUpstream,
+    requestId: string,
+  ): Promise<MemoryCopy>;
+  /** Stops the run of a request and copies what the other upstream lacks. */
   moveMemory(
     source: ProxyUpstream,
     target: ProxyUpstream,
     requestId: string,
   ): Promise<MemoryMove>;
+  /** Gives up a copy that no run goes on from; it is dropped later if not. */
+  dropCopy(source: ProxyUpstream, handle: string): Promise<void>;
 }
--- a/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
@@ -38,7 +38,7 @@
   private handoversBegun = 0;
   private replacementFailedAtMilliseconds = -Infinity;
   private isUrgent = false;
-  private isMovable = true;
+  private moveFailedAtMilliseconds = -Infinity;
   private hasUncertainMove = false;
   private pending: Promise<Handover | undefined> | undefined;
   private replacement: ReplacementAttempt | undefined;
@@ -131,7 +131,9 @@
         tried => tried !== upstream,
       ),
       hasEvents: timeline.hasEvents,
-      isMovable: this.isMovable && upstream !== undefined,
+      isMovable: upstream !== undefined,
+      sinceMoveFailedMilliseconds:
+        performance.now() - this.moveFailedAtMilliseconds,
       stalledMilliseconds: Math.min(
         timeline.stalledMilliseconds,
         performance.now() - this.replacementFailedAtMilliseconds,
@@ -262,9 +264,10 @@
       this.lastStayReason = reason;
   }
 
+  /** Records that the run goes on where it is, or may have stopped. */
   recordMoveFailed(outcome: MemoryMoveOutcome): void {
     if (outcome === MemoryMoveOutcome.BUSY) this.recordReplacementFailed();
-    else this.isMovable = false;
+    else this.moveFailedAtMilliseconds = performance.now();
     if (outcome === MemoryMoveOutcome.UNKNOWN) this.hasUncertainMove = true;
     this.handoversBegun -= 1;
   }
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -8,7 +8,8 @@
 import type {RoutedRequestProgress} from '../routed_request_progress.js';
 import type {Handover, ReplacementPlace} from './handover.js';
 import type {HandoverInput} from './handover_decision.js';
-import type {MemoryMove, MemoryMover} from './memory_mover.js';
+import type {MemoryMover} from './memory_mover.js';
+import type {RunMove} from './run_moves.js';
 import type {StreamReplacementsOptions} from './stream_replacements.js';
 
 import {Err, Ok} from 'ts-results';
@@ -27,6 +28,7 @@
 } from './handover_decision.js';
 import {MemoryMoveOutcome} from './memory_mover.js';
 import {OpenStream} from './open_stream.js';
+import {RunMoves} from './run_moves.js';
 import {StreamReplacements} from './stream_replacements.js';
 
 /** Why a node ends an attempt whose stream goes on at another place. */
@@ -63,6 +65,7 @@
       AttemptMaker,
       | 'tryTakeSlot'
       | 'tryTakeEarlierSlot'
+      | 'tryTakeSlotAmong'
       | 'takeSlotAt'
       | 'tryConsumeRetry'
       | 'tryReservePlace'
@@ -98,6 +101,8 @@
 export class StreamHandovers {
   private readonly streams = new Set<OpenStream>();
   private readonly replacements: StreamReplacements;
+  /** Undefined if no upstream moves memory. */
+  private readonly runMoves: RunMoves | undefined;
   private readonly starters: Readonly<Record<HandoverAction, HandoverStarter>> =
     {
       [HandoverAction.RESUME_ELSEWHERE]: stream =>
@@ -118,6 +123,8 @@
 
   constructor(private readonly options: StreamHandoversOptions) {
     this.replacements = new StreamReplacements(options);
+    const {memoryMover, attempts} = options;
+    this.runMoves = memoryMover && new RunMoves(memoryMover, attempts);
   }
 
   /** Tracks the answer to a request until it is closed, if it is a stream. */
@@ -270,16 +277,14 @@
 
   private startMoving(stream: OpenStream): HandoverStart {
     const {progress, upstream: source} = stream;
-    const {memoryMover, attempts} = this.options;
-    if (!source || !memoryMover) return Err(StayReason.NOT_MOVABLE);
+    const {attempts} = this.options;
+    if (!source || !this.runMoves) return Err(StayReason.NOT_MOVABLE);
     const slot = attempts.tryTakeSlot(progress) ?? this.takeEarlierSlot(stream);
-    const target = slot?.target.upstream;
-    if (!slot || !target) return Err(StayReason.NO_UPSTREAM);
+    if (!slot?.target.upstream) return Err(StayReason.NO_UPSTREAM);
     if (!this.consumeRetry(stream, slot)) return Err(StayReason.NO_RETRY_LEFT);
-    const {requestId} = progress.request;
-    const move = memoryMover.moveMemory(source, target, requestId);
     stream.countHandover();
-    stream.handOver(this.awaitMove(stream, source, slot, move));
+    const move = this.runMoves.move(stream, source, slot);
+    stream.handOver(this.awaitMove(stream, source, move));
     return Ok(slot.target);
   }
 
@@ -287,12 +292,12 @@
   private async awaitMove(
     stream: OpenStream,
     source: ProxyUpstream,
-    slot: AttemptSlot,
-    move: Promise<MemoryMove>,
+    pending: Promise<RunMove>,
   ): Promise<Handover | undefined> {
     const {progress} = stream;
     const beganAtMilliseconds = performance.now();
-    const {outcome, location, reason} = await move;
+    const {slot, move} = await pending;
+    const {outcome, location, reason} = move;
     this.options.onMove(progress, {
       outcome,
       reason,
@@ -307,6 +312,8 @@
       return this.createMovedHandover(progress, ownSlot, location);
     }
     stream.recordMoveFailed(outcome);
+    // No attempt was made with it.
+    stream.reserveRetry();
     return undefined;
   }
 
--- a/packages/arbutustide-routing/src/proxy/slot_queue.ts
+++ b/packages/arbutustide-routing/src/proxy/slot_queue.ts
@@ -85,18 +85,16 @@
   }
 
   /**
-   * Takes a slot now at one of the upstreams that the request was sent to before,
-   * except the one where it is; undefined if none of them has room.
+   * Takes a slot now at one of the candidates, whether the request was sent to it
+   * before or not; undefined if none of them has room.
    */
-  tryTakeEarlierSlot(
+  tryTakeSlotAmong(
     progress: RoutedRequestProgress,
-    current: ProxyUpstream | undefined,
+    isCandidate: (upstream: ProxyUpstream) => boolean,
   ): UpstreamSlot | undefined {
-    const {triedUpstreams} = progress;
     const choice = this.options.chooseUpstream(progress, {
       isUrgent: true,
-      isCandidate: upstream =>
-        triedUpstreams.has(upstream) && upstream !== current,
+      isCandidate,
     });
     return isNoUpstreamReason(choice)
       ? undefined
