Count no upstream as reached that refused a request as misdirected

It was never able to run the request.

Such an attempt counts as one without a connection does. It still needs a retry of the budget, and its upstream is not tried again; a refusal for lack of room counts as before.

--- a/packages/arbutustide-routing/src/proxy/attempt_maker.ts
+++ b/packages/arbutustide-routing/src/proxy/attempt_maker.ts
@@ -153,9 +153,7 @@
       follower.endAttempt();
     }
     if (mayHaveRun(attempt.outcome)) progress.mayHaveRun = true;
-    // A request that was never sent does not count against maximumAttempts.
-    if (attempt.outcome === AttemptOutcome.NOT_CONNECTED)
-      progress.attempts -= 1;
+    if (!countsAsReached(attempt)) progress.attempts -= 1;
     target.recordAttempt(progress, attempt);
     this.decisions.recordAttempt(progress, attempt);
     return attempt;
@@ -220,3 +218,12 @@
     return {...slot, target};
   }
 }
+
+/**
+ * Whether an attempt counts against the upstreams that a route allows: it was
+ * sent, and what it was meant for was there.
+ */
+function countsAsReached({outcome, head}: AttemptResult): boolean {
+  const isMisdirected = head?.isOtherInstance ?? false;
+  return outcome !== AttemptOutcome.NOT_CONNECTED && !isMisdirected;
+}
