Go on from the copy of a run that may have stopped for a lost move

Callers saw streams of a stopping node closed without their end, seconds before the node ended: the answer of the call that moves a run's memory came later than the node waits for it (0.7 s), or not at all. The run had stopped and its stream was closed; the node knew of no copy, and what it had left was a new attempt that the route or the retries did not allow.

Once it has events where it was, the copy is given up.

run_moves.test.ts: three of the four new tests fail if the copy is not used; 20 tests of the calls pass.

--- a/packages/arbutustide-routing/src/__tests__/unit/moving_connector.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/moving_connector.ts
@@ -18,10 +18,10 @@
   readonly terms: AttemptOptions[] = [];
   /** Copies of runs that went on. */
   readonly copies: string[] = [];
-  readonly droppedHandles: string[] = [];
+  readonly droppedCopies: string[] = [];
   readonly moves: string[] = [];
   copy: (target: ProxyUpstream) => Promise<MemoryCopy> = async () => ({
-    handle: 'handle',
+    location: MEMORY_LOCATION,
   });
   move: () => Promise<MemoryMove> = async () => ({
     outcome: MemoryMoveOutcome.MOVED,
@@ -45,8 +45,8 @@
     return this.copy(target);
   }
 
-  async dropCopy(_source: ProxyUpstream, handle: string): Promise<void> {
-    this.droppedHandles.push(handle);
+  async dropCopy(_source: ProxyUpstream, location: string): Promise<void> {
+    this.droppedCopies.push(location);
   }
 
   moveMemory(
--- a/packages/arbutustide-routing/src/__tests__/unit/run_moves.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/run_moves.test.ts
@@ -4,14 +4,14 @@
 import type {ProxyUpstream} from '../../proxy/proxy_upstream.js';
 import type {AttemptScript} from './scripted_connector.js';
 
-import {Cancellation} from '@arbutustide/errors';
+import {Cancellation, delay} from '@arbutustide/errors';
 import {install} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 
 import {AnswerEnd} from '../../caller_request.js';
 import {MemoryMoveOutcome} from '../../proxy/handover/memory_mover.js';
 import {RequestKind} from '../../proxy/route.js';
-import {MovingConnector} from './moving_connector.js';
+import {MEMORY_LOCATION, MovingConnector} from './moving_connector.js';
 import {testUpstream} from './proxy_fixtures.js';
 import {
   connectionLostError,
@@ -26,7 +26,8 @@
 const LEFT_MILLISECONDS = 4_000;
 const REVIEW_MILLISECONDS = 50;
 /** Longer than the next event of a stream is awaited. */
-const STALL_MILLISECONDS = 1_100;
+const STALL_MILLISECONDS = 600;
+const EVENT_MILLISECONDS = 10;
 
 const NO_ROOM: MemoryCopy = {failure: MemoryMoveOutcome.NO_ROOM};
 const NOT_RUNNING: MemoryCopy = {failure: MemoryMoveOutcome.IMPOSSIBLE};
@@ -58,7 +59,9 @@
       respondWith({
         isEventStream: true,
         body: (async function* () {
-          yield Buffer.from('id: 1\ndata: x\n\nid: 2\ndata: x\n\n');
+          yield Buffer.from('id: 1\ndata: x\n\n');
+          await delay(EVENT_MILLISECONDS);
+          yield Buffer.from('id: 2\ndata: x\n\n');
           await wait(goesOn, cancellation);
           yield Buffer.from('id: 3\ndata: x\n\n');
           await wait(ends, cancellation);
@@ -89,7 +92,7 @@
     );
     const request = createRequest(RequestKind.STREAM, isResumable);
     const reading = readAnswer(await dispatcher.dispatch(request));
-    await clock.tickAsync(0);
+    await clock.tickAsync(EVENT_MILLISECONDS);
     answerPeriod.endsAtMilliseconds = performance.now() + LEFT_MILLISECONDS;
     const review = async (milliseconds: number) => {
       for (let at = 0; at < milliseconds; at += REVIEW_MILLISECONDS) {
@@ -100,6 +103,14 @@
     return {connector, reading, review};
   }
 
+  function createBudget(retries: number): () => boolean {
+    let left = retries;
+    return () => {
+      left -= 1;
+      return left >= 0;
+    };
+  }
+
   function expectNoSlotTaken(): void {
     const inFlight = upstreams.map(({ownInFlight}) => ownInFlight);
     expect(inFlight).to.eql([0, 0, 0]);
@@ -130,7 +141,7 @@
     const {connector, reading, review} = await play(
       false,
       [createStall().script, goOn],
-      async ({id}) => (id === 'two' ? NO_ROOM : {handle: 'handle'}),
+      async ({id}) => (id === 'two' ? NO_ROOM : {location: MEMORY_LOCATION}),
     );
     await review(STALL_MILLISECONDS);
     const {text, end} = await reading;
@@ -149,7 +160,7 @@
       async () => {
         goesOn.cancel(undefined);
         await clock.tickAsync(0);
-        return {handle: 'unused'};
+        return {location: 'unused'};
       },
     );
     await review(STALL_MILLISECONDS);
@@ -158,7 +169,7 @@
     expect(eventIdsIn(text)).to.eql([1, 2, 3]);
     expect(end).to.equal(AnswerEnd.WHOLE);
     expect(connector.moves).to.eql([]);
-    expect(connector.droppedHandles).to.include('unused');
+    expect(connector.droppedCopies).to.include('unused');
     expectNoSlotTaken();
   });
 
@@ -167,7 +178,7 @@
     const {connector, reading, review} = await play(
       false,
       [createStall().script, goOn],
-      async () => (isRunning ? {handle: 'handle'} : NOT_RUNNING),
+      async () => (isRunning ? {location: MEMORY_LOCATION} : NOT_RUNNING),
     );
     await review(STALL_MILLISECONDS);
     expect(connector.copies.length).to.be.within(1, 2);
@@ -179,16 +190,77 @@
     expectNoSlotTaken();
   });
 
+  describe('whose move is not answered', () => {
+    /** A move that is not answered and stops the run, or does not. */
+    async function playLostMove(isResumable: boolean, stops: boolean) {
+      const {script, goesOn, ends} = createStall();
+      const broken = new Cancellation();
+      const first: AttemptScript = async (upstream, terms) => {
+        const opened = await script(upstream, {
+          ...terms,
+          cancellation: broken,
+        });
+        terms.cancellation.onCancel(() => broken.cancel(undefined));
+        return opened;
+      };
+      const played = await play(
+        isResumable,
+        [first, goOn],
+        async () => ({location: MEMORY_LOCATION}),
+        // The move is paid for, and nothing else can be.
+        createBudget(1),
+      );
+      played.connector.move = async () => {
+        if (stops) broken.cancel(undefined);
+        return {outcome: MemoryMoveOutcome.UNKNOWN, reason: 'timed out'};
+      };
+      await played.review(STALL_MILLISECONDS);
+      return {...played, goesOn, ends, broken};
+    }
+
+    for (const isResumable of [false, true]) {
+      const kind = isResumable ? 'may be resumed' : 'must run once';
+      it(`goes on from its copy if it ${kind} and was stopped`, async () => {
+        const {connector, reading} = await playLostMove(isResumable, true);
+        const {text, end} = await reading;
+        expect(eventIdsIn(text)).to.eql([1, 2, 3, 4]);
+        expect(end).to.equal(AnswerEnd.WHOLE);
+        expect(connector.upstreamIds).to.eql(['one', 'two']);
+        expect(connector.terms[1].memoryLocation).to.equal(MEMORY_LOCATION);
+        expectNoSlotTaken();
+      });
+    }
+
+    it('goes on from its copy if it breaks off later', async () => {
+      const {reading, broken} = await playLostMove(false, false);
+      broken.cancel(undefined);
+      expect((await reading).end).to.equal(AnswerEnd.WHOLE);
+      expectNoSlotTaken();
+    });
+
+    it('gives up its copy once it has events where it was', async () => {
+      const {connector, reading, goesOn, ends} = await playLostMove(
+        false,
+        false,
+      );
+      expect(connector.droppedCopies).to.eql([]);
+      goesOn.cancel(undefined);
+      await clock.tickAsync(0);
+      expect(connector.droppedCopies).to.include(MEMORY_LOCATION);
+      ends.cancel(undefined);
+      const {text, end} = await reading;
+      expect(eventIdsIn(text)).to.eql([1, 2, 3]);
+      expect(end).to.equal(AnswerEnd.WHOLE);
+      expectNoSlotTaken();
+    });
+  });
+
   it('is resumed with the retry of a move that found no room', async () => {
-    let retries = 1;
     const {connector, reading, review} = await play(
       true,
       [createStall().script, goOn],
       async () => NO_ROOM,
-      () => {
-        retries -= 1;
-        return retries >= 0;
-      },
+      createBudget(1),
     );
     await review(STALL_MILLISECONDS);
     const {text, end} = await reading;
--- a/packages/arbutustide-routing/src/proxy/handover/handover.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/handover.ts
@@ -28,3 +28,29 @@
   readonly isAfterInactivity?: boolean;
   readonly takeNextSlot: () => AttemptSlot | undefined;
 }
+
+/**
+ * A handover whose attempt is yet to be made.
+ *
+ * @param memoryLocation copy of memory that the run goes on from, if it does.
+ */
+export function createHandover(
+  place: ReplacementPlace,
+  memoryLocation?: string,
+): Handover {
+  const {slot, reason, isUrgent, isAfterInactivity = false} = place;
+  return {
+    slot,
+    reason,
+    isUrgent,
+    isAfterInactivity,
+    memoryLocation,
+    takeFallback: () => {
+      const next = place.takeNextSlot();
+      if (!next) return undefined;
+      const nextPlace = {...place, slot: next, takeNextSlot: () => undefined};
+      return createHandover(nextPlace, memoryLocation);
+    },
+    release: () => slot.release(),
+  };
+}
--- a/packages/arbutustide-routing/src/proxy/handover/memory_mover.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/memory_mover.ts
@@ -39,8 +39,8 @@
 export interface MemoryCopy {
   /** Undefined if there is a copy. */
   readonly failure?: MemoryMoveOutcome;
-  /** Names the copy at its source. */
-  readonly handle?: string;
+  /** Where the run can go on from once it has stopped. */
+  readonly location?: string;
   readonly reason?: string;
 }
 
@@ -62,5 +62,5 @@
     requestId: string,
   ): Promise<MemoryMove>;
   /** Gives up a copy that no run goes on from; it is dropped later if not. */
-  dropCopy(source: ProxyUpstream, handle: string): Promise<void>;
+  dropCopy(source: ProxyUpstream, location: string): Promise<void>;
 }
--- a/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
@@ -24,6 +24,14 @@
   readonly onInactive: () => boolean;
 }
 
+/** A move of memory that was not answered, and whose copy can be used. */
+export interface UncertainMove {
+  /** Goes on from the copy, if the run has stopped. */
+  readonly handover: Handover;
+  /** Gives up the copy, as the run goes on. */
+  readonly giveUp: () => void;
+}
+
 /** How far a stream has come. */
 interface EventCount {
   readonly lastEventId: number | undefined;
@@ -40,6 +48,8 @@
   private isUrgent = false;
   private moveFailedAtMilliseconds = -Infinity;
   private hasUncertainMove = false;
+  /** Undefined if there is none, or no copy that the stream can go on from. */
+  private uncertainMove: UncertainMove | undefined;
   private pending: Promise<Handover | undefined> | undefined;
   private replacement: ReplacementAttempt | undefined;
   private isBetweenAttempts = false;
@@ -191,6 +201,7 @@
     this.passedEvents = passedCount;
     this.timeline.recordEvents();
     this.hasUncertainMove = false;
+    this.giveUpUncertainMove();
     this.withdrawReplacement('the stream went on where it was');
   }
 
@@ -272,9 +283,26 @@
     this.handoversBegun -= 1;
   }
 
-  /** Takes the handover; resolves to undefined if there is none. */
-  async takeHandover(): Promise<Handover | undefined> {
-    const handover = await this.pending;
+  /** Records a move after which the run may have stopped. */
+  recordUncertainMove(move: UncertainMove): void {
+    this.recordMoveFailed(MemoryMoveOutcome.UNKNOWN);
+    this.giveUpUncertainMove();
+    this.uncertainMove = move;
+  }
+
+  /**
+   * Takes the handover; resolves to undefined if there is none.
+   *
+   * @param hasBrokenOff whether the attempt has ended before its stream, so that
+   *     a run which may have been stopped for a move was stopped.
+   */
+  async takeHandover(hasBrokenOff: boolean): Promise<Handover | undefined> {
+    if (hasBrokenOff && this.uncertainMove)
+      this.withdrawReplacement('the stream goes on from a copy');
+    const settled = await this.pending;
+    const handover =
+      settled ?? (hasBrokenOff ? this.takeUncertainMove() : undefined);
+    this.giveUpUncertainMove();
     this.pending = undefined;
     this.replacement = undefined;
     this.isBetweenAttempts = handover !== undefined;
@@ -292,11 +320,23 @@
     this.hasEnded = true;
     this.options.onClose();
     this.withdrawReplacement('the stream was given up');
+    this.giveUpUncertainMove();
     void this.pending?.then(handover => handover?.release());
     this.pending = undefined;
     this.replacement = undefined;
   }
 
+  private takeUncertainMove(): Handover | undefined {
+    const handover = this.uncertainMove?.handover;
+    this.uncertainMove = undefined;
+    return handover;
+  }
+
+  private giveUpUncertainMove(): void {
+    this.uncertainMove?.giveUp();
+    this.takeUncertainMove()?.release();
+  }
+
   private recordStayed(): void {
     this.pending = undefined;
     this.replacement = undefined;
--- a/packages/arbutustide-routing/src/proxy/handover/run_moves.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/run_moves.ts
@@ -10,6 +10,8 @@
 export interface RunMove {
   readonly slot: AttemptSlot;
   readonly move: MemoryMove;
+  /** Where a run that may have stopped can go on from. */
+  readonly copyLocation?: string;
 }
 
 /** A copy at the upstream of a slot, or why there is none. */
@@ -35,7 +37,7 @@
   ): Promise<RunMove> {
     const {lastEventId, progress} = stream;
     const {requestId} = progress.request;
-    const {slot, failure, handle, reason} = await this.copy(
+    const {slot, failure, location, reason} = await this.copy(
       stream,
       source,
       first,
@@ -50,12 +52,18 @@
     if (isNeeded) {
       const {memoryMover} = this;
       const move = await memoryMover.moveMemory(source, target, requestId);
-      return {slot, move};
+      return {slot, move, copyLocation: location};
     }
-    if (handle !== undefined) void this.memoryMover.dropCopy(source, handle);
+    this.dropCopy(source, location);
     return {slot, move: {outcome: MemoryMoveOutcome.NOT_NEEDED}};
   }
 
+  /** Gives up a copy that no run goes on from, if there is one. */
+  dropCopy(source: ProxyUpstream, location: string | undefined): void {
+    if (location !== undefined)
+      void this.memoryMover.dropCopy(source, location);
+  }
+
   /** Copies memory to one upstream after another until one has room. */
   private async copy(
     stream: OpenStream,
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -6,7 +6,7 @@
 import type {StreamTimes} from '../proxy_dispatcher_options.js';
 import type {ProxyUpstream} from '../proxy_upstream.js';
 import type {RoutedRequestProgress} from '../routed_request_progress.js';
-import type {Handover, ReplacementPlace} from './handover.js';
+import type {Handover} from './handover.js';
 import type {HandoverInput} from './handover_decision.js';
 import type {MemoryMover} from './memory_mover.js';
 import type {RunMove} from './run_moves.js';
@@ -27,6 +27,7 @@
   StayReason,
 } from './handover_decision.js';
 import {MemoryMoveOutcome} from './memory_mover.js';
+import {createHandover} from './handover.js';
 import {OpenStream} from './open_stream.js';
 import {RunMoves} from './run_moves.js';
 import {StreamReplacements} from './stream_replacements.js';
@@ -247,7 +248,7 @@
       takeNextSlot: () => undefined,
     };
     if (!stream.isAnswered) {
-      stream.handOver(this.createHandover(progress, place));
+      stream.handOver(createHandover(place));
       return true;
     }
     stream.recordInactive();
@@ -272,7 +273,7 @@
     if (!slot) return undefined;
     const takeNextSlot = () => undefined;
     const place = {slot, reason: HANDED_OVER, isUrgent: true, takeNextSlot};
-    return this.createHandover(progress, place);
+    return createHandover(place);
   }
 
   private startMoving(stream: OpenStream): HandoverStart {
@@ -296,7 +297,7 @@
   ): Promise<Handover | undefined> {
     const {progress} = stream;
     const beganAtMilliseconds = performance.now();
-    const {slot, move} = await pending;
+    const {slot, move, copyLocation} = await pending;
     const {outcome, location, reason} = move;
     this.options.onMove(progress, {
       outcome,
@@ -306,6 +307,18 @@
     });
     if (outcome === MemoryMoveOutcome.MOVED)
       return this.createMovedHandover(progress, slot, location, source);
+    if (outcome === MemoryMoveOutcome.UNKNOWN && copyLocation !== undefined) {
+      stream.recordUncertainMove({
+        handover: this.createMovedHandover(
+          progress,
+          slot,
+          copyLocation,
+          source,
+        ),
+        giveUp: () => this.runMoves?.dropCopy(source, copyLocation),
+      });
+      return undefined;
+    }
     slot.release();
     if (outcome === MemoryMoveOutcome.KEPT_AT_SOURCE) {
       const ownSlot = this.options.attempts.takeSlotAt(progress, source);
@@ -327,30 +340,7 @@
     const takeNextSlot = () =>
       source && this.options.attempts.takeSlotAt(progress, source);
     const place = {slot, reason: HANDED_OVER, isUrgent: true, takeNextSlot};
-    return this.createHandover(progress, place, memoryLocation);
-  }
-
-  /** A handover whose attempt is yet to be made. */
-  private createHandover(
-    progress: RoutedRequestProgress,
-    place: ReplacementPlace,
-    memoryLocation?: string,
-  ): Handover {
-    const {slot, reason, isUrgent, isAfterInactivity = false} = place;
-    return {
-      slot,
-      reason,
-      isUrgent,
-      isAfterInactivity,
-      memoryLocation,
-      takeFallback: () => {
-        const next = place.takeNextSlot();
-        if (!next) return undefined;
-        const nextPlace = {...place, slot: next, takeNextSlot: () => undefined};
-        return this.createHandover(progress, nextPlace, memoryLocation);
-      },
-      release: () => slot.release(),
-    };
+    return createHandover(place, memoryLocation);
   }
 
   /** A slot at one more upstream, if the route allows it. */
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -280,7 +280,7 @@
         stream,
       );
       if (attempt.outcome === AttemptOutcome.ANSWERED) return Ok(attempt);
-      handover = (await stream.takeHandover()) ?? handover?.takeFallback();
+      handover = (await stream.takeHandover(false)) ?? handover?.takeFallback();
       if (handover) continue;
       if (attempt.outcome === AttemptOutcome.FAILED) lastFailure = attempt;
       const budget = {
--- a/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
@@ -156,7 +156,7 @@
     } catch (error) {
       const isBrokenOff = this.openStream.isReplacementAwaited;
       if (isBrokenOff) this.recordBroken(attempt);
-      const handedOver = await this.findHandover(attempt);
+      const handedOver = await this.findHandover(attempt, true);
       if (handedOver) return handedOver;
       if (!isBrokenOff) this.recordBroken(attempt);
       return {reason: String(error)};
@@ -168,10 +168,11 @@
   }
 
   /** The end of an attempt whose stream goes on elsewhere, or may have to. */
-  private async findHandover({
-    observed,
-  }: AttemptResult): Promise<SegmentFailure | undefined> {
-    const handover = await this.openStream.takeHandover();
+  private async findHandover(
+    {observed}: AttemptResult,
+    hasBrokenOff = false,
+  ): Promise<SegmentFailure | undefined> {
+    const handover = await this.openStream.takeHandover(hasBrokenOff);
     if (handover?.isAfterInactivity) observed?.recordBroken();
     if (handover) return {reason: handover.reason, handover};
     if (!this.openStream.mayHaveMoved) return undefined;
