Bound how long a copy of a run is awaited

The late copies kept their places until the engine dropped them.

The copy of a run that may run again elsewhere is awaited for a quarter of the time that is left, as long as a stall; that of one that must run once for nearly all of it, as it has no other way. A copy that comes later is given up at its engine.

--- a/packages/arbutustide-routing/src/__tests__/unit/run_moves.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/run_moves.test.ts
@@ -190,6 +190,42 @@
     expectNoSlotTaken();
   });
 
+  it('is resumed elsewhere if its copy takes too long', async () => {
+    const copied = new Cancellation();
+    const {connector, reading, review} = await play(
+      true,
+      [createStall().script, goOn],
+      () =>
+        new Promise(resolve =>
+          copied.onCancel(() => resolve({location: 'late'})),
+        ),
+    );
+    await review(STALL_MILLISECONDS + LEFT_MILLISECONDS / 4);
+    const {text, end} = await reading;
+    expect(eventIdsIn(text)).to.eql([1, 2, 3, 4]);
+    expect(end).to.equal(AnswerEnd.WHOLE);
+    expect(connector.moves).to.eql([]);
+    copied.cancel(undefined);
+    await clock.tickAsync(0);
+    expect(connector.droppedCopies).to.eql(['late']);
+    expectNoSlotTaken();
+  });
+
+  it('awaits its copy for longer if it must run once', async () => {
+    const {connector, reading, review} = await play(
+      false,
+      [createStall().script, goOn],
+      async () => {
+        await delay(LEFT_MILLISECONDS / 2);
+        return {location: MEMORY_LOCATION};
+      },
+    );
+    await review(LEFT_MILLISECONDS - REVIEW_MILLISECONDS);
+    expect((await reading).end).to.equal(AnswerEnd.WHOLE);
+    expect(connector.moves).to.eql(['one to two']);
+    expectNoSlotTaken();
+  });
+
   describe('whose move is not answered', () => {
     /** A move that is not answered and stops the run, or does not. */
     async function playLostMove(isResumable: boolean, stops: boolean) {
--- a/packages/arbutustide-routing/src/proxy/handover/memory_mover.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/memory_mover.ts
@@ -8,6 +8,8 @@
   KEPT_AT_SOURCE = 'kept_at_source',
   /** The run goes on: no target has room for it. */
   NO_ROOM = 'no_room',
+  /** The run goes on: the copy takes longer than it can be awaited. */
+  TOO_SLOW = 'too_slow',
   /** The source moves it already. */
   BUSY = 'busy',
   /** The run goes on: the source does not run it now or moves no memory. */
@@ -54,6 +56,7 @@
     source: ProxyUpstream,
     target: ProxyUpstream,
     requestId: string,
+    timeoutMilliseconds: number,
   ): Promise<MemoryCopy>;
   /** Stops the run of a request and copies what the other upstream lacks. */
   moveMemory(
--- a/packages/arbutustide-routing/src/proxy/handover/run_moves.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/run_moves.ts
@@ -4,6 +4,10 @@
 import type {MemoryCopy, MemoryMove, MemoryMover} from './memory_mover.js';
 import type {OpenStream} from './open_stream.js';
 
+import {delay} from '@arbutustide/errors';
+
+import {isRepeatable} from '../route.js';
+import {MINIMUM_LEFT_MILLISECONDS} from './handover_decision.js';
 import {MemoryMoveOutcome} from './memory_mover.js';
 
 /** What became of a move, and the slot at the last upstream that was asked. */
@@ -19,6 +23,12 @@
   readonly slot: AttemptSlot;
 }
 
+/**
+ * Share of the time that is left in which the copy of a run must come that may
+ * run again elsewhere.
+ */
+const COPY_TIME_SHARE = 0.25;
+
 /**
  * Moves runs between upstreams. A run is stopped only once another upstream has a
  * copy of its memory and keeps a place for it; until then it goes on.
@@ -29,11 +39,15 @@
     private readonly attempts: Pick<AttemptMaker, 'tryTakeSlotAmong'>,
   ) {}
 
-  /** @param first slot at the upstream that is asked first. */
+  /**
+   * @param first slot at the upstream that is asked first.
+   * @param leftMilliseconds time that is left for the stream.
+   */
   async move(
     stream: OpenStream,
     source: ProxyUpstream,
     first: AttemptSlot,
+    leftMilliseconds: number,
   ): Promise<RunMove> {
     const {lastEventId, progress} = stream;
     const {requestId} = progress.request;
@@ -41,6 +55,7 @@
       stream,
       source,
       first,
+      leftMilliseconds,
     );
     const target = slot.target.upstream;
     if (failure || !target)
@@ -69,16 +84,29 @@
     stream: OpenStream,
     source: ProxyUpstream,
     first: AttemptSlot,
+    leftMilliseconds: number,
   ): Promise<PlacedCopy> {
     const {progress} = stream;
-    const {requestId} = progress.request;
+    const {route, requestId} = progress.request;
+    const limitMilliseconds = isRepeatable(route)
+      ? COPY_TIME_SHARE * leftMilliseconds
+      : leftMilliseconds - MINIMUM_LEFT_MILLISECONDS;
     const asked = new Set([source]);
     let slot = first;
     for (;;) {
       const target = slot.target.upstream;
       if (!target) return {slot, failure: MemoryMoveOutcome.NO_ROOM};
       asked.add(target);
-      const copy = await this.memoryMover.copyMemory(source, target, requestId);
+      const copy = await this.copyInTime(
+        this.memoryMover.copyMemory(
+          source,
+          target,
+          requestId,
+          leftMilliseconds,
+        ),
+        source,
+        limitMilliseconds,
+      );
       if (copy.failure !== MemoryMoveOutcome.NO_ROOM) return {...copy, slot};
       const next = stream.isClosed
         ? undefined
@@ -91,4 +119,21 @@
       slot = next;
     }
   }
+
+  /** A copy that comes too late is given up, for others to have its place. */
+  private async copyInTime(
+    copying: Promise<MemoryCopy>,
+    source: ProxyUpstream,
+    limitMilliseconds: number,
+  ): Promise<MemoryCopy> {
+    const limit = new AbortController();
+    const copy = await Promise.race([
+      copying,
+      delay(limitMilliseconds, limit.signal).then(() => undefined),
+    ]);
+    limit.abort();
+    if (copy) return copy;
+    void copying.then(({location}) => this.dropCopy(source, location));
+    return {failure: MemoryMoveOutcome.TOO_SLOW};
+  }
 }
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -284,7 +284,12 @@
     if (!slot?.target.upstream) return Err(StayReason.NO_UPSTREAM);
     if (!this.consumeRetry(stream, slot)) return Err(StayReason.NO_RETRY_LEFT);
     stream.countHandover();
-    const move = this.runMoves.move(stream, source, slot);
+    const move = this.runMoves.move(
+      stream,
+      source,
+      slot,
+      remainingForUpstream(progress, this.options.answerPeriod),
+    );
     stream.handOver(this.awaitMove(stream, source, move));
     return Ok(slot.target);
   }
