Go on from the copy when a stream without an end mark just ends

With an uncertain move such an end counts as a break.

run_moves.test.ts: 'goes on from its copy if its connection just ends' fails without it.

--- a/packages/arbutustide-routing/src/__tests__/unit/run_moves.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/run_moves.test.ts
@@ -47,9 +47,10 @@
   const goOn: AttemptScript = () => respondWithEvents([3, 4], true);
 
   /** A stream that stalls after two events until it is told to go on or end. */
-  function createStall() {
+  function createStall(isSelfDelimiting = true) {
     const goesOn = new Cancellation();
     const ends = new Cancellation();
+    const ended = new Cancellation();
     const wait = (step: Cancellation, cancellation: Cancellation) =>
       new Promise<void>((resolve, reject) => {
         step.onCancel(() => resolve());
@@ -58,16 +59,21 @@
     const script: AttemptScript = (_upstream, {cancellation}) =>
       respondWith({
         isEventStream: true,
+        isSelfDelimiting,
         body: (async function* () {
           yield Buffer.from('id: 1\ndata: x\n\n');
           await delay(EVENT_MILLISECONDS);
           yield Buffer.from('id: 2\ndata: x\n\n');
-          await wait(goesOn, cancellation);
+          await Promise.race([
+            wait(goesOn, cancellation),
+            wait(ended, cancellation),
+          ]);
+          if (ended.isCancelled) return;
           yield Buffer.from('id: 3\ndata: x\n\n');
           await wait(ends, cancellation);
         })(),
       });
-    return {script, goesOn, ends};
+    return {script, goesOn, ends, ended};
   }
 
   /** Begins a stream at `one`, and a stop in which it stalls. */
@@ -228,8 +234,12 @@
 
   describe('whose move is not answered', () => {
     /** A move that is not answered and stops the run, or does not. */
-    async function playLostMove(isResumable: boolean, stops: boolean) {
-      const {script, goesOn, ends} = createStall();
+    async function playLostMove(
+      isResumable: boolean,
+      stops: boolean,
+      isSelfDelimiting = true,
+    ) {
+      const {script, goesOn, ends, ended} = createStall(isSelfDelimiting);
       const broken = new Cancellation();
       const first: AttemptScript = async (upstream, terms) => {
         const opened = await script(upstream, {
@@ -251,7 +261,7 @@
         return {outcome: MemoryMoveOutcome.UNKNOWN, reason: 'timed out'};
       };
       await played.review(STALL_MILLISECONDS);
-      return {...played, goesOn, ends, broken};
+      return {...played, goesOn, ends, ended, broken};
     }
 
     for (const isResumable of [false, true]) {
@@ -274,6 +284,15 @@
       expectNoSlotTaken();
     });
 
+    it('goes on from its copy if its connection just ends', async () => {
+      const {reading, ended} = await playLostMove(false, false, false);
+      ended.cancel(undefined);
+      const {text, end} = await reading;
+      expect(eventIdsIn(text)).to.eql([1, 2, 3, 4]);
+      expect(end).to.equal(AnswerEnd.WHOLE);
+      expectNoSlotTaken();
+    });
+
     it('gives up its copy once it has events where it was', async () => {
       const {connector, reading, goesOn, ends} = await playLostMove(
         false,
--- a/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
@@ -143,7 +143,9 @@
       const isKept =
         isReplacementAwaited && !mayHaveMoved && reason === undefined;
       if (isKept) this.openStream.recordWhole();
-      const handedOver = isKept ? undefined : await this.findHandover(attempt);
+      const handedOver = isKept
+        ? undefined
+        : await this.findHandover(attempt, !attempt.head?.isSelfDelimiting);
       if (handedOver) return handedOver;
       if (reason !== undefined) {
         if (!isOverdue(attempt)) attempt.observed?.recordBroken();
@@ -167,7 +169,12 @@
     }
   }
 
-  /** The end of an attempt whose stream goes on elsewhere, or may have to. */
+  /**
+   * The end of an attempt whose stream goes on elsewhere, or may have to.
+   *
+   * @param hasBrokenOff whether it may have ended before its stream, as one does
+   *     whose answer ends with its connection.
+   */
   private async findHandover(
     {observed}: AttemptResult,
     hasBrokenOff = false,
