Count a stop from the earliest time at which its signal can have come

On a host that is behind, a process ended by SIGKILL with streams open: it counted the grace period from the turn in which its event loop read the SIGTERM, so that each step of the stop was late by as much as the loop.

--- a/packages/arbutustide-node/src/proxy/proxy_core.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_core.ts
@@ -154,10 +154,15 @@
   /**
    * Begins a graceful shutdown: notifies peers, fails the readiness check,
    * stops planning and releases the lease. Requests in flight continue.
+   *
+   * @param sinceMilliseconds when it was asked for, by the monotonic clock.
    */
-  async leave(): Promise<void> {
+  async leave(sinceMilliseconds: number): Promise<void> {
     this.status.setState(NodeState.LEAVING);
-    this.container.resolve(ProxyToken.SHUTDOWN_ADMISSION).begin();
+    const shutdownAdmission = this.container.resolve(
+      ProxyToken.SHUTDOWN_ADMISSION,
+    );
+    shutdownAdmission.begin(sinceMilliseconds);
     void this.refuseLateRequests();
     void handOverStalledStreams(this.dispatcher, this.stopController.signal);
     this.planningStopController.abort();
--- a/packages/arbutustide-node/src/proxy/shutdown_admission.ts
+++ b/packages/arbutustide-node/src/proxy/shutdown_admission.ts
@@ -55,9 +55,9 @@
 
   constructor(private readonly options: ShutdownAdmissionOptions) {}
 
-  /** Begins the shutdown. */
-  begin(): void {
-    this.beganAtMilliseconds ??= performance.now();
+  /** Begins the shutdown, as from a time by the monotonic clock. */
+  begin(atMilliseconds = performance.now()): void {
+    this.beganAtMilliseconds ??= atMilliseconds;
   }
 
   /** When upstreams must have answered at the latest, once it has begun. */
