Tell in log and metrics when the planner plans, and why a model is on no engine

About once a second a planner logs the number of its passes, the longest one, the longest time by which one began late, its orders, the number of models with requests that no engine holds by reason, and the eight that have waited longest; and one line for each model whose wait has ended. The same as metrics.

--- a/packages/arbutustide-node/src/proxy/decision_metrics.ts
+++ b/packages/arbutustide-node/src/proxy/decision_metrics.ts
@@ -2,7 +2,7 @@
 import type {RequestDecision} from '@arbutustide/routing';
 import type {NodeMetrics} from '@arbutustide/telemetry';
 
-import {PlannerStep} from '@arbutustide/placement';
+import {PlannerStep, UnloadedReason} from '@arbutustide/placement';
 import {DecisionStep} from '@arbutustide/routing';
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -78,13 +78,34 @@
   REQUEST_RECORDERS[decision.step](decision, metrics);
 }
 
-/** Counts the orders sent by the planner; ignores its other decisions. */
+type PlannerRecorder = (event: PlannerEvent, metrics: NodeMetrics) => void;
+
+const PLANNER_RECORDERS: Readonly<
+  Partial<Record<PlannerStep, PlannerRecorder>>
+> = {
+  [PlannerStep.ORDERED]: ({order, answer}, metrics) => {
+    if (!order) return;
+    metrics.plannerOrders.inc({kind: order.kind, reason: answer ?? ''});
+  },
+  [PlannerStep.MODEL_LOADED]: ({waitedMilliseconds = 0}, metrics) =>
+    metrics.modelWaitSeconds.observe(toSeconds(waitedMilliseconds)),
+  [PlannerStep.PASSES]: ({passes}, metrics) => {
+    if (!passes) return;
+    metrics.plannerPasses.inc(passes.passes);
+    metrics.plannerPassSeconds.set(toSeconds(passes.longestPassMilliseconds));
+    metrics.plannerDelaySeconds.set(toSeconds(passes.longestDelayMilliseconds));
+    for (const reason of Object.values(UnloadedReason))
+      metrics.unloadedModels.set({reason}, passes.unloaded[reason] ?? 0);
+  },
+  [PlannerStep.LEASE_LOST]: (_event, metrics) => metrics.unloadedModels.reset(),
+};
+
+/** Updates the metrics of the planner from one of its events. */
 export function recordPlannerMetrics(
-  {step, order, answer}: PlannerEvent,
+  event: PlannerEvent,
   metrics: NodeMetrics,
 ): void {
-  if (step !== PlannerStep.ORDERED || !order) return;
-  metrics.plannerOrders.inc({kind: order.kind, reason: answer ?? ''});
+  PLANNER_RECORDERS[event.step]?.(event, metrics);
 }
 
 /** The names of teams are those of a configuration, so they are few. */
--- /dev/null
+++ b/packages/arbutustide-placement/src/__tests__/unit/engine_planner.test.ts
@@ -0,0 +1,67 @@
+import type {Clock} from '@sinonjs/fake-timers';
+
+import {install} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+
+import {PlannerStep} from '../../engines/engine_planner_environment.js';
+import {UnloadedReason} from '../../engines/unloaded_models.js';
+import {LOAD_MILLISECONDS, PlannerRig} from './planner_rig.js';
+
+const STORE_LOADS_PER_SECOND = 4;
+const MODELS = ['alpha', 'beta', 'gamma', 'delta'];
+
+describe('engine planner', () => {
+  let clock: Clock;
+  let rig: PlannerRig;
+
+  beforeEach(() => {
+    clock = install();
+    rig = new PlannerRig(4, MODELS, STORE_LOADS_PER_SECOND);
+  });
+
+  afterEach(() => {
+    rig.stop();
+    clock.uninstall();
+  });
+
+  const summaries = () =>
+    rig.events.flatMap(({passes}) => (passes ? [passes] : []));
+
+  it('tells about once a second how many passes it made', async () => {
+    rig.start();
+    await clock.tickAsync(10_000);
+    expect(summaries()).to.have.length.within(9, 11);
+    const passes = summaries().reduce(
+      (sum, summary) => sum + summary.passes,
+      0,
+    );
+    expect(passes).to.be.within(50, 70);
+  });
+
+  it('tells which models with requests are on no engine, and why', async () => {
+    for (const engine of rig.engines) engine.isAnswering = false;
+    rig.demand.set('alpha', 3);
+    rig.start();
+    await clock.tickAsync(5_000);
+    const last = summaries().at(-1);
+    expect(last?.unloaded).to.deep.equal({[UnloadedReason.REPORT_OUTDATED]: 1});
+    expect(last?.longestWaiting).to.have.length(1);
+    expect(last?.longestWaiting[0]).to.include({model: 'alpha'});
+    expect(last?.longestWaiting[0].waitedMilliseconds).to.be.above(2_500);
+  });
+
+  it('tells how long a model was waited for', async () => {
+    rig.demand.set('beta', 3);
+    rig.start();
+    await clock.tickAsync(5_000);
+    const loaded = rig.events.filter(
+      ({step}) => step === PlannerStep.MODEL_LOADED,
+    );
+    expect(loaded).to.have.length(1);
+    expect(loaded[0].model).to.equal('beta');
+    expect(loaded[0].waitedMilliseconds).to.be.within(
+      LOAD_MILLISECONDS,
+      LOAD_MILLISECONDS + 1_000,
+    );
+  });
+});
--- a/packages/arbutustide-placement/src/engines/engine_holdings_tracker.ts
+++ b/packages/arbutustide-placement/src/engines/engine_holdings_tracker.ts
@@ -50,6 +50,7 @@
   private isReportedBusy = false;
   private reportedAtMilliseconds = -Infinity;
   private isStale = true;
+  private hasUnansweredOrder = false;
   /** Accepted orders whose effect the last report does not show yet. */
   private acceptedSinceReport: TimedOrder[] = [];
   /** Loads sent to this process that got no answer. */
@@ -87,6 +88,11 @@
     return this.sequence !== undefined && !this.isStale;
   }
 
+  /** Whether an order got no answer since the last report. */
+  get isOrderOutcomeUnknown(): boolean {
+    return this.hasUnansweredOrder;
+  }
+
   /** Whether any report has been applied. */
   get hasReport(): boolean {
     return this.sequence !== undefined;
@@ -176,6 +182,7 @@
     this.isReportedBusy = report.isBusy;
     this.reportedAtMilliseconds = performance.now();
     this.isStale = false;
+    this.hasUnansweredOrder = false;
     this.acceptedSinceReport = isNewSequence
       ? []
       : this.acceptedSinceReport.filter(
@@ -270,6 +277,7 @@
       return;
     }
     this.isStale = true;
+    this.hasUnansweredOrder ||= answer === undefined;
     if (answer === undefined && isLoadOrder(order)) {
       this.unansweredLoads.push({
         order,
--- a/packages/arbutustide-placement/src/engines/engine_planner.ts
+++ b/packages/arbutustide-placement/src/engines/engine_planner.ts
@@ -1,58 +1,40 @@
 import type {PlannerLease} from '../planner_lease.js';
 import type {PlannerLeadership} from '../planner_leadership.js';
 import type {AdapterLoaderSettings} from './adapter_loader.js';
-import type {EngineEntry, EngineRegistrySettings} from './engine_registry.js';
+import type {EngineRegistrySettings} from './engine_registry.js';
 import type {ExpectedHolding, RequestedHolding} from './expected_holding.js';
 import type {EngineClient} from './engine_client.js';
-import type {
-  CataloguedModel,
-  EngineService,
-  EnginePlannerEnvironment,
-} from './engine_planner_environment.js';
-import type {ModelMove, ModelPlanSettings, PlannedModel} from './model_plan.js';
+import type {EnginePlannerEnvironment} from './engine_planner_environment.js';
+import type {ModelDemandSettings} from './model_demand.js';
+import type {ModelLoaderSettings} from './model_loader.js';
 
 import {delay, SuspensionDetector} from '@arbutustide/errors';
-import {OrderKind} from '@arbutustide/upstream';
 
-import {DemandTracker} from '../demand_tracker.js';
-import {LoadRateLimiter} from '../load_rate_limiter.js';
 import {AdapterLoader} from './adapter_loader.js';
 import {EngineRegistry} from './engine_registry.js';
 import {expectedHoldingAt} from './expected_holding.js';
-import {
-  expectedLoadMilliseconds,
-  maximumConcurrentStoreLoads,
-} from './load_estimates.js';
+import {expectedLoadMilliseconds} from './load_estimates.js';
 import {PlannerStep} from './engine_planner_environment.js';
-import {planModelMoves} from './model_plan.js';
-import {STANDBY_MILLISECONDS, STORE_RATE_SHARE} from './planner_constants.js';
+import {ModelDemand} from './model_demand.js';
+import {ModelLoader} from './model_loader.js';
 import {OrderSender} from './order_sender.js';
+import {PassRecorder} from './pass_recorder.js';
+import {STANDBY_MILLISECONDS} from './planner_constants.js';
+import {UnloadedModels} from './unloaded_models.js';
 
 /** Settings of the planner. */
 export interface EnginePlannerSettings
-  extends ModelPlanSettings, EngineRegistrySettings, AdapterLoaderSettings {
+  extends
+    ModelLoaderSettings,
+    ModelDemandSettings,
+    EngineRegistrySettings,
+    AdapterLoaderSettings {
   /** Name of this node, sent with its orders. */
   readonly holder: string;
   /** Pause between two planning passes. */
   readonly planningIntervalMilliseconds: number;
   /** Clock drift above which this process counts as suspended. */
   readonly suspensionMilliseconds: number;
-  /**
-   * Delay between withdrawing a model from the nodes and unloading it. All
-   * nodes must have learned of the withdrawal by then.
-   */
-  readonly evictionNoticeMilliseconds: number;
-  /** Averaging window that applies while demand rises. */
-  readonly shortWindowMilliseconds: number;
-  /** Averaging window that applies while demand falls. */
-  readonly longWindowMilliseconds: number;
-  /**
-   * Initial demand for each engine beyond the first that holds a model, as a
-   * fraction of the demand that one replica serves well.
-   */
-  readonly initialDemandShare: number;
-  /** Loads from the weight store that may start at the same moment. */
-  readonly storeLoadBurst: number;
 }
 
 /**
@@ -64,10 +46,10 @@
   private readonly registry: EngineRegistry;
   private readonly orderSender: OrderSender;
   private readonly adapterLoader: AdapterLoader;
-  /** Rate limiter of loads from the weight store, by service. */
-  private readonly loadLimiters = new Map<string, LoadRateLimiter>();
-  /** Demand for models, by service. */
-  private readonly demandTrackers = new Map<string, DemandTracker>();
+  private readonly demand: ModelDemand;
+  private readonly modelLoader: ModelLoader;
+  private readonly unloaded = new UnloadedModels();
+  private readonly passRecorder: PassRecorder;
   private readonly suspensionDetector: SuspensionDetector;
   /** Epoch of the lease under which this node plans, if it does. */
   private heldEpoch: number | undefined;
@@ -87,8 +69,22 @@
     this.orderSender = new OrderSender(lease, engineClient, {
       holder: settings.holder,
       canSendOrders: () => this.checkCanSendOrders(),
-      recordEvent: event => environment.recordEvent(event),
+      recordEvent: event => {
+        this.passRecorder.recordOrder();
+        environment.recordEvent(event);
+      },
     });
+    this.demand = new ModelDemand(this.registry, environment, settings);
+    this.modelLoader = new ModelLoader(
+      this.registry,
+      this.orderSender,
+      this.demand,
+      environment,
+      settings,
+    );
+    this.passRecorder = new PassRecorder(this.unloaded, passes =>
+      environment.recordEvent({step: PlannerStep.PASSES, passes}),
+    );
     this.adapterLoader = new AdapterLoader(
       this.registry,
       this.orderSender,
@@ -179,6 +175,7 @@
       ? this.leadership.epoch
       : undefined;
     if (epoch === this.heldEpoch) return;
+    this.passRecorder.reset();
     const {recordEvent} = this.environment;
     if (epoch === undefined) {
       recordEvent({step: PlannerStep.LEASE_LOST, epoch: this.heldEpoch ?? 0});
@@ -187,183 +184,45 @@
       recordEvent({step: PlannerStep.LEASE_GAINED, epoch});
       // Recent loads of a predecessor are unknown. New limiters therefore start
       // without tokens.
-      if (epoch !== this.lastHeldEpoch) this.loadLimiters.clear();
+      if (epoch !== this.lastHeldEpoch) this.modelLoader.resetLimiters();
       this.lastHeldEpoch = epoch;
     }
     this.heldEpoch = epoch;
   }
 
   private async runPass(epoch: number): Promise<void> {
+    const startedAt = performance.now();
     this.registry.syncWithListing(epoch);
     await this.registry.refreshAllReports();
     for (const service of this.environment.listServices()) {
-      this.sampleDemand(service);
-      if (this.checkCanSendOrders()) this.planService(service);
+      this.demand.sample(service);
+      if (this.checkCanSendOrders()) this.modelLoader.plan(service);
     }
     this.registry.publishAllHoldings(epoch);
+    this.recordUnloadedModels();
+    const {planningIntervalMilliseconds} = this.settings;
+    this.passRecorder.recordPass(startedAt, planningIntervalMilliseconds);
   }
 
-  /**
-   * Samples the demand. Until there is traffic, the demand is estimated from
-   * what the engines hold.
-   */
-  private sampleDemand({name, models, slots}: EngineService): void {
-    const demand = this.demandTrackerOf(name);
-    const entries = this.registry.entriesOfService(name);
-    const samples = models.map(model => ({
-      entry: `${name}/${model.name}`,
-      concurrency: this.environment.countRequests(name, model.name),
-    }));
-    if (!entries.every(({holdings}) => holdings.hasReport)) return;
-    for (const [index, {entry}] of samples.entries()) {
-      const holders = entries.filter(({holdings}) =>
-        holdings.holdsModel(models[index].name),
-      );
-      demand.assumeInitial(entry, this.initialDemand(slots, holders.length));
-    }
-    if (samples.some(({concurrency}) => concurrency > 0)) {
-      demand.recordSamples(samples);
-    }
-  }
-
-  /** Initial demand for a model: more holders suggest more past demand. */
-  private initialDemand(slots: number, holders: number): number {
-    const {initialDemandShare, replicaTargetUtilization} = this.settings;
-    return (
-      Math.max(0, holders - 1) *
-      initialDemandShare *
-      replicaTargetUtilization *
-      slots
-    );
-  }
-
-  private demandTrackerOf(service: string): DemandTracker {
-    const existing = this.demandTrackers.get(service);
-    if (existing) return existing;
-    const demand = new DemandTracker(
-      this.settings.shortWindowMilliseconds,
-      this.settings.longWindowMilliseconds,
-    );
-    this.demandTrackers.set(service, demand);
-    return demand;
-  }
-
-  private planService(service: EngineService): void {
-    this.processPendingEvictions(service);
-    const entries = this.registry.entriesOfService(service.name);
-    // Until its first report an engine would be taken for empty.
-    const areHoldingsKnown = entries.every(
-      ({holdings, isReportFailing}) => holdings.hasReport || isReportFailing,
-    );
-    if (!areHoldingsKnown) return;
-    const models = service.models.map(model =>
-      this.plannedModel(service.name, model),
-    );
-    const settings = {...this.settings, slots: service.slots};
-    // Without the engines that are leaving, so that their models are loaded
-    // elsewhere before these engines stop.
-    const engines = entries
-      .filter(({listed}) => listed.isReady)
-      .map(entry => this.registry.toPlannedEngine(entry));
-    for (const move of planModelMoves(models, engines, settings)) {
-      const entry = this.registry.get(move.engineId);
-      if (!entry) continue;
-      const [evicted] = move.evicted;
-      if (evicted !== undefined) {
-        entry.pendingEviction = {
-          model: evicted,
-          replacement: move.model,
-          startedAtMilliseconds: performance.now(),
-        };
-      } else {
-        this.loadModel(service, entry, move);
-      }
-    }
-  }
-
-  private plannedModel(
-    service: string,
-    catalogued: CataloguedModel,
-  ): PlannedModel {
-    const {name} = catalogued;
-    const entry = `${service}/${name}`;
-    const demand = this.demandTrackerOf(service);
-    return {
-      ...catalogued,
-      expectedDemand: demand.expectedConcurrency(entry),
-      peakDemand: demand.recentPeak(entry),
-      queuedRequests: this.environment.countQueuedRequests(service, name),
-    };
-  }
-
-  /** Unloads models that all nodes know to be withdrawn; loads replacements. */
-  private processPendingEvictions(service: EngineService): void {
-    for (const entry of this.registry.entriesOfService(service.name)) {
-      const {pendingEviction, holdings} = entry;
-      if (!pendingEviction) continue;
-      if (!holdings.holdsModel(pendingEviction.model)) {
-        this.loadReplacement(service, entry, pendingEviction.replacement);
-        continue;
-      }
-      const age = performance.now() - pendingEviction.startedAtMilliseconds;
-      if (age < this.settings.evictionNoticeMilliseconds) continue;
-      if (holdings.isBusy || !holdings.isUpToDate) continue;
-      void this.orderSender.send(
-        entry,
-        OrderKind.UNLOAD,
-        pendingEviction.model,
-        undefined,
-      );
-    }
-  }
-
-  /** Loads the replacement; if that is not possible, the next pass replans. */
-  private loadReplacement(
-    service: EngineService,
-    entry: EngineEntry,
-    replacement: string,
-  ): void {
-    const {holdings} = entry;
-    if (holdings.isBusy || !holdings.isUpToDate) return;
-    entry.pendingEviction = undefined;
-    this.loadModel(service, entry, {model: replacement, gain: 0});
-  }
-
-  private loadModel(
-    service: EngineService,
-    entry: EngineEntry,
-    {model, gain}: Pick<ModelMove, 'model' | 'gain'>,
-  ): void {
-    const {holdings, listed} = entry;
-    if (holdings.findModelLoadBlocker(model) !== undefined) return;
-    const hasLocalCopy =
-      listed.modelsInMemory.has(model) || listed.modelsOnDisk.has(model);
-    if (!hasLocalCopy) {
-      const limiter = this.loadLimiterOf(service);
-      if (limiter.availableLoads(this.countModelLoads(service)) < 1) return;
-      limiter.recordStarted(1);
+  private recordUnloadedModels(): void {
+    const unloaded = [...this.environment.listServices()].flatMap(service => [
+      ...this.modelLoader.unloadedModels(service),
+    ]);
+    const isHeld = (service: string, model: string) =>
+      this.registry
+        .entriesOfService(service)
+        .some(({holdings}) => holdings.holdsModel(model));
+    for (const {service, model, waitedMilliseconds} of this.unloaded.update(
+      unloaded,
+      isHeld,
+    )) {
+      this.environment.recordEvent({
+        step: PlannerStep.MODEL_LOADED,
+        service,
+        model,
+        waitedMilliseconds: Math.round(waitedMilliseconds),
+      });
     }
-    void this.orderSender.send(entry, OrderKind.LOAD, model, undefined, gain);
-  }
-
-  /** Model loads in progress on the engines of a service. */
-  private countModelLoads({name}: EngineService): number {
-    return this.registry
-      .entriesOfService(name)
-      .filter(({holdings}) => holdings.loadingModel !== undefined).length;
-  }
-
-  private loadLimiterOf(service: EngineService): LoadRateLimiter {
-    const existing = this.loadLimiters.get(service.name);
-    if (existing) return existing;
-    const limiter = new LoadRateLimiter(
-      service.storeLoadsPerSecond * STORE_RATE_SHARE,
-      maximumConcurrentStoreLoads(service),
-      this.settings.storeLoadBurst,
-      0,
-    );
-    this.loadLimiters.set(service.name, limiter);
-    return limiter;
   }
 
   /**
--- a/packages/arbutustide-placement/src/engines/engine_planner_environment.ts
+++ b/packages/arbutustide-placement/src/engines/engine_planner_environment.ts
@@ -1,5 +1,6 @@
 import type {EngineAddress, HoldingOrder} from './engine_client.js';
 import type {EngineCapacity} from './engine_holdings_tracker.js';
+import type {UnloadedReason, WaitingModel} from './unloaded_models.js';
 
 /** An engine as listed by the platform, with its current load. */
 export interface ListedEngine extends EngineAddress {
@@ -53,6 +54,23 @@
   REPORT_FAILED = 'report_failed',
   REPORT_REGAINED = 'report_regained',
   NO_PLACE = 'no_place',
+  /** A model that its requests waited for is on an engine. */
+  MODEL_LOADED = 'model_loaded',
+  /** A summary of the latest passes. */
+  PASSES = 'passes',
+}
+
+/** What the planner did in the passes of about a second. */
+export interface PassSummary {
+  readonly passes: number;
+  readonly orders: number;
+  readonly longestPassMilliseconds: number;
+  /** Longest time by which a pass began later than planned. */
+  readonly longestDelayMilliseconds: number;
+  /** Number of models with requests that no engine holds, by reason. */
+  readonly unloaded: Readonly<Partial<Record<UnloadedReason, number>>>;
+  /** Those that have waited longest. */
+  readonly longestWaiting: readonly WaitingModel[];
 }
 
 /**
@@ -70,6 +88,9 @@
   readonly adapter?: string | undefined;
   readonly reportAgeMilliseconds?: number;
   readonly gain?: number;
+  readonly service?: string;
+  readonly waitedMilliseconds?: number;
+  readonly passes?: PassSummary;
 }
 
 /** Services that the node provides to the planner. */
--- /dev/null
+++ b/packages/arbutustide-placement/src/engines/model_loader.ts
@@ -0,0 +1,187 @@
+import type {EngineEntry, EngineRegistry} from './engine_registry.js';
+import type {
+  EnginePlannerEnvironment,
+  EngineService,
+} from './engine_planner_environment.js';
+import type {ModelDemand} from './model_demand.js';
+import type {ModelMove, ModelPlanSettings, PlannedModel} from './model_plan.js';
+import type {OrderSender} from './order_sender.js';
+import type {UnloadedModel} from './unloaded_models.js';
+
+import {OrderKind} from '@arbutustide/upstream';
+
+import {LoadRateLimiter} from '../load_rate_limiter.js';
+import {maximumConcurrentStoreLoads} from './load_estimates.js';
+import {planModelMoves} from './model_plan.js';
+import {STORE_RATE_SHARE} from './planner_constants.js';
+import {findUnloadedReason, UnloadedReason} from './unloaded_models.js';
+
+/** Settings of loads and evictions of models. */
+export interface ModelLoaderSettings extends ModelPlanSettings {
+  /**
+   * Delay between withdrawing a model from the nodes and unloading it. All
+   * nodes must have learned of the withdrawal by then.
+   */
+  readonly evictionNoticeMilliseconds: number;
+  /** Loads from the weight store that may start at the same moment. */
+  readonly storeLoadBurst: number;
+}
+
+/** Orders the loads and evictions of models that the plan decides on. */
+export class ModelLoader {
+  /** Rate limiter of loads from the weight store, by service. */
+  private readonly loadLimiters = new Map<string, LoadRateLimiter>();
+  /** Models whose load the weight store did not allow in the latest pass. */
+  private readonly postponedModels = new Set<string>();
+
+  constructor(
+    private readonly registry: EngineRegistry,
+    private readonly orderSender: OrderSender,
+    private readonly demand: ModelDemand,
+    private readonly environment: EnginePlannerEnvironment,
+    private readonly settings: ModelLoaderSettings,
+  ) {}
+
+  /**
+   * Forgets the loads so far. Those of another planner are unknown, so new
+   * limiters start without tokens.
+   */
+  resetLimiters(): void {
+    this.loadLimiters.clear();
+  }
+
+  /** Plans the models of a service and sends the orders. */
+  plan(service: EngineService): void {
+    this.postponedModels.clear();
+    this.processPendingEvictions(service);
+    if (!this.areHoldingsKnown(service)) return;
+    const models = this.plannedModels(service);
+    const settings = {...this.settings, slots: service.slots};
+    // Without the engines that are leaving, so that their models are loaded
+    // elsewhere before these engines stop.
+    const engines = this.registry
+      .entriesOfService(service.name)
+      .filter(({listed}) => listed.isReady)
+      .map(entry => this.registry.toPlannedEngine(entry));
+    for (const move of planModelMoves(models, engines, settings)) {
+      const entry = this.registry.get(move.engineId);
+      if (!entry) continue;
+      const [evicted] = move.evicted;
+      if (evicted !== undefined) {
+        entry.pendingEviction = {
+          model: evicted,
+          replacement: move.model,
+          startedAtMilliseconds: performance.now(),
+        };
+      } else {
+        this.loadModel(service, entry, move);
+      }
+    }
+  }
+
+  /** Models with requests that no engine holds, and why. Call it after `plan`. */
+  *unloadedModels(service: EngineService): Generator<UnloadedModel> {
+    const entries = this.registry
+      .entriesOfService(service.name)
+      .filter(({listed}) => listed.isReady);
+    const areHoldingsKnown = this.areHoldingsKnown(service);
+    for (const {name} of service.models) {
+      if (this.environment.countRequests(service.name, name) === 0) continue;
+      if (entries.some(({holdings}) => holdings.holdsModel(name))) continue;
+      const reason = this.postponedModels.has(name)
+        ? UnloadedReason.STORE_LIMIT
+        : findUnloadedReason(name, entries, areHoldingsKnown, entry =>
+            this.registry.toPlannedEngine(entry),
+          );
+      yield {service: service.name, model: name, reason};
+    }
+  }
+
+  private plannedModels(service: EngineService): PlannedModel[] {
+    return service.models.map(model =>
+      this.demand.plannedModel(service.name, model),
+    );
+  }
+
+  /** Until its first report an engine would be taken for empty. */
+  private areHoldingsKnown({name}: EngineService): boolean {
+    return this.registry
+      .entriesOfService(name)
+      .every(
+        ({holdings, isReportFailing}) => holdings.hasReport || isReportFailing,
+      );
+  }
+
+  /** Unloads models that all nodes know to be withdrawn; loads replacements. */
+  private processPendingEvictions(service: EngineService): void {
+    for (const entry of this.registry.entriesOfService(service.name)) {
+      const {pendingEviction, holdings} = entry;
+      if (!pendingEviction) continue;
+      if (!holdings.holdsModel(pendingEviction.model)) {
+        this.loadReplacement(service, entry, pendingEviction.replacement);
+        continue;
+      }
+      const age = performance.now() - pendingEviction.startedAtMilliseconds;
+      if (age < this.settings.evictionNoticeMilliseconds) continue;
+      if (holdings.isBusy || !holdings.isUpToDate) continue;
+      void this.orderSender.send(
+        entry,
+        OrderKind.UNLOAD,
+        pendingEviction.model,
+        undefined,
+      );
+    }
+  }
+
+  /** Loads the replacement; if that is not possible, the next pass replans. */
+  private loadReplacement(
+    service: EngineService,
+    entry: EngineEntry,
+    replacement: string,
+  ): void {
+    const {holdings} = entry;
+    if (holdings.isBusy || !holdings.isUpToDate) return;
+    entry.pendingEviction = undefined;
+    this.loadModel(service, entry, {model: replacement, gain: 0});
+  }
+
+  private loadModel(
+    service: EngineService,
+    entry: EngineEntry,
+    {model, gain}: Pick<ModelMove, 'model' | 'gain'>,
+  ): void {
+    const {holdings, listed} = entry;
+    if (holdings.findModelLoadBlocker(model) !== undefined) return;
+    const hasLocalCopy =
+      listed.modelsInMemory.has(model) || listed.modelsOnDisk.has(model);
+    if (!hasLocalCopy) {
+      const limiter = this.loadLimiterOf(service);
+      if (limiter.availableLoads(this.countModelLoads(service)) < 1) {
+        this.postponedModels.add(model);
+        return;
+      }
+      limiter.recordStarted(1);
+    }
+    void this.orderSender.send(entry, OrderKind.LOAD, model, undefined, gain);
+  }
+
+  /** Model loads in progress on the engines of a service. */
+  private countModelLoads({name}: EngineService): number {
+    return this.registry
+      .entriesOfService(name)
+      .filter(({holdings}) => holdings.loadingModel !== undefined).length;
+  }
+
+  private loadLimiterOf(service: EngineService): LoadRateLimiter {
+    const existing = this.loadLimiters.get(service.name);
+    if (existing) return existing;
+    const limiter = new LoadRateLimiter(
+      service.storeLoadsPerSecond * STORE_RATE_SHARE,
+      maximumConcurrentStoreLoads(service),
+      this.settings.storeLoadBurst,
+      0,
+    );
+    this.loadLimiters.set(service.name, limiter);
+    return limiter;
+  }
+}
--- /dev/null
+++ b/packages/arbutustide-placement/src/engines/unloaded_models.ts
@@ -0,0 +1,145 @@
+import type {EngineEntry} from './engine_registry.js';
+import type {PlannedEngine} from './model_plan.js';
+
+/** Why a model with requests is held by no engine. */
+export enum UnloadedReason {
+  /** An engine is loading it. */
+  LOADING = 'loading',
+  /** An engine is about to unload another model for it. */
+  EVICTING = 'evicting',
+  /** The weight store allows no further load now. */
+  STORE_LIMIT = 'store_limit',
+  /** No engine has answered its first report yet. */
+  NO_REPORT = 'no_report',
+  /** The engines that are not busy have an order whose outcome is unknown. */
+  ORDER_UNANSWERED = 'order_unanswered',
+  /** The engines that are not busy have only old reports. */
+  REPORT_OUTDATED = 'report_outdated',
+  /** All engines execute orders. */
+  ENGINES_BUSY = 'engines_busy',
+  /** No engine can take it at a cost below its gain. */
+  NO_PLACE = 'no_place',
+}
+
+/** A model with requests that no engine holds. */
+export interface UnloadedModel {
+  readonly service: string;
+  readonly model: string;
+  readonly reason: UnloadedReason;
+}
+
+/** A model that waits for an engine to hold it; times in milliseconds. */
+export interface WaitingModel extends UnloadedModel {
+  /** Since its requests first found no engine. */
+  readonly waitedMilliseconds: number;
+  /** Since it last had a request. */
+  readonly idleMilliseconds: number;
+}
+
+/** A model whose wait has ended. */
+export interface LoadedModel {
+  readonly service: string;
+  readonly model: string;
+  readonly waitedMilliseconds: number;
+}
+
+/**
+ * Returns why no engine holds a model.
+ *
+ * @param entries the engines that may get it.
+ */
+export function findUnloadedReason(
+  model: string,
+  entries: readonly EngineEntry[],
+  areHoldingsKnown: boolean,
+  toPlannedEngine: (entry: EngineEntry) => PlannedEngine,
+): UnloadedReason {
+  if (entries.some(({holdings}) => holdings.loadingModel === model))
+    return UnloadedReason.LOADING;
+  if (
+    entries.some(({pendingEviction}) => pendingEviction?.replacement === model)
+  )
+    return UnloadedReason.EVICTING;
+  if (!areHoldingsKnown) return UnloadedReason.NO_REPORT;
+  if (entries.some(entry => toPlannedEngine(entry).canAcceptOrder))
+    return UnloadedReason.NO_PLACE;
+  const idle = entries.filter(
+    ({holdings, pendingEviction}) =>
+      !holdings.isBusy && pendingEviction === undefined,
+  );
+  if (idle.length === 0) return UnloadedReason.ENGINES_BUSY;
+  return idle.some(({holdings}) => holdings.isOrderOutcomeUnknown)
+    ? UnloadedReason.ORDER_UNANSWERED
+    : UnloadedReason.REPORT_OUTDATED;
+}
+
+interface WaitState {
+  readonly unloaded: UnloadedModel;
+  readonly sinceMilliseconds: number;
+  readonly lastWantedMilliseconds: number;
+}
+
+/** A model without requests for so long no longer waits. */
+const FORGET_MILLISECONDS = 30_000;
+
+/** Remembers how long models with requests have been on no engine. */
+export class UnloadedModels {
+  private readonly states = new Map<string, WaitState>();
+
+  /**
+   * Records what a pass has found.
+   *
+   * @param isHeld whether some engine holds the model.
+   * @return the models whose wait has ended.
+   */
+  *update(
+    unloaded: Iterable<UnloadedModel>,
+    isHeld: (service: string, model: string) => boolean,
+  ): Generator<LoadedModel> {
+    const now = performance.now();
+    for (const model of unloaded) {
+      const key = `${model.service}/${model.model}`;
+      const sinceMilliseconds = this.states.get(key)?.sinceMilliseconds ?? now;
+      this.states.set(key, {
+        unloaded: model,
+        sinceMilliseconds,
+        lastWantedMilliseconds: now,
+      });
+    }
+    for (const [key, state] of this.states) {
+      const {unloaded: waiting, sinceMilliseconds} = state;
+      const {service, model} = waiting;
+      const isLoaded = isHeld(service, model);
+      const idle = now - state.lastWantedMilliseconds;
+      if (!isLoaded && idle < FORGET_MILLISECONDS) continue;
+      this.states.delete(key);
+      if (!isLoaded) continue;
+      yield {service, model, waitedMilliseconds: now - sinceMilliseconds};
+    }
+  }
+
+  /** Number of models that wait, by reason. */
+  get countByReason(): Partial<Record<UnloadedReason, number>> {
+    const counts: Partial<Record<UnloadedReason, number>> = {};
+    for (const {unloaded} of this.states.values())
+      counts[unloaded.reason] = (counts[unloaded.reason] ?? 0) + 1;
+    return counts;
+  }
+
+  /** The models that have waited longest. */
+  longestWaiting(maximum: number): WaitingModel[] {
+    const now = performance.now();
+    return [...this.states.values()]
+      .sort((one, other) => one.sinceMilliseconds - other.sinceMilliseconds)
+      .slice(0, maximum)
+      .map(({unloaded, sinceMilliseconds, lastWantedMilliseconds}) => ({
+        ...unloaded,
+        waitedMilliseconds: Math.round(now - sinceMilliseconds),
+        idleMilliseconds: Math.round(now - lastWantedMilliseconds),
+      }));
+  }
+
+  clear(): void {
+    this.states.clear();
+  }
+}
--- a/packages/arbutustide-placement/src/index.ts
+++ b/packages/arbutustide-placement/src/index.ts
@@ -26,6 +26,7 @@
   EngineService,
   EnginePlannerEnvironment,
   ListedEngine,
+  PassSummary,
   PlannerEvent,
 } from './engines/engine_planner_environment.js';
 export type {
@@ -41,6 +42,7 @@
 export {HoldingOrderAnswer} from './engines/engine_client.js';
 export {EnginePlanner} from './engines/engine_planner.js';
 export {PlannerStep} from './engines/engine_planner_environment.js';
+export {UnloadedReason} from './engines/unloaded_models.js';
 export {planModelMoves} from './engines/model_plan.js';
 export {
   addIntent,
--- a/packages/arbutustide-telemetry/src/metrics.ts
+++ b/packages/arbutustide-telemetry/src/metrics.ts
@@ -126,6 +126,33 @@
     labelNames: ['kind', 'reason'] as const,
     registers: [this.registry],
   });
+  readonly plannerPasses = new Counter({
+    name: 'arbutustide_planner_passes_total',
+    help: 'Planning passes of this node.',
+    registers: [this.registry],
+  });
+  readonly plannerPassSeconds = new Gauge({
+    name: 'arbutustide_planner_longest_pass_seconds',
+    help: 'Longest planning pass of the last second in which there was one.',
+    registers: [this.registry],
+  });
+  readonly plannerDelaySeconds = new Gauge({
+    name: 'arbutustide_planner_longest_delay_seconds',
+    help: 'Longest time by which a planning pass began late in that second.',
+    registers: [this.registry],
+  });
+  readonly unloadedModels = new Gauge({
+    name: 'arbutustide_unloaded_models',
+    help: 'Models with requests that no engine holds, by reason.',
+    labelNames: ['reason'] as const,
+    registers: [this.registry],
+  });
+  readonly modelWaitSeconds = new Histogram({
+    name: 'arbutustide_model_wait_seconds',
+    help: 'Time from the first request for a model until an engine held it.',
+    buckets: LATENCY_BUCKETS_SECONDS,
+    registers: [this.registry],
+  });
   readonly catalogueRevision = new Gauge({
     name: 'arbutustide_catalogue_revision',
     help: 'Revision of the catalogue or version of the configuration in force.',
