Plan without waiting for the reports of engines

A pass plans with what is known and begins the reports that are due; each engine has one call at a time, and a report counts from the next pass on.

--- a/packages/arbutustide-placement/src/__tests__/unit/engine_planner.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/engine_planner.test.ts
@@ -5,7 +5,11 @@
 
 import {PlannerStep} from '../../engines/engine_planner_environment.js';
 import {UnloadedReason} from '../../engines/unloaded_models.js';
-import {LOAD_MILLISECONDS, PlannerRig} from './planner_rig.js';
+import {
+  LOAD_MILLISECONDS,
+  PLANNER_SETTINGS,
+  PlannerRig,
+} from './planner_rig.js';
 
 const STORE_LOADS_PER_SECOND = 4;
 const MODELS = ['alpha', 'beta', 'gamma', 'delta'];
@@ -50,6 +54,17 @@
     expect(last?.longestWaiting[0].waitedMilliseconds).to.be.above(2_500);
   });
 
+  it('plans every interval although the reports of engines take longer', async () => {
+    rig.callMilliseconds = 600;
+    rig.start();
+    await clock.tickAsync(10_000);
+    const {planningIntervalMilliseconds} = PLANNER_SETTINGS;
+    for (const summary of summaries())
+      expect(summary.longestPassMilliseconds).to.be.below(
+        planningIntervalMilliseconds,
+      );
+  });
+
   it('tells how long a model was waited for', async () => {
     rig.demand.set('beta', 3);
     rig.start();
--- a/packages/arbutustide-placement/src/__tests__/unit/planner_rig.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/planner_rig.ts
@@ -26,7 +26,6 @@
 const MODEL_MEGABYTES = 70_000;
 const MODELS_PER_ENGINE = 2;
 const SLOTS = 16;
-const CALL_MILLISECONDS = 5;
 export const LOAD_MILLISECONDS = 1_000;
 
 export const PLANNER_SETTINGS: EnginePlannerSettings = {
@@ -101,6 +100,8 @@
   /** Requests for each model, over all nodes. */
   readonly demand = new Map<string, number>();
   readonly planner: EnginePlanner;
+  /** Time of an answered call to an engine. */
+  callMilliseconds = 5;
   private readonly stopController = new AbortController();
 
   constructor(
@@ -148,7 +149,7 @@
         await delay(CALL_TIMEOUT_MILLISECONDS);
         return Err(new AttemptError(AttemptFailure.CANCELLED, 'no answer'));
       }
-      await delay(CALL_MILLISECONDS);
+      await delay(this.callMilliseconds);
       return Ok(answer(engine));
     };
     return {
--- a/packages/arbutustide-placement/src/engines/engine_planner.ts
+++ b/packages/arbutustide-placement/src/engines/engine_planner.ts
@@ -114,7 +114,7 @@
       let pause = STANDBY_MILLISECONDS;
       if (this.heldEpoch !== undefined) {
         pause = this.settings.planningIntervalMilliseconds;
-        await this.runPass(this.heldEpoch);
+        this.runPass(this.heldEpoch);
       }
       await delay(pause, signal);
     }
@@ -190,10 +190,11 @@
     this.heldEpoch = epoch;
   }
 
-  private async runPass(epoch: number): Promise<void> {
+  /** Plans with what is known; reports that are due come for a later pass. */
+  private runPass(epoch: number): void {
     const startedAt = performance.now();
     this.registry.syncWithListing(epoch);
-    await this.registry.refreshAllReports();
+    this.registry.refreshDueReports();
     for (const service of this.environment.listServices()) {
       this.demand.sample(service);
       if (this.checkCanSendOrders()) this.modelLoader.plan(service);
--- a/packages/arbutustide-placement/src/engines/engine_registry.ts
+++ b/packages/arbutustide-placement/src/engines/engine_registry.ts
@@ -30,8 +30,8 @@
   isReportFailing: boolean;
   /** Models last published for the engine, joined by commas. */
   publishedModels: string;
-  /** Pending retry of a failed report. */
-  reportRetry: Promise<void> | undefined;
+  /** The call that reads its report now, if one does. */
+  pendingReport: Promise<void> | undefined;
   /** Resolves once all queued orders are answered; orders are sequential. */
   orderQueue: Promise<unknown>;
 }
@@ -126,33 +126,36 @@
     }
   }
 
-  /**
-   * Reads all reports that are too old. An engine whose last report failed is
-   * retried in the background, so that it does not delay the pass.
-   */
-  async refreshAllReports(): Promise<void> {
-    const refreshes: Promise<void>[] = [];
-    for (const entry of this.entries.values()) {
-      if (entry.isReportFailing) this.retryReport(entry);
-      else refreshes.push(this.refreshReport(entry));
-    }
-    await Promise.all(refreshes);
+  /** Begins to read each report that is too old; does not wait for them. */
+  refreshDueReports(): void {
+    for (const entry of this.entries.values())
+      if (this.isReportDue(entry)) void this.refreshReport(entry);
   }
 
   /** Reads an engine's report if the last one is too old. */
-  async refreshReport(entry: EngineEntry): Promise<void> {
-    const {holdings, listed} = entry;
-    if (!listed.acceptsCalls) return;
+  refreshReport(entry: EngineEntry): Promise<void> {
+    if (!this.isReportDue(entry)) return Promise.resolve();
+    entry.pendingReport ??= this.fetchReport(entry).finally(() => {
+      entry.pendingReport = undefined;
+    });
+    return entry.pendingReport;
+  }
+
+  private isReportDue({holdings, listed}: EngineEntry): boolean {
+    if (!listed.acceptsCalls) return false;
     const {maximumReportAgeMilliseconds, maximumBusyReportAgeMilliseconds} =
       this.settings;
     const maximumAgeMilliseconds = holdings.isBusy
       ? maximumBusyReportAgeMilliseconds
       : maximumReportAgeMilliseconds;
-    if (
-      holdings.isUpToDate &&
-      holdings.reportAgeMilliseconds < maximumAgeMilliseconds
-    )
-      return;
+    return (
+      !holdings.isUpToDate ||
+      holdings.reportAgeMilliseconds >= maximumAgeMilliseconds
+    );
+  }
+
+  private async fetchReport(entry: EngineEntry): Promise<void> {
+    const {holdings, listed} = entry;
     const report = await this.engineClient.fetchReport(listed);
     if (report.ok) holdings.applyReport(report.val);
     if (report.ok !== entry.isReportFailing) return;
@@ -164,12 +167,6 @@
     });
   }
 
-  private retryReport(entry: EngineEntry): void {
-    entry.reportRetry ??= this.refreshReport(entry).finally(() => {
-      entry.reportRetry = undefined;
-    });
-  }
-
   /** Converts an entry to the input of the model plan. */
   toPlannedEngine({
     holdings,
@@ -244,7 +241,7 @@
       pendingEviction: undefined,
       isReportFailing: false,
       publishedModels: '',
-      reportRetry: undefined,
+      pendingReport: undefined,
       orderQueue: Promise.resolve(),
     };
   }
