--- a/packages/arbutustide-event-loop/src/input_monitor.ts
+++ b/packages/arbutustide-event-loop/src/input_monitor.ts
@@ -14,6 +14,8 @@
   readonly activeMilliseconds: number;
 }
 
+/** In a longer turn the loop is late to read its input. */
+const PROMPT_TURN_MILLISECONDS = 50;
 /** A shorter wait may have found input that had already arrived. */
 const MINIMUM_IDLE_MILLISECONDS = 1;
 
@@ -30,6 +32,8 @@
   /** Connections that were opened by then have been accepted. */
   private acceptedUntilMilliseconds: number;
   private hasAccepted = false;
+  /** In the turns that have ended. */
+  private pastLateMilliseconds = 0;
 
   constructor(private readonly loop: EventLoop = RUNTIME_LOOP) {
     const {pollCount, idleMilliseconds} = loop.measure();
@@ -57,6 +61,21 @@
     return this.turn;
   }
 
+  /**
+   * Time so far by which the loop was late to read input: what its turns took
+   * beyond the length of a prompt one.
+   */
+  get lateMilliseconds(): number {
+    const {pollCount, idleMilliseconds} = this.loop.measure();
+    const {polledAtMilliseconds} = this.turn;
+    const idle =
+      pollCount === this.turn.pollCount
+        ? 0
+        : idleMilliseconds - this.idleAtPoll;
+    const active = performance.now() - polledAtMilliseconds - idle;
+    return this.pastLateMilliseconds + lateShare(active);
+  }
+
   /**
    * Earliest time at which input can have arrived that is being read now. What
    * had arrived before was read in an earlier turn.
@@ -113,11 +132,16 @@
       hasAccepted,
       activeMilliseconds: now - polledAtMilliseconds - idle,
     };
+    this.pastLateMilliseconds += lateShare(this.turn.activeMilliseconds);
     this.hasAccepted = false;
     this.idleAtPoll = idleMilliseconds;
     for (const listener of this.listeners) listener(this.turn);
   }
 }
 
+function lateShare(activeMilliseconds: number): number {
+  return Math.max(0, activeMilliseconds - PROMPT_TURN_MILLISECONDS);
+}
+
 /** The monitor of this thread's event loop. */
 export const inputMonitor = new InputMonitor();
--- a/packages/arbutustide-object-store/src/index.ts
+++ b/packages/arbutustide-object-store/src/index.ts
@@ -9,6 +9,7 @@
   WatchBatch,
 } from './object_store.js';
 export type {
+  CallTimeout,
   StoreAnswer,
   StoreCall,
   StoreHttpClientOptions,
--- a/packages/arbutustide-object-store/src/store_http_client.ts
+++ b/packages/arbutustide-object-store/src/store_http_client.ts
@@ -47,6 +47,16 @@
    */
   readonly eraHeader?: string;
   readonly counter?: StoreCallCounter;
+  /** Limits the time of a call; by a plain timer if absent. */
+  readonly createTimeout?: (milliseconds: number) => CallTimeout;
+}
+
+/** A limit on the time of one call. */
+export interface CallTimeout {
+  /** Aborted when the time is over. */
+  readonly signal: AbortSignal;
+  /** Called when the call has ended. */
+  close(): void;
 }
 
 /** An HTTP call with a JSON request body and a JSON response body. */
@@ -105,7 +115,9 @@
     this.counter.record(call.operation);
     const timeout =
       call.timeoutMilliseconds ?? this.options.timeoutMilliseconds;
-    const deadline = AbortSignal.timeout(timeout);
+    const {createTimeout = createTimerTimeout} = this.options;
+    const callTimeout = createTimeout(timeout);
+    const deadline = callTimeout.signal;
     const headers: Record<string, string> = {...call.headers};
     if (this.options.token) {
       headers['authorization'] = `Bearer ${this.options.token}`;
@@ -138,6 +150,8 @@
     } catch (error) {
       if (deadline.aborted) this.retire(pool);
       return Err(toTransportError(call, error, deadline.aborted));
+    } finally {
+      callTimeout.close();
     }
   }
 
@@ -174,6 +188,10 @@
   }
 }
 
+function createTimerTimeout(milliseconds: number): CallTimeout {
+  return {signal: AbortSignal.timeout(milliseconds), close: () => {}};
+}
+
 /** Fails a call whose answer is not of the era that it was made in. */
 function toEraError<T>(
   call: StoreCall<T>,
