Send no order for a model while one to the same engine is without an answer

Since passes do not wait for the engines, a pass may come while an order is under way.

An engine with an order for a model that was sent or queued counts as busy, and the model that it is to load as being loaded.

engine_planner.test.ts, "orders nothing twice while an engine takes long to answer": 14 orders, 5 of them different, without the change; passes with it.

--- a/packages/arbutustide-placement/src/__tests__/unit/engine_planner.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/engine_planner.test.ts
@@ -65,6 +65,23 @@
       );
   });
 
+  it('orders nothing twice while an engine takes long to answer', async () => {
+    for (const engine of rig.engines)
+      for (const model of ['gamma', 'delta']) engine.models.add(model);
+    rig.callMilliseconds = 600;
+    rig.demand.set('alpha', 3);
+    rig.start();
+    await clock.tickAsync(8_000);
+    const orders = rig.events.flatMap(({order, answer, upstream}) =>
+      order ? [`${upstream} ${order.kind} ${order.model} ${answer}`] : [],
+    );
+    expect(orders.join()).to.match(/load alpha accepted/);
+    expect(new Set(orders)).to.have.length(orders.length);
+    for (const order of orders) expect(order).to.match(/ accepted$/);
+    const loaded = orders.map(order => order.match(/ load (.+) /)?.[1]);
+    expect(loaded.filter(name => name === 'alpha')).to.have.length(1);
+  });
+
   it('tells how long a model was waited for', async () => {
     rig.demand.set('beta', 3);
     rig.start();
--- a/packages/arbutustide-placement/src/engines/engine_registry.ts
+++ b/packages/arbutustide-placement/src/engines/engine_registry.ts
@@ -6,6 +6,8 @@
 } from './engine_planner_environment.js';
 import type {PlannedEngine} from './model_plan.js';
 
+import {OrderKind} from '@arbutustide/upstream';
+
 import {EngineHoldingsTracker} from './engine_holdings_tracker.js';
 import {PlannerStep} from './engine_planner_environment.js';
 
@@ -21,11 +23,18 @@
   readonly startedAtMilliseconds: number;
 }
 
+/** An order for a model that is queued or was sent and has no answer yet. */
+export interface PendingModelOrder {
+  readonly kind: OrderKind;
+  readonly model: string;
+}
+
 /** A listed engine with its holdings and the operations in progress. */
 export interface EngineEntry {
   listed: ListedEngine;
   readonly holdings: EngineHoldingsTracker;
   pendingEviction: PendingEviction | undefined;
+  pendingModelOrder: PendingModelOrder | undefined;
   /** Whether the last attempt to read its report failed. */
   isReportFailing: boolean;
   /** Models last published for the engine, joined by commas. */
@@ -172,6 +181,7 @@
     holdings,
     listed,
     pendingEviction,
+    pendingModelOrder,
   }: EngineEntry): PlannedEngine {
     const {maximumReportAgeMilliseconds} = this.settings;
     const {slots} = this.serviceNamed(listed.service);
@@ -183,7 +193,10 @@
       models: holdings.heldModels.filter(
         model => model !== pendingEviction?.model,
       ),
-      loadingModel: holdings.loadingModel ?? pendingEviction?.replacement,
+      loadingModel:
+        holdings.loadingModel ??
+        orderedModel(pendingModelOrder) ??
+        pendingEviction?.replacement,
       utilization: listed.inFlight / slots,
       capacityShare: Math.min(
         1,
@@ -194,6 +207,7 @@
         listed.acceptsCalls &&
         holdings.isUpToDate &&
         !holdings.isBusy &&
+        pendingModelOrder === undefined &&
         pendingEviction === undefined &&
         holdings.reportAgeMilliseconds < 2 * maximumReportAgeMilliseconds,
       modelsInMemory: listed.modelsInMemory,
@@ -239,6 +253,7 @@
       listed,
       holdings,
       pendingEviction: undefined,
+      pendingModelOrder: undefined,
       isReportFailing: false,
       publishedModels: '',
       pendingReport: undefined,
@@ -246,3 +261,10 @@
     };
   }
 }
+
+/** The model that an engine is being ordered to load, if it is. */
+export function orderedModel(
+  order: PendingModelOrder | undefined,
+): string | undefined {
+  return order?.kind === OrderKind.LOAD ? order.model : undefined;
+}
--- a/packages/arbutustide-placement/src/engines/model_loader.ts
+++ b/packages/arbutustide-placement/src/engines/model_loader.ts
@@ -11,6 +11,7 @@
 import {OrderKind} from '@arbutustide/upstream';
 
 import {LoadRateLimiter} from '../load_rate_limiter.js';
+import {orderedModel} from './engine_registry.js';
 import {maximumConcurrentStoreLoads} from './load_estimates.js';
 import {planModelMoves} from './model_plan.js';
 import {STORE_RATE_SHARE} from './planner_constants.js';
@@ -115,8 +116,8 @@
   /** Unloads models that all nodes know to be withdrawn; loads replacements. */
   private processPendingEvictions(service: EngineService): void {
     for (const entry of this.registry.entriesOfService(service.name)) {
-      const {pendingEviction, holdings} = entry;
-      if (!pendingEviction) continue;
+      const {pendingEviction, pendingModelOrder, holdings} = entry;
+      if (!pendingEviction || pendingModelOrder) continue;
       if (!holdings.holdsModel(pendingEviction.model)) {
         this.loadReplacement(service, entry, pendingEviction.replacement);
         continue;
@@ -165,11 +166,15 @@
     void this.orderSender.send(entry, OrderKind.LOAD, model, undefined, gain);
   }
 
-  /** Model loads in progress on the engines of a service. */
+  /** Model loads in progress, or ordered, on the engines of a service. */
   private countModelLoads({name}: EngineService): number {
     return this.registry
       .entriesOfService(name)
-      .filter(({holdings}) => holdings.loadingModel !== undefined).length;
+      .filter(
+        ({holdings, pendingModelOrder}) =>
+          holdings.loadingModel !== undefined ||
+          orderedModel(pendingModelOrder) !== undefined,
+      ).length;
   }
 
   private loadLimiterOf(service: EngineService): LoadRateLimiter {
--- a/packages/arbutustide-placement/src/engines/order_sender.ts
+++ b/packages/arbutustide-placement/src/engines/order_sender.ts
@@ -39,9 +39,14 @@
     adapter: string | undefined,
     gain?: number,
   ): Promise<void> {
-    const sent = entry.orderQueue.then(() =>
-      this.sendNow(entry, kind, model, adapter, gain),
-    );
+    const pending = adapter === undefined ? {kind, model} : undefined;
+    if (pending) entry.pendingModelOrder = pending;
+    const sent = entry.orderQueue
+      .then(() => this.sendNow(entry, kind, model, adapter, gain))
+      .finally(() => {
+        if (pending && entry.pendingModelOrder === pending)
+          entry.pendingModelOrder = undefined;
+      });
     entry.orderQueue = sent;
     return sent;
   }
--- a/packages/arbutustide-placement/src/engines/unloaded_models.ts
+++ b/packages/arbutustide-placement/src/engines/unloaded_models.ts
@@ -1,6 +1,8 @@
 import type {EngineEntry} from './engine_registry.js';
 import type {PlannedEngine} from './model_plan.js';
 
+import {orderedModel} from './engine_registry.js';
+
 /** Why a model with requests is held by no engine. */
 export enum UnloadedReason {
   /** An engine is loading it. */
@@ -54,8 +56,12 @@
   areHoldingsKnown: boolean,
   toPlannedEngine: (entry: EngineEntry) => PlannedEngine,
 ): UnloadedReason {
-  if (entries.some(({holdings}) => holdings.loadingModel === model))
-    return UnloadedReason.LOADING;
+  const isLoading = entries.some(
+    ({holdings, pendingModelOrder}) =>
+      holdings.loadingModel === model ||
+      orderedModel(pendingModelOrder) === model,
+  );
+  if (isLoading) return UnloadedReason.LOADING;
   if (
     entries.some(({pendingEviction}) => pendingEviction?.replacement === model)
   )
@@ -64,8 +70,8 @@
   if (entries.some(entry => toPlannedEngine(entry).canAcceptOrder))
     return UnloadedReason.NO_PLACE;
   const idle = entries.filter(
-    ({holdings, pendingEviction}) =>
-      !holdings.isBusy && pendingEviction === undefined,
+    ({holdings, pendingEviction, pendingModelOrder}) =>
+      !holdings.isBusy && !pendingEviction && !pendingModelOrder,
   );
   if (idle.length === 0) return UnloadedReason.ENGINES_BUSY;
   return idle.some(({holdings}) => holdings.isOrderOutcomeUnknown)
