Measure the demand for models although an engine never reports

An engine that never answers a call for its report stopped the measurement of the demand for all models of its service: models got a first replica for queued requests, but no further one for the demand that was seen.

Demand is sampled under the same condition under which models are planned: each engine has reported, or its report has failed.

engine_planner.test.ts, "adds replicas for demand although an engine never reports": one replica for 12 requests at once before, more than one now.

--- a/packages/arbutustide-placement/src/__tests__/unit/engine_planner.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/engine_planner.test.ts
@@ -82,6 +82,15 @@
     expect(loaded.filter(name => name === 'alpha')).to.have.length(1);
   });
 
+  it('adds replicas for demand although an engine never reports', async () => {
+    rig.engines[0].isAnswering = false;
+    rig.demand.set('alpha', 12);
+    rig.start();
+    await clock.tickAsync(10_000);
+    const holders = rig.engines.filter(({models}) => models.has('alpha'));
+    expect(holders).to.have.length.above(1);
+  });
+
   it('tells how long a model was waited for', async () => {
     rig.demand.set('beta', 3);
     rig.start();
--- a/packages/arbutustide-placement/src/engines/engine_registry.ts
+++ b/packages/arbutustide-placement/src/engines/engine_registry.ts
@@ -96,6 +96,13 @@
     );
   }
 
+  /** Until its first report an engine would be taken for empty. */
+  areHoldingsKnown(service: string): boolean {
+    return this.entriesOfService(service).every(
+      ({holdings, isReportFailing}) => holdings.hasReport || isReportFailing,
+    );
+  }
+
   /** The service with this name, or an empty one if it is not configured. */
   serviceNamed(name: string): EngineService {
     for (const service of this.environment.listServices()) {
--- a/packages/arbutustide-placement/src/engines/model_demand.ts
+++ b/packages/arbutustide-placement/src/engines/model_demand.ts
@@ -47,7 +47,7 @@
       entry: `${name}/${model.name}`,
       concurrency: this.environment.countRequests(name, model.name),
     }));
-    if (!entries.every(({holdings}) => holdings.hasReport)) return;
+    if (!this.registry.areHoldingsKnown(name)) return;
     for (const [index, {entry}] of samples.entries()) {
       const holders = entries.filter(({holdings}) =>
         holdings.holdsModel(models[index].name),
--- a/packages/arbutustide-placement/src/engines/model_loader.ts
+++ b/packages/arbutustide-placement/src/engines/model_loader.ts
@@ -55,7 +55,7 @@
   plan(service: EngineService): void {
     this.postponedModels.clear();
     this.processPendingEvictions(service);
-    if (!this.areHoldingsKnown(service)) return;
+    if (!this.registry.areHoldingsKnown(service.name)) return;
     const models = this.plannedModels(service);
     const settings = {...this.settings, slots: service.slots};
     // Without the engines that are leaving, so that their models are loaded
@@ -85,7 +85,7 @@
     const entries = this.registry
       .entriesOfService(service.name)
       .filter(({listed}) => listed.isReady);
-    const areHoldingsKnown = this.areHoldingsKnown(service);
+    const areHoldingsKnown = this.registry.areHoldingsKnown(service.name);
     for (const {name} of service.models) {
       if (this.environment.countRequests(service.name, name) === 0) continue;
       if (entries.some(({holdings}) => holdings.holdsModel(name))) continue;
@@ -104,15 +104,6 @@
     );
   }
 
-  /** Until its first report an engine would be taken for empty. */
-  private areHoldingsKnown({name}: EngineService): boolean {
-    return this.registry
-      .entriesOfService(name)
-      .every(
-        ({holdings, isReportFailing}) => holdings.hasReport || isReportFailing,
-      );
-  }
-
   /** Unloads models that all nodes know to be withdrawn; loads replacements. */
   private processPendingEvictions(service: EngineService): void {
     for (const entry of this.registry.entriesOfService(service.name)) {
