Count no time in which the event loop reads nothing against a peer

Calls to peers and pings use the response timeout. The packages membership and object-store may import event-loop, which imports nothing, so that it needs no option.

--- a/packages/arbutustide-membership/src/connect_peer_transport.ts
+++ b/packages/arbutustide-membership/src/connect_peer_transport.ts
@@ -23,6 +23,7 @@
 } from './gen/arbutustide/membership/v1/membership_pb.js';
 import type {PeerTransport, PromisedHolding} from './peer_transport.js';
 
+import {ResponseTimeout} from '@arbutustide/event-loop';
 import {ConnectError, createClient} from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
 import {Err, Ok} from 'ts-results';
@@ -113,8 +114,11 @@
     peerUrl: string,
     request: WatchRequest,
   ): Promise<Result<WatchResponse, PeerError>> {
-    const timeoutMs = request.waitMilliseconds + WATCH_ANSWER_MILLISECONDS;
-    return this.call(peerUrl, client => client.watch(request, {timeoutMs}));
+    const timeoutMilliseconds =
+      request.waitMilliseconds + WATCH_ANSWER_MILLISECONDS;
+    return this.call(peerUrl, client =>
+      client.watch(request, this.callOptions(timeoutMilliseconds)),
+    );
   }
 
   requestToken(
@@ -202,8 +206,10 @@
     }
   }
 
-  private callOptions(): {readonly timeoutMs: number} {
-    return {timeoutMs: this.timeoutMilliseconds};
+  private callOptions(timeoutMilliseconds = this.timeoutMilliseconds): {
+    readonly signal: AbortSignal;
+  } {
+    return {signal: new ResponseTimeout(timeoutMilliseconds).signal};
   }
 
   private client(peerUrl: string): PeerClient {
--- a/packages/arbutustide-membership/src/peer_session.ts
+++ b/packages/arbutustide-membership/src/peer_session.ts
@@ -7,6 +7,8 @@
 
 import {connect, constants} from 'node:http2';
 
+import {ResponseTimeout} from '@arbutustide/event-loop';
+
 /**
  * Shortest pause between two checks. A ping may fail at once, and the next check
  * is then due at once.
@@ -197,12 +199,13 @@
         resolve(false);
         return;
       }
-      const timer = setTimeout(() => {
+      const timeout = new ResponseTimeout(this.options.pingTimeoutMs);
+      timeout.signal.addEventListener('abort', () => {
         this.destroy('the peer did not answer a ping');
         resolve(false);
-      }, this.options.pingTimeoutMs);
+      });
       this.session.ping(error => {
-        clearTimeout(timer);
+        timeout.close();
         if (!error) this.recordAlive();
         resolve(!error);
       });
--- a/packages/arbutustide-object-store/src/index.ts
+++ b/packages/arbutustide-object-store/src/index.ts
@@ -9,7 +9,6 @@
   WatchBatch,
 } from './object_store.js';
 export type {
-  CallTimeout,
   StoreAnswer,
   StoreCall,
   StoreHttpClientOptions,
--- a/packages/arbutustide-object-store/src/store_http_client.ts
+++ b/packages/arbutustide-object-store/src/store_http_client.ts
@@ -3,6 +3,7 @@
 import type {Dispatcher} from 'undici';
 import type {z} from 'zod';
 
+import {ResponseTimeout} from '@arbutustide/event-loop';
 import {Err, Ok} from 'ts-results';
 import {Pool} from 'undici';
 
@@ -47,16 +48,6 @@
    */
   readonly eraHeader?: string;
   readonly counter?: StoreCallCounter;
-  /** Limits the time of a call; by a plain timer if absent. */
-  readonly createTimeout?: (milliseconds: number) => CallTimeout;
-}
-
-/** A limit on the time of one call. */
-export interface CallTimeout {
-  /** Aborted when the time is over. */
-  readonly signal: AbortSignal;
-  /** Called when the call has ended. */
-  close(): void;
 }
 
 /** An HTTP call with a JSON request body and a JSON response body. */
@@ -115,9 +106,8 @@
     this.counter.record(call.operation);
     const timeout =
       call.timeoutMilliseconds ?? this.options.timeoutMilliseconds;
-    const {createTimeout = createTimerTimeout} = this.options;
-    const callTimeout = createTimeout(timeout);
-    const deadline = callTimeout.signal;
+    const responseTimeout = new ResponseTimeout(timeout);
+    const deadline = responseTimeout.signal;
     const headers: Record<string, string> = {...call.headers};
     if (this.options.token) {
       headers['authorization'] = `Bearer ${this.options.token}`;
@@ -151,7 +141,7 @@
       if (deadline.aborted) this.retire(pool);
       return Err(toTransportError(call, error, deadline.aborted));
     } finally {
-      callTimeout.close();
+      responseTimeout.close();
     }
   }
 
@@ -188,10 +178,6 @@
   }
 }
 
-function createTimerTimeout(milliseconds: number): CallTimeout {
-  return {signal: AbortSignal.timeout(milliseconds), close: () => {}};
-}
-
 /** Fails a call whose answer is not of the era that it was made in. */
 function toEraError<T>(
   call: StoreCall<T>,
