Ask an engine that loads a model for its report once the load is due

While a load that the engine accepted takes no longer than its model needs from the nearest copy, no report is asked for; after that as often as before.

--- a/packages/arbutustide-placement/src/__tests__/unit/engine_planner.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/engine_planner.test.ts
@@ -65,6 +65,20 @@
       );
   });
 
+  it('asks an engine that loads a model for its report once the load is due', async () => {
+    rig.demand.set('alpha', 3);
+    rig.start();
+    const findLoading = () => rig.engines.find(({isBusy}) => isBusy);
+    while (!findLoading()) await clock.tickAsync(50);
+    const loading = findLoading();
+    const count = loading?.reportCount;
+    await clock.tickAsync(LOAD_MILLISECONDS - 100);
+    expect(loading?.isBusy).to.equal(true);
+    expect(loading?.reportCount).to.equal(count);
+    await clock.tickAsync(LOAD_MILLISECONDS);
+    expect(loading?.reportCount).to.be.above(Number(count));
+  });
+
   it('orders nothing twice while an engine takes long to answer', async () => {
     for (const engine of rig.engines)
       for (const model of ['gamma', 'delta']) engine.models.add(model);
--- a/packages/arbutustide-placement/src/engines/engine_holdings_tracker.ts
+++ b/packages/arbutustide-placement/src/engines/engine_holdings_tracker.ts
@@ -117,6 +117,12 @@
       .model;
   }
 
+  /** Time since the engine accepted to load a model; undefined if it does not. */
+  get loadingMilliseconds(): number | undefined {
+    const load = this.acceptedSinceReport.find(({order}) => isModelLoad(order));
+    return load && performance.now() - load.recordedAtMilliseconds;
+  }
+
   /**
    * Models and adapters that can serve requests, as `MODEL` or `MODEL/ADAPTER`.
    *
--- a/packages/arbutustide-placement/src/engines/engine_registry.ts
+++ b/packages/arbutustide-placement/src/engines/engine_registry.ts
@@ -10,6 +10,7 @@
 
 import {EngineHoldingsTracker} from './engine_holdings_tracker.js';
 import {PlannerStep} from './engine_planner_environment.js';
+import {expectedLoadMilliseconds} from './load_estimates.js';
 
 /**
  * A model that is about to be unloaded. It is withdrawn from the nodes first,
@@ -157,16 +158,30 @@
     return entry.pendingReport;
   }
 
-  private isReportDue({holdings, listed}: EngineEntry): boolean {
+  private isReportDue(entry: EngineEntry): boolean {
+    const {holdings, listed} = entry;
     if (!listed.acceptsCalls) return false;
+    if (!holdings.isUpToDate) return true;
     const {maximumReportAgeMilliseconds, maximumBusyReportAgeMilliseconds} =
       this.settings;
     const maximumAgeMilliseconds = holdings.isBusy
       ? maximumBusyReportAgeMilliseconds
       : maximumReportAgeMilliseconds;
     return (
-      !holdings.isUpToDate ||
-      holdings.reportAgeMilliseconds >= maximumAgeMilliseconds
+      holdings.reportAgeMilliseconds >= maximumAgeMilliseconds &&
+      !this.isLoadUnderWay(entry)
+    );
+  }
+
+  /** Whether a report would only show that a load has not ended. */
+  private isLoadUnderWay({holdings, listed}: EngineEntry): boolean {
+    const {loadingModel, loadingMilliseconds = Infinity} = holdings;
+    const model = this.serviceNamed(listed.service).models.find(
+      ({name}) => name === loadingModel,
+    );
+    return (
+      model !== undefined &&
+      loadingMilliseconds < expectedLoadMilliseconds(model, listed)
     );
   }
 
