Find the reason why models are on no engine once a pass, not for each model

The reasons other than a load or an eviction are the same for all models of a service, and were worked out from all engines for each.

--- a/packages/arbutustide-placement/src/engines/engine_planner.ts
+++ b/packages/arbutustide-placement/src/engines/engine_planner.ts
@@ -206,13 +206,15 @@
   }
 
   private recordUnloadedModels(): void {
-    const unloaded = [...this.environment.listServices()].flatMap(service => [
+    const services = [...this.environment.listServices()];
+    const unloaded = services.flatMap(service => [
       ...this.modelLoader.unloadedModels(service),
     ]);
+    const held = new Map(
+      services.map(({name}) => [name, this.registry.heldModels(name)]),
+    );
     const isHeld = (service: string, model: string) =>
-      this.registry
-        .entriesOfService(service)
-        .some(({holdings}) => holdings.holdsModel(model));
+      held.get(service)?.has(model) ?? false;
     for (const {service, model, waitedMilliseconds} of this.unloaded.update(
       unloaded,
       isHeld,
--- a/packages/arbutustide-placement/src/engines/engine_registry.ts
+++ b/packages/arbutustide-placement/src/engines/engine_registry.ts
@@ -97,6 +97,15 @@
     );
   }
 
+  /** Models that some engine of a service holds. */
+  heldModels(service: string): Set<string> {
+    return new Set(
+      this.entriesOfService(service).flatMap(({holdings}) => [
+        ...holdings.heldModels,
+      ]),
+    );
+  }
+
   /** Until its first report an engine would be taken for empty. */
   areHoldingsKnown(service: string): boolean {
     return this.entriesOfService(service).every(
@@ -198,14 +207,28 @@
     });
   }
 
-  /** Converts an entry to the input of the model plan. */
-  toPlannedEngine({
+  /** Whether an engine can accept an order for a model now. */
+  canAcceptOrder({
     holdings,
     listed,
     pendingEviction,
     pendingModelOrder,
-  }: EngineEntry): PlannedEngine {
+  }: EngineEntry): boolean {
     const {maximumReportAgeMilliseconds} = this.settings;
+    return (
+      listed.isReady &&
+      listed.acceptsCalls &&
+      holdings.isUpToDate &&
+      !holdings.isBusy &&
+      pendingModelOrder === undefined &&
+      pendingEviction === undefined &&
+      holdings.reportAgeMilliseconds < 2 * maximumReportAgeMilliseconds
+    );
+  }
+
+  /** Converts an entry to the input of the model plan. */
+  toPlannedEngine(entry: EngineEntry): PlannedEngine {
+    const {holdings, listed, pendingEviction, pendingModelOrder} = entry;
     const {slots} = this.serviceNamed(listed.service);
     const {requestsPerSecond = Infinity} = listed;
     return {
@@ -224,14 +247,7 @@
         1,
         (requestsPerSecond * ASSUMED_SERVICE_SECONDS) / slots,
       ),
-      canAcceptOrder:
-        listed.isReady &&
-        listed.acceptsCalls &&
-        holdings.isUpToDate &&
-        !holdings.isBusy &&
-        pendingModelOrder === undefined &&
-        pendingEviction === undefined &&
-        holdings.reportAgeMilliseconds < 2 * maximumReportAgeMilliseconds,
+      canAcceptOrder: this.canAcceptOrder(entry),
       modelsInMemory: listed.modelsInMemory,
       modelsOnDisk: listed.modelsOnDisk,
     };
--- a/packages/arbutustide-placement/src/engines/model_loader.ts
+++ b/packages/arbutustide-placement/src/engines/model_loader.ts
@@ -15,7 +15,11 @@
 import {maximumConcurrentStoreLoads} from './load_estimates.js';
 import {planModelMoves} from './model_plan.js';
 import {STORE_RATE_SHARE} from './planner_constants.js';
-import {findUnloadedReason, UnloadedReason} from './unloaded_models.js';
+import {
+  findBlockedReason,
+  findLoadingReasons,
+  UnloadedReason,
+} from './unloaded_models.js';
 
 /** Settings of loads and evictions of models. */
 export interface ModelLoaderSettings extends ModelPlanSettings {
@@ -85,15 +89,18 @@
     const entries = this.registry
       .entriesOfService(service.name)
       .filter(({listed}) => listed.isReady);
-    const areHoldingsKnown = this.registry.areHoldingsKnown(service.name);
+    const held = this.registry.heldModels(service.name);
+    const loading = findLoadingReasons(entries);
+    const blocked = this.registry.areHoldingsKnown(service.name)
+      ? findBlockedReason(entries, entry => this.registry.canAcceptOrder(entry))
+      : UnloadedReason.NO_REPORT;
     for (const {name} of service.models) {
+      if (held.has(name)) continue;
       if (this.environment.countRequests(service.name, name) === 0) continue;
-      if (entries.some(({holdings}) => holdings.holdsModel(name))) continue;
-      const reason = this.postponedModels.has(name)
+      const postponed = this.postponedModels.has(name)
         ? UnloadedReason.STORE_LIMIT
-        : findUnloadedReason(name, entries, areHoldingsKnown, entry =>
-            this.registry.toPlannedEngine(entry),
-          );
+        : undefined;
+      const reason = postponed ?? loading.get(name) ?? blocked;
       yield {service: service.name, model: name, reason};
     }
   }
--- a/packages/arbutustide-placement/src/engines/unloaded_models.ts
+++ b/packages/arbutustide-placement/src/engines/unloaded_models.ts
@@ -1,5 +1,4 @@
 import type {EngineEntry} from './engine_registry.js';
-import type {PlannedEngine} from './model_plan.js';
 
 import {orderedModel} from './engine_registry.js';
 
@@ -46,29 +45,33 @@
 }
 
 /**
- * Returns why no engine holds a model.
+ * Why no engine holds a model, by model, for those that an engine loads or is
+ * about to load.
+ */
+export function findLoadingReasons(
+  entries: Iterable<EngineEntry>,
+): Map<string, UnloadedReason> {
+  const reasons = new Map<string, UnloadedReason>();
+  for (const {holdings, pendingEviction, pendingModelOrder} of entries) {
+    const loading = holdings.loadingModel ?? orderedModel(pendingModelOrder);
+    if (loading !== undefined) reasons.set(loading, UnloadedReason.LOADING);
+    const replacement = pendingEviction?.replacement;
+    if (replacement !== undefined && !reasons.has(replacement))
+      reasons.set(replacement, UnloadedReason.EVICTING);
+  }
+  return reasons;
+}
+
+/**
+ * Why no engine takes any other model.
  *
- * @param entries the engines that may get it.
+ * @param canAcceptOrder whether an engine can accept an order now.
  */
-export function findUnloadedReason(
-  model: string,
+export function findBlockedReason(
   entries: readonly EngineEntry[],
-  areHoldingsKnown: boolean,
-  toPlannedEngine: (entry: EngineEntry) => PlannedEngine,
+  canAcceptOrder: (entry: EngineEntry) => boolean,
 ): UnloadedReason {
-  const isLoading = entries.some(
-    ({holdings, pendingModelOrder}) =>
-      holdings.loadingModel === model ||
-      orderedModel(pendingModelOrder) === model,
-  );
-  if (isLoading) return UnloadedReason.LOADING;
-  if (
-    entries.some(({pendingEviction}) => pendingEviction?.replacement === model)
-  )
-    return UnloadedReason.EVICTING;
-  if (!areHoldingsKnown) return UnloadedReason.NO_REPORT;
-  if (entries.some(entry => toPlannedEngine(entry).canAcceptOrder))
-    return UnloadedReason.NO_PLACE;
+  if (entries.some(canAcceptOrder)) return UnloadedReason.NO_PLACE;
   const idle = entries.filter(
     ({holdings, pendingEviction, pendingModelOrder}) =>
       !holdings.isBusy && !pendingEviction && !pendingModelOrder,
@@ -114,9 +117,10 @@
     }
     for (const [key, state] of this.states) {
       const {unloaded: waiting, sinceMilliseconds} = state;
+      const idle = now - state.lastWantedMilliseconds;
+      if (idle === 0) continue;
       const {service, model} = waiting;
       const isLoaded = isHeld(service, model);
-      const idle = now - state.lastWantedMilliseconds;
       if (!isLoaded && idle < FORGET_MILLISECONDS) continue;
       this.states.delete(key);
       if (!isLoaded) continue;
