Refuse requests at the door of a node whose event loop is behind

Cause: a request was read and then waited for its turn of the event loop without any bound, in order of arrival.

Change: the turn queue knows urgencies, the interval between tasks and how often more urgent ones come, and so the wait of a new task. A request is refused on arrival, as not run (`overloaded`, 503), if that wait is longer than it can use: half of its caller's time in a burst, half of its objective once tasks have waited without a pause for that long. A kind of request below 0.3 of the served part of all comes first. Retry-After is the time until the wait has fallen. One log line a second and two metrics count it.

--- a/packages/arbutustide-errors/src/answer_table.ts
+++ b/packages/arbutustide-errors/src/answer_table.ts
@@ -46,6 +46,7 @@
   [ErrorKind.KEY_REQUIRED]: fixRequestRow(400),
   [ErrorKind.KEY_REUSED]: fixRequestRow(422),
   [ErrorKind.NOT_READY]: retryLaterRow(503, 1_000),
+  [ErrorKind.OVERLOADED]: retryLaterRow(503, 1_000),
   [ErrorKind.QUEUE_FULL]: retryLaterRow(429, 1_000),
   [ErrorKind.QUOTA_EXCEEDED]: retryLaterRow(429, 1_000),
   [ErrorKind.CONFIGURATION_UNCONFIRMED]: retryLaterRow(503, 500),
--- a/packages/arbutustide-errors/src/error_kind.ts
+++ b/packages/arbutustide-errors/src/error_kind.ts
@@ -16,6 +16,7 @@
   KEY_REQUIRED = 'idempotency_key_required',
   KEY_REUSED = 'idempotency_key_reused',
   NOT_READY = 'not_ready',
+  OVERLOADED = 'overloaded',
   QUEUE_FULL = 'queue_full',
   QUOTA_EXCEEDED = 'quota_exceeded',
   CONFIGURATION_UNCONFIRMED = 'configuration_unconfirmed',
--- a/packages/arbutustide-event-loop/src/turn_queue.ts
+++ b/packages/arbutustide-event-loop/src/turn_queue.ts
@@ -2,7 +2,10 @@
 import type {InputMonitor} from './input_monitor.js';
 
 import {inputMonitor} from './input_monitor.js';
+import {ArrivalRates} from './arrival_rates.js';
 import {RUNTIME_LOOP} from './runtime_loop.js';
+import {TaskLines} from './task_lines.js';
+import {TurnPace} from './turn_pace.js';
 
 /** After a longer turn, the loop reads its input again first. */
 const LONG_TURN_MILLISECONDS = 50;
@@ -11,6 +14,13 @@
  * reading alone and for tasks alternately.
  */
 const PERIOD_MILLISECONDS = 50;
+/**
+ * Urgency of tasks that belong to work under way. They come before all others,
+ * whose expected waits include them.
+ */
+const UNDER_WAY = Number.NEGATIVE_INFINITY;
+/** Where more urgent tasks take all turns, the others are still told a time. */
+const MAXIMUM_OVERTAKING_SHARE = 0.95;
 
 /** A task that waits for a turn of the event loop. */
 interface WaitingTask {
@@ -26,8 +36,10 @@
  * between, connections would wait, with their requests and their ends.
  */
 export class TurnQueue {
-  /** By key, in the order in which the keys take their turns. */
-  private readonly tasks = new Map<object, WaitingTask[]>();
+  private readonly lines = new TaskLines<WaitingTask>();
+  /** Of the tasks with an urgency of their own. */
+  private readonly pace = new TurnPace();
+  private readonly rates = new ArrivalRates();
   private isScheduled = false;
   private behindSinceMilliseconds: number | undefined;
 
@@ -38,34 +50,63 @@
 
   /**
    * Waits until the input that has arrived by now has been read, and for the
-   * tasks that came before with this key. Keys take turns.
+   * tasks that come first. Keys take turns.
    *
    * @param isWanted a task that is not wanted any more needs no turn.
    * @param key what tasks have in common, such as a connection; a task without
    *     one has a key of its own.
+   * @param urgency lower numbers come first, tasks without one before all.
    * @return end of the latest poll for input, by the monotonic clock.
    */
   nextTurn(
     isWanted: () => boolean = () => true,
     key: object = {},
+    urgency = UNDER_WAY,
   ): Promise<number> {
     return new Promise(resolve => {
       const {pollCount} = this.monitor;
       const task = {pollCount, isWanted, proceed: resolve};
-      const tasks = this.tasks.get(key);
-      if (tasks) tasks.push(task);
-      else this.tasks.set(key, [task]);
+      if (urgency !== UNDER_WAY) this.recordArrival(urgency);
+      this.lines.add(task, key, urgency);
       this.schedule();
     });
   }
 
+  /**
+   * Number of wanted tasks that come before a new one of this key, without those
+   * of work under way.
+   */
+  countBefore(urgency: number, key: object = {}): number {
+    return this.lines.countBefore(key, urgency, isCounted);
+  }
+
+  /**
+   * Time that a new task of this key would wait if more urgent ones came as
+   * often as of late.
+   */
+  expectedWaitMilliseconds(urgency: number, key: object = {}): number {
+    const before = this.countBefore(urgency, key);
+    if (before === 0) return 0;
+    const {intervalMilliseconds: interval} = this.pace;
+    const overtaking = Math.min(
+      interval * this.rates.rateBefore(urgency),
+      MAXIMUM_OVERTAKING_SHARE,
+    );
+    return (before * interval) / (1 - overtaking);
+  }
+
+  /** Time for which tasks have waited without a pause, but work under way. */
+  get busyMilliseconds(): number {
+    return this.lines.some(isCounted) ? this.pace.busyMilliseconds : 0;
+  }
+
   private schedule(): void {
     if (this.isScheduled) return;
     this.isScheduled = true;
     this.loop.afterPoll(() => {
       this.isScheduled = false;
       this.proceedWithNext();
-      if (this.tasks.size > 0) this.schedule();
+      if (!this.lines.isEmpty) this.schedule();
     });
   }
 
@@ -73,22 +114,30 @@
   private proceedWithNext(): void {
     const {pollCount, polledAtMilliseconds} = this.monitor.lastTurn;
     const isReadingFirst = this.isReadingFirst();
-    for (const [key, tasks] of this.tasks) {
-      for (;;) {
-        const [task] = tasks;
-        if (task.pollCount === pollCount) return;
-        const isWanted = task.isWanted();
+    for (const [key, first, urgency] of this.lines.firstTasks()) {
+      let task: WaitingTask | undefined = first;
+      while (task && task.pollCount !== pollCount) {
+        const isWanted: boolean = task.isWanted();
         if (isWanted && isReadingFirst) return;
-        tasks.shift();
-        if (isWanted || tasks.length === 0) this.tasks.delete(key);
+        const next = this.lines.removeFirst(key, !isWanted);
+        if (isWanted) this.recordTurn(urgency);
         task.proceed(polledAtMilliseconds);
-        if (isWanted && tasks.length > 0) this.tasks.set(key, tasks);
         if (isWanted) return;
-        if (tasks.length === 0) break;
+        task = next;
       }
     }
   }
 
+  private recordArrival(urgency: number): void {
+    if (!this.lines.some(isCounted)) this.pace.recordFirst();
+    this.rates.record(urgency);
+  }
+
+  private recordTurn(urgency: number): void {
+    if (urgency === UNDER_WAY) return;
+    this.pace.recordTurn(this.lines.some(isCounted));
+  }
+
   /** Whether more input may wait that should be read before work goes on. */
   private isReadingFirst(): boolean {
     const {hasAccepted, activeMilliseconds, polledAtMilliseconds} =
@@ -103,5 +152,10 @@
   }
 }
 
+/** Whether others wait for the turn of a task. */
+function isCounted({isWanted}: WaitingTask, urgency: number): boolean {
+  return urgency !== UNDER_WAY && isWanted();
+}
+
 /** The queue of this thread's event loop. */
 export const turnQueue = new TurnQueue();
--- a/packages/arbutustide-node/src/index.ts
+++ b/packages/arbutustide-node/src/index.ts
@@ -19,6 +19,10 @@
   ServiceVersions,
   StreamOriginStorage,
 } from './proxy/stream_origin/stream_origin_storage.js';
+export type {
+  AdmittedArrival,
+  Arrival,
+} from './proxy/overload/arrival_admission.js';
 export type {NodePorts, RunningNode} from './node_daemon.js';
 export type {NodeDependencies, NodeIdentity} from './node_dependencies.js';
 
@@ -50,6 +54,8 @@
 export {CallerServer} from './caller_server.js';
 export {ProxyCore} from './proxy/proxy_core.js';
 export {watchDisconnection} from './watch_disconnection.js';
+export {ArrivalAdmission} from './proxy/overload/arrival_admission.js';
+export {OverloadRecorder} from './proxy/overload/overload_recorder.js';
 export {recordLongTurns} from './proxy/record_long_turns.js';
 export {NodeCore} from './node_core.js';
 export {startNode} from './node_daemon.js';
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -185,6 +185,7 @@
 export {HoldTimeDistributions} from './proxy/queue/hold_time_distributions.js';
 export {HoldBack} from './proxy/queue/hold_back.js';
 export {Standing} from './proxy/queue/queue_position.js';
+export {ServedShares} from './proxy/queue/served_shares.js';
 export {ServiceOrder} from './proxy/queue/service_order.js';
 export {SlotHoldTimes} from './proxy/queue/slot_hold_times.js';
 export {SlotQueue} from './proxy/slot_queue.js';
--- a/packages/arbutustide-teams/src/authenticator.ts
+++ b/packages/arbutustide-teams/src/authenticator.ts
@@ -49,6 +49,19 @@
     return team;
   }
 
+  /**
+   * Finds the team of a request that is not let through by this. A refusal is
+   * not reported; `authenticate` will do so.
+   */
+  identify(
+    configuration: ServingConfiguration,
+    route: AuthenticationTerms,
+    listKeys: () => readonly string[],
+  ): RequestTeam | undefined {
+    const team = this.findTeam(configuration, route, listKeys);
+    return team.ok ? team.val : undefined;
+  }
+
   private findTeam(
     configuration: ServingConfiguration,
     route: AuthenticationTerms,
--- a/packages/arbutustide-telemetry/src/metrics.ts
+++ b/packages/arbutustide-telemetry/src/metrics.ts
@@ -38,6 +38,18 @@
     'arbutustide_unread_seconds',
     'Longest time for which a request can have waited to be read.',
   );
+  readonly turnWaitSeconds = new Histogram({
+    name: 'arbutustide_turn_wait_seconds',
+    help: 'Time for which a request that was read waited for its turn of the event loop.',
+    buckets: LATENCY_BUCKETS_SECONDS,
+    registers: [this.registry],
+  });
+  readonly arrivalsRefused = new Counter({
+    name: 'arbutustide_arrivals_refused_total',
+    help: 'Requests that were refused on arrival because the event loop was behind.',
+    labelNames: ['entry'] as const,
+    registers: [this.registry],
+  });
   readonly loopBlockedSeconds = new Counter({
     name: 'arbutustide_loop_blocked_seconds_total',
     help: 'Time in long turns of the event loop, in which no input was read.',
