Count the demand of requests that are refused at the door

A model whose requests meet nodes that are behind would never be loaded: what the door refuses did not reach the count of demand that the planner goes by, nor the count of requests that the retry budget of its service follows from.

--- a/packages/arbutustide-node/src/proxy/register_dispatcher.ts
+++ b/packages/arbutustide-node/src/proxy/register_dispatcher.ts
@@ -14,6 +14,7 @@
 ): void {
   register(ProxyToken.DISPATCHER, container => {
     const retryBudgets = container.resolve(ProxyToken.RETRY_BUDGETS);
+    const demandCounter = container.resolve(ProxyToken.DEMAND_COUNTER);
     const retryBorrower = container.resolve(ProxyToken.RETRY_BORROWER);
     const configurationWatcher = container.resolve(
       ProxyToken.CONFIGURATION_WATCHER,
@@ -24,6 +25,7 @@
       paths: container.resolve(ProxyToken.REACHABILITY_MONITOR),
       recordRequest: service =>
         retryBudgets.forService(service).recordRequest(),
+      recordRefusedDemand: entry => demandCounter.recordRefused(entry),
       tryConsumeRetry: service => {
         if (retryBudgets.forService(service).tryConsume()) return true;
         retryBorrower.request(service);
--- a/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/scripted_connector.ts
@@ -183,6 +183,7 @@
       whenOthersAnswer: (_upstream, action) => action(),
     },
     recordRequest: () => {},
+    recordRefusedDemand: () => {},
     tryConsumeRetry: () => true,
     onModelMissing: (upstream, model) =>
       upstream.recordObservedHolding(model, false),
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -1,4 +1,5 @@
 /** Routing of requests: admission, choice of upstream, retries and answers. */
+export type {DemandedEntry} from './proxy/demand_counter.js';
 export type {AnswerPeriod} from './proxy/answer_period.js';
 export type {
   AdmissionOptions,
--- a/packages/arbutustide-routing/src/proxy/demand_counter.ts
+++ b/packages/arbutustide-routing/src/proxy/demand_counter.ts
@@ -1,4 +1,5 @@
 import type {EntryLoad} from '../admission_controller.js';
+import type {ModelReference} from './route.js';
 import type {RoutedRequest} from './routed_request.js';
 
 import {effectivePriority} from './routed_request.js';
@@ -15,6 +16,12 @@
   refusalsUpdatedAtMilliseconds: number;
 }
 
+/** What a request asks for. */
+export type DemandedEntry = Pick<RoutedRequest, 'service'> & {
+  /** Undefined for requests to plain services. */
+  readonly modelRequest: ModelReference | undefined;
+};
+
 /** Requests at this node for one model or adapter. */
 export interface EntryDemand {
   readonly inFlight: number;
@@ -100,11 +107,15 @@
         continue;
       }
       count.queued -= 1;
-      count.recentRefusals = decayedRefusals(count) + 1;
-      count.refusalsUpdatedAtMilliseconds = performance.now();
+      countRefusal(count);
     }
   }
 
+  /** Counts a request that was refused before it entered the queue. */
+  recordRefused(entry: DemandedEntry): void {
+    for (const count of this.countsForRequest(entry)) countRefusal(count);
+  }
+
   /** Demand for each known entry; evicts idle entries beyond the limit. */
   *loads(): Generator<EntryLoad> {
     for (const [entryName, count] of this.counts) {
@@ -140,7 +151,7 @@
   private *countsForRequest({
     service,
     modelRequest,
-  }: RoutedRequest): Generator<EntryCounts> {
+  }: DemandedEntry): Generator<EntryCounts> {
     if (!modelRequest) {
       yield this.countsForEntry(plainEntryName(service), false);
       return;
@@ -167,6 +178,11 @@
   }
 }
 
+function countRefusal(count: EntryCounts): void {
+  count.recentRefusals = decayedRefusals(count) + 1;
+  count.refusalsUpdatedAtMilliseconds = performance.now();
+}
+
 function decayedRefusals({
   recentRefusals,
   refusalsUpdatedAtMilliseconds,
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -1,6 +1,7 @@
 import type {RefusalError} from '@arbutustide/errors';
 import type {Result} from 'ts-results';
 
+import type {DemandedEntry} from './demand_counter.js';
 import type {Handover} from './handover/handover.js';
 import type {OpenStream} from './handover/open_stream.js';
 import type {AttemptStart} from './proxy_connector.js';
@@ -139,6 +140,15 @@
     );
   }
 
+  /**
+   * Counts a request that this node has refused on arrival: its caller wants the
+   * model all the same.
+   */
+  recordRefusedArrival(entry: DemandedEntry): void {
+    this.options.recordRequest(entry.service);
+    this.options.recordRefusedDemand(entry);
+  }
+
   /**
    * Refuses all requests, those that wait and those to come, and breaks off the
    * streams that have begun. Called when this node stops and its time is up.
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher_options.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher_options.ts
@@ -1,4 +1,5 @@
 import type {AnswerPeriod} from './answer_period.js';
+import type {DemandedEntry} from './demand_counter.js';
 import type {MemoryMover} from './handover/memory_mover.js';
 import type {RequestRelay} from './relay/request_relay.js';
 import type {RequestDecision} from './request_decision.js';
@@ -11,6 +12,8 @@
 export interface ProxyDispatcherOptions extends UpstreamTargetOptions {
   /** Counts a request against its service's retry budget. */
   readonly recordRequest: (service: string) => void;
+  /** Counts the demand of a request that was refused on arrival. */
+  readonly recordRefusedDemand: (entry: DemandedEntry) => void;
   /** Consumes one retry of the service's budget; false if none is left. */
   readonly tryConsumeRetry: (service: string) => boolean;
   readonly relay: RequestRelay;
