--- a/packages/arbutustide-stand-ins/src/measured_process.ts
+++ b/packages/arbutustide-stand-ins/src/measured_process.ts
@@ -38,6 +38,11 @@
     }
   }
 
+  /** Undefined if the process could not be started. */
+  get pid(): number | undefined {
+    return this.child.pid;
+  }
+
   /** Exit code or signal; undefined while the process runs. */
   get end(): number | string | undefined {
     return this.child.signalCode ?? this.child.exitCode ?? undefined;
