Let changes of holdings share a broadcast

Each change of a model was sent to up to eight peers at once.

Changes that come during a broadcast, or in a pause of 250 ms or four times its length, share the next one. Gossip spreads the records meanwhile.

holdings_broadcaster.test.ts (3, new): with a change every 50 ms, 40 broadcasts in 10 s, and 4 while each takes 500 ms; there was one for each change.

--- a/packages/arbutustide-node/src/proxy/proxy_wiring.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_wiring.ts
@@ -45,6 +45,7 @@
 import {registerRelay} from './relay/register_relay.js';
 import {LeaseHolderProbe} from './lease_holder_probe.js';
 import {HoldingRequester} from './holding_requester.js';
+import {HoldingsBroadcaster} from './holdings_broadcaster.js';
 import {PlannerClient} from './planner_client.js';
 import {registerQuotas} from './quotas/register_quotas.js';
 import {registerRateLimits} from './rate_limit/register_rate_limits.js';
@@ -338,6 +339,11 @@
   }: ProxyDependencies,
 ): void {
   register(ProxyToken.PLANNER, container => {
+    const broadcaster = new HoldingsBroadcaster(() =>
+      container
+        .resolve(ProxyToken.GOSSIP)
+        .broadcast(tuning.HOLDINGS_BROADCAST_PEERS),
+    );
     const environment = new NodeEnginePlannerEnvironment(
       container.resolve(ProxyToken.UPSTREAM_DIRECTORY),
       container.resolve(ProxyToken.DEMAND_COUNTER),
@@ -346,10 +352,7 @@
       () =>
         container.resolve(ProxyToken.CONFIGURATION_WATCHER).routes
           ?.configuration,
-      () =>
-        void container
-          .resolve(ProxyToken.GOSSIP)
-          .broadcast(tuning.HOLDINGS_BROADCAST_PEERS),
+      () => broadcaster.request(),
       decision => {
         logger.info(decision, 'planner');
         recordPlannerMetrics(decision, metrics);
