Announce planned loads by gossip and ask for adapters in one call a node

Every node called the planner every 0.25 to 1 s for each model that its requests waited for, although models are planned by the demand in the nodes' records and the call changed nothing.

The planner publishes in its record when it expects the models to be held that none holds, and those that no upstream has room for. Nodes derive their waits from this, from the load time in the configuration and from how long they have waited; they call for a model only until it is announced, once a second for all models together. Adapters are still asked for, all that a node wants in one call at a time; the later the planner answers, the longer the pause. RequestHolding stays served, and a planner of an older build is called by it (protocol level 3).

--- a/packages/arbutustide-membership/src/cluster_summary.ts
+++ b/packages/arbutustide-membership/src/cluster_summary.ts
@@ -2,6 +2,7 @@
   Field,
   LostUpstreams,
   NodeActivity,
+  PlannedLoads,
   SegmentQuarantine,
   SegmentSurvivals,
   UpstreamCrash,
@@ -15,6 +16,7 @@
 import {NodeState} from './gen/arbutustide/membership/v1/membership_pb.js';
 import {findNodeStatus} from './member_record.js';
 import {parseDemands, parseLoads} from './node_activity.js';
+import {readPlannedLoads} from './planned_loads.js';
 
 /** What the records of all peers add up to. */
 export interface ClusterSummary {
@@ -48,6 +50,8 @@
   /** Holdings published by the planner with the highest epoch. */
   readonly holdingsByUpstream: Map<string, UpstreamHoldings>;
   holdingsEpoch: number;
+  /** Published by the planner with the highest epoch. */
+  plannedLoads: PlannedLoads | undefined;
 }
 
 type FieldCase = NonNullable<Field['value']['case']>;
@@ -148,6 +152,14 @@
     summary.holdingsEpoch = epoch;
     summary.holdingsByUpstream.set(upstreamId, field.value.value);
   },
+  plannedLoads: (field, _writer, summary) => {
+    if (field.value.case !== 'plannedLoads') return;
+    const loads = field.value.value;
+    // Read on arrival, as its times count from then.
+    readPlannedLoads(loads);
+    if (loads.epoch >= (summary.plannedLoads?.epoch ?? 0))
+      summary.plannedLoads = loads;
+  },
 };
 
 /** Sums over the records of all peers. */
@@ -176,6 +188,7 @@
     departuresByUpstream: new Map(),
     holdingsByUpstream: new Map(),
     holdingsEpoch: 0,
+    plannedLoads: undefined,
   };
   for (const record of table.peerRecords()) {
     const status = findNodeStatus(record);
--- a/packages/arbutustide-membership/src/cluster_view.ts
+++ b/packages/arbutustide-membership/src/cluster_view.ts
@@ -8,15 +8,19 @@
 import type {ClusterSummary} from './cluster_summary.js';
 import type {MemberTable} from './member_table.js';
 import type {PeerObservation, PeerRateLimit} from './peer_observation.js';
+import type {ExpectedLoads} from './planned_loads.js';
 import type {ProtocolLevel} from './protocol_level.js';
 
 import {NodeState} from './gen/arbutustide/membership/v1/membership_pb.js';
 import {emptyDemand, summarizePeers} from './cluster_summary.js';
 import {NODE_STATUS_KEY} from './member_record.js';
+import {PLANNED_LOADS_KEY, readPlannedLoads} from './planned_loads.js';
 
 /** A summary older than this is recomputed when it is read. */
 const MAXIMUM_SUMMARY_AGE_MILLISECONDS = 100;
 
+const NO_LOADS: ExpectedLoads = new Map();
+
 /** A node's published status, with the identity of its process. */
 export interface ClusterNode {
   readonly identity: string;
@@ -154,6 +158,19 @@
     return this.currentSummary().holdingsByUpstream;
   }
 
+  /**
+   * When models that no upstream holds are expected to be held, according to the
+   * planner, this node or a peer.
+   */
+  expectedLoads(): ExpectedLoads {
+    const own = this.table.ownRecord.get(PLANNED_LOADS_KEY);
+    const ownLoads = own?.case === 'plannedLoads' ? own.value : undefined;
+    const peerLoads = this.currentSummary().plannedLoads;
+    const isOwnNewer = (ownLoads?.epoch ?? 0) > (peerLoads?.epoch ?? 0);
+    const loads = isOwnNewer ? ownLoads : peerLoads;
+    return loads ? readPlannedLoads(loads) : NO_LOADS;
+  }
+
   /** Start times of upstream processes that peers saw leave, by upstream. */
   departures(): ReadonlyMap<string, number> {
     return this.currentSummary().departuresByUpstream;
--- a/packages/arbutustide-membership/src/connect_peer_server.ts
+++ b/packages/arbutustide-membership/src/connect_peer_server.ts
@@ -1,7 +1,7 @@
 import type {Http2Server, ServerHttp2Session} from 'node:http2';
 import type {AddressInfo} from 'node:net';
 
-import type {PeerHandler} from './peer_transport.js';
+import type {PeerHandler, PromisedHolding} from './peer_transport.js';
 
 import {once} from 'node:events';
 import {createServer} from 'node:http2';
@@ -48,7 +48,11 @@
           }),
           requestHolding: async request => {
             const holding = await handler().requestHolding(request);
-            return holding ? {promised: true, ...holding} : {promised: false};
+            return toHoldingResponse(holding);
+          },
+          requestHoldings: async request => {
+            const holdings = await handler().requestHoldings(request.holdings);
+            return {holdings: holdings.map(toHoldingResponse)};
           },
           watch: async request => {
             const response = await handler().serveWatch(request);
@@ -128,3 +132,7 @@
     this.idleSessions.delete(session);
   }
 }
+
+function toHoldingResponse(holding: PromisedHolding | undefined) {
+  return holding ? {promised: true, ...holding} : {promised: false};
+}
--- a/packages/arbutustide-membership/src/connect_peer_transport.ts
+++ b/packages/arbutustide-membership/src/connect_peer_transport.ts
@@ -21,7 +21,11 @@
   WatchRequest,
   WatchResponse,
 } from './gen/arbutustide/membership/v1/membership_pb.js';
-import type {PeerTransport, PromisedHolding} from './peer_transport.js';
+import type {
+  PeerTransport,
+  PromisedHolding,
+  PromisedHoldings,
+} from './peer_transport.js';
 
 import {ConnectError, createClient} from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
@@ -109,6 +113,18 @@
     return answer.map(holding => (holding.promised ? holding : undefined));
   }
 
+  async requestHoldings(
+    peerUrl: string,
+    requests: readonly HoldingRequest[],
+  ): Promise<Result<PromisedHoldings, PeerError>> {
+    const answer = await this.call(peerUrl, client =>
+      client.requestHoldings({holdings: [...requests]}, this.callOptions()),
+    );
+    return answer.map(({holdings}) =>
+      holdings.map(holding => (holding.promised ? holding : undefined)),
+    );
+  }
+
   watch(
     peerUrl: string,
     request: WatchRequest,
--- a/packages/arbutustide-membership/src/index.ts
+++ b/packages/arbutustide-membership/src/index.ts
@@ -31,6 +31,7 @@
 export type {MemberRecord} from './member_record.js';
 export type {FieldValue} from './own_record.js';
 export type {PublishedDemand, PublishedLoad} from './node_activity.js';
+export type {ExpectedLoads} from './planned_loads.js';
 export type {PeerObservation, PeerRateLimit} from './peer_observation.js';
 export type {
   ConfirmConfigurationResponseFields,
@@ -39,6 +40,7 @@
   PeerTransport,
   FindStreamOriginResponseFields,
   PromisedHolding,
+  PromisedHoldings,
   RelayResponsePart,
   RequestTokenResponseFields,
   WatchResponseFields,
@@ -46,6 +48,11 @@
 
 export {ClusterView} from './cluster_view.js';
 export {formatDemands, formatLoads} from './node_activity.js';
+export {
+  formatPlannedLoads,
+  PLANNED_LOADS_KEY,
+  readPlannedLoads,
+} from './planned_loads.js';
 export {ProtocolLevel} from './protocol_level.js';
 export {ConnectPeerServer} from './connect_peer_server.js';
 export {ConnectPeerTransport} from './connect_peer_transport.js';
@@ -68,11 +75,13 @@
   NodeState,
   NodeActivitySchema,
   NodeStatusSchema,
+  PlannedLoadsSchema,
   RecordStreamOriginsRequestSchema,
   RelayRequestRequestSchema,
   RelayRequestResponseSchema,
   RequestTokenRequestSchema,
   RequestTokenResponseSchema,
+  RequestHoldingsRequestSchema,
   SegmentQuarantineSchema,
   SegmentSurvivalsSchema,
   SuspicionSchema,
--- a/packages/arbutustide-membership/src/node_activity.ts
+++ b/packages/arbutustide-membership/src/node_activity.ts
@@ -58,7 +58,7 @@
 }
 
 /** Yields the first words of each line, and the rest of it. */
-function* parseLines(
+export function* parseLines(
   text: string,
   wordCount: number,
 ): Generator<readonly [string[], string]> {
@@ -76,10 +76,12 @@
   }
 }
 
-function isOneLine(name: string): boolean {
+/** Whether a name can be the rest of a line. */
+export function isOneLine(name: string): boolean {
   return name !== '' && !name.includes('\n');
 }
 
-function isCount(value: number): boolean {
+/** Whether it is a whole number of at least zero. */
+export function isCount(value: number): boolean {
   return Number.isSafeInteger(value) && value >= 0;
 }
--- a/packages/arbutustide-membership/src/peer_transport.ts
+++ b/packages/arbutustide-membership/src/peer_transport.ts
@@ -51,6 +51,9 @@
   readonly readyInMilliseconds: number;
 }
 
+/** Answers to several requests; undefined where no upstream will hold it. */
+export type PromisedHoldings = readonly (PromisedHolding | undefined)[];
+
 /** Client for calls to other nodes; a failed call returns a PeerError. */
 export interface PeerTransport {
   exchange(
@@ -80,6 +83,14 @@
     peerUrl: string,
     request: HoldingRequest,
   ): Promise<Result<PromisedHolding | undefined, PeerError>>;
+  /**
+   * Asks the planner for several models and adapters at once; the answers come
+   * in the order of the request.
+   */
+  requestHoldings(
+    peerUrl: string,
+    requests: readonly HoldingRequest[],
+  ): Promise<Result<PromisedHoldings, PeerError>>;
   /** Waits for changes in the object store that the peer has received. */
   watch(
     peerUrl: string,
@@ -177,6 +188,10 @@
   catalogueContentJson(digest: string): string;
   /** Undefined unless this node is the planner and an upstream will hold it. */
   requestHolding(request: HoldingRequest): Promise<PromisedHolding | undefined>;
+  /** One answer for each request, in their order. */
+  requestHoldings(
+    requests: readonly HoldingRequest[],
+  ): Promise<PromisedHoldings>;
   /** Undefined if this node does not have all changes after the version. */
   serveWatch(request: WatchRequest): Promise<WatchResponseFields | undefined>;
   /** Undefined if this node does not issue the tokens of the upstream. */
--- a/packages/arbutustide-membership/src/protocol_level.ts
+++ b/packages/arbutustide-membership/src/protocol_level.ts
@@ -6,4 +6,6 @@
   TEAMS = 1,
   /** LendRetries, and all requests of a node in one field. */
   RETRY_LOANS = 2,
+  /** RequestHoldings, and the planner's PlannedLoads. */
+  PLANNED_LOADS = 3,
 }
--- a/packages/arbutustide-node/src/__tests__/integration/lease_holder_probe.test.ts
+++ b/packages/arbutustide-node/src/__tests__/integration/lease_holder_probe.test.ts
@@ -46,6 +46,7 @@
     catalogueHeadJson: () => '',
     catalogueContentJson: () => '',
     requestHolding: async () => undefined,
+    requestHoldings: async () => [],
     serveWatch: async () => undefined,
     issueToken: () => undefined,
     recordStreamOrigins: () => {},
--- a/packages/arbutustide-node/src/node_core.ts
+++ b/packages/arbutustide-node/src/node_core.ts
@@ -8,6 +8,7 @@
   ExchangeRequest,
   ExchangeResponse,
   PeerHandler,
+  PromisedHoldings,
   RelayResponsePart,
 } from '@arbutustide/membership';
 import type {DependencyContainer} from 'tsyringe';
@@ -172,6 +173,12 @@
     return undefined;
   }
 
+  async requestHoldings(
+    requests: readonly unknown[],
+  ): Promise<PromisedHoldings> {
+    return requests.map(() => undefined);
+  }
+
   /** Streams of the project's own interface are not resumed by callers. */
   recordStreamOrigins(): void {}
 
--- a/packages/arbutustide-node/src/node_status_publisher.ts
+++ b/packages/arbutustide-node/src/node_status_publisher.ts
@@ -116,7 +116,7 @@
       state: this.currentState,
       catalogueRevision: this.getCatalogueRevision(),
       plannerEpoch: this.getPlannerEpoch(),
-      protocolLevel: ProtocolLevel.RETRY_LOANS,
+      protocolLevel: ProtocolLevel.PLANNED_LOADS,
     });
     this.memberTable.ownRecord.set(NODE_STATUS_KEY, {case: 'status', value});
   }
--- a/packages/arbutustide-node/src/proxy/holding_requester.ts
+++ b/packages/arbutustide-node/src/proxy/holding_requester.ts
@@ -1,21 +1,41 @@
+import type {PromisedHolding} from '@arbutustide/membership';
 import type {
   ProxyUpstreamDirectory,
   ModelReference,
 } from '@arbutustide/routing';
 
+import type {ModelWaits} from './holdings/model_waits.js';
 import type {PlannerClient} from './planner_client.js';
 
+import {HoldingRequestSchema} from '@arbutustide/membership';
 import {adapterEntryName, modelEntryName} from '@arbutustide/routing';
+import {create} from '@bufbuild/protobuf';
 
-/** Minimum time between two requests for the same holding. */
+import {PlannerCallPacer} from './holdings/planner_call_pacer.js';
+
+/** Minimum time between two requests for the same adapter. */
 const REQUEST_INTERVAL_MILLISECONDS = 250;
 /**
  * Longest time between two requests while a holding is expected. Limits how long
  * a node goes by the answer of a planner that has been replaced.
  */
 const MAXIMUM_REQUEST_INTERVAL_MILLISECONDS = 1_000;
+/** Time for the planner's announcement of a model that it was asked for. */
+const MODEL_REQUEST_INTERVAL_MILLISECONDS = 1_000;
 /** How long a denial by the planner stays valid. */
 const DENIAL_RETENTION_MILLISECONDS = 500;
+/** Requests in one call; the others go in the next one. */
+const MAXIMUM_REQUESTS_PER_CALL = 64;
+/** Entries whose latest request is remembered; the oldest are dropped. */
+const MAXIMUM_REQUEST_STATES = 4_096;
+
+/** A model or adapter that requests of this node wait for. */
+interface WantedHolding {
+  readonly service: string;
+  readonly name: ModelReference;
+  /** Undefined if any will do. */
+  readonly softwareVersion: string | undefined;
+}
 
 /** The latest request to the planner for one model or adapter. */
 interface RequestState {
@@ -28,18 +48,27 @@
   unansweredSinceMilliseconds: number | undefined;
 }
 
-/** Asks the planner to load models and adapters that no upstream holds. */
+/**
+ * Asks the planner to load adapters that no upstream holds, all of them in one
+ * call at a time. Models are loaded by the demand that nodes publish; the planner
+ * is called for them only until it has announced them.
+ */
 export class HoldingRequester {
   private readonly requestStates = new Map<string, RequestState>();
+  /** What the next call asks for, by key. */
+  private readonly due = new Map<string, WantedHolding>();
+  private readonly pacer = new PlannerCallPacer();
+  private isCallScheduled = false;
 
   constructor(
-    private readonly plannerClient: PlannerClient,
+    private readonly plannerClient: Pick<PlannerClient, 'requestHoldings'>,
     private readonly directory: ProxyUpstreamDirectory,
+    private readonly modelWaits: ModelWaits,
   ) {}
 
   /**
    * Time until an upstream is expected to hold the model or adapter, in
-   * milliseconds: zero if unknown, undefined if the planner denied it. While no
+   * milliseconds: zero if unknown, undefined if it will not be held. While no
    * planner answers, the wait is taken to be as long again as it has lasted so
    * far, so that requests do not wait for a planner that does not come back.
    */
@@ -48,8 +77,10 @@
     name: ModelReference,
     softwareVersion?: string,
   ): number | undefined {
-    const key = requestKey(service, name, softwareVersion);
-    const requestState = this.requestStates.get(key);
+    const wanted = {service, name, softwareVersion};
+    if (!this.isAdapterOfHeldModel(wanted))
+      return this.modelWaits.expectedMilliseconds(service, name.model);
+    const requestState = this.requestStates.get(requestKey(wanted));
     if (!requestState) return 0;
     const now = performance.now();
     const {readyAtMilliseconds, unansweredSinceMilliseconds} = requestState;
@@ -64,7 +95,8 @@
   }
 
   /**
-   * Asks for a holding, unless a request is pending or was made just now.
+   * Asks for a holding with the next call, unless a request is pending or was
+   * made just now.
    *
    * @param softwareVersion version that the upstream must have; undefined if
    *     any will do.
@@ -74,45 +106,103 @@
     name: ModelReference,
     softwareVersion?: string,
   ): void {
-    const key = requestKey(service, name, softwareVersion);
+    const wanted = {service, name, softwareVersion};
+    if (this.isAdapterOfHeldModel(wanted)) {
+      this.addToNextCall(wanted);
+      return;
+    }
+    // Models are not loaded by version.
+    if (softwareVersion !== undefined) return;
+    const {model} = name;
+    this.modelWaits.recordWanted(service, model);
+    if (this.modelWaits.isUnannounced(service, model))
+      this.addToNextCall({...wanted, name: {model, adapter: undefined}});
+  }
+
+  private isAdapterOfHeldModel({
+    service,
+    name: {model, adapter},
+    softwareVersion,
+  }: WantedHolding): boolean {
+    if (adapter === undefined) return false;
+    for (const upstream of this.directory.listByService(service)) {
+      const hasVersion =
+        softwareVersion === undefined ||
+        upstream.description.softwareVersion === softwareVersion;
+      if (hasVersion && upstream.isReady && upstream.holdsModel(model))
+        return true;
+    }
+    return false;
+  }
+
+  private addToNextCall(wanted: WantedHolding): void {
+    const key = requestKey(wanted);
     const previous = this.requestStates.get(key);
-    const now = performance.now();
     if (previous?.isPending) return;
-    if (previous && now < nextRequestAtMilliseconds(previous)) return;
-    const requestState: RequestState = {
+    if (previous && performance.now() < nextRequestAt(previous, wanted)) return;
+    this.due.set(key, wanted);
+    this.scheduleCall();
+  }
+
+  /** Calls after this turn, in which more may come to be wanted. */
+  private scheduleCall(): void {
+    if (this.isCallScheduled || this.due.size === 0) return;
+    this.isCallScheduled = true;
+    const pause = this.pacer.remainingPauseMilliseconds;
+    if (pause === 0) setImmediate(() => void this.call());
+    else setTimeout(() => void this.call(), pause);
+  }
+
+  private async call(): Promise<void> {
+    const wanted = [...this.due.values()].slice(0, MAXIMUM_REQUESTS_PER_CALL);
+    const states = wanted.map(holding => this.beginRequest(holding));
+    this.pacer.recordBegun();
+    const response = await this.plannerClient.requestHoldings(
+      wanted.map(toRequest),
+    );
+    this.pacer.recordEnded(response.ok);
+    this.isCallScheduled = false;
+    for (const [index, state] of states.entries()) {
+      state.isPending = false;
+      state.updatedAtMilliseconds = performance.now();
+      // Without a reachable planner the wait is unknown: requests stay queued.
+      if (response.ok)
+        this.applyAnswer(wanted[index].name, state, response.val[index]);
+    }
+    if (response.ok && response.val.includes(undefined))
+      this.directory.notifyListeners();
+    this.scheduleCall();
+  }
+
+  private beginRequest(wanted: WantedHolding): RequestState {
+    const key = requestKey(wanted);
+    const previous = this.requestStates.get(key);
+    const now = performance.now();
+    const state: RequestState = {
       isPending: true,
       updatedAtMilliseconds: now,
       readyAtMilliseconds: findReadyAt(previous, now),
       unansweredSinceMilliseconds: previous?.unansweredSinceMilliseconds ?? now,
     };
-    this.requestStates.set(key, requestState);
-    const response = this.plannerClient.requestHolding(
-      service,
-      name,
-      softwareVersion,
-    );
-    void this.applyResponse(name, requestState, response);
+    this.due.delete(key);
+    this.requestStates.delete(key);
+    const [oldest] = this.requestStates.keys();
+    if (this.requestStates.size >= MAXIMUM_REQUEST_STATES)
+      this.requestStates.delete(oldest);
+    this.requestStates.set(key, state);
+    return state;
   }
 
-  private async applyResponse(
+  private applyAnswer(
     name: ModelReference,
     requestState: RequestState,
-    pendingResponse: ReturnType<PlannerClient['requestHolding']>,
-  ): Promise<void> {
-    const response = await pendingResponse;
-    requestState.isPending = false;
-    requestState.updatedAtMilliseconds = performance.now();
-    // Without a reachable planner the wait is unknown: requests stay queued.
-    if (!response.ok) return;
+    holding: PromisedHolding | undefined,
+  ): void {
     requestState.unansweredSinceMilliseconds = undefined;
-    const holding = response.val;
     requestState.readyAtMilliseconds = holding
       ? performance.now() + holding.readyInMilliseconds
       : Infinity;
-    if (!holding) {
-      this.directory.notifyListeners();
-      return;
-    }
+    if (!holding) return;
     const {upstreamId, readyInMilliseconds} = holding;
     const isReadyBeforeNextRequest =
       readyInMilliseconds <= REQUEST_INTERVAL_MILLISECONDS;
@@ -131,13 +221,15 @@
 }
 
 /**
- * A holding that takes long is asked for less often: every node asks for each
- * model that its requests wait for, and one planner answers them all.
+ * A holding that takes long is asked for less often: every node asks for what its
+ * requests wait for, and one planner answers them all.
  */
-function nextRequestAtMilliseconds({
-  updatedAtMilliseconds,
-  readyAtMilliseconds,
-}: RequestState): number {
+function nextRequestAt(
+  {updatedAtMilliseconds, readyAtMilliseconds}: RequestState,
+  {name: {adapter}}: WantedHolding,
+): number {
+  if (adapter === undefined)
+    return updatedAtMilliseconds + MODEL_REQUEST_INTERVAL_MILLISECONDS;
   const expectedMilliseconds = readyAtMilliseconds - updatedAtMilliseconds;
   const interval =
     expectedMilliseconds < Infinity
@@ -151,14 +243,27 @@
   );
 }
 
-function requestKey(
-  service: string,
-  {model, adapter}: ModelReference,
+function requestKey({
+  service,
+  name: {model, adapter},
   softwareVersion = '',
-): string {
+}: WantedHolding): string {
   const entryName =
     adapter === undefined
       ? modelEntryName(service, model)
       : adapterEntryName(service, model, adapter);
   return `${entryName} ${softwareVersion}`;
 }
+
+function toRequest({
+  service,
+  name: {model, adapter = ''},
+  softwareVersion = '',
+}: WantedHolding) {
+  return create(HoldingRequestSchema, {
+    service,
+    model,
+    adapter,
+    softwareVersion,
+  });
+}
--- a/packages/arbutustide-node/src/proxy/node_engine_planner_environment.ts
+++ b/packages/arbutustide-node/src/proxy/node_engine_planner_environment.ts
@@ -13,7 +13,15 @@
   ServingConfiguration,
 } from '@arbutustide/routing';
 
-import {UpstreamHoldingsSchema} from '@arbutustide/membership';
+import type {WantedModels} from './holdings/wanted_models.js';
+
+import {
+  formatPlannedLoads,
+  PLANNED_LOADS_KEY,
+  PlannedLoadsSchema,
+  readPlannedLoads,
+  UpstreamHoldingsSchema,
+} from '@arbutustide/membership';
 import {adapterEntryName, modelEntryName} from '@arbutustide/routing';
 import {create} from '@bufbuild/protobuf';
 
@@ -30,6 +38,7 @@
     private readonly demandCounter: DemandCounter,
     private readonly memberTable: MemberTable,
     private readonly clusterView: ClusterView,
+    private readonly wantedModels: WantedModels,
     private readonly getConfiguration: () => ServingConfiguration | undefined,
     readonly broadcastHoldings: () => void,
     readonly recordEvent: (decision: PlannerEvent) => void,
@@ -88,12 +97,32 @@
     this.memberTable.ownRecord.set(key, {case: 'holdings', value});
   }
 
+  publishExpectedLoads(
+    readyInMilliseconds: ReadonlyMap<string, number> | undefined,
+    epoch: number,
+  ): void {
+    const {ownRecord} = this.memberTable;
+    if (!readyInMilliseconds) {
+      ownRecord.remove(PLANNED_LOADS_KEY);
+      return;
+    }
+    const loads = formatPlannedLoads(readyInMilliseconds);
+    const value = create(PlannedLoadsSchema, {epoch, loads});
+    // Read now, as its times count from now at this node too.
+    readPlannedLoads(value);
+    ownRecord.set(PLANNED_LOADS_KEY, {case: 'plannedLoads', value});
+  }
+
   private sumDemand(entry: string) {
     const own = this.demandCounter.demandFor(entry);
     const peers = this.clusterView.peerDemand(entry);
+    const inFlight = (own?.inFlight ?? 0) + peers.inFlight;
+    const queued = (own?.queued ?? 0) + peers.queued;
+    // A call of a peer comes before its record does.
+    const isOnlyCalledFor = inFlight + queued === 0;
     return {
-      inFlight: (own?.inFlight ?? 0) + peers.inFlight,
-      queued: (own?.queued ?? 0) + peers.queued,
+      inFlight,
+      queued: isOnlyCalledFor ? this.wantedModels.count(entry) : queued,
     };
   }
 }
--- a/packages/arbutustide-node/src/proxy/planner_client.ts
+++ b/packages/arbutustide-node/src/proxy/planner_client.ts
@@ -1,56 +1,70 @@
 import type {
   ClusterView,
+  HoldingRequest,
   PeerTransport,
-  PromisedHolding,
+  PromisedHoldings,
 } from '@arbutustide/membership';
 import type {EnginePlanner} from '@arbutustide/placement';
-import type {ModelReference} from '@arbutustide/routing';
 import type {Result} from 'ts-results';
 
-import {HoldingRequestSchema, PeerError} from '@arbutustide/membership';
-import {create} from '@bufbuild/protobuf';
+import type {HoldingServer} from './holdings/holding_server.js';
+
+import {PeerError, ProtocolLevel} from '@arbutustide/membership';
 import {Err, Ok} from 'ts-results';
 
-type HoldingResult = Result<PromisedHolding | undefined, PeerError>;
+type HoldingsResult = Result<PromisedHoldings, PeerError>;
+
+/** The planner of this node, and the calls that it serves. */
+export interface LocalPlanner {
+  readonly planner: Pick<EnginePlanner, 'checkCanSendOrders'>;
+  readonly server: Pick<HoldingServer, 'answer'>;
+}
 
 /** Calls the active planner, on this node or on a peer. */
 export class PlannerClient {
   constructor(
-    private readonly clusterView: ClusterView,
-    private readonly transport: PeerTransport,
-    private readonly getLocalPlanner: () => EnginePlanner,
+    private readonly clusterView: Pick<ClusterView, 'findPlanner'>,
+    private readonly transport: Pick<
+      PeerTransport,
+      'requestHolding' | 'requestHoldings'
+    >,
+    private readonly getLocalPlanner: () => LocalPlanner,
   ) {}
 
   /**
-   * Asks the planner to have an upstream hold a model or adapter. The result is
-   * undefined if the planner declines, and an error if none can be reached.
-   *
-   * @param softwareVersion version that the upstream must have; undefined if
-   *     any will do.
+   * Asks the planner to have upstreams hold models and adapters. An answer is
+   * undefined if the planner declines; the result is an error if none can be
+   * reached.
    */
-  async requestHolding(
-    service: string,
-    reference: ModelReference,
-    softwareVersion: string | undefined,
-  ): Promise<HoldingResult> {
-    const localPlanner = this.getLocalPlanner();
-    if (localPlanner.checkCanSendOrders())
-      return Ok(
-        await localPlanner.requestHolding(service, reference, softwareVersion),
-      );
+  async requestHoldings(
+    requests: readonly HoldingRequest[],
+  ): Promise<HoldingsResult> {
+    const {planner, server} = this.getLocalPlanner();
+    if (planner.checkCanSendOrders()) return Ok(await server.answer(requests));
     const plannerNode = this.clusterView.findPlanner();
     if (!plannerNode)
       return Err(
-        new PeerError('', 'no planner is known; the holding is not requested'),
+        new PeerError('', 'no planner is known; no holding is requested'),
       );
-    return this.transport.requestHolding(
-      plannerNode.peerUrl,
-      create(HoldingRequestSchema, {
-        service,
-        model: reference.model,
-        adapter: reference.adapter ?? '',
-        softwareVersion: softwareVersion ?? '',
-      }),
+    const {peerUrl, protocolLevel} = plannerNode;
+    if (protocolLevel >= ProtocolLevel.PLANNED_LOADS)
+      return this.transport.requestHoldings(peerUrl, requests);
+    return this.requestEach(peerUrl, requests);
+  }
+
+  /** Calls a planner of a build that takes one request in a call. */
+  private async requestEach(
+    peerUrl: string,
+    requests: readonly HoldingRequest[],
+  ): Promise<HoldingsResult> {
+    const results = await Promise.all(
+      requests.map(request => this.transport.requestHolding(peerUrl, request)),
     );
+    const answers = [];
+    for (const result of results) {
+      if (result.err) return result;
+      answers.push(result.val);
+    }
+    return Ok(answers);
   }
 }
--- a/packages/arbutustide-node/src/proxy/proxy_peer_handler.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_peer_handler.ts
@@ -11,6 +11,7 @@
   LendRetriesRequest,
   PeerHandler,
   PromisedHolding,
+  PromisedHoldings,
   RecordStreamOriginsRequest,
   RelayRequestRequest,
   RelayResponsePart,
@@ -79,6 +80,12 @@
       .requestHolding(service, reference, softwareVersion || undefined);
   }
 
+  requestHoldings(
+    requests: readonly HoldingRequest[],
+  ): Promise<PromisedHoldings> {
+    return this.container.resolve(ProxyToken.HOLDING_SERVER).answer(requests);
+  }
+
   serveWatch({
     prefix,
     afterVersion,
--- a/packages/arbutustide-node/src/proxy/proxy_tokens.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tokens.ts
@@ -34,6 +34,8 @@
 import type {ServiceRetryBudgets} from './retries/service_retry_budgets.js';
 import type {LeaseHolderProbe} from './lease_holder_probe.js';
 import type {HoldingRequester} from './holding_requester.js';
+import type {HoldingServer} from './holdings/holding_server.js';
+import type {WantedModels} from './holdings/wanted_models.js';
 import type {ClusterRequestRelay} from './relay/cluster_request_relay.js';
 import type {RelayServer} from './relay/relay_server.js';
 import type {ClusterTeamQuotas} from './quotas/cluster_team_quotas.js';
@@ -98,4 +100,6 @@
   TEAM_QUOTAS: 'fleet.teamQuotas' as InjectionToken<ClusterTeamQuotas>,
   STREAM_ORIGINS: 'fleet.streamOrigins' as InjectionToken<ClusterStreamOrigins>,
   HOLDING_REQUESTER: 'fleet.requester' as InjectionToken<HoldingRequester>,
+  HOLDING_SERVER: 'fleet.holding-server' as InjectionToken<HoldingServer>,
+  WANTED_MODELS: 'fleet.wanted-models' as InjectionToken<WantedModels>,
 } as const;
--- a/packages/arbutustide-node/src/proxy/proxy_wiring.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_wiring.ts
@@ -44,8 +44,7 @@
 import {lostUpstreamsFields} from './relay/lost_upstreams.js';
 import {registerRelay} from './relay/register_relay.js';
 import {LeaseHolderProbe} from './lease_holder_probe.js';
-import {HoldingRequester} from './holding_requester.js';
-import {PlannerClient} from './planner_client.js';
+import {registerHoldings} from './holdings/register_holdings.js';
 import {registerQuotas} from './quotas/register_quotas.js';
 import {registerRateLimits} from './rate_limit/register_rate_limits.js';
 import {registerStreamOrigins} from './stream_origin/register_stream_origins.js';
@@ -86,6 +85,7 @@
   registerRouting(register, dependencies, identity);
   registerLease(register, dependencies, identity);
   registerPlacement(register, dependencies);
+  registerHoldings(register, dependencies);
   return container;
 }
 
@@ -329,13 +329,7 @@
 
 function registerPlacement(
   register: RegisterSingleton,
-  {
-    settings,
-    engineClient: orders,
-    transport,
-    logger,
-    metrics,
-  }: ProxyDependencies,
+  {settings, engineClient: orders, logger, metrics}: ProxyDependencies,
 ): void {
   register(ProxyToken.PLANNER, container => {
     const environment = new NodeEnginePlannerEnvironment(
@@ -343,6 +337,7 @@
       container.resolve(ProxyToken.DEMAND_COUNTER),
       container.resolve(ProxyToken.MEMBER_TABLE),
       container.resolve(ProxyToken.CLUSTER_VIEW),
+      container.resolve(ProxyToken.WANTED_MODELS),
       () =>
         container.resolve(ProxyToken.CONFIGURATION_WATCHER).routes
           ?.configuration,
@@ -367,15 +362,4 @@
       },
     );
   });
-  register(ProxyToken.HOLDING_REQUESTER, container => {
-    const plannerClient = new PlannerClient(
-      container.resolve(ProxyToken.CLUSTER_VIEW),
-      transport,
-      () => container.resolve(ProxyToken.PLANNER),
-    );
-    return new HoldingRequester(
-      plannerClient,
-      container.resolve(ProxyToken.UPSTREAM_DIRECTORY),
-    );
-  });
 }
--- a/packages/arbutustide-placement/src/engines/engine_planner_environment.ts
+++ b/packages/arbutustide-placement/src/engines/engine_planner_environment.ts
@@ -95,6 +95,18 @@
     held: readonly string[] | undefined,
     epoch: number,
   ): void;
+  /**
+   * Publishes to all nodes when models that no engine holds will be held.
+   * Undefined withdraws what was published before.
+   *
+   * @param readyInMilliseconds by service and model, as `SERVICE/MODEL`;
+   *     Infinity for a model that no engine has room for.
+   * @param epoch epoch of the planner's lease.
+   */
+  publishExpectedLoads(
+    readyInMilliseconds: ReadonlyMap<string, number> | undefined,
+    epoch: number,
+  ): void;
   /** Sends published changes to other nodes before the next gossip round. */
   broadcastHoldings(): void;
   /** Logs the event and updates the metrics. */
--- a/packages/arbutustide-placement/src/engines/engine_registry.ts
+++ b/packages/arbutustide-placement/src/engines/engine_registry.ts
@@ -8,6 +8,7 @@
 
 import {EngineHoldingsTracker} from './engine_holdings_tracker.js';
 import {PlannerStep} from './engine_planner_environment.js';
+import {LoadAnnouncer} from './load_announcer.js';
 
 /**
  * A model that is about to be unloaded. It is withdrawn from the nodes first,
@@ -47,6 +48,8 @@
   readonly maximumBusyReportAgeMilliseconds: number;
   /** Load time of an adapter while few others are being transferred. */
   readonly adapterLoadMilliseconds: number;
+  /** Delay between withdrawing a model from the nodes and unloading it. */
+  readonly evictionNoticeMilliseconds: number;
 }
 
 /** Time for which a request occupies an engine, to compare rates with slots. */
@@ -66,12 +69,15 @@
 /** Registry of the engines, updated from the platform's list and reports. */
 export class EngineRegistry {
   private readonly entries = new Map<string, EngineEntry>();
+  private readonly loadAnnouncer: LoadAnnouncer;
 
   constructor(
     private readonly engineClient: EngineClient,
     private readonly environment: EnginePlannerEnvironment,
     private readonly settings: EngineRegistrySettings,
-  ) {}
+  ) {
+    this.loadAnnouncer = new LoadAnnouncer(environment, settings);
+  }
 
   get(id: string): EngineEntry | undefined {
     return this.entries.get(id);
@@ -101,6 +107,7 @@
       this.environment.publishHoldings(listed, undefined, epoch);
     }
     this.entries.clear();
+    this.loadAnnouncer.withdraw(epoch);
   }
 
   /** Adds newly listed engines; replaces or removes ended processes. */
@@ -206,7 +213,8 @@
 
   /**
    * Publishes what each engine holds, without models that are about to be
-   * unloaded. Changes of models are broadcast at once.
+   * unloaded, and what is expected to be held. Changes of models are broadcast at
+   * once.
    */
   publishAllHoldings(epoch: number): void {
     let haveModelsChanged = false;
@@ -226,6 +234,7 @@
       haveModelsChanged ||= models !== entry.publishedModels;
       entry.publishedModels = models;
     }
+    this.loadAnnouncer.announce([...this.entries.values()], epoch);
     if (haveModelsChanged) this.environment.broadcastHoldings();
   }
 
--- a/packages/arbutustide-scenarios/src/world/simulated_peer_transport.ts
+++ b/packages/arbutustide-scenarios/src/world/simulated_peer_transport.ts
@@ -13,6 +13,7 @@
   PeerHandler,
   PeerTransport,
   PromisedHolding,
+  PromisedHoldings,
   RecordStreamOriginsRequest,
   RelayRequestResponse,
   RequestTokenRequest,
@@ -92,6 +93,15 @@
     );
   }
 
+  requestHoldings(
+    peerUrl: string,
+    requests: readonly HoldingRequest[],
+  ): Promise<Result<PromisedHoldings, PeerError>> {
+    return this.callPeer(peerUrl, undefined, handler =>
+      handler.requestHoldings(requests),
+    );
+  }
+
   async watch(
     peerUrl: string,
     request: WatchRequest,
