--- a/packages/arbutustide-node/src/proxy/holdings/holding_server.ts
+++ b/packages/arbutustide-node/src/proxy/holdings/holding_server.ts
@@ -8,10 +8,11 @@
 import type {WantedModels} from './wanted_models.js';
 
 import {modelEntryName} from '@arbutustide/routing';
-import {setImmediate as nextTurn} from 'node:timers/promises';
 
 /** Requests of all callers that are taken up in one turn of the event loop. */
 const REQUESTS_PER_TURN = 16;
+/** Requests that may wait for a turn; more are not taken up at all. */
+const MAXIMUM_WAITING_REQUESTS = 1_024;
 /** Time after which a caller is told what is known so far. */
 const ANSWER_MILLISECONDS = 250;
 /** When a caller may expect what could not be decided in time. */
@@ -23,18 +24,21 @@
   readyInMilliseconds: RETRY_MILLISECONDS,
 };
 
-type Planner = Pick<EnginePlanner, 'checkCanSendOrders' | 'requestHolding'>;
+type Decision = Promise<PromisedHolding | undefined>;
 
 /**
  * Answers nodes that ask the planner for several holdings at once. A few are
- * taken up in a turn, and a call is answered in bounded time: what is not decided
- * by then is to be asked for again.
+ * taken up in a turn, and what several nodes ask for at the same time is decided
+ * once. A call is answered in bounded time; what is decided later is done all the
+ * same, and found so when the node asks again.
  */
 export class HoldingServer {
-  private previousTurn: Promise<unknown> = Promise.resolve();
+  /** Decisions that have not ended, by request. */
+  private readonly pendingDecisions = new Map<string, Decision>();
+  private readonly waiting: (() => void)[] = [];
 
   constructor(
-    private readonly planner: Planner,
+    private readonly planner: Pick<EnginePlanner, 'requestHolding'>,
     private readonly wantedModels: WantedModels,
   ) {}
 
@@ -43,29 +47,43 @@
     const answers: (PromisedHolding | undefined)[] = requests.map(
       () => UNDECIDED,
     );
-    const {promise: isLate, cancel} = startTimer(ANSWER_MILLISECONDS);
-    const endsAt = performance.now() + ANSWER_MILLISECONDS;
-    const decisions: Promise<void>[] = [];
-    for (let from = 0; from < requests.length; from += REQUESTS_PER_TURN) {
-      await this.takeTurn();
-      if (performance.now() >= endsAt) break;
-      const taken = requests.slice(from, from + REQUESTS_PER_TURN);
-      for (const [index, request] of taken.entries())
-        decisions.push(
-          this.decide(request).then(answer => {
-            answers[from + index] = answer;
-          }),
-        );
-    }
+    const decisions = requests.map(async (request, index) => {
+      answers[index] = await this.decideOnce(request);
+    });
+    let timer: NodeJS.Timeout | undefined;
+    const isLate = new Promise<void>(resolve => {
+      timer = setTimeout(resolve, ANSWER_MILLISECONDS);
+    });
     await Promise.race([Promise.all(decisions), isLate]);
-    cancel();
+    clearTimeout(timer);
     return [...answers];
   }
 
-  /** Turns of all calls follow one another. */
-  private async takeTurn(): Promise<void> {
-    this.previousTurn = this.previousTurn.then(() => nextTurn());
-    await this.previousTurn;
+  private decideOnce(request: HoldingRequest): Decision {
+    const {service, model, adapter, softwareVersion} = request;
+    const key = JSON.stringify([service, model, adapter, softwareVersion]);
+    const pending = this.pendingDecisions.get(key);
+    if (pending) return pending;
+    if (this.waiting.length >= MAXIMUM_WAITING_REQUESTS)
+      return Promise.resolve(UNDECIDED);
+    const decision = this.nextTurn()
+      .then(() => this.decide(request))
+      .finally(() => this.pendingDecisions.delete(key));
+    this.pendingDecisions.set(key, decision);
+    return decision;
+  }
+
+  /** Resolves in a turn that has not taken up too many requests. */
+  private nextTurn(): Promise<void> {
+    return new Promise(resolve => {
+      this.waiting.push(resolve);
+      if (this.waiting.length === 1) setImmediate(() => this.takeUp());
+    });
+  }
+
+  private takeUp(): void {
+    for (const begin of this.waiting.splice(0, REQUESTS_PER_TURN)) begin();
+    if (this.waiting.length > 0) setImmediate(() => this.takeUp());
   }
 
   private decide({
@@ -73,7 +91,7 @@
     model,
     adapter,
     softwareVersion,
-  }: HoldingRequest): Promise<PromisedHolding | undefined> {
+  }: HoldingRequest): Decision {
     if (adapter === '')
       this.wantedModels.record(modelEntryName(service, model));
     return this.planner.requestHolding(
@@ -83,11 +101,3 @@
     );
   }
 }
-
-function startTimer(milliseconds: number) {
-  let timer: NodeJS.Timeout | undefined;
-  const promise = new Promise<void>(resolve => {
-    timer = setTimeout(resolve, milliseconds);
-  });
-  return {promise, cancel: () => clearTimeout(timer)};
-}
