--- a/packages/arbutustide-node/src/proxy/holding_requester.ts
+++ b/packages/arbutustide-node/src/proxy/holding_requester.ts
@@ -20,7 +20,10 @@
  * a node goes by the answer of a planner that has been replaced.
  */
 const MAXIMUM_REQUEST_INTERVAL_MILLISECONDS = 1_000;
-/** Time for the planner's announcement of a model that it was asked for. */
+/**
+ * Minimum time between two calls for models only, and between two requests for
+ * the same one. The planner's announcement takes about as long to come.
+ */
 const MODEL_REQUEST_INTERVAL_MILLISECONDS = 1_000;
 /** How long a denial by the planner stays valid. */
 const DENIAL_RETENTION_MILLISECONDS = 500;
@@ -48,6 +51,12 @@
   unansweredSinceMilliseconds: number | undefined;
 }
 
+/** The next call, while none is in flight. */
+interface ScheduledCall {
+  readonly atMilliseconds: number;
+  readonly timer: NodeJS.Timeout;
+}
+
 /**
  * Asks the planner to load adapters that no upstream holds, all of them in one
  * call at a time. Models are loaded by the demand that nodes publish; the planner
@@ -58,7 +67,9 @@
   /** What the next call asks for, by key. */
   private readonly due = new Map<string, WantedHolding>();
   private readonly pacer = new PlannerCallPacer();
-  private isCallScheduled = false;
+  private lastCallAtMilliseconds = -Infinity;
+  private isCallPending = false;
+  private scheduledCall: ScheduledCall | undefined;
 
   constructor(
     private readonly plannerClient: Pick<PlannerClient, 'requestHoldings'>,
@@ -146,22 +157,40 @@
 
   /** Calls after this turn, in which more may come to be wanted. */
   private scheduleCall(): void {
-    if (this.isCallScheduled || this.due.size === 0) return;
-    this.isCallScheduled = true;
-    const pause = this.pacer.remainingPauseMilliseconds;
-    if (pause === 0) setImmediate(() => void this.call());
-    else setTimeout(() => void this.call(), pause);
+    if (this.isCallPending || this.due.size === 0) return;
+    const atMilliseconds = this.nextCallAtMilliseconds();
+    const {scheduledCall} = this;
+    if (scheduledCall && scheduledCall.atMilliseconds <= atMilliseconds) return;
+    clearTimeout(scheduledCall?.timer);
+    const pause = Math.max(0, atMilliseconds - performance.now());
+    this.scheduledCall = {
+      atMilliseconds,
+      timer: setTimeout(() => void this.call(), pause),
+    };
+  }
+
+  private nextCallAtMilliseconds(): number {
+    let at = Math.max(
+      this.pacer.nextCallAtMilliseconds,
+      this.lastCallAtMilliseconds + MODEL_REQUEST_INTERVAL_MILLISECONDS,
+    );
+    for (const {name} of this.due.values()) {
+      if (name.adapter !== undefined) at = this.pacer.nextCallAtMilliseconds;
+    }
+    return at;
   }
 
   private async call(): Promise<void> {
     const wanted = [...this.due.values()].slice(0, MAXIMUM_REQUESTS_PER_CALL);
     const states = wanted.map(holding => this.beginRequest(holding));
-    this.pacer.recordBegun();
+    this.scheduledCall = undefined;
+    this.isCallPending = true;
+    this.lastCallAtMilliseconds = performance.now();
     const response = await this.plannerClient.requestHoldings(
       wanted.map(toRequest),
     );
-    this.pacer.recordEnded(response.ok);
-    this.isCallScheduled = false;
+    this.isCallPending = false;
+    this.pacer.recordCall(this.lastCallAtMilliseconds, response.ok);
     for (const [index, state] of states.entries()) {
       state.isPending = false;
       state.updatedAtMilliseconds = performance.now();
--- a/packages/arbutustide-node/src/proxy/holdings/planner_call_pacer.ts
+++ b/packages/arbutustide-node/src/proxy/holdings/planner_call_pacer.ts
@@ -10,24 +10,21 @@
  * longer the pause, so that all nodes together ask no more than it can answer.
  */
 export class PlannerCallPacer {
-  private begunAtMilliseconds = 0;
-  private nextCallAtMilliseconds = 0;
+  private endOfPauseMilliseconds = 0;
 
-  get remainingPauseMilliseconds(): number {
-    return Math.max(0, this.nextCallAtMilliseconds - performance.now());
+  /** By the monotonic clock; in the past if the planner may be called now. */
+  get nextCallAtMilliseconds(): number {
+    return this.endOfPauseMilliseconds;
   }
 
-  recordBegun(): void {
-    this.begunAtMilliseconds = performance.now();
-  }
-
-  recordEnded(isAnswered: boolean): void {
+  /** Records a call that has just ended. */
+  recordCall(begunAtMilliseconds: number, isAnswered: boolean): void {
     const now = performance.now();
     const pause = Math.min(
       MAXIMUM_PAUSE_MILLISECONDS,
-      PAUSE_FACTOR * (now - this.begunAtMilliseconds),
+      PAUSE_FACTOR * (now - begunAtMilliseconds),
     );
-    this.nextCallAtMilliseconds =
+    this.endOfPauseMilliseconds =
       now +
       (isAnswered
         ? pause
