--- a/packages/arbutustide-node/src/proxy/holding_requester.ts
+++ b/packages/arbutustide-node/src/proxy/holding_requester.ts
@@ -25,6 +25,8 @@
  * the same one. The planner's announcement takes about as long to come.
  */
 const MODEL_REQUEST_INTERVAL_MILLISECONDS = 1_000;
+/** Time in which the models of requests that arrive together are gathered. */
+const MODEL_GATHERING_MILLISECONDS = 50;
 /** How long a denial by the planner stays valid. */
 const DENIAL_RETENTION_MILLISECONDS = 500;
 /** Requests in one call; the others go in the next one. */
@@ -171,6 +173,7 @@
 
   private nextCallAtMilliseconds(): number {
     let at = Math.max(
+      performance.now() + MODEL_GATHERING_MILLISECONDS,
       this.pacer.nextCallAtMilliseconds,
       this.lastCallAtMilliseconds + MODEL_REQUEST_INTERVAL_MILLISECONDS,
     );
