--- a/packages/arbutustide-membership/src/connect_peer_transport.ts
+++ b/packages/arbutustide-membership/src/connect_peer_transport.ts
@@ -21,7 +21,11 @@
   WatchRequest,
   WatchResponse,
 } from './gen/arbutustide/membership/v1/membership_pb.js';
-import type {PeerTransport, PromisedHolding} from './peer_transport.js';
+import type {
+  PeerTransport,
+  PromisedHolding,
+  PromisedHoldings,
+} from './peer_transport.js';
 
 import {ResponseTimeout} from '@arbutustide/event-loop';
 import {ConnectError, createClient} from '@connectrpc/connect';
@@ -110,6 +114,18 @@
     return answer.map(holding => (holding.promised ? holding : undefined));
   }
 
+  async requestHoldings(
+    peerUrl: string,
+    requests: readonly HoldingRequest[],
+  ): Promise<Result<PromisedHoldings, PeerError>> {
+    const answer = await this.call(peerUrl, client =>
+      client.requestHoldings({holdings: [...requests]}, this.callOptions()),
+    );
+    return answer.map(({holdings}) =>
+      holdings.map(holding => (holding.promised ? holding : undefined)),
+    );
+  }
+
   watch(
     peerUrl: string,
     request: WatchRequest,
--- a/packages/arbutustide-placement/src/__tests__/unit/planner_rig.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/planner_rig.ts
@@ -185,6 +185,7 @@
         this.isHeld(model) ? 0 : count(model),
       isAdapterInUse: () => false,
       publishHoldings: () => {},
+      publishExpectedLoads: () => {},
       broadcastHoldings: () => {},
       recordEvent: event => this.events.push(event),
     };
--- a/packages/arbutustide-placement/src/engines/engine_registry.ts
+++ b/packages/arbutustide-placement/src/engines/engine_registry.ts
@@ -11,6 +11,7 @@
 import {EngineHoldingsTracker} from './engine_holdings_tracker.js';
 import {PlannerStep} from './engine_planner_environment.js';
 import {expectedLoadMilliseconds} from './load_estimates.js';
+import {LoadAnnouncer} from './load_announcer.js';
 
 /**
  * A model that is about to be unloaded. It is withdrawn from the nodes first,
@@ -57,6 +58,8 @@
   readonly maximumBusyReportAgeMilliseconds: number;
   /** Load time of an adapter while few others are being transferred. */
   readonly adapterLoadMilliseconds: number;
+  /** Delay between withdrawing a model from the nodes and unloading it. */
+  readonly evictionNoticeMilliseconds: number;
 }
 
 /** Time for which a request occupies an engine, to compare rates with slots. */
@@ -76,12 +79,15 @@
 /** Registry of the engines, updated from the platform's list and reports. */
 export class EngineRegistry {
   private readonly entries = new Map<string, EngineEntry>();
+  private readonly loadAnnouncer: LoadAnnouncer;
 
   constructor(
     private readonly engineClient: EngineClient,
     private readonly environment: EnginePlannerEnvironment,
     private readonly settings: EngineRegistrySettings,
-  ) {}
+  ) {
+    this.loadAnnouncer = new LoadAnnouncer(environment, settings);
+  }
 
   get(id: string): EngineEntry | undefined {
     return this.entries.get(id);
@@ -127,6 +133,7 @@
       this.environment.publishHoldings(listed, undefined, epoch);
     }
     this.entries.clear();
+    this.loadAnnouncer.withdraw(epoch);
   }
 
   /** Adds newly listed engines; replaces or removes ended processes. */
@@ -255,7 +262,8 @@
 
   /**
    * Publishes what each engine holds, without models that are about to be
-   * unloaded. Changes of models are broadcast at once.
+   * unloaded, and what is expected to be held. Changes of models are broadcast at
+   * once.
    */
   publishAllHoldings(epoch: number): void {
     let haveModelsChanged = false;
@@ -275,6 +283,7 @@
       haveModelsChanged ||= models !== entry.publishedModels;
       entry.publishedModels = models;
     }
+    this.loadAnnouncer.announce([...this.entries.values()], epoch);
     if (haveModelsChanged) this.environment.broadcastHoldings();
   }
 
