Start loads at the rate of the store although passes and reports come late

On a planner's host that is behind, most missing models waited for the limit of the weight store (5 to 13 of up to 25 in each second of the rig of planner_behind.test.ts), which was used to half: 48 loads in 22 s where 4.75 a second are allowed. A load counted as in progress until a report showed that it had ended, and two loads could start in a pass, however late it came.

A load that is due counts as ended, and loads of half a second may start in addition in one pass; the store's bound allows three quarters of a second more than its rate over five seconds.

engine_planner.test.ts, "loads at the rate of the store although passes and reports come late": 11 models loaded in 5 s before, not the 12 that are 0.6 of the rate.

--- a/packages/arbutustide-placement/src/__tests__/unit/engine_planner.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/engine_planner.test.ts
@@ -92,6 +92,21 @@
     expect(passes).to.be.above(5);
   });
 
+  it('loads at the rate of the store although passes and reports come late', async () => {
+    rig.stop();
+    const models = Array.from({length: 24}, (_, index) => `model-${index}`);
+    rig = new PlannerRig(12, models, STORE_LOADS_PER_SECOND);
+    rig.onPass = () => clock.tick(100);
+    rig.start();
+    await clock.tickAsync(3_000);
+    rig.callMilliseconds = 450;
+    const loaded = () => models.filter(model => rig.isHeld(model)).length;
+    for (const model of models) rig.demand.set(model, 1);
+    const before = loaded();
+    await clock.tickAsync(5_000);
+    expect(loaded() - before).to.be.at.least(0.6 * 5 * STORE_LOADS_PER_SECOND);
+  });
+
   it('orders nothing twice while an engine takes long to answer', async () => {
     for (const engine of rig.engines)
       for (const model of ['gamma', 'delta']) engine.models.add(model);
--- a/packages/arbutustide-placement/src/__tests__/unit/planner_rig.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/planner_rig.ts
@@ -41,6 +41,7 @@
   longWindowMilliseconds: 4_000,
   initialDemandShare: 0.75,
   storeLoadBurst: 2,
+  storeLoadBurstSeconds: 0.5,
   replicaTargetUtilization: 0.25,
   spareReplicaDemand: 3,
   hysteresisFactor: 1.5,
--- a/packages/arbutustide-placement/src/engines/engine_registry.ts
+++ b/packages/arbutustide-placement/src/engines/engine_registry.ts
@@ -190,7 +190,7 @@
   }
 
   /** Whether a report would only show that a load has not ended. */
-  private isLoadUnderWay({holdings, listed}: EngineEntry): boolean {
+  isLoadUnderWay({holdings, listed}: EngineEntry): boolean {
     const {loadingModel, loadingMilliseconds = Infinity} = holdings;
     const model = this.serviceNamed(listed.service).models.find(
       ({name}) => name === loadingModel,
--- a/packages/arbutustide-placement/src/engines/model_loader.ts
+++ b/packages/arbutustide-placement/src/engines/model_loader.ts
@@ -30,6 +30,11 @@
   readonly evictionNoticeMilliseconds: number;
   /** Loads from the weight store that may start at the same moment. */
   readonly storeLoadBurst: number;
+  /**
+   * The loads of so many seconds may start beyond that, for passes that come
+   * late.
+   */
+  readonly storeLoadBurstSeconds: number;
 }
 
 /** Orders the loads and evictions of models that the plan decides on. */
@@ -164,14 +169,17 @@
     void this.orderSender.send(entry, OrderKind.LOAD, model, undefined, gain);
   }
 
-  /** Model loads in progress, or ordered, on the engines of a service. */
+  /**
+   * Model loads in progress, or ordered, on the engines of a service. Those that
+   * are due have ended, although no report shows it yet.
+   */
   private countModelLoads({name}: EngineService): number {
     return this.registry
       .entriesOfService(name)
       .filter(
-        ({holdings, pendingModelOrder}) =>
-          holdings.loadingModel !== undefined ||
-          orderedModel(pendingModelOrder) !== undefined,
+        entry =>
+          this.registry.isLoadUnderWay(entry) ||
+          orderedModel(entry.pendingModelOrder) !== undefined,
       ).length;
   }
 
@@ -181,7 +189,8 @@
     const limiter = new LoadRateLimiter(
       service.storeLoadsPerSecond * STORE_RATE_SHARE,
       maximumConcurrentStoreLoads(service),
-      this.settings.storeLoadBurst,
+      this.settings.storeLoadBurst +
+        service.storeLoadsPerSecond * this.settings.storeLoadBurstSeconds,
       0,
     );
     this.loadLimiters.set(service.name, limiter);
