Measure what a refusal at the door costs

`npm run bench:refusals` holds a node of its own to a share of a core (SIGSTOP, SIGCONT) at several rates, and fits the processor time of served and refused requests. All 503 count as refused there.

Only waits of requests that had their turn are recorded: one whose caller has left stays in its line for as long as others come first.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -16,6 +16,7 @@
   soak: 'packages/arbutustide-scenarios/src/soak_main.ts',
   stop_soak: 'platform/src/stop-soak/soak_main.ts',
   fleet_bench: 'platform/src/fleet-bench/fleet_bench_main.ts',
+  refusal_bench: 'platform/src/fleet-bench/refusal_bench_main.ts',
 };
 const EXECUTABLE_FILE = 'dist/arbutustide';
 /** Marker in the Node.js binary, at which postject records the injected blob. */
