Compare the fields of the own record without reflection

Every node publishes its record each 250 ms, and the planner the holdings of each engine in every pass. Nearly all of it has not changed, and to find that out the library went through the descriptors of both messages, of which one was built for the purpose. The values are compared as plain objects now, and a field is built only for a value that has changed.

--- a/packages/arbutustide-membership/src/own_record.ts
+++ b/packages/arbutustide-membership/src/own_record.ts
@@ -1,8 +1,9 @@
 import type {Field} from './gen/arbutustide/membership/v1/membership_pb.js';
 
-import {create, equals} from '@bufbuild/protobuf';
+import {create} from '@bufbuild/protobuf';
 
 import {FieldSchema} from './gen/arbutustide/membership/v1/membership_pb.js';
+import {isSameMessageValue} from './message_values.js';
 
 /** The value of a field; `case` is undefined when the field was removed. */
 export type FieldValue = Field['value'];
@@ -54,11 +55,10 @@
   /** Writes a field, unless it already has this value. */
   set(key: string, value: FieldValue): void {
     const current = this.fieldsByKey.get(key);
-    const next = create(FieldSchema, {key, sequence: 0, value});
-    if (current && isSameValue(current, next)) return;
+    if (current && isSameMessageValue(current.value, value)) return;
     this.lastSequence += 1;
-    next.sequence = this.lastSequence;
-    this.fieldsByKey.set(key, next);
+    const {lastSequence: sequence} = this;
+    this.fieldsByKey.set(key, create(FieldSchema, {key, sequence, value}));
   }
 
   /** Removes a field and publishes a tombstone in its place. */
@@ -91,8 +91,3 @@
     }
   }
 }
-
-function isSameValue(left: Field, right: Field): boolean {
-  const comparable = create(FieldSchema, {...left, sequence: 0});
-  return equals(FieldSchema, comparable, right);
-}
