Write the log lines of a quarter of a second at once

The line writer begins at most four writes a second now; the first line after a pause is written at once, a batch of 64 KiB does not wait, nor does a flush.

--- a/packages/arbutustide-telemetry/src/__tests__/unit/bounded_line_writer.test.ts
+++ b/packages/arbutustide-telemetry/src/__tests__/unit/bounded_line_writer.test.ts
@@ -87,6 +87,62 @@
     }
   });
 
+  describe('with a pause between writes', () => {
+    let clock: ReturnType<typeof install>;
+    let writes: string[];
+    let writer: BoundedLineWriter;
+
+    beforeEach(() => {
+      clock = install();
+      writes = [];
+      const sink: ByteSink = (bytes, done) => {
+        writes.push(bytes.toString());
+        done(null, bytes.length);
+      };
+      writer = new BoundedLineWriter(sink, 1_000_000, 250);
+    });
+
+    afterEach(() => clock.uninstall());
+
+    it('does not write each of the lines of a busy node by itself', () => {
+      for (let line = 0; line < 20; line += 1) {
+        writer.write(`${line}\n`);
+        clock.tick(50);
+      }
+      expect(writes.length).to.be.within(4, 5);
+      clock.tick(250);
+      expect(writes.join('').split('\n')).to.have.length(21);
+    });
+
+    it('does not hold back a line that follows none', () => {
+      writer.write('one\n');
+      expect(writes).to.eql(['one\n']);
+      clock.tick(250);
+      writer.write('two\n');
+      expect(writes).to.eql(['one\n', 'two\n']);
+    });
+
+    it('does not hold back more lines than a batch', () => {
+      const line = `${'x'.repeat(999)}\n`;
+      for (let count = 0; count < 500; count += 1) writer.write(line);
+      expect(writer.lineCounts.dropped).to.equal(0);
+      expect(writes.join('').length).to.be.above(400_000);
+    });
+
+    // Guards against the last lines of a process being lost when it ends.
+    it('does not make a flush wait for the pause', async () => {
+      writer.write('one\n');
+      writer.write('last\n');
+      expect(await writer.flush(1_000)).to.equal(true);
+      expect(writes.join('')).to.equal('one\nlast\n');
+    });
+
+    it('wakes the event loop for no line', () => {
+      writer.write('one\n');
+      expect(clock.countTimers()).to.equal(0);
+    });
+  });
+
   it('flushes nothing at once', async () => {
     const writer = new BoundedLineWriter(new StalledSink().write, 1_000);
     expect(await writer.flush(1_000)).to.equal(true);
--- a/packages/arbutustide-telemetry/src/bounded_line_writer.ts
+++ b/packages/arbutustide-telemetry/src/bounded_line_writer.ts
@@ -16,15 +16,25 @@
 }
 
 /**
- * Writes lines without blocking the caller. While the reader of the output is
- * stalled, lines beyond a bound are dropped and counted, so that a slow log
- * reader never delays a request. The next write reports the number of dropped
- * lines in a line of its own.
+ * Lines of this size in total are written without a pause, so that the pause
+ * does not make lines exceed the bound.
+ */
+const MAXIMUM_BATCH_BYTES = 65_536;
+
+/**
+ * Writes lines without blocking the caller. Each write occupies a thread of the
+ * runtime and wakes the event loop, so lines that follow within a pause share
+ * one. While the reader of the output is stalled, lines beyond a bound are
+ * dropped and counted, so that a slow log reader never delays a request. The
+ * next write reports the number of dropped lines in a line of its own.
  */
 export class BoundedLineWriter {
   private pendingLines: string[] = [];
   private pendingBytes = 0;
   private isWriting = false;
+  private wroteAtMilliseconds = -Infinity;
+  /** Set while lines wait for the end of the pause. */
+  private pauseTimer: NodeJS.Timeout | undefined;
   private writtenLineCount = 0;
   private droppedLineCount = 0;
   private unreportedDroppedLineCount = 0;
@@ -33,10 +43,13 @@
   /**
    * @param maximumPendingBytes most bytes that may wait to be written, besides
    *     those of the write in progress.
+   * @param pauseMilliseconds least time from the begin of one write to that of
+   *     the next.
    */
   constructor(
     private readonly sink: ByteSink,
     private readonly maximumPendingBytes: number,
+    private readonly pauseMilliseconds = 0,
   ) {}
 
   get lineCounts(): LineCounts {
@@ -62,7 +75,8 @@
    * @return whether no line waits any more.
    */
   flush(timeoutMilliseconds: number): Promise<boolean> {
-    if (!this.isWriting) return Promise.resolve(true);
+    const isIdle = !this.isWriting && this.pendingLines.length === 0;
+    if (isIdle) return Promise.resolve(true);
     return new Promise(resolve => {
       const settle = (isIdle: boolean) => {
         clearTimeout(timer);
@@ -72,12 +86,15 @@
       const onIdle = () => settle(true);
       const timer = setTimeout(() => settle(false), timeoutMilliseconds);
       this.idleListeners.add(onIdle);
+      this.flushPendingLines();
     });
   }
 
   private flushPendingLines(): void {
     if (this.isWriting || this.pendingLines.length === 0) return;
+    if (this.isPausing()) return;
     this.isWriting = true;
+    this.wroteAtMilliseconds = performance.now();
     const lines = this.pendingLines;
     this.pendingLines = [];
     this.pendingBytes = 0;
@@ -90,6 +107,19 @@
     this.writeFully(Buffer.from(lines.join('')), lines.length);
   }
 
+  /** Whether the lines wait for others; they are written after the pause. */
+  private isPausing(): boolean {
+    const isFlushing = this.idleListeners.size > 0;
+    if (isFlushing || this.pendingBytes >= MAXIMUM_BATCH_BYTES) return false;
+    const elapsed = performance.now() - this.wroteAtMilliseconds;
+    if (elapsed >= this.pauseMilliseconds) return false;
+    this.pauseTimer ??= setTimeout(() => {
+      this.pauseTimer = undefined;
+      this.flushPendingLines();
+    }, this.pauseMilliseconds - elapsed);
+    return true;
+  }
+
   private writeFully(bytes: Buffer, lineCount: number): void {
     this.sink(bytes, (error, written) => {
       if (!error && written < bytes.length) {
--- a/packages/arbutustide-telemetry/src/logger.ts
+++ b/packages/arbutustide-telemetry/src/logger.ts
@@ -4,11 +4,14 @@
 
 /** Holds the lines that a busy node logs in a few seconds. */
 const MAXIMUM_PENDING_BYTES = 1_048_576;
+/** A reader of the log does not notice this delay of a line. */
+const WRITE_PAUSE_MILLISECONDS = 250;
 
 /** All loggers of the process write to standard output through it. */
 const standardOutput = new BoundedLineWriter(
   standardOutputSink,
   MAXIMUM_PENDING_BYTES,
+  WRITE_PAUSE_MILLISECONDS,
 );
 
 /** Structured logger that writes one JSON object per line. */
