Load models that were waited for long first

While the weight store allows few loads, the models with the most requests were loaded first in every pass, and rare ones never: in the rig of planner_behind.test.ts those that come last in the catalogue were left out.

The order of loads counts the time for which requests have waited as well, two seconds like a request; what a load must gain stays as it was.

--- a/packages/arbutustide-placement/src/__tests__/unit/engine_plans.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/engine_plans.test.ts
@@ -37,6 +37,7 @@
     expectedDemand: 0,
     peakDemand: 0,
     queuedRequests: 0,
+    waitedMilliseconds: 0,
     ...changes,
   };
 }
@@ -181,6 +182,17 @@
     expect(move).to.include({engineId: '4', model: 'wanted'});
   });
 
+  it('loads the model that was waited for longest while few loads are allowed', () => {
+    const models = [
+      model('held'),
+      model('recent', {queuedRequests: 3, waitedMilliseconds: 500}),
+      model('waiting', {queuedRequests: 1, waitedMilliseconds: 10_000}),
+    ];
+    const engines = [engine('1', ['held']), engine('2', ['held'])];
+    const [first] = planModelMoves(models, engines, SETTINGS);
+    expect(first.model).to.equal('waiting');
+  });
+
   it('prefers an engine with a local copy that is slightly busier', () => {
     const models = [model('busy', {expectedDemand: 30}), model('other')];
     const engines = [
--- a/packages/arbutustide-placement/src/engines/engine_planner.ts
+++ b/packages/arbutustide-placement/src/engines/engine_planner.ts
@@ -74,7 +74,12 @@
         environment.recordEvent(event);
       },
     });
-    this.demand = new ModelDemand(this.registry, environment, settings);
+    this.demand = new ModelDemand(
+      this.registry,
+      this.unloaded,
+      environment,
+      settings,
+    );
     this.modelLoader = new ModelLoader(
       this.registry,
       this.orderSender,
--- a/packages/arbutustide-placement/src/engines/model_demand.ts
+++ b/packages/arbutustide-placement/src/engines/model_demand.ts
@@ -5,6 +5,7 @@
   EngineService,
 } from './engine_planner_environment.js';
 import type {PlannedModel} from './model_plan.js';
+import type {UnloadedModels} from './unloaded_models.js';
 
 import {DemandTracker} from '../demand_tracker.js';
 
@@ -32,6 +33,7 @@
 
   constructor(
     private readonly registry: EngineRegistry,
+    private readonly unloaded: UnloadedModels,
     private readonly environment: EnginePlannerEnvironment,
     private readonly settings: ModelDemandSettings,
   ) {}
@@ -69,6 +71,7 @@
       expectedDemand: demand.expectedConcurrency(entry),
       peakDemand: demand.recentPeak(entry),
       queuedRequests: this.environment.countQueuedRequests(service, name),
+      waitedMilliseconds: this.unloaded.waitedMilliseconds(service, name),
     };
   }
 
--- a/packages/arbutustide-placement/src/engines/model_plan.ts
+++ b/packages/arbutustide-placement/src/engines/model_plan.ts
@@ -8,6 +8,8 @@
   readonly peakDemand: number;
   /** Requests currently queued for the model. */
   readonly queuedRequests: number;
+  /** Time for which its requests have found no engine that holds it. */
+  readonly waitedMilliseconds: number;
 }
 
 /** An engine with the models it holds, the input of the plan. */
@@ -81,6 +83,8 @@
 /** Gain of a replica that is not needed, per concurrent request. */
 const SURPLUS_REPLICA_GAIN = 0.01;
 const REPLICAS_WITH_SPARE = 2;
+/** Waiting for so long puts a model ahead of one with a request more. */
+const WAITING_RANK_MILLISECONDS = 2_000;
 
 /**
  * Chooses the next loads of models as demand shifts between them. Every model
@@ -90,7 +94,7 @@
  * orders for seconds.
  *
  * @return at most one move per engine, for the models with the highest gain
- *     first.
+ *     and the longest wait first.
  */
 export function* planModelMoves(
   models: readonly PlannedModel[],
@@ -106,13 +110,9 @@
     settings,
   );
   const domains = domainsByModel(engines);
-  const byGain = [...replicasByModel.values()].sort(
-    (left, right) =>
-      additionGain(right, settings) - additionGain(left, settings),
-  );
-  for (const modelReplicas of byGain) {
+  for (const modelReplicas of inOrder(replicasByModel, settings)) {
     const gain = additionGain(modelReplicas, settings);
-    if (gain <= minimumGain) return;
+    if (gain <= minimumGain) continue;
     const coveredDomains = domains.get(modelReplicas.model.name) ?? new Set();
     const move = bestMove(
       modelReplicas,
@@ -136,6 +136,24 @@
   }
 }
 
+/**
+ * Models by the gain of one more replica, the highest first. The order counts
+ * the time for which requests have waited as well, so that while the weight
+ * store or the engines allow few loads, rare models get their turn.
+ */
+function inOrder(
+  replicasByModel: ReadonlyMap<string, ModelReplicas>,
+  settings: ModelPlanParameters,
+): ModelReplicas[] {
+  const rankOf = (modelReplicas: ModelReplicas) =>
+    additionGain(modelReplicas, settings) +
+    modelReplicas.model.waitedMilliseconds / WAITING_RANK_MILLISECONDS;
+  return [...replicasByModel.values()]
+    .map(modelReplicas => ({modelReplicas, rank: rankOf(modelReplicas)}))
+    .sort((left, right) => right.rank - left.rank)
+    .map(({modelReplicas}) => modelReplicas);
+}
+
 /**
  * Minimum gain of a move. An engine that loads a model accepts no other order
  * for seconds, so the minimum rises as fewer engines are free: the last ones
--- a/packages/arbutustide-placement/src/engines/unloaded_models.ts
+++ b/packages/arbutustide-placement/src/engines/unloaded_models.ts
@@ -94,6 +94,7 @@
 /** Remembers how long models with requests have been on no engine. */
 export class UnloadedModels {
   private readonly states = new Map<string, WaitState>();
+  private updatedAtMilliseconds = -Infinity;
 
   /**
    * Records what a pass has found.
@@ -106,6 +107,7 @@
     isHeld: (service: string, model: string) => boolean,
   ): Generator<LoadedModel> {
     const now = performance.now();
+    this.updatedAtMilliseconds = now;
     for (const model of unloaded) {
       const key = `${model.service}/${model.model}`;
       const sinceMilliseconds = this.states.get(key)?.sinceMilliseconds ?? now;
@@ -128,6 +130,17 @@
     }
   }
 
+  /**
+   * Time for which requests for a model have found no engine that holds it; zero
+   * if there was none in the latest pass.
+   */
+  waitedMilliseconds(service: string, model: string): number {
+    const state = this.states.get(`${service}/${model}`);
+    return state?.lastWantedMilliseconds === this.updatedAtMilliseconds
+      ? performance.now() - state.sinceMilliseconds
+      : 0;
+  }
+
   /** Number of models that wait, by reason. */
   get countByReason(): Partial<Record<UnloadedReason, number>> {
     const counts: Partial<Record<UnloadedReason, number>> = {};
