--- a/packages/arbutustide-placement/src/engines/engine_registry.ts
+++ b/packages/arbutustide-placement/src/engines/engine_registry.ts
@@ -5,13 +5,13 @@
   ListedEngine,
 } from './engine_planner_environment.js';
 import type {PlannedEngine} from './model_plan.js';
-
-import {OrderKind} from '@arbutustide/upstream';
+import type {PendingModelOrder} from './pending_model_order.js';
 
 import {EngineHoldingsTracker} from './engine_holdings_tracker.js';
 import {PlannerStep} from './engine_planner_environment.js';
 import {expectedLoadMilliseconds} from './load_estimates.js';
 import {LoadAnnouncer} from './load_announcer.js';
+import {orderedModel} from './pending_model_order.js';
 
 /**
  * A model that is about to be unloaded. It is withdrawn from the nodes first,
@@ -25,12 +25,6 @@
   readonly startedAtMilliseconds: number;
 }
 
-/** An order for a model that is queued or was sent and has no answer yet. */
-export interface PendingModelOrder {
-  readonly kind: OrderKind;
-  readonly model: string;
-}
-
 /** A listed engine with its holdings and the operations in progress. */
 export interface EngineEntry {
   listed: ListedEngine;
@@ -308,10 +302,3 @@
     };
   }
 }
-
-/** The model that an engine is being ordered to load, if it is. */
-export function orderedModel(
-  order: PendingModelOrder | undefined,
-): string | undefined {
-  return order?.kind === OrderKind.LOAD ? order.model : undefined;
-}
--- a/packages/arbutustide-placement/src/engines/expected_loads.ts
+++ b/packages/arbutustide-placement/src/engines/expected_loads.ts
@@ -4,7 +4,7 @@
 } from './engine_planner_environment.js';
 import type {EngineEntry} from './engine_registry.js';
 
-import {orderedModel} from './engine_registry.js';
+import {orderedModel} from './pending_model_order.js';
 import {expectedLoadMilliseconds} from './load_estimates.js';
 import {STORE_RATE_SHARE} from './planner_constants.js';
 
--- a/packages/arbutustide-placement/src/engines/model_loader.ts
+++ b/packages/arbutustide-placement/src/engines/model_loader.ts
@@ -11,7 +11,7 @@
 import {OrderKind} from '@arbutustide/upstream';
 
 import {LoadRateLimiter} from '../load_rate_limiter.js';
-import {orderedModel} from './engine_registry.js';
+import {orderedModel} from './pending_model_order.js';
 import {maximumConcurrentStoreLoads} from './load_estimates.js';
 import {planModelMoves} from './model_plan.js';
 import {STORE_RATE_SHARE} from './planner_constants.js';
--- a/packages/arbutustide-placement/src/engines/pass_recorder.ts
+++ b/packages/arbutustide-placement/src/engines/pass_recorder.ts
@@ -23,11 +23,8 @@
   /** Forgets what was measured, when this node begins or ends to plan. */
   reset(): void {
     this.dueAtMilliseconds = undefined;
-    this.passes = 0;
-    this.orders = 0;
-    this.longestMilliseconds = 0;
-    this.longestDelayMilliseconds = 0;
     this.unloaded.clear();
+    this.resetCounts();
   }
 
   recordOrder(): void {
@@ -38,9 +35,8 @@
    * Records a pass that has just ended.
    *
    * @param pauseMilliseconds pause until the next one is due.
-   * @return the time that it took, in milliseconds.
    */
-  recordPass(startedAtMilliseconds: number, pauseMilliseconds: number): number {
+  recordPass(startedAtMilliseconds: number, pauseMilliseconds: number): void {
     const now = performance.now();
     const taken = now - startedAtMilliseconds;
     const due = this.dueAtMilliseconds ?? startedAtMilliseconds;
@@ -52,7 +48,7 @@
       startedAtMilliseconds - due,
     );
     if (now - this.summarizedAtMilliseconds < SUMMARY_INTERVAL_MILLISECONDS)
-      return taken;
+      return;
     this.summarizedAtMilliseconds = now;
     this.onSummary({
       passes: this.passes,
@@ -62,10 +58,13 @@
       unloaded: this.unloaded.countByReason,
       longestWaiting: this.unloaded.longestWaiting(MAXIMUM_NAMED_MODELS),
     });
+    this.resetCounts();
+  }
+
+  private resetCounts(): void {
     this.passes = 0;
     this.orders = 0;
     this.longestMilliseconds = 0;
     this.longestDelayMilliseconds = 0;
-    return taken;
   }
 }
--- a/packages/arbutustide-placement/src/engines/unloaded_models.ts
+++ b/packages/arbutustide-placement/src/engines/unloaded_models.ts
@@ -1,6 +1,6 @@
 import type {EngineEntry} from './engine_registry.js';
 
-import {orderedModel} from './engine_registry.js';
+import {orderedModel} from './pending_model_order.js';
 
 /** Why a model with requests is held by no engine. */
 export enum UnloadedReason {
