Bound the pauses after a long pass and a long broadcast

The planner paused for four times the length of its pass, and broadcasts of holdings for four times the length of the last one, without a bound: by the code, 12 s after a process stood still for 3 s during a pass, although it keeps its lease, and 16 s after a peer did not answer for 4 s, in which holdings go by gossip only. Both pauses end after 2 s now.

Two unit tests with a paused clock; each failed before (no second pass within 5 s; the change not sent within 2.5 s) and passes now.

--- a/packages/arbutustide-node/src/__tests__/unit/holdings_broadcaster.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/holdings_broadcaster.test.ts
@@ -45,6 +45,21 @@
     expect(sentChanges.at(-1)).to.equal(lastChange);
   });
 
+  it('go on soon after one that a silent peer held up', async () => {
+    let silentMilliseconds = 4_000;
+    const broadcaster = new HoldingsBroadcaster(async () => {
+      sentChanges.push(lastChange);
+      await delay(silentMilliseconds);
+    });
+    broadcaster.request();
+    await clock.tickAsync(silentMilliseconds);
+    silentMilliseconds = 10;
+    lastChange += 1;
+    broadcaster.request();
+    await clock.tickAsync(2_500);
+    expect(sentChanges.at(-1)).to.equal(lastChange);
+  });
+
   it('are made at once after a time without changes', async () => {
     const broadcaster = new HoldingsBroadcaster(async () => {
       sentChanges.push(lastChange);
--- a/packages/arbutustide-node/src/proxy/holdings_broadcaster.ts
+++ b/packages/arbutustide-node/src/proxy/holdings_broadcaster.ts
@@ -7,6 +7,8 @@
  * spends little of its time on them.
  */
 const PAUSE_FACTOR = 4;
+/** A peer that does not answer makes a broadcast long as well. */
+const MAXIMUM_PAUSE_MILLISECONDS = 2_000;
 
 /**
  * Spreads changes of holdings before the next gossip round. Changes that come
@@ -33,7 +35,8 @@
       const startedAt = performance.now();
       await this.broadcast();
       const taken = performance.now() - startedAt;
-      await delay(Math.max(MINIMUM_PAUSE_MILLISECONDS, PAUSE_FACTOR * taken));
+      const pause = Math.max(MINIMUM_PAUSE_MILLISECONDS, PAUSE_FACTOR * taken);
+      await delay(Math.min(pause, MAXIMUM_PAUSE_MILLISECONDS));
     }
     this.isRunning = false;
   }
--- a/packages/arbutustide-placement/src/__tests__/unit/engine_planner.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/engine_planner.test.ts
@@ -92,6 +92,18 @@
     expect(passes).to.be.above(5);
   });
 
+  it('plans again soon after a pass in which the process stood still', async () => {
+    rig.start();
+    await clock.tickAsync(5_000);
+    let passes = 0;
+    rig.onPass = () => {
+      if (passes === 0) clock.tick(3_000);
+      passes += 1;
+    };
+    await clock.tickAsync(5_000);
+    expect(passes).to.be.above(5);
+  });
+
   it('loads at the rate of the store although passes and reports come late', async () => {
     rig.stop();
     const models = Array.from({length: 24}, (_, index) => `model-${index}`);
--- a/packages/arbutustide-placement/src/engines/engine_planner.ts
+++ b/packages/arbutustide-placement/src/engines/engine_planner.ts
@@ -19,7 +19,11 @@
 import {ModelLoader} from './model_loader.js';
 import {OrderSender} from './order_sender.js';
 import {PassRecorder} from './pass_recorder.js';
-import {PASS_PAUSE_FACTOR, STANDBY_MILLISECONDS} from './planner_constants.js';
+import {
+  MAXIMUM_PASS_PAUSE_MILLISECONDS,
+  PASS_PAUSE_FACTOR,
+  STANDBY_MILLISECONDS,
+} from './planner_constants.js';
 import {UnloadedModels} from './unloaded_models.js';
 
 /** Settings of the planner. */
@@ -206,7 +210,10 @@
     this.recordUnloadedModels();
     const pause = Math.max(
       this.settings.planningIntervalMilliseconds,
-      PASS_PAUSE_FACTOR * (performance.now() - startedAt),
+      Math.min(
+        PASS_PAUSE_FACTOR * (performance.now() - startedAt),
+        MAXIMUM_PASS_PAUSE_MILLISECONDS,
+      ),
     );
     this.passRecorder.recordPass(startedAt, pause);
     return pause;
--- a/packages/arbutustide-placement/src/engines/planner_constants.ts
+++ b/packages/arbutustide-placement/src/engines/planner_constants.ts
@@ -7,3 +7,5 @@
  * processor time has some left for what the planner waits for.
  */
 export const PASS_PAUSE_FACTOR = 4;
+/** A process that stands still during a pass makes it long as well. */
+export const MAXIMUM_PASS_PAUSE_MILLISECONDS = 2_000;
