Reserve memory for loads under way when an engine restarts

A load that had no answer yet when its engine restarted under the same id was not reserved for at the new process, which may still execute it. A load is recorded when its order is made, and dropped with its answer.

--- a/packages/arbutustide-placement/src/__tests__/unit/engine_holdings_tracker.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/engine_holdings_tracker.test.ts
@@ -278,6 +278,22 @@
     return holdings;
   }
 
+  it('reserves memory for an order that has no answer yet when the engine restarts', () => {
+    const lease = {holder: 'node', fence: 1};
+    const before = reportedHoldings([]);
+    before.createOrder(OrderKind.LOAD, 'three', undefined, lease);
+    const holdings = before.forNewProcess(ENGINE);
+    holdings.applyReport({
+      sequence: 2,
+      models: ['one', 'two'].map(name => ({name, adapters: []})),
+      comingAdapters: [],
+      isBusy: false,
+      running: 0,
+      waiting: 0,
+    });
+    expect(holdings.findModelLoadBlocker('four')).to.be.a('string');
+  });
+
   it('refuses loads before the first report', () => {
     const holdings = new EngineHoldingsTracker(ENGINE, () => CAPACITY);
     expect(holdings.findModelLoadBlocker('one')).to.be.a('string');
--- a/packages/arbutustide-placement/src/engines/engine_holdings_tracker.ts
+++ b/packages/arbutustide-placement/src/engines/engine_holdings_tracker.ts
@@ -53,7 +53,7 @@
   private hasUnansweredOrder = false;
   /** Accepted orders whose effect the last report does not show yet. */
   private acceptedSinceReport: TimedOrder[] = [];
-  /** Loads sent to this process that got no answer. */
+  /** Loads sent to this process that have no answer. */
   private unansweredLoads: TimedOrder[] = [];
   /** Unanswered loads sent to earlier processes with the same id. */
   private loadsToPreviousProcess: TimedOrder[] = [];
@@ -256,13 +256,10 @@
     adapter: string | undefined,
     lease: {readonly holder: string; readonly fence: number},
   ): HoldingOrder {
-    return {
-      kind,
-      model,
-      adapter,
-      expectedSequence: this.sequence ?? 0,
-      ...lease,
-    };
+    const expectedSequence = this.sequence ?? 0;
+    const order = {kind, model, adapter, expectedSequence, ...lease};
+    if (isLoadOrder(order)) this.recordUnansweredLoad(order);
+    return order;
   }
 
   /**
@@ -274,6 +271,9 @@
     order: HoldingOrder,
     answer: HoldingOrderAnswer | undefined,
   ): void {
+    this.unansweredLoads = this.unansweredLoads.filter(
+      load => load.order !== order,
+    );
     if (answer === HoldingOrderAnswer.ACCEPTED) {
       this.sequence = order.expectedSequence + 1;
       this.acceptedSinceReport.push({
@@ -284,12 +284,8 @@
     }
     this.isStale = true;
     this.hasUnansweredOrder ||= answer === undefined;
-    if (answer === undefined && isLoadOrder(order)) {
-      this.unansweredLoads.push({
-        order,
-        recordedAtMilliseconds: performance.now(),
-      });
-    }
+    if (answer === undefined && isLoadOrder(order))
+      this.recordUnansweredLoad(order);
     const isAdapterAbsent =
       answer === HoldingOrderAnswer.ALREADY_SO &&
       order.kind === OrderKind.UNLOAD &&
@@ -298,6 +294,11 @@
     this.models.get(order.model)?.delete(order.adapter);
   }
 
+  private recordUnansweredLoad(order: HoldingOrder): void {
+    const recordedAtMilliseconds = performance.now();
+    this.unansweredLoads.push({order, recordedAtMilliseconds});
+  }
+
   /** Loads meant for an earlier process that may still arrive. */
   private possibleLateLoads(): readonly TimedOrder[] {
     const oldestRelevantMilliseconds =
