--- a/packages/arbutustide-placement/src/__tests__/unit/planner_rig.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/planner_rig.ts
@@ -57,8 +57,13 @@
   isBusy = false;
   sequence = 0;
   reportCount = 0;
+  /** When it began to load models. */
+  readonly loadStarts: number[] = [];
 
-  constructor(readonly id: string) {}
+  constructor(
+    readonly id: string,
+    private readonly loadMilliseconds: number,
+  ) {}
 
   execute({kind, model, expectedSequence}: HoldingOrder): HoldingOrderAnswer {
     if (this.isBusy || expectedSequence !== this.sequence)
@@ -69,7 +74,8 @@
       return HoldingOrderAnswer.ACCEPTED;
     }
     this.isBusy = true;
-    void delay(LOAD_MILLISECONDS).then(() => {
+    this.loadStarts.push(performance.now());
+    void delay(this.loadMilliseconds).then(() => {
       this.models.add(model);
       this.isBusy = false;
     });
@@ -111,12 +117,18 @@
     engineCount: number,
     modelNames: readonly string[],
     storeLoadsPerSecond: number,
+    loadMilliseconds = LOAD_MILLISECONDS,
   ) {
     this.engines = Array.from(
       {length: engineCount},
-      (_, index) => new SimulatedEngine(`engine-${index + 1}`),
+      (_, index) =>
+        new SimulatedEngine(`engine-${index + 1}`, loadMilliseconds),
+    );
+    const service = createService(
+      modelNames,
+      storeLoadsPerSecond,
+      loadMilliseconds,
     );
-    const service = createService(modelNames, storeLoadsPerSecond);
     this.planner = new EnginePlanner(
       {epoch: 1, invalidateUntilRenewed: () => {}} as PlannerLease,
       {
@@ -196,6 +208,7 @@
 function createService(
   modelNames: readonly string[],
   storeLoadsPerSecond: number,
+  loadMilliseconds: number,
 ): EngineService {
   return {
     name: SERVICE,
@@ -208,9 +221,9 @@
     models: modelNames.map(name => ({
       name,
       megabytes: MODEL_MEGABYTES,
-      storeLoadMilliseconds: LOAD_MILLISECONDS,
-      diskLoadMilliseconds: LOAD_MILLISECONDS / 2,
-      memoryLoadMilliseconds: LOAD_MILLISECONDS / 4,
+      storeLoadMilliseconds: loadMilliseconds,
+      diskLoadMilliseconds: loadMilliseconds / 2,
+      memoryLoadMilliseconds: loadMilliseconds / 4,
     })),
   };
 }
