Show that a deferred task waits for ever behind urgent ones

The turn queue lets the most urgent task go on first and knows no age. A deferred task that the door admitted gets no turn while urgent ones take all of them; that it has no answer at its deadline either is read in the code, not run. The test fails; it is listed in KNOWN-RED.txt.

--- a/packages/arbutustide-event-loop/src/__tests__/unit/turn_queue_urgency.test.ts
+++ b/packages/arbutustide-event-loop/src/__tests__/unit/turn_queue_urgency.test.ts
@@ -76,6 +76,15 @@
     expect(done).to.eql(['deferred']);
   });
 
+  it('does not leave a task waiting for ever behind urgent ones that keep coming', async () => {
+    add('deferred', DEFERRED);
+    for (let index = 0; index < 3_000; index += 1) {
+      add('urgent', URGENT);
+      await turns(1);
+    }
+    expect(done).to.include('deferred');
+  });
+
   it('expects no wait before any was measured', () => {
     for (let index = 0; index < 100; index += 1) add('task', URGENT);
     expect(queue.expectedWaitMilliseconds(URGENT)).to.equal(0);
