--- a/packages/arbutustide-event-loop/src/turn_queue.ts
+++ b/packages/arbutustide-event-loop/src/turn_queue.ts
@@ -22,6 +22,9 @@
 /** Where more urgent tasks take all turns, the others are still told a time. */
 const MAXIMUM_OVERTAKING_SHARE = 0.95;
 
+/** Each time after so many turns, the task that came first goes on. */
+const TURNS_BY_URGENCY = 7;
+
 /** A task that waits for a turn of the event loop. */
 interface WaitingTask {
   /** Polls for input that had begun when the task came. */
@@ -41,6 +44,7 @@
   private readonly pace = new TurnPace();
   private readonly rates = new ArrivalRates();
   private isScheduled = false;
+  private turnsByUrgency = 0;
   private behindSinceMilliseconds: number | undefined;
 
   constructor(
@@ -114,7 +118,7 @@
   private proceedWithNext(): void {
     const {pollCount, polledAtMilliseconds} = this.monitor.lastTurn;
     const isReadingFirst = this.isReadingFirst();
-    for (const [key, first, urgency] of this.lines.firstTasks()) {
+    for (const [key, first, urgency] of this.listInOrder()) {
       let task: WaitingTask | undefined = first;
       while (task && task.pollCount !== pollCount) {
         const isWanted: boolean = task.isWanted();
@@ -133,8 +137,24 @@
     this.rates.record(urgency);
   }
 
+  /**
+   * The first tasks of all keys in the order of their turns. Work under way comes
+   * first; of the others, the one that waits longest does from time to time, so
+   * that none waits for ever behind more urgent ones.
+   */
+  private listInOrder(): Iterable<[object, WaitingTask, number]> {
+    if (this.turnsByUrgency < TURNS_BY_URGENCY) return this.lines.firstTasks();
+    const ageOf = ([, {pollCount}, urgency]: [object, WaitingTask, number]) =>
+      urgency === UNDER_WAY ? UNDER_WAY : pollCount;
+    return [...this.lines.firstTasks()].sort(
+      (left, right) => ageOf(left) - ageOf(right),
+    );
+  }
+
   private recordTurn(urgency: number): void {
     if (urgency === UNDER_WAY) return;
+    this.turnsByUrgency =
+      this.turnsByUrgency < TURNS_BY_URGENCY ? this.turnsByUrgency + 1 : 0;
     this.pace.recordTurn(this.lines.some(isCounted));
   }
 
