--- a/packages/arbutustide-placement/src/engines/model_loader.ts
+++ b/packages/arbutustide-placement/src/engines/model_loader.ts
@@ -41,8 +41,11 @@
 export class ModelLoader {
   /** Rate limiter of loads from the weight store, by service. */
   private readonly loadLimiters = new Map<string, LoadRateLimiter>();
-  /** Models whose load the weight store did not allow in the latest pass. */
-  private readonly postponedModels = new Set<string>();
+  /**
+   * Models whose load the weight store did not allow in the latest pass, by
+   * service.
+   */
+  private readonly postponedModels = new Map<string, Set<string>>();
 
   constructor(
     private readonly registry: EngineRegistry,
@@ -62,7 +65,7 @@
 
   /** Plans the models of a service and sends the orders. */
   plan(service: EngineService): void {
-    this.postponedModels.clear();
+    this.postponedModels.set(service.name, new Set());
     this.processPendingEvictions(service);
     if (!this.registry.areHoldingsKnown(service.name)) return;
     const models = this.plannedModels(service);
@@ -102,7 +105,7 @@
     for (const {name} of service.models) {
       if (held.has(name)) continue;
       if (this.environment.countRequests(service.name, name) === 0) continue;
-      const postponed = this.postponedModels.has(name)
+      const postponed = this.postponedModels.get(service.name)?.has(name)
         ? UnloadedReason.STORE_LIMIT
         : undefined;
       const reason = postponed ?? loading.get(name) ?? blocked;
@@ -161,7 +164,7 @@
     if (!hasLocalCopy) {
       const limiter = this.loadLimiterOf(service);
       if (limiter.availableLoads(this.countModelLoads(service)) < 1) {
-        this.postponedModels.add(model);
+        this.postponedModels.get(service.name)?.add(model);
         return;
       }
       limiter.recordStarted(1);
