--- a/packages/arbutustide-node/src/proxy/proxy_tuning.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tuning.ts
@@ -138,8 +138,7 @@
   // The weight store tolerates three loads beyond its rate; one of them is
   // reserved for orders that arrive late.
   storeLoadBurst: 2,
-  // Over five seconds it tolerates a tenth more than its rate, of which a twentieth
-  // is not used: three quarters of a second.
+  // Passes of a planner that is behind come up to half a second apart.
   storeLoadBurstSeconds: 0.5,
   // At a higher concurrency, first events were late on the days with the most
   // load.
