Plan without engines whose addresses refuse connections

Callers of a model whose only engine had ended were refused until the platform's list dropped the engine, 3.5 to 3.8 s later, and only then was the model ordered elsewhere: the planner had the refusal of a report after 0.3 s, but counted the engine as a holder.

An engine that refuses its report takes no part in the plan until a report is answered. The test failed before: the model was on no other engine.

--- a/packages/arbutustide-placement/src/__tests__/unit/engine_planner.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/engine_planner.test.ts
@@ -145,6 +145,20 @@
     expect(holders).to.have.length.above(1);
   });
 
+  it('loads a model elsewhere although the platform still lists the engine that has ended', async () => {
+    rig.engines[0].models.add('alpha');
+    rig.demand.set('alpha', 2);
+    rig.start();
+    await clock.tickAsync(2_000);
+    rig.engines[0].hasEnded = true;
+    const {maximumReportAgeMilliseconds} = PLANNER_SETTINGS;
+    await clock.tickAsync(
+      maximumReportAgeMilliseconds + LOAD_MILLISECONDS + 500,
+    );
+    const others = rig.engines.slice(1);
+    expect(others.some(({models}) => models.has('alpha'))).to.equal(true);
+  });
+
   it('tells how long a model was waited for', async () => {
     rig.demand.set('beta', 3);
     rig.start();
--- a/packages/arbutustide-placement/src/__tests__/unit/planner_rig.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/planner_rig.ts
@@ -54,6 +54,8 @@
   readonly models = new Set<string>();
   /** Whether calls get an answer. */
   isAnswering = true;
+  /** Whether its address refuses connections. */
+  hasEnded = false;
   isBusy = false;
   sequence = 0;
   reportCount = 0;
@@ -165,6 +167,10 @@
         return Err(new AttemptError(AttemptFailure.CANCELLED, 'no answer'));
       }
       await delay(this.callMilliseconds);
+      if (engine.hasEnded)
+        return Err(
+          new AttemptError(AttemptFailure.NOT_CONNECTED, 'refused', true),
+        );
       return Ok(answer(engine));
     };
     return {
--- a/packages/arbutustide-placement/src/engines/engine_registry.ts
+++ b/packages/arbutustide-placement/src/engines/engine_registry.ts
@@ -33,6 +33,11 @@
   pendingModelOrder: PendingModelOrder | undefined;
   /** Whether the last attempt to read its report failed. */
   isReportFailing: boolean;
+  /**
+   * Whether its address refused the last call, so that the process has ended. The
+   * platform lists it for some seconds more.
+   */
+  hasEnded: boolean;
   /** Models last published for the engine, joined by commas. */
   publishedModels: string;
   /** The call that reads its report now, if one does. */
@@ -87,10 +92,15 @@
     return this.entries.get(id);
   }
 
-  /** @param softwareVersion undefined for the engines of all versions. */
+  /**
+   * The engines of a service whose processes have not ended.
+   *
+   * @param softwareVersion undefined for the engines of all versions.
+   */
   entriesOfService(service: string, softwareVersion?: string): EngineEntry[] {
     return [...this.entries.values()].filter(
-      ({listed}) =>
+      ({listed, hasEnded}) =>
+        !hasEnded &&
         listed.service === service &&
         (softwareVersion === undefined ||
           listed.softwareVersion === softwareVersion),
@@ -199,6 +209,7 @@
     const {holdings, listed} = entry;
     const report = await this.engineClient.fetchReport(listed);
     if (report.ok) holdings.applyReport(report.val);
+    entry.hasEnded = report.err && report.val.isRefused;
     if (report.ok !== entry.isReportFailing) return;
     entry.isReportFailing = !report.ok;
     this.environment.recordEvent({
@@ -296,6 +307,7 @@
       pendingEviction: undefined,
       pendingModelOrder: undefined,
       isReportFailing: false,
+      hasEnded: false,
       publishedModels: '',
       pendingReport: undefined,
       orderQueue: Promise.resolve(),
