Plan a model elsewhere when its place is not free in time

Callers of a model were refused for as long as the one engine that was to make place for it still ran streams of the model in its way: the engine counted as a holder from the decision on.

Such an engine no longer counts once the eviction is a second late, so that the plan chooses another; when it is free at last, the plan decides anew what it loads. The test failed before: the model was on no engine after 6.5 s.

--- a/packages/arbutustide-placement/src/__tests__/unit/engine_planner.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/engine_planner.test.ts
@@ -159,6 +159,20 @@
     expect(others.some(({models}) => models.has('alpha'))).to.equal(true);
   });
 
+  it('loads a model elsewhere while an engine still runs requests for the model in its place', async () => {
+    for (const engine of rig.engines)
+      for (const model of ['gamma', 'delta']) engine.models.add(model);
+    for (const engine of rig.engines.slice(0, 2))
+      engine.unloadMilliseconds = 10_000;
+    rig.start();
+    await clock.tickAsync(1_000);
+    rig.demand.set('alpha', 2);
+    const {evictionNoticeMilliseconds} = PLANNER_SETTINGS;
+    const moveMilliseconds = evictionNoticeMilliseconds + LOAD_MILLISECONDS;
+    await clock.tickAsync(3 * moveMilliseconds + 2_000);
+    expect(rig.isHeld('alpha')).to.equal(true);
+  });
+
   it('tells how long a model was waited for', async () => {
     rig.demand.set('beta', 3);
     rig.start();
--- a/packages/arbutustide-placement/src/__tests__/unit/planner_rig.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/planner_rig.ts
@@ -59,6 +59,8 @@
   isBusy = false;
   sequence = 0;
   reportCount = 0;
+  /** Time for which the runs of a model hold up its unload. */
+  unloadMilliseconds = 0;
   /** When it began to load models. */
   readonly loadStarts: number[] = [];
 
@@ -71,11 +73,11 @@
     if (this.isBusy || expectedSequence !== this.sequence)
       return HoldingOrderAnswer.CONFLICT;
     this.sequence += 1;
+    this.isBusy = true;
     if (kind === OrderKind.UNLOAD) {
-      this.models.delete(model);
+      void this.unload(model);
       return HoldingOrderAnswer.ACCEPTED;
     }
-    this.isBusy = true;
     this.loadStarts.push(performance.now());
     void delay(this.loadMilliseconds).then(() => {
       this.models.add(model);
@@ -84,6 +86,12 @@
     return HoldingOrderAnswer.ACCEPTED;
   }
 
+  private async unload(model: string): Promise<void> {
+    if (this.unloadMilliseconds > 0) await delay(this.unloadMilliseconds);
+    this.models.delete(model);
+    this.isBusy = false;
+  }
+
   get listed(): ListedEngine {
     return {
       id: this.id,
--- a/packages/arbutustide-placement/src/engines/engine_registry.ts
+++ b/packages/arbutustide-placement/src/engines/engine_registry.ts
@@ -75,6 +75,12 @@
   models: [],
 };
 
+/**
+ * Time for the runs of a withdrawn model to end, after which its replacement is
+ * planned for other engines as well.
+ */
+const EXPECTED_UNLOAD_MILLISECONDS = 1_000;
+
 /** Registry of the engines, updated from the platform's list and reports. */
 export class EngineRegistry {
   private readonly entries = new Map<string, EngineEntry>();
@@ -253,7 +259,9 @@
       loadingModel:
         holdings.loadingModel ??
         orderedModel(pendingModelOrder) ??
-        pendingEviction?.replacement,
+        (isOverdue(pendingEviction, this.settings)
+          ? undefined
+          : pendingEviction?.replacement),
       utilization: listed.inFlight / slots,
       capacityShare: Math.min(
         1,
@@ -314,3 +322,15 @@
     };
   }
 }
+
+/** Whether an eviction waits for the last runs of its model for long. */
+export function isOverdue(
+  eviction: PendingEviction | undefined,
+  {
+    evictionNoticeMilliseconds,
+  }: Pick<EngineRegistrySettings, 'evictionNoticeMilliseconds'>,
+): boolean {
+  if (!eviction) return false;
+  const age = performance.now() - eviction.startedAtMilliseconds;
+  return age > evictionNoticeMilliseconds + EXPECTED_UNLOAD_MILLISECONDS;
+}
--- a/packages/arbutustide-placement/src/engines/model_loader.ts
+++ b/packages/arbutustide-placement/src/engines/model_loader.ts
@@ -1,4 +1,8 @@
-import type {EngineEntry, EngineRegistry} from './engine_registry.js';
+import type {
+  EngineEntry,
+  EngineRegistry,
+  PendingEviction,
+} from './engine_registry.js';
 import type {
   EnginePlannerEnvironment,
   EngineService,
@@ -11,6 +15,7 @@
 import {OrderKind} from '@arbutustide/upstream';
 
 import {LoadRateLimiter} from '../load_rate_limiter.js';
+import {isOverdue} from './engine_registry.js';
 import {orderedModel} from './pending_model_order.js';
 import {maximumConcurrentStoreLoads} from './load_estimates.js';
 import {planModelMoves} from './model_plan.js';
@@ -125,7 +130,7 @@
       const {pendingEviction, pendingModelOrder, holdings} = entry;
       if (!pendingEviction || pendingModelOrder) continue;
       if (!holdings.holdsModel(pendingEviction.model)) {
-        this.loadReplacement(service, entry, pendingEviction.replacement);
+        this.loadReplacement(service, entry, pendingEviction);
         continue;
       }
       const age = performance.now() - pendingEviction.startedAtMilliseconds;
@@ -140,16 +145,20 @@
     }
   }
 
-  /** Loads the replacement; if that is not possible, the next pass replans. */
+  /**
+   * Loads the replacement; if that is not possible, the next pass replans. Memory
+   * that comes late is planned for anew, as the replacement may be held elsewhere.
+   */
   private loadReplacement(
     service: EngineService,
     entry: EngineEntry,
-    replacement: string,
+    eviction: PendingEviction,
   ): void {
     const {holdings} = entry;
     if (holdings.isBusy || !holdings.isUpToDate) return;
     entry.pendingEviction = undefined;
-    this.loadModel(service, entry, {model: replacement, gain: 0});
+    if (isOverdue(eviction, this.settings)) return;
+    this.loadModel(service, entry, {model: eviction.replacement, gain: 0});
   }
 
   private loadModel(
