Count refused requests at nodes that know many models and adapters

Where a node knows more than 256 models and adapters, requests that it had refused were published as demand once and then forgotten, as the entry was deleted with its count: the planner saw no lasting demand for what callers keep asking for. Found by reading; entries are kept while refusals count. The test failed before: the second reading had no entry.

--- a/packages/arbutustide-routing/src/__tests__/unit/demand_counter.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/demand_counter.test.ts
@@ -35,4 +35,16 @@
     const entry = modelEntryName('engines', 'alpha');
     expect(counter.demandFor(entry)?.queued).to.equal(0);
   });
+
+  it('counts while hundreds of other models and adapters were asked for', () => {
+    for (let index = 0; index < 300; index += 1) {
+      const modelRequest = {model: `model-${index}`, adapter: undefined};
+      counter.recordRefused({service: 'engines', modelRequest});
+    }
+    const entry = modelEntryName('engines', 'alpha');
+    const find = () =>
+      [...counter.loads()].find(({entryName}) => entryName === entry);
+    expect(find()?.queued).to.equal(3);
+    expect(find()?.queued).to.equal(3);
+  });
 });
--- a/packages/arbutustide-routing/src/proxy/demand_counter.ts
+++ b/packages/arbutustide-routing/src/proxy/demand_counter.ts
@@ -119,11 +119,12 @@
   /** Demand for each known entry; evicts idle entries beyond the limit. */
   *loads(): Generator<EntryLoad> {
     for (const [entryName, count] of this.counts) {
-      const isIdle = count.inFlight === 0 && count.queued === 0;
+      const demand = demandOf(count);
+      const isIdle = count.inFlight === 0 && demand.queued === 0;
       if (isIdle && this.counts.size > MAXIMUM_ENTRIES_WITH_IDLE) {
         this.counts.delete(entryName);
       }
-      yield {entryName, ...demandOf(count)};
+      yield {entryName, ...demand};
     }
   }
 
