Plan replicas for the requests that a model's full replicas cannot run

Callers of a model in sudden demand were refused as its engines were full, while other engines kept models that few asked for: the gain of a replica was bounded by a quarter of its slots, however many requests had no slot. Requests beyond all slots of the replicas now count up to the slots of one more.

The test failed before: no move.

--- a/packages/arbutustide-placement/src/__tests__/unit/engine_plans.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/engine_plans.test.ts
@@ -193,6 +193,19 @@
     expect(first.model).to.equal('waiting');
   });
 
+  it('adds a replica for the requests of a model that its full replicas cannot run', () => {
+    const models = [
+      model('full', {expectedDemand: 100}),
+      ...['a', 'b', 'c'].map(name => model(name, {peakDemand: 30})),
+    ];
+    const engines = [
+      engine('1', ['full'], {freeMegabytes: 0, utilization: 1}),
+      engine('2', ['a', 'b', 'c'], {freeMegabytes: 0}),
+    ];
+    const [move] = planModelMoves(models, engines, SETTINGS);
+    expect(move).to.include({engineId: '2', model: 'full'});
+  });
+
   it('prefers an engine with a local copy that is slightly busier', () => {
     const models = [model('busy', {expectedDemand: 30}), model('other')];
     const engines = [
--- a/packages/arbutustide-placement/src/engines/model_plan.ts
+++ b/packages/arbutustide-placement/src/engines/model_plan.ts
@@ -175,7 +175,11 @@
   const {expectedDemand, peakDemand, queuedRequests} = model;
   const replicaDemand = replicaTargetUtilization * slots;
   const excessDemand = Math.max(0, expectedDemand - capacity * replicaDemand);
-  const servedExcess = Math.min(excessDemand, replicaDemand);
+  // Requests for which all slots of the replicas are taken have no other place.
+  const unservedDemand = Math.max(0, expectedDemand - capacity * slots);
+  const servedExcess =
+    Math.min(excessDemand, replicaDemand) +
+    Math.min(unservedDemand, slots - replicaDemand);
   if (replicas === 0) {
     const expectedReturningDemand = PEAK_DEMAND_SHARE * peakDemand;
     return (
