--- a/packages/arbutustide-placement/src/engines/model_plan.ts
+++ b/packages/arbutustide-placement/src/engines/model_plan.ts
@@ -1,4 +1,14 @@
 import type {CataloguedModel} from './engine_planner_environment.js';
+import type {ModelReplicas} from './model_replicas.js';
+
+import {lossShare} from './engine_loss.js';
+import {cheapestEviction} from './model_eviction.js';
+import {
+  additionGain,
+  changeReplicas,
+  countReplicas,
+  modelsHeldBy,
+} from './model_replicas.js';
 
 /** A model with its demand, the input of the plan. */
 export interface PlannedModel extends CataloguedModel {
@@ -66,23 +76,6 @@
   readonly slots: number;
 }
 
-/** A model with the number of engines that hold it, as the plan proceeds. */
-interface ModelReplicas {
-  replicas: number;
-  /** Sum of the replicas' shares of their engines' slots. */
-  capacity: number;
-  readonly model: PlannedModel;
-}
-
-/** Fraction of the peak demand that the last replica is kept for. */
-const PEAK_DEMAND_SHARE = 0.25;
-/** Gain of holding a model on at least one engine. */
-const FIRST_REPLICA_GAIN = 1;
-/** Gain of a second replica, which covers the loss of an engine. */
-const SPARE_REPLICA_GAIN = 0.8;
-/** Gain of a replica that is not needed, per concurrent request. */
-const SURPLUS_REPLICA_GAIN = 0.01;
-const REPLICAS_WITH_SPARE = 2;
 /** Waiting for so long puts a model ahead of one with a request more. */
 const WAITING_RANK_MILLISECONDS = 2_000;
 
@@ -167,74 +160,6 @@
   return moveCost + busyMoveCostShare * slots * busyShare * busyShare;
 }
 
-/** Gain of adding a replica, in concurrent requests served better. */
-function additionGain(
-  {replicas, capacity, model}: ModelReplicas,
-  {replicaTargetUtilization, slots, spareReplicaDemand}: ModelPlanParameters,
-): number {
-  const {expectedDemand, peakDemand, queuedRequests} = model;
-  const replicaDemand = replicaTargetUtilization * slots;
-  const excessDemand = Math.max(0, expectedDemand - capacity * replicaDemand);
-  const servedExcess = Math.min(excessDemand, replicaDemand);
-  if (replicas === 0) {
-    const expectedReturningDemand = PEAK_DEMAND_SHARE * peakDemand;
-    return (
-      FIRST_REPLICA_GAIN +
-      queuedRequests +
-      servedExcess +
-      expectedReturningDemand
-    );
-  }
-  const isSpareDue =
-    replicas < REPLICAS_WITH_SPARE && peakDemand >= spareReplicaDemand;
-  const spare = isSpareDue ? SPARE_REPLICA_GAIN : 0;
-  return (
-    spare +
-    servedExcess +
-    (SURPLUS_REPLICA_GAIN * expectedDemand) / (replicas + 1)
-  );
-}
-
-/** Loss from removing a replica, in the unit of the gain. */
-function removalLoss(
-  {replicas, capacity, model}: ModelReplicas,
-  {capacityShare}: PlannedEngine,
-  settings: ModelPlanParameters,
-): number {
-  const remaining = {
-    replicas: replicas - 1,
-    capacity: capacity - capacityShare,
-    model,
-  };
-  return additionGain(remaining, settings);
-}
-
-/** Records that an engine gets a replica or, with a count of -1, loses it. */
-function changeReplicas(
-  modelReplicas: ModelReplicas,
-  {capacityShare}: PlannedEngine,
-  count: 1 | -1,
-): void {
-  modelReplicas.replicas += count;
-  modelReplicas.capacity += count * capacityShare;
-}
-
-function countReplicas(
-  models: readonly PlannedModel[],
-  engines: readonly PlannedEngine[],
-): Map<string, ModelReplicas> {
-  const replicasByModel = new Map<string, ModelReplicas>(
-    models.map(model => [model.name, {replicas: 0, capacity: 0, model}]),
-  );
-  for (const engine of engines) {
-    for (const name of modelsHeldBy(engine)) {
-      const modelReplicas = replicasByModel.get(name);
-      if (modelReplicas) changeReplicas(modelReplicas, engine, 1);
-    }
-  }
-  return replicasByModel;
-}
-
 /** Failure domains in which each model is held, by model name. */
 function domainsByModel(
   engines: readonly PlannedEngine[],
@@ -250,13 +175,6 @@
   return domains;
 }
 
-/** Models that the engine holds or is loading. */
-function modelsHeldBy({models, loadingModel}: PlannedEngine): Set<string> {
-  return new Set(
-    loadingModel === undefined ? models : [...models, loadingModel],
-  );
-}
-
 /** The cheapest engine to load the model on, if the gain is worth it. */
 function bestMove(
   {model}: ModelReplicas,
@@ -294,92 +212,3 @@
  * domains survive the loss of a domain and are closer to the callers.
  */
 const SAME_DOMAIN_COST = 0.1;
-/**
- * Time within which a replica must pay back its load time, because demand
- * shifts to other models by then.
- */
-const PAYBACK_MILLISECONDS = 20_000;
-
-/** Upper bound that keeps a model loadable however long its load takes. */
-const MAXIMUM_LOAD_TIME_LOSS_SHARE = 0.5;
-
-/**
- * Fraction of a replica's gain that is lost while it loads. Loads from a copy
- * in the engine's memory or on its disk are five to ten times as fast as loads
- * from the weight store.
- */
-function loadTimeLossShare(
-  model: PlannedModel,
-  {modelsInMemory, modelsOnDisk}: PlannedEngine,
-): number {
-  const {name, storeLoadMilliseconds, diskLoadMilliseconds} = model;
-  const milliseconds = modelsInMemory.has(name)
-    ? model.memoryLoadMilliseconds
-    : modelsOnDisk.has(name)
-      ? diskLoadMilliseconds
-      : storeLoadMilliseconds;
-  return Math.min(
-    MAXIMUM_LOAD_TIME_LOSS_SHARE,
-    milliseconds / PAYBACK_MILLISECONDS,
-  );
-}
-
-/** Fraction of a replica's gain that is lost on this engine. */
-function lossShare(model: PlannedModel, engine: PlannedEngine): number {
-  const shares =
-    loadTimeLossShare(model, engine) +
-    utilizationLossShare(engine) +
-    (1 - engine.capacityShare);
-  return Math.min(MAXIMUM_LOSS_SHARE, shares);
-}
-
-/** Upper bound that leaves a place for a model that no other engine can load. */
-const MAXIMUM_LOSS_SHARE = 0.65;
-
-/** Upper bound: even the busiest engine is better than no engine. */
-const MAXIMUM_UTILIZATION_LOSS_SHARE = 0.15;
-
-/** Fraction of a replica's gain that is lost to the engine's other requests. */
-function utilizationLossShare({utilization}: PlannedEngine): number {
-  return Math.min(MAXIMUM_UTILIZATION_LOSS_SHARE, utilization);
-}
-
-interface Eviction {
-  readonly names: readonly string[];
-  readonly loss: number;
-}
-
-/**
- * Chooses models to evict, those with the least loss first, until the model
- * fits.
- *
- * @return undefined if it does not fit even after all evictions.
- */
-function cheapestEviction(
-  {megabytes}: PlannedModel,
-  engine: PlannedEngine,
-  replicasByModel: ReadonlyMap<string, ModelReplicas>,
-  settings: ModelPlanParameters,
-): Eviction | undefined {
-  const {freeMegabytes, models} = engine;
-  const removable = models
-    .map(name => {
-      const modelReplicas = replicasByModel.get(name);
-      return {
-        name,
-        megabytes: modelReplicas?.model.megabytes ?? 0,
-        loss: modelReplicas ? removalLoss(modelReplicas, engine, settings) : 0,
-      };
-    })
-    .sort((left, right) => left.loss - right.loss);
-  const names: string[] = [];
-  let availableMegabytes = freeMegabytes;
-  let loss = 0;
-  for (const candidate of removable) {
-    if (availableMegabytes >= megabytes) break;
-    names.push(candidate.name);
-    availableMegabytes += candidate.megabytes;
-    loss += candidate.loss;
-  }
-  return availableMegabytes >= megabytes ? {names, loss} : undefined;
-}
