Planner: give a model that waits for a place a turn

Cause: the plan evicts a model only if the waiting one gains more than it loses by the factor of hysteresis. With more models in use than places, a model that few callers ask for waited for ever (no_place). Change: one model at a time in a service that has waited for 12 s displaces the one with the least loss that has been held for 6 s, at most every 4 s, and stays for 6 s. docs/design/turns-of-waiting-models.md. Measured: waiting_turns.test.ts: two tests fail before (rare models never held; no turn within 20 s), pass now.

--- a/packages/arbutustide-placement/src/__tests__/unit/engine_plans.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/engine_plans.test.ts
@@ -56,6 +56,7 @@
     utilization: 0,
     capacityShare: 1,
     canAcceptOrder: true,
+    pinnedModels: new Set(),
     modelsInMemory: new Set(),
     modelsOnDisk: new Set(),
     ...changes,
--- a/packages/arbutustide-placement/src/__tests__/unit/planner_rig.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/planner_rig.ts
@@ -47,6 +47,9 @@
   hysteresisFactor: 1.5,
   moveCost: 0.3,
   busyMoveCostShare: 0.2,
+  turnWaitMilliseconds: 12_000,
+  turnSpacingMilliseconds: 4_000,
+  turnTenureMilliseconds: 6_000,
 };
 
 /** An engine that executes model orders, without a network. */
--- a/packages/arbutustide-placement/src/engines/engine_registry.ts
+++ b/packages/arbutustide-placement/src/engines/engine_registry.ts
@@ -249,6 +249,7 @@
         (requestsPerSecond * ASSUMED_SERVICE_SECONDS) / slots,
       ),
       canAcceptOrder: this.canAcceptOrder(entry),
+      pinnedModels: new Set(),
       modelsInMemory: listed.modelsInMemory,
       modelsOnDisk: listed.modelsOnDisk,
     };
--- a/packages/arbutustide-placement/src/engines/model_eviction.ts
+++ b/packages/arbutustide-placement/src/engines/model_eviction.ts
@@ -17,7 +17,8 @@
  * Chooses models to evict, those with the least loss first, until the model
  * fits.
  *
- * @return undefined if it does not fit even after all evictions.
+ * @return undefined if it does not fit even after the eviction of all models
+ *     that are not pinned.
  */
 export function cheapestEviction(
   {megabytes}: PlannedModel,
@@ -25,8 +26,9 @@
   replicasByModel: ReadonlyMap<string, ModelReplicas>,
   settings: ModelPlanParameters,
 ): Eviction | undefined {
-  const {freeMegabytes, models} = engine;
+  const {freeMegabytes, models, pinnedModels} = engine;
   const removable = models
+    .filter(name => !pinnedModels.has(name))
     .map(name => {
       const modelReplicas = replicasByModel.get(name);
       return {
--- a/packages/arbutustide-placement/src/engines/model_loader.ts
+++ b/packages/arbutustide-placement/src/engines/model_loader.ts
@@ -4,9 +4,15 @@
   EngineService,
 } from './engine_planner_environment.js';
 import type {ModelDemand} from './model_demand.js';
-import type {ModelMove, ModelPlanSettings, PlannedModel} from './model_plan.js';
+import type {
+  ModelMove,
+  ModelPlanSettings,
+  PlannedEngine,
+  PlannedModel,
+} from './model_plan.js';
 import type {OrderSender} from './order_sender.js';
 import type {UnloadedModel} from './unloaded_models.js';
+import type {WaitingTurnSettings} from './waiting_turns.js';
 
 import {OrderKind} from '@arbutustide/upstream';
 
@@ -20,9 +26,11 @@
   findLoadingReasons,
   UnloadedReason,
 } from './unloaded_models.js';
+import {WaitingTurns} from './waiting_turns.js';
 
 /** Settings of loads and evictions of models. */
-export interface ModelLoaderSettings extends ModelPlanSettings {
+export interface ModelLoaderSettings
+  extends ModelPlanSettings, WaitingTurnSettings {
   /**
    * Delay between withdrawing a model from the nodes and unloading it. All
    * nodes must have learned of the withdrawal by then.
@@ -46,6 +54,8 @@
    * service.
    */
   private readonly postponedModels = new Map<string, Set<string>>();
+  /** Turns of models that wait for a place, by service. */
+  private readonly turns = new Map<string, WaitingTurns>();
 
   constructor(
     private readonly registry: EngineRegistry,
@@ -61,6 +71,7 @@
    */
   resetLimiters(): void {
     this.loadLimiters.clear();
+    this.turns.clear();
   }
 
   /** Plans the models of a service and sends the orders. */
@@ -72,24 +83,35 @@
     const settings = {...this.settings, slots: service.slots};
     // Without the engines that are leaving, so that their models are loaded
     // elsewhere before these engines stop.
-    const engines = this.registry
+    const known = this.registry
       .entriesOfService(service.name)
       .filter(({listed}) => listed.isReady)
       .map(entry => this.registry.toPlannedEngine(entry));
-    for (const move of planModelMoves(models, engines, settings)) {
-      const entry = this.registry.get(move.engineId);
-      if (!entry) continue;
-      const [evicted] = move.evicted;
-      if (evicted !== undefined) {
-        entry.pendingEviction = {
-          model: evicted,
-          replacement: move.model,
-          startedAtMilliseconds: performance.now(),
-        };
-      } else {
-        this.loadModel(service, entry, move);
-      }
+    const turns = this.turnsOf(service);
+    const engines = turns.observe(known);
+    const turn = turns.next(models, engines, settings);
+    if (turn) this.carryOut(service, turn);
+    const others = turn
+      ? engines.map(engine => withMove(engine, turn))
+      : engines;
+    for (const move of planModelMoves(models, others, settings))
+      this.carryOut(service, move);
+  }
+
+  /** Loads the model of a move, or begins the eviction that it requires. */
+  private carryOut(service: EngineService, move: ModelMove): void {
+    const entry = this.registry.get(move.engineId);
+    if (!entry) return;
+    const [evicted] = move.evicted;
+    if (evicted === undefined) {
+      this.loadModel(service, entry, move);
+      return;
     }
+    entry.pendingEviction = {
+      model: evicted,
+      replacement: move.model,
+      startedAtMilliseconds: performance.now(),
+    };
   }
 
   /** Models with requests that no engine holds, and why. Call it after `plan`. */
@@ -186,6 +208,14 @@
       ).length;
   }
 
+  private turnsOf({name}: EngineService): WaitingTurns {
+    const existing = this.turns.get(name);
+    if (existing) return existing;
+    const turns = new WaitingTurns(this.settings);
+    this.turns.set(name, turns);
+    return turns;
+  }
+
   private loadLimiterOf(service: EngineService): LoadRateLimiter {
     const existing = this.loadLimiters.get(service.name);
     if (existing) return existing;
@@ -200,3 +230,17 @@
     return limiter;
   }
 }
+
+/** The engine as the plan must see it once the move is decided. */
+function withMove(
+  engine: PlannedEngine,
+  {engineId, model, evicted}: ModelMove,
+): PlannedEngine {
+  if (engine.id !== engineId) return engine;
+  return {
+    ...engine,
+    models: engine.models.filter(name => !evicted.includes(name)),
+    loadingModel: model,
+    canAcceptOrder: false,
+  };
+}
--- a/packages/arbutustide-placement/src/engines/model_plan.ts
+++ b/packages/arbutustide-placement/src/engines/model_plan.ts
@@ -37,6 +37,8 @@
   readonly capacityShare: number;
   /** Whether the engine can accept an order now. */
   readonly canAcceptOrder: boolean;
+  /** Models that must not be evicted now. */
+  readonly pinnedModels: ReadonlySet<string>;
   readonly modelsInMemory: ReadonlySet<string>;
   readonly modelsOnDisk: ReadonlySet<string>;
 }
