Planner: look for a turn only while a model has waited for so long; test that turns come one at a time

Cause: the search for a turn copied all engines in each pass; no test showed that the next turn waits for the last one's load. Change: an early return, and the test. Measured: its processor time is not measured; the unit tests of turns, planner and plans pass.

--- a/packages/arbutustide-placement/src/__tests__/unit/waiting_turns.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/waiting_turns.test.ts
@@ -148,6 +148,38 @@
     expect(move).to.deep.include({engineId: '2', evicted: ['little']});
   });
 
+  it('gives the next turn only when the model of the last one is loaded', () => {
+    const turns = new WaitingTurns(PLANNER_SETTINGS);
+    const waiting = {
+      queuedRequests: 1,
+      waitedMilliseconds: turnWaitMilliseconds,
+    };
+    const models = [
+      plannedModel('one', {}),
+      plannedModel('other', {}),
+      plannedModel('first', waiting),
+      plannedModel('second', waiting),
+    ];
+    const parameters = {...PLANNER_SETTINGS, slots: 16};
+    const next = (changes: Partial<PlannedEngine>) => {
+      const engines = [
+        {...plannedEngine('1', ['one']), ...changes},
+        plannedEngine('2', ['other']),
+      ];
+      return turns.next(models, turns.observe(engines), parameters);
+    };
+    next({});
+    clock.tick(turnTenureMilliseconds);
+    expect(next({})).to.include({engineId: '1', model: 'first'});
+    clock.tick(2 * turnSpacingMilliseconds);
+    const loading = {models: [], loadingModel: 'first', canAcceptOrder: false};
+    expect(next(loading)).to.equal(undefined);
+    expect(next({models: ['first']})).to.include({
+      engineId: '2',
+      model: 'second',
+    });
+  });
+
   it('waits for the engine with the least loss while that one loads a model', () => {
     const turns = new WaitingTurns(PLANNER_SETTINGS);
     const models = [
--- a/packages/arbutustide-placement/src/engines/waiting_turns.ts
+++ b/packages/arbutustide-placement/src/engines/waiting_turns.ts
@@ -68,6 +68,10 @@
   ): ModelMove | undefined {
     const now = performance.now();
     const {turnSpacingMilliseconds, turnWaitMilliseconds} = this.settings;
+    const isWaiting = models.some(
+      ({waitedMilliseconds}) => waitedMilliseconds >= turnWaitMilliseconds,
+    );
+    if (!isWaiting) return undefined;
     if (this.latest) {
       const {model, givenAtMilliseconds} = this.latest;
       if (now - givenAtMilliseconds < turnSpacingMilliseconds) return undefined;
