Take an eviction for late by reports, not by the clock

An eviction is late now when a report, read over a second after the engine had accepted the unload, still shows it under way.

--- a/packages/arbutustide-placement/src/__tests__/unit/load_announcer.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/load_announcer.test.ts
@@ -109,6 +109,7 @@
       model: 'b',
       replacement: 'c',
       startedAtMilliseconds: -200,
+      isLate: false,
     };
     const expected = await runPasses(
       PASS_MILLISECONDS,
--- a/packages/arbutustide-placement/src/engines/engine_holdings_tracker.ts
+++ b/packages/arbutustide-placement/src/engines/engine_holdings_tracker.ts
@@ -123,6 +123,18 @@
     return load && performance.now() - load.recordedAtMilliseconds;
   }
 
+  /** Time for which an unload had lasted by the last report; zero if it ended. */
+  get reportedUnloadMilliseconds(): number {
+    const unload = this.acceptedSinceReport.find(({order}) =>
+      isModelUnload(order),
+    );
+    if (!unload) return 0;
+    return Math.max(
+      0,
+      this.reportedAtMilliseconds - unload.recordedAtMilliseconds,
+    );
+  }
+
   /**
    * Models and adapters that can serve requests, as `MODEL` or `MODEL/ADAPTER`.
    *
--- a/packages/arbutustide-placement/src/engines/engine_registry.ts
+++ b/packages/arbutustide-placement/src/engines/engine_registry.ts
@@ -23,6 +23,8 @@
   readonly replacement: string;
   /** Monotonic time at which the eviction was decided. */
   readonly startedAtMilliseconds: number;
+  /** Whether runs of the model hold it up, so that others may be quicker. */
+  isLate: boolean;
 }
 
 /** A listed engine with its holdings and the operations in progress. */
@@ -75,12 +77,6 @@
   models: [],
 };
 
-/**
- * Time for the runs of a withdrawn model to end, after which its replacement is
- * planned for other engines as well.
- */
-const EXPECTED_UNLOAD_MILLISECONDS = 1_000;
-
 /** Registry of the engines, updated from the platform's list and reports. */
 export class EngineRegistry {
   private readonly entries = new Map<string, EngineEntry>();
@@ -259,9 +255,7 @@
       loadingModel:
         holdings.loadingModel ??
         orderedModel(pendingModelOrder) ??
-        (isOverdue(pendingEviction, this.settings)
-          ? undefined
-          : pendingEviction?.replacement),
+        (pendingEviction?.isLate ? undefined : pendingEviction?.replacement),
       utilization: listed.inFlight / slots,
       capacityShare: Math.min(
         1,
@@ -323,15 +317,3 @@
     };
   }
 }
-
-/** Whether an eviction waits for the last runs of its model for long. */
-export function isOverdue(
-  eviction: PendingEviction | undefined,
-  {
-    evictionNoticeMilliseconds,
-  }: Pick<EngineRegistrySettings, 'evictionNoticeMilliseconds'>,
-): boolean {
-  if (!eviction) return false;
-  const age = performance.now() - eviction.startedAtMilliseconds;
-  return age > evictionNoticeMilliseconds + EXPECTED_UNLOAD_MILLISECONDS;
-}
--- a/packages/arbutustide-placement/src/engines/model_loader.ts
+++ b/packages/arbutustide-placement/src/engines/model_loader.ts
@@ -21,7 +21,6 @@
 import {OrderKind} from '@arbutustide/upstream';
 
 import {LoadRateLimiter} from '../load_rate_limiter.js';
-import {isOverdue} from './engine_registry.js';
 import {orderedModel} from './pending_model_order.js';
 import {maximumConcurrentStoreLoads} from './load_estimates.js';
 import {planModelMoves} from './model_plan.js';
@@ -33,6 +32,12 @@
 } from './unloaded_models.js';
 import {WaitingTurns} from './waiting_turns.js';
 
+/**
+ * Time for the runs of a withdrawn model to end, after which its replacement is
+ * planned for other engines as well.
+ */
+const EXPECTED_UNLOAD_MILLISECONDS = 1_000;
+
 /** Settings of loads and evictions of models. */
 export interface ModelLoaderSettings
   extends ModelPlanSettings, WaitingTurnSettings {
@@ -116,6 +121,7 @@
       model: evicted,
       replacement: move.model,
       startedAtMilliseconds: performance.now(),
+      isLate: false,
     };
   }
 
@@ -151,6 +157,8 @@
     for (const entry of this.registry.entriesOfService(service.name)) {
       const {pendingEviction, pendingModelOrder, holdings} = entry;
       if (!pendingEviction || pendingModelOrder) continue;
+      pendingEviction.isLate ||=
+        holdings.reportedUnloadMilliseconds > EXPECTED_UNLOAD_MILLISECONDS;
       if (!holdings.holdsModel(pendingEviction.model)) {
         this.loadReplacement(service, entry, pendingEviction);
         continue;
@@ -179,7 +187,7 @@
     const {holdings} = entry;
     if (holdings.isBusy || !holdings.isUpToDate) return;
     entry.pendingEviction = undefined;
-    if (isOverdue(eviction, this.settings)) return;
+    if (eviction.isLate) return;
     this.loadModel(service, entry, {model: eviction.replacement, gain: 0});
   }
 
