ResponseTimeout: a maximum per call, for leases and bounds on changes

Cause: while the loop reads nothing, a call's time grows to four times its limit: 4 s for a call to the store, against a planner's lease of 3 s, and up to 6.4 s for a relayed watch against a bound on changes of 3 s. Change: an option for the longest that it waits, never below the limit. A call to the store ends after half of the lease (a renewal is a write and a read), a watch of the store that much after it was held, a relayed watch at the age from which its answer is of no use.

--- a/packages/arbutustide-event-loop/src/__tests__/unit/response_timeout.test.ts
+++ b/packages/arbutustide-event-loop/src/__tests__/unit/response_timeout.test.ts
@@ -49,6 +49,32 @@
     expect(elapsed).to.be.below(6 * LIMIT_MILLISECONDS);
   });
 
+  it('ends at its maximum although the loop is never on time', async () => {
+    const startedAt = performance.now();
+    const maximumMilliseconds = 2.5 * LIMIT_MILLISECONDS;
+    const timeout = new ResponseTimeout(2 * LIMIT_MILLISECONDS, {
+      maximumMilliseconds,
+    });
+    while (!timeout.hasExpired) {
+      blockLoop(LIMIT_MILLISECONDS);
+      await wait(0);
+    }
+    const elapsed = performance.now() - startedAt;
+    expect(elapsed).to.be.within(
+      maximumMilliseconds,
+      2 * maximumMilliseconds - LIMIT_MILLISECONDS / 2,
+    );
+  });
+
+  it('is not shortened by its maximum', async () => {
+    const timeout = new ResponseTimeout(LIMIT_MILLISECONDS, {
+      maximumMilliseconds: LIMIT_MILLISECONDS / 10,
+    });
+    await wait(LIMIT_MILLISECONDS / 2);
+    expect(timeout.hasExpired).to.equal(false);
+    timeout.close();
+  });
+
   it('lets an answer be read that has arrived before its limit', async () => {
     const server = createServer((_message, response) => response.end('here'));
     server.listen(0, '127.0.0.1');
--- a/packages/arbutustide-event-loop/src/response_timeout.ts
+++ b/packages/arbutustide-event-loop/src/response_timeout.ts
@@ -7,6 +7,17 @@
 /** The longest that a timeout waits, as a multiple of its limit. */
 const MAXIMUM_EXTENSION = 4;
 
+/** Options of a ResponseTimeout. */
+export interface ResponseTimeoutOptions {
+  /**
+   * The longest that it waits, with the time that does not count, if that is
+   * shorter than a multiple of the limit; no shorter than the limit itself.
+   */
+  readonly maximumMilliseconds?: number;
+  readonly monitor?: InputMonitor;
+  readonly loop?: EventLoop;
+}
+
 /**
  * Limits the time for an answer. Time in which this process read no input does
  * not count, and what has arrived is read before the limit takes effect: the
@@ -18,12 +29,24 @@
   private readonly lateAtStart: number;
   private timer: NodeJS.Timeout | undefined;
   private isClosed = false;
+  private readonly maximumMilliseconds: number;
+  private readonly monitor: InputMonitor;
+  private readonly loop: EventLoop;
 
   constructor(
     private readonly limitMilliseconds: number,
-    private readonly monitor: InputMonitor = inputMonitor,
-    private readonly loop: EventLoop = RUNTIME_LOOP,
+    {
+      maximumMilliseconds = Infinity,
+      monitor = inputMonitor,
+      loop = RUNTIME_LOOP,
+    }: ResponseTimeoutOptions = {},
   ) {
+    this.maximumMilliseconds = Math.min(
+      Math.max(limitMilliseconds, maximumMilliseconds),
+      MAXIMUM_EXTENSION * limitMilliseconds,
+    );
+    this.monitor = monitor;
+    this.loop = loop;
     this.lateAtStart = monitor.lateMilliseconds;
     this.schedule(limitMilliseconds);
   }
@@ -64,8 +87,8 @@
   private remainingMilliseconds(): number {
     const elapsed = performance.now() - this.startedAtMilliseconds;
     const late = this.monitor.lateMilliseconds - this.lateAtStart;
-    const untilLatest = MAXIMUM_EXTENSION * this.limitMilliseconds - elapsed;
-    return Math.min(this.limitMilliseconds + late - elapsed, untilLatest);
+    const limit = this.limitMilliseconds + late;
+    return Math.min(limit, this.maximumMilliseconds) - elapsed;
   }
 }
 
--- a/packages/arbutustide-membership/src/connect_peer_transport.ts
+++ b/packages/arbutustide-membership/src/connect_peer_transport.ts
@@ -129,11 +129,15 @@
   watch(
     peerUrl: string,
     request: WatchRequest,
+    maximumMilliseconds?: number,
   ): Promise<Result<WatchResponse, PeerError>> {
     const timeoutMilliseconds =
       request.waitMilliseconds + WATCH_ANSWER_MILLISECONDS;
     return this.call(peerUrl, client =>
-      client.watch(request, this.callOptions(timeoutMilliseconds)),
+      client.watch(
+        request,
+        this.callOptions(timeoutMilliseconds, maximumMilliseconds),
+      ),
     );
   }
 
@@ -222,10 +226,14 @@
     }
   }
 
-  private callOptions(timeoutMilliseconds = this.timeoutMilliseconds): {
-    readonly signal: AbortSignal;
-  } {
-    return {signal: new ResponseTimeout(timeoutMilliseconds).signal};
+  private callOptions(
+    timeoutMilliseconds = this.timeoutMilliseconds,
+    maximumMilliseconds?: number,
+  ): {readonly signal: AbortSignal} {
+    const timeout = new ResponseTimeout(timeoutMilliseconds, {
+      maximumMilliseconds,
+    });
+    return {signal: timeout.signal};
   }
 
   private client(peerUrl: string): PeerClient {
--- a/packages/arbutustide-membership/src/peer_transport.ts
+++ b/packages/arbutustide-membership/src/peer_transport.ts
@@ -91,10 +91,16 @@
     peerUrl: string,
     requests: readonly HoldingRequest[],
   ): Promise<Result<PromisedHoldings, PeerError>>;
-  /** Waits for changes in the object store that the peer has received. */
+  /**
+   * Waits for changes in the object store that the peer has received.
+   *
+   * @param maximumMilliseconds the longest that the call takes, with the time in
+   *     which this process read no answers.
+   */
   watch(
     peerUrl: string,
     request: WatchRequest,
+    maximumMilliseconds?: number,
   ): Promise<Result<WatchResponse, PeerError>>;
   /** Asks the issuer of an upstream's tokens for one. */
   requestToken(
--- a/packages/arbutustide-node/src/__tests__/integration/relay_watch_read_late.test.ts
+++ b/packages/arbutustide-node/src/__tests__/integration/relay_watch_read_late.test.ts
@@ -1,6 +1,7 @@
 /**
  * Guards against a configuration that comes into force late: a relay had sent
- * it while the event loop was blocked, and the answer was thrown away.
+ * it while the event loop was blocked, and the answer was thrown away; or the
+ * relay was silent, and the wait for it went on while the loop was behind.
  */
 import type {ObjectStore, StoredObject} from '@arbutustide/object-store';
 
@@ -26,6 +27,10 @@
 const BLOCKED_MILLISECONDS = 900;
 const WRITE_MILLISECONDS = 20;
 const PEER_CALL_MILLISECONDS = 1_000;
+const LONG_AGE_MILLISECONDS = 60_000;
+/** Bound of a configuration that is shorter than the waits for a silent relay. */
+const SHORT_AGE_MILLISECONDS = 700;
+const BUSY_TURN_MILLISECONDS = 150;
 
 /** A relay in a thread of its own, to which a change comes after 100 ms. */
 const RELAY_THREAD = `
@@ -34,7 +39,7 @@
   const server = createServer((request, response) => {
     request.resume();
     response.setHeader('content-type', 'application/proto');
-    setTimeout(() => response.end(workerData), 100);
+    if (workerData) setTimeout(() => response.end(workerData), 100);
   });
   server.listen(0, '127.0.0.1', () =>
     parentPort.postMessage(server.address().port),
@@ -63,10 +68,7 @@
       version: NEWER.version,
       ageMilliseconds: 1,
     });
-    const workerData = toBinary(WatchResponseSchema, response);
-    thread = new Worker(RELAY_THREAD, {eval: true, workerData});
-    const [port] = (await once(thread, 'message')) as [number];
-    relayUrl = `http://127.0.0.1:${port}`;
+    await startRelay(toBinary(WatchResponseSchema, response));
     transport = new ConnectPeerTransport(PEER_CALL_MILLISECONDS, () => {});
   });
 
@@ -75,7 +77,16 @@
     await thread.terminate();
   });
 
-  function createRelayedStore(): RelayedObjectStore {
+  /** @param answer to a watch; a relay without one is silent. */
+  async function startRelay(answer?: Uint8Array): Promise<void> {
+    thread = new Worker(RELAY_THREAD, {eval: true, workerData: answer});
+    const [port] = (await once(thread, 'message')) as [number];
+    relayUrl = `http://127.0.0.1:${port}`;
+  }
+
+  function createRelayedStore(
+    maximumAgeMilliseconds = LONG_AGE_MILLISECONDS,
+  ): RelayedObjectStore {
     const store = {
       eraStartVersion: 0,
       watch: async () => {
@@ -90,7 +101,7 @@
         listRelayUrls: () => [relayUrl],
         listDistantRelayUrls: () => [],
         relayWaitMilliseconds: RELAY_WAIT_MILLISECONDS,
-        maximumAgeMilliseconds: 60_000,
+        maximumAgeMilliseconds,
         redact: object => object,
       },
       silentLogger(),
@@ -111,4 +122,24 @@
     expect(batch.ok && batch.val.changes).to.eql([NEWER]);
     expect(storeCalls).to.equal(0);
   });
+
+  it('is not awaited for longer than its bound from a silent relay', async () => {
+    await thread.terminate();
+    await startRelay();
+    const relayed = createRelayedStore(SHORT_AGE_MILLISECONDS);
+    const {signal} = new AbortController();
+    const startedAt = performance.now();
+    const pending = relayed.watch(PREFIX, 7, signal);
+    const takeTurn = () => {
+      if (storeCalls > 0) return;
+      blockEventLoop(BUSY_TURN_MILLISECONDS);
+      setImmediate(takeTurn);
+    };
+    setImmediate(takeTurn);
+    await pending;
+    expect(storeCalls).to.equal(1);
+    expect(performance.now() - startedAt).to.be.below(
+      SHORT_AGE_MILLISECONDS + 5 * BUSY_TURN_MILLISECONDS,
+    );
+  });
 });
--- a/packages/arbutustide-node/src/node_daemon.ts
+++ b/packages/arbutustide-node/src/node_daemon.ts
@@ -8,6 +8,7 @@
 import {delay} from '@arbutustide/errors';
 import {ConnectPeerServer, ConnectPeerTransport} from '@arbutustide/membership';
 import {HttpObjectStore, StoreCallCounter} from '@arbutustide/object-store';
+import {maximumLeaseCallMilliseconds} from '@arbutustide/placement';
 import {createLogger, NodeMetrics} from '@arbutustide/telemetry';
 import {HttpHostList} from '@arbutustide/upstream';
 
@@ -90,7 +91,7 @@
   peerPort: number,
   logger: NodeLogger,
 ): NodeDependencies {
-  const {node, platform, routing, gossip} = settings;
+  const {node, planner, platform, routing, gossip} = settings;
   const metrics = new NodeMetrics();
   metrics.collectRuntimeMetrics();
   const tokenVariable = platform.tokenVariable ?? '';
@@ -111,6 +112,9 @@
     store: new HttpObjectStore({
       url: platform.objectStoreUrl,
       timeoutMilliseconds: platform.callTimeoutMilliseconds,
+      maximumMilliseconds: maximumLeaseCallMilliseconds(
+        planner.leaseMilliseconds,
+      ),
       watchMilliseconds: platform.watchMilliseconds,
       token: process.env[tokenVariable],
       counter: new StoreCallCounter(method =>
--- a/packages/arbutustide-node/src/proxy/watch_relay/relayed_object_store.ts
+++ b/packages/arbutustide-node/src/proxy/watch_relay/relayed_object_store.ts
@@ -181,6 +181,7 @@
         afterVersion,
         waitMilliseconds: relayWaitMilliseconds,
       }),
+      maximumAgeMilliseconds,
     );
     if (!response.ok) return response;
     if (!response.val.isServed) return Ok(undefined);
--- a/packages/arbutustide-object-store/src/http_object_store.ts
+++ b/packages/arbutustide-object-store/src/http_object_store.ts
@@ -104,7 +104,7 @@
     afterVersion: number,
     signal: AbortSignal,
   ): StoreResult<WatchBatch> {
-    const {watchMilliseconds, timeoutMilliseconds} = this.options;
+    const {watchMilliseconds} = this.options;
     const query = new URLSearchParams({
       prefix,
       after: String(afterVersion),
@@ -115,7 +115,7 @@
       path: `/watch?${query}`,
       operation: 'watch',
       schema: watchSchema,
-      timeoutMilliseconds: watchMilliseconds + timeoutMilliseconds,
+      holdMilliseconds: watchMilliseconds,
       signal,
     });
   }
--- a/packages/arbutustide-object-store/src/store_http_client.ts
+++ b/packages/arbutustide-object-store/src/store_http_client.ts
@@ -39,6 +39,11 @@
 export interface StoreHttpClientOptions {
   readonly url: string;
   readonly timeoutMilliseconds: number;
+  /**
+   * The longest that a call takes, with the time in which this process read no
+   * answers. Without it, a multiple of the timeout.
+   */
+  readonly maximumMilliseconds?: number;
   /** Bearer token. */
   readonly token?: string;
   /**
@@ -61,7 +66,8 @@
   readonly body?: unknown;
   /** Era that the arguments were read in; an answer of another era fails. */
   readonly expectedEra?: number;
-  readonly timeoutMilliseconds?: number;
+  /** Time for which the store may hold the call open. */
+  readonly holdMilliseconds?: number;
   readonly signal?: AbortSignal;
 }
 
@@ -104,9 +110,7 @@
     call: StoreCall<T>,
   ): Promise<Result<StoreAnswer<T>, StoreError>> {
     this.counter.record(call.operation);
-    const timeout =
-      call.timeoutMilliseconds ?? this.options.timeoutMilliseconds;
-    const responseTimeout = new ResponseTimeout(timeout);
+    const responseTimeout = this.startTimeout(call.holdMilliseconds);
     const deadline = responseTimeout.signal;
     const headers: Record<string, string> = {...call.headers};
     if (this.options.token) {
@@ -145,6 +149,14 @@
     }
   }
 
+  private startTimeout(holdMilliseconds = 0): ResponseTimeout {
+    const {timeoutMilliseconds, maximumMilliseconds} = this.options;
+    return new ResponseTimeout(holdMilliseconds + timeoutMilliseconds, {
+      maximumMilliseconds:
+        maximumMilliseconds && holdMilliseconds + maximumMilliseconds,
+    });
+  }
+
   private createPool(): Pool {
     const {url, timeoutMilliseconds} = this.options;
     return new Pool(url, {
--- a/packages/arbutustide-placement/src/index.ts
+++ b/packages/arbutustide-placement/src/index.ts
@@ -60,6 +60,11 @@
 export {PlanReason} from './plan_types.js';
 export {planPlacement} from './placement_plan.js';
 export {Planner} from './planner.js';
-export {leaseKey, parseLease, PlannerLease} from './planner_lease.js';
+export {
+  leaseKey,
+  maximumLeaseCallMilliseconds,
+  parseLease,
+  PlannerLease,
+} from './planner_lease.js';
 export {PlannerLeadership} from './planner_leadership.js';
 export {WORKER_PREFIX, workerKey, workerRecordSchema} from './worker_record.js';
--- a/packages/arbutustide-placement/src/planner_lease.ts
+++ b/packages/arbutustide-placement/src/planner_lease.ts
@@ -24,6 +24,16 @@
   return `planner/lease/${region}`;
 }
 
+/**
+ * The longest that one call to the store may take: a renewal is a write and, if
+ * its outcome is unknown, a read, and both must end within the lease.
+ */
+export function maximumLeaseCallMilliseconds(
+  leaseMilliseconds: number,
+): number {
+  return leaseMilliseconds / 2;
+}
+
 /** Returns whether the process that holds the lease has certainly ended. */
 export type HolderProbe = (holder: string) => Promise<boolean>;
 
