ConnectPeerTransport: end the timer of a call with the call

Cause: the timeout of a call was never closed, so that its timer stayed until its time was over, and was looked at again as often as the loop had been late. Change: call() owns the timeout and closes it when the call has ended.

--- a/packages/arbutustide-membership/src/connect_peer_transport.ts
+++ b/packages/arbutustide-membership/src/connect_peer_transport.ts
@@ -79,8 +79,8 @@
     peerUrl: string,
     request: ExchangeRequest,
   ): Promise<Result<ExchangeResponse, PeerError>> {
-    return this.call(peerUrl, client =>
-      client.exchange(request, this.callOptions()),
+    return this.call(peerUrl, (client, options) =>
+      client.exchange(request, options),
     );
   }
 
@@ -88,8 +88,8 @@
     peerUrl: string,
     maximumAgeMilliseconds = 0,
   ): Promise<Result<string, PeerError>> {
-    const answer = await this.call(peerUrl, client =>
-      client.fetchHead({maximumAgeMilliseconds}, this.callOptions()),
+    const answer = await this.call(peerUrl, (client, options) =>
+      client.fetchHead({maximumAgeMilliseconds}, options),
     );
     return answer.map(({headJson}) => headJson);
   }
@@ -98,8 +98,8 @@
     peerUrl: string,
     digest: string,
   ): Promise<Result<string, PeerError>> {
-    const answer = await this.call(peerUrl, client =>
-      client.fetchContent({digest}, this.callOptions()),
+    const answer = await this.call(peerUrl, (client, options) =>
+      client.fetchContent({digest}, options),
     );
     return answer.map(({contentJson}) => contentJson);
   }
@@ -108,8 +108,8 @@
     peerUrl: string,
     request: HoldingRequest,
   ): Promise<Result<PromisedHolding | undefined, PeerError>> {
-    const answer = await this.call(peerUrl, client =>
-      client.requestHolding(request, this.callOptions()),
+    const answer = await this.call(peerUrl, (client, options) =>
+      client.requestHolding(request, options),
     );
     return answer.map(holding => (holding.promised ? holding : undefined));
   }
@@ -118,8 +118,8 @@
     peerUrl: string,
     requests: readonly HoldingRequest[],
   ): Promise<Result<PromisedHoldings, PeerError>> {
-    const answer = await this.call(peerUrl, client =>
-      client.requestHoldings({holdings: [...requests]}, this.callOptions()),
+    const answer = await this.call(peerUrl, (client, options) =>
+      client.requestHoldings({holdings: [...requests]}, options),
     );
     return answer.map(({holdings}) =>
       holdings.map(holding => (holding.promised ? holding : undefined)),
@@ -131,13 +131,14 @@
     request: WatchRequest,
     maximumMilliseconds?: number,
   ): Promise<Result<WatchResponse, PeerError>> {
-    const timeoutMilliseconds =
-      request.waitMilliseconds + WATCH_ANSWER_MILLISECONDS;
-    return this.call(peerUrl, client =>
-      client.watch(
-        request,
-        this.callOptions(timeoutMilliseconds, maximumMilliseconds),
-      ),
+    const timeout = new ResponseTimeout(
+      request.waitMilliseconds + WATCH_ANSWER_MILLISECONDS,
+      {maximumMilliseconds},
+    );
+    return this.call(
+      peerUrl,
+      (client, options) => client.watch(request, options),
+      timeout,
     );
   }
 
@@ -145,8 +146,8 @@
     peerUrl: string,
     request: RequestTokenRequest,
   ): Promise<Result<RequestTokenResponse, PeerError>> {
-    return this.call(peerUrl, client =>
-      client.requestToken(request, this.callOptions()),
+    return this.call(peerUrl, (client, options) =>
+      client.requestToken(request, options),
     );
   }
 
@@ -154,8 +155,8 @@
     peerUrl: string,
     request: RecordStreamOriginsRequest,
   ): Promise<Result<void, PeerError>> {
-    const answer = await this.call(peerUrl, client =>
-      client.recordStreamOrigins(request, this.callOptions()),
+    const answer = await this.call(peerUrl, (client, options) =>
+      client.recordStreamOrigins(request, options),
     );
     return answer.map(() => undefined);
   }
@@ -164,8 +165,8 @@
     peerUrl: string,
     request: FindStreamOriginRequest,
   ): Promise<Result<FindStreamOriginResponse, PeerError>> {
-    return this.call(peerUrl, client =>
-      client.findStreamOrigin(request, this.callOptions()),
+    return this.call(peerUrl, (client, options) =>
+      client.findStreamOrigin(request, options),
     );
   }
 
@@ -173,8 +174,8 @@
     peerUrl: string,
     request: ConfirmConfigurationRequest,
   ): Promise<Result<ConfirmConfigurationResponse, PeerError>> {
-    return this.call(peerUrl, client =>
-      client.confirmConfiguration(request, this.callOptions()),
+    return this.call(peerUrl, (client, options) =>
+      client.confirmConfiguration(request, options),
     );
   }
 
@@ -182,8 +183,8 @@
     peerUrl: string,
     request: LeaseQuotaRequest,
   ): Promise<Result<LeaseQuotaResponse, PeerError>> {
-    return this.call(peerUrl, client =>
-      client.leaseQuota(request, this.callOptions()),
+    return this.call(peerUrl, (client, options) =>
+      client.leaseQuota(request, options),
     );
   }
 
@@ -191,8 +192,8 @@
     peerUrl: string,
     request: LendRetriesRequest,
   ): Promise<Result<LendRetriesResponse, PeerError>> {
-    return this.call(peerUrl, client =>
-      client.lendRetries(request, this.callOptions()),
+    return this.call(peerUrl, (client, options) =>
+      client.lendRetries(request, options),
     );
   }
 
@@ -217,25 +218,19 @@
 
   private async call<T>(
     peerUrl: string,
-    send: (client: PeerClient) => Promise<T>,
+    send: (client: PeerClient, options: {signal: AbortSignal}) => Promise<T>,
+    timeout = new ResponseTimeout(this.timeoutMilliseconds),
   ): Promise<Result<T, PeerError>> {
+    const {signal} = timeout;
     try {
-      return Ok(await send(this.client(peerUrl)));
+      return Ok(await send(this.client(peerUrl), {signal}));
     } catch (error) {
       return Err(toPeerError(peerUrl, error));
+    } finally {
+      timeout.close();
     }
   }
 
-  private callOptions(
-    timeoutMilliseconds = this.timeoutMilliseconds,
-    maximumMilliseconds?: number,
-  ): {readonly signal: AbortSignal} {
-    const timeout = new ResponseTimeout(timeoutMilliseconds, {
-      maximumMilliseconds,
-    });
-    return {signal: timeout.signal};
-  }
-
   private client(peerUrl: string): PeerClient {
     const existing = this.clients.get(peerUrl);
     if (existing) return existing;
