HoldingRequester: go on after a call that was rejected

Cause: a planner call that rejects, such as one of the node's own planner that fails to decide, left the call marked as pending: this node asked for no holding any more until it was restarted. Change: such a call ends like one without an answer; the rejection is still reported.

--- a/packages/arbutustide-node/src/__tests__/unit/holding_requester.test.ts
+++ b/packages/arbutustide-node/src/__tests__/unit/holding_requester.test.ts
@@ -219,6 +219,31 @@
     }
   });
 
+  it('asks again after a call that was rejected, which is reported', async () => {
+    let isRejected = true;
+    const requester = createRequester(() => {
+      if (isRejected) throw new Error('not decided');
+      return promise(2_000);
+    });
+    const reported: unknown[] = [];
+    const report = (reason: unknown) => reported.push(reason);
+    const listeners = process.rawListeners('unhandledRejection');
+    process.removeAllListeners('unhandledRejection');
+    process.on('unhandledRejection', report);
+    try {
+      await askFor(requester, 1_000, ADAPTER);
+      isRejected = false;
+      const wait = await askFor(requester, 1_000, ADAPTER);
+      expect(wait).to.be.within(1_000, 2_000);
+    } finally {
+      process.off('unhandledRejection', report);
+      for (const listener of listeners)
+        process.on('unhandledRejection', listener as () => void);
+    }
+    expect(calls.length).to.be.within(4, 7);
+    expect(reported.map(String)).to.include('Error: not decided');
+  });
+
   it('sends no more than a bounded number of requests in a call', async () => {
     const requester = createRequester(() => promise(12));
     const adapters = listModels(100).map(({model}) => ({
--- a/packages/arbutustide-node/src/proxy/holding_requester.ts
+++ b/packages/arbutustide-node/src/proxy/holding_requester.ts
@@ -1,4 +1,4 @@
-import type {PromisedHolding} from '@arbutustide/membership';
+import type {PromisedHolding, PromisedHoldings} from '@arbutustide/membership';
 import type {
   ProxyUpstreamDirectory,
   ModelReference,
@@ -189,20 +189,32 @@
     this.scheduledCall = undefined;
     this.isCallPending = true;
     this.lastCallAtMilliseconds = performance.now();
-    const response = await this.plannerClient.requestHoldings(
-      wanted.map(toRequest),
-    );
+    let answers: PromisedHoldings | undefined;
+    try {
+      const response = await this.plannerClient.requestHoldings(
+        wanted.map(toRequest),
+      );
+      answers = response.unwrapOr(undefined);
+    } finally {
+      this.endCall(wanted, states, answers);
+    }
+  }
+
+  /** @param answers undefined if the call failed. */
+  private endCall(
+    wanted: readonly WantedHolding[],
+    states: readonly RequestState[],
+    answers: PromisedHoldings | undefined,
+  ): void {
     this.isCallPending = false;
-    this.pacer.recordCall(this.lastCallAtMilliseconds, response.ok);
+    this.pacer.recordCall(this.lastCallAtMilliseconds, answers !== undefined);
     for (const [index, state] of states.entries()) {
       state.isPending = false;
       state.updatedAtMilliseconds = performance.now();
       // Without a reachable planner the wait is unknown: requests stay queued.
-      if (response.ok)
-        this.applyAnswer(wanted[index].name, state, response.val[index]);
+      if (answers) this.applyAnswer(wanted[index].name, state, answers[index]);
     }
-    if (response.ok && response.val.includes(undefined))
-      this.directory.notifyListeners();
+    if (answers?.includes(undefined)) this.directory.notifyListeners();
     this.scheduleCall();
   }
 
