RelayedObjectStore: judge the age of a relayed answer as it is

Cause: an age below zero, or one that is no number, passed the bound on it; NaN stayed in the log of this node for ever, -1e9 kept it from watching the store. An answer that came late counted as no older than the bound. Change: such an answer counts as malformed, and the node watches the store itself; the time on the way counts in full.

--- a/packages/arbutustide-node/src/proxy/watch_relay/relayed_object_store.ts
+++ b/packages/arbutustide-node/src/proxy/watch_relay/relayed_object_store.ts
@@ -187,7 +187,9 @@
     if (!response.val.isServed) return Ok(undefined);
     const {ageMilliseconds} = response.val;
     const batch = parseBatch(response.val);
-    if (!batch) return Err(new PeerError(relayUrl, 'malformed changes'));
+    // An age that is no time would pass all bounds on it.
+    if (!batch || !(ageMilliseconds >= 0))
+      return Err(new PeerError(relayUrl, 'malformed changes'));
     if (ageMilliseconds > maximumAgeMilliseconds) {
       return Err(
         new PeerError(
@@ -198,8 +200,7 @@
     }
     // An answer without changes confirms the time at which it was sent.
     const elapsed = performance.now() - sentAt;
-    const age = Math.min(ageMilliseconds + elapsed, maximumAgeMilliseconds);
-    this.appendToLog(prefix, batch, age);
+    this.appendToLog(prefix, batch, ageMilliseconds + elapsed);
     return Ok(batch);
   }
 
