TurnQueue: sort by age without arithmetic on infinities

Cause: the ages of work under way are infinite, and their difference is no number; the sort takes that for equal. Change: the ages are compared.

--- a/packages/arbutustide-event-loop/src/__tests__/unit/turn_queue_urgency.test.ts
+++ b/packages/arbutustide-event-loop/src/__tests__/unit/turn_queue_urgency.test.ts
@@ -85,6 +85,20 @@
     expect(done).to.include('deferred');
   });
 
+  it('lets work under way go on in order, then the task that waits longest', async () => {
+    add('waits longest', DEFERRED);
+    await turns(0);
+    for (let index = 0; index < 7; index += 1) {
+      add('urgent', URGENT);
+      await turns(1);
+    }
+    add('urgent', URGENT);
+    for (const name of ['one', 'two', 'three']) add(name);
+    done = [];
+    await turns(5);
+    expect(done).to.eql(['one', 'two', 'three', 'waits longest', 'urgent']);
+  });
+
   it('expects no wait before any was measured', () => {
     for (let index = 0; index < 100; index += 1) add('task', URGENT);
     expect(queue.expectedWaitMilliseconds(URGENT)).to.equal(0);
--- a/packages/arbutustide-event-loop/src/turn_queue.ts
+++ b/packages/arbutustide-event-loop/src/turn_queue.ts
@@ -146,8 +146,8 @@
     if (this.turnsByUrgency < TURNS_BY_URGENCY) return this.lines.firstTasks();
     const ageOf = ([, {pollCount}, urgency]: [object, WaitingTask, number]) =>
       urgency === UNDER_WAY ? UNDER_WAY : pollCount;
-    return [...this.lines.firstTasks()].sort(
-      (left, right) => ageOf(left) - ageOf(right),
+    return [...this.lines.firstTasks()].sort((left, right) =>
+      compareNumbers(ageOf(left), ageOf(right)),
     );
   }
 
@@ -172,6 +172,11 @@
   }
 }
 
+/** Compares for a sort; a difference of infinities would not be a number. */
+function compareNumbers(left: number, right: number): number {
+  return Number(left > right) - Number(left < right);
+}
+
 /** Whether others wait for the turn of a task. */
 function isCounted({isWanted}: WaitingTask, urgency: number): boolean {
   return urgency !== UNDER_WAY && isWanted();
