Announced waits: count loads of local copies not against the store's rate

Cause: a waiting model of which an engine has a copy in memory or on disk was announced to wait for the loads from the store before it, and delayed those after it, although the planner's limit does not count such loads: its requests were refused too early. Change: only loads from the store follow its rate.

--- a/packages/arbutustide-placement/src/__tests__/unit/load_announcer.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/load_announcer.test.ts
@@ -154,6 +154,27 @@
     expect(expected?.get('engines/a')).to.equal(2 * first);
   });
 
+  it('has copies at engines wait for no load from the store, nor delay one', async () => {
+    queued = new Map([
+      ['a', 3],
+      ['b', 2],
+      ['c', 1],
+    ]);
+    const expected = await runPasses(
+      PASS_MILLISECONDS,
+      createEngine('one', {}),
+      createEngine('two', {inMemory: ['b']}),
+      createEngine('three', {}),
+    );
+    const first = NOTICE_MILLISECONDS + LOAD_MILLISECONDS;
+    expect(expected?.get('engines/a')).to.equal(first);
+    expect(expected?.get('engines/b')).to.equal(NOTICE_MILLISECONDS + 400);
+    expect(expected?.get('engines/c')).to.be.within(
+      first + 1_000,
+      first + 1_100,
+    );
+  });
+
   it('expects a longer wait the longer a model has found no place', async () => {
     queued.set('a', 1);
     await runPasses(9_000, createEngine('one', {}));
--- a/packages/arbutustide-placement/src/engines/expected_loads.ts
+++ b/packages/arbutustide-placement/src/engines/expected_loads.ts
@@ -50,6 +50,8 @@
   readonly storeLoadsPerSecond: number;
   /** Time from the decision until a model is loaded in the place of another. */
   readonly loadMilliseconds: (model: CataloguedModel) => number;
+  /** Whether its weights come from the store, as no engine has a copy. */
+  readonly usesStore: (model: CataloguedModel) => boolean;
 }
 
 /**
@@ -60,16 +62,17 @@
   models: Iterable<CataloguedModel>,
   capacity: LoadCapacity,
 ): Generator<readonly [CataloguedModel, number]> {
-  const {storeLoadsPerSecond, loadMilliseconds} = capacity;
+  const {storeLoadsPerSecond, loadMilliseconds, usesStore} = capacity;
   const freeIn = [...capacity.freeInMilliseconds];
   const intervalMilliseconds = 1_000 / (storeLoadsPerSecond * STORE_RATE_SHARE);
   let storeFreeIn = 0;
   for (const model of models) {
     const engineFreeIn = Math.min(...freeIn);
-    const begin = Math.max(engineFreeIn, storeFreeIn);
+    const isStoreLoad = usesStore(model);
+    const begin = Math.max(engineFreeIn, isStoreLoad ? storeFreeIn : 0);
     const ready = begin + loadMilliseconds(model);
     freeIn[freeIn.indexOf(engineFreeIn)] = ready;
-    storeFreeIn = begin + intervalMilliseconds;
+    if (isStoreLoad) storeFreeIn = begin + intervalMilliseconds;
     yield [model, ready];
   }
 }
--- a/packages/arbutustide-placement/src/engines/load_announcer.ts
+++ b/packages/arbutustide-placement/src/engines/load_announcer.ts
@@ -7,7 +7,7 @@
 import type {DecidedLoad} from './expected_loads.js';
 
 import {decidedLoads, expectedWaits} from './expected_loads.js';
-import {expectedLoadMilliseconds} from './load_estimates.js';
+import {expectedLoadMilliseconds, hasLocalCopy} from './load_estimates.js';
 
 /** Times that change by less are not published again. */
 const MINIMUM_CHANGE_MILLISECONDS = 500;
@@ -138,6 +138,8 @@
         Math.min(
           ...engines.map(({listed}) => expectedLoadMilliseconds(model, listed)),
         ),
+      usesStore: model =>
+        !engines.some(({listed}) => hasLocalCopy(model, listed)),
     });
     for (const [{name}, wait] of waits)
       yield [entryNameOf(service, name), wait];
--- a/packages/arbutustide-placement/src/engines/load_estimates.ts
+++ b/packages/arbutustide-placement/src/engines/load_estimates.ts
@@ -17,6 +17,14 @@
   return Math.max(1, Math.floor(storeLoadsPerSecond * meanSeconds));
 }
 
+/** Whether an engine has a copy of a model's weights, in memory or on disk. */
+export function hasLocalCopy(
+  {name}: CataloguedModel,
+  {modelsInMemory, modelsOnDisk}: ListedEngine,
+): boolean {
+  return modelsInMemory.has(name) || modelsOnDisk.has(name);
+}
+
 /** Time to load a model at an engine, from the nearest copy of its weights. */
 export function expectedLoadMilliseconds(
   model: CataloguedModel,
