Confirmations of streams' origins read what has arrived before they give up

Cause: ListConfirmer and VersionHistory raced a read of the store with a timer. After a block of the event loop the timer came first, and a resumed stream was refused although the answer of the store lay in its socket. Change: settleWithin of the event loop's package ends a wait after one more poll for input; the time itself is not extended, as it is that of the request.

--- a/packages/arbutustide-node/src/proxy/stream_origin/list_confirmer.ts
+++ b/packages/arbutustide-node/src/proxy/stream_origin/list_confirmer.ts
@@ -4,6 +4,7 @@
 import type {Result} from 'ts-results';
 
 import {delay} from '@arbutustide/errors';
+import {settleWithin} from '@arbutustide/event-loop';
 
 /** Least time between the starts of two reads; callers in between share one. */
 const MINIMUM_INTERVAL_MILLISECONDS = 100;
@@ -55,7 +56,7 @@
     while (this.confirmedAtMilliseconds < sinceMilliseconds) {
       const remaining = endAt - performance.now();
       if (remaining <= 0 || this.hasFailedRecently) return false;
-      await Promise.race([this.readShared(), delay(remaining)]);
+      await settleWithin(this.readShared(), remaining);
     }
     return true;
   }
--- a/packages/arbutustide-node/src/proxy/stream_origin/version_history.ts
+++ b/packages/arbutustide-node/src/proxy/stream_origin/version_history.ts
@@ -9,6 +9,7 @@
 import type {StreamOriginStorage} from './stream_origin_storage.js';
 
 import {delay} from '@arbutustide/errors';
+import {settleWithin} from '@arbutustide/event-loop';
 import {Err, Ok} from 'ts-results';
 
 /** A failed read is not repeated in this time; the store may be overloaded. */
@@ -87,8 +88,8 @@
     while (!isKnown()) {
       const remaining = endAt - performance.now();
       if (remaining <= 0 || this.hasFailedRecently) return false;
-      const result = await Promise.race([this.read(), delay(remaining)]);
-      if (typeof result === 'boolean' || !result.ok) return false;
+      const result = await settleWithin(this.read(), remaining);
+      if (!result?.ok) return false;
       // Some node is about to create it.
       if (!this.entriesByService.has(service)) await delay(REREAD_MILLISECONDS);
     }
