Membership: make unary calls between nodes straight on HTTP/2 streams

Cause: in each call the library's transport and handler build universal requests, linked abort signals and asynchronous iterables, and the timeout of an answered call ran on to its end, where it aborted a signal and created an error that nobody read. On a cold node this is more than the encoding, the merging of records and HTTP/2 together.

Change: UnaryPeerTransport and the handlers of unary_peer_server.ts speak the unary form of the Connect protocol on the streams themselves; the timeout of a call ends with it. Calls that stream, and unary calls in another form (JSON, GET, other encodings), still go through the library. Messages are bounded at 64 MiB, and an answer that is cut is not taken for a whole one.

--- a/packages/arbutustide-membership/src/connect_peer_server.ts
+++ b/packages/arbutustide-membership/src/connect_peer_server.ts
@@ -1,10 +1,14 @@
 import type {Http2Server, ServerHttp2Session} from 'node:http2';
 import type {AddressInfo} from 'node:net';
 
-import type {PeerHandler, PromisedHolding} from './peer_transport.js';
+import type {PeerHandler} from './peer_transport.js';
 
 import {once} from 'node:events';
-import {createServer} from 'node:http2';
+import {
+  createServer,
+  Http2ServerRequest,
+  Http2ServerResponse,
+} from 'node:http2';
 
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 
@@ -13,6 +17,8 @@
   COMPRESSION_MINIMUM_BYTES,
   PEER_COMPRESSION,
 } from './peer_compression.js';
+import {createPeerRoutes} from './peer_routes.js';
+import {createUnaryHandlers, isUnaryCall} from './unary_peer_server.js';
 
 const MAXIMUM_SESSIONS = 512;
 /** Requests of one session that are served at the same time. */
@@ -34,52 +40,26 @@
     handler: () => PeerHandler,
     private readonly onSessionBound: () => void = () => {},
   ) {
-    const handle = connectNodeAdapter({
+    const routes = createPeerRoutes(handler);
+    const unaryHandlers = createUnaryHandlers(routes);
+    const serveOther = connectNodeAdapter({
       acceptCompression: [PEER_COMPRESSION],
       compressMinBytes: COMPRESSION_MINIMUM_BYTES,
-      routes: router => {
-        router.service(MembershipService, {
-          exchange: request => handler().exchange(request),
-          fetchHead: ({maximumAgeMilliseconds}) => ({
-            headJson: handler().catalogueHeadJson(maximumAgeMilliseconds),
-          }),
-          fetchContent: ({digest}) => ({
-            contentJson: handler().catalogueContentJson(digest),
-          }),
-          requestHolding: async request => {
-            const holding = await handler().requestHolding(request);
-            return toHoldingResponse(holding);
-          },
-          requestHoldings: async request => {
-            const holdings = await handler().requestHoldings(request.holdings);
-            return {holdings: holdings.map(toHoldingResponse)};
-          },
-          watch: async request => {
-            const response = await handler().serveWatch(request);
-            return response ? {isServed: true, ...response} : {isServed: false};
-          },
-          recordStreamOrigins: request => {
-            handler().recordStreamOrigins(request);
-            return {};
-          },
-          relayRequest: (request, {signal}) =>
-            handler().relayRequest(request, signal),
-          findStreamOrigin: request => handler().findStreamOrigin(request),
-          confirmConfiguration: request =>
-            handler().confirmConfiguration(request),
-          leaseQuota: request => handler().leaseQuota(request),
-          lendRetries: request => ({lent: handler().lendRetries(request)}),
-          requestToken: request => {
-            const response = handler().issueToken(request);
-            return response ? {isIssuer: true, ...response} : {isIssuer: false};
-          },
-        });
-      },
+      routes: router => router.service(MembershipService, routes),
+    });
+    this.server = createServer({
+      settings: {maxConcurrentStreams: MAXIMUM_STREAMS},
+    });
+    this.server.on('stream', (stream, headers) => {
+      stream.on('error', () => {});
+      const serveUnary = unaryHandlers.get(headers[':path'] ?? '');
+      if (serveUnary && isUnaryCall(headers)) void serveUnary(stream, headers);
+      else
+        serveOther(
+          new Http2ServerRequest(stream, headers, {}, []),
+          new Http2ServerResponse(stream),
+        );
     });
-    this.server = createServer(
-      {settings: {maxConcurrentStreams: MAXIMUM_STREAMS}},
-      handle,
-    );
     this.server.on('session', session => this.addSession(session));
   }
 
@@ -132,7 +112,3 @@
     this.idleSessions.delete(session);
   }
 }
-
-function toHoldingResponse(holding: PromisedHolding | undefined) {
-  return holding ? {promised: true, ...holding} : {promised: false};
-}
--- a/packages/arbutustide-membership/src/connect_peer_transport.ts
+++ b/packages/arbutustide-membership/src/connect_peer_transport.ts
@@ -1,4 +1,4 @@
-import type {Client} from '@connectrpc/connect';
+import type {CallOptions, Client} from '@connectrpc/connect';
 import type {Result} from 'ts-results';
 
 import type {
@@ -39,6 +39,7 @@
 } from './peer_compression.js';
 import {PeerSessionManager} from './peer_session_manager.js';
 import {PeerError} from './peer_transport.js';
+import {UnaryPeerTransport} from './unary_peer_transport.js';
 
 /**
  * After this time without traffic a connection is checked with a ping. Longer
@@ -218,7 +219,7 @@
 
   private async call<T>(
     peerUrl: string,
-    send: (client: PeerClient, options: {signal: AbortSignal}) => Promise<T>,
+    send: (client: PeerClient, options: CallOptions) => Promise<T>,
     timeout = new ResponseTimeout(this.timeoutMilliseconds),
   ): Promise<Result<T, PeerError>> {
     const {signal} = timeout;
@@ -252,7 +253,10 @@
       sessionManager,
     });
     this.sessions.set(peerUrl, sessionManager);
-    const client = createClient(MembershipService, transport);
+    const client = createClient(
+      MembershipService,
+      new UnaryPeerTransport(sessionManager, transport),
+    );
     this.clients.set(peerUrl, client);
     return client;
   }
