Make no plan of models again while nothing has changed

Cause: a pass plans all models over all engines every 150 ms, also at rest, when demand, engines and reports are those of the pass before.

Change: a plan without moves is kept with its input; while the input is the same, there is none. A plan with moves is made again in each pass, as the weight store may allow by then what it did not. The choices of the plan are untouched.

--- a/packages/arbutustide-placement/src/engines/model_loader.ts
+++ b/packages/arbutustide-placement/src/engines/model_loader.ts
@@ -13,7 +13,7 @@
 import {LoadRateLimiter} from '../load_rate_limiter.js';
 import {orderedModel} from './pending_model_order.js';
 import {maximumConcurrentStoreLoads} from './load_estimates.js';
-import {planModelMoves} from './model_plan.js';
+import {MovePlanner} from './move_planner.js';
 import {STORE_RATE_SHARE} from './planner_constants.js';
 import {
   findBlockedReason,
@@ -46,6 +46,8 @@
    * service.
    */
   private readonly postponedModels = new Map<string, Set<string>>();
+  /** By service. */
+  private readonly movePlanners = new Map<string, MovePlanner>();
 
   constructor(
     private readonly registry: EngineRegistry,
@@ -76,7 +78,8 @@
       .entriesOfService(service.name)
       .filter(({listed}) => listed.isReady)
       .map(entry => this.registry.toPlannedEngine(entry));
-    for (const move of planModelMoves(models, engines, settings)) {
+    const movePlanner = this.movePlannerOf(service);
+    for (const move of movePlanner.plan({models, engines, settings})) {
       const entry = this.registry.get(move.engineId);
       if (!entry) continue;
       const [evicted] = move.evicted;
@@ -186,6 +189,12 @@
       ).length;
   }
 
+  private movePlannerOf({name}: EngineService): MovePlanner {
+    const movePlanner = this.movePlanners.get(name) ?? new MovePlanner();
+    this.movePlanners.set(name, movePlanner);
+    return movePlanner;
+  }
+
   private loadLimiterOf(service: EngineService): LoadRateLimiter {
     const existing = this.loadLimiters.get(service.name);
     if (existing) return existing;
