Write holdings only for engines whose holdings have changed

Cause: each pass made a record of each engine's holdings, and a set of them at the own node, and compared the record with the one before field by field.

Change: the planner publishes the same list while the holdings are the same. The node makes no record and no set of a list that it has made them of; if it went by another planner meanwhile, it goes by its own again.

--- a/packages/arbutustide-node/src/proxy/node_engine_planner_environment.ts
+++ b/packages/arbutustide-node/src/proxy/node_engine_planner_environment.ts
@@ -25,11 +25,20 @@
 import {adapterEntryName, modelEntryName} from '@arbutustide/routing';
 import {create} from '@bufbuild/protobuf';
 
+/** Holdings of an engine's process, and the lease under which they were told. */
+interface PublishedHoldings {
+  readonly held: readonly string[];
+  readonly startedAt: number;
+  readonly epoch: number;
+}
+
 /**
  * Connects the engine planner to its node: gives it the engines, services and
  * demand over all nodes, and publishes its results in this node's record.
  */
 export class NodeEnginePlannerEnvironment implements EnginePlannerEnvironment {
+  /** What this node's record says of each engine, by id. */
+  private readonly publishedHoldings = new Map<string, PublishedHoldings>();
   private cachedConfiguration: ServingConfiguration | undefined;
   private cachedServices: EngineService[] = [];
 
@@ -85,9 +94,17 @@
     const key = `holdings/${id}`;
     this.directory.get(id)?.setPlannedHoldings(held);
     if (!held) {
+      this.publishedHoldings.delete(id);
       this.memberTable.ownRecord.remove(key);
       return;
     }
+    const published = this.publishedHoldings.get(id);
+    const isPublished =
+      published?.held === held &&
+      published.startedAt === startedAt &&
+      published.epoch === epoch;
+    if (isPublished) return;
+    this.publishedHoldings.set(id, {held, startedAt, epoch});
     const value = create(UpstreamHoldingsSchema, {
       upstreamId: id,
       upstreamStartedAt: BigInt(startedAt),
--- a/packages/arbutustide-placement/src/__tests__/unit/engine_planner.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/engine_planner.test.ts
@@ -145,6 +145,29 @@
     expect(holders).to.have.length.above(1);
   });
 
+  it('publishes a new list of holdings only for engines whose holdings change', async () => {
+    const listCounts = () =>
+      rig.engines.map(({id}) => rig.publishedLists.get(id)?.size ?? 0);
+    for (const engine of rig.engines) engine.models.add('gamma');
+    rig.start();
+    await clock.tickAsync(5_000);
+    const before = listCounts();
+    await clock.tickAsync(5_000);
+    expect(listCounts()).to.deep.equal(before);
+    rig.demand.set('delta', 12);
+    await clock.tickAsync(5_000);
+    for (const [index, {id, loadStarts}] of rig.engines.entries()) {
+      const added = listCounts()[index] - before[index];
+      if (loadStarts.length === 0) expect(added, id).to.equal(0);
+      else expect(added, id).to.be.within(0, 2 * loadStarts.length);
+    }
+    expect(
+      [...rig.publishedLists.values()].some(lists =>
+        [...lists].some(list => list.includes('delta')),
+      ),
+    ).to.equal(true);
+  });
+
   it('tells how long a model was waited for', async () => {
     rig.demand.set('beta', 3);
     rig.start();
--- a/packages/arbutustide-placement/src/__tests__/unit/planner_rig.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/planner_rig.ts
@@ -106,6 +106,8 @@
   readonly events: PlannerEvent[] = [];
   /** Requests for each model, over all nodes. */
   readonly demand = new Map<string, number>();
+  /** All lists of holdings that were published, by engine. */
+  readonly publishedLists = new Map<string, Set<readonly string[]>>();
   readonly planner: EnginePlanner;
   /** Called once in each pass. */
   onPass = () => {};
@@ -197,7 +199,10 @@
       countQueuedRequests: (_service, model) =>
         this.isHeld(model) ? 0 : count(model),
       isAdapterInUse: () => false,
-      publishHoldings: () => {},
+      publishHoldings: ({id}, held) => {
+        const lists = this.publishedLists.get(id) ?? new Set();
+        this.publishedLists.set(id, held ? lists.add(held) : lists);
+      },
       publishExpectedLoads: () => {},
       broadcastHoldings: () => {},
       recordEvent: event => this.events.push(event),
--- a/packages/arbutustide-placement/src/engines/engine_planner_environment.ts
+++ b/packages/arbutustide-placement/src/engines/engine_planner_environment.ts
@@ -108,7 +108,8 @@
    * Publishes to all nodes what an engine holds. Undefined withdraws what was
    * published for it before.
    *
-   * @param held models and adapters, as `MODEL` or `MODEL/ADAPTER`.
+   * @param held models and adapters, as `MODEL` or `MODEL/ADAPTER`; the same
+   *     array as before if they have not changed.
    * @param epoch epoch of the planner's lease.
    */
   publishHoldings(
--- a/packages/arbutustide-placement/src/engines/engine_registry.ts
+++ b/packages/arbutustide-placement/src/engines/engine_registry.ts
@@ -33,8 +33,8 @@
   pendingModelOrder: PendingModelOrder | undefined;
   /** Whether the last attempt to read its report failed. */
   isReportFailing: boolean;
-  /** Models last published for the engine, joined by commas. */
-  publishedModels: string;
+  /** Models and adapters last published for the engine. */
+  publishedEntries: readonly string[];
   /** The call that reads its report now, if one does. */
   pendingReport: Promise<void> | undefined;
   /** Resolves once all queued orders are answered; orders are sequential. */
@@ -267,15 +267,18 @@
       const usable = [
         ...holdings.usableEntries(this.settings.adapterLoadMilliseconds),
       ];
-      const accepting = usable.filter(
-        name =>
-          name !== pendingEviction?.model &&
-          !name.startsWith(`${pendingEviction?.model}/`),
-      );
-      this.environment.publishHoldings(listed, accepting, epoch);
-      const models = accepting.filter(name => !name.includes('/')).join();
-      haveModelsChanged ||= models !== entry.publishedModels;
-      entry.publishedModels = models;
+      const accepting = pendingEviction
+        ? withoutModel(usable, pendingEviction.model)
+        : usable;
+      const published = entry.publishedEntries;
+      if (!areSameNames(accepting, published)) {
+        haveModelsChanged ||= !areSameNames(
+          namesOfModels(accepting),
+          namesOfModels(published),
+        );
+        entry.publishedEntries = accepting;
+      }
+      this.environment.publishHoldings(listed, entry.publishedEntries, epoch);
     }
     this.loadAnnouncer.announce([...this.entries.values()], epoch);
     if (haveModelsChanged) this.environment.broadcastHoldings();
@@ -296,9 +299,30 @@
       pendingEviction: undefined,
       pendingModelOrder: undefined,
       isReportFailing: false,
-      publishedModels: '',
+      publishedEntries: [],
       pendingReport: undefined,
       orderQueue: Promise.resolve(),
     };
   }
 }
+
+/** Entries, as `MODEL` or `MODEL/ADAPTER`, without a model and its adapters. */
+function withoutModel(entries: readonly string[], model: string): string[] {
+  return entries.filter(
+    name => name !== model && !name.startsWith(`${model}/`),
+  );
+}
+
+function namesOfModels(entries: readonly string[]): string[] {
+  return entries.filter(name => !name.includes('/'));
+}
+
+function areSameNames(
+  left: readonly string[],
+  right: readonly string[],
+): boolean {
+  return (
+    left.length === right.length &&
+    left.every((name, index) => name === right[index])
+  );
+}
--- a/packages/arbutustide-routing/src/proxy/proxy_upstream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_upstream.ts
@@ -101,6 +101,8 @@
   private backOffEndMilliseconds = 0;
   private listedHoldings: ReadonlySet<string> = new Set();
   private plannedHoldings: ReadonlySet<string> | undefined;
+  /** What `plannedHoldings` was made from. */
+  private plannedNames: readonly string[] | undefined;
   private readonly observedHoldings = new Map<string, ObservedHolding>();
 
   constructor(private currentDescription: UpstreamDescription) {
@@ -185,6 +187,8 @@
 
   /** Sets the holdings planned for it; undefined to use the listed ones. */
   setPlannedHoldings(held: readonly string[] | undefined): void {
+    if (held === this.plannedNames) return;
+    this.plannedNames = held;
     this.plannedHoldings = held && new Set(held);
   }
 
