Read the reports of engines that only new orders change every 4 s

Cause: the planner reads the report of each idle engine every second, although it knows what its own orders changed. At rest that is 20 calls a second for 20 engines.

Change: an engine is settled if its report shows the effect of all orders, no order is unanswered, none that this planner does not know of can arrive any more (15 s after it first saw the process, after an order without an acceptance, and after a report with an unexpected sequence), and its latest report did not fail. Its report is read every 4 s; loads start while it is less than 8 s old. An eviction makes it unsettled at once. Restarts are still seen in the platform's list, busy engines as before.

Limit: an engine that stops answering reports without being listed or probed as gone is found out up to 3 s later than before.

--- a/packages/arbutustide-placement/src/__tests__/unit/planner_rig.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/planner_rig.ts
@@ -34,6 +34,7 @@
   planningIntervalMilliseconds: 150,
   maximumReportAgeMilliseconds: 1_000,
   maximumBusyReportAgeMilliseconds: 250,
+  maximumSettledReportAgeMilliseconds: 4_000,
   evictionNoticeMilliseconds: 500,
   adapterLoadMilliseconds: 12,
   minimumAdapterIdleMilliseconds: 300,
@@ -56,6 +57,7 @@
   isAnswering = true;
   isBusy = false;
   sequence = 0;
+  startedAt = 1;
   reportCount = 0;
   /** When it began to load models. */
   readonly loadStarts: number[] = [];
@@ -89,7 +91,7 @@
       service: SERVICE,
       failureDomain: 'domain-a',
       softwareVersion: 'v1',
-      startedAt: 1,
+      startedAt: this.startedAt,
       isReady: true,
       acceptsCalls: true,
       inFlight: 0,
--- a/packages/arbutustide-placement/src/engines/engine_holdings_tracker.ts
+++ b/packages/arbutustide-placement/src/engines/engine_holdings_tracker.ts
@@ -51,6 +51,11 @@
   private reportedAtMilliseconds = -Infinity;
   private isStale = true;
   private hasUnansweredOrder = false;
+  /**
+   * When an order that this planner does not know of may last have been on its
+   * way; at first those of an earlier planner may be.
+   */
+  private unknownOrderAtMilliseconds = performance.now();
   /** Accepted orders whose effect the last report does not show yet. */
   private acceptedSinceReport: TimedOrder[] = [];
   /** Loads sent to this process that have no answer. */
@@ -106,6 +111,22 @@
     );
   }
 
+  /**
+   * Whether the report shows the effect of all orders and no other may arrive, so
+   * that only a new order changes the holdings.
+   */
+  get isSettled(): boolean {
+    return (
+      this.isUpToDate &&
+      !this.isReportedBusy &&
+      this.reportedInTransit.length === 0 &&
+      this.acceptedSinceReport.length === 0 &&
+      this.unansweredLoads.length === 0 &&
+      performance.now() - this.unknownOrderAtMilliseconds >=
+        MAXIMUM_ORDER_DELAY_MILLISECONDS
+    );
+  }
+
   /** Models held, including those being unloaded. */
   get heldModels(): readonly string[] {
     return [...this.models.keys()];
@@ -180,6 +201,7 @@
   applyReport(report: EngineReport): void {
     if (this.sequence !== undefined && report.sequence < this.sequence) return;
     const isNewSequence = report.sequence !== this.sequence;
+    if (isNewSequence) this.unknownOrderAtMilliseconds = performance.now();
     this.sequence = report.sequence;
     this.models = new Map(
       report.models.map(({name, adapters}) => [name, new Set(adapters)]),
@@ -283,6 +305,7 @@
       return;
     }
     this.isStale = true;
+    this.unknownOrderAtMilliseconds = performance.now();
     this.hasUnansweredOrder ||= answer === undefined;
     if (answer === undefined && isLoadOrder(order))
       this.recordUnansweredLoad(order);
--- a/packages/arbutustide-placement/src/engines/engine_registry.ts
+++ b/packages/arbutustide-placement/src/engines/engine_registry.ts
@@ -50,6 +50,8 @@
   readonly maximumReportAgeMilliseconds: number;
   /** Age from which a report is read again while the engine is busy. */
   readonly maximumBusyReportAgeMilliseconds: number;
+  /** The same while only a new order can change what the engine holds. */
+  readonly maximumSettledReportAgeMilliseconds: number;
   /** Load time of an adapter while few others are being transferred. */
   readonly adapterLoadMilliseconds: number;
   /** Delay between withdrawing a model from the nodes and unloading it. */
@@ -172,17 +174,32 @@
     const {holdings, listed} = entry;
     if (!listed.acceptsCalls) return false;
     if (!holdings.isUpToDate) return true;
-    const {maximumReportAgeMilliseconds, maximumBusyReportAgeMilliseconds} =
-      this.settings;
     const maximumAgeMilliseconds = holdings.isBusy
-      ? maximumBusyReportAgeMilliseconds
-      : maximumReportAgeMilliseconds;
+      ? this.settings.maximumBusyReportAgeMilliseconds
+      : this.maximumIdleReportAge(entry);
     return (
       holdings.reportAgeMilliseconds >= maximumAgeMilliseconds &&
       !this.isLoadUnderWay(entry)
     );
   }
 
+  /** Age from which the report of an engine that is not busy is read again. */
+  private maximumIdleReportAge({
+    holdings,
+    isReportFailing,
+    pendingEviction,
+    pendingModelOrder,
+  }: EngineEntry): number {
+    const isSettled =
+      holdings.isSettled &&
+      !isReportFailing &&
+      pendingEviction === undefined &&
+      pendingModelOrder === undefined;
+    return isSettled
+      ? this.settings.maximumSettledReportAgeMilliseconds
+      : this.settings.maximumReportAgeMilliseconds;
+  }
+
   /** Whether a report would only show that a load has not ended. */
   isLoadUnderWay({holdings, listed}: EngineEntry): boolean {
     const {loadingModel, loadingMilliseconds = Infinity} = holdings;
@@ -209,13 +226,8 @@
   }
 
   /** Whether an engine can accept an order for a model now. */
-  canAcceptOrder({
-    holdings,
-    listed,
-    pendingEviction,
-    pendingModelOrder,
-  }: EngineEntry): boolean {
-    const {maximumReportAgeMilliseconds} = this.settings;
+  canAcceptOrder(entry: EngineEntry): boolean {
+    const {holdings, listed, pendingEviction, pendingModelOrder} = entry;
     return (
       listed.isReady &&
       listed.acceptsCalls &&
@@ -223,7 +235,7 @@
       !holdings.isBusy &&
       pendingModelOrder === undefined &&
       pendingEviction === undefined &&
-      holdings.reportAgeMilliseconds < 2 * maximumReportAgeMilliseconds
+      holdings.reportAgeMilliseconds < 2 * this.maximumIdleReportAge(entry)
     );
   }
 
