Read the demand for models once a pass, and count holders in one scan

Cause: a pass read the demand for each model four times, from the tables of all nodes, went through all engines for each model to count its holders, and looked each idle engine's load up among all models.

Change: the counts of the sample are those that plan and reasons go by; without requests no reasons are looked for. The announcement of loads still reads the queued requests for itself.

Measured: 12 reads in a pass with 4 models and one demanded before, 9 or fewer now (engine_planner.test.ts, which fails without it).

--- a/packages/arbutustide-placement/src/__tests__/unit/engine_planner.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/engine_planner.test.ts
@@ -168,6 +168,21 @@
     ).to.equal(true);
   });
 
+  it('reads the demand for a model at most twice in a pass, and once more if it has requests', async () => {
+    rig.demand.set('alpha', 3);
+    rig.start();
+    await clock.tickAsync(5_000);
+    const before = rig.demandReadCount;
+    let passes = 0;
+    rig.onPass = () => {
+      passes += 1;
+    };
+    await clock.tickAsync(5_000);
+    expect((rig.demandReadCount - before) / passes).to.be.at.most(
+      2 * MODELS.length + 1,
+    );
+  });
+
   it('tells how long a model was waited for', async () => {
     rig.demand.set('beta', 3);
     rig.start();
--- a/packages/arbutustide-placement/src/__tests__/unit/planner_rig.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/planner_rig.ts
@@ -111,6 +111,8 @@
   /** All lists of holdings that were published, by engine. */
   readonly publishedLists = new Map<string, Set<readonly string[]>>();
   readonly planner: EnginePlanner;
+  /** Times that the demand for a model was read. */
+  demandReadCount = 0;
   /** Called once in each pass. */
   onPass = () => {};
   /** Time of an answered call to an engine. */
@@ -190,7 +192,10 @@
   }
 
   private createEnvironment(service: EngineService): EnginePlannerEnvironment {
-    const count = (model: string) => this.demand.get(model) ?? 0;
+    const count = (model: string) => {
+      this.demandReadCount += 1;
+      return this.demand.get(model) ?? 0;
+    };
     return {
       listEngines: () => {
         this.onPass();
@@ -198,8 +203,10 @@
       },
       listServices: () => [service],
       countRequests: (_service, model) => count(model),
-      countQueuedRequests: (_service, model) =>
-        this.isHeld(model) ? 0 : count(model),
+      countQueuedRequests: (_service, model) => {
+        const requests = count(model);
+        return this.isHeld(model) ? 0 : requests;
+      },
       isAdapterInUse: () => false,
       publishHoldings: ({id}, held) => {
         const lists = this.publishedLists.get(id) ?? new Set();
--- a/packages/arbutustide-placement/src/engines/engine_planner.ts
+++ b/packages/arbutustide-placement/src/engines/engine_planner.ts
@@ -88,7 +88,6 @@
       this.registry,
       this.orderSender,
       this.demand,
-      environment,
       settings,
     );
     this.passRecorder = new PassRecorder(this.unloaded, passes =>
@@ -229,11 +228,10 @@
     const unloaded = services.flatMap(service => [
       ...this.modelLoader.unloadedModels(service),
     ]);
-    const held = new Map(
-      services.map(({name}) => [name, this.registry.heldModels(name)]),
-    );
     const isHeld = (service: string, model: string) =>
-      held.get(service)?.has(model) ?? false;
+      this.registry
+        .entriesOfService(service)
+        .some(({holdings}) => holdings.holdsModel(model));
     for (const {service, model, waitedMilliseconds} of this.unloaded.update(
       unloaded,
       isHeld,
--- a/packages/arbutustide-placement/src/engines/expected_loads.ts
+++ b/packages/arbutustide-placement/src/engines/expected_loads.ts
@@ -27,6 +27,7 @@
     const {holdings, listed, pendingEviction, pendingModelOrder} = entry;
     const loading = holdings.loadingModel ?? orderedModel(pendingModelOrder);
     const name = loading ?? pendingEviction?.replacement;
+    if (name === undefined) continue;
     const model = models.find(catalogued => catalogued.name === name);
     if (!model) continue;
     const isEvicting = loading === undefined;
--- a/packages/arbutustide-placement/src/engines/model_demand.ts
+++ b/packages/arbutustide-placement/src/engines/model_demand.ts
@@ -1,4 +1,4 @@
-import type {EngineRegistry} from './engine_registry.js';
+import type {EngineEntry, EngineRegistry} from './engine_registry.js';
 import type {
   CataloguedModel,
   EnginePlannerEnvironment,
@@ -27,9 +27,19 @@
   readonly replicaTargetUtilization: number;
 }
 
+/** Requests for a model over all nodes, as a pass found them. */
+interface RequestCounts {
+  readonly requests: number;
+  readonly queued: number;
+}
+
+const NO_REQUESTS: RequestCounts = {requests: 0, queued: 0};
+
 /** Tracks the demand for the models of each service. */
 export class ModelDemand {
   private readonly trackers = new Map<string, DemandTracker>();
+  /** By service and model; only models with requests. */
+  private readonly counts = new Map<string, Map<string, RequestCounts>>();
 
   constructor(
     private readonly registry: EngineRegistry,
@@ -45,20 +55,29 @@
   sample({name, models, slots}: EngineService): void {
     const demand = this.trackerOf(name);
     const entries = this.registry.entriesOfService(name);
+    const counts = this.readCounts(name, models);
+    this.counts.set(name, counts);
+    if (!this.registry.areHoldingsKnown(name)) return;
+    const holderCounts = countHolders(entries);
     const samples = models.map(model => ({
       entry: `${name}/${model.name}`,
-      concurrency: this.environment.countRequests(name, model.name),
+      concurrency: counts.get(model.name)?.requests ?? 0,
     }));
-    if (!this.registry.areHoldingsKnown(name)) return;
     for (const [index, {entry}] of samples.entries()) {
-      const holders = entries.filter(({holdings}) =>
-        holdings.holdsModel(models[index].name),
-      );
-      demand.assumeInitial(entry, this.initialDemand(slots, holders.length));
-    }
-    if (samples.some(({concurrency}) => concurrency > 0)) {
-      demand.recordSamples(samples);
+      const holders = holderCounts.get(models[index].name) ?? 0;
+      demand.assumeInitial(entry, this.initialDemand(slots, holders));
     }
+    if (counts.size > 0) demand.recordSamples(samples);
+  }
+
+  /** Requests for a model at the latest sample. */
+  countsOf(service: string, model: string): RequestCounts {
+    return this.counts.get(service)?.get(model) ?? NO_REQUESTS;
+  }
+
+  /** Models with requests at the latest sample. */
+  requestedModels(service: string): Iterable<string> {
+    return this.counts.get(service)?.keys() ?? [];
   }
 
   /** A model with its demand, as the input of the plan. */
@@ -70,11 +89,25 @@
       ...catalogued,
       expectedDemand: demand.expectedConcurrency(entry),
       peakDemand: demand.recentPeak(entry),
-      queuedRequests: this.environment.countQueuedRequests(service, name),
+      queuedRequests: this.countsOf(service, name).queued,
       waitedMilliseconds: this.unloaded.waitedMilliseconds(service, name),
     };
   }
 
+  private readCounts(
+    service: string,
+    models: readonly CataloguedModel[],
+  ): Map<string, RequestCounts> {
+    const counts = new Map<string, RequestCounts>();
+    for (const {name} of models) {
+      const requests = this.environment.countRequests(service, name);
+      if (requests === 0) continue;
+      const queued = this.environment.countQueuedRequests(service, name);
+      counts.set(name, {requests, queued});
+    }
+    return counts;
+  }
+
   /** Initial demand for a model: more holders suggest more past demand. */
   private initialDemand(slots: number, holders: number): number {
     const {initialDemandShare, replicaTargetUtilization} = this.settings;
@@ -97,3 +130,12 @@
     return demand;
   }
 }
+
+/** Number of engines that hold each model. */
+function countHolders(entries: Iterable<EngineEntry>): Map<string, number> {
+  const counts = new Map<string, number>();
+  for (const {holdings} of entries)
+    for (const model of holdings.heldModels)
+      counts.set(model, (counts.get(model) ?? 0) + 1);
+  return counts;
+}
--- a/packages/arbutustide-placement/src/engines/model_loader.ts
+++ b/packages/arbutustide-placement/src/engines/model_loader.ts
@@ -1,8 +1,5 @@
 import type {EngineEntry, EngineRegistry} from './engine_registry.js';
-import type {
-  EnginePlannerEnvironment,
-  EngineService,
-} from './engine_planner_environment.js';
+import type {EngineService} from './engine_planner_environment.js';
 import type {ModelDemand} from './model_demand.js';
 import type {ModelMove, ModelPlanSettings, PlannedModel} from './model_plan.js';
 import type {OrderSender} from './order_sender.js';
@@ -53,7 +50,6 @@
     private readonly registry: EngineRegistry,
     private readonly orderSender: OrderSender,
     private readonly demand: ModelDemand,
-    private readonly environment: EnginePlannerEnvironment,
     private readonly settings: ModelLoaderSettings,
   ) {}
 
@@ -97,6 +93,8 @@
 
   /** Models with requests that no engine holds, and why. Call it after `plan`. */
   *unloadedModels(service: EngineService): Generator<UnloadedModel> {
+    const requested = [...this.demand.requestedModels(service.name)];
+    if (requested.length === 0) return;
     const entries = this.registry
       .entriesOfService(service.name)
       .filter(({listed}) => listed.isReady);
@@ -105,9 +103,8 @@
     const blocked = this.registry.areHoldingsKnown(service.name)
       ? findBlockedReason(entries, entry => this.registry.canAcceptOrder(entry))
       : UnloadedReason.NO_REPORT;
-    for (const {name} of service.models) {
+    for (const name of requested) {
       if (held.has(name)) continue;
-      if (this.environment.countRequests(service.name, name) === 0) continue;
       const postponed = this.postponedModels.get(service.name)?.has(name)
         ? UnloadedReason.STORE_LIMIT
         : undefined;
