--- a/packages/arbutustide-placement/src/__tests__/unit/engine_planner.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/engine_planner.test.ts
@@ -173,6 +173,44 @@
     expect(rig.isHeld('alpha')).to.equal(true);
   });
 
+  it('publishes a new list of holdings only for engines whose holdings change', async () => {
+    const listCounts = () =>
+      rig.engines.map(({id}) => rig.publishedLists.get(id)?.size ?? 0);
+    for (const engine of rig.engines) engine.models.add('gamma');
+    rig.start();
+    await clock.tickAsync(5_000);
+    const before = listCounts();
+    await clock.tickAsync(5_000);
+    expect(listCounts()).to.deep.equal(before);
+    rig.demand.set('delta', 12);
+    await clock.tickAsync(5_000);
+    for (const [index, {id, loadStarts}] of rig.engines.entries()) {
+      const added = listCounts()[index] - before[index];
+      if (loadStarts.length === 0) expect(added, id).to.equal(0);
+      else expect(added, id).to.be.within(0, 2 * loadStarts.length);
+    }
+    expect(
+      [...rig.publishedLists.values()].some(lists =>
+        [...lists].some(list => list.includes('delta')),
+      ),
+    ).to.equal(true);
+  });
+
+  it('reads the demand for a model at most twice in a pass, and once more if it has requests', async () => {
+    rig.demand.set('alpha', 3);
+    rig.start();
+    await clock.tickAsync(5_000);
+    const before = rig.demandReadCount;
+    let passes = 0;
+    rig.onPass = () => {
+      passes += 1;
+    };
+    await clock.tickAsync(5_000);
+    expect((rig.demandReadCount - before) / passes).to.be.at.most(
+      2 * MODELS.length + 1,
+    );
+  });
+
   it('tells how long a model was waited for', async () => {
     rig.demand.set('beta', 3);
     rig.start();
--- a/packages/arbutustide-placement/src/__tests__/unit/planner_rig.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/planner_rig.ts
@@ -34,6 +34,7 @@
   planningIntervalMilliseconds: 150,
   maximumReportAgeMilliseconds: 1_000,
   maximumBusyReportAgeMilliseconds: 250,
+  maximumSettledReportAgeMilliseconds: 4_000,
   evictionNoticeMilliseconds: 500,
   adapterLoadMilliseconds: 12,
   minimumAdapterIdleMilliseconds: 300,
@@ -61,6 +62,7 @@
   hasEnded = false;
   isBusy = false;
   sequence = 0;
+  startedAt = 1;
   reportCount = 0;
   /** Time for which the runs of a model hold up its unload. */
   unloadMilliseconds = 0;
@@ -102,7 +104,7 @@
       service: SERVICE,
       failureDomain: 'domain-a',
       softwareVersion: 'v1',
-      startedAt: 1,
+      startedAt: this.startedAt,
       isReady: true,
       acceptsCalls: true,
       inFlight: 0,
@@ -119,7 +121,11 @@
   readonly events: PlannerEvent[] = [];
   /** Requests for each model, over all nodes. */
   readonly demand = new Map<string, number>();
+  /** All lists of holdings that were published, by engine. */
+  readonly publishedLists = new Map<string, Set<readonly string[]>>();
   readonly planner: EnginePlanner;
+  /** Times that the demand for a model was read. */
+  demandReadCount = 0;
   /** Called once in each pass. */
   onPass = () => {};
   /** Time of an answered call to an engine. */
@@ -203,7 +209,10 @@
   }
 
   private createEnvironment(service: EngineService): EnginePlannerEnvironment {
-    const count = (model: string) => this.demand.get(model) ?? 0;
+    const count = (model: string) => {
+      this.demandReadCount += 1;
+      return this.demand.get(model) ?? 0;
+    };
     return {
       listEngines: () => {
         this.onPass();
@@ -211,10 +220,15 @@
       },
       listServices: () => [service],
       countRequests: (_service, model) => count(model),
-      countQueuedRequests: (_service, model) =>
-        this.isHeld(model) ? 0 : count(model),
+      countQueuedRequests: (_service, model) => {
+        const requests = count(model);
+        return this.isHeld(model) ? 0 : requests;
+      },
       isAdapterInUse: () => false,
-      publishHoldings: () => {},
+      publishHoldings: ({id}, held) => {
+        const lists = this.publishedLists.get(id) ?? new Set();
+        this.publishedLists.set(id, held ? lists.add(held) : lists);
+      },
       publishExpectedLoads: () => {},
       broadcastHoldings: () => {},
       recordEvent: event => this.events.push(event),
--- a/packages/arbutustide-placement/src/engines/engine_registry.ts
+++ b/packages/arbutustide-placement/src/engines/engine_registry.ts
@@ -40,8 +40,8 @@
    * platform lists it for some seconds more.
    */
   hasEnded: boolean;
-  /** Models last published for the engine, joined by commas. */
-  publishedModels: string;
+  /** Models and adapters last published for the engine. */
+  publishedEntries: readonly string[];
   /** The call that reads its report now, if one does. */
   pendingReport: Promise<void> | undefined;
   /** Resolves once all queued orders are answered; orders are sequential. */
@@ -57,6 +57,8 @@
   readonly maximumReportAgeMilliseconds: number;
   /** Age from which a report is read again while the engine is busy. */
   readonly maximumBusyReportAgeMilliseconds: number;
+  /** The same while only a new order can change what the engine holds. */
+  readonly maximumSettledReportAgeMilliseconds: number;
   /** Load time of an adapter while few others are being transferred. */
   readonly adapterLoadMilliseconds: number;
   /** Delay between withdrawing a model from the nodes and unloading it. */
@@ -184,17 +186,32 @@
     const {holdings, listed} = entry;
     if (!listed.acceptsCalls) return false;
     if (!holdings.isUpToDate) return true;
-    const {maximumReportAgeMilliseconds, maximumBusyReportAgeMilliseconds} =
-      this.settings;
     const maximumAgeMilliseconds = holdings.isBusy
-      ? maximumBusyReportAgeMilliseconds
-      : maximumReportAgeMilliseconds;
+      ? this.settings.maximumBusyReportAgeMilliseconds
+      : this.maximumIdleReportAge(entry);
     return (
       holdings.reportAgeMilliseconds >= maximumAgeMilliseconds &&
       !this.isLoadUnderWay(entry)
     );
   }
 
+  /** Age from which the report of an engine that is not busy is read again. */
+  private maximumIdleReportAge({
+    holdings,
+    isReportFailing,
+    pendingEviction,
+    pendingModelOrder,
+  }: EngineEntry): number {
+    const isSettled =
+      holdings.isSettled &&
+      !isReportFailing &&
+      pendingEviction === undefined &&
+      pendingModelOrder === undefined;
+    return isSettled
+      ? this.settings.maximumSettledReportAgeMilliseconds
+      : this.settings.maximumReportAgeMilliseconds;
+  }
+
   /** Whether a report would only show that a load has not ended. */
   isLoadUnderWay({holdings, listed}: EngineEntry): boolean {
     const {loadingModel, loadingMilliseconds = Infinity} = holdings;
@@ -222,13 +239,8 @@
   }
 
   /** Whether an engine can accept an order for a model now. */
-  canAcceptOrder({
-    holdings,
-    listed,
-    pendingEviction,
-    pendingModelOrder,
-  }: EngineEntry): boolean {
-    const {maximumReportAgeMilliseconds} = this.settings;
+  canAcceptOrder(entry: EngineEntry): boolean {
+    const {holdings, listed, pendingEviction, pendingModelOrder} = entry;
     return (
       listed.isReady &&
       listed.acceptsCalls &&
@@ -236,7 +248,7 @@
       !holdings.isBusy &&
       pendingModelOrder === undefined &&
       pendingEviction === undefined &&
-      holdings.reportAgeMilliseconds < 2 * maximumReportAgeMilliseconds
+      holdings.reportAgeMilliseconds < 2 * this.maximumIdleReportAge(entry)
     );
   }
 
@@ -281,15 +293,18 @@
       const usable = [
         ...holdings.usableEntries(this.settings.adapterLoadMilliseconds),
       ];
-      const accepting = usable.filter(
-        name =>
-          name !== pendingEviction?.model &&
-          !name.startsWith(`${pendingEviction?.model}/`),
-      );
-      this.environment.publishHoldings(listed, accepting, epoch);
-      const models = accepting.filter(name => !name.includes('/')).join();
-      haveModelsChanged ||= models !== entry.publishedModels;
-      entry.publishedModels = models;
+      const accepting = pendingEviction
+        ? withoutModel(usable, pendingEviction.model)
+        : usable;
+      const published = entry.publishedEntries;
+      if (!areSameNames(accepting, published)) {
+        haveModelsChanged ||= !areSameNames(
+          namesOfModels(accepting),
+          namesOfModels(published),
+        );
+        entry.publishedEntries = accepting;
+      }
+      this.environment.publishHoldings(listed, entry.publishedEntries, epoch);
     }
     this.loadAnnouncer.announce([...this.entries.values()], epoch);
     if (haveModelsChanged) this.environment.broadcastHoldings();
@@ -311,9 +326,30 @@
       pendingModelOrder: undefined,
       isReportFailing: false,
       hasEnded: false,
-      publishedModels: '',
+      publishedEntries: [],
       pendingReport: undefined,
       orderQueue: Promise.resolve(),
     };
   }
 }
+
+/** Entries, as `MODEL` or `MODEL/ADAPTER`, without a model and its adapters. */
+function withoutModel(entries: readonly string[], model: string): string[] {
+  return entries.filter(
+    name => name !== model && !name.startsWith(`${model}/`),
+  );
+}
+
+function namesOfModels(entries: readonly string[]): string[] {
+  return entries.filter(name => !name.includes('/'));
+}
+
+function areSameNames(
+  left: readonly string[],
+  right: readonly string[],
+): boolean {
+  return (
+    left.length === right.length &&
+    left.every((name, index) => name === right[index])
+  );
+}
--- a/packages/arbutustide-placement/src/engines/model_loader.ts
+++ b/packages/arbutustide-placement/src/engines/model_loader.ts
@@ -3,10 +3,7 @@
   EngineRegistry,
   PendingEviction,
 } from './engine_registry.js';
-import type {
-  EnginePlannerEnvironment,
-  EngineService,
-} from './engine_planner_environment.js';
+import type {EngineService} from './engine_planner_environment.js';
 import type {ModelDemand} from './model_demand.js';
 import type {
   ModelMove,
@@ -23,7 +20,7 @@
 import {LoadRateLimiter} from '../load_rate_limiter.js';
 import {orderedModel} from './pending_model_order.js';
 import {maximumConcurrentStoreLoads} from './load_estimates.js';
-import {planModelMoves} from './model_plan.js';
+import {MovePlanner} from './move_planner.js';
 import {STORE_RATE_SHARE} from './planner_constants.js';
 import {
   findBlockedReason,
@@ -66,12 +63,13 @@
   private readonly postponedModels = new Map<string, Set<string>>();
   /** Turns of models that wait for a place, by service. */
   private readonly turns = new Map<string, WaitingTurns>();
+  /** By service. */
+  private readonly movePlanners = new Map<string, MovePlanner>();
 
   constructor(
     private readonly registry: EngineRegistry,
     private readonly orderSender: OrderSender,
     private readonly demand: ModelDemand,
-    private readonly environment: EnginePlannerEnvironment,
     private readonly settings: ModelLoaderSettings,
   ) {}
 
@@ -104,7 +102,8 @@
     const others = turn
       ? engines.map(engine => withMove(engine, turn))
       : engines;
-    for (const move of planModelMoves(models, others, settings))
+    const movePlanner = this.movePlannerOf(service);
+    for (const move of movePlanner.plan({models, engines: others, settings}))
       this.carryOut(service, move);
   }
 
@@ -127,6 +126,8 @@
 
   /** Models with requests that no engine holds, and why. Call it after `plan`. */
   *unloadedModels(service: EngineService): Generator<UnloadedModel> {
+    const requested = [...this.demand.requestedModels(service.name)];
+    if (requested.length === 0) return;
     const entries = this.registry
       .entriesOfService(service.name)
       .filter(({listed}) => listed.isReady);
@@ -135,9 +136,8 @@
     const blocked = this.registry.areHoldingsKnown(service.name)
       ? findBlockedReason(entries, entry => this.registry.canAcceptOrder(entry))
       : UnloadedReason.NO_REPORT;
-    for (const {name} of service.models) {
+    for (const name of requested) {
       if (held.has(name)) continue;
-      if (this.environment.countRequests(service.name, name) === 0) continue;
       const postponed = this.postponedModels.get(service.name)?.has(name)
         ? UnloadedReason.STORE_LIMIT
         : undefined;
@@ -233,6 +233,12 @@
     return turns;
   }
 
+  private movePlannerOf({name}: EngineService): MovePlanner {
+    const movePlanner = this.movePlanners.get(name) ?? new MovePlanner();
+    this.movePlanners.set(name, movePlanner);
+    return movePlanner;
+  }
+
   private loadLimiterOf(service: EngineService): LoadRateLimiter {
     const existing = this.loadLimiters.get(service.name);
     if (existing) return existing;
