--- a/packages/arbutustide-node/src/proxy/proxy_tuning.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tuning.ts
@@ -121,9 +121,9 @@
   maximumReportAgeMilliseconds: 1_000,
   // Reports lag by 200 ms, so more frequent polling yields nothing new.
   maximumBusyReportAgeMilliseconds: 250,
-  // A restart is seen in the platform's list, not in reports, and an order that
-  // the engine takes for outdated is followed by a report.
-  maximumSettledReportAgeMilliseconds: 4_000,
+  // An order that the engine takes for outdated is followed by a report. A refused
+  // report shows that an engine has ended, before the platform's list does.
+  maximumSettledReportAgeMilliseconds: 2_000,
   // Nodes are called directly when models change. Where that call fails, gossip
   // delivers the record within two exchanges.
   evictionNoticeMilliseconds: 500,
