--- a/scripts/prove.mjs
+++ b/scripts/prove.mjs
@@ -146,7 +146,7 @@
       cpSync(name, join(directory, name));
     const {stdout} = spawnSync(
       join(directory, 'node_modules/.bin/mocha'),
-      ['--reporter', 'json', testFile, '--fgrep', title],
+      ['--exit', '--reporter', 'json', testFile, '--fgrep', title],
       {cwd: directory, encoding: 'utf8', maxBuffer: MAXIMUM_OUTPUT_BYTES},
     );
     const report = JSON.parse(stdout.slice(stdout.indexOf('\n{\n') + 1));
