--- a/packages/arbutustide-node/src/proxy/proxy_tuning.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_tuning.ts
@@ -155,9 +155,9 @@
   // When all engines are loading, a requested model waits for the first of
   // them. The requests of that time amount to about a fifth of the slots.
   busyMoveCostShare: 0.2,
-  // Three load times: a model that the plan can place is loaded by then.
+  // A model that the plan can place is loaded by then.
   turnWaitMilliseconds: 12_000,
-  // A load takes 4 s, so a turn takes one engine at most at a time.
+  // One engine at most loads a model on a turn.
   turnSpacingMilliseconds: 4_000,
   // The callers of a rare model come back seconds after a refusal.
   turnTenureMilliseconds: 6_000,
