Announce no load for a place that is not free in time

The plan no longer counts an engine whose unload is late as the place of the replacement, but the announced loads and the reasons why a model is on no engine still did: nodes were told of a load at a time in the past, and would let their callers wait for it. All three ask expectedReplacement now. Found by reading; the new test failed before (one model announced).

--- a/packages/arbutustide-placement/src/__tests__/unit/load_announcer.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/load_announcer.test.ts
@@ -124,6 +124,20 @@
     );
   });
 
+  it('does not announce a model for a place that still runs requests for another', async () => {
+    const eviction = {
+      model: 'b',
+      replacement: 'c',
+      startedAtMilliseconds: -10_000,
+      isLate: true,
+    };
+    const expected = await runPasses(
+      PASS_MILLISECONDS,
+      createEngine('one', {held: ['b'], eviction}),
+    );
+    expect(expected?.size).to.equal(0);
+  });
+
   it('announces no model that is held and is to stay', async () => {
     queued.set('a', 5);
     const expected = await runPasses(
--- a/packages/arbutustide-placement/src/engines/engine_registry.ts
+++ b/packages/arbutustide-placement/src/engines/engine_registry.ts
@@ -5,28 +5,16 @@
   ListedEngine,
 } from './engine_planner_environment.js';
 import type {PlannedEngine} from './model_plan.js';
+import type {PendingEviction} from './pending_eviction.js';
 import type {PendingModelOrder} from './pending_model_order.js';
 
 import {EngineHoldingsTracker} from './engine_holdings_tracker.js';
 import {PlannerStep} from './engine_planner_environment.js';
 import {expectedLoadMilliseconds} from './load_estimates.js';
 import {LoadAnnouncer} from './load_announcer.js';
+import {expectedReplacement} from './pending_eviction.js';
 import {orderedModel} from './pending_model_order.js';
 
-/**
- * A model that is about to be unloaded. It is withdrawn from the nodes first,
- * so that no request is routed to it when it is unloaded.
- */
-export interface PendingEviction {
-  readonly model: string;
-  /** Model that is loaded in its place. */
-  readonly replacement: string;
-  /** Monotonic time at which the eviction was decided. */
-  readonly startedAtMilliseconds: number;
-  /** Whether runs of the model hold it up, so that others may be quicker. */
-  isLate: boolean;
-}
-
 /** A listed engine with its holdings and the operations in progress. */
 export interface EngineEntry {
   listed: ListedEngine;
@@ -267,7 +255,7 @@
       loadingModel:
         holdings.loadingModel ??
         orderedModel(pendingModelOrder) ??
-        (pendingEviction?.isLate ? undefined : pendingEviction?.replacement),
+        expectedReplacement(pendingEviction),
       utilization: listed.inFlight / slots,
       capacityShare: Math.min(
         1,
--- a/packages/arbutustide-placement/src/engines/expected_loads.ts
+++ b/packages/arbutustide-placement/src/engines/expected_loads.ts
@@ -4,6 +4,7 @@
 } from './engine_planner_environment.js';
 import type {EngineEntry} from './engine_registry.js';
 
+import {expectedReplacement} from './pending_eviction.js';
 import {orderedModel} from './pending_model_order.js';
 import {expectedLoadMilliseconds} from './load_estimates.js';
 import {STORE_RATE_SHARE} from './planner_constants.js';
@@ -26,7 +27,7 @@
   for (const entry of entries) {
     const {holdings, listed, pendingEviction, pendingModelOrder} = entry;
     const loading = holdings.loadingModel ?? orderedModel(pendingModelOrder);
-    const name = loading ?? pendingEviction?.replacement;
+    const name = loading ?? expectedReplacement(pendingEviction);
     if (name === undefined) continue;
     const model = models.find(catalogued => catalogued.name === name);
     if (!model) continue;
--- a/packages/arbutustide-placement/src/engines/model_loader.ts
+++ b/packages/arbutustide-placement/src/engines/model_loader.ts
@@ -1,8 +1,4 @@
-import type {
-  EngineEntry,
-  EngineRegistry,
-  PendingEviction,
-} from './engine_registry.js';
+import type {EngineEntry, EngineRegistry} from './engine_registry.js';
 import type {EngineService} from './engine_planner_environment.js';
 import type {ModelDemand} from './model_demand.js';
 import type {
@@ -11,6 +7,7 @@
   PlannedEngine,
   PlannedModel,
 } from './model_plan.js';
+import type {PendingEviction} from './pending_eviction.js';
 import type {OrderSender} from './order_sender.js';
 import type {UnloadedModel} from './unloaded_models.js';
 import type {WaitingTurnSettings} from './waiting_turns.js';
--- a/packages/arbutustide-placement/src/engines/unloaded_models.ts
+++ b/packages/arbutustide-placement/src/engines/unloaded_models.ts
@@ -1,5 +1,6 @@
 import type {EngineEntry} from './engine_registry.js';
 
+import {expectedReplacement} from './pending_eviction.js';
 import {orderedModel} from './pending_model_order.js';
 
 /** Why a model with requests is held by no engine. */
@@ -55,7 +56,7 @@
   for (const {holdings, pendingEviction, pendingModelOrder} of entries) {
     const loading = holdings.loadingModel ?? orderedModel(pendingModelOrder);
     if (loading !== undefined) reasons.set(loading, UnloadedReason.LOADING);
-    const replacement = pendingEviction?.replacement;
+    const replacement = expectedReplacement(pendingEviction);
     if (replacement !== undefined && !reasons.has(replacement))
       reasons.set(replacement, UnloadedReason.EVICTING);
   }
