Ask load_estimates.ts where the weights of a model come from

The model loader and the loss of a replica each had the choice between memory, disk and store written out; hasLocalCopy and expectedLoadMilliseconds say it once. No change of behaviour.

--- a/packages/arbutustide-placement/src/engines/engine_loss.ts
+++ b/packages/arbutustide-placement/src/engines/engine_loss.ts
@@ -1,5 +1,7 @@
 import type {PlannedEngine, PlannedModel} from './model_plan.js';
 
+import {expectedLoadMilliseconds} from './load_estimates.js';
+
 /**
  * Time within which a replica must pay back its load time, because demand
  * shifts to other models by then.
@@ -14,19 +16,10 @@
  * in the engine's memory or on its disk are five to ten times as fast as loads
  * from the weight store.
  */
-function loadTimeLossShare(
-  model: PlannedModel,
-  {modelsInMemory, modelsOnDisk}: PlannedEngine,
-): number {
-  const {name, storeLoadMilliseconds, diskLoadMilliseconds} = model;
-  const milliseconds = modelsInMemory.has(name)
-    ? model.memoryLoadMilliseconds
-    : modelsOnDisk.has(name)
-      ? diskLoadMilliseconds
-      : storeLoadMilliseconds;
+function loadTimeLossShare(model: PlannedModel, engine: PlannedEngine): number {
   return Math.min(
     MAXIMUM_LOAD_TIME_LOSS_SHARE,
-    milliseconds / PAYBACK_MILLISECONDS,
+    expectedLoadMilliseconds(model, engine) / PAYBACK_MILLISECONDS,
   );
 }
 
--- a/packages/arbutustide-placement/src/engines/load_announcer.ts
+++ b/packages/arbutustide-placement/src/engines/load_announcer.ts
@@ -138,8 +138,8 @@
         Math.min(
           ...engines.map(({listed}) => expectedLoadMilliseconds(model, listed)),
         ),
-      usesStore: model =>
-        !engines.some(({listed}) => hasLocalCopy(model, listed)),
+      usesStore: ({name}) =>
+        !engines.some(({listed}) => hasLocalCopy(name, listed)),
     });
     for (const [{name}, wait] of waits)
       yield [entryNameOf(service, name), wait];
--- a/packages/arbutustide-placement/src/engines/load_estimates.ts
+++ b/packages/arbutustide-placement/src/engines/load_estimates.ts
@@ -17,18 +17,21 @@
   return Math.max(1, Math.floor(storeLoadsPerSecond * meanSeconds));
 }
 
+/** Models of whose weights an engine has copies. */
+type LocalCopies = Pick<ListedEngine, 'modelsInMemory' | 'modelsOnDisk'>;
+
 /** Whether an engine has a copy of a model's weights, in memory or on disk. */
 export function hasLocalCopy(
-  {name}: CataloguedModel,
-  {modelsInMemory, modelsOnDisk}: ListedEngine,
+  model: string,
+  {modelsInMemory, modelsOnDisk}: LocalCopies,
 ): boolean {
-  return modelsInMemory.has(name) || modelsOnDisk.has(name);
+  return modelsInMemory.has(model) || modelsOnDisk.has(model);
 }
 
 /** Time to load a model at an engine, from the nearest copy of its weights. */
 export function expectedLoadMilliseconds(
   model: CataloguedModel,
-  {modelsInMemory, modelsOnDisk}: ListedEngine,
+  {modelsInMemory, modelsOnDisk}: LocalCopies,
 ): number {
   if (modelsInMemory.has(model.name)) return model.memoryLoadMilliseconds;
   if (modelsOnDisk.has(model.name)) return model.diskLoadMilliseconds;
--- a/packages/arbutustide-placement/src/engines/model_loader.ts
+++ b/packages/arbutustide-placement/src/engines/model_loader.ts
@@ -16,7 +16,7 @@
 
 import {LoadRateLimiter} from '../load_rate_limiter.js';
 import {orderedModel} from './pending_model_order.js';
-import {maximumConcurrentStoreLoads} from './load_estimates.js';
+import {hasLocalCopy, maximumConcurrentStoreLoads} from './load_estimates.js';
 import {MovePlanner} from './move_planner.js';
 import {STORE_RATE_SHARE} from './planner_constants.js';
 import {
@@ -195,9 +195,7 @@
   ): void {
     const {holdings, listed} = entry;
     if (holdings.findModelLoadBlocker(model) !== undefined) return;
-    const hasLocalCopy =
-      listed.modelsInMemory.has(model) || listed.modelsOnDisk.has(model);
-    if (!hasLocalCopy) {
+    if (!hasLocalCopy(model, listed)) {
       const limiter = this.loadLimiterOf(service);
       if (limiter.availableLoads(this.countModelLoads(service)) < 1) {
         this.postponedModels.get(service.name)?.add(model);
