Share the evaluation of a move between the plan and turns

candidateMove gives the load of a model on an engine with its evictions and net gain; the plan adds the cost of a covered domain, a turn takes the best place at any cost. The search of a place for a turn is a function of its own. No change of behaviour.

--- a/packages/arbutustide-placement/src/engines/model_plan.ts
+++ b/packages/arbutustide-placement/src/engines/model_plan.ts
@@ -1,8 +1,7 @@
 import type {CataloguedModel} from './engine_planner_environment.js';
 import type {ModelReplicas} from './model_replicas.js';
 
-import {lossShare} from './engine_loss.js';
-import {cheapestEviction} from './model_eviction.js';
+import {candidateMove} from './candidate_move.js';
 import {
   additionGain,
   changeReplicas,
@@ -187,24 +186,16 @@
   settings: ModelPlanParameters,
 ): ModelMove | undefined {
   let best: ModelMove | undefined;
-  let bestCost = gain / settings.hysteresisFactor;
+  let bestGain = gain - gain / settings.hysteresisFactor;
   for (const engine of engines) {
     if (modelsHeldBy(engine).has(model.name)) continue;
-    const eviction = cheapestEviction(model, engine, replicasByModel, settings);
-    if (!eviction) continue;
+    const move = candidateMove(model, gain, engine, replicasByModel, settings);
+    if (!move) continue;
     const isCovered = coveredDomains.has(engine.failureDomain);
-    const cost =
-      eviction.loss +
-      gain * lossShare(model, engine) +
-      (isCovered ? SAME_DOMAIN_COST : 0);
-    if (cost >= bestCost) continue;
-    bestCost = cost;
-    best = {
-      engineId: engine.id,
-      model: model.name,
-      evicted: eviction.names,
-      gain: gain - cost,
-    };
+    const netGain = move.gain - (isCovered ? SAME_DOMAIN_COST : 0);
+    if (netGain <= bestGain) continue;
+    bestGain = netGain;
+    best = {...move, gain: netGain};
   }
   return best;
 }
--- a/packages/arbutustide-placement/src/engines/turn_plan.ts
+++ b/packages/arbutustide-placement/src/engines/turn_plan.ts
@@ -4,11 +4,17 @@
   PlannedEngine,
   PlannedModel,
 } from './model_plan.js';
+import type {ModelReplicas} from './model_replicas.js';
 
-import {lossShare} from './engine_loss.js';
-import {cheapestEviction} from './model_eviction.js';
+import {candidateMove} from './candidate_move.js';
 import {additionGain, countReplicas} from './model_replicas.js';
 
+/** The best place of a model, which may be an engine that is loading now. */
+interface Place {
+  readonly move: ModelMove;
+  readonly isFree: boolean;
+}
+
 /**
  * Chooses a place for the model that has waited longest, whatever the demand for
  * the models that it displaces. It takes the engine with the least loss, and waits
@@ -24,41 +30,39 @@
   settings: ModelPlanParameters,
 ): ModelMove | undefined {
   const replicasByModel = countReplicas(models, engines);
-  const waiting = models
+  const waiting = [...replicasByModel.values()]
     .filter(
-      ({name, queuedRequests, waitedMilliseconds}) =>
+      ({replicas, model: {queuedRequests, waitedMilliseconds}}) =>
+        replicas === 0 &&
         queuedRequests > 0 &&
-        waitedMilliseconds >= minimumWaitMilliseconds &&
-        replicasByModel.get(name)?.replicas === 0,
+        waitedMilliseconds >= minimumWaitMilliseconds,
     )
-    .sort((left, right) => right.waitedMilliseconds - left.waitedMilliseconds);
-  for (const model of waiting) {
-    const modelReplicas = replicasByModel.get(model.name);
-    if (!modelReplicas) continue;
-    const gain = additionGain(modelReplicas, settings);
-    let best: ModelMove | undefined;
-    let isBestFree = false;
-    for (const engine of engines) {
-      const {canAcceptOrder, loadingModel} = engine;
-      if (!canAcceptOrder && loadingModel === undefined) continue;
-      const eviction = cheapestEviction(
-        model,
-        engine,
-        replicasByModel,
-        settings,
-      );
-      if (!eviction) continue;
-      const cost = eviction.loss + gain * lossShare(model, engine);
-      if (best && gain - cost <= best.gain) continue;
-      isBestFree = canAcceptOrder;
-      best = {
-        engineId: engine.id,
-        model: model.name,
-        evicted: eviction.names,
-        gain: gain - cost,
-      };
-    }
-    if (isBestFree) return best;
+    .sort(
+      (left, right) =>
+        right.model.waitedMilliseconds - left.model.waitedMilliseconds,
+    );
+  for (const modelReplicas of waiting) {
+    const place = bestPlace(modelReplicas, engines, replicasByModel, settings);
+    if (place?.isFree) return place.move;
   }
   return undefined;
 }
+
+function bestPlace(
+  modelReplicas: ModelReplicas,
+  engines: readonly PlannedEngine[],
+  replicasByModel: ReadonlyMap<string, ModelReplicas>,
+  settings: ModelPlanParameters,
+): Place | undefined {
+  const {model} = modelReplicas;
+  const gain = additionGain(modelReplicas, settings);
+  let best: Place | undefined;
+  for (const engine of engines) {
+    const {canAcceptOrder: isFree, loadingModel} = engine;
+    if (!isFree && loadingModel === undefined) continue;
+    const move = candidateMove(model, gain, engine, replicasByModel, settings);
+    if (!move || (best && move.gain <= best.move.gain)) continue;
+    best = {move, isFree};
+  }
+  return best;
+}
