Tell in one line what a stream that is cut in a stop waited for

The last line of such a stream named its upstreams and a stay reason, but not at which urgency it was sent to each, what stood there as far as the node knew, or for how long a replacement had been awaited; 'not_stalled' stood for a replacement in line to the end. It has attemptTraces, replacementWaitMilliseconds and otherStreams now; a move names the upstreams that it asked, and a way without a place is told once per stream and reason (place_missed, arbutustide_missed_places_total). Places and retries of handovers are a module of their own.

--- a/packages/arbutustide-node/src/proxy/decision_metrics.ts
+++ b/packages/arbutustide-node/src/proxy/decision_metrics.ts
@@ -32,6 +32,10 @@
     metrics.retries.inc({entry: service}),
   [DecisionStep.HANDOVER]: ({service, action = ''}, metrics) =>
     metrics.handovers.inc({entry: service, action}),
+  [DecisionStep.PLACE_MISSED]: (
+    {service, action = '', stayReason = ''},
+    metrics,
+  ) => metrics.missedPlaces.inc({entry: service, action, reason: stayReason}),
   [DecisionStep.MEMORY_MOVED]: recordMove,
   [DecisionStep.MOVE_FAILED]: recordMove,
   [DecisionStep.REPLACEMENT_FAILED]: ({service}, metrics) =>
--- a/packages/arbutustide-routing/src/proxy/balance/load_estimate.ts
+++ b/packages/arbutustide-routing/src/proxy/balance/load_estimate.ts
@@ -30,6 +30,13 @@
     this.reportedAtMilliseconds = performance.now();
   }
 
+  /** Age of the last report; undefined if there was none. */
+  get reportAgeMilliseconds(): number | undefined {
+    return this.othersAtReport === undefined
+      ? undefined
+      : performance.now() - this.reportedAtMilliseconds;
+  }
+
   inFlight({own, peers}: CountedRequests): number {
     if (this.othersAtReport === undefined) return own + peers;
     const age = performance.now() - this.reportedAtMilliseconds;
--- a/packages/arbutustide-routing/src/proxy/decision_recorder.ts
+++ b/packages/arbutustide-routing/src/proxy/decision_recorder.ts
@@ -1,6 +1,7 @@
 import type {RefusalError} from '@arbutustide/errors';
 
-import type {StayReason} from './handover/handover_decision.js';
+import type {AttemptTrace} from './handover/attempt_trail.js';
+import type {HandoverAction, StayReason} from './handover/handover_decision.js';
 import type {HandoverRecord, MoveRecord} from './handover/stream_handovers.js';
 import type {AttemptResult} from './run_attempt.js';
 import type {RequestDecision} from './request_decision.js';
@@ -22,6 +23,9 @@
   readonly reason?: string;
   /** Why it was not handed over, if this node stops. */
   readonly stayReason?: StayReason;
+  readonly attemptTraces?: readonly AttemptTrace[];
+  readonly replacementWaitMilliseconds?: number;
+  readonly otherStreams?: number;
 }
 
 /** Reports each step of a request with the inputs that decided it. */
@@ -88,8 +92,9 @@
     progress: RoutedRequestProgress,
     end: AnswerEnd,
     target: AttemptTarget,
-    {timing, eventCount, reason, stayReason}: StreamOutcome = {},
+    outcome: StreamOutcome = {},
   ): void {
+    const {timing, eventCount, reason, stayReason} = outcome;
     const firstEvent = timing?.firstEventMilliseconds;
     const sinceLastEvent = timing?.sinceLastEventMilliseconds;
     const isWhole = end === AnswerEnd.WHOLE;
@@ -116,6 +121,7 @@
       elapsedMilliseconds: millisecondsSinceArrival(progress),
       ...(reason && {reason}),
       ...(!isWhole && stayReason && {stayReason}),
+      ...(end === AnswerEnd.BROKEN && describeBreak(outcome)),
     });
   }
 
@@ -133,9 +139,21 @@
     });
   }
 
+  recordPlaceMissed(
+    progress: RoutedRequestProgress,
+    action: HandoverAction,
+    stayReason: StayReason,
+  ): void {
+    this.recordDecision(progress, {
+      step: DecisionStep.PLACE_MISSED,
+      action,
+      stayReason,
+    });
+  }
+
   recordMove(
     progress: RoutedRequestProgress,
-    {outcome, reason, milliseconds, target}: MoveRecord,
+    {outcome, reason, milliseconds, target, askedUpstreams}: MoveRecord,
   ): void {
     this.recordDecision(progress, {
       step: hasRunStopped(outcome)
@@ -144,6 +162,7 @@
       ...target.decisionFields,
       moveOutcome: outcome,
       moveMilliseconds: Math.round(milliseconds),
+      askedUpstreams: askedUpstreams.map(({id}) => id),
       ...(reason && {reason}),
     });
   }
@@ -188,6 +207,21 @@
   }
 }
 
+/** What a stream that broke off had been sent to, and what it waited for. */
+function describeBreak({
+  attemptTraces,
+  replacementWaitMilliseconds: waited,
+  otherStreams,
+}: StreamOutcome): Partial<RequestDecision> {
+  return {
+    attemptTraces,
+    otherStreams,
+    ...(waited !== undefined && {
+      replacementWaitMilliseconds: Math.round(waited),
+    }),
+  };
+}
+
 function millisecondsSinceArrival({request}: RoutedRequestProgress): number {
   return Math.round(performance.now() - request.arrivedAtMilliseconds);
 }
--- /dev/null
+++ b/packages/arbutustide-routing/src/proxy/handover/handover_places.ts
@@ -0,0 +1,55 @@
+import type {AttemptMaker} from '../attempt_maker.js';
+import type {AttemptSlot} from '../attempt_target.js';
+import type {RoutedRequestProgress} from '../routed_request_progress.js';
+import type {OpenStream} from './open_stream.js';
+
+import {mayReachFurtherUpstream} from '../routed_request_progress.js';
+
+/** What handovers take places and retries from. */
+export type PlaceProvider = Pick<
+  AttemptMaker,
+  'tryTakeSlot' | 'tryTakeEarlierSlot' | 'takeSlotAt' | 'tryConsumeRetry'
+>;
+
+/** Finds places for streams that are handed over. */
+export class HandoverPlaces {
+  constructor(private readonly provider: PlaceProvider) {}
+
+  /** A slot at one more upstream, if the route allows it. */
+  tryTakeFurther(progress: RoutedRequestProgress): AttemptSlot | undefined {
+    return mayReachFurtherUpstream(progress)
+      ? this.provider.tryTakeSlot(progress)
+      : undefined;
+  }
+
+  /** A slot at an upstream where the stream was before. */
+  tryTakeEarlier({progress, upstream}: OpenStream): AttemptSlot | undefined {
+    return this.provider.tryTakeEarlierSlot(progress, upstream);
+  }
+
+  /** A slot where the stream is, unless it is urgent there or at a peer. */
+  takeAgain({
+    progress,
+    upstream,
+    handoverInput,
+  }: OpenStream): AttemptSlot | undefined {
+    if (!upstream || handoverInput.isUrgent) return undefined;
+    return this.provider.takeSlotAt(progress, upstream);
+  }
+
+  /** A slot where the stream is, with the retry for an attempt there. */
+  takeAgainWithRetry(stream: OpenStream): AttemptSlot | undefined {
+    const {progress, upstream} = stream;
+    if (!upstream) return undefined;
+    const slot = this.provider.takeSlotAt(progress, upstream);
+    return this.consumeRetry(stream, slot) ? slot : undefined;
+  }
+
+  /** Consumes a retry of the budget; returns the slot if there is none. */
+  consumeRetry(stream: OpenStream, slot: AttemptSlot): boolean {
+    if (stream.takeReservedRetry()) return true;
+    if (this.provider.tryConsumeRetry(stream.progress, true)) return true;
+    slot.release();
+    return false;
+  }
+}
--- a/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
@@ -4,13 +4,15 @@
 import type {ProxyUpstream} from '../proxy_upstream.js';
 import type {RoutedRequestProgress} from '../routed_request_progress.js';
 import type {StreamTimeline} from '../stream_timeline.js';
+import type {AttemptTrace} from './attempt_trail.js';
 import type {Handover} from './handover.js';
-import type {HandoverInput} from './handover_decision.js';
+import type {HandoverAction, HandoverInput} from './handover_decision.js';
 import type {ReplacementAttempt} from './replacement_attempt.js';
 
 import {CancelReason} from '../proxy_refusals.js';
 import {effectivePriority, HIGHEST_PRIORITY} from '../routed_request.js';
 import {mayReachFurtherUpstream} from '../routed_request_progress.js';
+import {AttemptTrail} from './attempt_trail.js';
 import {StayReason} from './handover_decision.js';
 import {MemoryMoveOutcome} from './memory_mover.js';
 
@@ -40,6 +42,8 @@
 
 /** A stream that was sent to an upstream, and its handover if there is one. */
 export class OpenStream implements AttemptFollower {
+  private readonly trail: AttemptTrail;
+  private readonly missedPlaces = new Set<string>();
   private lastStayReason: StayReason | undefined;
   private slot: AttemptSlot | undefined;
   private inactivityTimeout: InactivityTimeout | undefined;
@@ -52,6 +56,7 @@
   private uncertainMove: UncertainMove | undefined;
   private pending: Promise<Handover | undefined> | undefined;
   private replacement: ReplacementAttempt | undefined;
+  private failedReplacementWaitMilliseconds: number | undefined;
   private isBetweenAttempts = false;
   private isBeingRead = false;
   private hasEnded = false;
@@ -63,7 +68,9 @@
     readonly progress: RoutedRequestProgress,
     readonly timeline: StreamTimeline,
     private readonly options: OpenStreamOptions,
-  ) {}
+  ) {
+    this.trail = new AttemptTrail(progress.request.arrivedAtMilliseconds);
+  }
 
   /** Where it is; undefined at a peer. */
   get upstream(): ProxyUpstream | undefined {
@@ -75,6 +82,18 @@
     return this.lastStayReason;
   }
 
+  /** Where it has been sent, replacements included. */
+  get attemptTraces(): readonly AttemptTrace[] {
+    return this.trail.traces;
+  }
+
+  /** How long the last replacement waited in vain; undefined if none did. */
+  get replacementWaitMilliseconds(): number | undefined {
+    return this.isReplacementAwaited
+      ? this.replacement?.waitedMilliseconds
+      : this.failedReplacementWaitMilliseconds;
+  }
+
   get isBeingHandedOver(): boolean {
     return this.pending !== undefined || this.isBetweenAttempts;
   }
@@ -154,19 +173,22 @@
 
   /** An attempt has begun that is to go on with the stream. */
   beginAttempt(slot: AttemptSlot, inactivityTimeout: InactivityTimeout): void {
-    this.slot = slot;
-    this.inactivityTimeout = inactivityTimeout;
-    this.isBetweenAttempts = false;
+    this.recordSent(slot, this.isUrgent);
+    this.follow(slot, inactivityTimeout);
     this.isBeingRead = false;
-    this.timeline.recordWaiting();
   }
 
   /** The head of the attempt's answer has come, and its events are read. */
   beginReading(slot: AttemptSlot, inactivityTimeout: InactivityTimeout): void {
-    this.beginAttempt(slot, inactivityTimeout);
+    this.follow(slot, inactivityTimeout);
     this.isBeingRead = true;
   }
 
+  /** Records an attempt that is to go on with the stream, or may replace it. */
+  recordSent({target}: AttemptSlot, isUrgent: boolean): void {
+    this.trail.record(target, isUrgent);
+  }
+
   /** The attempt has ended, and its stream does not go on from it. */
   endAttempt(): void {
     this.timeline.recordIdle();
@@ -200,6 +222,7 @@
     this.latestEventId = lastEventId;
     this.passedEvents = passedCount;
     this.timeline.recordEvents();
+    this.failedReplacementWaitMilliseconds = undefined;
     this.hasUncertainMove = false;
     this.giveUpUncertainMove();
     this.withdrawReplacement('the stream went on where it was');
@@ -275,6 +298,18 @@
       this.lastStayReason = reason;
   }
 
+  /**
+   * Records that a way to hand it over had no place. Returns whether that is the
+   * first time for this reason.
+   */
+  recordMissedPlace(action: HandoverAction, reason: StayReason): boolean {
+    this.recordStayReason(reason);
+    const name = `${action} ${reason}`;
+    const isNew = !this.missedPlaces.has(name);
+    this.missedPlaces.add(name);
+    return isNew;
+  }
+
   /** Records that the run goes on where it is, or may have stopped. */
   recordMoveFailed(outcome: MemoryMoveOutcome): void {
     if (outcome === MemoryMoveOutcome.BUSY) this.recordReplacementFailed();
@@ -326,6 +361,16 @@
     this.replacement = undefined;
   }
 
+  private follow(
+    slot: AttemptSlot,
+    inactivityTimeout: InactivityTimeout,
+  ): void {
+    this.slot = slot;
+    this.inactivityTimeout = inactivityTimeout;
+    this.isBetweenAttempts = false;
+    this.timeline.recordWaiting();
+  }
+
   private takeUncertainMove(): Handover | undefined {
     const handover = this.uncertainMove?.handover;
     this.uncertainMove = undefined;
@@ -338,6 +383,9 @@
   }
 
   private recordStayed(): void {
+    const {replacement} = this;
+    if (replacement && !replacement.isWithdrawn)
+      this.failedReplacementWaitMilliseconds = replacement.waitedMilliseconds;
     this.pending = undefined;
     this.replacement = undefined;
   }
--- a/packages/arbutustide-routing/src/proxy/handover/replacement_attempt.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/replacement_attempt.ts
@@ -32,6 +32,7 @@
   /** Whether its upstream was silent at the last check, and was probed. */
   private isProbed = false;
   private chunks: Chunks | undefined;
+  private readonly createdAtMilliseconds = performance.now();
 
   constructor(private readonly options: ReplacementOptions) {}
 
@@ -40,6 +41,11 @@
     return this.hasNextEvent;
   }
 
+  /** Time for which it has been on its way, in milliseconds. */
+  get waitedMilliseconds(): number {
+    return performance.now() - this.createdAtMilliseconds;
+  }
+
   get isUrgent(): boolean {
     return this.options.isUrgent;
   }
@@ -102,7 +108,8 @@
     this.inactivityTimeout?.abort(reason);
   }
 
-  beginAttempt(_slot: AttemptSlot, inactivityTimeout: InactivityTimeout): void {
+  beginAttempt(slot: AttemptSlot, inactivityTimeout: InactivityTimeout): void {
+    this.options.stream.recordSent(slot, this.isUrgent);
     this.inactivityTimeout = inactivityTimeout;
     if (this.reason !== undefined) inactivityTimeout.abort(this.reason);
   }
--- a/packages/arbutustide-routing/src/proxy/handover/run_moves.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/run_moves.ts
@@ -14,6 +14,8 @@
 export interface RunMove {
   readonly slot: AttemptSlot;
   readonly move: MemoryMove;
+  /** Upstreams that were asked for room, in order. */
+  readonly askedUpstreams: readonly ProxyUpstream[];
   /** Where a run that may have stopped can go on from. */
   readonly copyLocation?: string;
 }
@@ -21,6 +23,7 @@
 /** A copy at the upstream of a slot, or why there is none. */
 interface PlacedCopy extends MemoryCopy {
   readonly slot: AttemptSlot;
+  readonly askedUpstreams: readonly ProxyUpstream[];
 }
 
 /**
@@ -51,7 +54,7 @@
   ): Promise<RunMove> {
     const {lastEventId, progress} = stream;
     const {requestId} = progress.request;
-    const {slot, failure, location, reason} = await this.copy(
+    const {slot, failure, location, reason, askedUpstreams} = await this.copy(
       stream,
       source,
       first,
@@ -62,15 +65,17 @@
       return {
         slot,
         move: {outcome: failure ?? MemoryMoveOutcome.NO_ROOM, reason},
+        askedUpstreams,
       };
     const isNeeded = stream.lastEventId === lastEventId && !stream.isClosed;
     if (isNeeded) {
       const {memoryMover} = this;
       const move = await memoryMover.moveMemory(source, target, requestId);
-      return {slot, move, copyLocation: location};
+      return {slot, move, askedUpstreams, copyLocation: location};
     }
     this.dropCopy(source, location);
-    return {slot, move: {outcome: MemoryMoveOutcome.NOT_NEEDED}};
+    const move = {outcome: MemoryMoveOutcome.NOT_NEEDED};
+    return {slot, move, askedUpstreams};
   }
 
   /** Gives up a copy that no run goes on from, if there is one. */
@@ -91,12 +96,13 @@
     const limitMilliseconds = isRepeatable(route)
       ? COPY_TIME_SHARE * leftMilliseconds
       : leftMilliseconds - MINIMUM_LEFT_MILLISECONDS;
-    const asked = new Set([source]);
+    const askedUpstreams: ProxyUpstream[] = [];
     let slot = first;
     for (;;) {
       const target = slot.target.upstream;
-      if (!target) return {slot, failure: MemoryMoveOutcome.NO_ROOM};
-      asked.add(target);
+      if (!target)
+        return {slot, failure: MemoryMoveOutcome.NO_ROOM, askedUpstreams};
+      askedUpstreams.push(target);
       const copy = await this.copyInTime(
         this.memoryMover.copyMemory(
           source,
@@ -107,14 +113,16 @@
         source,
         limitMilliseconds,
       );
-      if (copy.failure !== MemoryMoveOutcome.NO_ROOM) return {...copy, slot};
+      if (copy.failure !== MemoryMoveOutcome.NO_ROOM)
+        return {...copy, slot, askedUpstreams};
       const next = stream.isClosed
         ? undefined
         : this.attempts.tryTakeSlotAmong(
             progress,
-            upstream => !asked.has(upstream),
+            upstream =>
+              upstream !== source && !askedUpstreams.includes(upstream),
           );
-      if (!next) return {...copy, slot};
+      if (!next) return {...copy, slot, askedUpstreams};
       slot.release();
       slot = next;
     }
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -8,6 +8,7 @@
 import type {RoutedRequestProgress} from '../routed_request_progress.js';
 import type {Handover} from './handover.js';
 import type {HandoverInput} from './handover_decision.js';
+import type {PlaceProvider} from './handover_places.js';
 import type {MemoryMover} from './memory_mover.js';
 import type {RunMove} from './run_moves.js';
 import type {StreamReplacementsOptions} from './stream_replacements.js';
@@ -15,10 +16,7 @@
 import {Err, Ok} from 'ts-results';
 
 import {RequestKind} from '../route.js';
-import {
-  mayReachFurtherUpstream,
-  remainingForUpstream,
-} from '../routed_request_progress.js';
+import {remainingForUpstream} from '../routed_request_progress.js';
 import {StreamTimeline} from '../stream_timeline.js';
 import {
   decideHandover,
@@ -28,6 +26,7 @@
 } from './handover_decision.js';
 import {MemoryMoveOutcome} from './memory_mover.js';
 import {createHandover} from './handover.js';
+import {HandoverPlaces} from './handover_places.js';
 import {OpenStream} from './open_stream.js';
 import {RunMoves} from './run_moves.js';
 import {StreamReplacements} from './stream_replacements.js';
@@ -52,6 +51,8 @@
   /** Time until the outcome was known. */
   readonly milliseconds: number;
   readonly target: AttemptTarget;
+  /** Upstreams that were asked for room, in order. */
+  readonly askedUpstreams: readonly ProxyUpstream[];
 }
 
 /** What handovers need of the dispatcher. */
@@ -62,19 +63,18 @@
   readonly movesMemory?: (service: string) => boolean;
   readonly streamTimes?: Pick<StreamTimes, 'likelyMilliseconds'>;
   readonly attempts: StreamReplacementsOptions['attempts'] &
-    Pick<
-      AttemptMaker,
-      | 'tryTakeSlot'
-      | 'tryTakeEarlierSlot'
-      | 'tryTakeSlotAmong'
-      | 'takeSlotAt'
-      | 'tryConsumeRetry'
-      | 'tryReservePlace'
-    >;
+    PlaceProvider &
+    Pick<AttemptMaker, 'tryTakeSlotAmong' | 'tryReservePlace'>;
   readonly onHandover: (
     progress: RoutedRequestProgress,
     record: HandoverRecord,
   ) => void;
+  /** Called when a way to hand a stream over has failed for a new reason. */
+  readonly onPlaceMissed: (
+    progress: RoutedRequestProgress,
+    action: HandoverAction,
+    reason: StayReason,
+  ) => void;
   readonly onMove: (
     progress: RoutedRequestProgress,
     record: MoveRecord,
@@ -101,6 +101,7 @@
  */
 export class StreamHandovers {
   private readonly streams = new Set<OpenStream>();
+  private readonly places: HandoverPlaces;
   private readonly replacements: StreamReplacements;
   /** Undefined if no upstream moves memory. */
   private readonly runMoves: RunMoves | undefined;
@@ -112,9 +113,9 @@
           this.options.attempts.tryTakeSlot(stream.progress),
         ),
       [HandoverAction.RESUME_URGENTLY]: stream =>
-        this.startResuming(stream, this.takeSlotAgain(stream)),
+        this.startResuming(stream, this.places.takeAgain(stream)),
       [HandoverAction.RETURN_TO_EARLIER]: stream =>
-        this.startResuming(stream, this.takeEarlierSlot(stream)),
+        this.startResuming(stream, this.places.tryTakeEarlier(stream)),
       [HandoverAction.MOVE_MEMORY]: stream => this.startMoving(stream),
       [HandoverAction.REFUSE]: stream => {
         stream.refuse();
@@ -123,11 +124,17 @@
     };
 
   constructor(private readonly options: StreamHandoversOptions) {
-    this.replacements = new StreamReplacements(options);
     const {memoryMover, attempts} = options;
+    this.places = new HandoverPlaces(attempts);
+    this.replacements = new StreamReplacements(options);
     this.runMoves = memoryMover && new RunMoves(memoryMover, attempts);
   }
 
+  /** Streams of this node that have not ended. */
+  get openStreamCount(): number {
+    return this.streams.size;
+  }
+
   /** Tracks the answer to a request until it is closed, if it is a stream. */
   open(progress: RoutedRequestProgress): OpenStream {
     const timeline = new StreamTimeline(progress.request.arrivedAtMilliseconds);
@@ -195,7 +202,8 @@
     for (const action of ways) {
       const started = this.starters[action](stream);
       if (!started.ok) {
-        stream.recordStayReason(started.val);
+        if (stream.recordMissedPlace(action, started.val))
+          this.options.onPlaceMissed(stream.progress, action, started.val);
         // Each way needs a retry.
         if (started.val === StayReason.NO_RETRY_LEFT) return;
         continue;
@@ -216,7 +224,8 @@
   ): HandoverStart {
     const {upstream} = stream;
     if (!slot) return Err(StayReason.NO_UPSTREAM);
-    if (!this.consumeRetry(stream, slot)) return Err(StayReason.NO_RETRY_LEFT);
+    if (!this.places.consumeRetry(stream, slot))
+      return Err(StayReason.NO_RETRY_LEFT);
     stream.countHandover();
     this.replacements.begin(stream, {
       slot,
@@ -225,7 +234,7 @@
       takeNextSlot: () =>
         slot.target.upstream === upstream
           ? undefined
-          : this.takeSlotWithRetry(stream),
+          : this.places.takeAgainWithRetry(stream),
     });
     return Ok(slot.target);
   }
@@ -267,9 +276,9 @@
     const left = remainingForUpstream(progress, answerPeriod);
     if (left < MINIMUM_LEFT_MILLISECONDS) return undefined;
     const slot =
-      this.tryTakeFurtherSlot(progress) ??
-      this.takeEarlierSlot(stream) ??
-      this.takeSlotAgain(stream);
+      this.places.tryTakeFurther(progress) ??
+      this.places.tryTakeEarlier(stream) ??
+      this.places.takeAgain(stream);
     if (!slot) return undefined;
     const takeNextSlot = () => undefined;
     const place = {slot, reason: HANDED_OVER, isUrgent: true, takeNextSlot};
@@ -280,9 +289,11 @@
     const {progress, upstream: source} = stream;
     const {attempts} = this.options;
     if (!source || !this.runMoves) return Err(StayReason.NOT_MOVABLE);
-    const slot = attempts.tryTakeSlot(progress) ?? this.takeEarlierSlot(stream);
+    const slot =
+      attempts.tryTakeSlot(progress) ?? this.places.tryTakeEarlier(stream);
     if (!slot?.target.upstream) return Err(StayReason.NO_UPSTREAM);
-    if (!this.consumeRetry(stream, slot)) return Err(StayReason.NO_RETRY_LEFT);
+    if (!this.places.consumeRetry(stream, slot))
+      return Err(StayReason.NO_RETRY_LEFT);
     stream.countHandover();
     const move = this.runMoves.move(
       stream,
@@ -302,13 +313,14 @@
   ): Promise<Handover | undefined> {
     const {progress} = stream;
     const beganAtMilliseconds = performance.now();
-    const {slot, move, copyLocation} = await pending;
+    const {slot, move, copyLocation, askedUpstreams} = await pending;
     const {outcome, location, reason} = move;
     this.options.onMove(progress, {
       outcome,
       reason,
       milliseconds: performance.now() - beganAtMilliseconds,
       target: slot.target,
+      askedUpstreams,
     });
     if (outcome === MemoryMoveOutcome.MOVED)
       return this.createMovedHandover(progress, slot, location, source);
@@ -347,48 +359,4 @@
     const place = {slot, reason: HANDED_OVER, isUrgent: true, takeNextSlot};
     return createHandover(place, memoryLocation);
   }
-
-  /** A slot at one more upstream, if the route allows it. */
-  private tryTakeFurtherSlot(
-    progress: RoutedRequestProgress,
-  ): AttemptSlot | undefined {
-    return mayReachFurtherUpstream(progress)
-      ? this.options.attempts.tryTakeSlot(progress)
-      : undefined;
-  }
-
-  /** A slot at an upstream where the stream was before. */
-  private takeEarlierSlot({
-    progress,
-    upstream,
-  }: OpenStream): AttemptSlot | undefined {
-    return this.options.attempts.tryTakeEarlierSlot(progress, upstream);
-  }
-
-  /** A slot where the stream is, unless it is urgent there or at a peer. */
-  private takeSlotAgain({
-    progress,
-    upstream,
-    handoverInput,
-  }: OpenStream): AttemptSlot | undefined {
-    if (!upstream || handoverInput.isUrgent) return undefined;
-    return this.options.attempts.takeSlotAt(progress, upstream);
-  }
-
-  /** A slot where the stream is, with the retry for an attempt there. */
-  private takeSlotWithRetry(stream: OpenStream): AttemptSlot | undefined {
-    const {progress, upstream} = stream;
-    if (!upstream) return undefined;
-    const slot = this.options.attempts.takeSlotAt(progress, upstream);
-    return this.consumeRetry(stream, slot) ? slot : undefined;
-  }
-
-  /** Consumes a retry of the budget; returns the slot if there is none. */
-  private consumeRetry(stream: OpenStream, slot: AttemptSlot): boolean {
-    const {attempts} = this.options;
-    if (stream.takeReservedRetry()) return true;
-    if (attempts.tryConsumeRetry(stream.progress, true)) return true;
-    slot.release();
-    return false;
-  }
 }
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -76,6 +76,8 @@
       attempts: this.attempts,
       onHandover: (progress, record) =>
         this.decisions.recordHandover(progress, record),
+      onPlaceMissed: (progress, action, reason) =>
+        this.decisions.recordPlaceMissed(progress, action, reason),
       onMove: (progress, record) => this.decisions.recordMove(progress, record),
       onReplacementFailed: (progress, target, reason) =>
         this.decisions.recordReplacementFailed(progress, target, reason),
@@ -363,7 +365,10 @@
           this.recordWholeAnswer(progress);
         if (end === AnswerEnd.WHOLE && !progress.isRelayed)
           this.options.streamOrigins.recordComplete(progress.request);
-        this.decisions.recordEnd(progress, end, last.slot.target, outcome);
+        this.decisions.recordEnd(progress, end, last.slot.target, {
+          ...outcome,
+          otherStreams: this.handovers.openStreamCount,
+        });
       },
     });
     return {...common, body: stream.readChunks(attempt)};
--- a/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
@@ -2,6 +2,7 @@
 import type {Result} from 'ts-results';
 
 import type {StayReason} from './handover/handover_decision.js';
+import type {AttemptTrace} from './handover/attempt_trail.js';
 import type {Handover} from './handover/handover.js';
 import type {OpenStream} from './handover/open_stream.js';
 import type {AttemptStart} from './proxy_connector.js';
@@ -50,6 +51,10 @@
   readonly reason: string | undefined;
   /** Why it was not handed over, if this node stops. */
   readonly stayReason: StayReason | undefined;
+  /** Where it was sent, replacements included. */
+  readonly attemptTraces: readonly AttemptTrace[];
+  /** How long the last replacement waited in vain; undefined if none did. */
+  readonly replacementWaitMilliseconds: number | undefined;
 }
 
 /** Why an attempt ended before its stream was complete. */
@@ -97,13 +102,17 @@
       }
       return end;
     } finally {
-      this.openStream.close();
+      const {openStream} = this;
+      const {replacementWaitMilliseconds} = openStream;
+      openStream.close();
       this.options.onEnd(end, {
         attempt: latest,
-        timing: this.openStream.timeline.timing,
+        timing: openStream.timeline.timing,
         eventCount: this.eventSequencer.passedCount,
         reason: failure?.reason,
-        stayReason: this.openStream.stayReason,
+        stayReason: openStream.stayReason,
+        attemptTraces: openStream.attemptTraces,
+        replacementWaitMilliseconds,
       });
     }
   }
--- a/packages/arbutustide-routing/src/proxy/proxy_upstream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_upstream.ts
@@ -214,6 +214,11 @@
     return this.loadEstimate.inFlight({own, peers});
   }
 
+  /** Age of its last report of its load; undefined if there was none. */
+  get reportAgeMilliseconds(): number | undefined {
+    return this.loadEstimate.reportAgeMilliseconds;
+  }
+
   /**
    * Factor on the usual time that a request takes there now, as reported;
    * undefined if the upstream does not tell.
--- a/packages/arbutustide-routing/src/proxy/request_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/request_decision.ts
@@ -1,6 +1,7 @@
 import type {ErrorKind, ExecutionStatus} from '@arbutustide/errors';
 
 import type {AttemptOutcome} from './attempt_outcome.js';
+import type {AttemptTrace} from './handover/attempt_trail.js';
 import type {HandoverAction, StayReason} from './handover/handover_decision.js';
 import type {MemoryMoveOutcome} from './handover/memory_mover.js';
 
@@ -11,6 +12,8 @@
   STREAM_RESUMED = 'stream_resumed',
   /** A stream is handed over to another place, as this node stops. */
   HANDOVER = 'handover',
+  /** A way to hand a stream over has no place, for a reason not told before. */
+  PLACE_MISSED = 'place_missed',
   /** A run has stopped, and goes on from a copy of its memory. */
   MEMORY_MOVED = 'memory_moved',
   /** The memory of a run was to be moved, and the run does not go on from it. */
@@ -67,12 +70,20 @@
   /** Ids of the upstreams to which it was sent, in order. */
   readonly triedUpstreams?: readonly string[];
   readonly stayReason?: StayReason;
+  /** Attempts of a stream that broke off, in order. */
+  readonly attemptTraces?: readonly AttemptTrace[];
+  /** How long the last attempt that was to go on with it waited in vain. */
+  readonly replacementWaitMilliseconds?: number;
+  /** Other streams of this node that had not ended then. */
+  readonly otherStreams?: number;
   /** Of a handover. */
   readonly action?: HandoverAction;
   readonly stalledMilliseconds?: number;
   /** Of a move of memory. */
   readonly moveOutcome?: MemoryMoveOutcome;
   readonly moveMilliseconds?: number;
+  /** Ids of the upstreams that were asked for room, in order. */
+  readonly askedUpstreams?: readonly string[];
   readonly leftMilliseconds?: number;
   readonly reason?: string;
 }
--- a/packages/arbutustide-telemetry/src/metrics.ts
+++ b/packages/arbutustide-telemetry/src/metrics.ts
@@ -85,6 +85,12 @@
     labelNames: ['entry', 'action'] as const,
     registers: [this.registry],
   });
+  readonly missedPlaces = new Counter({
+    name: 'arbutustide_missed_places_total',
+    help: 'Ways to hand a stream over that had no place, once per stream and reason.',
+    labelNames: ['entry', 'action', 'reason'] as const,
+    registers: [this.registry],
+  });
   readonly memoryMoves = new Counter({
     name: 'arbutustide_memory_moves_total',
     help: 'Moves of the memory of runs in a stop, by entry and outcome.',
