--- a/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
@@ -10,7 +10,6 @@
 import type {ReplacementAttempt} from './replacement_attempt.js';
 
 import {CancelReason} from '../proxy_refusals.js';
-import {effectivePriority, HIGHEST_PRIORITY} from '../routed_request.js';
 import {mayReachFurtherUpstream} from '../routed_request_progress.js';
 import {AttemptTrail} from './attempt_trail.js';
 import {StayReason} from './handover_decision.js';
@@ -118,10 +117,9 @@
     return this.handoversBegun;
   }
 
-  /** Whether no upstream would serve it more urgently. */
+  /** Whether its upstream was told to serve it before all other requests. */
   get isMostUrgent(): boolean {
-    const priority = effectivePriority(this.progress.request);
-    return this.isUrgent || priority === HIGHEST_PRIORITY;
+    return this.isUrgent;
   }
 
   /** Whether another attempt goes on with it, so that this one must not. */
--- a/packages/arbutustide-routing/src/proxy/handover/stream_replacements.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_replacements.ts
@@ -86,11 +86,12 @@
     slot: AttemptSlot,
   ): ReplacementAttempt {
     const {attempts} = this.options;
+    const isWhereItWas = slot.target.upstream === stream.upstream;
     return new ReplacementAttempt({
       stream,
       slot,
       isUrgent,
-      isMostUrgent: isUrgent && stream.isMostUrgent,
+      isMostUrgent: isUrgent && (stream.isMostUrgent || isWhereItWas),
       attempts,
     });
   }
