Go on from its memory where it is with a run that nobody has room for

Engines admit a request that goes on from memory before all that wait, and a source keeps the memory of a run that it stops. After two stalls in which nobody had room the node stops such a run without a copy elsewhere and sends it again where it is, from its memory, at the level of stops. What became of the moves of a stream is a class of its own.

--- a/packages/arbutustide-routing/src/__tests__/unit/handover_decision.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/handover_decision.test.ts
@@ -30,6 +30,7 @@
   expectedMilliseconds: 3_000,
   isMovable: false,
   sinceMoveFailedMilliseconds: Infinity,
+  hasFoundNoRoom: false,
   stalledMilliseconds: 600,
   usualPauseMilliseconds: 40,
   leftMilliseconds: 7_000,
@@ -76,6 +77,48 @@
     changes: {route: SINGLE, isMovable: true},
     expected: HandoverAction.MOVE_MEMORY,
   },
+  {
+    name: 'readmits what must not run again if nobody has room for its memory',
+    changes: {
+      route: SINGLE,
+      isMovable: true,
+      hasFoundNoRoom: true,
+      sinceMoveFailedMilliseconds: 500,
+      stalledMilliseconds: 1_200,
+    },
+    expected: HandoverAction.READMIT,
+  },
+  {
+    name: 'stops no run before another stall',
+    changes: {
+      route: SINGLE,
+      isMovable: true,
+      hasFoundNoRoom: true,
+      sinceMoveFailedMilliseconds: 500,
+      stalledMilliseconds: 1_199,
+    },
+    expected: StayReason.NOT_MOVABLE,
+  },
+  {
+    name: 'stops no run while it is not known that nobody has room',
+    changes: {
+      route: SINGLE,
+      isMovable: true,
+      sinceMoveFailedMilliseconds: 500,
+      stalledMilliseconds: 1_200,
+    },
+    expected: StayReason.NOT_MOVABLE,
+  },
+  {
+    name: 'resumes what may run again if nobody has room for its memory',
+    changes: {
+      isMovable: true,
+      hasFoundNoRoom: true,
+      sinceMoveFailedMilliseconds: 500,
+      stalledMilliseconds: 1_200,
+    },
+    expected: HandoverAction.RESUME_ELSEWHERE,
+  },
   {
     name: 'never runs once more what must not run again',
     changes: {route: SINGLE},
--- a/packages/arbutustide-routing/src/__tests__/unit/run_moves.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/run_moves.test.ts
@@ -143,6 +143,72 @@
     expectNoSlotTaken();
   });
 
+  describe('that must run once and finds no room', () => {
+    /** Plays two stalls and the call that stops the run. */
+    async function playReadmission(
+      move: MovingConnector['move'],
+      scripts: AttemptScript[],
+    ) {
+      const played = await play(false, scripts, async () => NO_ROOM);
+      played.connector.move = move;
+      await played.review(3 * STALL_MILLISECONDS);
+      return played;
+    }
+
+    it('goes on from its memory where it is, before others', async () => {
+      const {connector, reading} = await playReadmission(
+        async () => ({
+          outcome: MemoryMoveOutcome.KEPT_AT_SOURCE,
+          location: MEMORY_LOCATION,
+        }),
+        [createStall().script, goOn],
+      );
+      const {text, end} = await reading;
+      expect(eventIdsIn(text)).to.eql([1, 2, 3, 4]);
+      expect(end).to.equal(AnswerEnd.WHOLE);
+      expect(connector.upstreamIds).to.eql(['one', 'one']);
+      expect(connector.terms[1]).to.include({
+        memoryLocation: MEMORY_LOCATION,
+        resumeAfterEventId: 2,
+        isUrgent: true,
+      });
+      expect(connector.moves).to.have.length(1);
+      expectNoSlotTaken();
+    });
+
+    it('goes on elsewhere if there is room when it stops', async () => {
+      const {connector, reading} = await playReadmission(
+        async () => ({
+          outcome: MemoryMoveOutcome.MOVED,
+          location: MEMORY_LOCATION,
+        }),
+        [createStall().script, goOn],
+      );
+      const {text, end} = await reading;
+      expect(eventIdsIn(text)).to.eql([1, 2, 3, 4]);
+      expect(end).to.equal(AnswerEnd.WHOLE);
+      expect(connector.moves).to.eql([
+        `one to ${connector.upstreamIds.at(-1)}`,
+      ]);
+      expectNoSlotTaken();
+    });
+
+    it('stays if its upstream does not stop it', async () => {
+      const {script, goesOn, ends} = createStall();
+      const {connector, reading} = await playReadmission(
+        async () => ({outcome: MemoryMoveOutcome.IMPOSSIBLE}),
+        [script],
+      );
+      goesOn.cancel(undefined);
+      ends.cancel(undefined);
+      const {text, end} = await reading;
+      expect(eventIdsIn(text)).to.eql([1, 2, 3]);
+      expect(end).to.equal(AnswerEnd.WHOLE);
+      expect(connector.upstreamIds).to.eql(['one']);
+      expectNoSlotTaken();
+    });
+  });
+
   it('is moved to the upstream that has room', async () => {
     const {connector, reading, review} = await play(
       false,
--- a/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
@@ -16,6 +16,8 @@
   RETURN_TO_EARLIER = 'return_to_earlier',
   /** Goes on as the same run, from a copy of its memory. */
   MOVE_MEMORY = 'move_memory',
+  /** Stops and goes on from its memory where it is, before others. */
+  READMIT = 'readmit',
   /** Is refused at once, for its caller to repeat it. */
   REFUSE = 'refuse',
 }
@@ -60,6 +62,8 @@
   readonly isMovable: boolean;
   /** Since a move failed whose run went on; Infinity if none has. */
   readonly sinceMoveFailedMilliseconds: number;
+  /** Whether a move of its run found no room since its last event. */
+  readonly hasFoundNoRoom: boolean;
   /** How long its upstream has kept this node waiting. */
   readonly stalledMilliseconds: number;
   /** Median of its latest pauses; undefined if it has had none. */
@@ -82,6 +86,11 @@
 const USUAL_PAUSES = 4;
 /** Below it, a pause may come from the network or the event loop. */
 const MINIMUM_PATIENCE_MILLISECONDS = 150;
+/**
+ * Stalls after which a run is stopped without a place elsewhere. It is lost if
+ * its upstream does not answer the call that stops it.
+ */
+const STALLS_BEFORE_READMISSION = 2;
 /** For another upstream to read the prompt and make an event. */
 export const MINIMUM_LEFT_MILLISECONDS = 250;
 
@@ -117,13 +126,22 @@
   // Other ways come before another try to move it.
   if (isMovable && sinceMoveFailedMilliseconds >= patienceOf(input))
     yield HandoverAction.MOVE_MEMORY;
-  if (!isRepeatable(route)) return;
+  if (!isRepeatable(route)) {
+    if (mayBeReadmitted(input)) yield HandoverAction.READMIT;
+    return;
+  }
   if (mayReachFurther) yield HandoverAction.RESUME_ELSEWHERE;
   // The route bounds the number of upstreams, not of attempts at one of them.
   if (hasEarlierUpstream) yield HandoverAction.RETURN_TO_EARLIER;
   if (!isUrgent) yield HandoverAction.RESUME_URGENTLY;
 }
 
+function mayBeReadmitted(input: HandoverInput): boolean {
+  const {isMovable, hasFoundNoRoom, stalledMilliseconds} = input;
+  const bound = STALLS_BEFORE_READMISSION * patienceOf(input);
+  return isMovable && hasFoundNoRoom && stalledMilliseconds >= bound;
+}
+
 /** Passed on too late, its first events would commit the node to the rest. */
 function decideUnbegun({
   route,
--- a/packages/arbutustide-routing/src/proxy/handover/memory_mover.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/memory_mover.ts
@@ -58,11 +58,17 @@
     requestId: string,
     timeoutMilliseconds: number,
   ): Promise<MemoryCopy>;
-  /** Stops the run of a request and copies what the other upstream lacks. */
+  /**
+   * Stops the run of a request and copies what the other upstream lacks.
+   *
+   * @param timeoutMilliseconds until the outcome counts as unknown; that of a
+   *     short call if absent.
+   */
   moveMemory(
     source: ProxyUpstream,
     target: ProxyUpstream,
     requestId: string,
+    timeoutMilliseconds?: number,
   ): Promise<MemoryMove>;
   /** Gives up a copy that no run goes on from; it is dropped later if not. */
   dropCopy(source: ProxyUpstream, location: string): Promise<void>;
--- a/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
@@ -8,12 +8,14 @@
 import type {Handover} from './handover.js';
 import type {HandoverAction, HandoverInput} from './handover_decision.js';
 import type {ReplacementAttempt} from './replacement_attempt.js';
+import type {UncertainMove} from './stream_moves.js';
 
 import {CancelReason} from '../proxy_refusals.js';
 import {mayReachFurtherUpstream} from '../routed_request_progress.js';
 import {AttemptTrail} from './attempt_trail.js';
 import {StayReason} from './handover_decision.js';
 import {MemoryMoveOutcome} from './memory_mover.js';
+import {StreamMoves} from './stream_moves.js';
 
 /** What a stream needs of the handovers of its node. */
 export interface OpenStreamOptions {
@@ -25,14 +27,6 @@
   readonly onInactive: () => boolean;
 }
 
-/** A move of memory that was not answered, and whose copy can be used. */
-export interface UncertainMove {
-  /** Goes on from the copy, if the run has stopped. */
-  readonly handover: Handover;
-  /** Gives up the copy, as the run goes on. */
-  readonly giveUp: () => void;
-}
-
 /** How far a stream has come. */
 interface EventCount {
   readonly lastEventId: number | undefined;
@@ -42,6 +36,7 @@
 /** A stream that was sent to an upstream, and its handover if there is one. */
 export class OpenStream implements AttemptFollower {
   private readonly trail: AttemptTrail;
+  private readonly moves = new StreamMoves();
   private readonly missedPlaces = new Set<string>();
   private lastStayReason: StayReason | undefined;
   private slot: AttemptSlot | undefined;
@@ -49,10 +44,6 @@
   private handoversBegun = 0;
   private replacementFailedAtMilliseconds = -Infinity;
   private isUrgent = false;
-  private moveFailedAtMilliseconds = -Infinity;
-  private hasUncertainMove = false;
-  /** Undefined if there is none, or no copy that the stream can go on from. */
-  private uncertainMove: UncertainMove | undefined;
   private pending: Promise<Handover | undefined> | undefined;
   private replacement: ReplacementAttempt | undefined;
   private failedReplacementWaitMilliseconds: number | undefined;
@@ -76,6 +67,11 @@
     return this.slot?.target.upstream;
   }
 
+  /** One that had no room for its memory when asked since its last event. */
+  get fullUpstream(): ProxyUpstream | undefined {
+    return this.moves.fullUpstream;
+  }
+
   /** Why it was left where it is while it could have been handed over. */
   get stayReason(): StayReason | undefined {
     return this.lastStayReason;
@@ -142,7 +138,7 @@
    * answer was lost.
    */
   get mayHaveMoved(): boolean {
-    return this.hasUncertainMove;
+    return this.moves.mayHaveMoved;
   }
 
   get handoverInput(): Omit<
@@ -159,8 +155,8 @@
       ),
       hasEvents: timeline.hasEvents,
       isMovable: upstream !== undefined,
-      sinceMoveFailedMilliseconds:
-        performance.now() - this.moveFailedAtMilliseconds,
+      sinceMoveFailedMilliseconds: this.moves.sinceFailedMilliseconds,
+      hasFoundNoRoom: this.moves.fullUpstream !== undefined,
       stalledMilliseconds: Math.min(
         timeline.stalledMilliseconds,
         performance.now() - this.replacementFailedAtMilliseconds,
@@ -221,8 +217,7 @@
     this.passedEvents = passedCount;
     this.timeline.recordEvents();
     this.failedReplacementWaitMilliseconds = undefined;
-    this.hasUncertainMove = false;
-    this.giveUpUncertainMove();
+    this.moves.recordEvents();
     this.withdrawReplacement('the stream went on where it was');
   }
 
@@ -308,19 +303,21 @@
     return isNew;
   }
 
-  /** Records that the run goes on where it is, or may have stopped. */
-  recordMoveFailed(outcome: MemoryMoveOutcome): void {
+  /**
+   * Records that the run goes on where it is, or may have stopped.
+   *
+   * @param target the last upstream that was asked for room.
+   */
+  recordMoveFailed(outcome: MemoryMoveOutcome, target?: ProxyUpstream): void {
     if (outcome === MemoryMoveOutcome.BUSY) this.recordReplacementFailed();
-    else this.moveFailedAtMilliseconds = performance.now();
-    if (outcome === MemoryMoveOutcome.UNKNOWN) this.hasUncertainMove = true;
+    this.moves.recordFailed(outcome, target);
     this.handoversBegun -= 1;
   }
 
   /** Records a move after which the run may have stopped. */
   recordUncertainMove(move: UncertainMove): void {
     this.recordMoveFailed(MemoryMoveOutcome.UNKNOWN);
-    this.giveUpUncertainMove();
-    this.uncertainMove = move;
+    this.moves.recordUncertain(move);
   }
 
   /**
@@ -330,12 +327,12 @@
    *     a run which may have been stopped for a move was stopped.
    */
   async takeHandover(hasBrokenOff: boolean): Promise<Handover | undefined> {
-    if (hasBrokenOff && this.uncertainMove)
+    if (hasBrokenOff && this.moves.hasUsableCopy)
       this.withdrawReplacement('the stream goes on from a copy');
     const settled = await this.pending;
     const handover =
-      settled ?? (hasBrokenOff ? this.takeUncertainMove() : undefined);
-    this.giveUpUncertainMove();
+      settled ?? (hasBrokenOff ? this.moves.takeUncertain() : undefined);
+    this.moves.giveUpUncertain();
     this.pending = undefined;
     this.replacement = undefined;
     this.isBetweenAttempts = handover !== undefined;
@@ -353,7 +350,7 @@
     this.hasEnded = true;
     this.options.onClose();
     this.withdrawReplacement('the stream was given up');
-    this.giveUpUncertainMove();
+    this.moves.giveUpUncertain();
     void this.pending?.then(handover => handover?.release());
     this.pending = undefined;
     this.replacement = undefined;
@@ -369,17 +366,6 @@
     this.timeline.recordWaiting();
   }
 
-  private takeUncertainMove(): Handover | undefined {
-    const handover = this.uncertainMove?.handover;
-    this.uncertainMove = undefined;
-    return handover;
-  }
-
-  private giveUpUncertainMove(): void {
-    this.uncertainMove?.giveUp();
-    this.takeUncertainMove()?.release();
-  }
-
   private recordStayed(): void {
     const {replacement} = this;
     if (replacement && !replacement.isWithdrawn)
--- a/packages/arbutustide-routing/src/proxy/handover/run_moves.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/run_moves.ts
@@ -78,6 +78,34 @@
     return {slot, move, askedUpstreams};
   }
 
+  /**
+   * Stops a run without a copy of its memory elsewhere.
+   *
+   * @param slot at the upstream that the memory is copied to if it has room.
+   * @param leftMilliseconds time that is left for the stream.
+   */
+  async stop(
+    {progress}: OpenStream,
+    source: ProxyUpstream,
+    slot: AttemptSlot,
+    leftMilliseconds: number,
+  ): Promise<RunMove> {
+    const target = slot.target.upstream;
+    if (!target)
+      return {
+        slot,
+        move: {outcome: MemoryMoveOutcome.NO_ROOM},
+        askedUpstreams: [],
+      };
+    const move = await this.memoryMover.moveMemory(
+      source,
+      target,
+      progress.request.requestId,
+      leftMilliseconds,
+    );
+    return {slot, move, askedUpstreams: [target]};
+  }
+
   /** Gives up a copy that no run goes on from, if there is one. */
   dropCopy(source: ProxyUpstream, location: string | undefined): void {
     if (location !== undefined)
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -117,6 +117,7 @@
       [HandoverAction.RETURN_TO_EARLIER]: stream =>
         this.startResuming(stream, this.places.tryTakeEarlier(stream)),
       [HandoverAction.MOVE_MEMORY]: stream => this.startMoving(stream),
+      [HandoverAction.READMIT]: stream => this.startReadmitting(stream),
       [HandoverAction.REFUSE]: stream => {
         stream.refuse();
         return Ok(undefined);
@@ -305,6 +306,25 @@
     return Ok(slot.target);
   }
 
+  /**
+   * Stops a run whose memory nobody has room for. It goes on from its memory
+   * where it is, as its upstream admits it before all that wait, or at the
+   * upstream that had no room if there is some now.
+   */
+  private startReadmitting(stream: OpenStream): HandoverStart {
+    const {progress, upstream: source, fullUpstream} = stream;
+    if (!source || !fullUpstream || !this.runMoves)
+      return Err(StayReason.NOT_MOVABLE);
+    const slot = this.options.attempts.takeSlotAt(progress, fullUpstream);
+    if (!this.places.consumeRetry(stream, slot))
+      return Err(StayReason.NO_RETRY_LEFT);
+    stream.countHandover();
+    const left = remainingForUpstream(progress, this.options.answerPeriod);
+    const move = this.runMoves.stop(stream, source, slot, left);
+    stream.handOver(this.awaitMove(stream, source, move));
+    return Ok(slot.target);
+  }
+
   /** Resolves to undefined if the run stays at its upstream. */
   private async awaitMove(
     stream: OpenStream,
@@ -341,7 +361,7 @@
       const ownSlot = this.options.attempts.takeSlotAt(progress, source);
       return this.createMovedHandover(progress, ownSlot, location);
     }
-    stream.recordMoveFailed(outcome);
+    stream.recordMoveFailed(outcome, slot.target.upstream);
     // No attempt was made with it.
     stream.reserveRetry();
     return undefined;
