Begin no late stream of an unknown kind on a node that stops

A kind that is not known is taken to need half of its route's timeout now; a stream with less time left gets 504 before its first event, at once where it may be repeated, and its caller can go elsewhere.

'begins if nothing is known of its kind' held the old rule; two tests of the bound, one on each side, replace it, and the second failed before.

--- a/packages/arbutustide-routing/src/__tests__/unit/begin_in_stop.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/begin_in_stop.test.ts
@@ -97,7 +97,19 @@
     expect((await reading).end).to.equal(AnswerEnd.WHOLE);
   });
 
-  it('begins if nothing is known of its kind', async () => {
-    expect((await play(STREAM_MILLISECONDS / 2, 0)).ok).to.equal(true);
+  describe('of a kind that its node has not seen end', () => {
+    const halfOfTimeout =
+      createRequest(RequestKind.STREAM, true).route.timeoutMilliseconds / 2;
+
+    it('begins while half of the timeout of its route is left', async () => {
+      expect((await play(halfOfTimeout, 0)).ok).to.equal(true);
+    });
+
+    it('is refused if less is left', async () => {
+      const result = await play(halfOfTimeout - 1, 0);
+      expect(result.err && result.val.kind).to.equal(
+        ErrorKind.UPSTREAM_TIMED_OUT,
+      );
+    });
   });
 });
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -25,6 +25,7 @@
   StayReason,
 } from './handover_decision.js';
 import {MemoryMoveOutcome} from './memory_mover.js';
+import {expectedStreamMilliseconds} from './can_still_end.js';
 import {createHandover} from './handover.js';
 import {HandoverPlaces} from './handover_places.js';
 import {OpenStream} from './open_stream.js';
@@ -193,7 +194,7 @@
         : Infinity,
       expectedMilliseconds: handoverInput.hasEvents
         ? undefined
-        : streamTimes?.likelyMilliseconds(request),
+        : expectedStreamMilliseconds(progress, streamTimes),
     };
   }
 
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -26,7 +26,10 @@
 import {AttemptOutcome, mayHaveRun, isRetryAllowed} from './attempt_outcome.js';
 import {awaitFirstEvent} from './first_event.js';
 import {DecisionRecorder} from './decision_recorder.js';
-import {canStillEnd} from './handover/can_still_end.js';
+import {
+  canStillEnd,
+  expectedStreamMilliseconds,
+} from './handover/can_still_end.js';
 import {StreamHandovers} from './handover/stream_handovers.js';
 import {cancelOnTriggers, untilCancelled} from './request_cancellation.js';
 import {ranSoFar, remainingMilliseconds} from './routed_request_progress.js';
@@ -188,8 +191,8 @@
   ): RefusalError | undefined {
     if (progress.isContinuation) return undefined;
     const {answerPeriod, streamTimes} = this.options;
-    const likely = streamTimes?.likelyMilliseconds(progress.request);
-    if (canStillEnd(progress, answerPeriod, likely)) return undefined;
+    const expected = expectedStreamMilliseconds(progress, streamTimes);
+    if (canStillEnd(progress, answerPeriod, expected)) return undefined;
     // A peer that passed it to this node may pass it to another one.
     const refusal = progress.isRelayed
       ? createStoppingRefusal(ExecutionStatus.POSSIBLY_EXECUTED)
