Tests of the plan share the fixtures of engines and models

Three test files each had an engine, a model and the plan's parameters of their own; plan_fixtures.ts has them once. No assertion changes: 45 tests of the three files pass.

--- a/packages/arbutustide-placement/src/__tests__/unit/engine_plans.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/engine_plans.test.ts
@@ -5,11 +5,6 @@
  */
 
 import type {EngineHoldingsTracker} from '../../engines/engine_holdings_tracker.js';
-import type {
-  PlannedEngine,
-  PlannedModel,
-  ModelPlanParameters,
-} from '../../engines/model_plan.js';
 
 import {SuspensionDetector} from '@arbutustide/errors';
 import {install} from '@sinonjs/fake-timers';
@@ -17,51 +12,11 @@
 
 import {planAdapterLoad} from '../../engines/adapter_plan.js';
 import {planModelMoves} from '../../engines/model_plan.js';
-
-const SETTINGS: ModelPlanParameters = {
-  replicaTargetUtilization: 0.25,
-  slots: 40,
-  spareReplicaDemand: 3,
-  hysteresisFactor: 1.5,
-  moveCost: 0.3,
-  busyMoveCostShare: 0.2,
-};
-
-function model(name: string, changes: Partial<PlannedModel> = {}) {
-  return {
-    name,
-    megabytes: 70,
-    storeLoadMilliseconds: 4_000,
-    diskLoadMilliseconds: 800,
-    memoryLoadMilliseconds: 400,
-    expectedDemand: 0,
-    peakDemand: 0,
-    queuedRequests: 0,
-    waitedMilliseconds: 0,
-    ...changes,
-  };
-}
-
-function engine(
-  id: string,
-  models: readonly string[],
-  changes: Partial<PlannedEngine> = {},
-): PlannedEngine {
-  return {
-    id,
-    failureDomain: 'domain',
-    freeMegabytes: 220 - models.length * 70,
-    models,
-    loadingModel: undefined,
-    utilization: 0,
-    capacityShare: 1,
-    canAcceptOrder: true,
-    pinnedModels: new Set(),
-    modelsInMemory: new Set(),
-    modelsOnDisk: new Set(),
-    ...changes,
-  };
-}
+import {
+  PLAN_PARAMETERS as SETTINGS,
+  plannedEngine as engine,
+  plannedModel as model,
+} from './plan_fixtures.js';
 
 describe('model plan', () => {
   it('holds every model on some engine while memory is free', () => {
--- a/packages/arbutustide-placement/src/__tests__/unit/move_planner.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/move_planner.test.ts
@@ -13,39 +13,14 @@
 import {expect} from 'chai';
 
 import {MovePlanner} from '../../engines/move_planner.js';
+import {PLAN_PARAMETERS, plannedEngine, plannedModel} from './plan_fixtures.js';
 
-const MODEL: PlannedModel = {
-  name: 'alpha',
-  megabytes: 70,
-  storeLoadMilliseconds: 4_000,
-  diskLoadMilliseconds: 800,
-  memoryLoadMilliseconds: 400,
-  expectedDemand: 1,
-  peakDemand: 2,
-  queuedRequests: 0,
-  waitedMilliseconds: 0,
-};
-const ENGINE: PlannedEngine = {
-  id: 'engine-1',
-  failureDomain: 'domain',
+const MODEL = plannedModel('alpha', {expectedDemand: 1, peakDemand: 2});
+const ENGINE = plannedEngine('engine-1', ['alpha'], {
   freeMegabytes: 10,
-  models: ['alpha'],
-  loadingModel: undefined,
-  utilization: 0,
-  capacityShare: 1,
-  canAcceptOrder: true,
-  pinnedModels: new Set(),
   modelsInMemory: new Set(['beta']),
   modelsOnDisk: new Set(['beta']),
-};
-const SETTINGS: ModelPlanParameters = {
-  replicaTargetUtilization: 0.25,
-  slots: 40,
-  spareReplicaDemand: 3,
-  hysteresisFactor: 1.5,
-  moveCost: 0.3,
-  busyMoveCostShare: 0.2,
-};
+});
 const MOVE: ModelMove = {
   engineId: 'engine-1',
   model: 'beta',
@@ -75,7 +50,7 @@
     movePlanner.plan({
       models: [{...MODEL, ...model}],
       engines: [{...ENGINE, modelsInMemory: new Set(['beta']), ...engine}],
-      settings: {...SETTINGS, ...settings},
+      settings: {...PLAN_PARAMETERS, ...settings},
     });
 
   it('plans once while nothing changes', () => {
--- a/packages/arbutustide-placement/src/__tests__/unit/waiting_turns.test.ts
+++ b/packages/arbutustide-placement/src/__tests__/unit/waiting_turns.test.ts
@@ -5,7 +5,7 @@
 
 import type {Clock} from '@sinonjs/fake-timers';
 
-import type {PlannedEngine, PlannedModel} from '../../engines/model_plan.js';
+import type {PlannedEngine} from '../../engines/model_plan.js';
 
 import {OrderKind} from '@arbutustide/upstream';
 import {install} from '@sinonjs/fake-timers';
@@ -13,6 +13,7 @@
 
 import {PlannerStep} from '../../engines/engine_planner_environment.js';
 import {WaitingTurns} from '../../engines/waiting_turns.js';
+import {plannedEngine, plannedModel} from './plan_fixtures.js';
 import {PLANNER_SETTINGS, PlannerRig} from './planner_rig.js';
 
 const STORE_LOADS_PER_SECOND = 4;
@@ -137,8 +138,8 @@
     const next = (held: readonly PlannedEngine[]) =>
       turns.next(models, turns.observe(held), parameters);
     const engines = (...lately: readonly string[]) => [
-      plannedEngine('1', ['much', ...lately]),
-      plannedEngine('2', ['little']),
+      fullEngine('1', ['much', ...lately]),
+      fullEngine('2', ['little']),
     ];
     expect(next(engines())).to.equal(undefined);
     clock.tick(turnTenureMilliseconds - 1);
@@ -155,16 +156,16 @@
       waitedMilliseconds: turnWaitMilliseconds,
     };
     const models = [
-      plannedModel('one', {}),
-      plannedModel('other', {}),
+      plannedModel('one'),
+      plannedModel('other'),
       plannedModel('first', waiting),
       plannedModel('second', waiting),
     ];
     const parameters = {...PLANNER_SETTINGS, slots: 16};
     const next = (changes: Partial<PlannedEngine>) => {
       const engines = [
-        {...plannedEngine('1', ['one']), ...changes},
-        plannedEngine('2', ['other']),
+        {...fullEngine('1', ['one']), ...changes},
+        fullEngine('2', ['other']),
       ];
       return turns.next(models, turns.observe(engines), parameters);
     };
@@ -193,8 +194,8 @@
     const parameters = {...PLANNER_SETTINGS, slots: 16};
     const nextWhile = (changes: Partial<PlannedEngine>) => {
       const engines = [
-        plannedEngine('1', ['much']),
-        {...plannedEngine('2', ['little']), ...changes},
+        fullEngine('1', ['much']),
+        {...fullEngine('2', ['little']), ...changes},
       ];
       return turns.next(models, turns.observe(engines), parameters);
     };
@@ -207,37 +208,7 @@
   });
 });
 
-function plannedModel(
-  name: string,
-  changes: Partial<PlannedModel>,
-): PlannedModel {
-  return {
-    name,
-    megabytes: 70,
-    storeLoadMilliseconds: 4_000,
-    diskLoadMilliseconds: 800,
-    memoryLoadMilliseconds: 400,
-    expectedDemand: 0,
-    peakDemand: 0,
-    queuedRequests: 0,
-    waitedMilliseconds: 0,
-    ...changes,
-  };
-}
-
 /** An engine without free memory. */
-function plannedEngine(id: string, models: readonly string[]): PlannedEngine {
-  return {
-    id,
-    failureDomain: 'domain',
-    freeMegabytes: 0,
-    models,
-    loadingModel: undefined,
-    utilization: 0,
-    capacityShare: 1,
-    canAcceptOrder: true,
-    pinnedModels: new Set(),
-    modelsInMemory: new Set(),
-    modelsOnDisk: new Set(),
-  };
+function fullEngine(id: string, models: readonly string[]): PlannedEngine {
+  return plannedEngine(id, models, {freeMegabytes: 0});
 }
