Leave the pause of a handover out of the pace of a stream

What passes between the last event at one upstream and the first one at the next is no pace of either, and is not counted now, nor after a stream that broke off.

The new test of last_upstream_stalls.test.ts failed before (4,000 ms until the second handover, below 1,000 asked for). Unit tests of handovers: 13 of 13 in that file.

--- a/packages/arbutustide-routing/src/__tests__/unit/last_upstream_stalls.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/last_upstream_stalls.test.ts
@@ -113,6 +113,15 @@
     return {connector, ids: eventIdsIn(text), end};
   }
 
+  it('is handed over again by the pace of its upstream, not by the stall before', async () => {
+    const scripts = [stallAfter(1), stallAfter(2, 3), endWith(4, 5)];
+    const {ids, end} = await play(scripts);
+    expect(ids).to.eql([1, 2, 3, 4, 5]);
+    expect(end).to.equal(AnswerEnd.WHOLE);
+    const last = decisions.findLast(({step}) => step === DecisionStep.HANDOVER);
+    expect(last?.stalledMilliseconds).to.be.below(SECOND);
+  });
+
   it('goes on at the one before', async () => {
     const {connector, ids, end} = await play([
       stallAfter(1, 2),
--- a/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
@@ -191,6 +191,7 @@
   /** The attempt has broken off, and the next one is being placed. */
   recordBrokenOff(): void {
     this.isBetweenAttempts = true;
+    this.timeline.recordHandedOver();
     this.timeline.recordIdle();
   }
 
@@ -336,6 +337,7 @@
     this.pending = undefined;
     this.replacement = undefined;
     this.isBetweenAttempts = handover !== undefined;
+    if (handover) this.timeline.recordHandedOver();
     if (handover?.isUrgent) this.isUrgent = true;
     return handover;
   }
--- a/packages/arbutustide-routing/src/proxy/stream_timeline.ts
+++ b/packages/arbutustide-routing/src/proxy/stream_timeline.ts
@@ -19,6 +19,7 @@
   private longestPauseMilliseconds = 0;
   private waitingSinceMilliseconds: number | undefined;
   private readonly recentPauses: number[] = [];
+  private isHandedOver = false;
 
   constructor(private readonly arrivedAtMilliseconds: number) {}
 
@@ -46,6 +47,11 @@
     this.waitingSinceMilliseconds = performance.now();
   }
 
+  /** Records that the pause under way is not the pace of an upstream. */
+  recordHandedOver(): void {
+    this.isHandedOver = true;
+  }
+
   /** Records that no upstream is awaited. */
   recordIdle(): void {
     this.waitingSinceMilliseconds = undefined;
@@ -57,6 +63,7 @@
     if (this.firstEventAtMilliseconds === undefined)
       this.firstEventAtMilliseconds = now;
     else this.recordPause(now - this.lastEventAtMilliseconds);
+    this.isHandedOver = false;
     this.lastEventAtMilliseconds = now;
     this.waitingSinceMilliseconds = undefined;
   }
@@ -82,6 +89,7 @@
       this.longestPauseMilliseconds,
       milliseconds,
     );
+    if (this.isHandedOver) return;
     this.recentPauses.push(milliseconds);
     if (this.recentPauses.length > RECENT_PAUSES) this.recentPauses.shift();
   }
