Tell what a stopping process still holds, also if it is killed

Two streams of one host were lost and no line of it names them, so that an end by SIGKILL, an end with open streams and a refused continuation look the same. The line 'stopped' has the time of each part of the stop, the open streams by the reason for which they stayed, the handovers begun by route, and the retries left, lent, borrowed and denied; a line 'stopping' tells the same each second, for a process that is killed before it has stopped.

--- a/packages/arbutustide-node/src/proxy/peer_identity.ts
+++ b/packages/arbutustide-node/src/proxy/peer_identity.ts
@@ -33,3 +33,16 @@
   const endpoint = IDENTITY_PATTERN.exec(identity)?.[1];
   return endpoint && `http://${endpoint}`;
 }
+
+/** Addresses of the settings, and of the last known holder of the lease. */
+export function seedPeerUrls(
+  {seedAddresses, peerPort}: Pick<ProxySettings, 'seedAddresses' | 'peerPort'>,
+  lastHolder: string,
+): Set<string> {
+  const urls = new Set(
+    seedAddresses.map(address => `http://${address}:${peerPort}`),
+  );
+  const holderUrl = peerUrlFromIdentity(lastHolder);
+  if (holderUrl) urls.add(holderUrl);
+  return urls;
+}
--- a/packages/arbutustide-node/src/proxy/proxy_core.ts
+++ b/packages/arbutustide-node/src/proxy/proxy_core.ts
@@ -12,6 +12,7 @@
 import type {DependencyContainer} from 'tsyringe';
 
 import type {ProxyDependencies} from './proxy_dependencies.js';
+import type {StopState} from './stop_state.js';
 
 import {delay} from '@arbutustide/errors';
 import {NodeState} from '@arbutustide/membership';
@@ -21,7 +22,7 @@
 import {handOverStalledStreams} from './hand_over_stalled_streams.js';
 import {PeerBootstrap} from './peer_bootstrap.js';
 import {PeerStateRefresher} from './peer_state_refresher.js';
-import {createPeerIdentity, peerUrlFromIdentity} from './peer_identity.js';
+import {createPeerIdentity, seedPeerUrls} from './peer_identity.js';
 import {ProxyToken} from './proxy_tokens.js';
 import {
   CONFIGURATION_GRACE_SHARE,
@@ -36,6 +37,7 @@
 import {isUnfitToPlan} from './relay/is_unfit_to_plan.js';
 import {PublishedRateLimits} from './rate_limit/published_rate_limits.js';
 import {SnapshotSourceChooser} from './snapshot_source_chooser.js';
+import {readStopState} from './stop_state.js';
 
 /**
  * Core of a node that proxies requests to upstreams by route, without its HTTP
@@ -101,6 +103,11 @@
       .refuse(request);
   }
 
+  /** What a graceful shutdown would lose if it ended now. */
+  get stopState(): StopState {
+    return readStopState(this.container);
+  }
+
   /** Number of peers' requests that this node passes on. */
   get relayedRequestsInFlight(): number {
     return this.container.resolve(ProxyToken.RELAY_SERVER).inFlightRequests;
@@ -266,14 +273,8 @@
 
   private seedPeerUrls(): Set<string> {
     const {settings} = this.dependencies;
-    const urls = new Set(
-      settings.seedAddresses.map(
-        address => `http://${address}:${settings.peerPort}`,
-      ),
-    );
     const {lastHolder} = this.container.resolve(ProxyToken.PLANNER_LEASE);
-    const holderUrl = peerUrlFromIdentity(lastHolder);
-    if (holderUrl) urls.add(holderUrl);
+    const urls = seedPeerUrls(settings, lastHolder);
     urls.delete(this.self.peerUrl);
     return urls;
   }
--- a/packages/arbutustide-node/src/proxy/retries/service_retry_budgets.ts
+++ b/packages/arbutustide-node/src/proxy/retries/service_retry_budgets.ts
@@ -1,3 +1,5 @@
+import type {RetryCounts} from '@arbutustide/routing';
+
 import type {RetryBudgetSettings} from '../proxy_settings.js';
 
 import {ClusterRetryBudget} from '@arbutustide/routing';
@@ -35,4 +37,11 @@
     this.budgets.set(service, budget);
     return budget;
   }
+
+  /** What is left of each budget, by service. */
+  get counts(): Readonly<Record<string, RetryCounts>> {
+    return Object.fromEntries(
+      [...this.budgets].map(([service, {counts}]) => [service, counts]),
+    );
+  }
 }
--- a/packages/arbutustide-routing/src/index.ts
+++ b/packages/arbutustide-routing/src/index.ts
@@ -66,7 +66,11 @@
 export type {PickSettings} from './proxy/balance/pick_upstream.js';
 export type {ProxyDispatcherOptions} from './proxy/proxy_dispatcher_options.js';
 export type {RoutedRequestProgress} from './proxy/routed_request_progress.js';
-export type {ClusterRetryBudgetSettings} from './proxy/cluster_retry_budget.js';
+export type {
+  ClusterRetryBudgetSettings,
+  RetryCounts,
+} from './proxy/cluster_retry_budget.js';
+export type {HandoverSummary} from './proxy/handover/handover_tally.js';
 export type {
   HeldModel,
   UpstreamDescription,
--- a/packages/arbutustide-routing/src/proxy/attempt_maker.ts
+++ b/packages/arbutustide-routing/src/proxy/attempt_maker.ts
@@ -155,7 +155,7 @@
     if (mayHaveRun(attempt.outcome)) progress.mayHaveRun = true;
     if (!countsAsReached(attempt)) progress.attempts -= 1;
     target.recordAttempt(progress, attempt);
-    this.decisions.recordAttempt(progress, attempt);
+    this.decisions.recordAttempt(progress, attempt, start);
     return attempt;
   }
 
--- a/packages/arbutustide-routing/src/proxy/cluster_retry_budget.ts
+++ b/packages/arbutustide-routing/src/proxy/cluster_retry_budget.ts
@@ -9,6 +9,17 @@
   readonly nodeCount: () => number;
 }
 
+/** What a node has left of a budget, and what it did with it. */
+export interface RetryCounts {
+  /** Of the own share, in the present window. */
+  readonly unspent: number;
+  /** Since the start of the node, as all below. */
+  readonly lent: number;
+  readonly borrowed: number;
+  /** Times at which none was left. */
+  readonly denied: number;
+}
+
 /**
  * Share of the allowance that running nodes may consume. The rest covers nodes
  * that restart within a window and lose their record of consumed retries.
@@ -41,6 +52,9 @@
   private readonly buckets: Bucket[] = [];
   private borrowedRetries = 0;
   private loanEndsAtMilliseconds = -Infinity;
+  private lentCount = 0;
+  private borrowedCount = 0;
+  private deniedCount = 0;
 
   constructor(private readonly settings: ClusterRetryBudgetSettings) {}
 
@@ -52,7 +66,11 @@
   /** Consumes one retry; returns false if the window has none left. */
   tryConsume(): boolean {
     const current = this.currentBucket();
-    if (this.countUnspent() < 1) return this.tryConsumeBorrowed();
+    if (this.countUnspent() < 1) {
+      const isBorrowed = this.tryConsumeBorrowed();
+      if (!isBorrowed) this.deniedCount += 1;
+      return isBorrowed;
+    }
     current.retries += 1;
     return true;
   }
@@ -68,6 +86,7 @@
     const lendable = Math.floor(LENDABLE_SHARE * this.countUnspent());
     const lent = Math.max(0, Math.min(wanted, lendable));
     current.retries += lent;
+    this.lentCount += lent;
     return lent;
   }
 
@@ -75,9 +94,20 @@
   borrow(retries: number): void {
     const isOpen = performance.now() < this.loanEndsAtMilliseconds;
     this.borrowedRetries = (isOpen ? this.borrowedRetries : 0) + retries;
+    this.borrowedCount += retries;
     this.loanEndsAtMilliseconds = performance.now() + LOAN_MILLISECONDS;
   }
 
+  get counts(): RetryCounts {
+    this.currentBucket();
+    return {
+      unspent: Math.round(this.countUnspent()),
+      lent: this.lentCount,
+      borrowed: this.borrowedCount,
+      denied: this.deniedCount,
+    };
+  }
+
   private tryConsumeBorrowed(): boolean {
     const isOpen = performance.now() < this.loanEndsAtMilliseconds;
     if (!isOpen || this.borrowedRetries < 1) return false;
--- a/packages/arbutustide-routing/src/proxy/decision_recorder.ts
+++ b/packages/arbutustide-routing/src/proxy/decision_recorder.ts
@@ -3,6 +3,7 @@
 import type {AttemptTrace} from './handover/attempt_trail.js';
 import type {HandoverAction, StayReason} from './handover/handover_decision.js';
 import type {HandoverRecord, MoveRecord} from './handover/stream_handovers.js';
+import type {AttemptStart} from './proxy_connector.js';
 import type {AttemptResult} from './run_attempt.js';
 import type {RequestDecision} from './request_decision.js';
 import type {RoutedRequestProgress} from './routed_request_progress.js';
@@ -48,12 +49,17 @@
     });
   }
 
-  recordAttempt(progress: RoutedRequestProgress, attempt: AttemptResult): void {
+  recordAttempt(
+    progress: RoutedRequestProgress,
+    attempt: AttemptResult,
+    {memoryLocation}: AttemptStart,
+  ): void {
     if (attempt.outcome === AttemptOutcome.ANSWERED) return;
     this.recordDecision(progress, {
       step: DecisionStep.ATTEMPT_ENDED,
       ...attempt.slot.target.decisionFields,
       outcome: attempt.outcome,
+      ...(memoryLocation !== undefined && {isFromMemory: true}),
       attempts: progress.attempts,
       attemptMilliseconds: Math.round(
         performance.now() - attempt.beganAtMilliseconds,
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -8,6 +8,7 @@
 import type {RoutedRequestProgress} from '../routed_request_progress.js';
 import type {Handover} from './handover.js';
 import type {HandoverInput} from './handover_decision.js';
+import type {HandoverSummary} from './handover_tally.js';
 import type {PlaceProvider} from './handover_places.js';
 import type {MemoryMover} from './memory_mover.js';
 import type {RunMove} from './run_moves.js';
@@ -28,6 +29,7 @@
 import {expectedStreamMilliseconds} from './can_still_end.js';
 import {createHandover} from './handover.js';
 import {HandoverPlaces} from './handover_places.js';
+import {HandoverTally} from './handover_tally.js';
 import {OpenStream} from './open_stream.js';
 import {RunMoves} from './run_moves.js';
 import {StreamReplacements} from './stream_replacements.js';
@@ -102,6 +104,7 @@
  */
 export class StreamHandovers {
   private readonly streams = new Set<OpenStream>();
+  private readonly tally = new HandoverTally();
   private readonly places: HandoverPlaces;
   private readonly replacements: StreamReplacements;
   /** Undefined if no upstream moves memory. */
@@ -137,6 +140,11 @@
     return this.streams.size;
   }
 
+  /** What was done for the streams of this node, and what is left of them. */
+  get summary(): HandoverSummary {
+    return this.tally.summarize(this.streams);
+  }
+
   /** Tracks the answer to a request until it is closed, if it is a stream. */
   open(progress: RoutedRequestProgress): OpenStream {
     const timeline = new StreamTimeline(progress.request.arrivedAtMilliseconds);
@@ -210,6 +218,7 @@
         if (started.val === StayReason.NO_RETRY_LEFT) return;
         continue;
       }
+      this.tally.recordBegun(stream.progress.request.route.name, action);
       this.options.onHandover(stream.progress, {
         action,
         target: started.val,
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -3,6 +3,7 @@
 
 import type {DemandedEntry} from './demand_counter.js';
 import type {Handover} from './handover/handover.js';
+import type {HandoverSummary} from './handover/handover_tally.js';
 import type {OpenStream} from './handover/open_stream.js';
 import type {AttemptStart} from './proxy_connector.js';
 import type {AttemptResult} from './run_attempt.js';
@@ -171,6 +172,11 @@
     this.handovers.review();
   }
 
+  /** What was done for open streams so far, and what is left of them. */
+  get handoverSummary(): HandoverSummary {
+    return this.handovers.summary;
+  }
+
   /** The refusal of a request that must not be attempted at all, if so. */
   private refuseHopeless(
     progress: RoutedRequestProgress,
--- a/packages/arbutustide-routing/src/proxy/request_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/request_decision.ts
@@ -51,6 +51,8 @@
   readonly waitedMilliseconds?: number;
   /** Longest time for which the request can have waited to be read. */
   readonly unreadMilliseconds?: number;
+  /** Whether an attempt was to go on from the memory of a stopped run. */
+  readonly isFromMemory?: boolean;
   /** Time from the begin of an attempt to its end. */
   readonly attemptMilliseconds?: number;
   readonly attempts?: number;
