Go on trying for streams of a stopping node whose run has ended

What callers saw: a stream closed without its last event seconds before its node ended. Cause: a stream whose run was stopped for a move was sent to the place that had the copy and once to where it was; a stream that broke off was sent to one place, if there was a retry at that moment. Change: a handover has its further places as a generator. After the holders of its memory a stream that may be resumed is read anew at a further, an earlier or the last upstream, urgently and with a retry each, as long as it can begin there in time; one that must run once asks the holders of its memory by turns.

--- a/packages/arbutustide-routing/src/proxy/handover/handover.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/handover.ts
@@ -1,5 +1,6 @@
 import type {AttemptSlot} from '../attempt_target.js';
 import type {AttemptResult} from '../run_attempt.js';
+import type {PlaceInStop, PlacesOfStream} from './places_in_stop.js';
 
 /** Where a request goes on whose attempt this node ends. */
 export interface Handover {
@@ -14,8 +15,8 @@
   readonly attempt?: AttemptResult;
   /** Copy of memory that the run goes on from; undefined to read it anew. */
   readonly memoryLocation?: string;
-  /** Where the stream was, for when the other place does not take it. */
-  readonly takeFallback: () => Handover | undefined;
+  /** The next place, for when this one does not take it. */
+  readonly takeFallback: () => Promise<Handover | undefined>;
   /** Gives up the place, and the attempt if there is one. */
   readonly release: () => void;
 }
@@ -29,28 +30,40 @@
   readonly takeNextSlot: () => AttemptSlot | undefined;
 }
 
+/** What the handovers to all places of one stream have in common. */
+export type HandoverTerms = Pick<
+  ReplacementPlace,
+  'reason' | 'isUrgent' | 'isAfterInactivity'
+>;
+
 /**
  * A handover whose attempt is yet to be made.
  *
- * @param memoryLocation copy of memory that the run goes on from, if it does.
+ * @param further places for when this one does not take it.
  */
 export function createHandover(
-  place: ReplacementPlace,
-  memoryLocation?: string,
+  {slot, memoryLocation}: PlaceInStop,
+  terms: HandoverTerms,
+  further?: PlacesOfStream,
 ): Handover {
-  const {slot, reason, isUrgent, isAfterInactivity = false} = place;
+  const {reason, isUrgent, isAfterInactivity = false} = terms;
   return {
     slot,
     reason,
     isUrgent,
     isAfterInactivity,
     memoryLocation,
-    takeFallback: () => {
-      const next = place.takeNextSlot();
-      if (!next) return undefined;
-      const nextPlace = {...place, slot: next, takeNextSlot: () => undefined};
-      return createHandover(nextPlace, memoryLocation);
-    },
+    takeFallback: () => takeNextHandover(terms, further),
     release: () => slot.release(),
   };
 }
+
+/** The handover to the next of some places; undefined if there is none. */
+export async function takeNextHandover(
+  terms: HandoverTerms,
+  places: PlacesOfStream | undefined,
+): Promise<Handover | undefined> {
+  const next = await places?.next();
+  if (!next || next.done) return undefined;
+  return createHandover(next.value, terms, places);
+}
--- a/packages/arbutustide-routing/src/proxy/handover/handover_places.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/handover_places.ts
@@ -1,5 +1,6 @@
 import type {AttemptMaker} from '../attempt_maker.js';
 import type {AttemptSlot} from '../attempt_target.js';
+import type {ProxyUpstream} from '../proxy_upstream.js';
 import type {RoutedRequestProgress} from '../routed_request_progress.js';
 import type {OpenStream} from './open_stream.js';
 
@@ -37,6 +38,27 @@
     return this.provider.takeSlotAt(progress, upstream);
   }
 
+  /**
+   * A slot at one more upstream, at an earlier one, or at the last one; undefined
+   * if the stream was at a peer and there is no other.
+   */
+  takeUrgent(stream: OpenStream): AttemptSlot | undefined {
+    const {progress, upstream} = stream;
+    return (
+      this.tryTakeFurther(progress) ??
+      this.tryTakeEarlier(stream) ??
+      (upstream && this.takeAt(progress, upstream))
+    );
+  }
+
+  /** A slot at this upstream, whether it has a free one or not. */
+  takeAt(
+    progress: RoutedRequestProgress,
+    upstream: ProxyUpstream,
+  ): AttemptSlot {
+    return this.provider.takeSlotAt(progress, upstream);
+  }
+
   /** A slot where the stream is, with the retry for an attempt there. */
   takeAgainWithRetry(stream: OpenStream): AttemptSlot | undefined {
     const {progress, upstream} = stream;
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -22,21 +22,22 @@
 import {
   decideHandover,
   HandoverAction,
-  MINIMUM_LEFT_MILLISECONDS,
   StayReason,
 } from './handover_decision.js';
 import {MemoryMoveOutcome} from './memory_mover.js';
 import {expectedStreamMilliseconds} from './can_still_end.js';
-import {createHandover} from './handover.js';
+import {createHandover, takeNextHandover} from './handover.js';
 import {HandoverPlaces} from './handover_places.js';
 import {HandoverTally} from './handover_tally.js';
 import {OpenStream} from './open_stream.js';
+import {PlacesInStop} from './places_in_stop.js';
 import {RunMoves} from './run_moves.js';
 import {StreamReplacements} from './stream_replacements.js';
 
 /** Why a node ends an attempt whose stream goes on at another place. */
 const HANDED_OVER = 'the stream is handed over as this node stops';
 const INACTIVE = 'its upstream was inactive';
+const URGENT_TERMS = {reason: HANDED_OVER, isUrgent: true};
 
 /** A handover that has begun, as it is logged and counted. */
 export interface HandoverRecord {
@@ -106,6 +107,7 @@
   private readonly streams = new Set<OpenStream>();
   private readonly tally = new HandoverTally();
   private readonly places: HandoverPlaces;
+  private readonly placesInStop: PlacesInStop;
   private readonly replacements: StreamReplacements;
   /** Undefined if no upstream moves memory. */
   private readonly runMoves: RunMoves | undefined;
@@ -131,6 +133,7 @@
   constructor(private readonly options: StreamHandoversOptions) {
     const {memoryMover, attempts} = options;
     this.places = new HandoverPlaces(attempts);
+    this.placesInStop = new PlacesInStop(this.places, options.answerPeriod);
     this.replacements = new StreamReplacements(options);
     this.runMoves = memoryMover && new RunMoves(memoryMover, attempts);
   }
@@ -260,40 +263,23 @@
     if (stream.isBeingHandedOver) return false;
     const slot = this.options.attempts.tryReservePlace(progress);
     if (!slot) return false;
-    const place = {
-      slot,
-      reason: INACTIVE,
-      isUrgent: false,
-      isAfterInactivity: true,
-      takeNextSlot: () => undefined,
-    };
+    const terms = {reason: INACTIVE, isUrgent: false, isAfterInactivity: true};
     if (!stream.isAnswered) {
-      stream.handOver(createHandover(place));
+      stream.handOver(createHandover({slot}, terms));
       return true;
     }
     stream.recordInactive();
-    this.replacements.begin(stream, place);
+    const takeNextSlot = () => undefined;
+    this.replacements.begin(stream, {...terms, slot, takeNextSlot});
     return false;
   }
 
   /**
-   * An urgent place for a stream of a node that stops, whose attempt has broken
-   * off; undefined if there is none, or no time to begin there.
+   * An urgent place, with its retry, for a stream of a node that stops and whose
+   * attempt has broken off. Awaits one for as long as it could begin there.
    */
-  takeUrgentPlace(stream: OpenStream): Handover | undefined {
-    const {progress} = stream;
-    const {answerPeriod} = this.options;
-    if (answerPeriod.endsAtMilliseconds === Infinity) return undefined;
-    const left = remainingForUpstream(progress, answerPeriod);
-    if (left < MINIMUM_LEFT_MILLISECONDS) return undefined;
-    const slot =
-      this.places.tryTakeFurther(progress) ??
-      this.places.tryTakeEarlier(stream) ??
-      this.places.takeAgain(stream);
-    if (!slot) return undefined;
-    const takeNextSlot = () => undefined;
-    const place = {slot, reason: HANDED_OVER, isUrgent: true, takeNextSlot};
-    return createHandover(place);
+  takeUrgentPlace(stream: OpenStream): Promise<Handover | undefined> {
+    return takeNextHandover(URGENT_TERMS, this.placesInStop.findUrgent(stream));
   }
 
   private startMoving(stream: OpenStream): HandoverStart {
@@ -353,15 +339,10 @@
       askedUpstreams,
     });
     if (outcome === MemoryMoveOutcome.MOVED)
-      return this.createMovedHandover(progress, slot, location, source);
+      return this.createMovedHandover(stream, slot, location, source);
     if (outcome === MemoryMoveOutcome.UNKNOWN && copyLocation !== undefined) {
       stream.recordUncertainMove({
-        handover: this.createMovedHandover(
-          progress,
-          slot,
-          copyLocation,
-          source,
-        ),
+        handover: this.createMovedHandover(stream, slot, copyLocation, source),
         giveUp: () => this.runMoves?.dropCopy(source, copyLocation),
       });
       return undefined;
@@ -369,7 +350,7 @@
     slot.release();
     if (outcome === MemoryMoveOutcome.KEPT_AT_SOURCE) {
       const ownSlot = this.options.attempts.takeSlotAt(progress, source);
-      return this.createMovedHandover(progress, ownSlot, location);
+      return this.createMovedHandover(stream, ownSlot, location);
     }
     stream.recordMoveFailed(outcome, slot.target.upstream);
     // No attempt was made with it.
@@ -377,16 +358,23 @@
     return undefined;
   }
 
-  /** A handover of a run that has stopped, to be continued from its memory. */
+  /**
+   * A handover of a run that has stopped, to be continued from its memory.
+   *
+   * @param source holds the memory too; undefined if the slot is there.
+   */
   private createMovedHandover(
-    progress: RoutedRequestProgress,
+    stream: OpenStream,
     slot: AttemptSlot,
     memoryLocation: string | undefined,
     source?: ProxyUpstream,
   ): Handover {
-    const takeNextSlot = () =>
-      source && this.options.attempts.takeSlotAt(progress, source);
-    const place = {slot, reason: HANDED_OVER, isUrgent: true, takeNextSlot};
-    return createHandover(place, memoryLocation);
+    const {upstream} = slot.target;
+    const holders = [upstream, source].filter(holder => holder !== undefined);
+    const further = this.placesInStop.findForStoppedRun(stream, {
+      memoryLocation,
+      holders,
+    });
+    return createHandover({slot, memoryLocation}, URGENT_TERMS, further);
   }
 }
--- a/packages/arbutustide-routing/src/proxy/handover/stream_replacements.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_replacements.ts
@@ -46,7 +46,7 @@
           isUrgent,
           isAfterInactivity,
           attempt,
-          takeFallback: () => undefined,
+          takeFallback: async () => undefined,
           release: () => replacement.abandon(attempt),
         };
       }
--- a/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_dispatcher.ts
@@ -301,7 +301,8 @@
         stream,
       );
       if (attempt.outcome === AttemptOutcome.ANSWERED) return Ok(attempt);
-      handover = (await stream.takeHandover(false)) ?? handover?.takeFallback();
+      handover =
+        (await stream.takeHandover(false)) ?? (await handover?.takeFallback());
       if (handover) continue;
       if (attempt.outcome === AttemptOutcome.FAILED) lastFailure = attempt;
       const budget = {
--- a/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/proxy_event_stream.ts
@@ -31,7 +31,7 @@
    * An urgent place for a stream of a node that stops, whose attempt has broken
    * off; undefined if there is none.
    */
-  readonly takeUrgentPlace: () => Handover | undefined;
+  readonly takeUrgentPlace: () => Promise<Handover | undefined>;
   /** Consumes one retry of the cluster-wide budget; false if none is left. */
   readonly tryConsumeRetry: () => boolean;
   /** Called before the caller gets its first event of the stream. */
@@ -238,15 +238,12 @@
       this.options.onResume(reason, failure.handover.attempt);
       return failure.handover.attempt;
     }
-    const handover = failure.handover ?? this.takeUrgentPlace();
-    const isAllowed = handover !== undefined || this.mayWaitForPlace();
-    if (!isAllowed) return undefined;
-    const needsRetry = failure.handover === undefined;
-    if (needsRetry && !this.options.tryConsumeRetry()) {
-      handover?.release();
-      return undefined;
-    }
     this.openStream.recordBrokenOff();
+    const handover = failure.handover ?? (await this.takeUrgentPlace());
+    const isAllowed =
+      handover !== undefined ||
+      (this.mayWaitForPlace() && this.options.tryConsumeRetry());
+    if (!isAllowed) return undefined;
     const resumeAfterEventId = this.eventSequencer.lastEventId;
     const next = await this.options.resume({resumeAfterEventId}, handover);
     const attempt = next.ok ? next.val : undefined;
@@ -263,7 +260,7 @@
     return isRepeatable(request.route) && !cancellation.isCancelled;
   }
 
-  private takeUrgentPlace(): Handover | undefined {
+  private async takeUrgentPlace(): Promise<Handover | undefined> {
     return this.isResumable ? this.options.takeUrgentPlace() : undefined;
   }
 
