Try a replacement again after another stall, also if it failed unexpectedly

A replacement whose attempt threw counted as given up, so that the next look, 50 ms later, made another: 30 attempts and retries in 2 s in the test, which other streams of the stop then lack. It counts as failed now.

--- a/packages/arbutustide-routing/src/__tests__/unit/replacement_that_does_not_go_on.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/replacement_that_does_not_go_on.test.ts
@@ -245,6 +245,22 @@
     expect(await textAtEnd(dispatcher, reading)).to.eql([1, 2]);
   });
 
+  it('is tried again after another stall if it failed unexpectedly', async () => {
+    const fail: AttemptScript = () => {
+      throw new Error('unexpected');
+    };
+    const scripts = [stall(), ...Array.from({length: 60}, () => fail)];
+    const {connector, dispatcher} = createTestDispatcher(false, scripts);
+    const {reading} = await begin(dispatcher);
+    beginStop();
+    const stalls = 4;
+    await review(dispatcher, stalls * PATIENCE_MILLISECONDS);
+    // Each handover asks two places.
+    const asked = connector.upstreamIds.length - 1;
+    expect(asked).to.be.within(2, 2 * stalls);
+    expect(await textAtEnd(dispatcher, reading)).to.eql([1, 2]);
+  });
+
   it('goes on with one that began while it waited to be resumed', async () => {
     const breaking = new Cancellation();
     const scripts = [stall(breaking), goOnFrom(3)];
--- a/packages/arbutustide-routing/src/proxy/handover/replacement_attempt.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/replacement_attempt.ts
@@ -100,6 +100,11 @@
     return undefined;
   }
 
+  /** Records why the stream does not go on with it, unless that is known. */
+  fail(reason: string): void {
+    this.reason ??= reason;
+  }
+
   /** Gives the attempt up, unless the stream goes on with it. */
   withdraw(reason: string): void {
     if (this.hasNextEvent || this.reason !== undefined) return;
--- a/packages/arbutustide-routing/src/proxy/handover/stream_replacements.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_replacements.ts
@@ -74,7 +74,7 @@
     try {
       return await replacement.start();
     } catch (error) {
-      replacement.withdraw(String(error));
+      replacement.fail(String(error));
       slot.release();
       return undefined;
     }
