Be urgent with a stream whose upstream is inactive in a stop

A stream that was sent again because its upstream was silent went at its usual level also when its node had seconds left, behind all others there. The level follows from the stop now.

--- a/packages/arbutustide-routing/src/__tests__/unit/replacement_that_does_not_go_on.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/replacement_that_does_not_go_on.test.ts
@@ -261,6 +261,16 @@
     expect(await textAtEnd(dispatcher, reading)).to.eql([1, 2]);
   });
 
+  it('is urgent if its upstream is inactive in a stop', async () => {
+    const scripts = [stall(), goOnFrom(3)];
+    const {connector, dispatcher} = createTestDispatcher(false, scripts);
+    const {reading} = await begin(dispatcher);
+    beginStop();
+    await clock.tickAsync(INACTIVITY_MILLISECONDS);
+    expect(connector.terms[1]?.isUrgent).to.equal(true);
+    expect(await textAtEnd(dispatcher, reading)).to.eql([1, 2, 3, 4]);
+  });
+
   it('goes on with one that began while it waited to be resumed', async () => {
     const breaking = new Cancellation();
     const scripts = [stall(breaking), goOnFrom(3)];
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -263,7 +263,8 @@
     if (stream.isBeingHandedOver) return false;
     const slot = this.options.attempts.tryReservePlace(progress);
     if (!slot) return false;
-    const terms = {reason: INACTIVE, isUrgent: false, isAfterInactivity: true};
+    const isUrgent = this.options.answerPeriod.endsAtMilliseconds !== Infinity;
+    const terms = {reason: INACTIVE, isUrgent, isAfterInactivity: true};
     if (!stream.isAnswered) {
       stream.handOver(createHandover({slot}, terms));
       return true;
