Find a stalled stream in a stop by the longest of its latest pauses

What callers saw: a stream that may be resumed is closed without its last event, and nothing was tried for it ('not_stalled'). Cause: the time for which its next event is awaited was four of its usual pauses, whatever was left. At an engine that reads prompts between the events of its runs these come each 0.25 to 0.4 s, so that 1.0 to 1.6 s of the last two were spent on waiting. Pauses at an earlier upstream counted on at the next one. Change: four usual pauses or one and a half times the longest of the latest nine, whichever is shorter; after fewer than three pauses half of the time that is left, as with an unknown pace; a stream that goes on elsewhere has no pace yet. One case of handover_decision.test.ts held the four pauses as right for an even pace too; it now has an uneven one, and the bounds of both are exact to 1 ms. Result: the three red cases of stall_at_slow_pace.test.ts pass and leave KNOWN-RED; a fourth (a second, quicker upstream stalls too) fails without the reset. KNOWN-RED: the users' engines do not move preempted runs.

--- a/packages/arbutustide-routing/src/__tests__/unit/handover_decision.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/handover_decision.test.ts
@@ -33,6 +33,8 @@
   hasFoundNoRoom: false,
   stalledMilliseconds: 600,
   usualPauseMilliseconds: 40,
+  longestUsualPauseMilliseconds: 40,
+  hasKnownPace: true,
   leftMilliseconds: 7_000,
 };
 
@@ -42,6 +44,17 @@
   stalledMilliseconds: 1_200,
 };
 
+const UNEVEN_PACE: Partial<HandoverInput> = {
+  usualPauseMilliseconds: 200,
+  longestUsualPauseMilliseconds: 560,
+};
+
+const EVEN_PACE: Partial<HandoverInput> = {
+  usualPauseMilliseconds: 250,
+  longestUsualPauseMilliseconds: 260,
+  leftMilliseconds: 1_200,
+};
+
 const CASES: readonly {
   readonly name: string;
   readonly changes: Partial<HandoverInput>;
@@ -166,9 +179,34 @@
   },
   {
     name: 'does not take the usual pace of a stream for a stall',
-    changes: {usualPauseMilliseconds: 200, stalledMilliseconds: 790},
+    changes: {...UNEVEN_PACE, stalledMilliseconds: 790},
+    expected: StayReason.NOT_STALLED,
+  },
+  {
+    name: 'takes four usual pauses for a stall',
+    changes: {...UNEVEN_PACE, stalledMilliseconds: 800},
+    expected: HandoverAction.RESUME_ELSEWHERE,
+  },
+  {
+    name: 'does not take a pause little longer than all others for a stall',
+    changes: {...EVEN_PACE, stalledMilliseconds: 389},
     expected: StayReason.NOT_STALLED,
   },
+  {
+    name: 'takes a pause much longer than all others for a stall',
+    changes: {...EVEN_PACE, stalledMilliseconds: 390},
+    expected: HandoverAction.RESUME_ELSEWHERE,
+  },
+  {
+    name: 'waits for longer after few pauses',
+    changes: {...EVEN_PACE, hasKnownPace: false, stalledMilliseconds: 599},
+    expected: StayReason.NOT_STALLED,
+  },
+  {
+    name: 'waits for half of the time that is left after few pauses',
+    changes: {...EVEN_PACE, hasKnownPace: false, stalledMilliseconds: 600},
+    expected: HandoverAction.RESUME_ELSEWHERE,
+  },
   {
     name: 'waits less as less time is left',
     changes: {leftMilliseconds: 1_200, stalledMilliseconds: 300},
--- a/packages/arbutustide-routing/src/__tests__/unit/stall_at_slow_pace.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/stall_at_slow_pace.test.ts
@@ -34,6 +34,7 @@
   callerTimeoutMilliseconds: 12_000,
 });
 const STEADY_PAUSES = [250];
+const SLOW_PAUSES = [400];
 const UNEVEN_PAUSES = [200, 310, 240];
 
 describe('stream of a slow pace whose node stops', () => {
@@ -44,41 +45,46 @@
   });
   afterEach(() => clock.uninstall());
 
-  /** A stream that pauses for these times by turns, and stalls some time. */
-  function createStream(pauses: readonly number[], stallsAt: number) {
+  /** A run that pauses for these times by turns, and stalls some time. */
+  interface Run {
+    readonly pauses: readonly number[];
+    /** Since the SIGTERM. */
+    readonly stallsAfterMilliseconds: number;
+  }
+
+  /** The runs of a stream, and one that ends it. */
+  function* createScripts(
+    runs: readonly Run[],
+    stopsAt: number,
+  ): Generator<AttemptScript, void, undefined> {
     let count = 0;
-    const script: AttemptScript = (_upstream, {cancellation}) =>
-      respondWith({
-        isEventStream: true,
-        body: (async function* () {
-          for (;;) {
-            const pause = pauses[count % pauses.length];
-            if (performance.now() + pause > stallsAt) break;
-            await delay(pause);
-            count += 1;
-            yield Buffer.from(`id: ${count}\ndata: x\n\n`);
-          }
-          await new Promise((_resolve, reject) =>
-            cancellation.onCancel(() => reject(connectionLostError())),
-          );
-        })(),
-      });
-    const goOn: AttemptScript = () =>
-      respondWithEvents([count + 1, count + 2], true);
-    return {script, goOn};
+    for (const {pauses, stallsAfterMilliseconds} of runs) {
+      yield (_upstream, {cancellation}) =>
+        respondWith({
+          isEventStream: true,
+          body: (async function* () {
+            for (;;) {
+              const pause = pauses[count % pauses.length];
+              const eventAt = performance.now() + pause;
+              if (eventAt > stopsAt + stallsAfterMilliseconds) break;
+              await delay(pause);
+              count += 1;
+              yield Buffer.from(`id: ${count}\ndata: x\n\n`);
+            }
+            await new Promise((_resolve, reject) =>
+              cancellation.onCancel(() => reject(connectionLostError())),
+            );
+          })(),
+        });
+    }
+    yield () => respondWithEvents([count + 1, count + 2], true);
   }
 
   /** Plays a stop that begins some time after the stream. */
-  async function play(
-    pauses: readonly number[],
-    stallsAfterMilliseconds: number,
-  ) {
+  async function play(...runs: readonly Run[]) {
+    const [{pauses}] = runs;
     const stopsAt = performance.now() + GRACE_MILLISECONDS;
-    const {script, goOn} = createStream(
-      pauses,
-      stopsAt + stallsAfterMilliseconds,
-    );
-    const connector = new ScriptedConnector([script, goOn]);
+    const connector = new ScriptedConnector([...createScripts(runs, stopsAt)]);
     const answerPeriod = {endsAtMilliseconds: Infinity};
     const upstreams = ['one', 'two'].map(id => testUpstream(id, ['m']));
     const dispatcher = createDispatcher(
@@ -113,19 +119,39 @@
   ] as const) {
     for (const stallsAfter of [3_000, 5_000, 6_000, 6_300]) {
       it(`goes on elsewhere if ${name} one stalls after ${stallsAfter} ms`, async () => {
-        const {end} = await play(pauses, stallsAfter);
+        const {end} = await play({
+          pauses,
+          stallsAfterMilliseconds: stallsAfter,
+        });
         expect(end).to.equal(AnswerEnd.WHOLE);
       });
     }
 
     it(`stays while ${name} one goes on`, async () => {
-      const {connector} = await play(pauses, GRACE_MILLISECONDS);
+      const {connector} = await play({
+        pauses,
+        stallsAfterMilliseconds: GRACE_MILLISECONDS,
+      });
       expect(connector.upstreamIds).to.eql(['one']);
     });
   }
 
   it('goes on elsewhere if it stalls before the last sixth begins', async () => {
-    const {end} = await play(STEADY_PAUSES, LAST_SIXTH_BEGINS_MILLISECONDS);
+    const {end} = await play({
+      pauses: STEADY_PAUSES,
+      stallsAfterMilliseconds: LAST_SIXTH_BEGINS_MILLISECONDS,
+    });
+    expect(end).to.equal(AnswerEnd.WHOLE);
+  });
+
+  it('goes on at the first one if a second, quicker one stalls too', async () => {
+    const slow = {pauses: SLOW_PAUSES, stallsAfterMilliseconds: 5_460};
+    const quick = {
+      pauses: STEADY_PAUSES,
+      stallsAfterMilliseconds: LAST_SIXTH_BEGINS_MILLISECONDS,
+    };
+    const {connector, end} = await play(slow, quick);
+    expect(connector.upstreamIds).to.eql(['one', 'two', 'one']);
     expect(end).to.equal(AnswerEnd.WHOLE);
   });
 });
--- a/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/handover_decision.ts
@@ -68,6 +68,10 @@
   readonly stalledMilliseconds: number;
   /** Median of its latest pauses; undefined if it has had none. */
   readonly usualPauseMilliseconds: number | undefined;
+  /** Longest of its latest pauses; undefined if it has had none. */
+  readonly longestUsualPauseMilliseconds: number | undefined;
+  /** Whether it has had enough pauses to tell its pace. */
+  readonly hasKnownPace: boolean;
   /**
    * Until the answers of this node, or the request's deadline, end; Infinity
    * unless the node stops.
@@ -84,6 +88,11 @@
 const UNKNOWN_PACE_FACTOR = 2;
 /** Pauses as long as this, relative to the usual one, are no stall. */
 const USUAL_PAUSES = 4;
+/**
+ * The same relative to the longest of the latest pauses. The events of an engine
+ * that reads long prompts come slowly, and at an even pace.
+ */
+const LONGEST_USUAL_PAUSES = 1.5;
 /** Below it, a pause may come from the network or the event loop. */
 const MINIMUM_PATIENCE_MILLISECONDS = 150;
 /**
@@ -159,16 +168,34 @@
 }
 
 /** For how long the next event of a stream is awaited. */
-function patienceOf({
-  route,
-  usualPauseMilliseconds: usualPause,
-  leftMilliseconds,
-}: HandoverInput): number {
+function patienceOf(input: HandoverInput): number {
+  const {route, leftMilliseconds} = input;
   const bound = Math.min(route.callerTimeoutMilliseconds, leftMilliseconds);
   const share = PATIENCE_SHARE * bound;
-  const patience =
-    usualPause === undefined
-      ? UNKNOWN_PACE_FACTOR * share
-      : Math.max(share, USUAL_PAUSES * usualPause);
+  const patience = Math.max(
+    share,
+    longestPauseOf(input, UNKNOWN_PACE_FACTOR * share),
+  );
   return Math.max(MINIMUM_PATIENCE_MILLISECONDS, patience);
 }
+
+/**
+ * The longest pause that may be the pace of a stream.
+ *
+ * @param ifUnknown the same while its pace is not known.
+ */
+function longestPauseOf(
+  {
+    usualPauseMilliseconds: usualPause,
+    longestUsualPauseMilliseconds: longestPause,
+    hasKnownPace,
+  }: HandoverInput,
+  ifUnknown: number,
+): number {
+  if (usualPause === undefined || longestPause === undefined) return ifUnknown;
+  const byLongest = LONGEST_USUAL_PAUSES * longestPause;
+  return Math.min(
+    USUAL_PAUSES * usualPause,
+    hasKnownPace ? byLongest : Math.max(byLongest, ifUnknown),
+  );
+}
--- a/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/open_stream.ts
@@ -162,6 +162,8 @@
         performance.now() - this.replacementFailedAtMilliseconds,
       ),
       usualPauseMilliseconds: timeline.usualPauseMilliseconds,
+      longestUsualPauseMilliseconds: timeline.longestUsualPauseMilliseconds,
+      hasKnownPace: timeline.hasKnownPace,
     };
   }
 
--- a/packages/arbutustide-routing/src/proxy/stream_timeline.ts
+++ b/packages/arbutustide-routing/src/proxy/stream_timeline.ts
@@ -11,6 +11,8 @@
 
 /** Pauses from which the usual one is taken. */
 const RECENT_PAUSES = 9;
+/** Fewer pauses tell little of the longest one. */
+const MINIMUM_PAUSES = 3;
 
 /** When the events of a stream came, and how long its upstream was awaited. */
 export class StreamTimeline {
@@ -42,14 +44,29 @@
     return sorted[Math.floor(sorted.length / 2)];
   }
 
+  /** Longest of the latest pauses; undefined if there are none. */
+  get longestUsualPauseMilliseconds(): number | undefined {
+    const {recentPauses} = this;
+    return recentPauses.length > 0 ? Math.max(...recentPauses) : undefined;
+  }
+
+  /** Whether there were enough pauses to tell how long they are. */
+  get hasKnownPace(): boolean {
+    return this.recentPauses.length >= MINIMUM_PAUSES;
+  }
+
   /** Records that the next data of the upstream is awaited from now on. */
   recordWaiting(): void {
     this.waitingSinceMilliseconds = performance.now();
   }
 
-  /** Records that the pause under way is not the pace of an upstream. */
+  /**
+   * Records that the stream goes on at another upstream, whose pace is not known.
+   * The pause under way is not the pace of either.
+   */
   recordHandedOver(): void {
     this.isHandedOver = true;
+    this.recentPauses.length = 0;
   }
 
   /** Records that no upstream is awaited. */
