Ask no upstream in a stop that leaves or that this node can't reach

A stream whose run had ended asked its last upstream again until 250 ms were left, also if that one drains, or if this node has lost its paths and a peer has one: with nothing else to ask, the waiting itself kept it from the peer. Only upstreams that take requests and can be reached are asked; without one the stream goes on as at any other time. Four tests fail without this: at another peer at once, at a peer if its own path is lost, not sent again to one that leaves (read anew, must run once).

--- a/packages/arbutustide-routing/src/__tests__/unit/cut_off_dispatch.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/cut_off_dispatch.test.ts
@@ -17,6 +17,7 @@
 import {Err, Ok} from 'ts-results';
 
 import {AnswerEnd} from '../../caller_request.js';
+import {ENDLESS_ANSWER_PERIOD} from '../../proxy/answer_period.js';
 import {InactivityTimeout} from '../../proxy/inactivity_timeout.js';
 import {RequestKind} from '../../proxy/route.js';
 import {testUpstream} from './proxy_fixtures.js';
@@ -34,6 +35,7 @@
 
 type RelayAnswer = Awaited<ReturnType<RequestRelay['sendRequest']>>;
 
+const STOP_MILLISECONDS = 4_000;
 const PEERS: readonly RelayPeer[] = ['one', 'two', 'three'].map(name => ({
   name,
   identity: name,
@@ -97,6 +99,7 @@
     kind: RequestKind,
     connector = new ScriptedConnector([]),
     isResumable = true,
+    answerPeriod = ENDLESS_ANSWER_PERIOD,
   ) {
     const list = () => upstreams;
     return createDispatcher(
@@ -105,6 +108,8 @@
       () => {},
       undefined,
       relay,
+      undefined,
+      answerPeriod,
     ).dispatch(createRequest(kind, isResumable));
   }
 
@@ -143,6 +148,46 @@
     expect(askedPeers).to.deep.equal(['one', 'two']);
   });
 
+  describe('that stops', () => {
+    /** Ids of the events of a stream that breaks off after the second one. */
+    async function readBroken(connector?: ScriptedConnector) {
+      const answerPeriod = {endsAtMilliseconds: STOP_MILLISECONDS};
+      const answer = await dispatch(
+        RequestKind.STREAM,
+        connector,
+        true,
+        answerPeriod,
+      );
+      const reading = readAnswer(answer);
+      await clock.tickAsync(STOP_MILLISECONDS / 2);
+      return eventIdsIn((await reading).text);
+    }
+
+    it('resumes a stream at another peer at once', async () => {
+      cutOff();
+      answers = [
+        relayed(respondWithEvents([1, 2], false)),
+        relayed(respondWithEvents([3, 4], true)),
+      ];
+      expect(await readBroken()).to.eql([1, 2, 3, 4]);
+      expect(askedPeers).to.eql(['one', 'two']);
+    });
+
+    it('resumes a stream at a peer if its own path is lost', async () => {
+      upstreams.pop();
+      const connector = new ScriptedConnector([
+        () => respondWithEvents([1, 2], false),
+        () => {
+          cutOff();
+          return Err(new AttemptError(AttemptFailure.NOT_CONNECTED, 'lost'));
+        },
+      ]);
+      answers = [relayed(respondWithEvents([3, 4], true))];
+      expect(await readBroken(connector)).to.eql([1, 2, 3, 4]);
+      expect(askedPeers).to.eql(['one']);
+    });
+  });
+
   it('passes on the refusal of a peer that has no slot in time', async () => {
     cutOff();
     const {NOT_EXECUTED} = ExecutionStatus;
--- a/packages/arbutustide-routing/src/__tests__/unit/refused_continuation.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/refused_continuation.test.ts
@@ -9,6 +9,7 @@
 
 import {AnswerEnd} from '../../caller_request.js';
 import {MemoryMoveOutcome} from '../../proxy/handover/memory_mover.js';
+import {UpstreamState} from '../../proxy/proxy_upstream.js';
 import {RequestKind} from '../../proxy/route.js';
 import {MEMORY_LOCATION, MovingConnector} from './moving_connector.js';
 import {testUpstream} from './proxy_fixtures.js';
@@ -50,7 +51,7 @@
   afterEach(() => clock.uninstall());
 
   const goOn: AttemptScript = () => respondWithEvents([3, 4], true);
-  const refuse: AttemptScript = () =>
+  const refuse = () =>
     respondWith({status: UNAVAILABLE_STATUS, isNotRun: true});
 
   /** Plays a stall in a stop, a move of the run, and what follows it. */
@@ -147,6 +148,29 @@
     expectWhole(await play(true, BROKEN_OFF, [refuse, goOn]));
   });
 
+  for (const isResumable of [true, false]) {
+    const kind = isResumable ? 'is read anew' : 'must run once';
+    it(`is not sent again to one that leaves if it ${kind}`, async () => {
+      const refuseAndLeave: AttemptScript = () => {
+        for (const other of upstreams) {
+          const {description} = other;
+          other.updateDescription({
+            ...description,
+            state: UpstreamState.LEAVING,
+          });
+        }
+        return refuse();
+      };
+      const {connector, end} = await play(isResumable, MOVED, [
+        refuseAndLeave,
+        refuse,
+      ]);
+      expect(end).to.equal(AnswerEnd.BROKEN);
+      // The second refusal is that of the upstream which has its memory.
+      expect(connector.upstreamIds).to.have.length(3);
+    });
+  }
+
   it('goes on from its memory if it must run once and places refuse it', async () => {
     const refusals = Array.from({length: 3}, () => refuse);
     expectWhole(await play(false, MOVED, [...refusals, goOn]));
--- a/packages/arbutustide-routing/src/proxy/handover/handover_places.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/handover_places.ts
@@ -12,6 +12,11 @@
   'tryTakeSlot' | 'tryTakeEarlierSlot' | 'takeSlotAt' | 'tryConsumeRetry'
 >;
 
+/** Whether an upstream takes requests, and this node has a path to it. */
+export function isOpen({isReady, reachability}: ProxyUpstream): boolean {
+  return isReady && !reachability.isLost;
+}
+
 /** Finds places for streams that are handed over. */
 export class HandoverPlaces {
   constructor(private readonly provider: PlaceProvider) {}
@@ -40,15 +45,13 @@
 
   /**
    * A slot at one more upstream, at an earlier one, or at the last one; undefined
-   * if the stream was at a peer and there is no other.
+   * if none takes requests of this node, or the stream was at a peer.
    */
   takeUrgent(stream: OpenStream): AttemptSlot | undefined {
     const {progress, upstream} = stream;
-    return (
-      this.tryTakeFurther(progress) ??
-      this.tryTakeEarlier(stream) ??
-      (upstream && this.takeAt(progress, upstream))
-    );
+    const other = this.tryTakeFurther(progress) ?? this.tryTakeEarlier(stream);
+    if (other || !upstream || !isOpen(upstream)) return other;
+    return this.takeAt(progress, upstream);
   }
 
   /** A slot at this upstream, whether it has a free one or not. */
--- a/packages/arbutustide-routing/src/proxy/handover/places_in_stop.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/places_in_stop.ts
@@ -10,6 +10,7 @@
 import {isRepeatable} from '../route.js';
 import {remainingForUpstream} from '../routed_request_progress.js';
 import {MINIMUM_LEFT_MILLISECONDS} from './handover_decision.js';
+import {isOpen} from './handover_places.js';
 
 /** Where a stream can go on whose attempt has ended. */
 export interface PlaceInStop {
@@ -45,11 +46,15 @@
     private readonly answerPeriod: AnswerPeriod,
   ) {}
 
-  /** Urgent places for a stream that is read anew, each with its retry. */
+  /**
+   * Urgent places for a stream that is read anew, each with its retry. They end
+   * with the paths of this node: a peer may still have one.
+   */
   async *findUrgent(stream: OpenStream): PlacesOfStream {
     for await (const _try of this.triesOf(stream)) {
       const slot = this.places.takeUrgent(stream);
-      if (slot && this.places.consumeRetry(stream, slot)) yield {slot};
+      if (!slot) return;
+      if (this.places.consumeRetry(stream, slot)) yield {slot};
     }
   }
 
@@ -79,6 +84,7 @@
       // All have refused it just now.
       if (tryCount === 1) continue;
       const holder = holders[tryCount % holders.length];
+      if (!isOpen(holder)) continue;
       const slot = this.places.takeAt(stream.progress, holder);
       if (this.places.consumeRetry(stream, slot)) yield {slot, memoryLocation};
     }
