Take a stream of a stop back to an earlier engine also if that counts as full

What callers saw: a stream that is urgent at its second engine and taken off there is cut, though the first one holds its model. Cause: an upstream counts as full at one and a half times its slots, by what is in flight; an engine admits level 0 before all that wait there, so what waits is no reason. Change: among earlier engines, if none has room, the least loaded that takes requests, holds the model at the version of the stream and has no pause or rate in the way. Moves of memory still ask for room.

--- a/packages/arbutustide-routing/src/__tests__/unit/last_upstream_stalls.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/last_upstream_stalls.test.ts
@@ -135,6 +135,18 @@
     expect(upstreams.map(({ownInFlight}) => ownInFlight)).to.eql([0, 0]);
   });
 
+  it('goes on at the one before although that counts as full', async () => {
+    const {connector, ids, end} = await play(
+      [stallAfter(1, 2), stallAfter(3, 4), endWith(5, 6)],
+      () => {
+        upstreams[0].ownInFlight += 100;
+      },
+    );
+    expect(connector.upstreamIds).to.eql(['one', 'two', 'one']);
+    expect(ids).to.eql([1, 2, 3, 4, 5, 6]);
+    expect(end).to.equal(AnswerEnd.WHOLE);
+  });
+
   it('keeps its place there until the one before goes on', async () => {
     const goingOn: AttemptScript = () =>
       respondWith({
--- a/packages/arbutustide-routing/src/proxy/handover/handover_places.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/handover_places.ts
@@ -17,6 +17,31 @@
   return isReady && !reachability.isLost;
 }
 
+/** Whether a stream can go on urgently at an engine, however full it is. */
+function canTakeUrgent(
+  upstream: ProxyUpstream,
+  {request: {modelRequest}, origin}: RoutedRequestProgress,
+): boolean {
+  const {description, rateLimit, isEjected, remainingBackOffMilliseconds} =
+    upstream;
+  const isSameVersion =
+    !origin || description.softwareVersion === origin.softwareVersion;
+  return (
+    isOpen(upstream) &&
+    isSameVersion &&
+    modelRequest !== undefined &&
+    upstream.canServe(modelRequest) &&
+    rateLimit.allowsRequest &&
+    !isEjected &&
+    remainingBackOffMilliseconds === 0
+  );
+}
+
+/** Requests in flight at an upstream, as a share of its slots. */
+function loadOf({estimatedInFlight, description}: ProxyUpstream): number {
+  return estimatedInFlight / description.slots;
+}
+
 /** Finds places for streams that are handed over. */
 export class HandoverPlaces {
   constructor(private readonly provider: PlaceProvider) {}
@@ -33,6 +58,20 @@
     return this.provider.tryTakeEarlierSlot(progress, upstream);
   }
 
+  /**
+   * The same also at one that counts as full: an engine admits an urgent request
+   * before all that wait there.
+   */
+  takeEarlier(stream: OpenStream): AttemptSlot | undefined {
+    const slot = this.tryTakeEarlier(stream);
+    if (slot) return slot;
+    const {progress, upstream} = stream;
+    const [leastLoaded] = [...progress.triedUpstreams]
+      .filter(tried => tried !== upstream && canTakeUrgent(tried, progress))
+      .sort((left, right) => loadOf(left) - loadOf(right));
+    return leastLoaded && this.takeAt(progress, leastLoaded);
+  }
+
   /** A slot where the stream is, unless it is urgent there or at a peer. */
   takeAgain({
     progress,
@@ -49,7 +88,7 @@
    */
   takeUrgent(stream: OpenStream): AttemptSlot | undefined {
     const {progress, upstream} = stream;
-    const other = this.tryTakeFurther(progress) ?? this.tryTakeEarlier(stream);
+    const other = this.tryTakeFurther(progress) ?? this.takeEarlier(stream);
     if (other || !upstream || !isOpen(upstream)) return other;
     return this.takeAt(progress, upstream);
   }
--- a/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/stream_handovers.ts
@@ -121,7 +121,7 @@
       [HandoverAction.RESUME_URGENTLY]: stream =>
         this.startResuming(stream, this.places.takeAgain(stream)),
       [HandoverAction.RETURN_TO_EARLIER]: stream =>
-        this.startResuming(stream, this.places.tryTakeEarlier(stream)),
+        this.startResuming(stream, this.places.takeEarlier(stream)),
       [HandoverAction.MOVE_MEMORY]: stream => this.startMoving(stream),
       [HandoverAction.READMIT]: stream => this.startReadmitting(stream),
       [HandoverAction.REFUSE]: stream => {
