Name the tests of upstreams that leave in full

The check of the mutation patches looks up titles in the text of the test files; one of a template string was not found.

--- a/packages/arbutustide-routing/src/__tests__/unit/refused_continuation.test.ts
+++ b/packages/arbutustide-routing/src/__tests__/unit/refused_continuation.test.ts
@@ -148,9 +148,11 @@
     expectWhole(await play(true, BROKEN_OFF, [refuse, goOn]));
   });
 
-  for (const isResumable of [true, false]) {
-    const kind = isResumable ? 'is read anew' : 'must run once';
-    it(`is not sent again to one that leaves if it ${kind}`, async () => {
+  for (const [name, isResumable] of [
+    ['is not sent again to one that leaves if it is read anew', true],
+    ['is not sent again to one that leaves if it must run once', false],
+  ] as const) {
+    it(name, async () => {
       const refuseAndLeave: AttemptScript = () => {
         for (const other of upstreams) {
           const {description} = other;
