--- a/packages/arbutustide-routing/src/proxy/choose_upstream.ts
+++ b/packages/arbutustide-routing/src/proxy/choose_upstream.ts
@@ -177,6 +177,9 @@
 }
 
 /** Requests in flight at the upstream, as a share of its slots. */
-function utilization({estimatedInFlight, description}: ProxyUpstream): number {
+export function utilization({
+  estimatedInFlight,
+  description,
+}: ProxyUpstream): number {
   return estimatedInFlight / description.slots;
 }
--- a/packages/arbutustide-routing/src/proxy/handover/handover_places.ts
+++ b/packages/arbutustide-routing/src/proxy/handover/handover_places.ts
@@ -4,6 +4,7 @@
 import type {RoutedRequestProgress} from '../routed_request_progress.js';
 import type {OpenStream} from './open_stream.js';
 
+import {compatibleUpstreams, utilization} from '../choose_upstream.js';
 import {mayReachFurtherUpstream} from '../routed_request_progress.js';
 
 /** What handovers take places and retries from. */
@@ -20,15 +21,11 @@
 /** Whether a stream can go on urgently at an engine, however full it is. */
 function canTakeUrgent(
   upstream: ProxyUpstream,
-  {request: {modelRequest}, origin}: RoutedRequestProgress,
+  {request: {modelRequest}}: RoutedRequestProgress,
 ): boolean {
-  const {description, rateLimit, isEjected, remainingBackOffMilliseconds} =
-    upstream;
-  const isSameVersion =
-    !origin || description.softwareVersion === origin.softwareVersion;
+  const {rateLimit, isEjected, remainingBackOffMilliseconds} = upstream;
   return (
     isOpen(upstream) &&
-    isSameVersion &&
     modelRequest !== undefined &&
     upstream.canServe(modelRequest) &&
     rateLimit.allowsRequest &&
@@ -37,11 +34,6 @@
   );
 }
 
-/** Requests in flight at an upstream, as a share of its slots. */
-function loadOf({estimatedInFlight, description}: ProxyUpstream): number {
-  return estimatedInFlight / description.slots;
-}
-
 /** Finds places for streams that are handed over. */
 export class HandoverPlaces {
   constructor(private readonly provider: PlaceProvider) {}
@@ -66,9 +58,10 @@
     const slot = this.tryTakeEarlier(stream);
     if (slot) return slot;
     const {progress, upstream} = stream;
-    const [leastLoaded] = [...progress.triedUpstreams]
+    const {triedUpstreams} = progress;
+    const [leastLoaded] = [...compatibleUpstreams(triedUpstreams, progress)]
       .filter(tried => tried !== upstream && canTakeUrgent(tried, progress))
-      .sort((left, right) => loadOf(left) - loadOf(right));
+      .sort((left, right) => utilization(left) - utilization(right));
     return leastLoaded && this.takeAt(progress, leastLoaded);
   }
 
